Serve a request end to end by separate processes

Cause: a new project; nothing could be tried. Change: the workspace of three packages, the daemon, the operators' command line, the callers' client, stand-ins for the platform and the upstreams, and a test that drives one ticket, one look-up, one read and one credit through real processes in two zones. Ruled out: nothing yet; ownership is by rendezvous over each instance's own view, which does not hold when views differ.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,33 @@
+# Entry points for a fresh machine: `make demo` and `make test`.
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+SOURCES := packages tests bench
+
+.PHONY: setup demo test check format
+
+setup: $(STAMP)
+
+$(STAMP): constraints.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml)
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check -c constraints.txt -r requirements-dev.txt \
+	    -e packages/lycheedyke -e packages/lycheedyke-daemon -e packages/lycheedyke-ctl
+	touch $(STAMP)
+
+demo: $(STAMP)
+	$(BIN)/python -m bench.demo
+
+test: $(STAMP)
+	$(BIN)/python -m pytest
+
+check: $(STAMP)
+	$(BIN)/ruff format --check $(SOURCES)
+	$(BIN)/ruff check $(SOURCES)
+	$(BIN)/flake8 $(SOURCES)
+	$(BIN)/mypy packages/lycheedyke/src packages/lycheedyke-daemon/src packages/lycheedyke-ctl/src tests bench
+	$(BIN)/lint-imports
+
+format: $(STAMP)
+	$(BIN)/ruff check --fix $(SOURCES)
+	$(BIN)/ruff format $(SOURCES)
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurement commands; each starts its own stand-ins."""
--- /dev/null
+++ b/packages/lycheedyke-ctl/src/lycheedyke_ctl/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line."""
--- /dev/null
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon of one entry instance."""
--- /dev/null
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/instance.py
@@ -0,0 +1,258 @@
+"""One entry instance: its parts, its start and its stop."""
+
+import asyncio
+import logging
+import secrets as random_secrets
+
+import aiomisc
+from aiohttp import web
+
+from lycheedyke.clock import Clock
+from lycheedyke.coordination import (
+    Members,
+    TicketFollower,
+    TicketLog,
+    owner_of,
+)
+from lycheedyke.exceptions import MessageRejected, PlatformError
+from lycheedyke.protocol import (
+    Heartbeat,
+    InstanceInfo,
+    MessageCodec,
+    PlatformClient,
+    TicketsReply,
+    TicketsRequest,
+)
+from lycheedyke.state import Configuration, Counters, KeyLedger
+from lycheedyke.transport import PeerListener
+from lycheedyke_daemon.admin import AdminApi
+from lycheedyke_daemon.callers import CallerApi
+from lycheedyke_daemon.dispatch import Dispatcher, Router
+from lycheedyke_daemon.forward import PeerApi, PeerClient
+from lycheedyke_daemon.lookups import Lookups
+from lycheedyke_daemon.runner import Runner
+from lycheedyke_daemon.settings import Secrets, Settings
+
+INCARNATION_BYTES = 8
+OWNERSHIP_INTERVAL_SECONDS = 0.25
+SEEDING_INTERVAL_SECONDS = 5
+MESSAGE_MARGIN_BYTES = 65_536
+
+_logger = logging.getLogger(__name__)
+
+
+class Instance:
+    """The parts of one entry instance.
+
+    Args:
+        settings: the checked settings.
+        secrets: the peer and admin secrets.
+        clock: the time.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        secrets: Secrets,
+        clock: Clock,
+    ) -> None:
+        """Makes all parts; nothing listens yet."""
+        self._settings = settings
+        self._clock = clock
+        self._tasks: list[asyncio.Task[None]] = []
+        self._sites: list[web.AppRunner] = []
+        self._counters = Counters()
+        self._codec = MessageCodec(secrets.peer)
+        own = _describe(settings)
+        self._members = Members(own, self._codec, clock, self._counters)
+        self._log = TicketLog(self._take_over)
+        self._runner = Runner(clock, self._counters)
+        self._members.loads = self._runner.loads
+        self._platform = PlatformClient(
+            settings.platform_address,
+            timeout=settings.platform_timeout,
+        )
+        self._follower = TicketFollower(self._log, self._platform, clock)
+        self._peers = PeerClient(self._codec, clock, self._counters)
+        self._ledger = KeyLedger(
+            own.incarnation,
+            clock,
+            max_bytes=settings.key_memory_bytes,
+            max_life=settings.key_life,
+        )
+        self._dispatcher = Dispatcher(
+            Router(
+                self._log,
+                self._members,
+                self._runner,
+                self._peers,
+                self._counters,
+            ),
+            self._ledger,
+            self._members,
+            self._peers,
+        )
+        self._listener = PeerListener(settings.control_address, self._answer)
+        self._admin = AdminApi(
+            secrets.admin,
+            self._log,
+            self._follower,
+            self._members,
+            self._runner,
+            self._counters,
+        )
+
+    def __repr__(self) -> str:
+        """Returns the instance's name."""
+        return f'<Instance {self._settings.name}>'
+
+    async def start(self) -> None:
+        """Listens on all ports and starts all tasks."""
+        self._listener.open()
+        self._members.follow(self._settings.seeds)
+        self._tasks = [
+            asyncio.create_task(self._follower.follow()),
+            asyncio.create_task(self._watch_members()),
+            asyncio.create_task(self._seed()),
+        ]
+        await self._serve(self._peer_app(), self._settings.peer_address)
+        await self._serve(self._admin_app(), self._settings.admin_address)
+        await self._serve(self._caller_app(), self._settings.caller_address)
+        _logger.info('started', extra={'ticket': self._log.number})
+
+    async def stop(self) -> None:
+        """Leaves the look-ups, finishes what is in flight, then closes."""
+        _logger.info('stopping')
+        self._members.stopping = True
+        await self._clock.sleep(self._settings.stop_linger)
+        await self._dispatcher.close()
+        for site in reversed(self._sites):
+            await site.cleanup()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._members.close()
+        await self._listener.close()
+        for client in (self._runner, self._peers, self._platform):
+            await client.close()
+        _logger.info('stopped')
+
+    def _caller_app(self) -> web.Application:
+        app = web.Application(client_max_size=self._settings.max_body_bytes)
+        lookups = Lookups(self._log, self._members)
+        api = CallerApi(
+            self._dispatcher,
+            lookups.find,
+            self._log,
+            self._members,
+            self._clock,
+            self._counters,
+        )
+        app.add_routes(api.routes())
+        return app
+
+    def _peer_app(self) -> web.Application:
+        limit = self._settings.max_body_bytes + MESSAGE_MARGIN_BYTES
+        app = web.Application(client_max_size=limit)
+        api = PeerApi(
+            self._runner.run,
+            self._dispatcher.run,
+            self._codec,
+            self._clock,
+            self._counters,
+        )
+        app.add_routes(api.routes())
+        return app
+
+    def _admin_app(self) -> web.Application:
+        app = web.Application(client_max_size=self._settings.max_body_bytes)
+        app.add_routes(self._admin.routes())
+        return app
+
+    async def _serve(self, app: web.Application, address: str) -> None:
+        host, _, port = address.rpartition(':')
+        runner = web.AppRunner(
+            app,
+            access_log=None,
+            handle_signals=False,
+            handler_cancellation=True,
+        )
+        await runner.setup()
+        await web.TCPSite(runner, host.strip('[]'), int(port)).start()
+        self._sites.append(runner)
+
+    async def _answer(self, message: bytes) -> bytes | None:
+        try:
+            asked = self._codec.decode_exchange(message)
+        except MessageRejected as error:
+            self._counters.count('message.rejected')
+            _logger.warning('message dropped: %s', error)
+            return None
+        match asked:
+            case Heartbeat():
+                return self._codec.encode_exchange(
+                    self._members.answer(asked),
+                )
+            case TicketsRequest(after):
+                return self._codec.encode_exchange(
+                    TicketsReply(after + 1, self._log.after(after)),
+                )
+        self._counters.count('message.unexpected')
+        return None
+
+    async def _seed(self) -> None:
+        while True:
+            try:
+                listed = await self._platform.instances()
+            except PlatformError as error:
+                _logger.debug('list not read: %s', error)
+            else:
+                self._members.follow(listed.values())
+            await asyncio.sleep(SEEDING_INTERVAL_SECONDS)
+
+    async def _watch_members(self) -> None:
+        while True:
+            self._take_over(self._log.configuration)
+            await asyncio.sleep(OWNERSHIP_INTERVAL_SECONDS)
+
+    def _take_over(self, configuration: Configuration) -> None:
+        own = self._members.own
+        self._members.ticket = configuration.number
+        instances = self._members.in_zone(own.zone)
+        self._runner.own(
+            configuration,
+            {
+                name
+                for name, upstream in configuration.upstreams.items()
+                if upstream.zone == own.zone
+                and owner_of(name, instances) == own
+            },
+        )
+
+
+class InstanceService(aiomisc.Service):
+    """Runs an instance until the process is asked to stop."""
+
+    __required__ = ('instance',)
+
+    instance: Instance
+
+    async def start(self) -> None:
+        """Starts the instance."""
+        await self.instance.start()
+
+    async def stop(self, exception: Exception | None = None) -> None:
+        """Stops the instance gracefully."""
+        await self.instance.stop()
+
+
+def _describe(settings: Settings) -> InstanceInfo:
+    return InstanceInfo(
+        name=settings.name,
+        incarnation=random_secrets.token_hex(INCARNATION_BYTES),
+        zone=settings.zone,
+        region=settings.region,
+        caller_address=settings.caller_address,
+        peer_address=settings.peer_address,
+        control_address=settings.control_address,
+    )
--- /dev/null
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/logs.py
@@ -0,0 +1,51 @@
+"""Logs as JSON lines through absl."""
+
+import json
+import logging
+from datetime import UTC, datetime
+
+from absl import logging as absl_logging
+
+_EXTRA_FIELDS = ('ticket', 'request', 'peer', 'upstream')
+
+
+class JsonFormatter(logging.Formatter):
+    """Formats each record as one JSON object on one line.
+
+    Args:
+        instance: the name of the instance.
+        zone: its availability zone.
+    """
+
+    def __init__(self, instance: str, zone: str) -> None:
+        """Makes a formatter for one instance."""
+        super().__init__()
+        self._instance = instance
+        self._zone = zone
+
+    def format(self, record: logging.LogRecord) -> str:
+        """Returns the line."""
+        event = {
+            'time': datetime.fromtimestamp(record.created, UTC).isoformat(),
+            'level': record.levelname.lower(),
+            'instance': self._instance,
+            'zone': self._zone,
+            'logger': record.name,
+            'event': record.getMessage(),
+        }
+        event.update(
+            (name, field)
+            for name, field in record.__dict__.items()
+            if name in _EXTRA_FIELDS
+        )
+        if record.exc_info:
+            event['error'] = self.formatException(record.exc_info)
+        return json.dumps(event, default=repr)
+
+
+def start_logs(instance: str, zone: str, level: str) -> None:
+    """Sends all logs of the process to standard error as JSON lines."""
+    absl_logging.use_absl_handler()
+    absl_logging.set_verbosity(level)
+    handler = absl_logging.get_absl_handler()
+    handler.setFormatter(JsonFormatter(instance, zone))
--- /dev/null
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/runner.py
@@ -0,0 +1,144 @@
+"""Runs work on the upstreams that this instance owns."""
+
+from datetime import timedelta
+
+from lycheedyke.clock import Clock
+from lycheedyke.exceptions import (
+    ConnectionNotMade,
+    ExchangeBroken,
+    ExchangeTimeout,
+)
+from lycheedyke.protocol import (
+    OUTCOME_HEADER,
+    REMAINING_HEADER,
+    Answered,
+    NotRun,
+    Outcome,
+    Phase,
+    Reason,
+    Service,
+    Unknown,
+    Upstream,
+    UpstreamLoad,
+)
+from lycheedyke.state import AdmissionRefused, Admitter, Configuration, Counters
+from lycheedyke.transport import HttpAnswer, HttpClient
+from lycheedyke_daemon.work import HOP_HEADERS, Work
+
+MILLISECOND = timedelta(milliseconds=1)
+
+
+class Runner:
+    """Admits work to the owned upstreams and runs it there.
+
+    Args:
+        clock: measures deadlines and latencies.
+        counters: counts outcomes.
+    """
+
+    def __init__(self, clock: Clock, counters: Counters) -> None:
+        """Makes a runner that owns nothing."""
+        self._clock = clock
+        self._counters = counters
+        self._http = HttpClient()
+        self._configuration = Configuration()
+        self._admitters: dict[str, Admitter] = {}
+
+    def __repr__(self) -> str:
+        """Returns the owned upstreams."""
+        return f'<Runner of {sorted(self._admitters)}>'
+
+    async def close(self) -> None:
+        """Closes the connections to upstreams."""
+        await self._http.close()
+
+    def own(self, configuration: Configuration, names: set[str]) -> None:
+        """Takes over the named upstreams and gives up all others."""
+        self._configuration = configuration
+        for name in names:
+            upstream = configuration.upstreams[name]
+            service = configuration.services[upstream.service]
+            admitter = self._admitters.get(name)
+            if admitter is None:
+                self._admitters[name] = Admitter(
+                    upstream.slots,
+                    service.queue_limit,
+                    self._clock,
+                )
+            else:
+                admitter.resize(upstream.slots)
+        for name in self._admitters.keys() - names:
+            self._admitters.pop(name)
+
+    def loads(self) -> tuple[UpstreamLoad, ...]:
+        """Returns the counts of all owned upstreams."""
+        return tuple(
+            UpstreamLoad(
+                name,
+                admitter.in_flight,
+                admitter.waiting,
+                admitter.limit,
+            )
+            for name, admitter in self._admitters.items()
+        )
+
+    async def run(self, name: str, work: Work) -> Outcome:
+        """Runs work on one upstream, waiting for a slot if it must."""
+        admitter = self._admitters.get(name)
+        upstream = self._configuration.upstreams.get(name)
+        if admitter is None or upstream is None:
+            return NotRun(Reason.no_owner)
+        if upstream.phase is not Phase.serving:
+            return NotRun(Reason.no_upstream)
+        service = self._configuration.services[upstream.service]
+        work_class = (
+            service.read_class if work.idempotent else service.write_class
+        )
+        try:
+            await admitter.enter(work_class, work.deadline)
+        except AdmissionRefused as refusal:
+            return NotRun(refusal.reason)
+        try:
+            return await self._send(name, upstream, service, work)
+        finally:
+            admitter.leave()
+
+    async def _send(
+        self,
+        name: str,
+        upstream: Upstream,
+        service: Service,
+        work: Work,
+    ) -> Outcome:
+        remaining = work.deadline - self._clock.elapsed()
+        limit = min(remaining, service.run_limit_ms * MILLISECOND)
+        if limit < MILLISECOND:
+            return NotRun(Reason.deadline_passed)
+        headers = dict(work.headers)
+        headers[REMAINING_HEADER] = str(limit // MILLISECOND)
+        try:
+            answer = await self._http.send(
+                work.method,
+                f'http://{upstream.address}{work.target}',
+                timeout=limit,
+                headers=headers,
+                body=work.body or None,
+            )
+        except ConnectionNotMade:
+            return NotRun(Reason.upstream_unreachable)
+        except ExchangeTimeout:
+            return Unknown(Reason.upstream_timeout)
+        except ExchangeBroken:
+            return Unknown(Reason.upstream_broke)
+        return _to_outcome(name, answer)
+
+
+def _to_outcome(name: str, answer: HttpAnswer) -> Outcome:
+    if answer.headers.get(OUTCOME_HEADER) == 'not-run':
+        return NotRun(Reason.upstream_refused)
+    headers = tuple(
+        (key, text)
+        for key, text in answer.headers.items()
+        if key.lower() not in HOP_HEADERS
+    )
+    return Answered(answer.status, headers, answer.body, name)
--- /dev/null
+++ b/packages/lycheedyke/src/lycheedyke/clock.py
@@ -0,0 +1,39 @@
+"""The clock as an interface, so that tests can pass in their own."""
+
+import asyncio
+import time
+from datetime import UTC, datetime, timedelta
+from typing import Protocol
+
+
+class Clock(Protocol):
+    """Tells the time and waits."""
+
+    def now(self) -> datetime:
+        """Returns the wall-clock time in UTC."""
+
+    def elapsed(self) -> timedelta:
+        """Returns the monotonic time since an arbitrary origin."""
+
+    async def sleep(self, duration: timedelta) -> None:
+        """Waits for the duration."""
+
+
+class SystemClock:
+    """The clock of the operating system."""
+
+    def __repr__(self) -> str:
+        """Returns the constructor call."""
+        return 'SystemClock()'
+
+    def now(self) -> datetime:
+        """Returns the wall-clock time in UTC."""
+        return datetime.now(UTC)
+
+    def elapsed(self) -> timedelta:
+        """Returns the time of the monotonic system clock."""
+        return timedelta(seconds=time.monotonic())
+
+    async def sleep(self, duration: timedelta) -> None:
+        """Waits on the event loop."""
+        await asyncio.sleep(duration.total_seconds())
--- /dev/null
+++ b/packages/lycheedyke/src/lycheedyke/protocol/_outcomes.py
@@ -0,0 +1,68 @@
+"""The three outcomes of a request, and the reasons for a refusal."""
+
+from datetime import timedelta
+from enum import Enum
+
+import msgspec
+
+OUTCOME_HEADER = 'Lycheedyke-Outcome'
+REASON_HEADER = 'Lycheedyke-Reason'
+KEY_HEADER = 'Idempotency-Key'
+REMAINING_HEADER = 'Lycheedyke-Remaining-Ms'
+
+
+class Reason(Enum):
+    """Why a request has no answer; each reason is also a counter."""
+
+    bad_request = 'bad-request'
+    unknown_service = 'unknown-service'
+    not_ready = 'not-ready'
+    stopping = 'stopping'
+    key_missing = 'key-missing'
+    key_malformed = 'key-malformed'
+    key_expired = 'key-expired'
+    key_too_long_lived = 'key-too-long-lived'
+    key_memory_full = 'key-memory-full'
+    key_reused = 'key-reused'
+    home_gone = 'home-gone'
+    home_unreachable = 'home-unreachable'
+    no_upstream = 'no-upstream'
+    no_owner = 'no-owner'
+    no_room = 'no-room'
+    queue_full = 'queue-full'
+    deadline_passed = 'deadline-passed'
+    shift_cap = 'shift-cap'
+    body_too_large = 'body-too-large'
+    memory_full = 'memory-full'
+    quarantined = 'quarantined'
+    byte_budget = 'byte-budget'
+    upstream_unreachable = 'upstream-unreachable'
+    upstream_refused = 'upstream-refused'
+    upstream_broke = 'upstream-broke'
+    upstream_timeout = 'upstream-timeout'
+    peer_broke = 'peer-broke'
+
+
+class Answered(msgspec.Struct, frozen=True, tag='answered'):
+    """The upstream's whole answer to this very request."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    upstream: str
+
+
+class NotRun(msgspec.Struct, frozen=True, tag='not-run'):
+    """The request did not run and will not."""
+
+    reason: Reason
+    retry_after: timedelta = timedelta(seconds=1)
+
+
+class Unknown(msgspec.Struct, frozen=True, tag='unknown'):
+    """The request may have run."""
+
+    reason: Reason
+
+
+Outcome = Answered | NotRun | Unknown
--- /dev/null
+++ b/packages/lycheedyke/src/lycheedyke/protocol/_platform.py
@@ -0,0 +1,216 @@
+"""The client of the platform's key-value service."""
+
+import base64
+from datetime import timedelta
+from typing import NamedTuple, TypeVar
+from urllib.parse import quote, urlencode
+
+import msgspec
+
+from lycheedyke.exceptions import (
+    PlatformError,
+    PlatformUnreachable,
+    TransportError,
+    WriteConflict,
+)
+from lycheedyke.transport import HttpAnswer, HttpClient
+
+DEFAULT_TIMEOUT = timedelta(seconds=1)
+MAX_VALUE_BYTES = 1_048_576
+MAX_ANSWER_BYTES = 16 * MAX_VALUE_BYTES
+HTTP_OK = 200
+HTTP_NOT_FOUND = 404
+HTTP_CONFLICT = 409
+
+_Body = TypeVar('_Body')
+
+
+class PlatformEntry(NamedTuple):
+    """A key with its value and the revision of its last write."""
+
+    key: str
+    content: bytes
+    revision: int
+
+
+class _WireEntry(msgspec.Struct):
+    key: str
+    value: str
+    revision: int
+
+
+class _WireRange(msgspec.Struct):
+    revision: int
+    entries: list[_WireEntry]
+
+
+class PlatformClient:
+    """Reads, writes and watches keys; counts every call.
+
+    Args:
+        address: `ip:port` of the service.
+        timeout: the longest time for one call, apart from watches.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        *,
+        timeout: timedelta = DEFAULT_TIMEOUT,
+    ) -> None:
+        """Makes a client that connects at the first call."""
+        self.calls = 0
+        self._address = address
+        self._timeout = timeout
+        self._http = HttpClient(max_body_bytes=MAX_ANSWER_BYTES)
+
+    def __repr__(self) -> str:
+        """Returns the address."""
+        return f'PlatformClient({self._address!r})'
+
+    async def close(self) -> None:
+        """Closes the connections."""
+        await self._http.close()
+
+    async def get(self, key: str) -> PlatformEntry | None:
+        """Returns the entry, or None where the key is absent.
+
+        Raises:
+            PlatformUnreachable: no answer came.
+        """
+        answer = await self._call('GET', f'/v1/kv/{quote(key, safe="")}')
+        if answer.status == HTTP_NOT_FOUND:
+            return None
+        return _to_entry(_decode(answer, _WireEntry))
+
+    async def create(self, key: str, content: bytes) -> int:
+        """Writes the key if it is absent; returns the revision.
+
+        Raises:
+            WriteConflict: the key exists; nothing was written.
+            PlatformUnreachable: no answer came; it may have been written.
+        """
+        return await self.replace(key, content, revision=0)
+
+    async def replace(self, key: str, content: bytes, *, revision: int) -> int:
+        """Writes the key if its revision is the given one, 0 for absent.
+
+        Raises:
+            WriteConflict: another revision is there; nothing was written.
+            PlatformUnreachable: no answer came; it may have been written.
+        """
+        answer = await self._call(
+            'PUT',
+            f'/v1/kv/{quote(key, safe="")}?revision={revision}',
+            content,
+        )
+        if answer.status == HTTP_CONFLICT:
+            raise WriteConflict(f'key {key!r} is not at revision {revision}')
+        return _decode(answer, int)
+
+    async def remove(self, key: str) -> None:
+        """Removes the key, present or not.
+
+        Raises:
+            PlatformUnreachable: no answer came.
+        """
+        await self._call('DELETE', f'/v1/kv/{quote(key, safe="")}')
+
+    async def scan(
+        self,
+        prefix: str,
+        *,
+        start: str = '',
+    ) -> tuple[int, list[PlatformEntry]]:
+        """Returns the store's revision and the entries under a prefix.
+
+        Args:
+            prefix: what the keys begin with.
+            start: only keys from this one on.
+
+        Raises:
+            PlatformUnreachable: no answer came.
+        """
+        query = urlencode({'prefix': prefix, 'start': start})
+        answer = await self._call('GET', f'/v1/range?{query}')
+        found = _decode(answer, _WireRange)
+        return found.revision, [_to_entry(entry) for entry in found.entries]
+
+    async def watch(
+        self,
+        prefix: str,
+        *,
+        after: int,
+        wait: timedelta,
+    ) -> tuple[int, list[PlatformEntry]]:
+        """Waits for writes under a prefix after a revision.
+
+        Returns:
+            The store's revision and the entries written since; the list is
+            empty where nothing was written within `wait`.
+
+        Raises:
+            PlatformUnreachable: no answer came.
+        """
+        query = urlencode(
+            {
+                'prefix': prefix,
+                'after': after,
+                'wait_ms': int(wait / timedelta(milliseconds=1)),
+            },
+        )
+        answer = await self._call(
+            'GET',
+            f'/v1/watch?{query}',
+            timeout=self._timeout + wait,
+        )
+        found = _decode(answer, _WireRange)
+        return found.revision, [_to_entry(entry) for entry in found.entries]
+
+    async def instances(self) -> dict[str, str]:
+        """Returns the platform's list: instance name to control address.
+
+        The list lags behind joins and leaves.
+
+        Raises:
+            PlatformUnreachable: no answer came.
+        """
+        answer = await self._call('GET', '/v1/instances')
+        return _decode(answer, dict[str, str])
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        body: bytes | None = None,
+        *,
+        timeout: timedelta | None = None,
+    ) -> HttpAnswer:
+        self.calls += 1
+        try:
+            answer = await self._http.send(
+                method,
+                f'http://{self._address}{path}',
+                timeout=timeout or self._timeout,
+                body=body,
+            )
+        except TransportError as error:
+            raise PlatformUnreachable(f'platform: {error}') from error
+        if answer.status not in {HTTP_OK, HTTP_NOT_FOUND, HTTP_CONFLICT}:
+            raise PlatformUnreachable(f'platform: status {answer.status}')
+        return answer
+
+
+def _to_entry(wire: _WireEntry) -> PlatformEntry:
+    return PlatformEntry(
+        wire.key,
+        base64.b64decode(wire.value),
+        wire.revision,
+    )
+
+
+def _decode(answer: HttpAnswer, kind: type[_Body]) -> _Body:
+    try:
+        return msgspec.json.decode(answer.body, type=kind)
+    except msgspec.MsgspecError as error:
+        raise PlatformError(f'platform: {error}') from error
--- /dev/null
+++ b/packages/lycheedyke/src/lycheedyke/protocol/_tickets.py
@@ -0,0 +1,165 @@
+"""Tickets: the documents through which operators act."""
+
+from datetime import datetime
+from enum import Enum
+from typing import Annotated
+
+import msgspec
+
+from lycheedyke.exceptions import DocumentMalformed
+
+MAX_TICKET_BYTES = 1_000_000
+_Name = Annotated[str, msgspec.Meta(pattern='^[a-z0-9][a-z0-9-]{0,62}$')]
+_Share = Annotated[float, msgspec.Meta(ge=0, le=1)]
+_Count = Annotated[int, msgspec.Meta(ge=0, le=1_000_000)]
+_Milliseconds = Annotated[int, msgspec.Meta(ge=1, le=3_600_000)]
+_Address = Annotated[
+    str,
+    msgspec.Meta(pattern=r'^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-f:]+\]):\d{1,5}$'),
+]
+
+
+class WorkClass(Enum):
+    """Classes of work, the most urgent first."""
+
+    interactive = 'interactive'
+    deferred = 'deferred'
+    batch = 'batch'
+
+
+class Phase(Enum):
+    """Whether an upstream gets new work."""
+
+    serving = 'serving'
+    leaving = 'leaving'
+
+
+class _Document(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """The base of all parts of a ticket: unknown fields are refused."""
+
+
+class Zone(_Document, frozen=True):
+    """An availability zone."""
+
+    region: _Name
+
+
+class Service(_Document, frozen=True):
+    """A service of a customer.
+
+    Attributes:
+        customer: the customer that it belongs to.
+        read_class: class of idempotent requests.
+        write_class: class of non-idempotent requests.
+        run_limit_ms: the longest time that a request may run, in ms.
+        max_body_bytes: the largest request or answer body, in bytes.
+        queue_limit: the most requests waiting at one upstream.
+        retry_share: retries allowed, as a share of first attempts.
+        answer_ttl_ms: how long callers may keep an answer, in ms.
+    """
+
+    customer: _Name
+    read_class: WorkClass = WorkClass.interactive
+    write_class: WorkClass = WorkClass.deferred
+    run_limit_ms: _Milliseconds = 1000
+    max_body_bytes: _Count = 262_144
+    queue_limit: _Count = 16
+    retry_share: _Share = 0.1
+    answer_ttl_ms: _Milliseconds = 2000
+
+
+class Upstream(_Document, frozen=True):
+    """One back end of a service, in one zone."""
+
+    service: _Name
+    zone: _Name
+    address: _Address
+    slots: _Count
+    phase: Phase = Phase.serving
+
+
+class Shift(_Document, frozen=True):
+    """A bounded move of a service's traffic between two regions.
+
+    Attributes:
+        service: the service whose traffic moves.
+        source: the region from which it moves.
+        destination: the region to which it moves.
+        cap: the largest share of client blocks moved, 0 to 1.
+        ramp_per_s: the fastest rise of the share, per second.
+        start_share: the share in force when the ticket was accepted.
+        failover: moves only while the source region is not serving.
+    """
+
+    service: _Name
+    source: _Name
+    destination: _Name
+    cap: _Share
+    ramp_per_s: Annotated[float, msgspec.Meta(gt=0, le=1)] = 0.01
+    start_share: _Share = 0
+    failover: bool = False
+
+
+class Block(_Document, frozen=True):
+    """A block of client addresses and its home region."""
+
+    home: _Name
+
+
+class Ticket(_Document, frozen=True):
+    """The whole new state of each object that it touches.
+
+    A value of None removes the object.
+
+    Attributes:
+        author: the operator's unique id of this ticket.
+        based_on: the number of the newest ticket that the author knew.
+        created: when the ticket was handed in.
+        allow_last: permits taking away the last serving upstream.
+    """
+
+    author: Annotated[str, msgspec.Meta(min_length=1, max_length=128)]
+    based_on: int
+    created: datetime
+    note: Annotated[str, msgspec.Meta(max_length=1000)] = ''
+    allow_last: bool = False
+    zones: dict[_Name, Zone | None] = {}
+    services: dict[_Name, Service | None] = {}
+    upstreams: dict[_Name, Upstream | None] = {}
+    shifts: dict[_Name, Shift | None] = {}
+    blocks: dict[str, Block | None] = {}
+
+    def touches(self) -> set[str]:
+        """Returns the names of all objects that the ticket changes."""
+        kinds = ('zones', 'services', 'upstreams', 'shifts', 'blocks')
+        return {
+            f'{kind[:-1]} {name}'
+            for kind in kinds
+            for name in getattr(self, kind)
+        }
+
+
+_encoder = msgspec.json.Encoder(order='deterministic')
+_decoder = msgspec.json.Decoder(Ticket)
+
+
+def encode_ticket(ticket: Ticket) -> bytes:
+    """Returns the ticket as JSON, always in the same order."""
+    return _encoder.encode(ticket)
+
+
+def decode_ticket(document: bytes) -> Ticket:
+    """Reads a ticket from JSON.
+
+    Raises:
+        DocumentMalformed: the document is too large or has another form.
+    """
+    if len(document) > MAX_TICKET_BYTES:
+        raise DocumentMalformed(
+            f'ticket has {len(document)} bytes; '
+            f'at most {MAX_TICKET_BYTES} are allowed',
+        )
+    try:
+        return _decoder.decode(document)
+    except msgspec.MsgspecError as error:
+        raise DocumentMalformed(f'ticket: {error}') from error
--- /dev/null
+++ b/packages/lycheedyke/src/lycheedyke/state/__init__.py
@@ -0,0 +1,23 @@
+"""State: configuration, admission, key records and counters."""
+
+from lycheedyke.state._admission import AdmissionRefused, Admitter
+from lycheedyke.state._blocks import BlockMap
+from lycheedyke.state._checks import find_faults
+from lycheedyke.state._configuration import Configuration
+from lycheedyke.state._counters import Counters
+from lycheedyke.state._ledger import KeyLedger, KeyRecord, KeyRefused
+from lycheedyke.state._shares import hash_point, share_at
+
+__all__ = (
+    'AdmissionRefused',
+    'Admitter',
+    'BlockMap',
+    'Configuration',
+    'Counters',
+    'KeyLedger',
+    'KeyRecord',
+    'KeyRefused',
+    'find_faults',
+    'hash_point',
+    'share_at',
+)
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,30 @@
+"""Settings of the test run, and the list of known red tests."""
+
+from pathlib import Path
+
+import pytest
+from hypothesis import settings
+
+KNOWN_RED = Path(__file__).resolve().parent.parent / 'KNOWN-RED.txt'
+TEST_FIELD = 'test: '
+
+settings.register_profile('ci', derandomize=True, deadline=None)
+settings.register_profile('long', max_examples=2000, deadline=None)
+settings.load_profile('ci')
+
+
+def _known_red() -> set[str]:
+    lines = KNOWN_RED.read_text(encoding='utf-8').splitlines()
+    return {
+        line.removeprefix(TEST_FIELD)
+        for line in lines
+        if line.startswith(TEST_FIELD)
+    }
+
+
+def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
+    """Lets exactly the listed tests fail without failing the run."""
+    known = _known_red()
+    for item in items:
+        if item.nodeid in known:
+            item.add_marker(pytest.mark.xfail(reason='KNOWN-RED.txt'))
--- /dev/null
+++ b/tests/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the platform, upstreams and callers."""
--- /dev/null
+++ b/tests/standins/deployment.py
@@ -0,0 +1,213 @@
+"""Starts and ends a deployment of real processes on loopback."""
+
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Iterator, Sequence
+from contextlib import contextmanager
+from pathlib import Path
+from typing import Any, NamedTuple, Self
+
+import aiohttp
+
+TESTS = Path(__file__).resolve().parent.parent
+START_SECONDS = 20
+POLL_SECONDS = 0.05
+PEER_SECRET = 'peer-secret-for-tests'
+ADMIN_SECRET = 'admin-secret-for-tests'
+
+SETTINGS = """
+[instance]
+name = {name}
+customer = {customer}
+region = {region}
+zone = {zone}
+
+[listen]
+caller = {caller}
+peer = {peer}
+control = {control}
+admin = {admin}
+
+[platform]
+address = {platform}
+
+[peers]
+seeds = {seeds}
+
+[secrets]
+file = {secrets}
+
+[limits]
+stop_linger_ms = 1000
+"""
+
+
+class Seat(NamedTuple):
+    """The name, place and addresses of one entry instance."""
+
+    name: str
+    zone: str
+    region: str
+    caller: str
+    peer: str
+    control: str
+    admin: str
+
+
+def free_ports(count: int) -> list[int]:
+    """Returns ports that were free a moment ago."""
+    sockets = [socket.socket() for _ in range(count)]
+    try:
+        for each in sockets:
+            each.bind(('127.0.0.1', 0))
+        return [each.getsockname()[1] for each in sockets]
+    finally:
+        for each in sockets:
+            each.close()
+
+
+def make_seat(name: str, zone: str, region: str) -> Seat:
+    """Returns a seat with free ports on loopback."""
+    addresses = [f'127.0.0.1:{port}' for port in free_ports(4)]
+    return Seat(name, zone, region, *addresses)
+
+
+class Deployment:
+    """Processes on loopback, all ended on leaving the `with` block.
+
+    Args:
+        folder: for settings and logs.
+        zones: zone name to region name.
+        entries: entry instances for each zone.
+        customer: the customer served.
+    """
+
+    def __init__(
+        self,
+        folder: Path,
+        *,
+        zones: dict[str, str],
+        entries: int = 1,
+        customer: str = 'pantsaker',
+    ) -> None:
+        """Chooses addresses; nothing is started."""
+        self.folder = folder
+        self.customer = customer
+        self.zones = zones
+        self.seats = {
+            f'{zone}-{index}': make_seat(f'{zone}-{index}', zone, region)
+            for zone, region in zones.items()
+            for index in range(entries)
+        }
+        self.platform = f'127.0.0.1:{free_ports(1)[0]}'
+        self.processes: dict[str, subprocess.Popen[bytes]] = {}
+
+    def __enter__(self) -> Self:
+        """Starts the platform and all entry instances."""
+        self.start_platform()
+        for name in self.seats:
+            self.start_entry(name)
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        """Ends all processes that are left."""
+        for process in self.processes.values():
+            process.send_signal(signal.SIGCONT)
+            process.kill()
+            process.wait()
+
+    def start_platform(self) -> None:
+        """Starts the platform's stand-in."""
+        listed = [f'{seat.name}={seat.control}' for seat in self.seats.values()]
+        port = self.platform.rpartition(':')[2]
+        self.start('platform', '-m', 'standins.platform', port, *listed)
+        wait_for_port(self.platform)
+
+    def start_entry(self, name: str) -> None:
+        """Starts a daemon and waits until its ports are open."""
+        config = self._write_settings(self.seats[name])
+        self.start(name, '-m', 'lycheedyke_daemon', '--config', str(config))
+        wait_for_port(self.seats[name].caller)
+
+    def start_upstreams(self, name: str, ports: Sequence[int]) -> None:
+        """Starts one process that serves upstreams at the given ports."""
+        self.start(name, '-m', 'standins.upstream', *map(str, ports))
+        for port in ports:
+            wait_for_port(f'127.0.0.1:{port}')
+
+    def start(self, name: str, *arguments: str) -> None:
+        """Starts a Python process; its output goes to a log file."""
+        log = (self.folder / f'{name}.log').open('ab')
+        self.processes[name] = subprocess.Popen(
+            [sys.executable, *arguments],
+            stdout=log,
+            stderr=log,
+            env={**os.environ, 'PYTHONPATH': str(TESTS)},
+        )
+        log.close()
+
+    def signal(self, name: str, number: signal.Signals) -> None:
+        """Sends a signal to a process by its name."""
+        self.processes[name].send_signal(number)
+
+    def wait(self, name: str, timeout: float = 30) -> int:
+        """Waits for a process to end; returns its status."""
+        return self.processes[name].wait(timeout)
+
+    def _write_settings(self, seat: Seat) -> Path:
+        secrets = self.folder / 'secrets.ini'
+        secrets.write_text(
+            f'[secrets]\npeer = {PEER_SECRET}\nadmin = {ADMIN_SECRET}\n',
+        )
+        config = self.folder / f'{seat.name}.ini'
+        seeds = [other.control for other in self.seats.values()]
+        config.write_text(
+            SETTINGS.format(
+                **seat._asdict(),
+                customer=self.customer,
+                platform=self.platform,
+                seeds=', '.join(seeds[:3]),
+                secrets=secrets,
+            ),
+        )
+        return config
+
+
+def wait_for_port(address: str) -> None:
+    """Waits until something listens at the address."""
+    host, _, port = address.rpartition(':')
+    for _ in polls(START_SECONDS):
+        try:
+            socket.create_connection((host, int(port)), 1).close()
+        except OSError:
+            continue
+        return
+    raise TimeoutError(f'nothing listens at {address}')
+
+
+def polls(seconds: float) -> Iterator[None]:
+    """Yields again and again for a time, with a pause between."""
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        yield
+        time.sleep(POLL_SECONDS)
+
+
+async def call(method: str, url: str, **options: Any) -> tuple[int, Any]:
+    """Sends one HTTP request; returns the status and the JSON body."""
+    async with (
+        aiohttp.ClientSession() as session,
+        session.request(method, url, **options) as response,
+    ):
+        return response.status, await response.json(content_type=None)
+
+
+@contextmanager
+def deployment(folder: Path, **options: Any) -> Iterator[Deployment]:
+    """Runs a deployment for the length of a `with` block."""
+    with Deployment(folder, **options) as running:
+        yield running
--- /dev/null
+++ b/tests/standins/upstream.py
@@ -0,0 +1,104 @@
+"""Stand-in of upstreams: counts runs and the most in flight.
+
+Run as `python -m standins.upstream PORT [PORT ...]`; each port is one
+upstream. GET /record gives its record; POST /fault sets faults:
+{"run_ms": int, "lose_answers": int, "refuse": int, "crash_on": str}.
+Every other path runs: a request takes `run_ms` and is answered with what
+was asked.
+"""
+
+import asyncio
+import os
+import sys
+from collections import Counter
+from typing import Any
+
+from aiohttp import web
+
+DEFAULT_RUN_MS = 5
+
+
+class Upstream:
+    """One upstream and its record."""
+
+    def __init__(self) -> None:
+        """Makes an upstream that has run nothing."""
+        self._faults: dict[str, Any] = {}
+        self._runs: Counter[str] = Counter()
+        self._in_flight = 0
+        self._most_in_flight = 0
+        self._finished = 0
+        self._connections: set[Any] = set()
+
+    def app(self) -> web.Application:
+        """Returns the HTTP application."""
+        app = web.Application()
+        app.add_routes(
+            [
+                web.get('/record', self._record),
+                web.post('/fault', self._fault),
+                web.route('*', '/{tail:.*}', self._run),
+            ],
+        )
+        return app
+
+    async def _record(self, request: web.Request) -> web.Response:
+        return web.json_response(
+            {
+                'runs': self._runs,
+                'in_flight': self._in_flight,
+                'most_in_flight': self._most_in_flight,
+                'finished': self._finished,
+                'connections': len(self._connections),
+            },
+        )
+
+    async def _fault(self, request: web.Request) -> web.Response:
+        self._faults = await request.json()
+        return web.json_response(self._faults)
+
+    async def _run(self, request: web.Request) -> web.Response:
+        body = await request.text()
+        self._connections.add(request.transport)
+        if self._faults.get('refuse', 0) > 0:
+            self._faults['refuse'] -= 1
+            return web.Response(
+                status=503,
+                headers={'Lycheedyke-Outcome': 'not-run'},
+            )
+        crash_on = self._faults.get('crash_on')
+        if crash_on and crash_on in body + request.path_qs:
+            os._exit(1)
+        name = f'{request.method} {request.path_qs} {body}'
+        self._runs[name] += 1
+        self._in_flight += 1
+        self._most_in_flight = max(self._most_in_flight, self._in_flight)
+        try:
+            await asyncio.sleep(
+                self._faults.get('run_ms', DEFAULT_RUN_MS) / 1000,
+            )
+        finally:
+            self._in_flight -= 1
+        self._finished += 1
+        if self._faults.get('lose_answers', 0) > 0:
+            self._faults['lose_answers'] -= 1
+            assert request.transport is not None
+            request.transport.abort()
+        return web.json_response({'ran': name, 'run': self._runs[name]})
+
+
+async def _serve(ports: list[int]) -> None:
+    for port in ports:
+        runner = web.AppRunner(Upstream().app(), access_log=None)
+        await runner.setup()
+        await web.TCPSite(runner, '127.0.0.1', port).start()
+    await asyncio.Event().wait()
+
+
+def main() -> None:
+    """Serves until the process is ended."""
+    asyncio.run(_serve([int(port) for port in sys.argv[1:]]))
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/tests/unit/test_keys.py
@@ -0,0 +1,30 @@
+"""Idempotency keys survive the way through the header."""
+
+from datetime import timedelta
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from lycheedyke.exceptions import KeyMalformed
+from lycheedyke.protocol import IdempotencyKey
+
+keys = st.builds(
+    IdempotencyKey,
+    st.from_regex('[a-z0-9]{8,32}', fullmatch=True),
+    st.integers(0, 10**11).map(lambda ms: timedelta(milliseconds=ms)),
+    st.from_regex('[A-Za-z0-9_-]{8,64}', fullmatch=True),
+)
+
+
+@given(keys)
+def test_parse_reads_what_str_wrote(key: IdempotencyKey) -> None:
+    """Parsing gives the same key back."""
+    assert IdempotencyKey.parse(str(key)) == key
+
+
+@pytest.mark.parametrize('text', ['', 'a.b.c', 'abcdefgh.1.short', '\n'])
+def test_other_forms_are_refused(text: str) -> None:
+    """A text of another form names the expected one."""
+    with pytest.raises(KeyMalformed, match='is not <incarnation>'):
+        IdempotencyKey.parse(text)
