--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/dispatch.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/dispatch.py
@@ -1,124 +1,14 @@
-"""Decides where a request runs, and runs it there."""
+"""Runs idempotent work anywhere, and keyed work at its home only."""
 
 import asyncio
-import random
-from typing import NamedTuple
 
-from lycheedyke.coordination import Members, TicketLog, owner_of
-from lycheedyke.protocol import (
-    Answered,
-    InstanceInfo,
-    NotRun,
-    Outcome,
-    Reason,
-    Unknown,
-)
-from lycheedyke.state import Counters, KeyLedger, KeyRefused
+from lycheedyke.coordination import Members
+from lycheedyke.protocol import NotRun, Outcome, Reason, Unknown
+from lycheedyke.state import KeyLedger, KeyRefused
 from lycheedyke_daemon.forward import PeerClient
-from lycheedyke_daemon.runner import Runner
+from lycheedyke_daemon.routing import Router
 from lycheedyke_daemon.work import Work
 
-MAX_ATTEMPTS = 3
-
-
-class _Candidate(NamedTuple):
-    """An upstream that may run the work, and its owner."""
-
-    upstream: str
-    owner: InstanceInfo
-    cost: float
-
-
-class Router:
-    """Picks upstreams and runs attempts, locally or at their owners.
-
-    Args:
-        log: the configuration in force.
-        members: the live instances.
-        runner: runs work on the own upstreams.
-        peers: forwards work to owners.
-        counters: counts retries by reason.
-    """
-
-    def __init__(
-        self,
-        log: TicketLog,
-        members: Members,
-        runner: Runner,
-        peers: PeerClient,
-        counters: Counters,
-    ) -> None:
-        """Makes a router over the parts of one instance."""
-        self._log = log
-        self._members = members
-        self._runner = runner
-        self._peers = peers
-        self._counters = counters
-
-    def __repr__(self) -> str:
-        """Returns the instance's name."""
-        return f'<Router at {self._members.own.name}>'
-
-    async def run(self, work: Work) -> Outcome:
-        """Runs work on some upstream; retries where that is safe."""
-        outcome: Outcome = NotRun(Reason.no_upstream)
-        tried: set[str] = set()
-        for _ in range(MAX_ATTEMPTS):
-            candidate = self._pick(work, tried)
-            if candidate is None:
-                break
-            tried.add(candidate.upstream)
-            outcome = await self._attempt(candidate, work)
-            match outcome:
-                case Answered():
-                    break
-                case Unknown() if not work.idempotent:
-                    break
-                case NotRun(reason) | Unknown(reason):
-                    self._counters.count(f'retry.{reason.value}')
-        return outcome
-
-    def _pick(self, work: Work, tried: set[str]) -> _Candidate | None:
-        return min(
-            self._candidates(work, tried),
-            key=lambda candidate: candidate.cost,
-            default=None,
-        )
-
-    def _candidates(self, work: Work, tried: set[str]) -> list[_Candidate]:
-        configuration = self._log.configuration
-        own = self._members.own
-        loads = self._loads()
-        found = []
-        for name, upstream in configuration.serving(work.service).items():
-            if name in tried or configuration.region_of(upstream) != own.region:
-                continue
-            owner = owner_of(name, self._members.in_zone(upstream.zone))
-            if owner is None:
-                continue
-            hops = (owner != own) + (owner.zone != own.zone)
-            cost = loads.get(name, 0) + hops * 0.1 + random.random() * 0.05
-            found.append(_Candidate(name, owner, cost))
-        return found
-
-    def _loads(self) -> dict[str, float]:
-        loads = list(self._runner.loads())
-        for peer in self._members.live():
-            loads.extend(peer.loads)
-        return {
-            load.upstream: (load.in_flight + load.waiting) / max(1, load.limit)
-            for load in loads
-        }
-
-    async def _attempt(self, candidate: _Candidate, work: Work) -> Outcome:
-        if candidate.owner == self._members.own:
-            return await self._runner.run(candidate.upstream, work)
-        return await self._peers.run(
-            candidate.owner,
-            work,
-            upstream=candidate.upstream,
-        )
-
 
 class Dispatcher:
     """Runs idempotent work anywhere, and keyed work at its home only.
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/forward.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/forward.py
@@ -1,6 +1,6 @@
 """Forwards work to other instances over HTTP, and serves theirs."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 from datetime import timedelta
 
 from aiohttp import web
@@ -42,6 +42,7 @@
         codec: signs requests and checks replies.
         clock: turns deadlines into remaining time.
         counters: counts rejected replies.
+        routes: addresses to use in place of others.
     """
 
     def __init__(
@@ -49,11 +50,14 @@
         codec: MessageCodec,
         clock: Clock,
         counters: Counters,
+        *,
+        routes: Mapping[str, str],
     ) -> None:
         """Makes a client without connections."""
         self._codec = codec
         self._clock = clock
         self._counters = counters
+        self._routes = routes
         self._http = HttpClient()
 
     def __repr__(self) -> str:
@@ -92,10 +96,11 @@
             client=work.client,
             key=str(work.key or ''),
         )
+        address = self._routes.get(peer.peer_address, peer.peer_address)
         try:
             answer = await self._http.send(
                 'POST',
-                f'http://{peer.peer_address}{RUN_PATH}',
+                f'http://{address}{RUN_PATH}',
                 timeout=remaining + ANSWER_MARGIN,
                 body=self._codec.encode(request),
             )
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/instance.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/instance.py
@@ -27,9 +27,10 @@
 from lycheedyke.transport import PeerListener
 from lycheedyke_daemon.admin import AdminApi
 from lycheedyke_daemon.callers import CallerApi
-from lycheedyke_daemon.dispatch import Dispatcher, Router
+from lycheedyke_daemon.dispatch import Dispatcher
 from lycheedyke_daemon.forward import PeerApi, PeerClient
 from lycheedyke_daemon.lookups import Lookups
+from lycheedyke_daemon.routing import Router
 from lycheedyke_daemon.runner import Runner
 from lycheedyke_daemon.settings import Secrets, Settings
 
@@ -64,7 +65,13 @@
         self._counters = Counters()
         self._codec = MessageCodec(secrets.peer)
         own = _describe(settings)
-        self._members = Members(own, self._codec, clock, self._counters)
+        self._members = Members(
+            own,
+            self._codec,
+            clock,
+            self._counters,
+            routes=settings.routes,
+        )
         self._log = TicketLog(self._take_over)
         self._runner = Runner(clock, self._counters)
         self._members.loads = self._runner.loads
@@ -73,7 +80,12 @@
             timeout=settings.platform_timeout,
         )
         self._follower = TicketFollower(self._log, self._platform, clock)
-        self._peers = PeerClient(self._codec, clock, self._counters)
+        self._peers = PeerClient(
+            self._codec,
+            clock,
+            self._counters,
+            routes=settings.routes,
+        )
         self._ledger = KeyLedger(
             own.incarnation,
             clock,
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/settings.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/settings.py
@@ -3,7 +3,7 @@
 import configparser
 import ipaddress
 import re
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Mapping
 from datetime import timedelta
 from pathlib import Path
 from types import MappingProxyType
@@ -13,13 +13,18 @@
 
 MAX_PORT = 65535
 MIN_SECRET_LENGTH = 16
+ROUTES_SECTION = 'routes'
 _NAME = re.compile('[a-z0-9][a-z0-9-]{0,62}')
 
 _Reader = Callable[[str], Any]
 
 
 class Settings(NamedTuple):
-    """The effective settings of one entry instance."""
+    """The effective settings of one entry instance.
+
+    `routes` maps addresses of other instances to the addresses at which
+    they are reached from here, for zones behind address translation.
+    """
 
     name: str
     customer: str
@@ -38,6 +43,7 @@
     key_life: timedelta
     stop_linger: timedelta
     log_level: str
+    routes: Mapping[str, str]
 
 
 class Secrets(NamedTuple):
@@ -199,6 +205,7 @@
             found[name] = _read_field(path, parser, field)
         except ValueError as error:
             faults.append(str(error))
+    found['routes'] = dict(_read_routes(path, parser, faults))
     faults.extend(_clashes(path, found))
     if faults:
         raise SettingsInvalid(faults)
@@ -235,7 +242,7 @@
 
 
 def _parse(path: Path) -> configparser.ConfigParser:
-    parser = configparser.ConfigParser(interpolation=None)
+    parser = configparser.ConfigParser(interpolation=None, delimiters='=')
     try:
         parser.read_string(path.read_text(encoding='utf-8'), str(path))
     except (OSError, UnicodeDecodeError, configparser.Error) as error:
@@ -250,6 +257,8 @@
     known = {(field.section, field.key) for field in _FIELDS.values()}
     sections = {section for section, _ in known}
     for section in parser.sections():
+        if section == ROUTES_SECTION:
+            continue
         if section not in sections:
             yield f'{path}: [{section}]: unknown section'
             continue
@@ -284,6 +293,23 @@
         ) from None
 
 
+def _read_routes(
+    path: Path,
+    parser: configparser.ConfigParser,
+    faults: list[str],
+) -> Iterator[tuple[str, str]]:
+    if not parser.has_section(ROUTES_SECTION):
+        return
+    for address, route in parser.items(ROUTES_SECTION):
+        try:
+            yield _read_address(address), _read_address(route)
+        except ValueError:
+            faults.append(
+                f'{path}: [{ROUTES_SECTION}] {address} = {route!r}: '
+                f'allowed on both sides is {_ADDRESS_RULE}',
+            )
+
+
 def _clashes(path: Path, found: dict[str, Any]) -> Iterator[str]:
     seen: dict[str, str] = {}
     for name, field in _FIELDS.items():
--- a/packages/lycheedyke/src/lycheedyke/coordination/_membership.py
+++ b/packages/lycheedyke/src/lycheedyke/coordination/_membership.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from datetime import timedelta
 
 from lycheedyke.clock import Clock
@@ -50,6 +50,7 @@
         codec: signs and checks the messages.
         clock: measures the silence of peers.
         counters: counts dropped messages.
+        routes: addresses to use in place of others.
     """
 
     def __init__(
@@ -58,6 +59,8 @@
         codec: MessageCodec,
         clock: Clock,
         counters: Counters,
+        *,
+        routes: Mapping[str, str],
     ) -> None:
         """Makes a view with no other instance in it."""
         self.own = own
@@ -68,6 +71,7 @@
         self._clock = clock
         self._started = clock.elapsed()
         self._counters = counters
+        self._routes = routes
         self._peers: dict[str, Peer] = {}
         self._tasks: dict[str, asyncio.Task[None]] = {}
 
@@ -138,7 +142,7 @@
         )
 
     async def _beat(self, address: str) -> None:
-        link = PeerLink(address)
+        link = PeerLink(self._routes.get(address, address))
         try:
             while True:
                 await self._exchange(link)
--- /dev/null
+++ b/tests/processes/test_links.py
@@ -0,0 +1,43 @@
+"""A zone that is cut off, and heals."""
+
+import asyncio
+from pathlib import Path
+
+import pytest
+
+from standins.deployment import Deployment, Seat, call, polls
+from standins.deployment import admin_headers as headers
+
+pytestmark = pytest.mark.processes
+ZONES = {'norr-a': 'norr', 'norr-b': 'norr'}
+
+
+async def _wait_peers(seat: Seat, count: int) -> None:
+    for _ in polls(10):
+        _, found = await call(
+            'GET',
+            f'http://{seat.admin}/v1/status',
+            headers=headers(),
+        )
+        if found['live_peers'] == count:
+            return
+    raise AssertionError(f'{seat.name} sees {found["live_peers"]} peers')
+
+
+async def _cut_and_heal(running: Deployment) -> None:
+    one, other = running.seats.values()
+    await _wait_peers(one, 1)
+    for ends in ((one.zone, other.zone), (other.zone, one.zone)):
+        await running.cut(*ends)
+    await _wait_peers(one, 0)
+    await _wait_peers(other, 0)
+    for ends in ((one.zone, other.zone), (other.zone, one.zone)):
+        await running.heal(*ends)
+    await _wait_peers(one, 1)
+    await _wait_peers(other, 1)
+
+
+def test_cut_zones_lose_and_find_each_other(tmp_path: Path) -> None:
+    """Instances of zones cut apart drop each other, then meet again."""
+    with Deployment(tmp_path, zones=ZONES, links=True) as running:
+        asyncio.run(_cut_and_heal(running))
--- a/tests/standins/deployment.py
+++ b/tests/standins/deployment.py
@@ -7,7 +7,6 @@
 import sys
 import time
 from collections.abc import Iterator, Sequence
-from contextlib import contextmanager
 from pathlib import Path
 from typing import Any, NamedTuple, Self
 
@@ -43,6 +42,9 @@
 
 [limits]
 stop_linger_ms = 1000
+
+[routes]
+{routes}
 """
 
 
@@ -76,6 +78,15 @@
     return Seat(name, zone, region, *addresses)
 
 
+class Link(NamedTuple):
+    """A relayed way from one zone to one address."""
+
+    source: str
+    destination: str
+    address: str
+    target: str
+
+
 class Deployment:
     """Processes on loopback, all ended on leaving the `with` block.
 
@@ -84,6 +95,8 @@
         zones: zone name to region name.
         entries: entry instances for each zone.
         customer: the customer served.
+        links: whether traffic between zones, and to the platform, goes
+            through a relay, so that `cut` can cut it.
     """
 
     def __init__(
@@ -93,6 +106,7 @@
         zones: dict[str, str],
         entries: int = 1,
         customer: str = 'pantsaker',
+        links: bool = False,
     ) -> None:
         """Chooses addresses; nothing is started."""
         self.folder = folder
@@ -104,11 +118,15 @@
             for index in range(entries)
         }
         self.platform = f'127.0.0.1:{free_ports(1)[0]}'
+        self.links: list[Link] = self._make_links() if links else []
+        self.relay = f'127.0.0.1:{free_ports(1)[0]}'
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
 
     def __enter__(self) -> Self:
         """Starts the platform and all entry instances."""
         self.start_platform()
+        if self.links:
+            self._start_relay()
         for name in self.seats:
             self.start_entry(name)
         return self
@@ -158,6 +176,66 @@
         """Waits for a process to end; returns its status."""
         return self.processes[name].wait(timeout)
 
+    async def cut(self, source: str, destination: str) -> None:
+        """Cuts all links from a zone to a zone or to 'platform'.
+
+        Bytes wait at the relay until `heal`, both ways of a connection.
+        """
+        await self._set_links(source, destination, is_open=False)
+
+    async def heal(self, source: str, destination: str) -> None:
+        """Opens all links from a zone to a zone or to 'platform'."""
+        await self._set_links(source, destination, is_open=True)
+
+    async def _set_links(
+        self,
+        source: str,
+        destination: str,
+        *,
+        is_open: bool,
+    ) -> None:
+        addresses = [
+            link.address
+            for link in self.links
+            if (link.source, link.destination) == (source, destination)
+        ]
+        assert addresses, (source, destination)
+        await call(
+            'POST',
+            f'http://{self.relay}/links',
+            json=dict.fromkeys(addresses, is_open),
+        )
+
+    def _make_links(self) -> list[Link]:
+        wanted = [
+            (source, seat.zone, address)
+            for source in self.zones
+            for seat in self.seats.values()
+            if seat.zone != source
+            for address in (seat.peer, seat.control)
+        ]
+        wanted += [(zone, 'platform', self.platform) for zone in self.zones]
+        ports = free_ports(len(wanted))
+        return [
+            Link(source, destination, f'127.0.0.1:{port}', target)
+            for port, (source, destination, target) in zip(
+                ports,
+                wanted,
+                strict=True,
+            )
+        ]
+
+    def _start_relay(self) -> None:
+        pairs = [f'{link.address}={link.target}' for link in self.links]
+        self.start('relay', '-m', 'standins.relay', self.relay, *pairs)
+        wait_for_port(self.relay)
+
+    def _route(self, zone: str, target: str) -> str:
+        for link in self.links:
+            if (link.source, link.target) == (zone, target):
+                return link.address
+        return target
+
     def _write_settings(self, seat: Seat) -> Path:
         secrets = self.folder / 'secrets.ini'
         secrets.write_text(
@@ -169,7 +247,12 @@
             SETTINGS.format(
                 **seat._asdict(),
                 customer=self.customer,
-                platform=self.platform,
+                platform=self._route(seat.zone, self.platform),
+                routes='\n'.join(
+                    f'{link.target} = {link.address}'
+                    for link in self.links
+                    if link.source == seat.zone and link.target != self.platform
+                ),
                 seeds=', '.join(seeds[:3]),
                 secrets=secrets,
             ),
@@ -206,8 +289,6 @@
         return response.status, await response.json(content_type=None)
 
 
-@contextmanager
-def deployment(folder: Path, **options: Any) -> Iterator[Deployment]:
-    """Runs a deployment for the length of a `with` block."""
-    with Deployment(folder, **options) as running:
-        yield running
+def admin_headers() -> dict[str, str]:
+    """Returns the headers that the administration API asks for."""
+    return {'Authorization': f'Bearer {ADMIN_SECRET}'}
