Bound shift shares, retries and bytes between regions

Cause: the share of a shift followed the wall clock and trusted the ticket's start_share, so a clock step or a later ticket could lift it at once; retries and bytes between regions had no bound.

Ruled out: the wall clock for shares seen live (steps); resetting the share at a later ticket (moves blocks back and forth); dividing the byte budget among live senders only (two halves of a cut region would add up to twice of it).

Change: ShiftShares (rate limiter on the monotonic clock, wall clock once at process start), RetryBudget, ByteBudget, RegionBudgets, DrainLog, headroom.

Not wired into the daemon yet.

--- a/packages/lycheedyke/src/lycheedyke/state/__init__.py
+++ b/packages/lycheedyke/src/lycheedyke/state/__init__.py
@@ -2,22 +2,51 @@
 
 from lycheedyke.state._admission import AdmissionRefused, Admitter
 from lycheedyke.state._blocks import BlockMap
+from lycheedyke.state._budgets import (
+    ByteBudget,
+    RegionBudgets,
+    RetryBudget,
+)
 from lycheedyke.state._checks import find_faults
 from lycheedyke.state._configuration import Configuration
 from lycheedyke.state._counters import Counters
+from lycheedyke.state._drains import Drain, DrainLog, LeavingCause
+from lycheedyke.state._headroom import (
+    Headroom,
+    HeadroomReport,
+    free_slots,
+    report_headroom,
+)
 from lycheedyke.state._ledger import KeyLedger, KeyRecord, KeyRefused
-from lycheedyke.state._shares import hash_point, share_at
+from lycheedyke.state._shares import (
+    ShiftShares,
+    Way,
+    hash_point,
+    share_at,
+)
 
 __all__ = (
     'AdmissionRefused',
     'Admitter',
     'BlockMap',
+    'ByteBudget',
     'Configuration',
     'Counters',
+    'Drain',
+    'DrainLog',
+    'Headroom',
+    'HeadroomReport',
     'KeyLedger',
     'KeyRecord',
     'KeyRefused',
+    'LeavingCause',
+    'RegionBudgets',
+    'RetryBudget',
+    'ShiftShares',
+    'Way',
     'find_faults',
+    'free_slots',
     'hash_point',
+    'report_headroom',
     'share_at',
 )
--- a/packages/lycheedyke/src/lycheedyke/state/_shares.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_shares.py
@@ -1,12 +1,19 @@
 """Shift shares: which client blocks move, judged by each instance alone."""
 
-from datetime import datetime
+from collections.abc import Callable
+from datetime import datetime, timedelta
+from typing import NamedTuple
 
 import xxhash
 
+from lycheedyke.clock import Clock
 from lycheedyke.protocol import Shift
+from lycheedyke.state._configuration import AcceptedShift, Configuration
 
 HASH_RANGE = 2**64
+START_PERIOD = timedelta(seconds=10)
+MOST_FAILOVER_STEP = timedelta(seconds=1)
+_NOTHING = timedelta()
 
 
 def hash_point(service: str, block: str) -> float:
@@ -31,3 +38,117 @@
     """
     age = max(0, (now - accepted).total_seconds())
     return min(shift.cap, shift.start_share + shift.ramp_per_s * age)
+
+
+class Way(NamedTuple):
+    """The service and the regions between which a shift moves blocks."""
+
+    service: str
+    source: str
+    destination: str
+
+
+class _Meter(NamedTuple):
+    """The share of a shift at a time of the monotonic clock."""
+
+    shift: Shift
+    share: float
+    read: timedelta
+
+    def advance(self, now: timedelta, *, source_serves: bool) -> '_Meter':
+        passed = max(now - self.read, _NOTHING)
+        if self.shift.failover:
+            if source_serves:
+                return self._replace(share=0, read=now)
+            passed = min(passed, MOST_FAILOVER_STEP)
+        rise = self.shift.ramp_per_s * passed.total_seconds()
+        share = min(self.shift.cap, self.share + rise)
+        return self._replace(share=share, read=now)
+
+
+class ShiftShares:
+    """The shares of all shifts, as this instance may use them.
+
+    A share rises with the monotonic clock from the time at which its shift
+    was first seen here, so no step of the wall clock moves it. The wall clock
+    serves once: for shifts read while the process starts, whose tickets are
+    older than the process.
+
+    Args:
+        clock: the time.
+        source_serves: whether a region serves a service, as seen here;
+            failover shifts move blocks only while it does not.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        source_serves: Callable[[str, str], bool],
+    ) -> None:
+        """Makes shares without shifts; the start period begins now."""
+        self._clock = clock
+        self._source_serves = source_serves
+        self._started = clock.elapsed()
+        self._meters: dict[Way, _Meter] = {}
+
+    def __repr__(self) -> str:
+        """Returns the number of shifts."""
+        return f'<ShiftShares of {len(self._meters)} shifts>'
+
+    def follow(self, configuration: Configuration) -> None:
+        """Takes over the shifts of a configuration; others end at once.
+
+        A changed shift goes on from its share so far, or from its new cap
+        where that is lower.
+        """
+        self.refresh()
+        followed: dict[Way, _Meter] = {}
+        for accepted in configuration.shifts.values():
+            shift = accepted.shift
+            way = Way(shift.service, shift.source, shift.destination)
+            followed[way] = self._change(way, accepted)
+        self._meters = followed
+
+    def refresh(self) -> None:
+        """Advances all shares to the present; to be called steadily."""
+        for way in self._meters:
+            self.share(way)
+
+    def share(self, way: Way) -> float:
+        """Returns the share of blocks that may move; 0 without a shift."""
+        meter = self._meters.get(way)
+        if meter is None:
+            return 0
+        meter = meter.advance(
+            self._clock.elapsed(),
+            source_serves=self._source_serves(way.service, way.source),
+        )
+        self._meters[way] = meter
+        return meter.share
+
+    def ways(self, service: str, source: str) -> list[Way]:
+        """Returns the ways on which blocks of a home region may move."""
+        return sorted(
+            way
+            for way in self._meters
+            if (way.service, way.source) == (service, source)
+        )
+
+    def wait(self, way: Way, point: float) -> timedelta | None:
+        """Returns the time until a point may be moved, None if never."""
+        meter = self._meters.get(way)
+        if meter is None or point >= meter.shift.cap:
+            return None
+        missing = max(0, point - meter.share)
+        return timedelta(seconds=missing / meter.shift.ramp_per_s)
+
+    def _change(self, way: Way, accepted: AcceptedShift) -> _Meter:
+        shift = accepted.shift
+        now = self._clock.elapsed()
+        before = self._meters.get(way)
+        share: float = 0
+        if before is not None and before.shift.failover == shift.failover:
+            share = before.share
+        elif now - self._started < START_PERIOD and not shift.failover:
+            share = share_at(shift, accepted.accepted, self._clock.now())
+        return _Meter(shift, min(share, shift.cap), now)
--- /dev/null
+++ b/tests/unit/test_budgets.py
@@ -0,0 +1,71 @@
+"""Budgets of retries and bytes are never exceeded."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from lycheedyke.state import ByteBudget, RegionBudgets, RetryBudget
+from lycheedyke.state._budgets import BURST_SECONDS, RETRY_FLOOR
+from standins.clock import ManualClock
+
+LARGEST = 1_000_000
+
+
+@given(st.lists(st.booleans()), st.floats(0, 1))
+def test_retries_stay_a_share_of_first_attempts(
+    retries: list[bool],
+    share: float,
+) -> None:
+    """Retries are at most the floor and a share of the first attempts."""
+    budget = RetryBudget()
+    taken = 0
+    for first, asks in enumerate(retries, start=1):
+        budget.add_first(share)
+        taken += sum(budget.take() for _ in range(5 * asks))
+        assert taken <= RETRY_FLOOR + share * first + 1e-6
+
+
+@given(
+    st.floats(100, LARGEST),
+    st.lists(
+        st.tuples(st.floats(0, 2), st.integers(0, LARGEST), st.booleans()),
+    ),
+)
+def test_bytes_stay_under_rate_and_burst(
+    rate: float,
+    sends: list[tuple[float, int, bool]],
+) -> None:
+    """Sent bytes stay under the rate, the burst and the forced bytes."""
+    clock = ManualClock()
+    budget = ByteBudget(rate, clock)
+    allowed = rate * BURST_SECONDS
+    sent = largest = 0
+    for pause, size, forced in sends:
+        clock.pass_time(pause)
+        allowed += pause * rate
+        largest = max(largest, size)
+        if forced:
+            budget.spend(size)
+            allowed += size
+            sent += size
+        elif (wait := budget.take(size)) is None:
+            sent += size
+        else:
+            clock.pass_time(wait.total_seconds() + 1e-5)
+            allowed += (wait.total_seconds() + 1e-5) * rate
+            assert budget.take(size) is None
+            sent += size
+        assert sent <= allowed + largest + 1
+
+
+@given(st.sets(st.integers(0, 30), min_size=1))
+def test_parts_of_a_cut_off_region_add_up(names: set[int]) -> None:
+    """Senders that cannot be heard any more still count."""
+    clock = ManualClock()
+    parts = []
+    for name in names:
+        budgets = RegionBudgets(8, clock)
+        budgets.share_among(map(str, names))
+        clock.pass_time(600)
+        budgets.share_among([str(name)])
+        parts.append(budgets.rate)
+    assert sum(parts) <= 1_000_000 + 1
--- /dev/null
+++ b/tests/unit/test_shares.py
@@ -0,0 +1,108 @@
+"""Shares of shifts stay under cap and ramp, whatever happens."""
+
+from datetime import datetime
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from lycheedyke.protocol import Shift
+from lycheedyke.state import Configuration, ShiftShares, Way
+from lycheedyke.state._configuration import AcceptedShift
+from standins.clock import ManualClock
+
+WAY = Way('kassa', 'norr', 'vast')
+ROUNDING = 1e-9
+shares = st.floats(0, 1)
+ramps = st.floats(0.001, 1)
+steps = st.one_of(
+    st.tuples(st.just('pass'), st.floats(0, 100)),
+    st.tuples(st.just('step'), st.floats(-10_000, 10_000)),
+    st.tuples(st.just('ticket'), st.tuples(shares, ramps, shares)),
+    st.tuples(st.just('serves'), st.booleans()),
+    st.tuples(st.just('restart'), st.none()),
+)
+
+
+def _configure(
+    cap: float,
+    ramp: float,
+    accepted: datetime,
+    *,
+    start_share: float = 0,
+    failover: bool = False,
+) -> Configuration:
+    shift = Shift(*WAY, cap, ramp, start_share, failover)
+    return Configuration(shifts={'away': AcceptedShift(shift, accepted)})
+
+
+@given(st.lists(steps, max_size=30), st.booleans())
+def test_share_keeps_cap_and_ramp(
+    events: list[tuple[str, object]],
+    failover: bool,
+) -> None:
+    """Clock steps, restarts and later tickets never lift the share faster."""
+    clock = ManualClock()
+    serves = [False]
+    cap, ramp = 0.5, 0.01
+    made = _configure(cap, ramp, clock.now(), failover=failover)
+
+    def start() -> ShiftShares:
+        return ShiftShares(clock, lambda service, region: serves[0])
+
+    shares_here = start()
+    clock.pass_time(20)
+    shares_here.follow(made)
+    bound, stepped = 0.0, False
+    for kind, amount in events:
+        match kind, amount:
+            case 'pass', float(seconds):
+                clock.pass_time(seconds)
+                bound += ramp * seconds
+            case 'step', float(seconds):
+                clock.step(seconds)
+                stepped = True
+            case 'ticket', (float(cap), float(ramp), float(start_share)):
+                made = _configure(
+                    cap,
+                    ramp,
+                    clock.now(),
+                    start_share=start_share,
+                    failover=failover,
+                )
+                shares_here.follow(made)
+            case 'serves', bool(is_serving):
+                serves[0] = is_serving
+            case 'restart', _ if failover or not stepped:
+                shares_here = start()
+                clock.pass_time(0 if failover else 20)
+                bound += 0 if failover else ramp * 20
+                shares_here.follow(made)
+        bound = min(bound, cap)
+        if kind == 'pass':
+            continue
+        share = shares_here.share(WAY)
+        assert share <= bound + ROUNDING
+        assert not (failover and serves[0] and share)
+
+
+@given(st.floats(0, 1), ramps, st.floats(0, 1000), st.floats(-900, 0))
+def test_restart_goes_on_from_the_share(
+    cap: float,
+    ramp: float,
+    age: float,
+    step: float,
+) -> None:
+    """A process that starts has the share of one that ran all along."""
+    clock = ManualClock()
+    made = _configure(cap, ramp, clock.now())
+    running = ShiftShares(clock, lambda service, region: True)
+    running.follow(made)
+    clock.pass_time(age)
+    started = ShiftShares(clock, lambda service, region: True)
+    started.follow(made)
+    assert abs(started.share(WAY) - running.share(WAY)) < 1e-5
+    clock.step(step)
+    clock.pass_time(1)
+    assert abs(started.share(WAY) - running.share(WAY)) < 1e-5
+    running.follow(Configuration())
+    assert not running.share(WAY)
