Place requests by shifts, bound retries and region bytes, drain and stop

Cause: the router ran work in the entry's own region whatever the client's home, retried without a budget, and recomputed owners for each request; a look-up answer was encoded for each look-up; drains were not recorded. A forwarded request with a well-known header failed with status 500: aiohttp's istr cannot be encoded by msgpack (seen as "Encoding objects of type multidict._multidict.istr is unsupported").

Ruled out: judging a shift at the entry only (a cut-off entry would decide for the destination); a pause on each refusal by a former owner (other upstreams are tried first, and only then the router waits for new owners).

Change: RoutingTable (the one call site of owner_of besides the own upstreams), Placement and PlacedRunner (shares judged at the entry and again where the work runs), retry budget, byte budgets at the peer client and the peer API, prepared look-up answers, drains by ticket or by the header Lycheedyke-Leaving, /v1/headroom, /v1/drains, CallerGate for planned stops.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/admin.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/admin.py
@@ -17,8 +17,9 @@
     TicketUnknown,
 )
 from lycheedyke.protocol import decode_ticket
-from lycheedyke.state import Counters
+from lycheedyke.state import Counters, report_headroom
 from lycheedyke_daemon.runner import Runner
+from lycheedyke_daemon.table import RoutingTable
 
 HTTP_BAD_REQUEST = 400
 HTTP_UNAUTHORIZED = 401
@@ -39,6 +40,7 @@
         members: the live instances.
         runner: the owned upstreams.
         counters: the counters to show.
+        table: the loads of all upstreams.
     """
 
     def __init__(
@@ -49,6 +51,8 @@
         members: Members,
         runner: Runner,
         counters: Counters,
+        *,
+        table: RoutingTable,
     ) -> None:
         """Makes the API over the parts of one instance."""
         self._token = token
@@ -57,6 +61,7 @@
         self._members = members
         self._runner = runner
         self._counters = counters
+        self._table = table
 
     def __repr__(self) -> str:
         """Returns the instance's name."""
@@ -69,6 +74,8 @@
             web.get('/readyz', self._ready),
             web.get('/v1/status', self._guard(self._status)),
             web.get('/v1/instances', self._guard(self._instances)),
+            web.get('/v1/headroom', self._guard(self._headroom)),
+            web.get('/v1/drains', self._guard(self._drains)),
             web.get('/v1/counters', self._guard(self._count)),
             web.post('/v1/tickets', self._guard(self._apply)),
             web.get('/v1/tickets/{number}', self._guard(self._show)),
@@ -124,6 +131,13 @@
             ],
         )
 
+    async def _headroom(self, request: web.Request) -> web.Response:
+        loads = self._table.loads().values()
+        return _reply(report_headroom(self._log.configuration, loads))
+
+    async def _drains(self, request: web.Request) -> web.Response:
+        return _reply(self._runner.drains.drains())
+
     async def _count(self, request: web.Request) -> web.Response:
         return _reply(
             {
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/callers.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/callers.py
@@ -1,5 +1,6 @@
 """The HTTP API for callers: look-ups and requests."""
 
+import ipaddress
 from collections.abc import Callable
 from datetime import timedelta
 
@@ -10,6 +11,8 @@
 from lycheedyke.coordination import Members, TicketLog
 from lycheedyke.exceptions import KeyMalformed
 from lycheedyke.protocol import (
+    ATTEMPT_HEADER,
+    CLIENT_HEADER,
     KEY_HEADER,
     OUTCOME_HEADER,
     REASON_HEADER,
@@ -49,7 +52,7 @@
 
     Args:
         dispatcher: runs requests.
-        find_entries: returns the look-up answer for a service.
+        find_entries: returns the look-up answer for a service and client.
         log: the configuration in force.
         members: this instance and its peers.
         clock: measures deadlines and latencies.
@@ -59,7 +62,7 @@
     def __init__(
         self,
         dispatcher: Dispatcher,
-        find_entries: Callable[[str], bytes],
+        find_entries: Callable[[str, str], bytes],
         log: TicketLog,
         members: Members,
         clock: Clock,
@@ -89,9 +92,14 @@
         refusal = self._refuse(service)
         if refusal is not None:
             return self._respond(refusal)
+        client = request.query.get('client', '') or request.remote or ''
+        try:
+            body = self._find_entries(service, client)
+        except ValueError:
+            return self._respond(NotRun(Reason.bad_request))
         self._counters.count('lookup')
         return web.Response(
-            body=self._find_entries(service),
+            body=body,
             content_type='application/json',
         )
 
@@ -129,8 +137,9 @@
             headers=_end_to_end(request),
             body=await request.read(),
             deadline=self._clock.elapsed() + _remaining(request),
-            client=request.remote or '',
+            client=_client(request),
             key=IdempotencyKey.parse(key) if is_keyed else None,
+            resent=request.headers.get(ATTEMPT_HEADER, '1') != '1',
         )
 
     def _respond(self, outcome: Outcome) -> web.Response:
@@ -165,10 +174,22 @@
     return min(int(text) * MILLISECOND, MOST_REMAINING)
 
 
+def _client(request: web.Request) -> str:
+    given = request.headers.get(CLIENT_HEADER)
+    if given is None:
+        return request.remote or ''
+    return str(ipaddress.ip_address(given))
+
+
 def _end_to_end(request: web.Request) -> tuple[tuple[str, str], ...]:
-    own = {KEY_HEADER.lower(), REMAINING_HEADER.lower()}
+    own = {
+        KEY_HEADER.lower(),
+        REMAINING_HEADER.lower(),
+        CLIENT_HEADER.lower(),
+        ATTEMPT_HEADER.lower(),
+    }
     return tuple(
-        (name, text)
+        (str(name), text)
         for name, text in request.headers.items()
         if name.lower() not in HOP_HEADERS and name.lower() not in own
     )
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/forward.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/forward.py
@@ -23,7 +23,7 @@
     RunRequest,
     Unknown,
 )
-from lycheedyke.state import Counters
+from lycheedyke.state import Counters, RegionBudgets
 from lycheedyke.transport import HttpClient
 from lycheedyke_daemon.work import Work
 
@@ -42,6 +42,8 @@
         codec: signs requests and checks replies.
         clock: turns deadlines into remaining time.
         counters: counts rejected replies.
+        budgets: the bytes that may go to other regions.
+        region: the own region.
         routes: addresses to use in place of others.
     """
 
@@ -51,12 +53,16 @@
         clock: Clock,
         counters: Counters,
         *,
+        budgets: RegionBudgets,
+        region: str,
         routes: Mapping[str, str],
     ) -> None:
         """Makes a client without connections."""
         self._codec = codec
         self._clock = clock
         self._counters = counters
+        self._budgets = budgets
+        self._region = region
         self._routes = routes
         self._http = HttpClient()
 
@@ -95,14 +101,22 @@
             remaining_ms=remaining // MILLISECOND,
             client=work.client,
             key=str(work.key or ''),
+            home=work.home,
+            region=self._region,
+            resent=work.resent,
         )
+        message = self._codec.encode(request)
+        if peer.region != self._region:
+            wait = self._budgets.to(peer.region).take(len(message))
+            if wait is not None:
+                return NotRun(Reason.byte_budget, max(wait, MILLISECOND))
         address = self._routes.get(peer.peer_address, peer.peer_address)
         try:
             answer = await self._http.send(
                 'POST',
                 f'http://{address}{RUN_PATH}',
                 timeout=remaining + ANSWER_MARGIN,
-                body=self._codec.encode(request),
+                body=message,
             )
             return self._codec.decode(answer.body, RunReply).outcome
         except ConnectionNotMade:
@@ -125,6 +139,8 @@
         codec: checks requests and signs replies.
         clock: turns remaining time into deadlines.
         counters: counts rejected requests.
+        budgets: the bytes that may go to other regions.
+        region: the own region.
     """
 
     def __init__(
@@ -134,10 +150,15 @@
         codec: MessageCodec,
         clock: Clock,
         counters: Counters,
+        *,
+        budgets: RegionBudgets,
+        region: str,
     ) -> None:
         """Makes the API over the parts of one instance."""
         self._run_owned = run_owned
         self._run_home = run_home
+        self._budgets = budgets
+        self._region = region
         self._codec = codec
         self._clock = clock
         self._counters = counters
@@ -157,11 +178,25 @@
         except (MessageRejected, KeyMalformed):
             self._counters.count('message.rejected')
             return web.Response(status=HTTP_FORBIDDEN)
-        if message.upstream:
-            outcome = await self._run_owned(message.upstream, work)
-        else:
-            outcome = await self._run_home(work)
-        return web.Response(body=self._codec.encode(RunReply(outcome)))
+        outcome = await self._run_within_budget(message, work)
+        reply = self._codec.encode(RunReply(outcome))
+        if message.region not in {'', self._region}:
+            self._budgets.to(message.region).spend(len(reply))
+        return web.Response(body=reply)
+
+    async def _run_within_budget(
+        self,
+        message: RunRequest,
+        work: Work,
+    ) -> Outcome:
+        if not message.upstream:
+            return await self._run_home(work)
+        if message.region not in {'', self._region}:
+            # Once the work has run, its answer is sent whatever its size.
+            wait = self._budgets.to(message.region).take(0)
+            if wait is not None:
+                return NotRun(Reason.byte_budget, max(wait, MILLISECOND))
+        return await self._run_owned(message.upstream, work)
 
     def _to_work(self, message: RunRequest) -> Work:
         remaining = message.remaining_ms * MILLISECOND
@@ -174,4 +209,6 @@
             deadline=self._clock.elapsed() + remaining,
             client=message.client,
             key=IdempotencyKey.parse(message.key) if message.key else None,
+            home=message.home,
+            resent=message.resent,
         )
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/instance.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/instance.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 import secrets as random_secrets
+from datetime import timedelta
 
 import aiomisc
 from aiohttp import web
@@ -23,21 +24,30 @@
     TicketsReply,
     TicketsRequest,
 )
-from lycheedyke.state import Configuration, Counters, KeyLedger
+from lycheedyke.state import (
+    Configuration,
+    Counters,
+    KeyLedger,
+    RegionBudgets,
+)
 from lycheedyke.transport import PeerListener
 from lycheedyke_daemon.admin import AdminApi
 from lycheedyke_daemon.callers import CallerApi
 from lycheedyke_daemon.dispatch import Dispatcher
 from lycheedyke_daemon.forward import PeerApi, PeerClient
 from lycheedyke_daemon.lookups import Lookups
+from lycheedyke_daemon.placement import PlacedRunner, Placement
 from lycheedyke_daemon.routing import Router
 from lycheedyke_daemon.runner import Runner
 from lycheedyke_daemon.settings import Secrets, Settings
+from lycheedyke_daemon.stopping import CallerGate, finish_callers
+from lycheedyke_daemon.table import RoutingTable
 
 INCARNATION_BYTES = 8
 OWNERSHIP_INTERVAL_SECONDS = 0.25
 SEEDING_INTERVAL_SECONDS = 5
 MESSAGE_MARGIN_BYTES = 65_536
+MILLISECOND = timedelta(milliseconds=1)
 
 _logger = logging.getLogger(__name__)
 
@@ -60,6 +70,7 @@
         """Makes all parts; nothing listens yet."""
         self._settings = settings
         self._clock = clock
+        self._placed_ticket = 0
         self._tasks: list[asyncio.Task[None]] = []
         self._sites: list[web.AppRunner] = []
         self._counters = Counters()
@@ -80,10 +91,27 @@
             timeout=settings.platform_timeout,
         )
         self._follower = TicketFollower(self._log, self._platform, clock)
+        self._table = RoutingTable(
+            self._log,
+            self._members,
+            self._runner,
+            clock,
+        )
+        self._placement = Placement(
+            self._log,
+            self._table,
+            own.region,
+            clock,
+        )
+        self._placed = PlacedRunner(self._placement, self._runner)
+        self._gate = CallerGate()
+        self._budgets = RegionBudgets(settings.region_megabits_per_s, clock)
         self._peers = PeerClient(
             self._codec,
             clock,
             self._counters,
+            budgets=self._budgets,
+            region=own.region,
             routes=settings.routes,
         )
         self._ledger = KeyLedger(
@@ -94,10 +122,12 @@
         )
         self._dispatcher = Dispatcher(
             Router(
-                self._log,
-                self._members,
-                self._runner,
+                own,
+                self._placement,
+                self._table,
+                self._placed,
                 self._peers,
+                clock,
                 self._counters,
             ),
             self._ledger,
@@ -112,6 +142,7 @@
             self._members,
             self._runner,
             self._counters,
+            table=self._table,
         )
 
     def __repr__(self) -> str:
@@ -136,7 +167,12 @@
         """Leaves the look-ups, finishes what is in flight, then closes."""
         _logger.info('stopping')
         self._members.stopping = True
-        await self._clock.sleep(self._settings.stop_linger)
+        services = self._log.configuration.services.values()
+        answer_ttl = max((each.answer_ttl_ms for each in services), default=0)
+        await finish_callers(
+            self._gate,
+            answer_ttl * MILLISECOND + self._settings.stop_linger,
+        )
         await self._dispatcher.close()
         for site in reversed(self._sites):
             await site.cleanup()
@@ -150,8 +186,17 @@
         _logger.info('stopped')
 
     def _caller_app(self) -> web.Application:
-        app = web.Application(client_max_size=self._settings.max_body_bytes)
-        lookups = Lookups(self._log, self._members)
+        app = web.Application(
+            client_max_size=self._settings.max_body_bytes,
+            middlewares=[self._gate.watch],
+        )
+        lookups = Lookups(
+            self._log,
+            self._members,
+            self._table,
+            self._placement,
+            self._clock,
+        )
         api = CallerApi(
             self._dispatcher,
             lookups.find,
@@ -167,11 +212,13 @@
         limit = self._settings.max_body_bytes + MESSAGE_MARGIN_BYTES
         app = web.Application(client_max_size=limit)
         api = PeerApi(
-            self._runner.run,
+            self._placed.run,
             self._dispatcher.run,
             self._codec,
             self._clock,
             self._counters,
+            budgets=self._budgets,
+            region=self._settings.region,
         )
         app.add_routes(api.routes())
         return app
@@ -225,11 +272,23 @@
     async def _watch_members(self) -> None:
         while True:
             self._take_over(self._log.configuration)
+            self._placement.shares.refresh()
+            self._budgets.share_among(self._senders())
             await asyncio.sleep(OWNERSHIP_INTERVAL_SECONDS)
 
+    def _senders(self) -> list[str]:
+        own = self._members.own
+        peers = [peer.info for peer in self._members.live()]
+        return [
+            info.name for info in (own, *peers) if info.region == own.region
+        ]
+
     def _take_over(self, configuration: Configuration) -> None:
         own = self._members.own
         self._members.ticket = configuration.number
+        if self._placed_ticket != configuration.number:
+            self._placed_ticket = configuration.number
+            self._placement.shares.follow(configuration)
         instances = self._members.in_zone(own.zone)
         self._runner.own(
             configuration,
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/routing.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/routing.py
@@ -1,9 +1,12 @@
 """Picks the upstream that runs a request, and retries where safe."""
 
+import asyncio
+import itertools
 import random
-from typing import NamedTuple
+from collections import Counter, defaultdict
+from datetime import timedelta
 
-from lycheedyke.coordination import Members, TicketLog, owner_of
+from lycheedyke.clock import Clock
 from lycheedyke.protocol import (
     Answered,
     InstanceInfo,
@@ -12,108 +15,172 @@
     Reason,
     Unknown,
 )
-from lycheedyke.state import Counters
+from lycheedyke.state import Counters, RetryBudget
 from lycheedyke_daemon.forward import PeerClient
-from lycheedyke_daemon.runner import Runner
+from lycheedyke_daemon.placement import ClientPlace, PlacedRunner, Placement
+from lycheedyke_daemon.table import RoutingTable, Target
 from lycheedyke_daemon.work import Work
 
 MAX_ATTEMPTS = 3
-
-
-class _Candidate(NamedTuple):
-    """An upstream that may run the work, and its owner."""
-
-    upstream: str
-    owner: InstanceInfo
-    cost: float
+SAMPLES = 2
+ZONE_HOP_COST = 0.1
+REGION_HOP_COST = 0.2
+OWNER_PAUSE = timedelta(milliseconds=50)
+MOST_OWNER_PAUSES = 40
+# The owner changed or the upstream is leaving: nothing was sent to it.
+_REROUTED = frozenset((Reason.no_owner, Reason.upstream_leaving))
 
 
 class Router:
     """Picks upstreams and runs attempts, locally or at their owners.
 
     Args:
-        log: the configuration in force.
-        members: the live instances.
+        own: this instance.
+        placement: judges the region in which work runs.
+        table: the upstreams and their owners.
         runner: runs work on the own upstreams.
         peers: forwards work to owners.
+        clock: the time.
         counters: counts retries by reason.
     """
 
     def __init__(
         self,
-        log: TicketLog,
-        members: Members,
-        runner: Runner,
+        own: InstanceInfo,
+        placement: Placement,
+        table: RoutingTable,
+        runner: PlacedRunner,
         peers: PeerClient,
+        clock: Clock,
         counters: Counters,
     ) -> None:
         """Makes a router over the parts of one instance."""
-        self._log = log
-        self._members = members
+        self._own = own
+        self._placement = placement
+        self._table = table
         self._runner = runner
         self._peers = peers
+        self._clock = clock
         self._counters = counters
+        self._budgets: defaultdict[str, RetryBudget] = defaultdict(RetryBudget)
+        self._sent: Counter[str] = Counter()
 
     def __repr__(self) -> str:
         """Returns the instance's name."""
-        return f'<Router at {self._members.own.name}>'
+        return f'<Router at {self._own.name}>'
 
     async def run(self, work: Work) -> Outcome:
         """Runs work on some upstream; retries where that is safe."""
-        outcome: Outcome = NotRun(Reason.no_upstream)
+        place = self._placement.locate(work.client)
+        work = work._replace(home=place.home)
+        self._count_first(work)
         tried: set[str] = set()
+        outcome: Outcome = self._placement.refuse(work.service, place)
         for _ in range(MAX_ATTEMPTS):
-            candidate = self._pick(work, tried)
-            if candidate is None:
+            found = await self._attempt_any(work, place, tried)
+            outcome = found or outcome
+            if found is None or not self._may_retry(work, found):
                 break
-            tried.add(candidate.upstream)
-            outcome = await self._attempt(candidate, work)
-            match outcome:
-                case Answered():
-                    break
-                case Unknown() if not work.idempotent:
-                    break
-                case NotRun(reason) | Unknown(reason):
-                    self._counters.count(f'retry.{reason.value}')
         return outcome
 
-    def _pick(self, work: Work, tried: set[str]) -> _Candidate | None:
-        return min(
-            self._candidates(work, tried),
-            key=lambda candidate: candidate.cost,
-            default=None,
-        )
+    async def _attempt_any(
+        self,
+        work: Work,
+        place: ClientPlace,
+        tried: set[str],
+    ) -> Outcome | None:
+        """Returns the outcome on an upstream that is still owned."""
+        outcome: Outcome | None = None
+        for _ in range(MOST_OWNER_PAUSES):
+            passed_over: set[str] = set()
+            while target := self._pick(work, place, tried | passed_over):
+                outcome = await self._attempt(target, work)
+                if not self._is_rerouted(outcome):
+                    tried.add(target.upstream)
+                    return outcome
+                passed_over.add(target.upstream)
+            if not passed_over or not self._may_pause(work):
+                break
+            await asyncio.sleep(OWNER_PAUSE.total_seconds())
+        return outcome
 
-    def _candidates(self, work: Work, tried: set[str]) -> list[_Candidate]:
-        configuration = self._log.configuration
-        own = self._members.own
-        loads = self._loads()
-        found = []
-        for name, upstream in configuration.serving(work.service).items():
-            if name in tried or configuration.region_of(upstream) != own.region:
-                continue
-            owner = owner_of(name, self._members.in_zone(upstream.zone))
-            if owner is None:
-                continue
-            hops = (owner != own) + (owner.zone != own.zone)
-            cost = loads.get(name, 0) + hops * 0.1 + random.random() * 0.05
-            found.append(_Candidate(name, owner, cost))
-        return found
-
-    def _loads(self) -> dict[str, float]:
-        loads = list(self._runner.loads())
-        for peer in self._members.live():
-            loads.extend(peer.loads)
-        return {
-            load.upstream: (load.in_flight + load.waiting) / max(1, load.limit)
-            for load in loads
-        }
-
-    async def _attempt(self, candidate: _Candidate, work: Work) -> Outcome:
-        if candidate.owner == self._members.own:
-            return await self._runner.run(candidate.upstream, work)
-        return await self._peers.run(
-            candidate.owner,
-            work,
-            upstream=candidate.upstream,
+    def _count_first(self, work: Work) -> None:
+        budget = self._budgets[work.service]
+        if work.resent:
+            self._counters.count('resend')
+            budget.take()
+            return
+        self._counters.count('first-attempt')
+        budget.add_first(self._table.retry_share(work.service))
+
+    def _may_pause(self, work: Work) -> bool:
+        return self._clock.elapsed() + OWNER_PAUSE < work.deadline
+
+    def _is_rerouted(self, outcome: Outcome) -> bool:
+        if not isinstance(outcome, NotRun) or outcome.reason not in _REROUTED:
+            return False
+        self._counters.count(f'rerouted.{outcome.reason.value}')
+        return True
+
+    def _may_retry(self, work: Work, outcome: Outcome) -> bool:
+        match outcome:
+            case Answered():
+                return False
+            case Unknown() if not work.idempotent:
+                return False
+            case NotRun(Reason.byte_budget | Reason.deadline_passed):
+                return False
+            case NotRun(reason) | Unknown(reason):
+                pass
+        has_token = self._budgets[work.service].take()
+        kind = 'retry' if has_token else 'retry-refused'
+        self._counters.count(f'{kind}.{reason.value}')
+        return has_token
+
+    def _pick(
+        self,
+        work: Work,
+        place: ClientPlace,
+        tried: set[str],
+    ) -> Target | None:
+        region = self._placement.destination(work.service, place)
+        targets = [
+            target
+            for target in self._table.targets(work.service, region)
+            if target.upstream not in tried and target.load.limit
+        ]
+        tiers: defaultdict[float, list[Target]] = defaultdict(list)
+        for target in targets:
+            tiers[self._hop_cost(target)].append(target)
+        finalists = itertools.chain.from_iterable(
+            random.sample(tier, min(SAMPLES, len(tier)))
+            for tier in tiers.values()
         )
+        return min(finalists, key=self._cost, default=None)
+
+    def _hop_cost(self, target: Target) -> float:
+        if target.owner == self._own:
+            return 0
+        if target.owner.zone == self._own.zone:
+            return ZONE_HOP_COST
+        return REGION_HOP_COST
+
+    def _cost(self, target: Target) -> float:
+        load = target.load
+        # Work sent from here may not be in the owner's last count yet.
+        busy = max(load.in_flight, self._sent[target.upstream]) + load.waiting
+        return busy / load.limit + self._hop_cost(target)
+
+    async def _attempt(self, target: Target, work: Work) -> Outcome:
+        self._counters.count('attempt')
+        self._sent[target.upstream] += 1
+        try:
+            if target.owner == self._own:
+                return await self._runner.run(target.upstream, work)
+            return await self._peers.run(
+                target.owner,
+                work,
+                upstream=target.upstream,
+            )
+        finally:
+            self._sent[target.upstream] -= 1
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/runner.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/runner.py
@@ -9,6 +9,7 @@
     ExchangeTimeout,
 )
 from lycheedyke.protocol import (
+    LEAVING_HEADER,
     OUTCOME_HEADER,
     REMAINING_HEADER,
     Answered,
@@ -21,7 +22,14 @@
     Upstream,
     UpstreamLoad,
 )
-from lycheedyke.state import AdmissionRefused, Admitter, Configuration, Counters
+from lycheedyke.state import (
+    AdmissionRefused,
+    Admitter,
+    Configuration,
+    Counters,
+    DrainLog,
+    LeavingCause,
+)
 from lycheedyke.transport import HttpAnswer, HttpClient
 from lycheedyke_daemon.work import HOP_HEADERS, Work
 
@@ -43,6 +51,7 @@
         self._http = HttpClient()
         self._configuration = Configuration()
         self._admitters: dict[str, Admitter] = {}
+        self.drains = DrainLog(clock)
 
     def __repr__(self) -> str:
         """Returns the owned upstreams."""
@@ -69,6 +78,7 @@
                 admitter.resize(upstream.slots)
         for name in self._admitters.keys() - names:
             self._admitters.pop(name)
+        self._follow_drains()
 
     def loads(self) -> tuple[UpstreamLoad, ...]:
         """Returns the counts of all owned upstreams."""
@@ -77,7 +87,7 @@
                 name,
                 admitter.in_flight,
                 admitter.waiting,
-                admitter.limit,
+                0 if self.drains.find(name) else admitter.limit,
             )
             for name, admitter in self._admitters.items()
         )
@@ -88,8 +98,8 @@
         upstream = self._configuration.upstreams.get(name)
         if admitter is None or upstream is None:
             return NotRun(Reason.no_owner)
-        if upstream.phase is not Phase.serving:
-            return NotRun(Reason.no_upstream)
+        if self._is_leaving(name):
+            return NotRun(Reason.upstream_leaving)
         service = self._configuration.services[upstream.service]
         work_class = (
             service.read_class if work.idempotent else service.write_class
@@ -99,9 +109,43 @@
         except AdmissionRefused as refusal:
             return NotRun(refusal.reason)
         try:
+            if self._is_leaving(name):
+                return NotRun(Reason.upstream_leaving)
             return await self._send(name, upstream, service, work)
         finally:
             admitter.leave()
+            self.drains.update(name, admitter.in_flight)
+
+    def _is_leaving(self, name: str) -> bool:
+        upstream = self._configuration.upstreams.get(name)
+        if upstream is None or upstream.phase is not Phase.serving:
+            return True
+        return self.drains.find(name) is not None
+
+    def _follow_drains(self) -> None:
+        configuration = self._configuration
+        for name, admitter in self._admitters.items():
+            upstream = configuration.upstreams[name]
+            if upstream.phase is not Phase.serving:
+                self._start_drain(name, admitter, LeavingCause.ticket)
+                continue
+            drain = self.drains.find(name)
+            touched = configuration.touched.get(f'upstream {name}', 0)
+            if drain is not None and touched > drain.ticket:
+                self.drains.end(name)
+
+    def _start_drain(
+        self,
+        name: str,
+        admitter: Admitter,
+        cause: LeavingCause,
+    ) -> None:
+        self.drains.start(
+            name,
+            cause,
+            ticket=self._configuration.number,
+            in_flight=admitter.in_flight,
+        )
 
     async def _send(
         self,
@@ -130,6 +174,9 @@
             return Unknown(Reason.upstream_timeout)
         except ExchangeBroken:
             return Unknown(Reason.upstream_broke)
+        admitter = self._admitters.get(name)
+        if LEAVING_HEADER in answer.headers and admitter is not None:
+            self._start_drain(name, admitter, LeavingCause.upstream)
         return _to_outcome(name, answer)
 
 
@@ -137,7 +184,7 @@
     if answer.headers.get(OUTCOME_HEADER) == 'not-run':
         return NotRun(Reason.upstream_refused)
     headers = tuple(
-        (key, text)
+        (str(key), text)
         for key, text in answer.headers.items()
         if key.lower() not in HOP_HEADERS
     )
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/settings.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/settings.py
@@ -42,6 +42,7 @@
     key_memory_bytes: int
     key_life: timedelta
     stop_linger: timedelta
+    region_megabits_per_s: int
     log_level: str
     routes: Mapping[str, str]
 
@@ -179,6 +180,13 @@
             _COUNT_RULE,
             '3000',
         ),
+        'region_megabits_per_s': _Field(
+            'limits',
+            'region_megabits_per_s',
+            _read_count,
+            _COUNT_RULE,
+            '4000',
+        ),
         'log_level': _Field(
             'logs',
             'level',
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/work.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/work.py
@@ -35,6 +35,8 @@
         deadline: time of the clock after which the work is pointless.
         client: the caller's IP address.
         key: the idempotency key, None for idempotent work.
+        home: the client's home region as the entry judged it, or ''.
+        resent: whether the caller has sent it before.
     """
 
     service: str
@@ -45,6 +47,8 @@
     deadline: timedelta
     client: str
     key: IdempotencyKey | None = None
+    home: str = ''
+    resent: bool = False
 
     @property
     def idempotent(self) -> bool:
--- a/packages/lycheedyke/src/lycheedyke/protocol/__init__.py
+++ b/packages/lycheedyke/src/lycheedyke/protocol/__init__.py
@@ -14,7 +14,10 @@
     UpstreamLoad,
 )
 from lycheedyke.protocol._outcomes import (
+    ATTEMPT_HEADER,
+    CLIENT_HEADER,
     KEY_HEADER,
+    LEAVING_HEADER,
     OUTCOME_HEADER,
     REASON_HEADER,
     REMAINING_HEADER,
@@ -39,6 +42,9 @@
 )
 
 __all__ = (
+    'ATTEMPT_HEADER',
+    'CLIENT_HEADER',
+    'LEAVING_HEADER',
     'KEY_HEADER',
     'OUTCOME_HEADER',
     'REASON_HEADER',
--- a/packages/lycheedyke/src/lycheedyke/protocol/_messages.py
+++ b/packages/lycheedyke/src/lycheedyke/protocol/_messages.py
@@ -100,6 +100,9 @@
         upstream: the upstream to run on, or '' where the home decides.
         remaining_ms: the time left until the deadline, in ms.
         key: the idempotency key, or '' for an idempotent request.
+        home: the client's home region as the sender judged it, or ''.
+        region: the region of the sender, or ''.
+        resent: whether the caller has sent it before.
     """
 
     service: str
@@ -111,6 +114,9 @@
     remaining_ms: int
     client: str
     key: str = ''
+    home: str = ''
+    region: str = ''
+    resent: bool = False
 
 
 class RunReply(msgspec.Struct, frozen=True):
--- a/packages/lycheedyke/src/lycheedyke/protocol/_outcomes.py
+++ b/packages/lycheedyke/src/lycheedyke/protocol/_outcomes.py
@@ -9,6 +9,9 @@
 REASON_HEADER = 'Lycheedyke-Reason'
 KEY_HEADER = 'Idempotency-Key'
 REMAINING_HEADER = 'Lycheedyke-Remaining-Ms'
+CLIENT_HEADER = 'Lycheedyke-Client'
+ATTEMPT_HEADER = 'Lycheedyke-Attempt'
+LEAVING_HEADER = 'Lycheedyke-Leaving'
 
 
 class Reason(Enum):
@@ -37,6 +40,7 @@
     quarantined = 'quarantined'
     byte_budget = 'byte-budget'
     upstream_unreachable = 'upstream-unreachable'
+    upstream_leaving = 'upstream-leaving'
     upstream_refused = 'upstream-refused'
     upstream_broke = 'upstream-broke'
     upstream_timeout = 'upstream-timeout'
--- a/tests/standins/upstream.py
+++ b/tests/standins/upstream.py
@@ -2,7 +2,8 @@
 
 Run as `python -m standins.upstream PORT [PORT ...]`; each port is one
 upstream. GET /record gives its record; POST /fault sets faults:
-{"run_ms": int, "lose_answers": int, "refuse": int, "crash_on": str}.
+{"run_ms": int, "lose_answers": int, "refuse": int, "crash_on": str,
+"leaving": int}.
 Every other path runs: a request takes `run_ms` and is answered with what
 was asked.
 """
@@ -84,7 +85,12 @@
             self._faults['lose_answers'] -= 1
             assert request.transport is not None
             request.transport.abort()
-        return web.json_response({'ran': name, 'run': self._runs[name]})
+        return web.json_response(
+            {'ran': name, 'run': self._runs[name]},
+            headers={'Lycheedyke-Leaving': '1'}
+            if self._faults.get('leaving')
+            else {},
+        )
 
 
 async def _serve(ports: list[int]) -> None:
