Serve metrics, and test settings and refused tickets

Cause: counters could only be read through the admin API's own form. Change: /metrics in the text format (with the token), every refusal and retry reason present from the start; tests of the settings' faults and of a refused ticket; what operators do in tests stands in one module. Ruled out: metrics without the token; unauthenticated calls are refused.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/admin.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/admin.py
@@ -62,21 +62,22 @@
         """Returns the instance's name."""
         return f'<AdminApi of {self._members.own.name}>'
 
+    def guard(self, handler: _Handler) -> _Handler:
+        """Returns a handler that runs only for calls with the token."""
+        return functools.partial(self._check, handler)
+
     def routes(self) -> list[web.RouteDef]:
         """Returns the routes of the admin port."""
         return [
             web.get('/healthz', self._health),
             web.get('/readyz', self._ready),
-            web.get('/v1/status', self._guard(self._status)),
-            web.get('/v1/instances', self._guard(self._instances)),
-            web.get('/v1/counters', self._guard(self._count)),
-            web.post('/v1/tickets', self._guard(self._apply)),
-            web.get('/v1/tickets/{number}', self._guard(self._show)),
+            web.get('/v1/status', self.guard(self._status)),
+            web.get('/v1/instances', self.guard(self._instances)),
+            web.get('/v1/counters', self.guard(self._count)),
+            web.post('/v1/tickets', self.guard(self._apply)),
+            web.get('/v1/tickets/{number}', self.guard(self._show)),
         ]
 
-    def _guard(self, handler: _Handler) -> _Handler:
-        return functools.partial(self._check, handler)
-
     async def _check(
         self,
         handler: _Handler,
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/instance.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/instance.py
@@ -30,6 +30,11 @@
 from lycheedyke_daemon.dispatch import Dispatcher
 from lycheedyke_daemon.forward import PeerApi, PeerClient
 from lycheedyke_daemon.lookups import Lookups
+from lycheedyke_daemon.metrics import (
+    METRICS_PATH,
+    InstanceCollector,
+    MetricsApi,
+)
 from lycheedyke_daemon.routing import Router
 from lycheedyke_daemon.runner import Runner
 from lycheedyke_daemon.settings import Secrets, Settings
@@ -179,6 +184,12 @@
     def _admin_app(self) -> web.Application:
         app = web.Application(client_max_size=self._settings.max_body_bytes)
         app.add_routes(self._admin.routes())
+        metrics = MetricsApi(
+            InstanceCollector(self._counters, self._members, self._runner),
+        )
+        app.add_routes(
+            [web.get(METRICS_PATH, self._admin.guard(metrics.scrape))],
+        )
         return app
 
     async def _serve(self, app: web.Application, address: str) -> None:
--- a/tests/processes/test_links.py
+++ b/tests/processes/test_links.py
@@ -5,8 +5,8 @@
 
 import pytest
 
-from standins.deployment import Deployment, Seat, call, polls
-from standins.deployment import admin_headers as headers
+from standins.deployment import Deployment, Seat, polls
+from standins.operators import get_admin
 
 pytestmark = pytest.mark.processes
 ZONES = {'norr-a': 'norr', 'norr-b': 'norr'}
@@ -14,11 +14,7 @@
 
 async def _wait_peers(seat: Seat, count: int) -> None:
     for _ in polls(10):
-        _, found = await call(
-            'GET',
-            f'http://{seat.admin}/v1/status',
-            headers=headers(),
-        )
+        found = await get_admin(seat, '/v1/status')
         if found['live_peers'] == count:
             return
     raise AssertionError(f'{seat.name} sees {found["live_peers"]} peers')
--- a/tests/processes/test_whole_path.py
+++ b/tests/processes/test_whole_path.py
@@ -2,72 +2,25 @@
 
 import asyncio
 import json
-import os
-import subprocess
-import sys
 from pathlib import Path
 
 import pytest
 
 from lycheedyke import Client
-from standins.deployment import (
-    ADMIN_SECRET,
-    Deployment,
-    call,
-    free_ports,
-    polls,
+from standins.deployment import Deployment, call, free_ports
+from standins.operators import (
+    apply_ticket,
+    make_ticket,
+    run_ctl,
+    wait_in_force,
 )
 
 pytestmark = pytest.mark.processes
 ZONES = {'norr-a': 'norr', 'norr-b': 'norr'}
 
 
-def _ticket(ports: list[int]) -> dict[str, object]:
-    return {
-        'zones': {zone: {'region': region} for zone, region in ZONES.items()},
-        'services': {'kassa': {'customer': 'pantsaker'}},
-        'upstreams': {
-            f'kassa-{index}': {
-                'service': 'kassa',
-                'zone': zone,
-                'address': f'127.0.0.1:{port}',
-                'slots': 9,
-            }
-            for index, (port, zone) in enumerate(
-                zip(ports, (*ZONES, *ZONES), strict=True),
-            )
-        },
-    }
-
-
-def _ctl(running: Deployment, *arguments: str) -> str:
-    token = running.folder / 'admin.token'
-    token.write_text(ADMIN_SECRET)
-    config = running.folder / 'lycheedykectl.ini'
-    servers = ', '.join(seat.admin for seat in running.seats.values())
-    config.write_text(
-        f'[server]\naddresses = {servers}\ntoken_file = {token}\n',
-    )
-    return subprocess.run(
-        [sys.executable, '-m', 'lycheedyke_ctl', *arguments],
-        env={**os.environ, 'LYCHEEDYKECTL_CONFIG': str(config)},
-        check=True,
-        capture_output=True,
-        text=True,
-    ).stdout
-
-
-async def _wait_ready(running: Deployment) -> None:
-    for seat in running.seats.values():
-        for _ in polls(10):
-            status, _ = await call('GET', f'http://{seat.admin}/readyz')
-            if status == 200:
-                break
-        assert status == 200, seat.name
-
-
 async def _drive(running: Deployment) -> None:
-    await _wait_ready(running)
+    await wait_in_force(running, 1)
     entries = [seat.caller for seat in running.seats.values()]
     async with Client(entries) as client:
         found = await client.lookup('kassa')
@@ -84,12 +37,9 @@
 def test_lookup_and_credit_end_to_end(tmp_path: Path) -> None:
     """An accepted ticket lets a caller's look-up and credit run."""
     ports = free_ports(4)
-    document = tmp_path / 'ticket.json'
-    document.write_text(json.dumps(_ticket(ports)))
     with Deployment(tmp_path, zones=ZONES) as running:
         running.start_upstreams('upstreams', ports)
-        accepted = _ctl(running, 'ticket', 'apply', str(document), '--json')
-        assert json.loads(accepted)['accepted'] == 1
+        assert apply_ticket(running, make_ticket(ZONES, 'kassa', ports)) == 1
         asyncio.run(_drive(running))
 
 
@@ -104,3 +54,16 @@
             503,
             {'outcome': 'not-run', 'reason': 'not-ready'},
         )
+
+
+def test_impossible_ticket_is_refused_with_all_faults(tmp_path: Path) -> None:
+    """The command line names every fault and exits with status 1."""
+    ticket = make_ticket(ZONES, 'kassa', [9, 9], slots=0)
+    ticket['zones'].pop('norr-b')
+    document = tmp_path / 'bad.json'
+    document.write_text(json.dumps(ticket))
+    with Deployment(tmp_path, zones=ZONES) as running:
+        done = run_ctl(running, 'ticket', 'apply', str(document))
+    assert done.returncode == 1
+    assert "zone 'norr-b' does not exist" in done.stderr
+    assert "'kassa-0' is serving with 0 slots" in done.stderr
