Keep the send time of the last acknowledged heartbeat of each peer

The owner of an upstream has to know how old its deputy's last acknowledgement is, counted from the sending of the heartbeat. Ruled out: the receipt of the reply, which hides a pause between sending and receipt.

Peer.acknowledged is that time, Peer.heard stays the receipt of the last heartbeat. Heartbeats carry a digest, unused so far.

--- a/packages/lycheedyke/src/lycheedyke/coordination/_membership.py
+++ b/packages/lycheedyke/src/lycheedyke/coordination/_membership.py
@@ -26,12 +26,19 @@
 
 
 class Peer:
-    """What is known of one other instance."""
+    """What is known of one other instance.
+
+    Attributes:
+        heard: when its last heartbeat was received, on the monotonic clock.
+        acknowledged: when the last heartbeat that it answered was sent, on
+            the monotonic clock; None before the first.
+    """
 
     def __init__(self, info: InstanceInfo, heard: timedelta) -> None:
         """Makes a peer that was heard at a time of the clock."""
         self.info = info
         self.heard = heard
+        self.acknowledged: timedelta | None = None
         self.age = timedelta()
         self.ticket = 0
         self.loads: tuple[UpstreamLoad, ...] = ()
@@ -158,6 +165,7 @@
             loads=self.loads(),
             stopping=self.stopping,
         )
+        sent = self._clock.elapsed()
         try:
             reply = await link.ask(
                 self._codec.encode_exchange(beat),
@@ -173,8 +181,14 @@
             return
         if isinstance(message, HeartbeatReply):
             self._hear(message)
+            self._acknowledge(message.sender, sent)
             self.follow(info.control_address for info in message.peers)
 
+    def _acknowledge(self, info: InstanceInfo, sent: timedelta) -> None:
+        peer = self._peers.get(info.name)
+        if peer is not None and peer.info == info:
+            peer.acknowledged = sent
+
     def _hear(self, message: Heartbeat | HeartbeatReply) -> None:
         info = message.sender
         if info.name == self.own.name:
--- a/packages/lycheedyke/src/lycheedyke/protocol/_messages.py
+++ b/packages/lycheedyke/src/lycheedyke/protocol/_messages.py
@@ -53,6 +53,7 @@
         ticket: the newest ticket in force there.
         loads: counts of the upstreams that it owns.
         stopping: whether a planned stop is under way.
+        digest: hash of what else the sender knows; 0 if it knows nothing.
     """
 
     sender: InstanceInfo
@@ -60,6 +61,7 @@
     ticket: int
     loads: tuple[UpstreamLoad, ...] = ()
     stopping: bool = False
+    digest: int = 0
 
 
 class HeartbeatReply(msgspec.Struct, frozen=True, tag='heartbeat-reply'):
@@ -71,6 +73,7 @@
     loads: tuple[UpstreamLoad, ...] = ()
     peers: tuple[InstanceInfo, ...] = ()
     stopping: bool = False
+    digest: int = 0
 
 
 class TicketsRequest(msgspec.Struct, frozen=True, tag='tickets'):
