--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/instance.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/instance.py
@@ -20,6 +20,7 @@
     InstanceInfo,
     MessageCodec,
     PlatformClient,
+    SummariesRequest,
     TicketsReply,
     TicketsRequest,
 )
@@ -75,6 +76,7 @@
         self._log = TicketLog(self._take_over)
         self._runner = Runner(clock, self._counters)
         self._members.loads = self._runner.loads
+        self._members.service_of = self._service_of
         self._platform = PlatformClient(
             settings.platform_address,
             timeout=settings.platform_timeout,
@@ -135,7 +137,7 @@
     async def stop(self) -> None:
         """Leaves the look-ups, finishes what is in flight, then closes."""
         _logger.info('stopping')
-        self._members.stopping = True
+        await self._members.leave()
         await self._clock.sleep(self._settings.stop_linger)
         await self._dispatcher.close()
         for site in reversed(self._sites):
@@ -197,13 +199,17 @@
         try:
             asked = self._codec.decode_exchange(message)
         except MessageRejected as error:
-            self._counters.count('message.rejected')
-            _logger.warning('message dropped: %s', error)
+            self._counters.count(f'message.{error.reason}')
             return None
         match asked:
             case Heartbeat():
+                reply = self._members.answer(asked)
+                if reply is None:
+                    return None
+                return self._codec.encode_exchange(reply)
+            case SummariesRequest():
                 return self._codec.encode_exchange(
-                    self._members.answer(asked),
+                    self._members.exchange(asked),
                 )
             case TicketsRequest(after):
                 return self._codec.encode_exchange(
@@ -222,6 +228,10 @@
                 self._members.follow(listed.values())
             await asyncio.sleep(SEEDING_INTERVAL_SECONDS)
 
+    def _service_of(self, name: str) -> str:
+        upstream = self._log.configuration.upstreams.get(name)
+        return upstream.service if upstream else ''
+
     async def _watch_members(self) -> None:
         while True:
             self._take_over(self._log.configuration)
--- /dev/null
+++ b/packages/lycheedyke/src/lycheedyke/coordination/_asks.py
@@ -0,0 +1,79 @@
+"""Typed requests to peers over their links."""
+
+from collections.abc import Callable, Collection, Mapping
+from datetime import timedelta
+
+from lycheedyke.exceptions import (
+    ConnectionRefusedByHost,
+    MessageRejected,
+    TransportError,
+)
+from lycheedyke.protocol import Exchange, MessageCodec
+from lycheedyke.state import Counters
+from lycheedyke.transport import Link
+
+ASK_TIMEOUT = timedelta(milliseconds=500)
+
+Connect = Callable[[str], Link]
+
+
+class Asker:
+    """Holds one link for each address in use.
+
+    Args:
+        codec: signs requests and checks replies.
+        counters: counts failures by reason.
+        connect: makes a link to an address.
+        routes: addresses to use in place of others.
+    """
+
+    def __init__(
+        self,
+        codec: MessageCodec,
+        counters: Counters,
+        connect: Connect,
+        routes: Mapping[str, str],
+    ) -> None:
+        """Makes an asker without links."""
+        self._codec = codec
+        self._counters = counters
+        self._connect = connect
+        self._routes = routes
+        self._links: dict[str, Link] = {}
+
+    def __repr__(self) -> str:
+        """Returns the number of links."""
+        return f'<Asker with {len(self._links)} links>'
+
+    async def ask(self, address: str, message: Exchange) -> Exchange | None:
+        """Returns the reply, or None if there is no valid one.
+
+        Raises:
+            ConnectionRefusedByHost: no process listens at the address. This
+                is not raised for routed addresses, where the refusal may be
+                that of the translator.
+        """
+        link = self._links.get(address)
+        if link is None:
+            link = self._connect(self._routes.get(address, address))
+            self._links[address] = link
+        try:
+            reply = await link.ask(
+                self._codec.encode_exchange(message),
+                timeout=ASK_TIMEOUT,
+            )
+            return self._codec.decode_exchange(reply)
+        except ConnectionRefusedByHost:
+            self._counters.count('ask.refused')
+            if address not in self._routes:
+                raise
+        except TransportError:
+            self._counters.count('ask.unanswered')
+        except MessageRejected as error:
+            self._counters.count(f'message.{error.reason}')
+        return None
+
+    def keep(self, addresses: Collection[str]) -> None:
+        """Closes the links to all other addresses."""
+        for address in set(self._links).difference(addresses):
+            self._links.pop(address).close()
--- /dev/null
+++ b/packages/lycheedyke/src/lycheedyke/coordination/_gossip.py
@@ -0,0 +1,363 @@
+"""Spreads zone summaries between zones and within one."""
+
+import asyncio
+import random
+from collections.abc import Callable, Iterable
+from datetime import timedelta
+from typing import Protocol
+
+import msgspec
+
+from lycheedyke.clock import Clock
+from lycheedyke.coordination._asks import Asker
+from lycheedyke.coordination._peers import Peer
+from lycheedyke.coordination._seeds import Seeds
+from lycheedyke.coordination._summaries import (
+    OwnState,
+    asks_first,
+    hash_pair,
+    own_roster,
+    rank,
+    summarize,
+    trim,
+)
+from lycheedyke.coordination._zones import KnownZone, ZoneBook
+from lycheedyke.exceptions import ConnectionRefusedByHost
+from lycheedyke.protocol import (
+    InstanceInfo,
+    Roster,
+    RosterMember,
+    SummariesReply,
+    SummariesRequest,
+)
+
+REPORTERS = 2
+TICK = timedelta(milliseconds=100)
+FETCH_LEAST = timedelta(milliseconds=250)
+STALE_INTERVALS = 2
+
+
+class View(Protocol):
+    """The part of the membership that summaries are made from."""
+
+    own: InstanceInfo
+    service_of: Callable[[str], str]
+
+    @property
+    def state(self) -> OwnState:
+        """What this instance tells its zone."""
+
+    @property
+    def addresses(self) -> set[str]:
+        """The control addresses that have a task."""
+
+    def live_in_zone(self) -> list[Peer]:
+        """Returns the live peers of the own zone."""
+
+    def meet(self, address: str) -> None:
+        """Starts the task for an address of the own zone."""
+
+
+class Gossip:
+    """Makes, reports and fetches zone summaries, and finds zones by seeds.
+
+    The first reporter of a zone makes its summary. Both reporters exchange
+    summaries with other zones; each zone only ever tells of itself. Within
+    the zone every instance fetches what it lacks from a random peer.
+
+    Args:
+        view: the membership of the own zone.
+        book: takes in the summaries.
+        asker: sends the requests.
+        clock: paces the loops.
+    """
+
+    def __init__(
+        self,
+        view: View,
+        book: ZoneBook,
+        asker: Asker,
+        clock: Clock,
+    ) -> None:
+        """Makes a gossip that is not started."""
+        self._view = view
+        self._book = book
+        self._asker = asker
+        self._clock = clock
+        self._seeds = Seeds(clock)
+        self._tasks: list[asyncio.Task[None]] = []
+        self._exchanges: dict[str, asyncio.Task[None]] = {}
+        self._failures: dict[str, int] = {}
+        self._wanted_by: set[str] = set()
+        self._published = timedelta()
+        self._reported: tuple[object, ...] = ()
+        self._contacts: dict[str, str] = {}
+        self._seeking: list[str] = []
+
+    def __repr__(self) -> str:
+        """Returns the own name."""
+        return f'<Gossip of {self._view.own.name}>'
+
+    def start(self) -> None:
+        """Starts the loops, once."""
+        if not self._tasks:
+            loops = (self._report, self._fetch, self._seek)
+            self._tasks = [asyncio.create_task(loop()) for loop in loops]
+
+    def seek(self, addresses: Iterable[str]) -> None:
+        """Takes in control addresses at which instances may be."""
+        self._seeds.add(addresses)
+
+    async def close(self) -> None:
+        """Ends all tasks."""
+        tasks = [*self._tasks, *self._exchanges.values()]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def publish_now(self) -> None:
+        """Makes a summary and reports it, also before it is time."""
+        self._publish()
+        self._report_to_zones()
+        await asyncio.gather(*self._exchanges.values())
+
+    def answer(self, request: SummariesRequest) -> SummariesReply:
+        """Takes in summaries of another zone; returns what is lacking."""
+        own = self._view.own
+        if request.zone != own.zone:
+            self._take_foreign(request)
+        newer = self._book.newer_than(request.versions, request.zone)
+        rosters = request.wanted
+        if request.sender is not None:
+            rosters = tuple(each.zone for each in self._book.versions)
+        if request.zone != own.zone:
+            newer = [
+                each for each in newer if each.zone in {own.zone, request.zone}
+            ]
+        return SummariesReply(
+            zone=own.zone,
+            region=own.region,
+            summaries=tuple(trim(each, request.region) for each in newer),
+            rosters=tuple(self._rosters(rosters)),
+            wanted=self._lacked(request.zone),
+            sender=own if request.sender is not None else None,
+        )
+
+    def _lacked(self, zone: str) -> tuple[str, ...]:
+        known = self._book.zone(zone)
+        if zone == self._view.own.zone or known is None:
+            return ()
+        return (zone,) if known.lacks_roster else ()
+
+    def _rosters(self, zones: Iterable[str]) -> list[Roster]:
+        found = (self._book.roster(zone) for zone in zones)
+        return [roster for roster in found if roster is not None]
+
+    def _take_foreign(self, message: SummariesRequest | SummariesReply) -> None:
+        for summary in message.summaries:
+            if summary.zone in {message.zone, self._view.own.zone}:
+                self._book.take(summary)
+        for roster in message.rosters:
+            if roster.zone == message.zone:
+                self._book.take_roster(roster)
+
+    async def _report(self) -> None:
+        while True:
+            await self._clock.sleep(TICK)
+            self._meet_neighbours()
+            if self._is_due():
+                self._publish()
+                self._report_to_zones()
+                self._book.forget()
+
+    def _meet_neighbours(self) -> None:
+        known = self._book.zone(self._view.own.zone)
+        for peer in known.peers if known else ():
+            self._view.meet(peer.info.control_address)
+
+    def _is_due(self) -> bool:
+        """Returns whether it is time, or the zone's roster has changed."""
+        members = [self._view.own, *self._infos()]
+        stopping = [peer.stopping for peer in self._view.live_in_zone()]
+        own = self._book.zone(self._view.own.zone)
+        changed = (
+            {info.incarnation for info in members},
+            sum(stopping) + self._view.state.stopping,
+            own.summary.roster if own and own.summary else 0,
+        )
+        passed = self._clock.elapsed() - self._published
+        is_due = passed >= self._book.interval or changed != self._reported
+        if is_due:
+            self._published = self._clock.elapsed()
+            self._reported = changed
+        return is_due
+
+    def _infos(self) -> list[InstanceInfo]:
+        return [peer.info for peer in self._view.live_in_zone()]
+
+    def _reporters(self) -> list[InstanceInfo]:
+        """Returns the reporters of the own zone; the first one publishes."""
+        own = self._view.own
+        stayers = [
+            peer.info for peer in self._view.live_in_zone() if not peer.stopping
+        ]
+        if not self._view.state.stopping or not stayers:
+            stayers.append(own)
+        return rank(own.zone, stayers)[:REPORTERS]
+
+    def _publish(self) -> None:
+        own = self._view.own
+        if self._reporters()[0] != own:
+            return
+        peers = self._view.live_in_zone()
+        state = self._view.state
+        roster = own_roster(own, state.age, peers, self._clock.elapsed())
+        self._book.take_roster(roster)
+        known = self._book.zone(own.zone)
+        if known is not None:
+            self._book.take(
+                msgspec.structs.replace(
+                    summarize(own, state, peers, self._view.service_of),
+                    version=known.version.version + 1,
+                    roster=known.roster,
+                ),
+            )
+
+    def _report_to_zones(self) -> None:
+        own = self._view.own
+        reporters = self._reporters()
+        if own in reporters:
+            for zone in self._book.others():
+                index = hash_pair(own.zone, zone.name) % len(reporters)
+                is_stale = self._book.is_stale(zone, STALE_INTERVALS)
+                is_mine = reporters[index] == own
+                if is_stale or (is_mine and asks_first(own.zone, zone.name)):
+                    self._start_exchange(zone)
+        else:
+            self._contacts.clear()
+        contacts = {*self._contacts.values(), *self._seeking}
+        self._asker.keep(self._view.addresses | contacts)
+
+    def _start_exchange(self, zone: KnownZone) -> None:
+        if zone.name in self._exchanges or not zone.peers:
+            return
+        task = asyncio.create_task(self._exchange(zone))
+        self._exchanges[zone.name] = task
+        task.add_done_callback(lambda _: self._exchanges.pop(zone.name, None))
+
+    async def _exchange(self, zone: KnownZone) -> None:
+        """Exchanges summaries with a zone, and rosters where they differ."""
+        for _ in range(REPORTERS):
+            reply = await self._ask(
+                self._contact(zone),
+                self._request(zone),
+            )
+            if reply is None:
+                failures = self._failures.get(zone.name, 0)
+                self._failures[zone.name] = failures + 1
+                return
+            self._failures.pop(zone.name, None)
+            self._take_foreign(reply)
+            self._wanted_by.discard(zone.name)
+            if self._view.own.zone in reply.wanted:
+                self._wanted_by.add(zone.name)
+            elif not zone.lacks_roster:
+                return
+
+    def _contact(self, zone: KnownZone) -> str:
+        ranked = rank(zone.name, (peer.info for peer in zone.peers))
+        attempt = self._failures.get(zone.name, 0)
+        address = ranked[attempt % len(ranked)].control_address
+        self._contacts[zone.name] = address
+        return address
+
+    def _request(self, zone: KnownZone) -> SummariesRequest:
+        own = self._view.own
+        known = self._book.zone(own.zone)
+        versions = [zone.version]
+        summaries = []
+        if known is not None and known.summary is not None:
+            versions.append(known.version)
+            summaries.append(trim(known.summary, zone.region))
+        is_wanted = zone.name in self._wanted_by
+        return SummariesRequest(
+            zone=own.zone,
+            region=own.region,
+            versions=tuple(versions),
+            summaries=tuple(summaries),
+            rosters=tuple(self._rosters([own.zone] if is_wanted else [])),
+            wanted=(zone.name,) if zone.lacks_roster else (),
+        )
+
+    async def _fetch(self) -> None:
+        while True:
+            await self._clock.sleep(
+                max(FETCH_LEAST, self._book.interval / 2),
+            )
+            digest = self._book.digest
+            behind = [
+                peer
+                for peer in self._view.live_in_zone()
+                if peer.digest != digest
+            ]
+            if behind:
+                await self._fetch_from(random.choice(behind))
+
+    async def _fetch_from(self, peer: Peer) -> None:
+        own = self._view.own
+        reply = await self._ask(
+            peer.info.control_address,
+            SummariesRequest(
+                zone=own.zone,
+                region=own.region,
+                versions=self._book.versions,
+                wanted=self._book.lacking,
+            ),
+        )
+        if reply is None or reply.zone != own.zone:
+            return
+        for summary in reply.summaries:
+            self._book.take(summary)
+        for roster in reply.rosters:
+            self._book.take_roster(roster)
+
+    async def _seek(self) -> None:
+        while True:
+            due = self._seeds.due(self._known_addresses())
+            self._seeking = due
+            await asyncio.gather(*(self._contact_seed(each) for each in due))
+            await self._clock.sleep(FETCH_LEAST)
+
+    def _known_addresses(self) -> set[str]:
+        own = self._view.own.control_address
+        return {own} | self._view.addresses | self._book.addresses
+
+    async def _contact_seed(self, address: str) -> None:
+        own = self._view.own
+        reply = await self._ask(
+            address,
+            SummariesRequest(zone=own.zone, region=own.region, sender=own),
+        )
+        if reply is None or reply.sender is None:
+            return
+        found = reply.sender
+        if found.zone == own.zone:
+            self._view.meet(found.control_address)
+        member = Roster(found.zone, (RosterMember(found, 0),))
+        for roster in (*reply.rosters, member):
+            if roster.zone != own.zone:
+                self._book.take_roster(roster, as_hint=True)
+                continue
+            for each in roster.members:
+                self._view.meet(each.info.control_address)
+
+    async def _ask(
+        self,
+        address: str,
+        request: SummariesRequest,
+    ) -> SummariesReply | None:
+        try:
+            reply = await self._asker.ask(address, request)
+        except ConnectionRefusedByHost:
+            return None
+        return reply if isinstance(reply, SummariesReply) else None
--- a/packages/lycheedyke/src/lycheedyke/coordination/_membership.py
+++ b/packages/lycheedyke/src/lycheedyke/coordination/_membership.py
@@ -1,4 +1,4 @@
-"""Membership: heartbeats between instances, and who is alive."""
+"""Membership: heartbeats within a zone, and who is alive anywhere."""
 
 import asyncio
 import logging
@@ -6,51 +6,45 @@
 from datetime import timedelta
 
 from lycheedyke.clock import Clock
-from lycheedyke.exceptions import MessageRejected, TransportError
+from lycheedyke.coordination._asks import Asker, Connect
+from lycheedyke.coordination._gossip import Gossip
+from lycheedyke.coordination._pauses import AwakeClock
+from lycheedyke.coordination._peers import MILLISECOND, Peer, Sent
+from lycheedyke.coordination._summaries import OwnState, asks_first
+from lycheedyke.coordination._zones import ZoneBook
+from lycheedyke.exceptions import ConnectionRefusedByHost
 from lycheedyke.protocol import (
     Heartbeat,
     HeartbeatReply,
     InstanceInfo,
     MessageCodec,
+    ServiceLoad,
+    SummariesReply,
+    SummariesRequest,
     UpstreamLoad,
 )
 from lycheedyke.state import Counters
 from lycheedyke.transport import PeerLink
 
 HEARTBEAT_INTERVAL = timedelta(milliseconds=250)
-SILENCE_LIMIT = timedelta(milliseconds=1250)
-ASK_TIMEOUT = timedelta(milliseconds=500)
-MILLISECOND = timedelta(milliseconds=1)
+HEARTBEAT_SLOT = timedelta(milliseconds=40)
+RETRY_INTERVAL = timedelta(seconds=5)
+SILENCE_LEAST = timedelta(milliseconds=1250)
+SILENT_INTERVALS = 4
+BACKUP_INTERVALS = 2.5
+FORGET_AFTER = timedelta(minutes=10)
+MAX_ZONE_PEERS = 256
+MAX_LOADS = 64
 
 _logger = logging.getLogger(__name__)
 
 
-class Peer:
-    """What is known of one other instance.
-
-    Attributes:
-        heard: when its last heartbeat was received, on the monotonic clock.
-        acknowledged: when the last heartbeat that it answered was sent, on
-            the monotonic clock; None before the first.
-    """
-
-    def __init__(self, info: InstanceInfo, heard: timedelta) -> None:
-        """Makes a peer that was heard at a time of the clock."""
-        self.info = info
-        self.heard = heard
-        self.acknowledged: timedelta | None = None
-        self.age = timedelta()
-        self.ticket = 0
-        self.loads: tuple[UpstreamLoad, ...] = ()
-        self.stopping = False
-
-    def __repr__(self) -> str:
-        """Returns the name and the incarnation."""
-        return f'<Peer {self.info.name} {self.info.incarnation}>'
-
-
 class Members:
-    """The instances that this one hears, with a task for each address.
+    """The instances of the own zone and of the others.
+
+    Each pair of instances in a zone exchanges heartbeats, with one task at
+    each end. A peer is live while it has lately answered something: silence
+    counts from the sending of what it answered last.
 
     Args:
         own: this instance.
@@ -58,6 +52,7 @@
         clock: measures the silence of peers.
         counters: counts dropped messages.
         routes: addresses to use in place of others.
+        connect: makes a link to an address.
     """
 
     def __init__(
@@ -68,19 +63,26 @@
         counters: Counters,
         *,
         routes: Mapping[str, str],
+        connect: Connect = PeerLink,
     ) -> None:
         """Makes a view with no other instance in it."""
         self.own = own
         self.ticket = 0
         self.stopping = False
         self.loads: Callable[[], tuple[UpstreamLoad, ...]] = tuple
-        self._codec = codec
+        self.quarantine: Callable[[], tuple[str, ...]] = tuple
+        self.service_of: Callable[[str], str] = str
         self._clock = clock
+        self._awake = AwakeClock(clock)
         self._started = clock.elapsed()
         self._counters = counters
-        self._routes = routes
+        self._sequence = 0
         self._peers: dict[str, Peer] = {}
         self._tasks: dict[str, asyncio.Task[None]] = {}
+        self._checks: dict[str, asyncio.Task[None]] = {}
+        self._book = ZoneBook(own, self._awake)
+        self._asker = Asker(codec, counters, connect, routes)
+        self._gossip = Gossip(self, self._book, self._asker, clock)
 
     def __repr__(self) -> str:
         """Returns the own name and the number of live peers."""
@@ -91,6 +93,32 @@
         """The time since this instance's start."""
         return self._clock.elapsed() - self._started
 
+    @property
+    def interval(self) -> timedelta:
+        """The time between two heartbeats of a pair in the zone."""
+        return max(HEARTBEAT_INTERVAL, HEARTBEAT_SLOT * len(self._peers))
+
+    @property
+    def silence_limit(self) -> timedelta:
+        """The age of an acknowledgement up to which a peer is live."""
+        return max(SILENCE_LEAST, self.interval * SILENT_INTERVALS)
+
+    @property
+    def state(self) -> OwnState:
+        """What this instance tells its zone."""
+        return OwnState(
+            self.ticket,
+            self.loads()[:MAX_LOADS],
+            self.stopping,
+            self.quarantine(),
+            self.age,
+        )
+
+    @property
+    def addresses(self) -> set[str]:
+        """The control addresses that have a task."""
+        return set(self._tasks)
+
     def age_of(self, incarnation: str) -> timedelta:
         """Returns the age of a live incarnation; 0 if it is not known."""
         if incarnation == self.own.incarnation:
@@ -98,12 +126,20 @@
         peer = self.find(incarnation)
         if peer is None:
             return timedelta()
-        return peer.age + (self._clock.elapsed() - peer.heard)
+        return peer.age + (self._clock.elapsed() - peer.aged)
 
     def live(self) -> list[Peer]:
-        """Returns the peers heard lately."""
-        oldest = self._clock.elapsed() - SILENCE_LIMIT
-        return [peer for peer in self._peers.values() if peer.heard >= oldest]
+        """Returns the live instances of all zones but this one."""
+        return self.live_in_zone() + self._book.live()
+
+    def live_in_zone(self) -> list[Peer]:
+        """Returns the live peers of the own zone."""
+        oldest = self._awake.elapsed() - self.silence_limit
+        return [
+            peer
+            for peer in self._peers.values()
+            if peer.proven is not None and peer.proven >= oldest
+        ]
 
     def find(self, incarnation: str) -> Peer | None:
         """Returns the live peer with an incarnation, or None."""
@@ -113,93 +149,243 @@
         return None
 
     def in_zone(self, zone: str) -> list[InstanceInfo]:
-        """Returns the live instances of a zone, this one included."""
-        infos = [
-            peer.info
-            for peer in self.live()
-            if peer.info.zone == zone and not peer.stopping
-        ]
-        if zone == self.own.zone and not self.stopping:
-            infos.append(self.own)
-        return infos
+        """Returns the live instances of a zone, this one included.
+
+        Those with a planned stop under way are left out.
+        """
+        if zone == self.own.zone:
+            infos = _stayers(self.live_in_zone())
+            return infos if self.stopping else [*infos, self.own]
+        known = self._book.zone(zone)
+        if known is None or not self._book.is_live(known):
+            return []
+        return _stayers(known.peers)
+
+    def headroom(self) -> dict[str, tuple[ServiceLoad, ...]]:
+        """Returns the counts of each service in each other live zone."""
+        return {
+            zone.name: zone.summary.headroom
+            for zone in self._book.others()
+            if zone.summary is not None and self._book.is_live(zone)
+        }
+
+    def quarantined(self) -> set[str]:
+        """Returns the fingerprints that other instances have confirmed."""
+        found: set[str] = set()
+        for peer in self.live_in_zone():
+            found.update(peer.quarantined)
+        for zone in self._book.others():
+            if zone.summary is not None and self._book.is_live(zone):
+                found.update(zone.summary.quarantined)
+        return found
 
     def follow(self, addresses: Iterable[str]) -> None:
-        """Starts a task for each control address that has none."""
-        for address in addresses:
-            if address in self._tasks or address == self.own.control_address:
-                continue
+        """Takes in control addresses at which instances may be."""
+        self._gossip.start()
+        self._gossip.seek(addresses)
+
+    def meet(self, address: str) -> None:
+        """Starts the task for an address of the own zone, if it has none."""
+        if address in self._tasks or address == self.own.control_address:
+            return
+        if len(self._tasks) < MAX_ZONE_PEERS:
             self._tasks[address] = asyncio.create_task(self._beat(address))
 
+    async def leave(self) -> None:
+        """Says at once that a planned stop is under way."""
+        self.stopping = True
+        await asyncio.gather(
+            *(self._exchange(address) for address in list(self._tasks)),
+        )
+        await self._gossip.publish_now()
+
     async def close(self) -> None:
         """Ends all tasks."""
-        for task in self._tasks.values():
+        await self._gossip.close()
+        tasks = [*self._tasks.values(), *self._checks.values()]
+        for task in tasks:
             task.cancel()
-        await asyncio.gather(*self._tasks.values(), return_exceptions=True)
+        await asyncio.gather(*tasks, return_exceptions=True)
+        self._asker.keep(())
 
-    def answer(self, beat: Heartbeat) -> HeartbeatReply:
-        """Takes in a heartbeat and returns the reply."""
-        self._hear(beat)
-        return HeartbeatReply(
-            sender=self.own,
-            age_ms=self.age // MILLISECOND,
-            ticket=self.ticket,
-            loads=self.loads(),
-            peers=tuple(peer.info for peer in self.live()),
-            stopping=self.stopping,
-        )
+    def answer(self, beat: Heartbeat) -> HeartbeatReply | None:
+        """Takes in a heartbeat; returns the reply, None for a replay."""
+        peer = self._by_incarnation(beat.incarnation)
+        if peer is None:
+            if beat.sender is not None and self._is_neighbour(beat.sender):
+                self._check(beat.sender.control_address)
+            return self._reply(beat, peer)
+        if beat.sequence <= peer.last_sequence:
+            self._counters.count('heartbeat.replayed')
+            return None
+        peer.last_sequence = beat.sequence
+        if peer.reply is not None and beat.echo == peer.reply.sequence:
+            peer.acknowledge(peer.reply)
+        peer.hear(beat, self._clock.elapsed())
+        reply = self._reply(beat, peer)
+        peer.reply = self._note(reply.sequence, reply.loads)
+        return reply
+
+    def exchange(self, request: SummariesRequest) -> SummariesReply:
+        """Takes in zone summaries; returns those that the asker lacks."""
+        return self._gossip.answer(request)
+
+    def _check(self, address: str) -> None:
+        """Asks an address at once, also where the task is waiting."""
+        if address in self._tasks and address not in self._checks:
+            check = asyncio.create_task(self._exchange(address))
+            self._checks[address] = check
+            check.add_done_callback(lambda _: self._checks.pop(address, None))
+        self.meet(address)
 
     async def _beat(self, address: str) -> None:
-        link = PeerLink(self._routes.get(address, address))
+        met = self._awake.elapsed()
         try:
-            while True:
-                await self._exchange(link)
-                await self._clock.sleep(HEARTBEAT_INTERVAL)
+            while not self._is_forgotten(address, met):
+                if self._is_due(address):
+                    await self._exchange(address)
+                await self._clock.sleep(self._pause(address))
         finally:
-            link.close()
-
-    async def _exchange(self, link: PeerLink) -> None:
-        beat = Heartbeat(
-            sender=self.own,
-            age_ms=self.age // MILLISECOND,
-            ticket=self.ticket,
-            loads=self.loads(),
-            stopping=self.stopping,
-        )
-        sent = self._clock.elapsed()
+            self._tasks.pop(address, None)
+            self._peers.pop(address, None)
+
+    async def _exchange(self, address: str) -> None:
+        if not await self._exchange_once(address):
+            await self._exchange_once(address)
+
+    async def _exchange_once(self, address: str) -> bool:
+        """Returns False where another incarnation has to be introduced."""
+        peer = self._peers.get(address)
+        beat = self._make_beat(peer)
+        sent = self._note(beat.sequence, beat.loads)
         try:
-            reply = await link.ask(
-                self._codec.encode_exchange(beat),
-                timeout=ASK_TIMEOUT,
-            )
-            message = self._codec.decode_exchange(reply)
-        except TransportError:
-            self._counters.count('heartbeat.unanswered')
-            return
-        except MessageRejected as error:
-            self._counters.count('message.rejected')
-            _logger.warning('reply dropped: %s', error)
-            return
-        if isinstance(message, HeartbeatReply):
-            self._hear(message)
-            self._acknowledge(message.sender, sent)
-            self.follow(info.control_address for info in message.peers)
-
-    def _acknowledge(self, info: InstanceInfo, sent: timedelta) -> None:
-        peer = self._peers.get(info.name)
-        if peer is not None and peer.info == info:
-            peer.acknowledged = sent
-
-    def _hear(self, message: Heartbeat | HeartbeatReply) -> None:
-        info = message.sender
-        if info.name == self.own.name:
-            return
-        peer = self._peers.get(info.name)
-        if peer is None or peer.info != info:
-            peer = Peer(info, self._clock.elapsed())
-            self._peers[info.name] = peer
-            self.follow([info.control_address])
-        peer.heard = self._clock.elapsed()
-        peer.age = message.age_ms * MILLISECOND
-        peer.ticket = max(peer.ticket, message.ticket)
-        peer.loads = message.loads
-        peer.stopping = message.stopping
+            reply = await self._asker.ask(address, beat)
+        except ConnectionRefusedByHost:
+            # The address is held from start to end: its process is dead.
+            self._peers.pop(address, None)
+            return True
+        if not isinstance(reply, HeartbeatReply):
+            return True
+        if reply.echo != beat.sequence:
+            self._counters.count('heartbeat.unmatched')
+            return True
+        return self._take_reply(address, reply, sent)
+
+    def _take_reply(
+        self,
+        address: str,
+        reply: HeartbeatReply,
+        sent: Sent,
+    ) -> bool:
+        peer = self._peers.get(address)
+        now = self._clock.elapsed()
+        if peer is None or peer.info.incarnation != reply.incarnation:
+            # The process that the peer was is dead; another one answers.
+            self._peers.pop(address, None)
+            if reply.sender is None:
+                return False
+            if not self._is_neighbour(reply.sender):
+                return True
+            peer = Peer(reply.sender, now)
+            self._install(address, peer)
+        peer.acknowledge(sent)
+        peer.hear(reply, now)
+        peer.echo = reply.sequence
+        return True
+
+    def _install(self, address: str, peer: Peer) -> None:
+        for other, known in list(self._peers.items()):
+            if known.info.name == peer.info.name:
+                self._peers.pop(other)
+        self._peers[address] = peer
+        _logger.info('peer found', extra={'peer': peer.info.name})
+
+    def _make_beat(self, peer: Peer | None) -> Heartbeat:
+        state = self.state
+        is_known = peer is not None and peer.introduced
+        self._sequence += 1
+        return Heartbeat(
+            incarnation=self.own.incarnation,
+            sequence=self._sequence,
+            echo=peer.echo if peer else 0,
+            ticket=state.ticket,
+            digest=self._book.digest,
+            loads=_unless_told(state.loads, peer),
+            sender=None if is_known else self.own,
+            age_ms=0 if is_known else state.age // MILLISECOND,
+            introduce=peer is None,
+            stopping=state.stopping,
+            quarantined=state.quarantined,
+        )
+
+    def _reply(self, beat: Heartbeat, peer: Peer | None) -> HeartbeatReply:
+        state = self.state
+        self._sequence += 1
+        return HeartbeatReply(
+            incarnation=self.own.incarnation,
+            sequence=self._sequence,
+            echo=beat.sequence,
+            ticket=state.ticket,
+            digest=self._book.digest,
+            loads=_unless_told(state.loads, peer),
+            sender=self.own if beat.introduce else None,
+            age_ms=state.age // MILLISECOND if beat.introduce else 0,
+            introduce=peer is None and beat.sender is None,
+            stopping=state.stopping,
+            quarantined=state.quarantined,
+        )
+
+    def _note(
+        self,
+        sequence: int,
+        loads: tuple[UpstreamLoad, ...] | None,
+    ) -> Sent:
+        return Sent(
+            sequence,
+            self._clock.elapsed(),
+            self._awake.elapsed(),
+            loads,
+        )
+
+    def _by_incarnation(self, incarnation: str) -> Peer | None:
+        for peer in self._peers.values():
+            if peer.info.incarnation == incarnation:
+                return peer
+        return None
+
+    def _is_neighbour(self, info: InstanceInfo) -> bool:
+        return info.zone == self.own.zone and info.name != self.own.name
+
+    def _is_due(self, address: str) -> bool:
+        peer = self._peers.get(address)
+        if peer is None or peer.proven is None or not peer.introduced:
+            return True
+        if asks_first(self.own.name, peer.info.name):
+            return True
+        silence = self._awake.elapsed() - peer.proven
+        return silence > self.interval * BACKUP_INTERVALS
+
+    def _pause(self, address: str) -> timedelta:
+        peer = self._peers.get(address)
+        if peer is None or peer.proven is None:
+            return RETRY_INTERVAL
+        silence = self._awake.elapsed() - peer.proven
+        return RETRY_INTERVAL if silence > FORGET_AFTER / 60 else self.interval
+
+    def _is_forgotten(self, address: str, met: timedelta) -> bool:
+        peer = self._peers.get(address)
+        last = met if peer is None or peer.proven is None else peer.proven
+        return self._awake.elapsed() - max(met, last) > FORGET_AFTER
+
+
+def _stayers(peers: Iterable[Peer]) -> list[InstanceInfo]:
+    return [peer.info for peer in peers if not peer.stopping]
+
+
+def _unless_told(
+    loads: tuple[UpstreamLoad, ...],
+    peer: Peer | None,
+) -> tuple[UpstreamLoad, ...] | None:
+    if peer is not None and peer.told == loads:
+        return None
+    return loads
--- /dev/null
+++ b/packages/lycheedyke/src/lycheedyke/coordination/_pauses.py
@@ -0,0 +1,44 @@
+"""Time that excludes the pauses of this process."""
+
+from datetime import timedelta
+
+from lycheedyke.clock import Clock
+
+LONGEST_STEP = timedelta(milliseconds=500)
+
+
+class AwakeClock:
+    """Counts the time in which this process was able to run.
+
+    It is read often while the process runs, so a long step between two
+    readings means that the process was frozen or starved. Only
+    `LONGEST_STEP` of such a step counts.
+
+    Args:
+        clock: the monotonic clock.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        """Starts at the clock's present time."""
+        self._clock = clock
+        self._last = clock.elapsed()
+        self._paused = timedelta()
+        self.pauses = 0
+
+    def __repr__(self) -> str:
+        """Returns the number of pauses."""
+        return f'<AwakeClock: {self.pauses} pauses>'
+
+    def real(self) -> timedelta:
+        """Returns the monotonic time with the pauses."""
+        return self._clock.elapsed()
+
+    def elapsed(self) -> timedelta:
+        """Returns the monotonic time without the pauses."""
+        now = self._clock.elapsed()
+        step = now - self._last
+        self._last = now
+        if step > LONGEST_STEP:
+            self.pauses += 1
+            self._paused += step - LONGEST_STEP
+        return now - self._paused
--- /dev/null
+++ b/packages/lycheedyke/src/lycheedyke/coordination/_zones.py
@@ -0,0 +1,277 @@
+"""The summaries and rosters that are known of all zones."""
+
+from collections.abc import Iterable
+from datetime import timedelta
+
+import msgspec
+import xxhash
+
+from lycheedyke.coordination._pauses import AwakeClock
+from lycheedyke.coordination._peers import MILLISECOND, Peer
+from lycheedyke.protocol import (
+    InstanceInfo,
+    Roster,
+    RosterMember,
+    ZoneSummary,
+    ZoneVersion,
+)
+
+MAX_ZONES = 64
+MAX_ZONE_MEMBERS = 256
+DIGEST_MASK = 2**32 - 1
+SUMMARY_INTERVAL_LEAST = timedelta(milliseconds=500)
+SUMMARY_INTERVAL_PER_ZONE = timedelta(milliseconds=150)
+SILENT_INTERVALS = 5
+SILENCE_LEAST = timedelta(seconds=3)
+FORGET_AFTER = timedelta(hours=24)
+
+
+class KnownZone:
+    """What is known of one zone.
+
+    Attributes:
+        summary: the newest summary; None while only a roster is known.
+        peers: the instances on its roster.
+        roster: the hash of that roster.
+        fresh: when the summary was received, on the clock without pauses.
+    """
+
+    def __init__(self, name: str, now: timedelta) -> None:
+        """Makes a zone of which nothing is known."""
+        self.name = name
+        self.summary: ZoneSummary | None = None
+        self.peers: list[Peer] = []
+        self.roster = 0
+        self.fresh: timedelta | None = None
+        self.touched = now
+
+    def __repr__(self) -> str:
+        """Returns the name and the number of instances."""
+        return f'<KnownZone {self.name}: {len(self.peers)} instances>'
+
+    @property
+    def version(self) -> ZoneVersion:
+        """The version of the newest summary; 0 if there is none."""
+        if self.summary is None:
+            return ZoneVersion(self.name, 0, '')
+        return ZoneVersion(
+            self.name,
+            self.summary.version,
+            self.summary.author,
+        )
+
+    @property
+    def region(self) -> str:
+        """The region of the zone, '' if it is not known."""
+        return self.peers[0].info.region if self.peers else ''
+
+    @property
+    def lacks_roster(self) -> bool:
+        """Whether the summary names another roster than the known one."""
+        return self.summary is not None and self.summary.roster != self.roster
+
+
+class ZoneBook:
+    """The newest summary and roster of each zone, bounded in number.
+
+    Args:
+        own: this instance.
+        awake: the clock without pauses.
+    """
+
+    def __init__(self, own: InstanceInfo, awake: AwakeClock) -> None:
+        """Makes a book with no zone in it."""
+        self._own = own
+        self._awake = awake
+        self._zones: dict[str, KnownZone] = {}
+
+    def __repr__(self) -> str:
+        """Returns the number of zones."""
+        return f'<ZoneBook of {len(self._zones)} zones>'
+
+    @property
+    def interval(self) -> timedelta:
+        """The time between two summaries of a zone."""
+        return max(
+            SUMMARY_INTERVAL_LEAST,
+            SUMMARY_INTERVAL_PER_ZONE * len(self._zones),
+        )
+
+    @property
+    def silence_limit(self) -> timedelta:
+        """The time without a new summary after which a zone is not live."""
+        return max(SILENCE_LEAST, self.interval * SILENT_INTERVALS)
+
+    @property
+    def versions(self) -> tuple[ZoneVersion, ...]:
+        """The versions of all known summaries."""
+        return tuple(
+            zone.version
+            for zone in self._zones.values()
+            if zone.summary is not None
+        )
+
+    @property
+    def digest(self) -> int:
+        """A hash of all versions and rosters; never 0."""
+        text = ' '.join(
+            f'{zone.version} {zone.roster}'
+            for _, zone in sorted(self._zones.items())
+        )
+        return xxhash.xxh3_64_intdigest(text.encode()) & DIGEST_MASK or 1
+
+    @property
+    def lacking(self) -> tuple[str, ...]:
+        """The zones whose rosters are out of date here."""
+        return tuple(
+            name for name, zone in self._zones.items() if zone.lacks_roster
+        )
+
+    @property
+    def addresses(self) -> set[str]:
+        """The control addresses that stand on a roster of another zone."""
+        return {
+            peer.info.control_address
+            for zone in self.others()
+            for peer in zone.peers
+        }
+
+    def others(self) -> list[KnownZone]:
+        """Returns the zones other than the own one."""
+        return [
+            zone for name, zone in self._zones.items() if name != self._own.zone
+        ]
+
+    def zone(self, name: str) -> KnownZone | None:
+        """Returns a zone, or None if it is not known."""
+        return self._zones.get(name)
+
+    def is_stale(self, zone: KnownZone, intervals: int) -> bool:
+        """Returns whether nothing new came for some intervals."""
+        if zone.fresh is None:
+            return True
+        return self._awake.elapsed() - zone.fresh > self.interval * intervals
+
+    def live(self) -> list[Peer]:
+        """Returns the instances of all other zones that are live."""
+        return [
+            peer
+            for zone in self.others()
+            if self.is_live(zone)
+            for peer in zone.peers
+        ]
+
+    def is_live(self, zone: KnownZone) -> bool:
+        """Returns whether a zone has sent a summary lately."""
+        if zone.fresh is None:
+            return False
+        return self._awake.elapsed() - zone.fresh <= self.silence_limit
+
+    def take(self, summary: ZoneSummary) -> bool:
+        """Takes in a summary if it is newer; returns whether it was."""
+        zone = self._make(summary.zone)
+        if zone is None or not _is_newer(summary, zone.summary):
+            return False
+        zone.summary = summary
+        zone.fresh = self._awake.elapsed()
+        zone.touched = zone.fresh
+        self._describe(zone)
+        return True
+
+    def take_roster(self, roster: Roster, *, as_hint: bool = False) -> None:
+        """Takes in a roster; as a hint only where none is known."""
+        zone = self._make(roster.zone)
+        if zone is None or len(roster.members) > MAX_ZONE_MEMBERS:
+            return
+        if as_hint and zone.peers:
+            return
+        now = self._awake.real()
+        known = {peer.info: peer for peer in zone.peers}
+        zone.peers = []
+        for member in roster.members:
+            peer = known.get(member.info) or Peer(member.info, now)
+            peer.note_age(member.age_ms * MILLISECOND, now)
+            zone.peers.append(peer)
+        zone.roster = hash_roster(peer.info for peer in zone.peers)
+        self._describe(zone)
+
+    def roster(self, name: str) -> Roster | None:
+        """Returns a zone's roster with the present ages, or None."""
+        zone = self._zones.get(name)
+        if zone is None or not zone.peers:
+            return None
+        return make_roster(name, zone.peers, self._awake.real())
+
+    def newer_than(
+        self,
+        versions: Iterable[ZoneVersion],
+        always: str,
+    ) -> list[ZoneSummary]:
+        """Returns newer summaries than the given ones, of live zones.
+
+        The summary of the zone `always` is returned also where that zone is
+        not live: its next author has to know the version.
+        """
+        known = {each.zone: (each.version, each.author) for each in versions}
+        return [
+            zone.summary
+            for zone in self._zones.values()
+            if zone.summary is not None
+            and (zone.name == always or self.is_live(zone))
+            and (zone.summary.version, zone.summary.author)
+            > known.get(zone.name, (0, ''))
+        ]
+
+    def forget(self) -> None:
+        """Drops zones that were silent for long."""
+        oldest = self._awake.elapsed() - FORGET_AFTER
+        for zone in self.others():
+            if zone.touched < oldest:
+                self._zones.pop(zone.name)
+
+    def _make(self, name: str) -> KnownZone | None:
+        zone = self._zones.get(name)
+        if zone is None and len(self._zones) < MAX_ZONES:
+            zone = KnownZone(name, self._awake.elapsed())
+            self._zones[name] = zone
+        return zone
+
+    def _describe(self, zone: KnownZone) -> None:
+        summary = zone.summary
+        if summary is None:
+            return
+        loads = {each.name: each.loads for each in summary.loads}
+        for peer in zone.peers:
+            peer.ticket = max(peer.ticket, summary.ticket)
+            peer.loads = loads.get(peer.info.name, ())
+            peer.stopping = peer.info.name in summary.stopping
+
+
+def make_roster(
+    zone: str,
+    peers: Iterable[Peer],
+    now: timedelta,
+) -> Roster:
+    """Returns the roster of some peers with their present ages."""
+    members = [
+        RosterMember(
+            peer.info,
+            max(0, (peer.age + now - peer.aged) // MILLISECOND),
+        )
+        for peer in peers
+    ]
+    members.sort(key=lambda member: member.info.name)
+    return Roster(zone, tuple(members))
+
+
+def hash_roster(infos: Iterable[InstanceInfo]) -> int:
+    """Returns a hash of instances, whatever their order; never 0."""
+    ordered = sorted(infos, key=lambda info: (info.name, info.incarnation))
+    encoded = msgspec.msgpack.encode(ordered)
+    return xxhash.xxh3_64_intdigest(encoded) & DIGEST_MASK or 1
+
+
+def _is_newer(summary: ZoneSummary, known: ZoneSummary | None) -> bool:
+    if known is None:
+        return True
+    return (summary.version, summary.author) > (known.version, known.author)
--- a/packages/lycheedyke/src/lycheedyke/exceptions.py
+++ b/packages/lycheedyke/src/lycheedyke/exceptions.py
@@ -38,7 +38,16 @@
 
 
 class MessageRejected(ProtocolError):
-    """A peer message is malformed, too large, or not authenticated."""
+    """A peer message is malformed, too large, or not authenticated.
+
+    Attributes:
+        reason: 'oversized', 'version', 'signature' or 'form'.
+    """
+
+    def __init__(self, detail: str, *, reason: str = 'form') -> None:
+        """Keeps the machine-readable reason."""
+        super().__init__(detail)
+        self.reason = reason
 
 
 class KeyMalformed(ProtocolError):
--- a/packages/lycheedyke/src/lycheedyke/protocol/_messages.py
+++ b/packages/lycheedyke/src/lycheedyke/protocol/_messages.py
@@ -1,6 +1,7 @@
 """Typed messages between instances, signed and bounded in size."""
 
 import hmac
+from types import MappingProxyType
 from typing import TypeVar
 
 import msgspec
@@ -11,6 +12,22 @@
 VERSION = b'\x01'
 MAC_BYTES = 16
 MAX_MESSAGE_BYTES = 1_048_576
+_SHORT_NAMES = MappingProxyType(
+    {
+        'incarnation': 'i',
+        'sequence': 's',
+        'echo': 'e',
+        'ticket': 't',
+        'digest': 'd',
+        'loads': 'l',
+        'zone': 'z',
+        'region': 'r',
+        'version': 'v',
+        'author': 'a',
+        'roster': 'o',
+        'headroom': 'h',
+    }
+)
 
 
 class InstanceInfo(msgspec.Struct, frozen=True):
@@ -44,36 +61,154 @@
     limit: int
 
 
-class Heartbeat(msgspec.Struct, frozen=True, tag='heartbeat'):
-    """Says that the sender is alive, and what it knows.
+class _Beat(
+    msgspec.Struct,
+    frozen=True,
+    omit_defaults=True,
+    rename=_SHORT_NAMES,
+):
+    """What heartbeats and their replies say.
 
     Attributes:
-        sender: the instance that sends it.
-        age_ms: time since the sender's start, in ms.
-        ticket: the newest ticket in force there.
-        loads: counts of the upstreams that it owns.
+        incarnation: of the sender.
+        sequence: grows with each heartbeat and reply of an incarnation.
+        echo: in a reply, the sequence of the heartbeat; in a heartbeat, that
+            of the last reply received from the addressee, 0 if none.
+        ticket: the newest ticket in force at the sender.
+        digest: hash of the zone summaries that the sender knows.
+        loads: counts of the upstreams that it owns; None if the addressee
+            has acknowledged the same counts before.
+        sender: how the sender is reached, until the addressee knows it.
+        age_ms: time since the sender's start in ms, sent with `sender`.
+        introduce: asks for `sender` in the answer.
         stopping: whether a planned stop is under way.
-        digest: hash of what else the sender knows; 0 if it knows nothing.
+        quarantined: fingerprints that the sender itself has confirmed.
     """
 
-    sender: InstanceInfo
-    age_ms: int
-    ticket: int
-    loads: tuple[UpstreamLoad, ...] = ()
-    stopping: bool = False
+    incarnation: str
+    sequence: int
+    echo: int = 0
+    ticket: int = 0
     digest: int = 0
+    loads: tuple[UpstreamLoad, ...] | None = None
+    sender: InstanceInfo | None = None
+    age_ms: int = 0
+    introduce: bool = False
+    stopping: bool = False
+    quarantined: tuple[str, ...] = ()
 
 
-class HeartbeatReply(msgspec.Struct, frozen=True, tag='heartbeat-reply'):
+class Heartbeat(_Beat, frozen=True, tag='hb'):
+    """Says that the sender is alive, and what it knows."""
+
+
+class HeartbeatReply(_Beat, frozen=True, tag='hbr'):
     """Answers a heartbeat in kind."""
 
-    sender: InstanceInfo
+
+class ServiceLoad(msgspec.Struct, frozen=True, array_like=True):
+    """Counts over all upstreams of a service in one zone."""
+
+    service: str
+    in_flight: int
+    waiting: int
+    limit: int
+
+
+class InstanceLoads(msgspec.Struct, frozen=True, array_like=True):
+    """Counts of the upstreams that a named instance owns."""
+
+    name: str
+    loads: tuple[UpstreamLoad, ...]
+
+
+class RosterMember(msgspec.Struct, frozen=True, array_like=True):
+    """A live instance of a zone, and its age in ms when this was sent."""
+
+    info: InstanceInfo
     age_ms: int
-    ticket: int
-    loads: tuple[UpstreamLoad, ...] = ()
-    peers: tuple[InstanceInfo, ...] = ()
-    stopping: bool = False
-    digest: int = 0
+
+
+class Roster(msgspec.Struct, frozen=True, array_like=True):
+    """The live instances of a zone."""
+
+    zone: str
+    members: tuple[RosterMember, ...]
+
+
+class ZoneSummary(
+    msgspec.Struct,
+    frozen=True,
+    omit_defaults=True,
+    rename=_SHORT_NAMES,
+):
+    """What the other zones have to know of a zone.
+
+    Attributes:
+        version: grows with each summary of the zone; of two with the same
+            version, the higher author counts.
+        author: the incarnation that made it.
+        roster: hash of the zone's roster.
+        ticket: the newest ticket in force in the zone.
+        headroom: counts of each service.
+        loads: counts of each upstream, only sent within the region.
+        stopping: names of the instances with a planned stop under way.
+        quarantined: fingerprints confirmed in the zone.
+    """
+
+    zone: str
+    region: str
+    version: int
+    author: str
+    roster: int
+    ticket: int = 0
+    headroom: tuple[ServiceLoad, ...] = ()
+    loads: tuple[InstanceLoads, ...] = ()
+    stopping: tuple[str, ...] = ()
+    quarantined: tuple[str, ...] = ()
+
+
+class ZoneVersion(msgspec.Struct, frozen=True, array_like=True):
+    """The newest summary that the sender knows of a zone."""
+
+    zone: str
+    version: int
+    author: str
+
+
+class _Summaries(
+    msgspec.Struct,
+    frozen=True,
+    omit_defaults=True,
+    rename=_SHORT_NAMES,
+):
+    """An exchange of zone summaries.
+
+    Attributes:
+        zone: the sender's zone.
+        region: the sender's region.
+        versions: what the sender knows.
+        summaries: those that the addressee lacks.
+        rosters: those that the addressee wanted.
+        wanted: zones whose rosters the sender lacks.
+        sender: how the sender is reached, while it joins.
+    """
+
+    zone: str
+    region: str
+    versions: tuple[ZoneVersion, ...] = ()
+    summaries: tuple[ZoneSummary, ...] = ()
+    rosters: tuple[Roster, ...] = ()
+    wanted: tuple[str, ...] = ()
+    sender: InstanceInfo | None = None
+
+
+class SummariesRequest(_Summaries, frozen=True, tag='sum'):
+    """Offers summaries and asks for newer ones."""
+
+
+class SummariesReply(_Summaries, frozen=True, tag='sumr'):
+    """Answers with what the asker lacks."""
 
 
 class TicketsRequest(msgspec.Struct, frozen=True, tag='tickets'):
@@ -89,11 +224,18 @@
     documents: tuple[bytes, ...]
 
 
-Exchange = Heartbeat | HeartbeatReply | TicketsRequest | TicketsReply
+Exchange = (
+    Heartbeat
+    | HeartbeatReply
+    | SummariesRequest
+    | SummariesReply
+    | TicketsRequest
+    | TicketsReply
+)
 
 
 class _ExchangeBox(msgspec.Struct, frozen=True, array_like=True):
-    content: Heartbeat | HeartbeatReply | TicketsRequest | TicketsReply
+    content: Exchange
 
 
 class RunRequest(msgspec.Struct, frozen=True):
@@ -150,17 +292,26 @@
             MessageRejected: wrong version, size, signature or form.
         """
         if len(message) > MAX_MESSAGE_BYTES:
-            raise MessageRejected(f'message has {len(message)} bytes')
+            raise MessageRejected(
+                f'message has {len(message)} bytes',
+                reason='oversized',
+            )
         if message[:1] != VERSION:
-            raise MessageRejected(f'unknown version {message[:1]!r}')
+            raise MessageRejected(
+                f'unknown version {message[:1]!r}',
+                reason='version',
+            )
         signature = message[1 : 1 + MAC_BYTES]
         payload = message[1 + MAC_BYTES :]
         if not hmac.compare_digest(signature, self._sign(payload)):
-            raise MessageRejected('signature does not match')
+            raise MessageRejected(
+                'signature does not match',
+                reason='signature',
+            )
         try:
             return msgspec.msgpack.decode(payload, type=kind)
-        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-            raise MessageRejected(str(error)) from error
+        except (msgspec.MsgspecError, ValueError, RecursionError) as error:
+            raise MessageRejected(str(error), reason='form') from error
 
     def decode_exchange(self, message: bytes) -> Exchange:
         """Checks the signature and returns a control message.
--- a/packages/lycheedyke/src/lycheedyke/transport/_links.py
+++ b/packages/lycheedyke/src/lycheedyke/transport/_links.py
@@ -1,23 +1,45 @@
 """Request-and-reply links between the control ports of instances."""
 
 import asyncio
+import contextlib
+import functools
 import logging
+import weakref
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
+from typing import Protocol
 
 import pynng
 
-from lycheedyke.exceptions import ConnectionNotMade, ExchangeTimeout
+from lycheedyke.exceptions import (
+    ConnectionNotMade,
+    ConnectionRefusedByHost,
+    ExchangeTimeout,
+)
 
 MAX_MESSAGE_BYTES = 1_048_576
 CONTEXTS = 8
-MILLISECONDS = 1000
+MOST_CONCURRENT = 4
+CONNECT_LIMIT = timedelta(milliseconds=200)
+PROBE_LIMIT = timedelta(milliseconds=250)
+HANDLER_LIMIT = timedelta(seconds=5)
+ERROR_PAUSE = timedelta(milliseconds=50)
 
 PeerHandler = Callable[[bytes], Awaitable[bytes | None]]
 
 _logger = logging.getLogger(__name__)
 
 
+class Link(Protocol):
+    """A way to ask one peer."""
+
+    async def ask(self, message: bytes, *, timeout: timedelta) -> bytes:
+        """Sends a message and returns the reply."""
+
+    def close(self) -> None:
+        """Closes the connection; the next request opens a new one."""
+
+
 class PeerListener:
     """Answers peers' messages at one address.
 
@@ -42,7 +64,7 @@
         self._socket = pynng.Rep0(recv_max_size=MAX_MESSAGE_BYTES)
         self._socket.listen(f'tcp://{self._address}')
         self._tasks = [
-            asyncio.create_task(self._answer(self._socket.new_context()))
+            asyncio.create_task(self._answer(self._socket))
             for _ in range(CONTEXTS)
         ]
 
@@ -54,20 +76,39 @@
         if self._socket is not None:
             self._socket.close()
 
-    async def _answer(self, context: pynng.Context) -> None:
+    async def _answer(self, socket: pynng.Rep0) -> None:
         while True:
-            message = await context.arecv()
-            reply = await self._handler(message)
-            if reply is None:
-                continue
             try:
-                await context.asend(reply)
-            except pynng.NNGException as error:
+                with socket.new_context() as context:
+                    await self._answer_all(context)
+            except pynng.Closed:
+                return
+            except (pynng.NNGException, TimeoutError) as error:
                 _logger.debug('reply lost: %r', error)
+                await asyncio.sleep(ERROR_PAUSE.total_seconds())
+
+    async def _answer_all(self, context: pynng.Context) -> None:
+        while True:
+            message = await context.arecv()
+            reply = await self._handle(message)
+            if reply is not None:
+                async with asyncio.timeout(HANDLER_LIMIT.total_seconds()):
+                    await context.asend(reply)
+
+    async def _handle(self, message: bytes) -> bytes | None:
+        try:
+            async with asyncio.timeout(HANDLER_LIMIT.total_seconds()):
+                return await self._handler(message)
+        except TimeoutError:
+            _logger.warning('message not answered in time')
+        except Exception:
+            # A fault in one answer must not end the task of this context.
+            _logger.exception('message not answered')
+        return None
 
 
 class PeerLink:
-    """Asks one peer; requests on one link go one after another.
+    """Asks one peer; a few requests may be under way at the same time.
 
     Args:
         address: `ip:port` of the peer's control port.
@@ -77,7 +118,8 @@
         """Makes a link that connects at the first request."""
         self._address = address
         self._socket: pynng.Req0 | None = None
-        self._lock = asyncio.Lock()
+        self._connected = asyncio.Event()
+        self._asking = asyncio.Semaphore(MOST_CONCURRENT)
 
     def __repr__(self) -> str:
         """Returns the address."""
@@ -86,23 +128,22 @@
     async def ask(self, message: bytes, *, timeout: timedelta) -> bytes:
         """Sends a message and returns the reply.
 
+        The time includes the wait for requests that are under way.
+
         Raises:
+            ConnectionRefusedByHost: no process listens at the address.
             ConnectionNotMade: the link could not be opened.
             ExchangeTimeout: no reply within `timeout`.
         """
-        async with self._lock:
-            socket = self._open()
-            limit_ms = int(timeout.total_seconds() * MILLISECONDS)
-            socket.send_timeout = limit_ms
-            socket.recv_timeout = limit_ms
-            try:
-                await socket.asend(message)
-                return bytes(await socket.arecv())
-            except pynng.NNGException as error:
-                self.close()
-                raise ExchangeTimeout(
-                    f'peer {self._address}: {error!r}',
-                ) from error
+        try:
+            async with asyncio.timeout(timeout.total_seconds()):
+                async with self._asking:
+                    return await self._ask(message)
+        except TimeoutError as error:
+            self.close()
+            raise ExchangeTimeout(
+                f'peer {self._address}: no reply',
+            ) from error
 
     def close(self) -> None:
         """Closes the connection; the next request opens a new one."""
@@ -110,16 +151,85 @@
             self._socket.close()
             self._socket = None
 
-    def _open(self) -> pynng.Req0:
+    async def _ask(self, message: bytes) -> bytes:
+        socket = await self._open()
+        try:
+            with socket.new_context() as context:
+                await context.asend(message)
+                return bytes(await context.arecv())
+        except pynng.NNGException as error:
+            self.close()
+            raise ExchangeTimeout(
+                f'peer {self._address}: {error!r}',
+            ) from error
+
+    async def _open(self) -> pynng.Req0:
         if self._socket is None:
-            try:
-                self._socket = pynng.Req0(
-                    recv_max_size=MAX_MESSAGE_BYTES,
-                    resend_time=-1,
+            self._connected = asyncio.Event()
+            self._socket = self._dial()
+        socket = self._socket
+        try:
+            async with asyncio.timeout(CONNECT_LIMIT.total_seconds()):
+                await self._connected.wait()
+        except TimeoutError:
+            await self._probe()
+        return socket
+
+    def _dial(self) -> pynng.Req0:
+        try:
+            socket = pynng.Req0(
+                recv_max_size=MAX_MESSAGE_BYTES,
+                resend_time=-1,
+            )
+            # The library calls these in threads of its own.
+            loop = asyncio.get_running_loop()
+            socket.add_post_pipe_connect_cb(
+                functools.partial(_call_in, loop, self._connected.set),
+            )
+            socket.add_post_pipe_remove_cb(
+                functools.partial(
+                    _call_in,
+                    loop,
+                    functools.partial(self._lose, weakref.ref(socket)),
+                ),
+            )
+            socket.dial(f'tcp://{self._address}', block=False)
+        except pynng.NNGException as error:
+            raise ConnectionNotMade(
+                f'peer {self._address}: {error!r}',
+            ) from error
+        return socket
+
+    def _lose(self, lost: weakref.ref[pynng.Req0]) -> None:
+        if self._socket is not None and self._socket is lost():
+            self.close()
+
+    async def _probe(self) -> None:
+        """Finds out why the library has not connected yet."""
+        host, _, port = self._address.rpartition(':')
+        try:
+            async with asyncio.timeout(PROBE_LIMIT.total_seconds()):
+                _, writer = await asyncio.open_connection(
+                    host.strip('[]'),
+                    int(port),
                 )
-                self._socket.dial(f'tcp://{self._address}', block=False)
-            except pynng.NNGException as error:
-                raise ConnectionNotMade(
-                    f'peer {self._address}: {error!r}',
-                ) from error
-        return self._socket
+        except ConnectionRefusedError as error:
+            self.close()
+            raise ConnectionRefusedByHost(
+                f'peer {self._address}: connection refused',
+            ) from error
+        except (OSError, TimeoutError) as error:
+            self.close()
+            raise ConnectionNotMade(
+                f'peer {self._address}: {error!r}',
+            ) from error
+        writer.transport.abort()
+
+
+def _call_in(
+    loop: asyncio.AbstractEventLoop,
+    callback: Callable[[], None],
+    _pipe: pynng.Pipe,
+) -> None:
+    with contextlib.suppress(RuntimeError):
+        loop.call_soon_threadsafe(callback)
