--- a/packages/lycheedyke-ctl/src/lycheedyke_ctl/main.py
+++ b/packages/lycheedyke-ctl/src/lycheedyke_ctl/main.py
@@ -1,4 +1,8 @@
-"""The command line of the tool."""
+"""The command line of the tool.
+
+The exit status is 0 for success, 1 if the server refused the call, 2 if the
+input is faulty, 3 if the outcome is unknown, and 4 if no server was reached.
+"""
 
 import sys
 from types import MappingProxyType
@@ -6,8 +10,8 @@
 import defopt
 
 from lycheedyke.exceptions import LycheedykeError, SettingsInvalid
-from lycheedyke_ctl import commands
-from lycheedyke_ctl.server import NoServerAnswered, ServerRefused
+from lycheedyke_ctl import commands, tickets
+from lycheedyke_ctl.server import AnswerLost, NoServerAnswered, ServerRefused
 
 EXIT_REFUSED = 1
 EXIT_BAD_INPUT = 2
@@ -16,8 +20,11 @@
 
 _TICKET_COMMANDS = MappingProxyType(
     {
-        'apply': commands.apply,
-        'show': commands.show_ticket,
+        'apply': tickets.apply,
+        'plan': tickets.plan,
+        'status': tickets.status,
+        'list': tickets.list_tickets,
+        'show': tickets.show_ticket,
     },
 )
 _COMMANDS = MappingProxyType(
@@ -41,8 +48,10 @@
 
 def _status_of(error: LycheedykeError) -> int:
     match error:
-        case ServerRefused(error='unknown'):
+        case ServerRefused(error='unknown') | AnswerLost():
             return EXIT_UNKNOWN
+        case ServerRefused(error='malformed' | 'invalid'):
+            return EXIT_BAD_INPUT
         case ServerRefused():
             return EXIT_REFUSED
         case NoServerAnswered():
--- a/packages/lycheedyke-ctl/src/lycheedyke_ctl/server.py
+++ b/packages/lycheedyke-ctl/src/lycheedyke_ctl/server.py
@@ -43,6 +43,10 @@
     """None of the configured servers could be reached."""
 
 
+class AnswerLost(LycheedykeError):
+    """The server was reached, but its answer did not arrive."""
+
+
 class Access(NamedTuple):
     """Where the administration API is, and the token for it."""
 
@@ -95,6 +99,7 @@
     Raises:
         ServerRefused: the server refused the call.
         NoServerAnswered: no server could be reached.
+        AnswerLost: the call may have been carried out.
     """
     return asyncio.run(_call(access, method, path, body))
 
@@ -118,7 +123,7 @@
             except ConnectionNotMade:
                 continue
             except TransportError as error:
-                raise NoServerAnswered(str(error)) from error
+                raise AnswerLost(f'{server}: {error}') from error
             return _read(answer)
     raise NoServerAnswered(f'none of {", ".join(access.servers)} answered')
 
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/admin.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/admin.py
@@ -3,27 +3,16 @@
 import functools
 import hmac
 from collections.abc import Awaitable, Callable
-from typing import Any
 
-import msgspec
 from aiohttp import web
 
-from lycheedyke.coordination import Members, TicketFollower, TicketLog
-from lycheedyke.exceptions import (
-    DocumentMalformed,
-    LycheedykeError,
-    TicketConflict,
-    TicketInvalid,
-    TicketUnknown,
-)
-from lycheedyke.protocol import decode_ticket
+from lycheedyke.coordination import Members
 from lycheedyke.state import Counters
 from lycheedyke_daemon.runner import Runner
+from lycheedyke_daemon.ticket_api import TicketApi, fail, reply
+from lycheedyke_daemon.tickets import TicketParts
 
-HTTP_BAD_REQUEST = 400
 HTTP_UNAUTHORIZED = 401
-HTTP_NOT_FOUND = 404
-HTTP_CONFLICT = 409
 HTTP_UNAVAILABLE = 503
 
 _Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
@@ -34,8 +23,7 @@
 
     Args:
         token: the admin secret.
-        log: the tickets in force.
-        follower: hands tickets in.
+        tickets: the tickets in force, and how they are handed in.
         members: the live instances.
         runner: the owned upstreams.
         counters: the counters to show.
@@ -44,16 +32,15 @@
     def __init__(
         self,
         token: str,
-        log: TicketLog,
-        follower: TicketFollower,
+        tickets: TicketParts,
         members: Members,
         runner: Runner,
         counters: Counters,
     ) -> None:
         """Makes the API over the parts of one instance."""
         self._token = token
-        self._log = log
-        self._follower = follower
+        self._log = tickets.log
+        self._tickets = TicketApi(tickets)
         self._members = members
         self._runner = runner
         self._counters = counters
@@ -70,8 +57,11 @@
             web.get('/v1/status', self._guard(self._status)),
             web.get('/v1/instances', self._guard(self._instances)),
             web.get('/v1/counters', self._guard(self._count)),
-            web.post('/v1/tickets', self._guard(self._apply)),
-            web.get('/v1/tickets/{number}', self._guard(self._show)),
+            web.post('/v1/tickets', self._guard(self._tickets.apply)),
+            web.get('/v1/tickets', self._guard(self._tickets.listed)),
+            web.get('/v1/tickets/{number}', self._guard(self._tickets.show)),
+            web.post('/v1/plans', self._guard(self._tickets.plan)),
+            web.get('/v1/authors/{author}', self._guard(self._tickets.find)),
         ]
 
     def _guard(self, handler: _Handler) -> _Handler:
@@ -87,31 +77,38 @@
         if hmac.compare_digest(given.encode(), expected.encode()):
             return await handler(request)
         self._counters.count('admin.unauthenticated')
-        return _fail(HTTP_UNAUTHORIZED, 'unauthenticated', 'no token')
+        return fail(HTTP_UNAUTHORIZED, 'unauthenticated', 'no token')
 
     async def _health(self, request: web.Request) -> web.Response:
-        return _reply({'healthy': True})
+        return reply({'healthy': True})
 
     async def _ready(self, request: web.Request) -> web.Response:
         if not self._log.number:
-            return _fail(HTTP_UNAVAILABLE, 'not-ready', 'no ticket known')
-        return _reply({'ready': True, 'ticket': self._log.number})
+            return fail(HTTP_UNAVAILABLE, 'not-ready', 'no ticket known')
+        return reply(
+            {
+                'ready': True,
+                'ticket': self._log.number,
+                'blocked': self._log.blocked,
+            },
+        )
 
     async def _status(self, request: web.Request) -> web.Response:
         own = self._members.own
-        return _reply(
+        return reply(
             {
                 'instance': own.name,
                 'incarnation': own.incarnation,
                 'zone': own.zone,
                 'ticket': self._log.number,
+                'blocked': self._log.blocked,
                 'live_peers': len(self._members.live()),
                 'upstreams': self._runner.loads(),
             },
         )
 
     async def _instances(self, request: web.Request) -> web.Response:
-        return _reply(
+        return reply(
             [
                 {
                     'name': peer.info.name,
@@ -125,59 +122,9 @@
         )
 
     async def _count(self, request: web.Request) -> web.Response:
-        return _reply(
+        return reply(
             {
                 'counts': dict(self._counters.counts),
                 'latencies_ms': self._counters.latencies(),
             },
         )
-
-    async def _apply(self, request: web.Request) -> web.Response:
-        try:
-            ticket = decode_ticket(await request.read())
-            number = await self._follower.apply(ticket)
-        except LycheedykeError as error:
-            return _explain(error)
-        return _reply({'accepted': number})
-
-    async def _show(self, request: web.Request) -> web.Response:
-        number = request.match_info['number']
-        document = None
-        if number.isdecimal():
-            document = self._log.show(int(number))
-        if document is None:
-            return _fail(
-                HTTP_NOT_FOUND,
-                'not-found',
-                f'ticket {number!r} does not exist here',
-            )
-        return web.Response(body=document, content_type='application/json')
-
-
-def _reply(content: Any) -> web.Response:
-    return web.Response(
-        body=msgspec.json.encode(content),
-        content_type='application/json',
-    )
-
-
-def _explain(error: LycheedykeError) -> web.Response:
-    match error:
-        case DocumentMalformed():
-            return _fail(HTTP_BAD_REQUEST, 'malformed', str(error))
-        case TicketInvalid(faults=faults):
-            return _fail(HTTP_BAD_REQUEST, 'invalid', *faults)
-        case TicketConflict():
-            return _fail(HTTP_CONFLICT, 'conflict', str(error))
-        case TicketUnknown():
-            return _fail(HTTP_UNAVAILABLE, 'unknown', str(error))
-        case _:
-            raise error
-
-
-def _fail(status: int, error: str, *details: str) -> web.Response:
-    return web.Response(
-        status=status,
-        body=msgspec.json.encode({'error': error, 'details': details}),
-        content_type='application/json',
-    )
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/instance.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/instance.py
@@ -10,7 +10,6 @@
 from lycheedyke.clock import Clock
 from lycheedyke.coordination import (
     Members,
-    TicketFollower,
     TicketLog,
     owner_of,
 )
@@ -19,8 +18,7 @@
     Heartbeat,
     InstanceInfo,
     MessageCodec,
-    PlatformClient,
-    TicketsReply,
+    SnapshotRequest,
     TicketsRequest,
 )
 from lycheedyke.state import Configuration, Counters, KeyLedger
@@ -33,11 +31,13 @@
 from lycheedyke_daemon.routing import Router
 from lycheedyke_daemon.runner import Runner
 from lycheedyke_daemon.settings import Secrets, Settings
+from lycheedyke_daemon.tickets import TicketParts, connect_platform
 
 INCARNATION_BYTES = 8
 OWNERSHIP_INTERVAL_SECONDS = 0.25
 SEEDING_INTERVAL_SECONDS = 5
 MESSAGE_MARGIN_BYTES = 65_536
+MAX_ADMIN_BYTES = 2_097_152
 
 _logger = logging.getLogger(__name__)
 
@@ -72,14 +72,19 @@
             self._counters,
             routes=settings.routes,
         )
-        self._log = TicketLog(self._take_over)
+        self._log = TicketLog(self._take_over, self._counters.count)
         self._runner = Runner(clock, self._counters)
         self._members.loads = self._runner.loads
-        self._platform = PlatformClient(
-            settings.platform_address,
-            timeout=settings.platform_timeout,
+        self._platform = connect_platform(settings, clock, self._counters)
+        self._tickets = TicketParts(
+            settings,
+            self._log,
+            self._platform,
+            self._members,
+            self._codec,
+            clock,
+            self._counters,
         )
-        self._follower = TicketFollower(self._log, self._platform, clock)
         self._peers = PeerClient(
             self._codec,
             clock,
@@ -107,8 +112,7 @@
         self._listener = PeerListener(settings.control_address, self._answer)
         self._admin = AdminApi(
             secrets.admin,
-            self._log,
-            self._follower,
+            self._tickets,
             self._members,
             self._runner,
             self._counters,
@@ -123,7 +127,8 @@
         self._listener.open()
         self._members.follow(self._settings.seeds)
         self._tasks = [
-            asyncio.create_task(self._follower.follow()),
+            asyncio.create_task(self._tickets.follower.follow()),
+            asyncio.create_task(self._tickets.spread.run()),
             asyncio.create_task(self._watch_members()),
             asyncio.create_task(self._seed()),
         ]
@@ -177,7 +182,7 @@
         return app
 
     def _admin_app(self) -> web.Application:
-        app = web.Application(client_max_size=self._settings.max_body_bytes)
+        app = web.Application(client_max_size=MAX_ADMIN_BYTES)
         app.add_routes(self._admin.routes())
         return app
 
@@ -205,9 +210,13 @@
                 return self._codec.encode_exchange(
                     self._members.answer(asked),
                 )
-            case TicketsRequest(after):
+            case TicketsRequest():
+                return self._codec.encode_exchange(
+                    self._tickets.spread.answer_tickets(asked),
+                )
+            case SnapshotRequest():
                 return self._codec.encode_exchange(
-                    TicketsReply(after + 1, self._log.after(after)),
+                    self._tickets.spread.answer_snapshot(asked),
                 )
         self._counters.count('message.unexpected')
         return None
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/settings.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/settings.py
@@ -36,6 +36,9 @@
     admin_address: str
     platform_address: str
     platform_timeout: timedelta
+    platform_calls_per_s: int
+    platform_burst: int
+    apply_timeout: timedelta
     seeds: tuple[str, ...]
     secrets_file: Path
     max_body_bytes: int
@@ -143,6 +146,27 @@
             _COUNT_RULE,
             '1000',
         ),
+        'platform_calls_per_s': _Field(
+            'platform',
+            'calls_per_s',
+            _read_count,
+            _COUNT_RULE,
+            '4',
+        ),
+        'platform_burst': _Field(
+            'platform',
+            'burst',
+            _read_count,
+            _COUNT_RULE,
+            '80',
+        ),
+        'apply_timeout': _Field(
+            'platform',
+            'apply_timeout_ms',
+            _read_milliseconds,
+            _COUNT_RULE,
+            '10000',
+        ),
         'seeds': _Field(
             'peers',
             'seeds',
--- /dev/null
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/ticket_api.py
@@ -0,0 +1,147 @@
+"""The administration API's part for tickets.
+
+`POST /v1/tickets` hands a ticket in, `POST /v1/plans` shows what it would
+do. `GET /v1/tickets` lists recent tickets, `GET /v1/tickets/<number>` shows
+one, and `GET /v1/authors/<id>` finds out what became of an author's ticket.
+"""
+
+from typing import Any
+
+import msgspec
+from aiohttp import web
+
+from lycheedyke.exceptions import (
+    AuthorReused,
+    DocumentMalformed,
+    LycheedykeError,
+    PlatformError,
+    TicketConflict,
+    TicketInvalid,
+    TicketNotAccepted,
+    TicketOutdated,
+    TicketUnknown,
+)
+from lycheedyke.protocol import parse_ticket
+from lycheedyke_daemon.tickets import TicketParts
+
+HTTP_BAD_REQUEST = 400
+HTTP_NOT_FOUND = 404
+HTTP_CONFLICT = 409
+HTTP_UNAVAILABLE = 503
+MAX_LISTED = 100
+
+
+class TicketApi:
+    """Serves operators' calls on tickets.
+
+    Args:
+        parts: the log and its writer.
+    """
+
+    def __init__(self, parts: TicketParts) -> None:
+        """Makes the API over the parts of one instance."""
+        self._log = parts.log
+        self._writer = parts.writer
+
+    def __repr__(self) -> str:
+        """Returns the log."""
+        return f'<TicketApi of {self._log!r}>'
+
+    async def apply(self, request: web.Request) -> web.Response:
+        """Hands in the ticket in the body."""
+        try:
+            ticket = parse_ticket(await request.read())
+            number = await self._writer.apply(ticket)
+        except LycheedykeError as error:
+            return explain(error)
+        return reply({'accepted': number, 'author': ticket.author})
+
+    async def plan(self, request: web.Request) -> web.Response:
+        """Shows what the ticket in the body would do."""
+        try:
+            ticket = parse_ticket(await request.read())
+            plan = await self._writer.plan(ticket)
+        except LycheedykeError as error:
+            return explain(error)
+        return reply(plan)
+
+    async def find(self, request: web.Request) -> web.Response:
+        """Tells whether an author's ticket is accepted."""
+        author = request.match_info['author']
+        try:
+            record = await self._writer.find(author)
+        except PlatformError as error:
+            return fail(HTTP_UNAVAILABLE, 'unknown', str(error))
+        if record is None:
+            return fail(
+                HTTP_NOT_FOUND,
+                'not-accepted',
+                f'no ticket of author {author!r} up to {self._log.number}',
+            )
+        return reply({'accepted': record.number, 'author': author})
+
+    async def listed(self, request: web.Request) -> web.Response:
+        """Lists the newest tickets, the newest first."""
+        records = self._log.history.records[-MAX_LISTED:]
+        return reply(
+            [
+                {
+                    'number': record.number,
+                    'author': record.author,
+                    'objects': len(record.touches),
+                }
+                for record in reversed(records)
+            ],
+        )
+
+    async def show(self, request: web.Request) -> web.Response:
+        """Shows the document of one ticket."""
+        number = request.match_info['number']
+        document = None
+        if number.isdecimal():
+            document = self._log.show(int(number))
+        if document is None:
+            return fail(
+                HTTP_NOT_FOUND,
+                'not-found',
+                f'ticket {number!r} is not kept here',
+            )
+        return web.Response(body=document, content_type='application/json')
+
+
+def reply(content: Any) -> web.Response:
+    """Returns an answer in JSON."""
+    return web.Response(
+        body=msgspec.json.encode(content),
+        content_type='application/json',
+    )
+
+
+def fail(status: int, error: str, *details: str) -> web.Response:
+    """Returns a refusal with a machine-readable error."""
+    return web.Response(
+        status=status,
+        body=msgspec.json.encode({'error': error, 'details': details}),
+        content_type='application/json',
+    )
+
+
+def explain(error: LycheedykeError) -> web.Response:
+    """Returns the refusal that stands for an error.
+
+    Raises:
+        LycheedykeError: the error, where it is none of an operator's.
+    """
+    match error:
+        case DocumentMalformed():
+            return fail(HTTP_BAD_REQUEST, 'malformed', str(error))
+        case TicketInvalid(faults=faults):
+            return fail(HTTP_BAD_REQUEST, 'invalid', *faults)
+        case TicketConflict() | TicketOutdated() | AuthorReused():
+            return fail(HTTP_CONFLICT, 'conflict', str(error))
+        case TicketNotAccepted() | PlatformError():
+            return fail(HTTP_UNAVAILABLE, 'not-accepted', str(error))
+        case TicketUnknown():
+            return fail(HTTP_UNAVAILABLE, 'unknown', str(error))
+        case _:
+            raise error
--- /dev/null
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/tickets.py
@@ -0,0 +1,94 @@
+"""The parts of an instance that follow, write and spread tickets."""
+
+from lycheedyke.clock import Clock
+from lycheedyke.coordination import (
+    LogReader,
+    LogWriter,
+    Members,
+    Snapshotter,
+    TicketFollower,
+    TicketLog,
+    TicketSpread,
+    watchers_of,
+)
+from lycheedyke.protocol import CallBudget, MessageCodec, PlatformClient
+from lycheedyke.state import Counters
+from lycheedyke_daemon.settings import Settings
+
+
+def connect_platform(
+    settings: Settings,
+    clock: Clock,
+    counters: Counters,
+) -> PlatformClient:
+    """Returns the client of the platform, within its call budget."""
+    return PlatformClient(
+        settings.platform_address,
+        timeout=settings.platform_timeout,
+        budget=CallBudget(
+            clock,
+            settings.platform_calls_per_s,
+            settings.platform_burst,
+        ),
+        count=counters.count,
+    )
+
+
+class TicketParts:
+    """Wires one log to the platform, to peers and to operators.
+
+    Args:
+        settings: the checked settings.
+        log: the tickets in force.
+        platform: the platform's key-value service.
+        members: the live instances.
+        codec: signs and checks messages.
+        clock: the time.
+        counters: counts calls and refusals.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        log: TicketLog,
+        platform: PlatformClient,
+        members: Members,
+        codec: MessageCodec,
+        clock: Clock,
+        counters: Counters,
+    ) -> None:
+        """Makes the parts; nothing is read yet."""
+        reader = LogReader(log, platform)
+        self.log = log
+        self.writer = LogWriter(
+            log,
+            reader,
+            platform,
+            clock,
+            settings.apply_timeout,
+        )
+        self.follower = TicketFollower(
+            reader,
+            Snapshotter(log, reader, platform, clock),
+            clock,
+            self.is_watcher,
+            counters.count,
+        )
+        self.spread = TicketSpread(
+            log,
+            members.live,
+            codec,
+            clock,
+            counters.count,
+            routes=settings.routes,
+        )
+        self._members = members
+
+    def __repr__(self) -> str:
+        """Returns the log."""
+        return f'<TicketParts of {self.log!r}>'
+
+    def is_watcher(self) -> bool:
+        """Returns whether this instance watches the platform now."""
+        own = self._members.own
+        return own in watchers_of(self._members.in_zone(own.zone))
--- /dev/null
+++ b/packages/lycheedyke/src/lycheedyke/coordination/_spread.py
@@ -0,0 +1,181 @@
+"""Fetches tickets from peers that are ahead, and serves peers behind."""
+
+import logging
+import random
+from collections.abc import Callable, Iterable, Mapping
+from datetime import timedelta
+from typing import Protocol
+
+from lycheedyke.clock import Clock
+from lycheedyke.coordination._ticket_log import TicketLog
+from lycheedyke.exceptions import (
+    DocumentMalformed,
+    DocumentTooNew,
+    MessageRejected,
+    TransportError,
+)
+from lycheedyke.protocol import (
+    Exchange,
+    InstanceInfo,
+    MessageCodec,
+    SnapshotReply,
+    SnapshotRequest,
+    TicketsReply,
+    TicketsRequest,
+    decode_snapshot,
+    encode_snapshot,
+)
+from lycheedyke.transport import PeerLink
+
+CHECK_INTERVAL = timedelta(milliseconds=100)
+ASK_TIMEOUT = timedelta(seconds=1)
+PARTS_KEPT = timedelta(seconds=30)
+MAX_PARTS = 256
+
+_logger = logging.getLogger(__name__)
+
+
+class KnownPeer(Protocol):
+    """What must be known of a peer to learn tickets from it."""
+
+    info: InstanceInfo
+    ticket: int
+
+
+class TicketSpread:
+    """Exchanges tickets with peers.
+
+    Args:
+        log: the tickets in force here.
+        live: returns the live peers.
+        codec: signs and checks the messages.
+        clock: waits.
+        count: called with a counter's name.
+        routes: addresses to use in place of others.
+    """
+
+    def __init__(
+        self,
+        log: TicketLog,
+        live: Callable[[], Iterable[KnownPeer]],
+        codec: MessageCodec,
+        clock: Clock,
+        count: Callable[[str], None],
+        *,
+        routes: Mapping[str, str],
+    ) -> None:
+        """Makes a spread that has not asked anyone."""
+        self._log = log
+        self._live = live
+        self._codec = codec
+        self._clock = clock
+        self._count = count
+        self._routes = routes
+        self._parts: list[bytes] = []
+        self._parts_number = 0
+        self._parts_used = timedelta()
+
+    def __repr__(self) -> str:
+        """Returns the log."""
+        return f'TicketSpread({self._log!r})'
+
+    async def run(self) -> None:
+        """Catches up with peers until cancelled."""
+        while True:
+            await self._clock.sleep(CHECK_INTERVAL)
+            self._forget_parts()
+            await self.step()
+
+    async def step(self) -> None:
+        """Fetches from one random peer that is ahead, if there is one."""
+        ahead = [
+            peer.info for peer in self._live() if peer.ticket > self._log.number
+        ]
+        if not ahead or self._log.blocked:
+            return
+        link = PeerLink(self._route(random.choice(ahead)))
+        try:
+            await self._fetch(link)
+        except TransportError:
+            self._count('ticket.peer-silent')
+        except (MessageRejected, DocumentMalformed) as error:
+            self._count('message.rejected')
+            _logger.warning('reply dropped: %s', error)
+        finally:
+            link.close()
+
+    def answer_tickets(self, asked: TicketsRequest) -> TicketsReply:
+        """Returns the next tickets, or none where a snapshot is needed."""
+        return TicketsReply(asked.after + 1, self._log.after(asked.after))
+
+    def answer_snapshot(self, asked: SnapshotRequest) -> SnapshotReply:
+        """Returns one part; all parts of a transfer are of one snapshot."""
+        if asked.index == 0 and not self._parts:
+            self._parts = encode_snapshot(self._log.snapshot())
+            self._parts_number = self._log.number
+            self._parts_used = self._clock.elapsed()
+        if asked.index:
+            self._parts_used = self._clock.elapsed()
+        if asked.number not in {0, self._parts_number}:
+            return SnapshotReply(0, 0, b'')
+        if not 0 <= asked.index < len(self._parts):
+            return SnapshotReply(0, 0, b'')
+        return SnapshotReply(
+            self._parts_number,
+            len(self._parts),
+            self._parts[asked.index],
+        )
+
+    async def _fetch(self, link: PeerLink) -> None:
+        asked = self._log.number
+        reply = await self._ask(link, TicketsRequest(asked))
+        if not isinstance(reply, TicketsReply):
+            raise MessageRejected('the reply holds no tickets')
+        if not reply.documents:
+            await self._fetch_snapshot(link)
+        if reply.first != asked + 1:
+            return
+        for number, document in enumerate(reply.documents, reply.first):
+            if self._log.adopt(number, document):
+                self._count('ticket.from-peer')
+
+    async def _fetch_snapshot(self, link: PeerLink) -> None:
+        first = await self._ask_part(link, 0, 0)
+        if first.number <= self._log.number or first.count > MAX_PARTS:
+            return
+        parts = [first.part]
+        for index in range(1, first.count):
+            reply = await self._ask_part(link, first.number, index)
+            if reply.number != first.number:
+                return
+            parts.append(reply.part)
+        try:
+            self._log.restore(decode_snapshot(parts))
+        except DocumentTooNew as error:
+            self._log.blocked = str(error)
+            _logger.error('snapshot needs a newer version: %s', error)
+
+    async def _ask_part(
+        self,
+        link: PeerLink,
+        number: int,
+        index: int,
+    ) -> SnapshotReply:
+        reply = await self._ask(link, SnapshotRequest(number, index))
+        if not isinstance(reply, SnapshotReply):
+            raise MessageRejected('the reply holds no part of a snapshot')
+        return reply
+
+    async def _ask(self, link: PeerLink, message: Exchange) -> Exchange:
+        reply = await link.ask(
+            self._codec.encode_exchange(message),
+            timeout=ASK_TIMEOUT,
+        )
+        return self._codec.decode_exchange(reply)
+
+    def _forget_parts(self) -> None:
+        if self._clock.elapsed() - self._parts_used > PARTS_KEPT:
+            self._parts = []
+
+    def _route(self, info: InstanceInfo) -> str:
+        return self._routes.get(info.control_address, info.control_address)
--- a/packages/lycheedyke/src/lycheedyke/coordination/_ticket_log.py
+++ b/packages/lycheedyke/src/lycheedyke/coordination/_ticket_log.py
@@ -1,56 +1,67 @@
-"""The numbered log of tickets in the platform, and how it is followed."""
+"""The tickets in force at an instance, and what they add up to."""
 
-import asyncio
 import logging
-import random
 from collections.abc import Callable
-from datetime import timedelta
-
-from lycheedyke.clock import Clock
-from lycheedyke.exceptions import (
-    DocumentMalformed,
-    PlatformError,
-    PlatformUnreachable,
-    TicketConflict,
-    TicketInvalid,
-    TicketUnknown,
-    WriteConflict,
-)
+from datetime import datetime
+from typing import NamedTuple
+
+from lycheedyke.exceptions import DocumentMalformed, DocumentTooNew
 from lycheedyke.protocol import (
-    PlatformClient,
+    NOT_STAMPED,
+    Snapshot,
     Ticket,
+    TicketRecord,
     decode_ticket,
-    encode_ticket,
 )
-from lycheedyke.state import Configuration, find_faults
+from lycheedyke.state import (
+    Configuration,
+    TicketHistory,
+    find_reference_faults,
+)
+from lycheedyke.state import export_configuration as export
+from lycheedyke.state import restore_configuration as restore
 
-PREFIX = 'ticket/'
-NUMBER_DIGITS = 10
-WATCH_WAIT = timedelta(seconds=20)
-RETRY_LEAST = timedelta(milliseconds=100)
-RETRY_MOST = timedelta(seconds=5)
-APPLY_TIME = timedelta(seconds=10)
+MAX_KEPT = 512
+MAX_KEPT_BYTES = 8_000_000
+MAX_REPLY_BYTES = 1_000_000
 
 _logger = logging.getLogger(__name__)
 
 
-def ticket_key(number: int) -> str:
-    """Returns the platform key of a ticket; keys sort like numbers."""
-    return f'{PREFIX}{number:0{NUMBER_DIGITS}d}'
+class _Adopted(NamedTuple):
+    """What a ticket makes of the configuration and the history."""
+
+    configuration: Configuration
+    history: TicketHistory
+    created: datetime
 
 
 class TicketLog:
-    """All tickets known here, and the configuration they add up to.
+    """The newest tickets known here, and what all of them add up to.
+
+    The number in force only rises, by one ticket at a time or by a
+    snapshot of a higher number.
 
     Args:
-        on_change: called after each ticket with the new configuration.
+        on_change: called after each change with the new configuration.
+        count: called with a counter's name.
     """
 
-    def __init__(self, on_change: Callable[[Configuration], None]) -> None:
+    def __init__(
+        self,
+        on_change: Callable[[Configuration], None],
+        count: Callable[[str], None] | None = None,
+    ) -> None:
         """Makes an empty log."""
         self.configuration = Configuration()
+        self.history = TicketHistory()
+        self.blocked = ''
+        self.snapshot_number = 0
+        self._created = NOT_STAMPED
         self._documents: dict[int, bytes] = {}
+        self._kept_bytes = 0
         self._on_change = on_change
+        self._count = count or (lambda _: None)
 
     def __repr__(self) -> str:
         """Returns the newest number."""
@@ -61,159 +72,132 @@
         """The number of the newest ticket in force here."""
         return self.configuration.number
 
+    @property
+    def created(self) -> datetime:
+        """The time at which the newest ticket was accepted."""
+        return self._created
+
     def adopt(self, number: int, document: bytes) -> bool:
         """Applies a ticket if it is the next one; returns whether it was.
 
-        Raises:
-            DocumentMalformed: the document is no ticket.
+        A document that no version can apply takes its number without any
+        effect, at every instance alike. One from a newer version blocks
+        the log at its number: `blocked` says so until it is upgraded.
         """
         if number != self.number + 1:
             return False
-        ticket = decode_ticket(document)
-        self.configuration = self.configuration.apply(number, ticket)
-        self._documents[number] = document
-        _logger.info('ticket in force', extra={'ticket': number})
-        self._on_change(self.configuration)
+        try:
+            adopted = self._apply(number, document)
+        except DocumentTooNew as error:
+            self._block(number, error)
+            return False
+        except DocumentMalformed as error:
+            self._count('ticket.void')
+            _logger.error('ticket %d has no effect: %s', number, error)
+            adopted = self._pass_over(number)
+        self._keep(number, document)
+        self._set(adopted)
         return True
 
+    def restore(self, snapshot: Snapshot) -> bool:
+        """Takes on a snapshot of a higher number; returns whether it was."""
+        if snapshot.number <= self.number:
+            return False
+        self._documents.clear()
+        self._kept_bytes = 0
+        self.snapshot_number = max(self.snapshot_number, snapshot.number)
+        self._count('ticket.restored')
+        history = TicketHistory(snapshot.records, snapshot.floor)
+        self._set(_Adopted(restore(snapshot), history, snapshot.created))
+        return True
+
+    def snapshot(self) -> Snapshot:
+        """Returns the snapshot of what is in force."""
+        return export(self.configuration, self.history, self._created)
+
     def after(self, number: int) -> tuple[bytes, ...]:
-        """Returns the documents of all tickets after a number."""
-        return tuple(
-            self._documents[later]
-            for later in range(number + 1, self.number + 1)
-        )
+        """Returns documents after a number, as many as fit a reply.
+
+        The result is empty where the next document is no longer kept.
+        """
+        found: list[bytes] = []
+        size = 0
+        for later in range(number + 1, self.number + 1):
+            document = self._documents.get(later)
+            if document is None:
+                break
+            size += len(document)
+            if found and size > MAX_REPLY_BYTES:
+                break
+            found.append(document)
+        return tuple(found)
 
     def show(self, number: int) -> bytes | None:
         """Returns the document of a ticket, or None."""
         return self._documents.get(number)
 
+    def find(self, author: str) -> TicketRecord | None:
+        """Returns the ticket of an author id, or None."""
+        return self.history.find(author)
 
-class TicketFollower:
-    """Reads and writes the log in the platform.
-
-    Args:
-        log: takes in what is read.
-        platform: the platform's key-value service.
-        clock: measures timeouts.
-    """
-
-    def __init__(
-        self,
-        log: TicketLog,
-        platform: PlatformClient,
-        clock: Clock,
-    ) -> None:
-        """Makes a follower that has not read anything."""
-        self._log = log
-        self._platform = platform
-        self._clock = clock
-        self._backoff = RETRY_LEAST
-
-    def __repr__(self) -> str:
-        """Returns the log."""
-        return f'TicketFollower({self._log!r})'
-
-    async def follow(self) -> None:
-        """Watches the log until cancelled; backs off on failures."""
-        revision: int | None = None
-        while True:
-            try:
-                revision = await self._advance(revision)
-            except PlatformError as error:
-                _logger.info('platform call failed: %s', error)
-                revision = None
-                await self._back_off()
-            else:
-                self._backoff = RETRY_LEAST
-
-    async def apply(self, ticket: Ticket) -> int:
-        """Hands a ticket in; returns its number once it is accepted.
-
-        Raises:
-            TicketInvalid: it is impossible in the present configuration.
-            TicketConflict: a later ticket changed the same objects.
-            TicketUnknown: the platform did not answer in time.
-        """
-        try:
-            async with asyncio.timeout(APPLY_TIME.total_seconds()):
-                return await self._apply(ticket)
-        except TimeoutError as error:
-            raise TicketUnknown(
-                f'ticket of author {ticket.author!r}: platform silent',
-            ) from error
-
-    async def _apply(self, ticket: Ticket) -> int:
-        document = encode_ticket(ticket)
-        while True:
-            try:
-                return await self._try(ticket, document)
-            except (WriteConflict, PlatformUnreachable):
-                await self._back_off()
-
-    async def _try(self, ticket: Ticket, document: bytes) -> int:
-        await self._read()
-        accepted = self._find(ticket)
-        if accepted is not None:
-            return accepted
-        self._check(ticket)
-        number = self._log.number + 1
-        await self._platform.create(ticket_key(number), document)
-        self._backoff = RETRY_LEAST
-        self._take(number, document)
-        return number
-
-    def _find(self, ticket: Ticket) -> int | None:
-        for number in range(ticket.based_on + 1, self._log.number + 1):
-            document = self._log.show(number)
-            if document and decode_ticket(document).author == ticket.author:
-                return number
-        return None
-
-    def _check(self, ticket: Ticket) -> None:
-        touched = self._log.configuration.touched
-        clashes = {
-            name: touched[name]
-            for name in sorted(ticket.touches())
-            if touched.get(name, 0) > ticket.based_on
-        }
-        if clashes:
-            raise TicketConflict(max(clashes.values()), list(clashes))
-        faults = find_faults(self._log.configuration, ticket)
-        if faults:
-            raise TicketInvalid(faults)
-
-    async def _advance(self, revision: int | None) -> int:
-        if revision is None:
-            return await self._read()
-        revision, entries = await self._platform.watch(
-            PREFIX,
-            after=revision,
-            wait=WATCH_WAIT,
+    def bytes_after(self, number: int) -> int:
+        """Returns the size of the kept documents after a number."""
+        return sum(
+            len(document)
+            for later, document in self._documents.items()
+            if later > number
         )
-        for entry in entries:
-            self._take(_number(entry.key), entry.content)
-        return revision
-
-    async def _read(self) -> int:
-        revision, entries = await self._platform.scan(
-            PREFIX,
-            start=ticket_key(self._log.number + 1),
+
+    def _apply(self, number: int, document: bytes) -> _Adopted:
+        ticket = decode_ticket(document)
+        configuration = _checked(self.configuration, number, ticket)
+        return _Adopted(
+            configuration,
+            self.history.add(number, ticket),
+            max(self._created, ticket.created),
         )
-        for entry in entries:
-            self._take(_number(entry.key), entry.content)
-        return revision
 
-    def _take(self, number: int, document: bytes) -> None:
-        try:
-            self._log.adopt(number, document)
-        except DocumentMalformed as error:
-            _logger.error('ticket %d cannot be read: %s', number, error)
+    def _pass_over(self, number: int) -> _Adopted:
+        return _Adopted(
+            self.configuration._replace(number=number),
+            self.history,
+            self._created,
+        )
 
-    async def _back_off(self) -> None:
-        factor = random.uniform(0.5, 1)
-        await self._clock.sleep(self._backoff * factor)
-        self._backoff = min(RETRY_MOST, self._backoff * 2)
+    def _set(self, adopted: _Adopted) -> None:
+        self.configuration = adopted.configuration
+        self.history = adopted.history
+        self._created = adopted.created
+        self.blocked = ''
+        _logger.info('ticket in force', extra={'ticket': self.number})
+        self._on_change(self.configuration)
 
+    def _block(self, number: int, error: DocumentTooNew) -> None:
+        self._count('ticket.too-new')
+        if not self.blocked:
+            _logger.error('ticket %d needs a newer version: %s', number, error)
+        self.blocked = f'ticket {number}: {error}'
 
-def _number(key: str) -> int:
-    return int(key.removeprefix(PREFIX))
+    def _keep(self, number: int, document: bytes) -> None:
+        self._documents[number] = document
+        self._kept_bytes += len(document)
+        while len(self._documents) > MAX_KEPT or (
+            self._kept_bytes > MAX_KEPT_BYTES and len(self._documents) > 1
+        ):
+            oldest = next(iter(self._documents))
+            self._kept_bytes -= len(self._documents.pop(oldest))
+
+
+def _checked(
+    before: Configuration,
+    number: int,
+    ticket: Ticket,
+) -> Configuration:
+    try:
+        after = before.apply(number, ticket)
+    except ValueError as error:
+        raise DocumentMalformed(str(error)) from error
+    faults = find_reference_faults(after)
+    if faults:
+        raise DocumentMalformed('; '.join(faults))
+    return after
--- a/packages/lycheedyke/src/lycheedyke/exceptions.py
+++ b/packages/lycheedyke/src/lycheedyke/exceptions.py
@@ -49,6 +49,10 @@
     """A ticket or platform document does not have the documented form."""
 
 
+class DocumentTooNew(DocumentMalformed):
+    """A document was written by a newer version of this project."""
+
+
 class PlatformError(ProtocolError):
     """A call to the platform's key-value service failed."""
 
@@ -57,6 +61,14 @@
     """The platform did not answer; a write may or may not have been made."""
 
 
+class PlatformNotReached(PlatformUnreachable):
+    """No byte of the call was sent, so nothing was written."""
+
+
+class PlatformStale(PlatformError):
+    """The platform's answer lacks tickets that were accepted."""
+
+
 class WriteConflict(PlatformError):
     """The key's version is not the expected one; nothing was written."""
 
@@ -96,6 +108,18 @@
         self.winner = winner
 
 
+class TicketOutdated(CoordinationError):
+    """A ticket is based on a number whose successors are forgotten."""
+
+
+class AuthorReused(CoordinationError):
+    """An author id stands in an accepted ticket of other content."""
+
+
+class TicketNotAccepted(CoordinationError):
+    """A ticket was surely not accepted in the time allowed."""
+
+
 class TicketUnknown(CoordinationError):
     """It could not be found out in time whether a ticket was accepted."""
 
--- a/packages/lycheedyke/src/lycheedyke/protocol/__init__.py
+++ b/packages/lycheedyke/src/lycheedyke/protocol/__init__.py
@@ -1,5 +1,6 @@
 """Protocol: documents, messages, keys and outcomes, and their codecs."""
 
+from lycheedyke.protocol._budget import CallBudget
 from lycheedyke.protocol._keys import IdempotencyKey
 from lycheedyke.protocol._messages import (
     Exchange,
@@ -25,7 +26,21 @@
     Unknown,
 )
 from lycheedyke.protocol._platform import PlatformClient, PlatformEntry
+from lycheedyke.protocol._snapshots import (
+    BlockTable,
+    ShiftState,
+    Snapshot,
+    SnapshotHead,
+    SnapshotReply,
+    SnapshotRequest,
+    TicketRecord,
+    decode_snapshot,
+    digest_part,
+    encode_snapshot,
+)
 from lycheedyke.protocol._tickets import (
+    MAX_TICKET_BYTES,
+    NOT_STAMPED,
     Block,
     Phase,
     Service,
@@ -35,10 +50,27 @@
     WorkClass,
     Zone,
     decode_ticket,
+    digest_ticket,
     encode_ticket,
+    parse_ticket,
 )
 
 __all__ = (
+    'MAX_TICKET_BYTES',
+    'NOT_STAMPED',
+    'BlockTable',
+    'CallBudget',
+    'ShiftState',
+    'Snapshot',
+    'SnapshotHead',
+    'SnapshotReply',
+    'SnapshotRequest',
+    'TicketRecord',
+    'decode_snapshot',
+    'digest_part',
+    'digest_ticket',
+    'encode_snapshot',
+    'parse_ticket',
     'KEY_HEADER',
     'OUTCOME_HEADER',
     'REASON_HEADER',
--- a/packages/lycheedyke/src/lycheedyke/protocol/_messages.py
+++ b/packages/lycheedyke/src/lycheedyke/protocol/_messages.py
@@ -7,6 +7,7 @@
 
 from lycheedyke.exceptions import MessageRejected
 from lycheedyke.protocol._outcomes import Answered, NotRun, Unknown
+from lycheedyke.protocol._snapshots import SnapshotReply, SnapshotRequest
 
 VERSION = b'\x01'
 MAC_BYTES = 16
@@ -86,11 +87,18 @@
     documents: tuple[bytes, ...]
 
 
-Exchange = Heartbeat | HeartbeatReply | TicketsRequest | TicketsReply
+Exchange = (
+    Heartbeat
+    | HeartbeatReply
+    | TicketsRequest
+    | TicketsReply
+    | SnapshotRequest
+    | SnapshotReply
+)
 
 
 class _ExchangeBox(msgspec.Struct, frozen=True, array_like=True):
-    content: Heartbeat | HeartbeatReply | TicketsRequest | TicketsReply
+    content: Exchange
 
 
 class RunRequest(msgspec.Struct, frozen=True):
--- a/packages/lycheedyke/src/lycheedyke/protocol/_platform.py
+++ b/packages/lycheedyke/src/lycheedyke/protocol/_platform.py
@@ -1,6 +1,7 @@
 """The client of the platform's key-value service."""
 
 import base64
+from collections.abc import Callable
 from datetime import timedelta
 from typing import NamedTuple, TypeVar
 from urllib.parse import quote, urlencode
@@ -8,11 +9,14 @@
 import msgspec
 
 from lycheedyke.exceptions import (
+    ConnectionNotMade,
     PlatformError,
+    PlatformNotReached,
     PlatformUnreachable,
     TransportError,
     WriteConflict,
 )
+from lycheedyke.protocol._budget import CallBudget
 from lycheedyke.transport import HttpAnswer, HttpClient
 
 DEFAULT_TIMEOUT = timedelta(seconds=1)
@@ -50,6 +54,8 @@
     Args:
         address: `ip:port` of the service.
         timeout: the longest time for one call, apart from watches.
+        budget: bounds the rate of calls.
+        count: called with `platform.<kind>` at each call.
     """
 
     def __init__(
@@ -57,9 +63,13 @@
         address: str,
         *,
         timeout: timedelta = DEFAULT_TIMEOUT,
+        budget: CallBudget | None = None,
+        count: Callable[[str], None] | None = None,
     ) -> None:
         """Makes a client that connects at the first call."""
         self.calls = 0
+        self._budget = budget
+        self._count = count
         self._address = address
         self._timeout = timeout
         self._http = HttpClient(max_body_bytes=MAX_ANSWER_BYTES)
@@ -186,7 +196,7 @@
         *,
         timeout: timedelta | None = None,
     ) -> HttpAnswer:
-        self.calls += 1
+        await self._account(method, path)
         try:
             answer = await self._http.send(
                 method,
@@ -194,12 +204,30 @@
                 timeout=timeout or self._timeout,
                 body=body,
             )
+        except ConnectionNotMade as error:
+            raise PlatformNotReached(f'platform: {error}') from error
         except TransportError as error:
             raise PlatformUnreachable(f'platform: {error}') from error
         if answer.status not in {HTTP_OK, HTTP_NOT_FOUND, HTTP_CONFLICT}:
             raise PlatformUnreachable(f'platform: status {answer.status}')
         return answer
 
+    async def _account(self, method: str, path: str) -> None:
+        self.calls += 1
+        if self._count is not None:
+            self._count(f'platform.{_kind(method, path)}')
+        if self._budget is None:
+            return
+        if await self._budget.take() and self._count is not None:
+            self._count('platform.delayed')
+
+
+def _kind(method: str, path: str) -> str:
+    if method != 'GET':
+        return method.lower()
+    call = path.removeprefix('/v1/').partition('?')[0]
+    return 'get' if call.startswith('kv/') else call
+
 
 def _to_entry(wire: _WireEntry) -> PlatformEntry:
     return PlatformEntry(
--- a/packages/lycheedyke/src/lycheedyke/protocol/_tickets.py
+++ b/packages/lycheedyke/src/lycheedyke/protocol/_tickets.py
@@ -1,13 +1,18 @@
 """Tickets: the documents through which operators act."""
 
-from datetime import datetime
+import hashlib
+from datetime import UTC, datetime
 from enum import Enum
 from typing import Annotated
 
 import msgspec
 
-from lycheedyke.exceptions import DocumentMalformed
+from lycheedyke.exceptions import DocumentMalformed, DocumentTooNew
+from lycheedyke.protocol._schema import find_schema_faults
 
+SCHEMA_VERSION = 1
+NOT_STAMPED = datetime(1970, 1, 1, tzinfo=UTC)
+DIGEST_BYTES = 8
 MAX_TICKET_BYTES = 1_000_000
 _Name = Annotated[str, msgspec.Meta(pattern='^[a-z0-9][a-z0-9-]{0,62}$')]
 _Share = Annotated[float, msgspec.Meta(ge=0, le=1)]
@@ -114,13 +119,14 @@
     Attributes:
         author: the operator's unique id of this ticket.
         based_on: the number of the newest ticket that the author knew.
-        created: when the ticket was handed in.
+        created: when the ticket was accepted; the entry instance sets it.
         allow_last: permits taking away the last serving upstream.
+        version: the version of this schema.
     """
 
     author: Annotated[str, msgspec.Meta(min_length=1, max_length=128)]
-    based_on: int
-    created: datetime
+    based_on: Annotated[int, msgspec.Meta(ge=0)]
+    created: Annotated[datetime, msgspec.Meta(tz=True)] = NOT_STAMPED
     note: Annotated[str, msgspec.Meta(max_length=1000)] = ''
     allow_last: bool = False
     zones: dict[_Name, Zone | None] = {}
@@ -128,6 +134,7 @@
     upstreams: dict[_Name, Upstream | None] = {}
     shifts: dict[_Name, Shift | None] = {}
     blocks: dict[str, Block | None] = {}
+    version: Annotated[int, msgspec.Meta(ge=1)] = SCHEMA_VERSION
 
     def touches(self) -> set[str]:
         """Returns the names of all objects that the ticket changes."""
@@ -139,8 +146,13 @@
         }
 
 
+class _Version(msgspec.Struct):
+    version: int = SCHEMA_VERSION
+
+
 _encoder = msgspec.json.Encoder(order='deterministic')
 _decoder = msgspec.json.Decoder(Ticket)
+_version_decoder = msgspec.json.Decoder(_Version)
 
 
 def encode_ticket(ticket: Ticket) -> bytes:
@@ -148,11 +160,20 @@
     return _encoder.encode(ticket)
 
 
+def digest_ticket(ticket: Ticket) -> str:
+    """Returns a digest of what the ticket changes, however it came in."""
+    content = msgspec.structs.replace(ticket, based_on=0, created=NOT_STAMPED)
+    document = encode_ticket(content)
+    return hashlib.blake2b(document, digest_size=DIGEST_BYTES).hexdigest()
+
+
 def decode_ticket(document: bytes) -> Ticket:
     """Reads a ticket from JSON.
 
     Raises:
-        DocumentMalformed: the document is too large or has another form.
+        DocumentTooNew: the document was written by a newer version.
+        DocumentMalformed: the document is too large or has another form;
+            names all faults of the form.
     """
     if len(document) > MAX_TICKET_BYTES:
         raise DocumentMalformed(
@@ -160,6 +181,33 @@
             f'at most {MAX_TICKET_BYTES} are allowed',
         )
     try:
-        return _decoder.decode(document)
-    except msgspec.MsgspecError as error:
-        raise DocumentMalformed(f'ticket: {error}') from error
+        ticket = _decoder.decode(document)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        _check_version(document)
+        faults = find_schema_faults(document, Ticket) or [str(error)]
+        raise DocumentMalformed(f'ticket: {"; ".join(faults)}') from error
+    if ticket.version > SCHEMA_VERSION:
+        raise DocumentTooNew(f'ticket has version {ticket.version}')
+    return ticket
+
+
+def parse_ticket(document: bytes) -> Ticket:
+    """Reads a ticket as an operator wrote it; also refuses repeated names.
+
+    Raises:
+        DocumentMalformed: as `decode_ticket`, or a name stands twice.
+    """
+    ticket = decode_ticket(document)
+    faults = find_schema_faults(document, Ticket)
+    if faults:
+        raise DocumentMalformed(f'ticket: {"; ".join(faults)}')
+    return ticket
+
+
+def _check_version(document: bytes) -> None:
+    try:
+        found = _version_decoder.decode(document)
+    except (msgspec.MsgspecError, UnicodeDecodeError):
+        return
+    if found.version > SCHEMA_VERSION:
+        raise DocumentTooNew(f'ticket has version {found.version}')
--- a/packages/lycheedyke/src/lycheedyke/state/__init__.py
+++ b/packages/lycheedyke/src/lycheedyke/state/__init__.py
@@ -2,13 +2,28 @@
 
 from lycheedyke.state._admission import AdmissionRefused, Admitter
 from lycheedyke.state._blocks import BlockMap
-from lycheedyke.state._checks import find_faults
-from lycheedyke.state._configuration import Configuration
+from lycheedyke.state._checks import find_faults, find_time_faults
+from lycheedyke.state._configuration import AcceptedShift, Configuration
 from lycheedyke.state._counters import Counters
+from lycheedyke.state._exports import (
+    export_configuration,
+    restore_configuration,
+)
+from lycheedyke.state._history import TicketHistory
 from lycheedyke.state._ledger import KeyLedger, KeyRecord, KeyRefused
+from lycheedyke.state._plans import Plan, make_plan
+from lycheedyke.state._references import find_reference_faults
 from lycheedyke.state._shares import hash_point, share_at
 
 __all__ = (
+    'export_configuration',
+    'restore_configuration',
+    'AcceptedShift',
+    'Plan',
+    'TicketHistory',
+    'find_reference_faults',
+    'find_time_faults',
+    'make_plan',
     'AdmissionRefused',
     'Admitter',
     'BlockMap',
--- a/packages/lycheedyke/src/lycheedyke/state/_configuration.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_configuration.py
@@ -33,7 +33,6 @@
     upstreams: Mapping[str, Upstream] = {}
     shifts: Mapping[str, AcceptedShift] = {}
     blocks: BlockMap = BlockMap()
-    touched: Mapping[str, int] = {}
 
     def apply(self, number: int, ticket: Ticket) -> Self:
         """Returns the configuration with a ticket applied.
@@ -54,10 +53,6 @@
             upstreams=_merge(self.upstreams, ticket.upstreams),
             shifts=_merge(self.shifts, shifts),
             blocks=blocks.change(ticket.blocks) if ticket.blocks else blocks,
-            touched={
-                **self.touched,
-                **dict.fromkeys(ticket.touches(), number),
-            },
         )
 
     def region_of(self, upstream: Upstream) -> str:
