--- a/packages/lycheedyke/src/lycheedyke/protocol/_messages.py
+++ b/packages/lycheedyke/src/lycheedyke/protocol/_messages.py
@@ -8,6 +8,7 @@
 
 from lycheedyke.exceptions import MessageRejected
 from lycheedyke.protocol._outcomes import Answered, NotRun, Unknown
+from lycheedyke.protocol._snapshots import SnapshotReply, SnapshotRequest
 
 VERSION = b'\x01'
 MAC_BYTES = 16
@@ -231,6 +232,8 @@
     | SummariesReply
     | TicketsRequest
     | TicketsReply
+    | SnapshotRequest
+    | SnapshotReply
 )
 
 
