Run all failures together against one customer's deployment

Cause: the promises were only tested one failure at a time. Change: 'python -m bench.storm' runs real processes of one customer in six zones; a seed chooses kills, freezes, cuts, one-way cuts, outages and slowness of the platform, lost writes, lost answers, planned stops and racing tickets, while callers send reads and writes. The promises are checked from the stand-ins' own records. Ports in tests come from outside the range of outgoing connections, which had taken some of them.

--- /dev/null
+++ b/bench/storm/__init__.py
@@ -0,0 +1,1 @@
+"""All failures together: a seeded, bounded run of real processes."""
--- /dev/null
+++ b/bench/storm/__main__.py
@@ -0,0 +1,249 @@
+"""Runs a storm: `python -m bench.storm --customer NAME --seed N`."""
+
+import asyncio
+import statistics
+import sys
+import tempfile
+import time
+from collections import Counter
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+import defopt
+
+from bench.storm import checks
+from bench.storm.calls import Crowd
+from bench.storm.faults import Faults
+from bench.storm.operators import Operators
+from bench.storm.shapes import CUSTOMERS, CustomerShape
+from standins.deployment import Deployment, call, free_ports
+from standins.operators import apply_ticket, get_admin, wait_in_force
+
+ENTRIES = 2
+POLL_SECONDS = 0.25
+SETTLE_SECONDS = 6
+HTTP_OK = 200
+EXIT_BROKEN = 1
+
+
+class Storm:
+    """One run against one customer's deployment.
+
+    Args:
+        running: the deployment.
+        shape: the customer.
+        seed: makes the choices repeatable.
+    """
+
+    def __init__(
+        self,
+        running: Deployment,
+        shape: CustomerShape,
+        seed: int,
+    ) -> None:
+        """Makes a storm over a deployment that runs."""
+        self._running = running
+        self._shape = shape
+        self._ticket = self._start_upstreams()
+        upstreams = self._ticket['upstreams']
+        self._crowd = Crowd(running, shape, seed)
+        self._faults = Faults(
+            running,
+            [upstream['address'] for upstream in upstreams.values()],
+            seed,
+        )
+        self._operators = Operators(running, upstreams, seed)
+        self._numbers: dict[str, list[int]] = {}
+        self._headroom: list[float] = []
+
+    async def run(self, seconds: float, callers: int) -> list[str]:
+        """Runs for a time; returns a line for each broken promise."""
+        await self._set_run_times()
+        watching = asyncio.create_task(self._watch())
+        calling = asyncio.create_task(self._crowd.run(callers))
+        operating = asyncio.create_task(self._operators.run())
+        await self._faults.run(seconds)
+        self._operators.stop()
+        await operating
+        await asyncio.sleep(SETTLE_SECONDS)
+        faults = [line async for line in self._find_behind()]
+        self._crowd.stop()
+        await calling
+        watching.cancel()
+        faults.extend(await self._check())
+        return faults
+
+    def report(self) -> None:
+        """Prints what was caused, told and measured."""
+        print('caused:', ', '.join(self._faults.caused))
+        print('planned stops ended with', self._faults.exit_statuses)
+        print(
+            f'tickets: {len(self._operators.accepted)} accepted, '
+            f'{self._operators.refused} refused, '
+            f'{self._operators.unknown} unknown to their operator',
+        )
+        total = len(self._crowd.told)
+        for kind, count in Counter(self._crowd.kinds()).most_common():
+            print(f'  {kind}: {count} ({count / total:.2%})')
+        for name, histogram in sorted(self._crowd.latencies.items()):
+            percentiles = ', '.join(
+                f'p{percent:g} '
+                f'{histogram.get_value_at_percentile(percent) / 1000:.0f} ms'
+                for percent in (50, 99, 99.9)
+            )
+            print(f'latency, {name}: {percentiles}')
+        print(
+            f'free slots: least {min(self._headroom):.0%}, '
+            f'mean {statistics.mean(self._headroom):.0%}',
+        )
+
+    def _start_upstreams(self) -> dict[str, Any]:
+        services = self._shape.services
+        ports = free_ports(sum(service.upstreams for service in services))
+        zones = list(self._shape.zones)
+        ticket: dict[str, Any] = {
+            'zones': {
+                zone: {'region': region}
+                for zone, region in self._shape.zones.items()
+            },
+            'services': {},
+            'upstreams': {},
+        }
+        for service in services:
+            ticket['services'][service.name] = {
+                'customer': self._shape.name,
+                **service.options,
+            }
+            own = [ports.pop() for _ in range(service.upstreams)]
+            self._running.start_upstreams(service.name, own)
+            for index, port in enumerate(own):
+                ticket['upstreams'][f'{service.name}-{index}'] = {
+                    'service': service.name,
+                    'zone': zones[index % len(zones)],
+                    'address': f'127.0.0.1:{port}',
+                    'slots': service.slots,
+                }
+        return ticket
+
+    async def _set_run_times(self) -> None:
+        run_ms = {each.name: each.run_ms for each in self._shape.services}
+        for upstream in self._ticket['upstreams'].values():
+            await call(
+                'POST',
+                f'http://{upstream["address"]}/fault',
+                json={'run_ms': run_ms[upstream['service']]},
+            )
+        number = await asyncio.to_thread(
+            apply_ticket,
+            self._running,
+            self._ticket,
+        )
+        await wait_in_force(self._running, number)
+
+    async def _watch(self) -> None:
+        while True:
+            records = await self._records()
+            slots = sum(record.slots for record, _ in records)
+            busy = sum(in_flight for _, in_flight in records)
+            self._headroom.append(1 - busy / slots)
+            async for incarnation, number in self._poll():
+                self._numbers.setdefault(incarnation, []).append(number)
+            await asyncio.sleep(POLL_SECONDS)
+
+    async def _poll(self) -> Any:
+        for seat in self._running.seats.values():
+            try:
+                async with asyncio.timeout(1):
+                    status = await get_admin(seat, '/v1/status')
+            except (aiohttp.ClientError, TimeoutError, OSError):
+                continue
+            yield status['incarnation'], status['ticket']
+
+    async def _find_behind(self) -> Any:
+        newest = max(
+            (ticket.number for ticket in self._operators.accepted),
+            default=1,
+        )
+        async for incarnation, number in self._poll():
+            if number < newest:
+                yield f'{incarnation} is at ticket {number}, not {newest}'
+
+    async def _check(self) -> list[str]:
+        records = [record for record, _ in await self._records()]
+        seat = next(iter(self._running.seats.values()))
+        newest = (await get_admin(seat, '/v1/status'))['ticket']
+        tickets = [
+            await get_admin(seat, f'/v1/tickets/{number}')
+            for number in range(1, newest + 1)
+        ]
+        accepted = {each.number: each.at for each in self._operators.accepted}
+        leaving = checks.last_leaving(tickets, accepted)
+        return [
+            *checks.find_faults(self._crowd.told, records),
+            *checks.find_undrained(records, leaving),
+            *checks.find_reverts(self._numbers),
+            *self._failed_stops(),
+        ]
+
+    def _failed_stops(self) -> Iterator[str]:
+        for status in self._faults.exit_statuses:
+            if status:
+                yield f'a planned stop ended with status {status}'
+
+    async def _records(self) -> list[tuple[checks.UpstreamRecord, int]]:
+        found = []
+        for name, upstream in self._ticket['upstreams'].items():
+            _, record = await call(
+                'GET',
+                f'http://{upstream["address"]}/record',
+            )
+            own = checks.UpstreamRecord(
+                name,
+                upstream['slots'],
+                record['runs'],
+                record['most_in_flight'],
+                record['last_start'],
+            )
+            found.append((own, record['in_flight']))
+        return found
+
+
+def run(
+    *,
+    customer: str = 'pantsaker',
+    seed: int = 1,
+    seconds: float = 30,
+    callers: int = 6,
+) -> int:
+    """Run all failures together against one customer's deployment.
+
+    Args:
+        customer: pantsaker or cascade.
+        seed: Makes the choices repeatable.
+        seconds: How long failures are caused.
+        callers: Callers for each zone and service.
+    """
+    shape = CUSTOMERS[customer]
+    folder = Path(tempfile.mkdtemp(prefix='lycheedyke-storm-'))
+    print(f'storm of {customer}, seed {seed}, logs in {folder}')
+    started = time.monotonic()
+    with Deployment(
+        folder,
+        zones=dict(shape.zones),
+        entries=ENTRIES,
+        customer=shape.name,
+        links=True,
+    ) as running:
+        storm = Storm(running, shape, seed)
+        faults = asyncio.run(storm.run(seconds, callers))
+        storm.report()
+    for fault in faults:
+        print('BROKEN:', fault)
+    print(f'{len(faults)} broken in {time.monotonic() - started:.0f} s')
+    return EXIT_BROKEN if faults else 0
+
+
+if __name__ == '__main__':
+    sys.exit(defopt.run(run))
--- a/tests/standins/deployment.py
+++ b/tests/standins/deployment.py
@@ -1,6 +1,7 @@
 """Starts and ends a deployment of real processes on loopback."""
 
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -15,9 +16,13 @@
 TESTS = Path(__file__).resolve().parent.parent
 START_SECONDS = 20
 POLL_SECONDS = 0.05
+PORT_RANGE = (10_000, 32_000)
 PEER_SECRET = 'peer-secret-for-tests'
 ADMIN_SECRET = 'admin-secret-for-tests'
 
+_random = random.SystemRandom()
+_given_ports: set[int] = set()
+
 SETTINGS = """
 [instance]
 name = {name}
@@ -61,15 +66,27 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Returns ports that were free a moment ago."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for each in sockets:
-            each.bind(('127.0.0.1', 0))
-        return [each.getsockname()[1] for each in sockets]
-    finally:
-        for each in sockets:
-            each.close()
+    """Returns ports that nothing listens at, none of them twice.
+
+    They are outside the range from which the system takes the ports of
+    outgoing connections.
+    """
+    found: list[int] = []
+    while len(found) < count:
+        port = _random.randrange(*PORT_RANGE)
+        if port not in _given_ports and _is_free(port):
+            _given_ports.add(port)
+            found.append(port)
+    return found
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket() as probe:
+        try:
+            probe.bind(('127.0.0.1', port))
+        except OSError:
+            return False
+    return True
 
 
 def make_seat(name: str, zone: str, region: str) -> Seat:
--- a/tests/standins/upstream.py
+++ b/tests/standins/upstream.py
@@ -10,6 +10,7 @@
 import asyncio
 import os
 import sys
+import time
 from collections import Counter
 from typing import Any
 
@@ -29,6 +30,7 @@
         self._in_flight = 0
         self._most_in_flight = 0
         self._finished = 0
+        self._last_start = 0.0
         self._connections: set[Any] = set()
 
     def app(self) -> web.Application:
@@ -50,12 +52,13 @@
                 'in_flight': self._in_flight,
                 'most_in_flight': self._most_in_flight,
                 'finished': self._finished,
+                'last_start': self._last_start,
                 'connections': len(self._connections),
             },
         )
 
     async def _fault(self, request: web.Request) -> web.Response:
-        self._faults = await request.json()
+        self._faults.update(await request.json())
         return web.json_response(self._faults)
 
     async def _run(self, request: web.Request) -> web.Response:
@@ -73,6 +76,7 @@
         name = f'{request.method} {request.path_qs} {body}'
         self._runs[name] += 1
         self._in_flight += 1
+        self._last_start = time.time()
         self._most_in_flight = max(self._most_in_flight, self._in_flight)
         try:
             await asyncio.sleep(
