--- a/bench/storm/calls.py
+++ b/bench/crowd.py
@@ -1,4 +1,4 @@
-"""Callers of a storm, and what each of them was told."""
+"""Callers of one customer, and what each of them was told."""
 
 import asyncio
 import itertools
@@ -10,7 +10,7 @@
 
 from hdrh.histogram import HdrHistogram
 
-from bench.storm.shapes import CustomerShape, ServiceShape
+from bench.shapes import CustomerShape, ServiceShape
 from lycheedyke import Client, OutcomeUnknown, RequestNotRun
 from standins.deployment import Deployment
 
--- a/bench/storm/__main__.py
+++ b/bench/storm/__main__.py
@@ -13,12 +13,18 @@
 import aiohttp
 import defopt
 
+from bench.crowd import Crowd
+from bench.shapes import CUSTOMERS, CustomerShape
 from bench.storm import checks
-from bench.storm.calls import Crowd
 from bench.storm.faults import Faults
 from bench.storm.operators import Operators
-from bench.storm.shapes import CUSTOMERS, CustomerShape
-from standins.deployment import Deployment, call, free_ports
+from bench.upstreams import (
+    free_share,
+    read_records,
+    set_run_times,
+    start_upstreams,
+)
+from standins.deployment import Deployment
 from standins.operators import apply_ticket, get_admin, wait_in_force
 
 ENTRIES = 2
@@ -46,7 +52,7 @@
         """Makes a storm over a deployment that runs."""
         self._running = running
         self._shape = shape
-        self._ticket = self._start_upstreams()
+        self._ticket = start_upstreams(running, shape)
         upstreams = self._ticket['upstreams']
         self._crowd = Crowd(running, shape, seed)
         self._faults = Faults(
@@ -60,7 +66,7 @@
 
     async def run(self, seconds: float, callers: int) -> list[str]:
         """Runs for a time; returns a line for each broken promise."""
-        await self._set_run_times()
+        await self._begin()
         watching = asyncio.create_task(self._watch())
         calling = asyncio.create_task(self._crowd.run(callers))
         operating = asyncio.create_task(self._operators.run())
@@ -99,42 +105,8 @@
             f'mean {statistics.mean(self._headroom):.0%}',
         )
 
-    def _start_upstreams(self) -> dict[str, Any]:
-        services = self._shape.services
-        ports = free_ports(sum(service.upstreams for service in services))
-        zones = list(self._shape.zones)
-        ticket: dict[str, Any] = {
-            'zones': {
-                zone: {'region': region}
-                for zone, region in self._shape.zones.items()
-            },
-            'services': {},
-            'upstreams': {},
-        }
-        for service in services:
-            ticket['services'][service.name] = {
-                'customer': self._shape.name,
-                **service.options,
-            }
-            own = [ports.pop() for _ in range(service.upstreams)]
-            self._running.start_upstreams(service.name, own)
-            for index, port in enumerate(own):
-                ticket['upstreams'][f'{service.name}-{index}'] = {
-                    'service': service.name,
-                    'zone': zones[index % len(zones)],
-                    'address': f'127.0.0.1:{port}',
-                    'slots': service.slots,
-                }
-        return ticket
-
-    async def _set_run_times(self) -> None:
-        run_ms = {each.name: each.run_ms for each in self._shape.services}
-        for upstream in self._ticket['upstreams'].values():
-            await call(
-                'POST',
-                f'http://{upstream["address"]}/fault',
-                json={'run_ms': run_ms[upstream['service']]},
-            )
+    async def _begin(self) -> None:
+        await set_run_times(self._shape, self._ticket)
         number = await asyncio.to_thread(
             apply_ticket,
             self._running,
@@ -144,10 +116,7 @@
 
     async def _watch(self) -> None:
         while True:
-            records = await self._records()
-            slots = sum(record.slots for record, _ in records)
-            busy = sum(in_flight for _, in_flight in records)
-            self._headroom.append(1 - busy / slots)
+            self._headroom.append(free_share(await read_records(self._ticket)))
             async for incarnation, number in self._poll():
                 self._numbers.setdefault(incarnation, []).append(number)
             await asyncio.sleep(POLL_SECONDS)
@@ -171,7 +140,7 @@
                 yield f'{incarnation} is at ticket {number}, not {newest}'
 
     async def _check(self) -> list[str]:
-        records = [record for record, _ in await self._records()]
+        records = await read_records(self._ticket)
         seat = next(iter(self._running.seats.values()))
         newest = (await get_admin(seat, '/v1/status'))['ticket']
         tickets = [
@@ -192,23 +161,6 @@
             if status:
                 yield f'a planned stop ended with status {status}'
 
-    async def _records(self) -> list[tuple[checks.UpstreamRecord, int]]:
-        found = []
-        for name, upstream in self._ticket['upstreams'].items():
-            _, record = await call(
-                'GET',
-                f'http://{upstream["address"]}/record',
-            )
-            own = checks.UpstreamRecord(
-                name,
-                upstream['slots'],
-                record['runs'],
-                record['most_in_flight'],
-                record['last_start'],
-            )
-            found.append((own, record['in_flight']))
-        return found
-
 
 def run(
     *,
--- a/bench/storm/checks.py
+++ b/bench/storm/checks.py
@@ -2,31 +2,14 @@
 
 from collections import Counter
 from collections.abc import Iterable, Iterator, Mapping
-from typing import Any, NamedTuple
+from typing import Any
 
-from bench.storm.calls import Told
+from bench.crowd import Told
+from bench.upstreams import UpstreamRecord
 
 DRAIN_SECONDS = 3
 
 
-class UpstreamRecord(NamedTuple):
-    """What an upstream stand-in counted.
-
-    Attributes:
-        name: the upstream.
-        slots: the slots that tickets gave it.
-        runs: runs of each request, by `METHOD path body`.
-        most_in_flight: the most requests that it ran at one time.
-        last_start: when the last request began, in Unix seconds.
-    """
-
-    name: str
-    slots: int
-    runs: Mapping[str, int]
-    most_in_flight: int
-    last_start: float
-
-
 def find_faults(
     told: Iterable[Told],
     records: Iterable[UpstreamRecord],
--- /dev/null
+++ b/bench/upstreams.py
@@ -0,0 +1,96 @@
+"""Starts the upstreams of a customer, and reads their records."""
+
+from collections.abc import Mapping
+from typing import Any, NamedTuple
+
+from bench.shapes import CustomerShape
+from standins.deployment import Deployment, call, free_ports
+
+
+class UpstreamRecord(NamedTuple):
+    """What an upstream stand-in counted.
+
+    Attributes:
+        name: the upstream.
+        slots: the slots that tickets gave it.
+        runs: runs of each request, by `METHOD path body`.
+        most_in_flight: the most requests that it ran at one time.
+        in_flight: the requests that it runs now.
+        finished: the requests that it ran to their end.
+        last_start: when the last request began, in Unix seconds.
+    """
+
+    name: str
+    slots: int
+    runs: Mapping[str, int]
+    most_in_flight: int
+    in_flight: int
+    finished: int
+    last_start: float
+
+
+def start_upstreams(
+    running: Deployment, shape: CustomerShape
+) -> dict[str, Any]:
+    """Starts all upstreams; returns the ticket that names them."""
+    zones = list(shape.zones)
+    ticket: dict[str, Any] = {
+        'zones': {
+            zone: {'region': region} for zone, region in shape.zones.items()
+        },
+        'services': {},
+        'upstreams': {},
+    }
+    for service in shape.services:
+        ticket['services'][service.name] = {
+            'customer': shape.name,
+            **service.options,
+        }
+        ports = free_ports(service.upstreams)
+        running.start_upstreams(service.name, ports)
+        for index, port in enumerate(ports):
+            ticket['upstreams'][f'{service.name}-{index}'] = {
+                'service': service.name,
+                'zone': zones[index % len(zones)],
+                'address': f'127.0.0.1:{port}',
+                'slots': service.slots,
+            }
+    return ticket
+
+
+async def set_run_times(
+    shape: CustomerShape, ticket: Mapping[str, Any]
+) -> None:
+    """Lets each upstream run requests for as long as its service says."""
+    run_ms = {each.name: each.run_ms for each in shape.services}
+    for upstream in ticket['upstreams'].values():
+        await call(
+            'POST',
+            f'http://{upstream["address"]}/fault',
+            json={'run_ms': run_ms[upstream['service']]},
+        )
+
+
+async def read_records(ticket: Mapping[str, Any]) -> list[UpstreamRecord]:
+    """Returns the records of all upstreams of a ticket."""
+    found = []
+    for name, upstream in ticket['upstreams'].items():
+        _, record = await call('GET', f'http://{upstream["address"]}/record')
+        found.append(
+            UpstreamRecord(
+                name,
+                upstream['slots'],
+                record['runs'],
+                record['most_in_flight'],
+                record['in_flight'],
+                record['finished'],
+                record['last_start'],
+            ),
+        )
+    return found
+
+
+def free_share(records: list[UpstreamRecord]) -> float:
+    """Returns the share of all slots that are free."""
+    slots = sum(record.slots for record in records)
+    return 1 - sum(record.in_flight for record in records) / slots
--- a/tests/standins/upstream.py
+++ b/tests/standins/upstream.py
@@ -2,7 +2,8 @@
 
 Run as `python -m standins.upstream PORT [PORT ...]`; each port is one
 upstream. GET /record gives its record; POST /fault sets faults:
-{"run_ms": int, "lose_answers": int, "refuse": int, "crash_on": str}.
+{"run_ms": int, "slots": int, "lose_answers": int, "refuse": int, "crash_on": str}.
+With `slots` set, more requests in flight than slots slow each other down.
 Every other path runs: a request takes `run_ms` and is answered with what
 was asked.
 """
@@ -61,6 +62,11 @@
         self._faults.update(await request.json())
         return web.json_response(self._faults)
 
+    def _run_seconds(self) -> float:
+        run_ms = self._faults.get('run_ms', DEFAULT_RUN_MS)
+        slots = self._faults.get('slots', self._in_flight)
+        return float(run_ms) / 1000 * max(1, self._in_flight / slots)
+
     async def _run(self, request: web.Request) -> web.Response:
         body = await request.text()
         self._connections.add(request.transport)
@@ -79,9 +85,7 @@
         self._last_start = time.time()
         self._most_in_flight = max(self._most_in_flight, self._in_flight)
         try:
-            await asyncio.sleep(
-                self._faults.get('run_ms', DEFAULT_RUN_MS) / 1000,
-            )
+            await asyncio.sleep(self._run_seconds())
         finally:
             self._in_flight -= 1
         self._finished += 1
