--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/placement.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/placement.py
@@ -7,7 +7,7 @@
 from lycheedyke.clock import Clock
 from lycheedyke.coordination import TicketLog
 from lycheedyke.protocol import NotRun, Outcome, Reason
-from lycheedyke.state import ShiftShares, Way, hash_point
+from lycheedyke.state import ShiftShares, hash_point
 from lycheedyke_daemon.runner import Runner
 from lycheedyke_daemon.table import RoutingTable
 from lycheedyke_daemon.work import Work
@@ -82,9 +82,12 @@
         place = self.locate(work.client, work.home)
         if place.home == self._own_region:
             return True
-        way = Way(work.service, place.home, self._own_region)
         point = hash_point(work.service, place.block)
-        return point < self.shares.share(way)
+        return any(
+            point < self.shares.share(way)
+            for way in self.shares.ways(work.service, place.home)
+            if way.destination == self._own_region
+        )
 
     def refuse(self, service: str, place: ClientPlace) -> NotRun:
         """Returns the refusal of work whose region has no upstream."""
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/runner.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/runner.py
@@ -51,6 +51,7 @@
         self._http = HttpClient()
         self._configuration = Configuration()
         self._admitters: dict[str, Admitter] = {}
+        self._left: dict[str, Upstream] = {}
         self.drains = DrainLog(clock)
 
     def __repr__(self) -> str:
@@ -130,8 +131,8 @@
                 self._start_drain(name, admitter, LeavingCause.ticket)
                 continue
             drain = self.drains.find(name)
-            touched = configuration.touched.get(f'upstream {name}', 0)
-            if drain is not None and touched > drain.ticket:
+            # A ticket that names the upstream makes a new object of it.
+            if drain is not None and upstream is not self._left.get(name):
                 self.drains.end(name)
 
     def _start_drain(
@@ -140,6 +141,8 @@
         admitter: Admitter,
         cause: LeavingCause,
     ) -> None:
+        if self.drains.find(name) is None:
+            self._left[name] = self._configuration.upstreams[name]
         self.drains.start(
             name,
             cause,
--- a/packages/lycheedyke/src/lycheedyke/state/_shares.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_shares.py
@@ -41,11 +41,12 @@
 
 
 class Way(NamedTuple):
-    """The service and the regions between which a shift moves blocks."""
+    """What a shift moves: there is at most one shift for each."""
 
     service: str
     source: str
     destination: str
+    failover: bool = False
 
 
 class _Meter(NamedTuple):
@@ -105,7 +106,12 @@
         followed: dict[Way, _Meter] = {}
         for accepted in configuration.shifts.values():
             shift = accepted.shift
-            way = Way(shift.service, shift.source, shift.destination)
+            way = Way(
+                shift.service,
+                shift.source,
+                shift.destination,
+                shift.failover,
+            )
             followed[way] = self._change(way, accepted)
         self._meters = followed
 
@@ -147,7 +153,7 @@
         now = self._clock.elapsed()
         before = self._meters.get(way)
         share: float = 0
-        if before is not None and before.shift.failover == shift.failover:
+        if before is not None:
             share = before.share
         elif now - self._started < START_PERIOD and not shift.failover:
             share = share_at(shift, accepted.accepted, self._clock.now())
--- a/tests/processes/test_routing.py
+++ b/tests/processes/test_routing.py
@@ -30,7 +30,6 @@
     return {
         'author': json.dumps([*upstreams, *more]),
         'based_on': 0,
-        'created': '2026-01-01T00:00:00Z',
         'zones': {zone: {'region': region} for zone, region in ZONES.items()},
         'services': {'kassa': {'customer': 'p', 'answer_ttl_ms': 500}},
         'upstreams': {
--- a/tests/unit/test_shares.py
+++ b/tests/unit/test_shares.py
@@ -1,6 +1,6 @@
 """Shares of shifts stay under cap and ramp, whatever happens."""
 
-from datetime import datetime
+from datetime import datetime, timedelta
 
 from hypothesis import given
 from hypothesis import strategies as st
@@ -31,7 +31,7 @@
     start_share: float = 0,
     failover: bool = False,
 ) -> Configuration:
-    shift = Shift(*WAY, cap, ramp, start_share, failover)
+    shift = Shift(*WAY[:3], cap, ramp, start_share, failover)
     return Configuration(shifts={'away': AcceptedShift(shift, accepted)})
 
 
@@ -57,7 +57,7 @@
         match kind, amount:
             case 'pass', float(seconds):
                 clock.pass_time(seconds)
-                bound += ramp * seconds
+                bound += ramp * timedelta(seconds=seconds).total_seconds()
             case 'step', float(seconds):
                 clock.step(seconds)
                 stepped = True
@@ -80,7 +80,7 @@
         bound = min(bound, cap)
         if kind == 'pass':
             continue
-        share = shares_here.share(WAY)
+        share = shares_here.share(WAY._replace(failover=failover))
         assert share <= bound + ROUNDING
         assert not (failover and serves[0] and share)
 
