--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/callers.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/callers.py
@@ -6,6 +6,7 @@
 
 import msgspec
 from aiohttp import web
+from multidict import CIMultiDict
 
 from lycheedyke.clock import Clock
 from lycheedyke.coordination import Members, TicketLog
@@ -26,6 +27,7 @@
 )
 from lycheedyke.state import Counters
 from lycheedyke_daemon.dispatch import Dispatcher
+from lycheedyke_daemon.stopping import Handler
 from lycheedyke_daemon.work import HOP_HEADERS, SAFE_METHODS, Work
 
 HTTP_BAD_REQUEST = 400
@@ -34,6 +36,7 @@
 DEFAULT_REMAINING = timedelta(seconds=5)
 MOST_REMAINING = timedelta(seconds=60)
 MILLISECOND = timedelta(milliseconds=1)
+_JSON = CIMultiDict({'Content-Type': 'application/json'})
 _BAD_REQUESTS = frozenset(
     (
         Reason.bad_request,
@@ -80,11 +83,20 @@
         """Returns the instance's name."""
         return f'<CallerApi of {self._members.own.name}>'
 
-    def routes(self) -> list[web.RouteDef]:
-        """Returns the routes of the caller port."""
+    def routes(
+        self,
+        watch: Callable[[Handler], Handler],
+    ) -> list[web.RouteDef]:
+        """Returns the routes of the caller port.
+
+        Args:
+            watch: wraps the handler of requests.
+        """
         return [
             web.get('/v1/lookup', self._lookup),
-            web.route('*', '/v1/services/{service}/{tail:.*}', self._request),
+            web.route(
+                '*', '/v1/services/{service}/{tail:.*}', watch(self._request)
+            ),
         ]
 
     async def _lookup(self, request: web.Request) -> web.Response:
@@ -98,10 +110,7 @@
         except ValueError:
             return self._respond(NotRun(Reason.bad_request))
         self._counters.count('lookup')
-        return web.Response(
-            body=body,
-            content_type='application/json',
-        )
+        return web.Response(body=body, headers=_JSON)
 
     async def _request(self, request: web.Request) -> web.Response:
         service = request.match_info['service']
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/instance.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/instance.py
@@ -200,7 +200,6 @@
     def _caller_app(self) -> web.Application:
         app = web.Application(
             client_max_size=self._settings.max_body_bytes,
-            middlewares=[self._gate.watch],
         )
         lookups = Lookups(
             self._log,
@@ -217,7 +216,7 @@
             self._clock,
             self._counters,
         )
-        app.add_routes(api.routes())
+        app.add_routes(api.routes(self._gate.watch))
         return app
 
     def _peer_app(self) -> web.Application:
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/lookups.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/lookups.py
@@ -65,6 +65,7 @@
         self._made = timedelta()
         self._ticket = -1
         self._answers: dict[tuple[str, str], Iterator[bytes]] = {}
+        self._by_client: dict[tuple[str, str], Iterator[bytes]] = {}
 
     def __repr__(self) -> str:
         """Returns the instance's name."""
@@ -78,13 +79,20 @@
             client: the IP address of the caller.
         """
         self._drop_old()
+        answers = self._by_client.get((service, client))
+        if answers is None:
+            answers = self._answers_for(service, client)
+            self._by_client[service, client] = answers
+        return next(answers)
+
+    def _answers_for(self, service: str, client: str) -> Iterator[bytes]:
         place = self._placement.locate(client)
         region = self._placement.destination(service, place)
         answers = self._answers.get((service, region))
         if answers is None:
             answers = itertools.cycle(self._make(service, region))
             self._answers[service, region] = answers
-        return next(answers)
+        return answers
 
     def _drop_old(self) -> None:
         now = self._clock.elapsed()
@@ -94,6 +102,7 @@
         self._made = now
         self._ticket = self._log.number
         self._answers.clear()
+        self._by_client.clear()
 
     def _make(self, service: str, region: str) -> list[bytes]:
         weights: dict[InstanceInfo, float] = {}
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/routing.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/routing.py
@@ -29,6 +29,7 @@
 MOST_OWNER_PAUSES = 40
 # The owner changed or the upstream is leaving: nothing was sent to it.
 _REROUTED = frozenset((Reason.no_owner, Reason.upstream_leaving))
+_FINAL = _REROUTED | {Reason.byte_budget, Reason.deadline_passed}
 
 
 class Router:
@@ -76,10 +77,10 @@
         self._count_first(work)
         tried: set[str] = set()
         outcome: Outcome = self._placement.refuse(work.service, place)
-        for _ in range(MAX_ATTEMPTS):
-            found = await self._attempt_any(work, place, tried)
-            outcome = found or outcome
-            if found is None or not self._may_retry(work, found):
+        while found := await self._attempt_any(work, place, tried):
+            outcome = found
+            is_last = len(tried) >= MAX_ATTEMPTS
+            if is_last or not self._may_retry(work, outcome):
                 break
         return outcome
 
@@ -128,7 +129,7 @@
                 return False
             case Unknown() if not work.idempotent:
                 return False
-            case NotRun(Reason.byte_budget | Reason.deadline_passed):
+            case NotRun(reason) if reason in _FINAL:
                 return False
             case NotRun(reason) | Unknown(reason):
                 pass
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/stopping.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/stopping.py
@@ -1,6 +1,7 @@
 """The planned stop of an entry instance."""
 
 import asyncio
+import functools
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
 
@@ -9,6 +10,7 @@
 MOST_FINISHING = timedelta(seconds=40)
 POLL_INTERVAL = timedelta(milliseconds=50)
 
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 HandOver = Callable[[], Awaitable[None]]
 
 
@@ -24,13 +26,18 @@
         """Returns the requests in flight."""
         return f'<CallerGate with {self.in_flight} in flight>'
 
-    @web.middleware
-    async def watch(
+    def watch(self, handler: Handler) -> Handler:
+        """Returns a handler whose requests are counted.
+
+        While stopping, it closes the connection after each answer.
+        """
+        return functools.partial(self._serve, handler)
+
+    async def _serve(
         self,
+        handler: Handler,
         request: web.Request,
-        handler: Callable[[web.Request], Awaitable[web.StreamResponse]],
     ) -> web.StreamResponse:
-        """Serves a request; while stopping, closes its connection after."""
         self.in_flight += 1
         try:
             response = await handler(request)
--- /dev/null
+++ b/tests/unit/test_router.py
@@ -0,0 +1,124 @@
+"""The router's retries stay in their budget, and work is rerouted freely."""
+
+import asyncio
+from collections import Counter
+from types import SimpleNamespace
+from typing import Any
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from lycheedyke.protocol import (
+    Answered,
+    InstanceInfo,
+    NotRun,
+    Outcome,
+    Reason,
+    Unknown,
+    UpstreamLoad,
+)
+from lycheedyke.state import Counters
+from lycheedyke.state._budgets import RETRY_FLOOR
+from lycheedyke_daemon.placement import ClientPlace
+from lycheedyke_daemon.routing import Router
+from lycheedyke_daemon.table import Target
+from lycheedyke_daemon.work import Work
+from standins.clock import ManualClock
+
+OWN = InstanceInfo('norr-a-0', 'i' * 8, 'norr-a', 'norr', '', '', '')
+UPSTREAMS = [f'kassa-{number}' for number in range(6)]
+FAILURES = st.sampled_from(
+    [
+        NotRun(Reason.upstream_refused),
+        NotRun(Reason.queue_full),
+        Unknown(Reason.upstream_broke),
+    ],
+)
+
+
+class _Runner:
+    """Fails on some upstreams, always in the same way."""
+
+    def __init__(self, failures: dict[str, Outcome]) -> None:
+        """Makes a runner that has run nothing."""
+        self.runs: Counter[str] = Counter()
+        self._failures = failures
+
+    async def run(self, upstream: str, work: Work) -> Outcome:
+        """Returns the outcome on an upstream."""
+        self.runs[upstream] += 1
+        return self._failures.get(upstream, Answered(200, (), b'', upstream))
+
+
+def _route(
+    runner: _Runner,
+    share: float,
+    methods: list[str],
+) -> list[Outcome]:
+    place = ClientPlace('10.0.0.0/24', 'norr')
+    targets = [
+        Target(name, OWN, UpstreamLoad(name, 0, 0, 9)) for name in UPSTREAMS
+    ]
+    clock = ManualClock()
+    placement: Any = SimpleNamespace(
+        locate=lambda client: place,
+        destination=lambda service, found: 'norr',
+        refuse=lambda service, found: NotRun(Reason.no_upstream),
+    )
+    table: Any = SimpleNamespace(
+        targets=lambda service, region: targets,
+        retry_share=lambda service: share,
+    )
+    anything: Any = runner
+    router = Router(
+        OWN,
+        placement,
+        table,
+        anything,
+        anything,
+        clock,
+        Counters(),
+    )
+
+    async def run_all() -> list[Outcome]:
+        deadline = clock.elapsed() * 2
+        return [
+            await router.run(
+                Work('kassa', method, '/', (), b'', deadline, ''),
+            )
+            for method in methods
+        ]
+
+    return asyncio.run(run_all())
+
+
+@given(FAILURES, st.floats(0, 0.5), st.integers(1, 200))
+def test_failing_third_does_not_amplify(
+    failure: Outcome,
+    share: float,
+    firsts: int,
+) -> None:
+    """Attempts stay at first attempts, their share, and the floor."""
+    runner = _Runner(dict.fromkeys(UPSTREAMS[:2], failure))
+    _route(runner, share, ['GET'] * firsts)
+    attempts = sum(runner.runs.values())
+    assert attempts <= firsts + share * firsts + RETRY_FLOOR + 1e-6
+
+
+@given(st.lists(st.sampled_from(['GET', 'POST']), max_size=50))
+def test_work_that_may_have_run_is_not_repeated(methods: list[str]) -> None:
+    """Only idempotent work is retried after an unknown outcome."""
+    failure = Unknown(Reason.upstream_broke)
+    runner = _Runner(dict.fromkeys(UPSTREAMS, failure))
+    outcomes = _route(runner, 0, methods)
+    retried = min(RETRY_FLOOR, 2 * methods.count('GET'))
+    assert outcomes == [failure] * len(methods)
+    assert sum(runner.runs.values()) == len(methods) + retried
+
+
+def test_leaving_upstreams_cost_no_retries() -> None:
+    """Work that met former owners or leaving upstreams runs elsewhere."""
+    leaving = NotRun(Reason.upstream_leaving)
+    runner = _Runner(dict.fromkeys(UPSTREAMS[:5], leaving))
+    outcomes = _route(runner, 0, ['GET', 'POST'] * 20)
+    assert {type(outcome) for outcome in outcomes} == {Answered}
