Compare the design with static slot shares and random choice

Cause: there was nothing to judge the routing policy by. Change: 'make compare' serves the same arrivals by real daemons and by two simple entries, in calm, overload and with a failing zone.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 
 export PYTHONPATH := tests
 
-.PHONY: setup demo test check format speed
+.PHONY: setup demo test check format speed compare storm
 
 setup: $(STAMP)
 
@@ -23,6 +23,13 @@
 speed: $(STAMP)
 	$(BIN)/python -m bench.speed
 
+compare: $(STAMP)
+	$(BIN)/python -m bench.compare
+
+storm: $(STAMP)
+	$(BIN)/python -m bench.storm --customer pantsaker
+	$(BIN)/python -m bench.storm --customer cascade
+
 test: $(STAMP)
 	$(BIN)/python -m pytest
 	$(BIN)/behave --format progress
--- a/bench/upstreams.py
+++ b/bench/upstreams.py
@@ -47,7 +47,11 @@
             **service.options,
         }
         ports = free_ports(service.upstreams)
-        running.start_upstreams(service.name, ports)
+        for first, zone in enumerate(zones):
+            running.start_upstreams(
+                upstream_process(service.name, zone),
+                ports[first :: len(zones)],
+            )
         for index, port in enumerate(ports):
             ticket['upstreams'][f'{service.name}-{index}'] = {
                 'service': service.name,
@@ -58,16 +62,27 @@
     return ticket
 
 
+def upstream_process(service: str, zone: str) -> str:
+    """Returns the name of the process of a service's upstreams in a zone."""
+    return f'{service}-in-{zone}'
+
+
 async def set_run_times(
     shape: CustomerShape, ticket: Mapping[str, Any]
 ) -> None:
-    """Lets each upstream run requests for as long as its service says."""
+    """Lets each upstream run requests for as long as its service says.
+
+    More requests at once than slots slow each other down.
+    """
     run_ms = {each.name: each.run_ms for each in shape.services}
     for upstream in ticket['upstreams'].values():
         await call(
             'POST',
             f'http://{upstream["address"]}/fault',
-            json={'run_ms': run_ms[upstream['service']]},
+            json={
+                'run_ms': run_ms[upstream['service']],
+                'slots': upstream['slots'],
+            },
         )
 
 
