--- /dev/null
+++ b/bench/blocks.py
@@ -0,0 +1,126 @@
+"""Measures a really built block map: memory, look-ups, changes.
+
+Run as `python -m bench.blocks [COUNT]`, by default with 4 million blocks.
+"""
+
+import ipaddress
+import random
+import resource
+import sys
+import time
+
+import numpy as np
+
+from lycheedyke.protocol import NOT_STAMPED, Block, BlockTable, encode_snapshot
+from lycheedyke.state import BlockMap, Configuration, TicketHistory
+from lycheedyke.state import export_configuration as export
+
+DEFAULT_COUNT = 4_000_000
+IPV6_SHARE = 0.25
+HOMES = tuple(f'region-{number}' for number in range(10))
+LOOKUPS = 200_000
+TICKETS = 40
+CHANGES = 1000
+
+
+def _peak_mb() -> float:
+    return resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024
+
+
+def _present_mb() -> float:
+    with open('/proc/self/statm', encoding='ascii') as statm:
+        return int(statm.read().split()[1]) * resource.getpagesize() / 2**20
+
+
+def _table(version: int, length: int, count: int, seed: int) -> BlockTable:
+    top = 2 ** min(length, 63)
+    chosen = np.random.default_rng(seed).integers(0, top, int(count * 1.2))
+    kind = '<u4' if version == 4 else '<u8'
+    numbers = np.unique(chosen)[:count].astype(kind)
+    homes = (numbers % len(HOMES)).astype('<u2')
+    return BlockTable(version, length, numbers.tobytes(), homes.tobytes())
+
+
+def _build(count: int) -> BlockMap:
+    wide = int(count * IPV6_SHARE)
+    shares = ((24, 0.6), (22, 0.2), (28, 0.2))
+    tables = [
+        _table(4, length, int((count - wide) * share), length)
+        for length, share in shares
+    ]
+    tables.append(_table(6, 48, wide, 6))
+    return BlockMap.restore(HOMES, tuple(tables))
+
+
+def _addresses(blocks: BlockMap, version: int) -> list[str]:
+    """Returns addresses half of which are in some block."""
+    bits, kind = (
+        (32, ipaddress.IPv4Address)
+        if version == 4
+        else (128, ipaddress.IPv6Address)
+    )
+    rng = random.Random(version)
+    asked = [rng.getrandbits(bits) for _ in range(LOOKUPS // 2)]
+    tables = [each for each in blocks.export()[1] if each.version == version]
+    for table in tables:
+        numbers = np.frombuffer(table.numbers, '<u4' if version == 4 else '<u8')
+        for number in rng.choices(numbers, k=LOOKUPS // 2 // len(tables)):
+            asked.append(int(number) << (bits - table.length))
+    rng.shuffle(asked)
+    return [str(kind(address)) for address in asked]
+
+
+def _measure_lookups(blocks: BlockMap) -> None:
+    for version in (4, 6):
+        asked = _addresses(blocks, version)
+        begin = time.process_time()
+        found = sum(blocks.find(address) is not None for address in asked)
+        spent = (time.process_time() - begin) / len(asked) * 1e6
+        hits = found / len(asked)
+        print(f'look-up IPv{version}: {spent:.2f} us, {hits:.0%} hit')
+
+
+def _measure_changes(blocks: BlockMap) -> BlockMap:
+    rng = random.Random(2)
+    spent = []
+    for _ in range(TICKETS):
+        changes = {
+            str(ipaddress.IPv4Network((rng.getrandbits(24) << 8, 24))): Block(
+                rng.choice(HOMES),
+            )
+            for _ in range(CHANGES)
+        }
+        begin = time.process_time()
+        blocks = blocks.change(changes)
+        spent.append((time.process_time() - begin) * 1000)
+    ordered = sorted(spent)
+    print(
+        f'ticket of {CHANGES} blocks: median {ordered[len(ordered) // 2]:.1f} '
+        f'ms, worst (merge) {ordered[-1]:.1f} ms of {TICKETS}',
+    )
+    return blocks
+
+
+def main() -> None:
+    """Builds the map and prints each figure."""
+    count = int(sys.argv[1]) if len(sys.argv) > 1 else DEFAULT_COUNT
+    before = _present_mb()
+    blocks = _build(count)
+    print(f'{len(blocks)} blocks, process before {before:.0f} MB')
+    print(f'process with the map: {_present_mb():.0f} MB (+building)')
+    _measure_lookups(blocks)
+    blocks = _measure_changes(blocks)
+    print(f'process after the changes: {_present_mb():.0f} MB')
+    begin = time.process_time()
+    configuration = Configuration(number=1, blocks=blocks)
+    parts = encode_snapshot(
+        export(configuration, TicketHistory(), NOT_STAMPED),
+    )
+    spent = time.process_time() - begin
+    size = sum(map(len, parts)) / 2**20
+    print(f'snapshot: {size:.1f} MB in {len(parts)} parts, {spent:.2f} s')
+    print(f'peak of the process: {_peak_mb():.0f} MB')
+
+
+if __name__ == '__main__':
+    main()
--- a/packages/lycheedyke/src/lycheedyke/coordination/_log_writer.py
+++ b/packages/lycheedyke/src/lycheedyke/coordination/_log_writer.py
@@ -13,6 +13,7 @@
     AuthorReused,
     PlatformError,
     PlatformNotReached,
+    PlatformStale,
     TicketConflict,
     TicketInvalid,
     TicketNotAccepted,
@@ -75,7 +76,8 @@
             TicketConflict: a later ticket changed the same objects.
             TicketOutdated: what changed since its base is forgotten.
             AuthorReused: the author id stands in a ticket of other content.
-            TicketNotAccepted: it is surely not in the log, and will not be.
+            TicketNotAccepted: nothing was written by this call, and will not
+            be; an earlier call with the same author id may have been.
             TicketUnknown: it may be in the log.
         """
         unanswered: set[int] = set()
@@ -88,8 +90,8 @@
                     f'the ticket of author {ticket.author!r} may be accepted',
                 ) from error
             raise TicketNotAccepted(
-                f'the ticket of author {ticket.author!r} was not accepted: '
-                'the platform did not take it in time',
+                f'the ticket of author {ticket.author!r} was not accepted by '
+                'this call: the platform did not take it in time',
             ) from error
 
     async def find(self, author: str) -> TicketRecord | None:
@@ -137,6 +139,8 @@
         accepted = self._find(ticket)
         if accepted:
             return accepted
+        if ticket.based_on > self._log.number:
+            raise PlatformStale(f'ticket {ticket.based_on} is not seen yet')
         # Numbers in force here are taken by others: nothing is overwritten.
         unanswered -= set(range(self._log.number + 1))
         self._check(ticket)
--- a/packages/lycheedyke/src/lycheedyke/state/_block_tables.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_block_tables.py
@@ -77,7 +77,7 @@
         )
         return shape, Table(wide, _view(homes))
     numbers = np.frombuffer(wire.numbers, dtype=_number_type(shape))
-    return shape, _pack(numbers.copy(), homes.copy())
+    return shape, _pack(numbers, homes)
 
 
 class _Columns(NamedTuple):
