--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/admin.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/admin.py
@@ -4,6 +4,7 @@
 import hmac
 from collections.abc import Awaitable, Callable
 
+import msgspec
 from aiohttp import web
 
 from lycheedyke.coordination import Members
@@ -49,24 +50,25 @@
         """Returns the instance's name."""
         return f'<AdminApi of {self._members.own.name}>'
 
+    def guard(self, handler: _Handler) -> _Handler:
+        """Returns a handler that runs only for calls with the token."""
+        return functools.partial(self._check, handler)
+
     def routes(self) -> list[web.RouteDef]:
         """Returns the routes of the admin port."""
         return [
             web.get('/healthz', self._health),
             web.get('/readyz', self._ready),
-            web.get('/v1/status', self._guard(self._status)),
-            web.get('/v1/instances', self._guard(self._instances)),
-            web.get('/v1/counters', self._guard(self._count)),
-            web.post('/v1/tickets', self._guard(self._tickets.apply)),
-            web.get('/v1/tickets', self._guard(self._tickets.listed)),
-            web.get('/v1/tickets/{number}', self._guard(self._tickets.show)),
-            web.post('/v1/plans', self._guard(self._tickets.plan)),
-            web.get('/v1/authors/{author}', self._guard(self._tickets.find)),
+            web.get('/v1/status', self.guard(self._status)),
+            web.get('/v1/instances', self.guard(self._instances)),
+            web.get('/v1/counters', self.guard(self._count)),
+            web.post('/v1/tickets', self.guard(self._tickets.apply)),
+            web.get('/v1/tickets', self.guard(self._tickets.listed)),
+            web.get('/v1/tickets/{number}', self.guard(self._tickets.show)),
+            web.post('/v1/plans', self.guard(self._tickets.plan)),
+            web.get('/v1/authors/{author}', self.guard(self._tickets.find)),
         ]
 
-    def _guard(self, handler: _Handler) -> _Handler:
-        return functools.partial(self._check, handler)
-
     async def _check(
         self,
         handler: _Handler,
@@ -103,7 +105,10 @@
                 'ticket': self._log.number,
                 'blocked': self._log.blocked,
                 'live_peers': len(self._members.live()),
-                'upstreams': self._runner.loads(),
+                'upstreams': [
+                    msgspec.structs.asdict(load)
+                    for load in self._runner.loads()
+                ],
             },
         )
 
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/instance.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/instance.py
@@ -19,6 +19,7 @@
     InstanceInfo,
     MessageCodec,
     SnapshotRequest,
+    SummariesRequest,
     TicketsRequest,
 )
 from lycheedyke.state import Configuration, Counters, KeyLedger
@@ -28,6 +29,11 @@
 from lycheedyke_daemon.dispatch import Dispatcher
 from lycheedyke_daemon.forward import PeerApi, PeerClient
 from lycheedyke_daemon.lookups import Lookups
+from lycheedyke_daemon.metrics import (
+    METRICS_PATH,
+    InstanceCollector,
+    MetricsApi,
+)
 from lycheedyke_daemon.routing import Router
 from lycheedyke_daemon.runner import Runner
 from lycheedyke_daemon.settings import Secrets, Settings
@@ -75,6 +81,7 @@
         self._log = TicketLog(self._take_over, self._counters.count)
         self._runner = Runner(clock, self._counters)
         self._members.loads = self._runner.loads
+        self._members.service_of = self._service_of
         self._platform = connect_platform(settings, clock, self._counters)
         self._tickets = TicketParts(
             settings,
@@ -140,7 +147,7 @@
     async def stop(self) -> None:
         """Leaves the look-ups, finishes what is in flight, then closes."""
         _logger.info('stopping')
-        self._members.stopping = True
+        await self._members.leave()
         await self._clock.sleep(self._settings.stop_linger)
         await self._dispatcher.close()
         for site in reversed(self._sites):
@@ -184,6 +191,12 @@
     def _admin_app(self) -> web.Application:
         app = web.Application(client_max_size=MAX_ADMIN_BYTES)
         app.add_routes(self._admin.routes())
+        metrics = MetricsApi(
+            InstanceCollector(self._counters, self._members, self._runner),
+        )
+        app.add_routes(
+            [web.get(METRICS_PATH, self._admin.guard(metrics.scrape))],
+        )
         return app
 
     async def _serve(self, app: web.Application, address: str) -> None:
@@ -202,13 +215,17 @@
         try:
             asked = self._codec.decode_exchange(message)
         except MessageRejected as error:
-            self._counters.count('message.rejected')
-            _logger.warning('message dropped: %s', error)
+            self._counters.count(f'message.{error.reason}')
             return None
         match asked:
             case Heartbeat():
+                reply = self._members.answer(asked)
+                if reply is None:
+                    return None
+                return self._codec.encode_exchange(reply)
+            case SummariesRequest():
                 return self._codec.encode_exchange(
-                    self._members.answer(asked),
+                    self._members.exchange(asked),
                 )
             case TicketsRequest():
                 return self._codec.encode_exchange(
@@ -231,6 +248,10 @@
                 self._members.follow(listed.values())
             await asyncio.sleep(SEEDING_INTERVAL_SECONDS)
 
+    def _service_of(self, name: str) -> str:
+        upstream = self._log.configuration.upstreams.get(name)
+        return upstream.service if upstream else ''
+
     async def _watch_members(self) -> None:
         while True:
             self._take_over(self._log.configuration)
--- a/packages/lycheedyke/src/lycheedyke/coordination/__init__.py
+++ b/packages/lycheedyke/src/lycheedyke/coordination/__init__.py
@@ -3,8 +3,9 @@
 from lycheedyke.coordination._follower import TicketFollower
 from lycheedyke.coordination._log_reader import LogReader, ticket_key
 from lycheedyke.coordination._log_writer import LogWriter
-from lycheedyke.coordination._membership import Members, Peer
+from lycheedyke.coordination._membership import Members
 from lycheedyke.coordination._ownership import owner_of
+from lycheedyke.coordination._peers import Peer
 from lycheedyke.coordination._snapshotter import Snapshotter
 from lycheedyke.coordination._spread import TicketSpread
 from lycheedyke.coordination._ticket_log import TicketLog
