--- a/bench/blocks.py
+++ b/bench/blocks.py
@@ -4,14 +4,27 @@
 """
 
 import ipaddress
+import mmap
 import random
-import resource
+import subprocess
 import sys
+import tempfile
 import time
+from pathlib import Path
 
 import numpy as np
 
-from lycheedyke.protocol import NOT_STAMPED, Block, BlockTable, encode_snapshot
+from lycheedyke.coordination import TicketLog
+from lycheedyke.protocol import (
+    NOT_STAMPED,
+    Block,
+    BlockTable,
+    Ticket,
+    Zone,
+    decode_snapshot,
+    encode_snapshot,
+    encode_ticket,
+)
 from lycheedyke.state import BlockMap, Configuration, TicketHistory
 from lycheedyke.state import export_configuration as export
 
@@ -21,15 +34,17 @@
 LOOKUPS = 200_000
 TICKETS = 40
 CHANGES = 1000
+PART_BYTES = 900_000
 
 
 def _peak_mb() -> float:
-    return resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024
+    status = Path('/proc/self/status').read_text(encoding='ascii')
+    return int(status.partition('VmHWM:')[2].split()[0]) / 1024
 
 
 def _present_mb() -> float:
     with open('/proc/self/statm', encoding='ascii') as statm:
-        return int(statm.read().split()[1]) * resource.getpagesize() / 2**20
+        return int(statm.read().split()[1]) * mmap.PAGESIZE / 2**20
 
 
 def _table(version: int, length: int, count: int, seed: int) -> BlockTable:
@@ -101,9 +116,26 @@
     return blocks
 
 
-def main() -> None:
-    """Builds the map and prints each figure."""
-    count = int(sys.argv[1]) if len(sys.argv) > 1 else DEFAULT_COUNT
+def _measure_adopting(log: TicketLog) -> None:
+    rng = random.Random(3)
+    spent = []
+    for index in range(TICKETS):
+        prefixes = {f'10.{rng.randrange(256)}.{low}.0/24' for low in range(250)}
+        ticket = Ticket(
+            f'author-{index}',
+            log.number,
+            zones={f'zone-{home}': Zone(home) for home in HOMES},
+            blocks={prefix: Block(rng.choice(HOMES)) for prefix in prefixes},
+        )
+        document = encode_ticket(ticket)
+        begin = time.process_time()
+        assert log.adopt(log.number + 1, document)
+        spent.append((time.process_time() - begin) * 1000)
+    median = sorted(spent)[len(spent) // 2]
+    print(f'adopt a ticket of 250 blocks, all checks: {median:.1f} ms median')
+
+
+def _run(count: int) -> None:
     before = _present_mb()
     blocks = _build(count)
     print(f'{len(blocks)} blocks, process before {before:.0f} MB')
@@ -120,6 +152,40 @@
     size = sum(map(len, parts)) / 2**20
     print(f'snapshot: {size:.1f} MB in {len(parts)} parts, {spent:.2f} s')
     print(f'peak of the process: {_peak_mb():.0f} MB')
+    with tempfile.NamedTemporaryFile() as file:
+        file.write(b''.join(parts))
+        file.flush()
+        subprocess.run(
+            [sys.executable, '-m', 'bench.blocks', file.name],
+            check=True,
+        )
+
+
+def _start(path: Path) -> None:
+    """Starts from a snapshot in a fresh process, as a daemon does."""
+    before = _present_mb()
+    begin = time.process_time()
+    log = TicketLog(lambda _: None)
+    log.restore(decode_snapshot(_read_parts(path)))
+    spent = time.process_time() - begin
+    print(f'start from it: {spent:.2f} s, process before {before:.0f} MB')
+    print(f'  after {_present_mb():.0f} MB, peak {_peak_mb():.0f} MB')
+    _measure_adopting(log)
+    print(f'  after the tickets {_present_mb():.0f} MB')
+
+
+def _read_parts(path: Path) -> list[bytes]:
+    with path.open('rb') as file:
+        return list(iter(lambda: file.read(PART_BYTES), b''))
+
+
+def main() -> None:
+    """Builds the map and prints each figure; or starts from a snapshot."""
+    argument = sys.argv[1] if len(sys.argv) > 1 else str(DEFAULT_COUNT)
+    if argument.isdecimal():
+        _run(int(argument))
+    else:
+        _start(Path(argument))
 
 
 if __name__ == '__main__':
--- a/packages/lycheedyke/src/lycheedyke/coordination/_follower.py
+++ b/packages/lycheedyke/src/lycheedyke/coordination/_follower.py
@@ -12,9 +12,11 @@
 
 WATCH_WAIT = timedelta(seconds=20)
 ROLE_INTERVAL = timedelta(milliseconds=250)
+START_WAIT = timedelta(milliseconds=500)
 START_SPREAD = timedelta(milliseconds=500)
+FIRST_READ_SPREAD = timedelta(seconds=6)
 SAFETY_INTERVAL = timedelta(seconds=60)
-RETRY_LEAST = timedelta(milliseconds=100)
+RETRY_LEAST = timedelta(milliseconds=500)
 RETRY_MOST = timedelta(seconds=5)
 
 _logger = logging.getLogger(__name__)
@@ -58,8 +60,11 @@
 
     async def follow(self) -> None:
         """Follows the log until cancelled; backs off on failures."""
-        await self._clock.sleep(START_SPREAD * random.random())
-        self._next_read = self._clock.elapsed()
+        # Peers are heard by then, so that few of many starters watch.
+        await self._clock.sleep(START_WAIT + START_SPREAD * random.random())
+        self._next_read = self._clock.elapsed() + (
+            FIRST_READ_SPREAD * random.random()
+        )
         while True:
             try:
                 await self.step()
@@ -91,7 +96,7 @@
         else:
             self._revision = await self._reader.watch(
                 self._revision,
-                WATCH_WAIT,
+                WATCH_WAIT * random.uniform(0.5, 1),
             )
         await self._snapshotter.step()
 
--- a/packages/lycheedyke/src/lycheedyke/coordination/_spread.py
+++ b/packages/lycheedyke/src/lycheedyke/coordination/_spread.py
@@ -106,7 +106,11 @@
 
     def answer_tickets(self, asked: TicketsRequest) -> TicketsReply:
         """Returns the next tickets, or none where a snapshot is needed."""
-        return TicketsReply(asked.after + 1, self._log.after(asked.after))
+        return TicketsReply(
+            asked.after + 1,
+            self._log.after(asked.after),
+            self._log.number,
+        )
 
     def answer_snapshot(self, asked: SnapshotRequest) -> SnapshotReply:
         """Returns one part; all parts of a transfer are of one snapshot."""
@@ -131,7 +135,7 @@
         reply = await self._ask(link, TicketsRequest(asked))
         if not isinstance(reply, TicketsReply):
             raise MessageRejected('the reply holds no tickets')
-        if not reply.documents:
+        if not reply.documents and reply.newest > asked:
             await self._fetch_snapshot(link)
         if reply.first != asked + 1:
             return
--- a/packages/lycheedyke/src/lycheedyke/protocol/_messages.py
+++ b/packages/lycheedyke/src/lycheedyke/protocol/_messages.py
@@ -219,10 +219,16 @@
 
 
 class TicketsReply(msgspec.Struct, frozen=True, tag='tickets-reply'):
-    """Tickets in order of their numbers, the first one `first`."""
+    """Tickets in order of their numbers, the first one `first`.
+
+    Attributes:
+        newest: the newest ticket in force there; a snapshot is needed where
+            it is higher than the one asked for and no document came.
+    """
 
     first: int
     documents: tuple[bytes, ...]
+    newest: int = 0
 
 
 Exchange = (
--- a/tests/standins/upstream.py
+++ b/tests/standins/upstream.py
@@ -65,7 +65,7 @@
     def _run_seconds(self) -> float:
         run_ms = self._faults.get('run_ms', DEFAULT_RUN_MS)
         slots = self._faults.get('slots', self._in_flight)
-        return float(run_ms) / 1000 * max(1, self._in_flight / slots)
+        return float(run_ms / 1000 * max(1, self._in_flight / slots))
 
     async def _run(self, request: web.Request) -> web.Response:
         body = await request.text()
