--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/admin.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/admin.py
@@ -8,8 +8,9 @@
 from aiohttp import web
 
 from lycheedyke.coordination import Members
-from lycheedyke.state import Counters
+from lycheedyke.state import Counters, report_headroom
 from lycheedyke_daemon.runner import Runner
+from lycheedyke_daemon.table import RoutingTable
 from lycheedyke_daemon.ticket_api import TicketApi, fail, reply
 from lycheedyke_daemon.tickets import TicketParts
 
@@ -28,6 +29,7 @@
         members: the live instances.
         runner: the owned upstreams.
         counters: the counters to show.
+        table: the loads of all upstreams.
     """
 
     def __init__(
@@ -37,6 +39,8 @@
         members: Members,
         runner: Runner,
         counters: Counters,
+        *,
+        table: RoutingTable,
     ) -> None:
         """Makes the API over the parts of one instance."""
         self._token = token
@@ -45,6 +49,7 @@
         self._members = members
         self._runner = runner
         self._counters = counters
+        self._table = table
 
     def __repr__(self) -> str:
         """Returns the instance's name."""
@@ -61,6 +66,8 @@
             web.get('/readyz', self._ready),
             web.get('/v1/status', self.guard(self._status)),
             web.get('/v1/instances', self.guard(self._instances)),
+            web.get('/v1/headroom', self.guard(self._headroom)),
+            web.get('/v1/drains', self.guard(self._drains)),
             web.get('/v1/counters', self.guard(self._count)),
             web.post('/v1/tickets', self.guard(self._tickets.apply)),
             web.get('/v1/tickets', self.guard(self._tickets.listed)),
@@ -126,6 +133,13 @@
             ],
         )
 
+    async def _headroom(self, request: web.Request) -> web.Response:
+        loads = self._table.loads().values()
+        return reply(report_headroom(self._log.configuration, loads))
+
+    async def _drains(self, request: web.Request) -> web.Response:
+        return reply(self._runner.drains.drains())
+
     async def _count(self, request: web.Request) -> web.Response:
         return reply(
             {
