--- a/tests/processes/test_tickets.py
+++ b/tests/processes/test_tickets.py
@@ -11,6 +11,8 @@
 
 import pytest
 
+from lycheedyke.coordination import watchers_of
+from lycheedyke.protocol import InstanceInfo, Ticket, Zone, encode_ticket
 from standins.deployment import (
     ADMIN_SECRET,
     Deployment,
@@ -21,6 +23,7 @@
 from standins.deployment import admin_headers as headers
 
 pytestmark = pytest.mark.processes
+TICKETS = 270
 ZONES = {'norr-a': 'norr', 'syd-a': 'syd'}
 
 
@@ -77,7 +80,7 @@
         running.wait(name)
         running.start_entry(name)
     await _wait_number(seats, 1)
-    await _fault(running)
+    await _fault(running, delay_s=0.2)
     status, accepted = await _apply(seats[2], 'b', 1)
     assert (status, accepted['accepted']) == (200, 2)
     again = await _apply(seats[3], 'a', 2)
@@ -120,21 +123,66 @@
     await _wait_peers(running, 3)
     status, _ = await _apply(seats[0], 'a', 0)
     assert status == 200
-    for number, name in enumerate(('norr-a-1', 'norr-a-2'), 1):
-        running.signal(name, signal.SIGKILL)
-        seats.remove(running.seats[name])
+    alive = [InstanceInfo(seat.name, '', '', '', '', '', '') for seat in seats]
+    for number in (1, 2):
+        watcher = watchers_of(alive)[0]
+        alive.remove(watcher)
+        running.signal(watcher.name, signal.SIGKILL)
+        seats.remove(running.seats[watcher.name])
         status, _ = await _apply(seats[0], f'b-{number}', number)
         assert status == 200
         await _wait_number(seats, number + 1)
 
 
 def test_watchers_killed(tmp_path: Path) -> None:
-    """Tickets go on spreading while instances, watchers too, are killed."""
+    """Tickets go on spreading while one of two watchers is killed, twice."""
     zones = {'norr-a': 'norr'}
     with Deployment(tmp_path, zones=zones, entries=4) as running:
         asyncio.run(_kill_watcher(running))
 
 
+async def _restart(running: Deployment, name: str, number: int) -> None:
+    running.signal(name, signal.SIGKILL)
+    running.wait(name)
+    running.start_entry(name)
+    await _wait_number([running.seats[name]], number)
+
+
+async def _grow(running: Deployment) -> None:
+    first, second = running.seats.values()
+    # Written straight into the store: an entry's call budget is for people.
+    for number in range(1, TICKETS + 1):
+        zones: dict[str, Zone | None] = {f'z-{number}': Zone('norr')}
+        ticket = Ticket(f'a-{number}', number - 1, zones=zones)
+        status, _ = await call(
+            'PUT',
+            f'http://{running.platform}/v1/kv/ticket%2F{number:010d}?revision=0',
+            data=encode_ticket(ticket),
+        )
+        assert status == 200
+    await _wait_number([second], TICKETS)
+    url = f'http://{running.platform}/v1/range?prefix=snapshot/head&start='
+    for _ in polls(30):
+        _, found = await call('GET', url)
+        if found['entries']:
+            break
+    assert found['entries']
+    await _restart(running, second.name, TICKETS)
+    await _fault(running, down=True)
+    await _restart(running, first.name, TICKETS)
+    for author, accepted in (('a-1', 1), (f'a-{TICKETS}', TICKETS)):
+        url = f'http://{first.admin}/v1/authors/{author}'
+        _, found = await call('GET', url, headers=headers())
+        assert found == {'accepted': accepted, 'author': author}
+
+
+def test_start_from_a_snapshot(tmp_path: Path) -> None:
+    """A start reads the platform's snapshot, or a peer's in an outage."""
+    zones = {'norr-a': 'norr'}
+    with Deployment(tmp_path, zones=zones, entries=2) as running:
+        asyncio.run(_grow(running))
+
+
 def _ctl(running: Deployment, *arguments: str) -> tuple[int, str, str]:
     token = running.folder / 'admin.token'
     token.write_text(ADMIN_SECRET)
