Let joining instances learn of each other, and keep cancellations

Each joiner published a roster of what it had proven so far, and two authors that did not know each other never met. Ruled out: silence limits (all flaps were changes of rosters). Change: an instance that answers a joiner tells it of other recent joiners; nobody publishes in its first second; a zone's roster is also fetched back from other zones.

Failing first, with the check off: 'Failed: DID NOT RAISE CancelledError'; with the handler's faults not caught: 'At index 0 diff: ExchangeBroken(...) != b'0''.

--- a/packages/lycheedyke/src/lycheedyke/coordination/_gossip.py
+++ b/packages/lycheedyke/src/lycheedyke/coordination/_gossip.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections import deque
 from collections.abc import Callable, Iterable
 from datetime import timedelta
 from typing import Protocol
@@ -21,7 +22,7 @@
     summarize,
     trim,
 )
-from lycheedyke.coordination._zones import KnownZone, ZoneBook
+from lycheedyke.coordination._zones import MAX_ZONES, KnownZone, ZoneBook
 from lycheedyke.exceptions import ConnectionRefusedByHost
 from lycheedyke.protocol import (
     InstanceInfo,
@@ -35,6 +36,8 @@
 TICK = timedelta(milliseconds=100)
 FETCH_LEAST = timedelta(milliseconds=250)
 STALE_INTERVALS = 2
+SETTLE_TIME = timedelta(seconds=1)
+RECENT_JOINERS = 32
 
 
 class View(Protocol):
@@ -93,6 +96,7 @@
         self._reported: tuple[object, ...] = ()
         self._contacts: dict[str, str] = {}
         self._seeking: list[str] = []
+        self._joiners: dict[str, deque[InstanceInfo]] = {}
 
     def __repr__(self) -> str:
         """Returns the own name."""
@@ -127,9 +131,9 @@
         if request.zone != own.zone:
             self._take_foreign(request)
         newer = self._book.newer_than(request.versions, request.zone)
-        rosters = request.wanted
+        rosters = self._rosters(request.wanted)
         if request.sender is not None:
-            rosters = tuple(each.zone for each in self._book.versions)
+            rosters = self._introduce(request.sender)
         if request.zone != own.zone:
             newer = [
                 each for each in newer if each.zone in {own.zone, request.zone}
@@ -138,11 +142,25 @@
             zone=own.zone,
             region=own.region,
             summaries=tuple(trim(each, request.region) for each in newer),
-            rosters=tuple(self._rosters(rosters)),
+            rosters=tuple(rosters),
             wanted=self._lacked(request.zone),
             sender=own if request.sender is not None else None,
         )
 
+    def _introduce(self, joiner: InstanceInfo) -> list[Roster]:
+        """Returns all rosters, and who else has joined the zone lately."""
+        joiners = self._joiners.get(joiner.zone)
+        if joiners is None and len(self._joiners) < MAX_ZONES:
+            joiners = deque(maxlen=RECENT_JOINERS)
+            self._joiners[joiner.zone] = joiners
+        recent = tuple(RosterMember(info, 0) for info in joiners or ())
+        if joiners is not None and joiner not in joiners:
+            joiners.append(joiner)
+        if joiner.zone == self._view.own.zone:
+            self._view.meet(joiner.control_address)
+        rosters = self._rosters(self._book.names)
+        return [*rosters, Roster(joiner.zone, recent)]
+
     def _lacked(self, zone: str) -> tuple[str, ...]:
         known = self._book.zone(zone)
         if zone == self._view.own.zone or known is None:
@@ -158,7 +176,7 @@
             if summary.zone in {message.zone, self._view.own.zone}:
                 self._book.take(summary)
         for roster in message.rosters:
-            if roster.zone == message.zone:
+            if roster.zone in {message.zone, self._view.own.zone}:
                 self._book.take_roster(roster)
 
     async def _report(self) -> None:
@@ -207,7 +225,7 @@
 
     def _publish(self) -> None:
         own = self._view.own
-        if self._reporters()[0] != own:
+        if self._view.state.age < SETTLE_TIME or self._reporters()[0] != own:
             return
         peers = self._view.live_in_zone()
         state = self._view.state
@@ -261,7 +279,7 @@
             self._wanted_by.discard(zone.name)
             if self._view.own.zone in reply.wanted:
                 self._wanted_by.add(zone.name)
-            elif not zone.lacks_roster:
+            elif self._wants(zone) == ():
                 return
 
     def _contact(self, zone: KnownZone) -> str:
@@ -286,9 +304,17 @@
             versions=tuple(versions),
             summaries=tuple(summaries),
             rosters=tuple(self._rosters([own.zone] if is_wanted else [])),
-            wanted=(zone.name,) if zone.lacks_roster else (),
+            wanted=self._wants(zone),
         )
 
+    def _wants(self, zone: KnownZone) -> tuple[str, ...]:
+        """Returns which rosters to ask a zone for: its own, and this one's.
+
+        Another author of this zone may know instances unknown here.
+        """
+        wanted = {zone.name, self._view.own.zone}
+        return tuple(sorted(wanted.intersection(self._book.lacking)))
+
     async def _fetch(self) -> None:
         while True:
             await self._clock.sleep(
--- a/packages/lycheedyke/src/lycheedyke/coordination/_membership.py
+++ b/packages/lycheedyke/src/lycheedyke/coordination/_membership.py
@@ -32,6 +32,7 @@
 SILENCE_LEAST = timedelta(milliseconds=1250)
 SILENT_INTERVALS = 4
 BACKUP_INTERVALS = 2.5
+SLOW_AFTER = timedelta(seconds=10)
 FORGET_AFTER = timedelta(minutes=10)
 MAX_ZONE_PEERS = 256
 MAX_LOADS = 64
@@ -244,7 +245,7 @@
             while not self._is_forgotten(address, met):
                 if self._is_due(address):
                     await self._exchange(address)
-                await self._clock.sleep(self._pause(address))
+                await self._clock.sleep(self._pause(address, met))
         finally:
             self._tasks.pop(address, None)
             self._peers.pop(address, None)
@@ -365,17 +366,17 @@
         silence = self._awake.elapsed() - peer.proven
         return silence > self.interval * BACKUP_INTERVALS
 
-    def _pause(self, address: str) -> timedelta:
-        peer = self._peers.get(address)
-        if peer is None or peer.proven is None:
-            return RETRY_INTERVAL
-        silence = self._awake.elapsed() - peer.proven
-        return RETRY_INTERVAL if silence > FORGET_AFTER / 60 else self.interval
+    def _pause(self, address: str, met: timedelta) -> timedelta:
+        is_silent = self._silence(address, met) > SLOW_AFTER
+        return RETRY_INTERVAL if is_silent else self.interval
 
     def _is_forgotten(self, address: str, met: timedelta) -> bool:
+        return self._silence(address, met) > FORGET_AFTER
+
+    def _silence(self, address: str, met: timedelta) -> timedelta:
         peer = self._peers.get(address)
         last = met if peer is None or peer.proven is None else peer.proven
-        return self._awake.elapsed() - max(met, last) > FORGET_AFTER
+        return self._awake.elapsed() - last
 
 
 def _stayers(peers: Iterable[Peer]) -> list[InstanceInfo]:
--- a/packages/lycheedyke/src/lycheedyke/coordination/_zones.py
+++ b/packages/lycheedyke/src/lycheedyke/coordination/_zones.py
@@ -127,6 +127,11 @@
             name for name, zone in self._zones.items() if zone.lacks_roster
         )
 
+    @property
+    def names(self) -> tuple[str, ...]:
+        """The names of all known zones."""
+        return tuple(self._zones)
+
     @property
     def addresses(self) -> set[str]:
         """The control addresses that stand on a roster of another zone."""
--- a/packages/lycheedyke/src/lycheedyke/transport/_links.py
+++ b/packages/lycheedyke/src/lycheedyke/transport/_links.py
@@ -7,13 +7,14 @@
 import weakref
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
-from typing import Protocol
+from typing import Protocol, TypeVar
 
 import pynng
 
 from lycheedyke.exceptions import (
     ConnectionNotMade,
     ConnectionRefusedByHost,
+    ExchangeBroken,
     ExchangeTimeout,
 )
 
@@ -25,6 +26,8 @@
 HANDLER_LIMIT = timedelta(seconds=5)
 ERROR_PAUSE = timedelta(milliseconds=50)
 
+_Outcome = TypeVar('_Outcome')
+
 PeerHandler = Callable[[bytes], Awaitable[bytes | None]]
 
 _logger = logging.getLogger(__name__)
@@ -89,11 +92,11 @@
 
     async def _answer_all(self, context: pynng.Context) -> None:
         while True:
-            message = await context.arecv()
+            message = await _complete(context.arecv())
             reply = await self._handle(message)
             if reply is not None:
                 async with asyncio.timeout(HANDLER_LIMIT.total_seconds()):
-                    await context.asend(reply)
+                    await _complete(context.asend(reply))
 
     async def _handle(self, message: bytes) -> bytes | None:
         try:
@@ -133,6 +136,7 @@
         Raises:
             ConnectionRefusedByHost: no process listens at the address.
             ConnectionNotMade: the link could not be opened.
+            ExchangeBroken: the connection was lost.
             ExchangeTimeout: no reply within `timeout`.
         """
         try:
@@ -155,11 +159,11 @@
         socket = await self._open()
         try:
             with socket.new_context() as context:
-                await context.asend(message)
-                return bytes(await context.arecv())
+                await _complete(context.asend(message))
+                return bytes(await _complete(context.arecv()))
         except pynng.NNGException as error:
             self.close()
-            raise ExchangeTimeout(
+            raise ExchangeBroken(
                 f'peer {self._address}: {error!r}',
             ) from error
 
@@ -226,6 +230,20 @@
         writer.transport.abort()
 
 
+async def _complete(operation: Awaitable[_Outcome]) -> _Outcome:
+    """Awaits an operation of the library, which may swallow a cancellation.
+
+    It does so where the operation ends just before it can be cancelled.
+    """
+    task = asyncio.current_task()
+    before = task.cancelling() if task else 0
+    try:
+        return await operation
+    finally:
+        if task and task.cancelling() > before:
+            raise asyncio.CancelledError
+
+
 def _call_in(
     loop: asyncio.AbstractEventLoop,
     callback: Callable[[], None],
