Publish as soon as a joiner has met its zone

Ruled out: leaving the second out (views flap). Change: a joiner that has found a seed and met all addresses known in its zone publishes at once; the second is only the limit.

--- a/bench/control_worker.py
+++ b/bench/control_worker.py
@@ -21,8 +21,10 @@
 from lycheedyke.exceptions import MessageRejected
 from lycheedyke.protocol import (
     Heartbeat,
+    HeartbeatReply,
     InstanceInfo,
     MessageCodec,
+    SummariesReply,
     SummariesRequest,
     UpstreamLoad,
 )
@@ -137,13 +139,12 @@
             asked = self._codec.decode_exchange(message)
         except MessageRejected:
             return None
+        reply: HeartbeatReply | SummariesReply | None = None
         match asked:
             case Heartbeat():
                 reply = self.members.answer(asked)
             case SummariesRequest():
                 reply = self.members.exchange(asked)
-            case _:
-                return None
         if reply is None:
             return None
         encoded = self._codec.encode_exchange(reply)
@@ -227,7 +228,7 @@
     """Runs the job of the first argument."""
     job = msgspec.json.decode(sys.argv[1], type=Job)
     report = uvloop.run(_run(job))
-    sys.stdout.write(msgspec.json.encode(report).decode() + '\n')
+    sys.stdout.write(msgspec.json.encode(report).decode())
     sys.stdout.flush()
 
 
--- a/packages/lycheedyke/src/lycheedyke/coordination/_gossip.py
+++ b/packages/lycheedyke/src/lycheedyke/coordination/_gossip.py
@@ -96,6 +96,7 @@
         self._reported: tuple[object, ...] = ()
         self._contacts: dict[str, str] = {}
         self._seeking: list[str] = []
+        self._has_joined = False
         self._joiners: dict[str, deque[InstanceInfo]] = {}
 
     def __repr__(self) -> str:
@@ -225,7 +226,7 @@
 
     def _publish(self) -> None:
         own = self._view.own
-        if self._view.state.age < SETTLE_TIME or self._reporters()[0] != own:
+        if not self._is_settled() or self._reporters()[0] != own:
             return
         peers = self._view.live_in_zone()
         state = self._view.state
@@ -241,6 +242,17 @@
                 ),
             )
 
+    def _is_settled(self) -> bool:
+        """Returns whether the view of the own zone may be published.
+
+        A joiner that publishes before it has met its zone would take the
+        others off the zone's roster.
+        """
+        if self._view.state.age >= SETTLE_TIME:
+            return True
+        met = {info.control_address for info in self._infos()}
+        return self._has_joined and self._view.addresses <= met
+
     def _report_to_zones(self) -> None:
         own = self._view.own
         reporters = self._reporters()
@@ -279,7 +291,7 @@
             self._wanted_by.discard(zone.name)
             if self._view.own.zone in reply.wanted:
                 self._wanted_by.add(zone.name)
-            elif self._wants(zone) == ():
+            elif not self._wants(zone):
                 return
 
     def _contact(self, zone: KnownZone) -> str:
@@ -366,6 +378,7 @@
         )
         if reply is None or reply.sender is None:
             return
+        self._has_joined = True
         found = reply.sender
         if found.zone == own.zone:
             self._view.meet(found.control_address)
