--- a/packages/lycheedyke/src/lycheedyke/coordination/_pauses.py
+++ b/packages/lycheedyke/src/lycheedyke/coordination/_pauses.py
@@ -5,14 +5,15 @@
 from lycheedyke.clock import Clock
 
 LONGEST_STEP = timedelta(milliseconds=500)
+PAUSE_COUNTS_AS = timedelta(milliseconds=100)
 
 
 class AwakeClock:
     """Counts the time in which this process was able to run.
 
     It is read often while the process runs, so a long step between two
-    readings means that the process was frozen or starved. Only
-    `LONGEST_STEP` of such a step counts.
+    readings means that the process was frozen or starved. Such a step counts
+    as `PAUSE_COUNTS_AS`.
 
     Args:
         clock: the monotonic clock.
@@ -40,5 +41,5 @@
         self._last = now
         if step > LONGEST_STEP:
             self.pauses += 1
-            self._paused += step - LONGEST_STEP
+            self._paused += step - PAUSE_COUNTS_AS
         return now - self._paused
--- a/packages/lycheedyke/src/lycheedyke/coordination/_zones.py
+++ b/packages/lycheedyke/src/lycheedyke/coordination/_zones.py
@@ -33,7 +33,10 @@
         summary: the newest summary; None while only a roster is known.
         peers: the instances on its roster.
         roster: the hash of that roster.
-        fresh: when the summary was received, on the clock without pauses.
+        ticket: the newest ticket that was in force in the zone.
+        fresh: when a summary of this roster was last received, on the clock
+            without pauses.
+        touched: when any summary was last received.
     """
 
     def __init__(self, name: str, now: timedelta) -> None:
@@ -42,6 +45,7 @@
         self.summary: ZoneSummary | None = None
         self.peers: list[Peer] = []
         self.roster = 0
+        self.ticket = 0
         self.fresh: timedelta | None = None
         self.touched = now
 
@@ -178,8 +182,7 @@
         if zone is None or not _is_newer(summary, zone.summary):
             return False
         zone.summary = summary
-        zone.fresh = self._awake.elapsed()
-        zone.touched = zone.fresh
+        zone.touched = self._awake.elapsed()
         self._describe(zone)
         return True
 
@@ -245,9 +248,13 @@
         summary = zone.summary
         if summary is None:
             return
+        if not zone.lacks_roster:
+            # An old roster must not become live by a new summary.
+            zone.fresh = zone.touched
+        zone.ticket = max(zone.ticket, summary.ticket)
         loads = {each.name: each.loads for each in summary.loads}
         for peer in zone.peers:
-            peer.ticket = max(peer.ticket, summary.ticket)
+            peer.ticket = zone.ticket
             peer.loads = loads.get(peer.info.name, ())
             peer.stopping = peer.info.name in summary.stopping
 
--- /dev/null
+++ b/tests/processes/test_members.py
@@ -0,0 +1,87 @@
+"""Instances that are killed, frozen, restarted, stopped and cut off."""
+
+import asyncio
+import signal
+from collections.abc import Collection
+from pathlib import Path
+
+import pytest
+
+from standins.deployment import Deployment, Seat, call, polls
+from standins.deployment import admin_headers as headers
+
+pytestmark = pytest.mark.processes
+ZONES = {'norr-a': 'norr', 'norr-b': 'norr', 'syd-a': 'syd'}
+LIMIT_SECONDS = 30
+
+
+async def _view(seat: Seat) -> dict[str, str]:
+    _, found = await call(
+        'GET',
+        f'http://{seat.admin}/v1/instances',
+        headers=headers(),
+    )
+    return {
+        peer['name']: peer['incarnation']
+        for peer in found
+        if not peer['stopping']
+    }
+
+
+async def _wait_view(running: Deployment, names: Collection[str]) -> None:
+    """Waits until the named instances see each other and nobody else."""
+    seats = [running.seats[name] for name in names]
+    views: dict[str, set[str]] = {}
+    for _ in polls(LIMIT_SECONDS):
+        views = {seat.name: {*await _view(seat), seat.name} for seat in seats}
+        if all(view == set(names) for view in views.values()):
+            return
+    raise AssertionError(f'expected {sorted(names)}, views are {views}')
+
+
+def _wait(running: Deployment, names: Collection[str]) -> None:
+    asyncio.run(_wait_view(running, names))
+
+
+def test_views_follow_kills_freezes_restarts_and_stops(tmp_path: Path) -> None:
+    """Every view drops who is gone and takes up who is back."""
+    with Deployment(tmp_path, zones=ZONES, entries=2) as running:
+        everyone = set(running.seats)
+        _wait(running, everyone)
+        victim = 'norr-a-1'
+        watcher = running.seats['syd-a-0']
+        before = asyncio.run(_view(watcher))
+
+        running.signal(victim, signal.SIGSTOP)
+        _wait(running, everyone - {victim})
+        running.signal(victim, signal.SIGCONT)
+        _wait(running, everyone)
+        assert asyncio.run(_view(watcher)) == before
+
+        running.signal(victim, signal.SIGKILL)
+        running.wait(victim)
+        running.start_entry(victim)
+        _wait(running, everyone)
+        assert asyncio.run(_view(watcher))[victim] != before[victim]
+
+        running.signal('norr-b-0', signal.SIGKILL)
+        running.signal('syd-a-1', signal.SIGTERM)
+        _wait(running, everyone - {'norr-b-0', 'syd-a-1'})
+        assert running.wait('syd-a-1') == 0
+
+
+def test_cut_zone_goes_on_alone_and_comes_back(tmp_path: Path) -> None:
+    """A zone that is cut off sees itself only, until it heals."""
+    with Deployment(tmp_path, zones=ZONES, entries=2, links=True) as running:
+        everyone = set(running.seats)
+        _wait(running, everyone)
+        alone = {'norr-a-0', 'norr-a-1'}
+        ways = [('norr-a', 'norr-b'), ('norr-a', 'syd-a')]
+        ways += [way[::-1] for way in ways]
+        for way in ways:
+            asyncio.run(running.cut(*way))
+        _wait(running, alone)
+        _wait(running, everyone - alone)
+        for way in ways:
+            asyncio.run(running.heal(*way))
+        _wait(running, everyone)
