--- a/bench/control.py
+++ b/bench/control.py
@@ -67,7 +67,12 @@
 
 
 def cost(
-    *, size: int = 4, zones: int = 6, other: int = 2, seconds: int = 20
+    *,
+    size: int = 4,
+    zones: int = 6,
+    other: int = 2,
+    settle: int = 12,
+    seconds: int = 20,
 ) -> None:
     """Measures one instance's traffic, processor time and memory.
 
@@ -75,16 +80,17 @@
         size: instances in its zone.
         zones: number of zones.
         other: instances in each other zone.
+        settle: seconds from the start to the measurement.
         seconds: duration of the measurement.
     """
     seats = make_seats([size, *([other] * (zones - 1))])
     seeds = tuple(seat.address for seat in seats[:3])
-    measured = Worker(Job(tuple(seats[:1]), seeds, SETTLE_SECONDS))
+    measured = Worker(Job(tuple(seats[:1]), seeds, settle))
     others = [
         Worker(Job(tuple(seats[at : at + SEATS_PER_WORKER]), seeds, 1))
         for at in range(1, len(seats), SEATS_PER_WORKER)
     ]
-    time.sleep(SETTLE_SECONDS + 1 + seconds)
+    time.sleep(settle + 1 + seconds)
     report = measured.finish()
     for worker in others:
         worker.finish()
--- a/packages/lycheedyke/src/lycheedyke/coordination/_gossip.py
+++ b/packages/lycheedyke/src/lycheedyke/coordination/_gossip.py
@@ -132,7 +132,9 @@
         if request.zone != own.zone:
             self._take_foreign(request)
         newer = self._book.newer_than(request.versions, request.zone)
-        rosters = self._rosters(request.wanted)
+        # A roster that is out of date here would not end the asker's lack.
+        wanted = set(request.wanted).difference(self._book.lacking)
+        rosters = self._rosters(sorted(wanted))
         if request.sender is not None:
             rosters = self._introduce(request.sender)
         if request.zone != own.zone:
--- a/packages/lycheedyke/src/lycheedyke/coordination/_membership.py
+++ b/packages/lycheedyke/src/lycheedyke/coordination/_membership.py
@@ -27,7 +27,7 @@
 from lycheedyke.transport import PeerLink
 
 HEARTBEAT_INTERVAL = timedelta(milliseconds=250)
-HEARTBEAT_SLOT = timedelta(milliseconds=40)
+HEARTBEAT_SLOT = timedelta(milliseconds=60)
 RETRY_INTERVAL = timedelta(seconds=5)
 SILENCE_LEAST = timedelta(milliseconds=1250)
 SILENT_INTERVALS = 4
--- a/packages/lycheedyke/src/lycheedyke/coordination/_zones.py
+++ b/packages/lycheedyke/src/lycheedyke/coordination/_zones.py
@@ -189,7 +189,7 @@
     def take_roster(self, roster: Roster, *, as_hint: bool = False) -> None:
         """Takes in a roster; as a hint only where none is known."""
         zone = self._make(roster.zone)
-        if zone is None or len(roster.members) > MAX_ZONE_MEMBERS:
+        if zone is None or not 0 < len(roster.members) <= MAX_ZONE_MEMBERS:
             return
         if as_hint and zone.peers:
             return
