--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/callers.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/callers.py
@@ -1,15 +1,19 @@
 """The HTTP API for callers: look-ups and requests."""
 
+import ipaddress
 from collections.abc import Callable
 from datetime import timedelta
 
 import msgspec
 from aiohttp import web
+from multidict import CIMultiDict
 
 from lycheedyke.clock import Clock
 from lycheedyke.coordination import Members, TicketLog
 from lycheedyke.exceptions import KeyMalformed
 from lycheedyke.protocol import (
+    ATTEMPT_HEADER,
+    CLIENT_HEADER,
     KEY_HEADER,
     OUTCOME_HEADER,
     REASON_HEADER,
@@ -23,6 +27,7 @@
 )
 from lycheedyke.state import Counters
 from lycheedyke_daemon.dispatch import Dispatcher
+from lycheedyke_daemon.stopping import Handler
 from lycheedyke_daemon.work import HOP_HEADERS, SAFE_METHODS, Work
 
 HTTP_BAD_REQUEST = 400
@@ -31,6 +36,7 @@
 DEFAULT_REMAINING = timedelta(seconds=5)
 MOST_REMAINING = timedelta(seconds=60)
 MILLISECOND = timedelta(milliseconds=1)
+_JSON = CIMultiDict({'Content-Type': 'application/json'})
 _BAD_REQUESTS = frozenset(
     (
         Reason.bad_request,
@@ -49,7 +55,7 @@
 
     Args:
         dispatcher: runs requests.
-        find_entries: returns the look-up answer for a service.
+        find_entries: returns the look-up answer for a service and client.
         log: the configuration in force.
         members: this instance and its peers.
         clock: measures deadlines and latencies.
@@ -59,7 +65,7 @@
     def __init__(
         self,
         dispatcher: Dispatcher,
-        find_entries: Callable[[str], bytes],
+        find_entries: Callable[[str, str], bytes],
         log: TicketLog,
         members: Members,
         clock: Clock,
@@ -77,11 +83,20 @@
         """Returns the instance's name."""
         return f'<CallerApi of {self._members.own.name}>'
 
-    def routes(self) -> list[web.RouteDef]:
-        """Returns the routes of the caller port."""
+    def routes(
+        self,
+        watch: Callable[[Handler], Handler],
+    ) -> list[web.RouteDef]:
+        """Returns the routes of the caller port.
+
+        Args:
+            watch: wraps the handler of requests.
+        """
         return [
             web.get('/v1/lookup', self._lookup),
-            web.route('*', '/v1/services/{service}/{tail:.*}', self._request),
+            web.route(
+                '*', '/v1/services/{service}/{tail:.*}', watch(self._request)
+            ),
         ]
 
     async def _lookup(self, request: web.Request) -> web.Response:
@@ -89,11 +104,13 @@
         refusal = self._refuse(service)
         if refusal is not None:
             return self._respond(refusal)
+        client = request.query.get('client', '') or request.remote or ''
+        try:
+            body = self._find_entries(service, client)
+        except ValueError:
+            return self._respond(NotRun(Reason.bad_request))
         self._counters.count('lookup')
-        return web.Response(
-            body=self._find_entries(service),
-            content_type='application/json',
-        )
+        return web.Response(body=body, headers=_JSON)
 
     async def _request(self, request: web.Request) -> web.Response:
         service = request.match_info['service']
@@ -129,8 +146,9 @@
             headers=_end_to_end(request),
             body=await request.read(),
             deadline=self._clock.elapsed() + _remaining(request),
-            client=request.remote or '',
+            client=_client(request),
             key=IdempotencyKey.parse(key) if is_keyed else None,
+            resent=request.headers.get(ATTEMPT_HEADER, '1') != '1',
         )
 
     def _respond(self, outcome: Outcome) -> web.Response:
@@ -165,10 +183,22 @@
     return min(int(text) * MILLISECOND, MOST_REMAINING)
 
 
+def _client(request: web.Request) -> str:
+    given = request.headers.get(CLIENT_HEADER)
+    if given is None:
+        return request.remote or ''
+    return str(ipaddress.ip_address(given))
+
+
 def _end_to_end(request: web.Request) -> tuple[tuple[str, str], ...]:
-    own = {KEY_HEADER.lower(), REMAINING_HEADER.lower()}
+    own = {
+        KEY_HEADER.lower(),
+        REMAINING_HEADER.lower(),
+        CLIENT_HEADER.lower(),
+        ATTEMPT_HEADER.lower(),
+    }
     return tuple(
-        (name, text)
+        (str(name), text)
         for name, text in request.headers.items()
         if name.lower() not in HOP_HEADERS and name.lower() not in own
     )
--- a/packages/lycheedyke/src/lycheedyke/protocol/_messages.py
+++ b/packages/lycheedyke/src/lycheedyke/protocol/_messages.py
@@ -8,6 +8,7 @@
 
 from lycheedyke.exceptions import MessageRejected
 from lycheedyke.protocol._outcomes import Answered, NotRun, Unknown
+from lycheedyke.protocol._snapshots import SnapshotReply, SnapshotRequest
 
 VERSION = b'\x01'
 MAC_BYTES = 16
@@ -218,10 +219,16 @@
 
 
 class TicketsReply(msgspec.Struct, frozen=True, tag='tickets-reply'):
-    """Tickets in order of their numbers, the first one `first`."""
+    """Tickets in order of their numbers, the first one `first`.
+
+    Attributes:
+        newest: the newest ticket in force there; a snapshot is needed where
+            it is higher than the one asked for and no document came.
+    """
 
     first: int
     documents: tuple[bytes, ...]
+    newest: int = 0
 
 
 Exchange = (
@@ -231,6 +238,8 @@
     | SummariesReply
     | TicketsRequest
     | TicketsReply
+    | SnapshotRequest
+    | SnapshotReply
 )
 
 
@@ -245,6 +254,9 @@
         upstream: the upstream to run on, or '' where the home decides.
         remaining_ms: the time left until the deadline, in ms.
         key: the idempotency key, or '' for an idempotent request.
+        home: the client's home region as the sender judged it, or ''.
+        region: the region of the sender, or ''.
+        resent: whether the caller has sent it before.
     """
 
     service: str
@@ -256,6 +268,9 @@
     remaining_ms: int
     client: str
     key: str = ''
+    home: str = ''
+    region: str = ''
+    resent: bool = False
 
 
 class RunReply(msgspec.Struct, frozen=True):
--- a/tests/standins/upstream.py
+++ b/tests/standins/upstream.py
@@ -2,7 +2,9 @@
 
 Run as `python -m standins.upstream PORT [PORT ...]`; each port is one
 upstream. GET /record gives its record; POST /fault sets faults:
-{"run_ms": int, "lose_answers": int, "refuse": int, "crash_on": str}.
+{"run_ms": int, "slots": int, "lose_answers": int, "refuse": int, "crash_on": str,
+"leaving": int}.
+With `slots` set, more requests in flight than slots slow each other down.
 Every other path runs: a request takes `run_ms` and is answered with what
 was asked.
 """
@@ -10,9 +12,11 @@
 import asyncio
 import os
 import sys
+import time
 from collections import Counter
 from typing import Any
 
+import uvloop
 from aiohttp import web
 
 DEFAULT_RUN_MS = 5
@@ -28,6 +32,7 @@
         self._in_flight = 0
         self._most_in_flight = 0
         self._finished = 0
+        self._last_start = 0.0
         self._connections: set[Any] = set()
 
     def app(self) -> web.Application:
@@ -49,14 +54,20 @@
                 'in_flight': self._in_flight,
                 'most_in_flight': self._most_in_flight,
                 'finished': self._finished,
+                'last_start': self._last_start,
                 'connections': len(self._connections),
             },
         )
 
     async def _fault(self, request: web.Request) -> web.Response:
-        self._faults = await request.json()
+        self._faults.update(await request.json())
         return web.json_response(self._faults)
 
+    def _run_seconds(self) -> float:
+        run_ms = self._faults.get('run_ms', DEFAULT_RUN_MS)
+        slots = self._faults.get('slots', self._in_flight)
+        return float(run_ms / 1000 * max(1, self._in_flight / slots))
+
     async def _run(self, request: web.Request) -> web.Response:
         body = await request.text()
         self._connections.add(request.transport)
@@ -72,11 +83,10 @@
         name = f'{request.method} {request.path_qs} {body}'
         self._runs[name] += 1
         self._in_flight += 1
+        self._last_start = time.time()
         self._most_in_flight = max(self._most_in_flight, self._in_flight)
         try:
-            await asyncio.sleep(
-                self._faults.get('run_ms', DEFAULT_RUN_MS) / 1000,
-            )
+            await asyncio.sleep(self._run_seconds())
         finally:
             self._in_flight -= 1
         self._finished += 1
@@ -84,7 +94,12 @@
             self._faults['lose_answers'] -= 1
             assert request.transport is not None
             request.transport.abort()
-        return web.json_response({'ran': name, 'run': self._runs[name]})
+        return web.json_response(
+            {'ran': name, 'run': self._runs[name]},
+            headers={'Lycheedyke-Leaving': '1'}
+            if self._faults.get('leaving')
+            else {},
+        )
 
 
 async def _serve(ports: list[int]) -> None:
@@ -97,7 +112,7 @@
 
 def main() -> None:
     """Serves until the process is ended."""
-    asyncio.run(_serve([int(port) for port in sys.argv[1:]]))
+    uvloop.run(_serve([int(port) for port in sys.argv[1:]]))
 
 
 if __name__ == '__main__':
