--- a/tests/processes/test_members.py
+++ b/tests/processes/test_members.py
@@ -43,6 +43,17 @@
     asyncio.run(_wait_view(running, names))
 
 
+async def _wait_replaced(watcher: Seat, name: str, dead: str) -> None:
+    """Waits until a view holds another incarnation; it has to stay."""
+    found = dead
+    for _ in polls(LIMIT_SECONDS):
+        found = (await _view(watcher)).get(name, dead)
+        if found != dead:
+            break
+    for _ in polls(2):
+        assert (await _view(watcher))[name] == found != dead
+
+
 def test_views_follow_kills_freezes_restarts_and_stops(tmp_path: Path) -> None:
     """Every view drops who is gone and takes up who is back."""
     with Deployment(tmp_path, zones=ZONES, entries=2) as running:
@@ -61,8 +72,8 @@
         running.signal(victim, signal.SIGKILL)
         running.wait(victim)
         running.start_entry(victim)
+        asyncio.run(_wait_replaced(watcher, victim, before[victim]))
         _wait(running, everyone)
-        assert asyncio.run(_view(watcher))[victim] != before[victim]
 
         running.signal('norr-b-0', signal.SIGKILL)
         running.signal('syd-a-1', signal.SIGTERM)
