End a request to a peer in time though the library does not

Cause: an operation of the message library that is cancelled waits for the library's own confirmation, and ignores further cancellations. Where that never comes, the request never ends, and with it the exchange with a zone or the whole search for seeds. That fits the one start in which two zones did not find each other in 30 s; it was not caught in the act. Change: the operation runs in a task that is given up at the time limit; the link goes on with a new socket. A test with operations that ignore cancellation did not end in 60 s before, and passes now. Ruled out: the relays and the seeds' backoff (a next try came in time).

--- a/packages/lycheedyke/src/lycheedyke/transport/_links.py
+++ b/packages/lycheedyke/src/lycheedyke/transport/_links.py
@@ -139,15 +139,19 @@
             ExchangeBroken: the connection was lost.
             ExchangeTimeout: no reply within `timeout`.
         """
+        task = asyncio.create_task(self._ask_in_turn(message))
+        task.add_done_callback(_take_error)
         try:
-            async with asyncio.timeout(timeout.total_seconds()):
-                async with self._asking:
-                    return await self._ask(message)
-        except TimeoutError as error:
-            self.close()
-            raise ExchangeTimeout(
-                f'peer {self._address}: no reply',
-            ) from error
+            # A cancelled operation of the library may never end, so the
+            # task is given up rather than awaited.
+            await asyncio.wait({task}, timeout=timeout.total_seconds())
+        finally:
+            task.cancel()
+        if task.done():
+            return task.result()
+        self.close()
+        self._asking = asyncio.Semaphore(MOST_CONCURRENT)
+        raise ExchangeTimeout(f'peer {self._address}: no reply')
 
     def close(self) -> None:
         """Closes the connection; the next request opens a new one."""
@@ -155,6 +159,10 @@
             self._socket.close()
             self._socket = None
 
+    async def _ask_in_turn(self, message: bytes) -> bytes:
+        async with self._asking:
+            return await self._ask(message)
+
     async def _ask(self, message: bytes) -> bytes:
         socket = await self._open()
         try:
@@ -244,6 +252,12 @@
             raise asyncio.CancelledError
 
 
+def _take_error(task: asyncio.Task[bytes]) -> None:
+    """Marks an error as seen where nobody waits for the task any more."""
+    if not task.cancelled():
+        task.exception()
+
+
 def _call_in(
     loop: asyncio.AbstractEventLoop,
     callback: Callable[[], None],
