Decide owners by a record in the platform, and lower silent ones

Cause: two views that differ gave two owners, each with all slots. Ruled out: rendezvous over views as the decision (it now only proposes); leases. Change: owners/<zone> holds an owner and a deputy per upstream, written by compare-and-swap; only the owner appoints a deputy, only a deputy gives up its part, others replace an incarnation only with proof of its death. Rights are counted from the monotonic clock at each admission and again right before the write. aiohttp's silent second send of a request is forbidden there: it would have run PUT and DELETE twice. Admission has a pace (slow start, AIMD, out with backoff), a queue with a floor and displacement, and holds the slot of a cut exchange until the upstream's deadline. Other areas: find_admitters in place of owner_of in routing and look-ups (callers of the record); three fields on heartbeats; /readyz waits for the zone's owners; the control port closes after the work has ended.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/admin.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/admin.py
@@ -95,6 +95,8 @@
     async def _ready(self, request: web.Request) -> web.Response:
         if not self._log.number:
             return _fail(HTTP_UNAVAILABLE, 'not-ready', 'no ticket known')
+        if not self._runner.ready:
+            return _fail(HTTP_UNAVAILABLE, 'not-ready', 'no owners known')
         return _reply({'ready': True, 'ticket': self._log.number})
 
     async def _status(self, request: web.Request) -> web.Response:
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/instance.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/instance.py
@@ -10,9 +10,10 @@
 from lycheedyke.clock import Clock
 from lycheedyke.coordination import (
     Members,
+    Owners,
     TicketFollower,
     TicketLog,
-    owner_of,
+    Zone,
 )
 from lycheedyke.exceptions import MessageRejected, PlatformError
 from lycheedyke.protocol import (
@@ -35,7 +36,7 @@
 from lycheedyke_daemon.settings import Secrets, Settings
 
 INCARNATION_BYTES = 8
-OWNERSHIP_INTERVAL_SECONDS = 0.25
+OWNERSHIP_INTERVAL_SECONDS = 0.05
 SEEDING_INTERVAL_SECONDS = 5
 MESSAGE_MARGIN_BYTES = 65_536
 
@@ -72,13 +73,26 @@
             self._counters,
             routes=settings.routes,
         )
-        self._log = TicketLog(self._take_over)
-        self._runner = Runner(clock, self._counters)
-        self._members.loads = self._runner.loads
         self._platform = PlatformClient(
             settings.platform_address,
             timeout=settings.platform_timeout,
         )
+        self._owners = Owners(
+            self._members,
+            self._platform,
+            clock,
+            self._counters,
+            routes=settings.routes,
+        )
+        self._runner = Runner(
+            settings.zone,
+            self._owners.rights,
+            clock,
+            self._counters,
+        )
+        self._members.loads = self._runner.loads
+        self._owners.describe = self._describe_zone
+        self._log = TicketLog(self._take_over)
         self._follower = TicketFollower(self._log, self._platform, clock)
         self._peers = PeerClient(
             self._codec,
@@ -126,6 +140,8 @@
             asyncio.create_task(self._follower.follow()),
             asyncio.create_task(self._watch_members()),
             asyncio.create_task(self._seed()),
+            asyncio.create_task(self._owners.follow()),
+            asyncio.create_task(self._owners.watch()),
         ]
         await self._serve(self._peer_app(), self._settings.peer_address)
         await self._serve(self._admin_app(), self._settings.admin_address)
@@ -143,11 +159,17 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._close_links()
+        _logger.info('stopped')
+
+    async def _close_links(self) -> None:
+        # The control address is held until no upstream is used any more.
         await self._members.close()
+        await self._owners.close()
+        await self._runner.close()
         await self._listener.close()
-        for client in (self._runner, self._peers, self._platform):
+        for client in (self._peers, self._platform):
             await client.close()
-        _logger.info('stopped')
 
     def _caller_app(self) -> web.Application:
         app = web.Application(client_max_size=self._settings.max_body_bytes)
@@ -228,17 +250,16 @@
             await asyncio.sleep(OWNERSHIP_INTERVAL_SECONDS)
 
     def _take_over(self, configuration: Configuration) -> None:
-        own = self._members.own
         self._members.ticket = configuration.number
-        instances = self._members.in_zone(own.zone)
-        self._runner.own(
-            configuration,
-            {
-                name
-                for name, upstream in configuration.upstreams.items()
-                if upstream.zone == own.zone
-                and owner_of(name, instances) == own
-            },
+        self._runner.refresh(configuration)
+
+    def _describe_zone(self) -> Zone:
+        own = self._members.own
+        return Zone(
+            own,
+            self._members.in_zone(own.zone),
+            self._runner.sizes(),
+            self._runner.in_flight,
         )
 
 
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/lookups.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/lookups.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from lycheedyke.coordination import Members, TicketLog, owner_of
+from lycheedyke.coordination import Members, TicketLog, find_admitters, owner_of
 from lycheedyke.protocol import InstanceInfo
 
 MOST_ENTRIES = 3
@@ -57,12 +57,14 @@
         configuration = self._log.configuration
         region = self._members.own.region
         found: dict[str, InstanceInfo] = {}
+        admitters = find_admitters(self._members)
         for name, upstream in configuration.serving(service).items():
             if configuration.region_of(upstream) != region:
                 continue
-            owner = owner_of(name, self._members.in_zone(upstream.zone))
-            if owner is not None:
-                found[owner.name] = owner
+            proposed = owner_of(name, self._members.in_zone(upstream.zone))
+            for owner in admitters.get(name, [proposed]):
+                if owner is not None:
+                    found[owner.name] = owner
         return list(found.values())[:MOST_ENTRIES]
 
     def _describe(self, info: InstanceInfo) -> _Entry:
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/routing.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/routing.py
@@ -3,7 +3,7 @@
 import random
 from typing import NamedTuple
 
-from lycheedyke.coordination import Members, TicketLog, owner_of
+from lycheedyke.coordination import Members, TicketLog, find_admitters
 from lycheedyke.protocol import (
     Answered,
     InstanceInfo,
@@ -86,20 +86,25 @@
 
     def _candidates(self, work: Work, tried: set[str]) -> list[_Candidate]:
         configuration = self._log.configuration
-        own = self._members.own
         loads = self._loads()
+        admitters = find_admitters(self._members)
         found = []
         for name, upstream in configuration.serving(work.service).items():
-            if name in tried or configuration.region_of(upstream) != own.region:
-                continue
-            owner = owner_of(name, self._members.in_zone(upstream.zone))
-            if owner is None:
+            if (
+                name in tried
+                or configuration.region_of(upstream) != self._members.own.region
+            ):
                 continue
-            hops = (owner != own) + (owner.zone != own.zone)
-            cost = loads.get(name, 0) + hops * 0.1 + random.random() * 0.05
-            found.append(_Candidate(name, owner, cost))
+            for owner in admitters.get(name, ()):
+                hops = self._count_hops(owner)
+                cost = loads.get(name, 0) + hops * 0.1 + random.random() * 0.05
+                found.append(_Candidate(name, owner, cost))
         return found
 
+    def _count_hops(self, owner: InstanceInfo) -> int:
+        own = self._members.own
+        return (owner != own) + (owner.zone != own.zone)
+
     def _loads(self) -> dict[str, float]:
         loads = list(self._runner.loads())
         for peer in self._members.live():
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/runner.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/runner.py
@@ -1,8 +1,9 @@
-"""Runs work on the upstreams that this instance owns."""
+"""Runs work on the upstreams that this instance may use."""
 
 from datetime import timedelta
 
 from lycheedyke.clock import Clock
+from lycheedyke.coordination import Rights, Size
 from lycheedyke.exceptions import (
     ConnectionNotMade,
     ExchangeBroken,
@@ -16,77 +17,94 @@
     Outcome,
     Phase,
     Reason,
-    Service,
     Unknown,
     Upstream,
     UpstreamLoad,
 )
-from lycheedyke.state import AdmissionRefused, Admitter, Configuration, Counters
+from lycheedyke.state import AdmissionRefused, Configuration, Counters
 from lycheedyke.transport import HttpAnswer, HttpClient
+from lycheedyke_daemon.attempts import Attempt, OwnedUpstream
 from lycheedyke_daemon.work import HOP_HEADERS, Work
 
 MILLISECOND = timedelta(milliseconds=1)
 
 
 class Runner:
-    """Admits work to the owned upstreams and runs it there.
+    """Admits work to the upstreams of the zone and runs it there.
 
     Args:
+        zone: the zone whose upstreams it may use.
+        rights: the slots that this instance may use.
         clock: measures deadlines and latencies.
         counters: counts outcomes.
     """
 
-    def __init__(self, clock: Clock, counters: Counters) -> None:
-        """Makes a runner that owns nothing."""
+    def __init__(
+        self,
+        zone: str,
+        rights: Rights,
+        clock: Clock,
+        counters: Counters,
+    ) -> None:
+        """Makes a runner without upstreams."""
+        self._zone = zone
+        self._rights = rights
         self._clock = clock
         self._counters = counters
         self._http = HttpClient()
         self._configuration = Configuration()
-        self._admitters: dict[str, Admitter] = {}
+        self._owned: dict[str, OwnedUpstream] = {}
+        self._is_ready = False
 
     def __repr__(self) -> str:
-        """Returns the owned upstreams."""
-        return f'<Runner of {sorted(self._admitters)}>'
+        """Returns the upstreams that may be used."""
+        return f'<Runner of {sorted(self._owned)}>'
+
+    @property
+    def ready(self) -> bool:
+        """Whether the zone's upstreams have had owners since the start."""
+        return self._is_ready
 
     async def close(self) -> None:
         """Closes the connections to upstreams."""
         await self._http.close()
 
-    def own(self, configuration: Configuration, names: set[str]) -> None:
-        """Takes over the named upstreams and gives up all others."""
+    def sizes(self) -> dict[str, Size]:
+        """Returns the sizes of all upstreams of the zone."""
+        return {
+            name: self._size(upstream)
+            for name, upstream in self._configuration.upstreams.items()
+            if upstream.zone == self._zone
+        }
+
+    def in_flight(self, name: str) -> int:
+        """Returns the requests that an upstream may be running from here."""
+        owned = self._owned.get(name)
+        return owned.admitter.in_flight if owned else 0
+
+    def refresh(self, configuration: Configuration) -> None:
+        """Takes in the configuration and the present rights."""
         self._configuration = configuration
-        for name in names:
-            upstream = configuration.upstreams[name]
-            service = configuration.services[upstream.service]
-            admitter = self._admitters.get(name)
-            if admitter is None:
-                self._admitters[name] = Admitter(
-                    upstream.slots,
-                    service.queue_limit,
-                    self._clock,
-                )
-            else:
-                admitter.resize(upstream.slots)
-        for name in self._admitters.keys() - names:
-            self._admitters.pop(name)
+        sizes = self.sizes()
+        for name, size in sizes.items():
+            self._refresh_one(name, size)
+        for name in self._owned.keys() - sizes.keys():
+            if not self.in_flight(name):
+                self._owned.pop(name)
+        if configuration.number:
+            known = self._rights.record.pairs.keys()
+            self._is_ready = self._is_ready or sizes.keys() <= known
 
     def loads(self) -> tuple[UpstreamLoad, ...]:
-        """Returns the counts of all owned upstreams."""
-        return tuple(
-            UpstreamLoad(
-                name,
-                admitter.in_flight,
-                admitter.waiting,
-                admitter.limit,
-            )
-            for name, admitter in self._admitters.items()
-        )
+        """Returns the counts of all upstreams in use here."""
+        loads = (owned.load for owned in self._owned.values())
+        return tuple(load for load in loads if load.limit or load.in_flight)
 
     async def run(self, name: str, work: Work) -> Outcome:
         """Runs work on one upstream, waiting for a slot if it must."""
-        admitter = self._admitters.get(name)
+        owned = self._owned.get(name)
         upstream = self._configuration.upstreams.get(name)
-        if admitter is None or upstream is None:
+        if owned is None or upstream is None:
             return NotRun(Reason.no_owner)
         if upstream.phase is not Phase.serving:
             return NotRun(Reason.no_upstream)
@@ -95,47 +113,83 @@
             service.read_class if work.idempotent else service.write_class
         )
         try:
-            await admitter.enter(work_class, work.deadline)
+            await owned.admitter.enter(work_class, work.deadline)
         except AdmissionRefused as refusal:
-            return NotRun(refusal.reason)
+            return NotRun(refusal.reason, refusal.retry_after)
+        remaining = work.deadline - self._clock.elapsed()
+        limit = min(remaining, service.run_limit_ms * MILLISECOND)
+        attempt = Attempt(owned.admitter, limit, self._clock)
         try:
-            return await self._send(name, upstream, service, work)
+            return await self._send(name, work, limit, attempt)
         finally:
-            admitter.leave()
+            attempt.release()
 
     async def _send(
         self,
         name: str,
-        upstream: Upstream,
-        service: Service,
         work: Work,
+        limit: timedelta,
+        attempt: Attempt,
     ) -> Outcome:
-        remaining = work.deadline - self._clock.elapsed()
-        limit = min(remaining, service.run_limit_ms * MILLISECOND)
         if limit < MILLISECOND:
             return NotRun(Reason.deadline_passed)
+        address = self._configuration.upstreams[name].address
         headers = dict(work.headers)
         headers[REMAINING_HEADER] = str(limit // MILLISECOND)
+        pace = attempt.pace
         try:
             answer = await self._http.send(
                 work.method,
-                f'http://{upstream.address}{work.target}',
+                f'http://{address}{work.target}',
                 timeout=limit,
                 headers=headers,
                 body=work.body or None,
+                before_write=attempt.before_write,
+            )
+        except AdmissionRefused as refusal:
+            return NotRun(refusal.reason, refusal.retry_after)
+        except (ConnectionNotMade, ExchangeBroken) as error:
+            pace.fail()
+            return _to_failure(error)
+        attempt.is_finished = True
+        if answer.headers.get(OUTCOME_HEADER) == 'not-run':
+            pace.shed()
+            return NotRun(Reason.upstream_refused)
+        pace.answer()
+        return _to_answer(name, answer)
+
+    def _refresh_one(self, name: str, size: Size) -> None:
+        upstream = self._configuration.upstreams[name]
+        queue_limit = self._configuration.services[upstream.service].queue_limit
+        owned = self._owned.get(name)
+        if owned is None and self._rights.count(name, size):
+            owned = OwnedUpstream(
+                name,
+                size,
+                self._rights.count,
+                queue_limit,
+                self._clock,
             )
-        except ConnectionNotMade:
+            self._owned[name] = owned
+        if owned is not None:
+            owned.refresh(size, queue_limit)
+
+    def _size(self, upstream: Upstream) -> Size:
+        service = self._configuration.services[upstream.service]
+        return Size(upstream.slots, service.run_limit_ms * MILLISECOND)
+
+
+def _to_failure(error: ConnectionNotMade | ExchangeBroken) -> Outcome:
+    match error:
+        case ConnectionNotMade():
             return NotRun(Reason.upstream_unreachable)
-        except ExchangeTimeout:
+        case ExchangeTimeout():
             return Unknown(Reason.upstream_timeout)
-        except ExchangeBroken:
+        case _:
             return Unknown(Reason.upstream_broke)
-        return _to_outcome(name, answer)
 
 
-def _to_outcome(name: str, answer: HttpAnswer) -> Outcome:
-    if answer.headers.get(OUTCOME_HEADER) == 'not-run':
-        return NotRun(Reason.upstream_refused)
+def _to_answer(name: str, answer: HttpAnswer) -> Answered:
     headers = tuple(
         (key, text)
         for key, text in answer.headers.items()
--- a/packages/lycheedyke/src/lycheedyke/clock.py
+++ b/packages/lycheedyke/src/lycheedyke/clock.py
@@ -31,8 +31,8 @@
         return datetime.now(UTC)
 
     def elapsed(self) -> timedelta:
-        """Returns the time of the monotonic system clock."""
-        return timedelta(seconds=time.monotonic())
+        """Returns the monotonic time, which counts suspension too."""
+        return timedelta(seconds=time.clock_gettime(time.CLOCK_BOOTTIME))
 
     async def sleep(self, duration: timedelta) -> None:
         """Waits on the event loop."""
--- a/packages/lycheedyke/src/lycheedyke/coordination/__init__.py
+++ b/packages/lycheedyke/src/lycheedyke/coordination/__init__.py
@@ -1,7 +1,24 @@
 """Coordination: membership, the ticket log and ownership of upstreams."""
 
-from lycheedyke.coordination._membership import Members, Peer
-from lycheedyke.coordination._ownership import owner_of
+from lycheedyke.coordination._assignments import Planner, Zone
+from lycheedyke.coordination._membership import Heard, Members, Peer
+from lycheedyke.coordination._owner_store import Owners
+from lycheedyke.coordination._ownership import find_admitters, owner_of
+from lycheedyke.coordination._rights import Rights, Size, take_after
 from lycheedyke.coordination._ticket_log import TicketFollower, TicketLog
 
-__all__ = ('Members', 'Peer', 'TicketFollower', 'TicketLog', 'owner_of')
+__all__ = (
+    'Heard',
+    'Members',
+    'Owners',
+    'Peer',
+    'Planner',
+    'Rights',
+    'Size',
+    'TicketFollower',
+    'TicketLog',
+    'Zone',
+    'find_admitters',
+    'owner_of',
+    'take_after',
+)
--- a/packages/lycheedyke/src/lycheedyke/coordination/_membership.py
+++ b/packages/lycheedyke/src/lycheedyke/coordination/_membership.py
@@ -4,14 +4,17 @@
 import logging
 from collections.abc import Callable, Iterable, Mapping
 from datetime import timedelta
+from typing import NamedTuple
 
 from lycheedyke.clock import Clock
 from lycheedyke.exceptions import MessageRejected, TransportError
 from lycheedyke.protocol import (
+    Grant,
     Heartbeat,
     HeartbeatReply,
     InstanceInfo,
     MessageCodec,
+    OwnerRecord,
     UpstreamLoad,
 )
 from lycheedyke.state import Counters
@@ -25,6 +28,18 @@
 _logger = logging.getLogger(__name__)
 
 
+class Heard(NamedTuple):
+    """A message of a peer.
+
+    Attributes:
+        sent: when the request was sent that it replies to; None if it is
+            no reply.
+    """
+
+    message: Heartbeat | HeartbeatReply
+    sent: timedelta | None
+
+
 class Peer:
     """What is known of one other instance."""
 
@@ -67,6 +82,9 @@
         self.ticket = 0
         self.stopping = False
         self.loads: Callable[[], tuple[UpstreamLoad, ...]] = tuple
+        self.owners = OwnerRecord()
+        self.grants: Callable[[], tuple[Grant, ...]] = tuple
+        self.on_heard: Callable[[Heard], None] = _ignore
         self._codec = codec
         self._clock = clock
         self._started = clock.elapsed()
@@ -132,6 +150,7 @@
     def answer(self, beat: Heartbeat) -> HeartbeatReply:
         """Takes in a heartbeat and returns the reply."""
         self._hear(beat)
+        self.on_heard(Heard(beat, None))
         return HeartbeatReply(
             sender=self.own,
             age_ms=self.age // MILLISECOND,
@@ -139,8 +158,16 @@
             loads=self.loads(),
             peers=tuple(peer.info for peer in self.live()),
             stopping=self.stopping,
+            owner_epoch=self.owners.epoch,
+            owners=self._newer_owners(beat),
         )
 
+    def _newer_owners(self, beat: Heartbeat) -> OwnerRecord | None:
+        is_behind = beat.owner_epoch < self.owners.epoch
+        if beat.sender.zone == self.own.zone and is_behind:
+            return self.owners
+        return None
+
     async def _beat(self, address: str) -> None:
         link = PeerLink(self._routes.get(address, address))
         try:
@@ -157,7 +184,10 @@
             ticket=self.ticket,
             loads=self.loads(),
             stopping=self.stopping,
+            owner_epoch=self.owners.epoch,
+            grants=self.grants(),
         )
+        sent = self._clock.elapsed()
         try:
             reply = await link.ask(
                 self._codec.encode_exchange(beat),
@@ -173,6 +203,7 @@
             return
         if isinstance(message, HeartbeatReply):
             self._hear(message)
+            self.on_heard(Heard(message, sent))
             self.follow(info.control_address for info in message.peers)
 
     def _hear(self, message: Heartbeat | HeartbeatReply) -> None:
@@ -189,3 +220,7 @@
         peer.ticket = max(peer.ticket, message.ticket)
         peer.loads = message.loads
         peer.stopping = message.stopping
+
+
+def _ignore(heard: Heard) -> None:
+    """Does nothing with a message."""
--- /dev/null
+++ b/packages/lycheedyke/src/lycheedyke/coordination/_owner_store.py
@@ -0,0 +1,226 @@
+"""Keeps the zone's owner record in the platform up to date."""
+
+import asyncio
+import logging
+import random
+from collections.abc import Callable, Mapping
+from datetime import timedelta
+
+from lycheedyke.clock import Clock
+from lycheedyke.coordination._assignments import Planner, Zone
+from lycheedyke.coordination._membership import Heard, Members
+from lycheedyke.coordination._ownership import rank
+from lycheedyke.coordination._rights import Rights
+from lycheedyke.exceptions import (
+    DocumentMalformed,
+    PlatformError,
+    WriteConflict,
+)
+from lycheedyke.protocol import (
+    HeartbeatReply,
+    OwnerRecord,
+    PlatformClient,
+    PlatformEntry,
+    decode_owners,
+    encode_owners,
+    owners_key,
+)
+from lycheedyke.state import Counters
+
+TICK = timedelta(milliseconds=100)
+WATCH_WAIT = timedelta(seconds=20)
+RETRY_LEAST = timedelta(milliseconds=100)
+RETRY_MOST = timedelta(seconds=5)
+PROBE_AFTER = timedelta(milliseconds=600)
+PROBE_SECONDS = 0.5
+WATCHERS = 2
+GRANT_STEPS = 4
+
+_logger = logging.getLogger(__name__)
+
+
+class Owners:
+    """The owner record of one zone, as one instance knows and changes it.
+
+    Args:
+        members: the live instances.
+        platform: holds the record.
+        clock: measures silence.
+        counters: counts failed writes and proofs of death.
+        routes: addresses that are reached through others; a refusal there
+            proves nothing.
+    """
+
+    def __init__(
+        self,
+        members: Members,
+        platform: PlatformClient,
+        clock: Clock,
+        counters: Counters,
+        *,
+        routes: Mapping[str, str],
+    ) -> None:
+        """Makes an empty record that hears the members' messages."""
+        self.rights = Rights(members.own.incarnation, clock)
+        self.describe: Callable[[], Zone] = self._describe_nothing
+        self._members = members
+        self._platform = platform
+        self._clock = clock
+        self._counters = counters
+        self._routes = routes
+        self._key = owners_key(members.own.zone)
+        self._backoff = RETRY_LEAST
+        self._probes: dict[str, asyncio.Task[None]] = {}
+        members.on_heard = self._hear
+        members.grants = self.rights.grants
+
+    def __repr__(self) -> str:
+        """Returns the rights."""
+        return f'<Owners: {self.rights!r}>'
+
+    async def follow(self) -> None:
+        """Proves deaths, moves upstreams and writes, until cancelled."""
+        while True:
+            self._probe_silent()
+            zone = self.describe()
+            planner = Planner(self.rights, zone)
+            self._leave_to_deputies(planner, zone)
+            try:
+                await self._improve(planner)
+            except WriteConflict:
+                self._counters.count('owners.conflict')
+                await self._back_off()
+            except (PlatformError, DocumentMalformed) as error:
+                self._counters.count('owners.unwritten')
+                _logger.info('owner record not written: %s', error)
+                await self._back_off()
+            else:
+                self._backoff = RETRY_LEAST
+                await self._clock.sleep(TICK)
+
+    async def watch(self) -> None:
+        """Reads the record whenever it changes, while chosen to watch."""
+        revision = 0
+        while True:
+            if not self._is_watcher():
+                await self._clock.sleep(RETRY_MOST / 2)
+                continue
+            try:
+                revision, entries = await self._platform.watch(
+                    self._key,
+                    after=revision,
+                    wait=WATCH_WAIT,
+                )
+                self._adopt_watched(entries)
+            except (PlatformError, DocumentMalformed) as error:
+                _logger.info('owner record not read: %s', error)
+                revision = 0
+                await self._clock.sleep(RETRY_MOST * random.uniform(0.1, 1))
+
+    async def close(self) -> None:
+        """Ends all probes."""
+        for task in self._probes.values():
+            task.cancel()
+        await asyncio.gather(*self._probes.values(), return_exceptions=True)
+
+    def _adopt_watched(self, entries: list[PlatformEntry]) -> None:
+        for entry in entries:
+            if entry.key == self._key:
+                self._adopt(decode_owners(entry.content))
+
+    async def _improve(self, planner: Planner) -> None:
+        if not planner.changes():
+            return
+        stored, revision = await self._read()
+        changes = planner.changes()
+        if not changes or stored.epoch != self.rights.record.epoch:
+            return
+        record = planner.write(changes)
+        for name in changes:
+            self.rights.propose(name)
+        await self._platform.replace(
+            self._key,
+            encode_owners(record),
+            revision=revision,
+        )
+        self._adopt(record)
+
+    async def _read(self) -> tuple[OwnerRecord, int]:
+        entry = await self._platform.get(self._key)
+        if entry is None:
+            return OwnerRecord(), 0
+        record = decode_owners(entry.content)
+        self._adopt(record)
+        return record, entry.revision
+
+    def _adopt(self, record: OwnerRecord) -> None:
+        if self.rights.adopt(record):
+            self._members.owners = record
+            _logger.info('owner record', extra={'epoch': record.epoch})
+
+    def _hear(self, heard: Heard) -> None:
+        message = heard.message
+        if isinstance(message, HeartbeatReply) and message.owners:
+            self._adopt(message.owners)
+        self.rights.hear(heard)
+
+    def _leave_to_deputies(self, planner: Planner, zone: Zone) -> None:
+        for name, size in zone.sizes.items():
+            if not planner.moves(name):
+                continue
+            step = -(-size.slots // GRANT_STEPS)
+            free = size.slots - zone.in_flight(name)
+            granted = self.rights.granted(name) + step
+            self.rights.grant(name, min(free, granted))
+
+    def _probe_silent(self) -> None:
+        for incarnation, address in self.rights.record.addresses.items():
+            if incarnation == self._members.own.incarnation:
+                continue
+            silence = self.rights.silence(incarnation)
+            is_silent = silence is None or silence >= PROBE_AFTER
+            is_probed = incarnation in self._probes
+            if not is_silent or is_probed or self.rights.is_dead(incarnation):
+                continue
+            if address not in self._routes:
+                self._probes[incarnation] = asyncio.create_task(
+                    self._probe(incarnation, address),
+                )
+
+    async def _probe(self, incarnation: str, address: str) -> None:
+        try:
+            if await is_refused(address):
+                self._counters.count('owners.death-proven')
+                self.rights.prove_dead(incarnation)
+            await self._clock.sleep(PROBE_AFTER)
+        finally:
+            self._probes.pop(incarnation, None)
+
+    def _is_watcher(self) -> bool:
+        own = self._members.own
+        ranked = rank(self._key, self._members.in_zone(own.zone))
+        return own in ranked[:WATCHERS]
+
+    def _describe_nothing(self) -> Zone:
+        return Zone(self._members.own, [], {}, lambda name: 0)
+
+    async def _back_off(self) -> None:
+        await self._clock.sleep(self._backoff * random.uniform(0.5, 1))
+        self._backoff = min(RETRY_MOST, self._backoff * 2)
+
+
+async def is_refused(address: str) -> bool:
+    """Returns whether the host says that no process listens there."""
+    host, _, port = address.rpartition(':')
+    try:
+        async with asyncio.timeout(PROBE_SECONDS):
+            _, writer = await asyncio.open_connection(
+                host.strip('[]'),
+                int(port),
+            )
+    except ConnectionRefusedError:
+        return True
+    except OSError:
+        return False
+    writer.close()
+    return False
--- a/packages/lycheedyke/src/lycheedyke/coordination/_ownership.py
+++ b/packages/lycheedyke/src/lycheedyke/coordination/_ownership.py
@@ -1,9 +1,10 @@
-"""Which entry instance owns an upstream."""
+"""Which entry instance should own an upstream."""
 
 from collections.abc import Iterable
 
 import xxhash
 
+from lycheedyke.coordination._membership import Members
 from lycheedyke.protocol import InstanceInfo
 
 
@@ -17,12 +18,35 @@
         upstream: the name of the upstream.
         instances: the live instances of the upstream's zone.
     """
-    return max(
+    return next(iter(rank(upstream, instances)), None)
+
+
+def rank(
+    upstream: str,
+    instances: Iterable[InstanceInfo],
+) -> list[InstanceInfo]:
+    """Returns the instances by rendezvous weight, the highest first."""
+    return sorted(
         instances,
         key=lambda info: _weigh(upstream, info),
-        default=None,
+        reverse=True,
     )
 
 
+def find_admitters(members: Members) -> dict[str, list[InstanceInfo]]:
+    """Returns, by upstream, the live instances that admit work to it now.
+
+    These are the owner and, while it takes over, the deputy, as they say.
+    """
+    found: dict[str, list[InstanceInfo]] = {}
+    said = [(peer.info, peer.loads) for peer in members.live()]
+    said.append((members.own, members.loads()))
+    for info, loads in said:
+        for load in loads:
+            if load.limit:
+                found.setdefault(load.upstream, []).append(info)
+    return found
+
+
 def _weigh(upstream: str, info: InstanceInfo) -> int:
     return xxhash.xxh3_64_intdigest(f'{upstream} {info.name}'.encode())
--- a/packages/lycheedyke/src/lycheedyke/protocol/__init__.py
+++ b/packages/lycheedyke/src/lycheedyke/protocol/__init__.py
@@ -24,6 +24,14 @@
     Reason,
     Unknown,
 )
+from lycheedyke.protocol._owners import (
+    Grant,
+    OwnerRecord,
+    Pair,
+    decode_owners,
+    encode_owners,
+    owners_key,
+)
 from lycheedyke.protocol._platform import PlatformClient, PlatformEntry
 from lycheedyke.protocol._tickets import (
     Block,
@@ -46,6 +54,7 @@
     'Answered',
     'Block',
     'Exchange',
+    'Grant',
     'Heartbeat',
     'HeartbeatReply',
     'IdempotencyKey',
@@ -53,6 +62,8 @@
     'MessageCodec',
     'NotRun',
     'Outcome',
+    'OwnerRecord',
+    'Pair',
     'Phase',
     'PlatformClient',
     'PlatformEntry',
@@ -69,6 +80,9 @@
     'UpstreamLoad',
     'WorkClass',
     'Zone',
+    'decode_owners',
     'decode_ticket',
+    'encode_owners',
     'encode_ticket',
+    'owners_key',
 )
--- a/packages/lycheedyke/src/lycheedyke/protocol/_messages.py
+++ b/packages/lycheedyke/src/lycheedyke/protocol/_messages.py
@@ -7,6 +7,7 @@
 
 from lycheedyke.exceptions import MessageRejected
 from lycheedyke.protocol._outcomes import Answered, NotRun, Unknown
+from lycheedyke.protocol._owners import Grant, OwnerRecord
 
 VERSION = b'\x01'
 MAC_BYTES = 16
@@ -36,12 +37,20 @@
 
 
 class UpstreamLoad(msgspec.Struct, frozen=True, array_like=True):
-    """What the owner of an upstream counts."""
+    """What an instance that may admit work to an upstream counts.
+
+    Attributes:
+        in_flight: requests that the upstream may be running.
+        waiting: requests in the queue.
+        limit: the slots that may be used now; 0 while another admits.
+        usable: whether its last outcomes let it take work.
+    """
 
     upstream: str
     in_flight: int
     waiting: int
     limit: int
+    usable: bool = True
 
 
 class Heartbeat(msgspec.Struct, frozen=True, tag='heartbeat'):
@@ -53,6 +62,8 @@
         ticket: the newest ticket in force there.
         loads: counts of the upstreams that it owns.
         stopping: whether a planned stop is under way.
+        owner_epoch: epoch of the zone's owner record known there.
+        grants: slots that the sender leaves to its deputies.
     """
 
     sender: InstanceInfo
@@ -60,10 +71,16 @@
     ticket: int
     loads: tuple[UpstreamLoad, ...] = ()
     stopping: bool = False
+    owner_epoch: int = 0
+    grants: tuple[Grant, ...] = ()
 
 
 class HeartbeatReply(msgspec.Struct, frozen=True, tag='heartbeat-reply'):
-    """Answers a heartbeat in kind."""
+    """Answers a heartbeat in kind.
+
+    Attributes:
+        owners: the zone's owner record, where the asker's is older.
+    """
 
     sender: InstanceInfo
     age_ms: int
@@ -71,6 +88,8 @@
     loads: tuple[UpstreamLoad, ...] = ()
     peers: tuple[InstanceInfo, ...] = ()
     stopping: bool = False
+    owner_epoch: int = 0
+    owners: OwnerRecord | None = None
 
 
 class TicketsRequest(msgspec.Struct, frozen=True, tag='tickets'):
--- a/packages/lycheedyke/src/lycheedyke/state/__init__.py
+++ b/packages/lycheedyke/src/lycheedyke/state/__init__.py
@@ -6,6 +6,8 @@
 from lycheedyke.state._configuration import Configuration
 from lycheedyke.state._counters import Counters
 from lycheedyke.state._ledger import KeyLedger, KeyRecord, KeyRefused
+from lycheedyke.state._outages import keep_in_use
+from lycheedyke.state._pace import Pace
 from lycheedyke.state._shares import hash_point, share_at
 
 __all__ = (
@@ -17,7 +19,9 @@
     'KeyLedger',
     'KeyRecord',
     'KeyRefused',
+    'Pace',
     'find_faults',
     'hash_point',
+    'keep_in_use',
     'share_at',
 )
--- a/packages/lycheedyke/src/lycheedyke/transport/_http.py
+++ b/packages/lycheedyke/src/lycheedyke/transport/_http.py
@@ -1,12 +1,15 @@
 """HTTP exchanges that say whether bytes may have been sent."""
 
 import asyncio
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
+from contextvars import ContextVar
 from datetime import timedelta
 from types import TracebackType
 from typing import NamedTuple, Self
 
 import aiohttp
+from aiohttp.abc import AbstractStreamWriter
+from aiohttp.connector import Connection
 
 from lycheedyke.exceptions import (
     AnswerTooLarge,
@@ -21,6 +24,10 @@
 # Bounds the answer to one exchange.
 
 
+BeforeWrite = Callable[[], None]
+_gate: ContextVar['_WriteGate | None'] = ContextVar('gate', default=None)
+
+
 class HttpAnswer(NamedTuple):
     """A whole HTTP answer."""
 
@@ -79,11 +86,22 @@
         timeout: timedelta,
         headers: Mapping[str, str] | None = None,
         body: bytes | None = None,
+        before_write: BeforeWrite | None = None,
     ) -> HttpAnswer:
         """Sends one request and reads the whole answer.
 
         A connection whose exchange breaks is closed and never used again.
 
+        Args:
+            method: the HTTP method.
+            url: the whole URL.
+            timeout: the longest time for the exchange.
+            headers: the headers to send.
+            body: the body to send.
+            before_write: called on the connection, right before the request
+                is written, which is then written at most once; an error
+                that it raises goes to the caller, and nothing was sent.
+
         Raises:
             ConnectionNotMade: no byte was sent.
             ConnectionRefusedByHost: as above; no process listens there.
@@ -91,6 +109,8 @@
             ExchangeBroken: the connection broke after it was made.
             AnswerTooLarge: the answer exceeds the limit.
         """
+        gate = _WriteGate(before_write) if before_write else None
+        _gate.set(gate)
         try:
             return await asyncio.wait_for(
                 self._exchange(method, url, headers, body),
@@ -101,6 +121,8 @@
         except TimeoutError as error:
             raise ExchangeTimeout(f'{method} {url}: no answer') from error
         except (aiohttp.ClientError, OSError, ValueError) as error:
+            if gate is not None and gate.refusal is not None:
+                raise gate.refusal from error
             raise ExchangeBroken(f'{method} {url}: {error!r}') from error
 
     async def _exchange(
@@ -144,12 +166,68 @@
                 ),
                 timeout=aiohttp.ClientTimeout(total=None),
                 cookie_jar=aiohttp.DummyCookieJar(),
+                request_class=_GatedRequest,
                 auto_decompress=False,
                 skip_auto_headers=('User-Agent', 'Accept-Encoding'),
             )
         return self._session
 
 
+class _WriteGate:
+    """Lets one request be written once, if its check permits."""
+
+    def __init__(self, check: BeforeWrite) -> None:
+        self.refusal: Exception | None = None
+        self._check = check
+        self._is_passed = False
+
+    def open(self) -> None:
+        """Lets the request through for the first time only."""
+        if self._is_passed:
+            raise aiohttp.ClientError('the request was written before')
+        self.check()
+        self._is_passed = True
+
+    def check(self) -> None:
+        """Checks again, and keeps the refusal."""
+        try:
+            self._check()
+        except Exception as error:
+            self.refusal = error
+            raise
+
+
+class _GatedRequest(aiohttp.ClientRequest):
+    """A request that asks the gate of its task before it is written.
+
+    aiohttp sends some requests again on a new connection; a request with a
+    gate is never sent a second time.
+    """
+
+    async def send(self, conn: Connection) -> aiohttp.ClientResponse:
+        """Writes a request without a body, or starts the body's writer."""
+        gate = _gate.get()
+        if gate is not None:
+            gate.open()
+        return await super().send(conn)
+
+    async def write_bytes(
+        self,
+        writer: AbstractStreamWriter,
+        conn: Connection,
+        content_length: int | None = None,
+    ) -> None:
+        """Writes the headers, which waited for it, and the body."""
+        gate = _gate.get()
+        if gate is not None:
+            try:
+                gate.check()
+            except Exception:
+                conn.close()
+                return
+        await super().write_bytes(writer, conn, content_length)
+
+
 def _connection_error(
     url: str,
     error: aiohttp.ClientConnectorError,
