--- a/packages/lycheedyke/src/lycheedyke/coordination/_owner_store.py
+++ b/packages/lycheedyke/src/lycheedyke/coordination/_owner_store.py
@@ -82,11 +82,8 @@
         """Proves deaths, moves upstreams and writes, until cancelled."""
         while True:
             self._probe_silent()
-            zone = self.describe()
-            planner = Planner(self.rights, zone)
-            self._leave_to_deputies(planner, zone)
             try:
-                await self._improve(planner)
+                await self.improve()
             except WriteConflict:
                 self._counters.count('owners.conflict')
                 await self._back_off()
@@ -98,6 +95,20 @@
                 self._backoff = RETRY_LEAST
                 await self._clock.sleep(TICK)
 
+    async def improve(self) -> None:
+        """Leaves slots to better owners and writes what may be written.
+
+        Raises:
+            WriteConflict: another instance wrote first.
+            PlatformError: the platform did not answer.
+            DocumentMalformed: the record cannot be read.
+        """
+        zone = self.describe()
+        planner = Planner(self.rights, zone)
+        self._leave_to_deputies(planner, zone)
+        if planner.changes():
+            await self._write(planner)
+
     async def watch(self) -> None:
         """Reads the record whenever it changes, while chosen to watch."""
         revision = 0
@@ -128,9 +139,7 @@
             if entry.key == self._key:
                 self._adopt(decode_owners(entry.content))
 
-    async def _improve(self, planner: Planner) -> None:
-        if not planner.changes():
-            return
+    async def _write(self, planner: Planner) -> None:
         stored, revision = await self._read()
         changes = planner.changes()
         if not changes or stored.epoch != self.rights.record.epoch:
