--- a/tests/standins/upstream.py
+++ b/tests/standins/upstream.py
@@ -4,7 +4,7 @@
 upstream. GET /record gives its record; POST /fault sets faults:
 {"run_ms": int, "lose_answers": int, "refuse": int, "crash_on": str}.
 Every other path runs: a request takes `run_ms` and is answered with what
-was asked.
+was asked. It ends at its deadline, but not when its connection closes.
 """
 
 import asyncio
@@ -15,6 +15,8 @@
 
 from aiohttp import web
 
+from lycheedyke.protocol import REMAINING_HEADER
+
 DEFAULT_RUN_MS = 5
 
 
@@ -28,6 +30,7 @@
         self._in_flight = 0
         self._most_in_flight = 0
         self._finished = 0
+        self._most_connections = 0
         self._connections: set[Any] = set()
 
     def app(self) -> web.Application:
@@ -50,6 +53,7 @@
                 'most_in_flight': self._most_in_flight,
                 'finished': self._finished,
                 'connections': len(self._connections),
+                'most_connections': self._most_connections,
             },
         )
 
@@ -60,6 +64,11 @@
     async def _run(self, request: web.Request) -> web.Response:
         body = await request.text()
         self._connections.add(request.transport)
+        self._connections = {
+            one for one in self._connections if not one.is_closing()
+        }
+        open_now = len(self._connections)
+        self._most_connections = max(self._most_connections, open_now)
         if self._faults.get('refuse', 0) > 0:
             self._faults['refuse'] -= 1
             return web.Response(
@@ -73,12 +82,14 @@
         self._runs[name] += 1
         self._in_flight += 1
         self._most_in_flight = max(self._most_in_flight, self._in_flight)
+        run_ms = self._faults.get('run_ms', DEFAULT_RUN_MS)
+        remaining_ms = int(request.headers.get(REMAINING_HEADER, run_ms))
         try:
-            await asyncio.sleep(
-                self._faults.get('run_ms', DEFAULT_RUN_MS) / 1000,
-            )
+            await asyncio.sleep(min(run_ms, remaining_ms) / 1000)
         finally:
             self._in_flight -= 1
+        if remaining_ms < run_ms:
+            raise web.HTTPGatewayTimeout
         self._finished += 1
         if self._faults.get('lose_answers', 0) > 0:
             self._faults['lose_answers'] -= 1
