--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/lookups.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/lookups.py
@@ -4,7 +4,13 @@
 
 import msgspec
 
-from lycheedyke.coordination import Members, TicketLog, find_admitters, owner_of
+from lycheedyke.coordination import (
+    Admitting,
+    Members,
+    TicketLog,
+    find_admitters,
+    owner_of,
+)
 from lycheedyke.protocol import InstanceInfo
 
 MOST_ENTRIES = 3
@@ -61,12 +67,22 @@
         for name, upstream in configuration.serving(service).items():
             if configuration.region_of(upstream) != region:
                 continue
-            proposed = owner_of(name, self._members.in_zone(upstream.zone))
-            for owner in admitters.get(name, [proposed]):
-                if owner is not None:
-                    found[owner.name] = owner
+            for owner in self._owners_of(name, upstream.zone, admitters):
+                found[owner.name] = owner
         return list(found.values())[:MOST_ENTRIES]
 
+    def _owners_of(
+        self,
+        name: str,
+        zone: str,
+        admitters: dict[str, list[Admitting]],
+    ) -> list[InstanceInfo]:
+        found = [each.info for each in admitters.get(name, ())]
+        if found:
+            return found
+        proposed = owner_of(name, self._members.in_zone(zone))
+        return [proposed] if proposed else []
+
     def _describe(self, info: InstanceInfo) -> _Entry:
         age = self._members.age_of(info.incarnation)
         return _Entry(
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/routing.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/routing.py
@@ -3,7 +3,12 @@
 import random
 from typing import NamedTuple
 
-from lycheedyke.coordination import Members, TicketLog, find_admitters
+from lycheedyke.coordination import (
+    Admitting,
+    Members,
+    TicketLog,
+    find_admitters,
+)
 from lycheedyke.protocol import (
     Answered,
     InstanceInfo,
@@ -86,34 +91,25 @@
 
     def _candidates(self, work: Work, tried: set[str]) -> list[_Candidate]:
         configuration = self._log.configuration
-        loads = self._loads()
         admitters = find_admitters(self._members)
-        found = []
-        for name, upstream in configuration.serving(work.service).items():
-            if (
-                name in tried
-                or configuration.region_of(upstream) != self._members.own.region
-            ):
-                continue
-            for owner in admitters.get(name, ()):
-                hops = self._count_hops(owner)
-                cost = loads.get(name, 0) + hops * 0.1 + random.random() * 0.05
-                found.append(_Candidate(name, owner, cost))
-        return found
+        return [
+            _Candidate(name, each.info, self._cost(each))
+            for name, upstream in configuration.serving(work.service).items()
+            for each in admitters.get(name, ())
+            if name not in tried
+            and configuration.region_of(upstream) == self._members.own.region
+        ]
+
+    def _cost(self, admitting: Admitting) -> float:
+        load = admitting.load
+        hops = self._count_hops(admitting.info)
+        busy = (load.in_flight + load.waiting) / load.limit
+        return busy + hops * 0.1 + random.random() * 0.05
 
     def _count_hops(self, owner: InstanceInfo) -> int:
         own = self._members.own
         return (owner != own) + (owner.zone != own.zone)
 
-    def _loads(self) -> dict[str, float]:
-        loads = list(self._runner.loads())
-        for peer in self._members.live():
-            loads.extend(peer.loads)
-        return {
-            load.upstream: (load.in_flight + load.waiting) / max(1, load.limit)
-            for load in loads
-        }
-
     async def _attempt(self, candidate: _Candidate, work: Work) -> Outcome:
         if candidate.owner == self._members.own:
             return await self._runner.run(candidate.upstream, work)
--- a/packages/lycheedyke/src/lycheedyke/coordination/_owner_store.py
+++ b/packages/lycheedyke/src/lycheedyke/coordination/_owner_store.py
@@ -179,8 +179,9 @@
                 continue
             step = -(-size.slots // GRANT_STEPS)
             free = size.slots - zone.in_flight(name)
-            granted = self.rights.granted(name) + step
-            self.rights.grant(name, min(free, granted))
+            wanted = min(size.slots, self.rights.granted(name) + step)
+            reserved = self.rights.reserve(name, wanted)
+            self.rights.grant(name, min(free, reserved))
 
     def _probe_silent(self) -> None:
         for incarnation, address in self.rights.record.addresses.items():
--- a/packages/lycheedyke/src/lycheedyke/coordination/_ownership.py
+++ b/packages/lycheedyke/src/lycheedyke/coordination/_ownership.py
@@ -1,11 +1,19 @@
 """Which entry instance should own an upstream."""
 
 from collections.abc import Iterable
+from typing import NamedTuple
 
 import xxhash
 
 from lycheedyke.coordination._membership import Members
-from lycheedyke.protocol import InstanceInfo
+from lycheedyke.protocol import InstanceInfo, UpstreamLoad
+
+
+class Admitting(NamedTuple):
+    """An instance that admits work to an upstream, and its counts there."""
+
+    info: InstanceInfo
+    load: UpstreamLoad
 
 
 def owner_of(
@@ -33,18 +41,19 @@
     )
 
 
-def find_admitters(members: Members) -> dict[str, list[InstanceInfo]]:
+def find_admitters(members: Members) -> dict[str, list[Admitting]]:
     """Returns, by upstream, the live instances that admit work to it now.
 
     These are the owner and, while it takes over, the deputy, as they say.
     """
-    found: dict[str, list[InstanceInfo]] = {}
+    found: dict[str, list[Admitting]] = {}
     said = [(peer.info, peer.loads) for peer in members.live()]
     said.append((members.own, members.loads()))
     for info, loads in said:
         for load in loads:
             if load.limit:
-                found.setdefault(load.upstream, []).append(info)
+                admitting = Admitting(info, load)
+                found.setdefault(load.upstream, []).append(admitting)
     return found
 
 
--- a/packages/lycheedyke/src/lycheedyke/coordination/_rights.py
+++ b/packages/lycheedyke/src/lycheedyke/coordination/_rights.py
@@ -74,6 +74,7 @@
         self._first_known: dict[str, timedelta] = {}
         self._deaths: dict[str, timedelta] = {}
         self._proposed: set[str] = set()
+        self._reserved: dict[str, int] = {}
         self._granted: dict[str, int] = {}
         self._received: dict[str, int] = {}
 
@@ -90,6 +91,7 @@
             part = self._parts.get(name)
             if part is None or part.pair != pair or name in self._proposed:
                 self._parts[name] = _Part(pair, now, record.epoch)
+                self._reserved.pop(name, None)
                 self._granted.pop(name, None)
                 self._received.pop(name, None)
         for name in self._parts.keys() - record.pairs.keys():
@@ -156,9 +158,15 @@
         """
         self._proposed.add(name)
 
+    def reserve(self, name: str, slots: int) -> int:
+        """Stops using slots until the record changes; returns how many."""
+        self._reserved[name] = max(slots, self._reserved.get(name, 0))
+        return self._reserved[name]
+
     def grant(self, name: str, slots: int) -> None:
-        """Leaves slots to the deputy until the record changes."""
+        """Leaves free slots to the deputy until the record changes."""
         self._granted[name] = max(slots, self.granted(name))
+        self.reserve(name, slots)
 
     def granted(self, name: str) -> int:
         """Returns the slots left to the deputy."""
@@ -178,7 +186,8 @@
             return 0
         if part.pair.owner == self._own:
             own = self._count_as_owner(name, part.pair.deputy, size)
-            return max(0, min(own, size.slots - self.granted(name)))
+            reserved = self._reserved.get(name, 0)
+            return max(0, min(own, size.slots - reserved))
         if part.pair.deputy == self._own and name not in self._proposed:
             received = min(size.slots, self._received.get(name, 0))
             return max(received, self._count_as_deputy(part, size))
--- a/tests/processes/test_takeover.py
+++ b/tests/processes/test_takeover.py
@@ -109,7 +109,18 @@
             if accept(limits):
                 return
             await asyncio.sleep(0.05)
-        raise AssertionError(limits)
+        raise AssertionError(limits, await self.counters())
+
+    async def counters(self) -> list[Any]:
+        """Returns the counters of all entries that answer."""
+        return [
+            await call(
+                'GET',
+                f'http://{self.running.seats[name].admin}/v1/counters',
+                headers=admin_headers(),
+            )
+            for name in await self.limits()
+        ]
 
     async def check_slots(self) -> None:
         """Checks what the upstreams have counted."""
--- a/tests/unit/test_owners.py
+++ b/tests/unit/test_owners.py
@@ -430,6 +430,20 @@
         world.slots_are_kept()
 
 
+def test_owner_that_never_idles_leaves_to_its_deputy() -> None:
+    """Slots are kept free for the deputy as they become free."""
+    world, owner, deputy = _settled()
+    owner.view = owner.view - {world.seat(owner)}
+    for _ in range(2 * SLOTS):
+        owner.works[NAME] = owner.works[NAME][1:]
+        world.check()
+        owner.improve()
+        world.exchange(owner, deputy)
+        world.exchange(deputy, owner)
+        world.clock.advance(MS)
+    assert (owner.in_flight(NAME), deputy.in_flight(NAME)) == (0, SLOTS)
+
+
 def test_dead_owner_is_replaced_and_slots_come_back() -> None:
     """After proof of death the deputy owns all slots, with the record."""
     world = World()
