--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/instance.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/instance.py
@@ -11,7 +11,6 @@
 from lycheedyke.coordination import (
     Members,
     Owners,
-    TicketFollower,
     TicketLog,
     Zone,
 )
@@ -20,8 +19,8 @@
     Heartbeat,
     InstanceInfo,
     MessageCodec,
-    PlatformClient,
-    TicketsReply,
+    SnapshotRequest,
+    SummariesRequest,
     TicketsRequest,
 )
 from lycheedyke.state import Configuration, Counters, KeyLedger
@@ -31,14 +30,21 @@
 from lycheedyke_daemon.dispatch import Dispatcher
 from lycheedyke_daemon.forward import PeerApi, PeerClient
 from lycheedyke_daemon.lookups import Lookups
+from lycheedyke_daemon.metrics import (
+    METRICS_PATH,
+    InstanceCollector,
+    MetricsApi,
+)
 from lycheedyke_daemon.routing import Router
 from lycheedyke_daemon.runner import Runner
 from lycheedyke_daemon.settings import Secrets, Settings
+from lycheedyke_daemon.tickets import TicketParts, connect_platform
 
 INCARNATION_BYTES = 8
 OWNERSHIP_INTERVAL_SECONDS = 0.05
 SEEDING_INTERVAL_SECONDS = 5
 MESSAGE_MARGIN_BYTES = 65_536
+MAX_ADMIN_BYTES = 2_097_152
 
 _logger = logging.getLogger(__name__)
 
@@ -73,10 +79,8 @@
             self._counters,
             routes=settings.routes,
         )
-        self._platform = PlatformClient(
-            settings.platform_address,
-            timeout=settings.platform_timeout,
-        )
+        self._log = TicketLog(self._take_over, self._counters.count)
+        self._platform = connect_platform(settings, clock, self._counters)
         self._owners = Owners(
             self._members,
             self._platform,
@@ -90,10 +94,18 @@
             clock,
             self._counters,
         )
-        self._members.loads = self._runner.loads
         self._owners.describe = self._describe_zone
-        self._log = TicketLog(self._take_over)
-        self._follower = TicketFollower(self._log, self._platform, clock)
+        self._members.loads = self._runner.loads
+        self._members.service_of = self._service_of
+        self._tickets = TicketParts(
+            settings,
+            self._log,
+            self._platform,
+            self._members,
+            self._codec,
+            clock,
+            self._counters,
+        )
         self._peers = PeerClient(
             self._codec,
             clock,
@@ -121,8 +133,7 @@
         self._listener = PeerListener(settings.control_address, self._answer)
         self._admin = AdminApi(
             secrets.admin,
-            self._log,
-            self._follower,
+            self._tickets,
             self._members,
             self._runner,
             self._counters,
@@ -137,7 +148,8 @@
         self._listener.open()
         self._members.follow(self._settings.seeds)
         self._tasks = [
-            asyncio.create_task(self._follower.follow()),
+            asyncio.create_task(self._tickets.follower.follow()),
+            asyncio.create_task(self._tickets.spread.run()),
             asyncio.create_task(self._watch_members()),
             asyncio.create_task(self._seed()),
             asyncio.create_task(self._owners.follow()),
@@ -151,7 +163,7 @@
     async def stop(self) -> None:
         """Leaves the look-ups, finishes what is in flight, then closes."""
         _logger.info('stopping')
-        self._members.stopping = True
+        await self._members.leave()
         await self._clock.sleep(self._settings.stop_linger)
         await self._dispatcher.close()
         for site in reversed(self._sites):
@@ -199,8 +211,14 @@
         return app
 
     def _admin_app(self) -> web.Application:
-        app = web.Application(client_max_size=self._settings.max_body_bytes)
+        app = web.Application(client_max_size=MAX_ADMIN_BYTES)
         app.add_routes(self._admin.routes())
+        metrics = MetricsApi(
+            InstanceCollector(self._counters, self._members, self._runner),
+        )
+        app.add_routes(
+            [web.get(METRICS_PATH, self._admin.guard(metrics.scrape))],
+        )
         return app
 
     async def _serve(self, app: web.Application, address: str) -> None:
@@ -219,17 +237,25 @@
         try:
             asked = self._codec.decode_exchange(message)
         except MessageRejected as error:
-            self._counters.count('message.rejected')
-            _logger.warning('message dropped: %s', error)
+            self._counters.count(f'message.{error.reason}')
             return None
         match asked:
             case Heartbeat():
+                reply = self._members.answer(asked)
+                if reply is None:
+                    return None
+                return self._codec.encode_exchange(reply)
+            case SummariesRequest():
+                return self._codec.encode_exchange(
+                    self._members.exchange(asked),
+                )
+            case TicketsRequest():
                 return self._codec.encode_exchange(
-                    self._members.answer(asked),
+                    self._tickets.spread.answer_tickets(asked),
                 )
-            case TicketsRequest(after):
+            case SnapshotRequest():
                 return self._codec.encode_exchange(
-                    TicketsReply(after + 1, self._log.after(after)),
+                    self._tickets.spread.answer_snapshot(asked),
                 )
         self._counters.count('message.unexpected')
         return None
@@ -244,6 +270,10 @@
                 self._members.follow(listed.values())
             await asyncio.sleep(SEEDING_INTERVAL_SECONDS)
 
+    def _service_of(self, name: str) -> str:
+        upstream = self._log.configuration.upstreams.get(name)
+        return upstream.service if upstream else ''
+
     async def _watch_members(self) -> None:
         while True:
             self._take_over(self._log.configuration)
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/routing.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/routing.py
@@ -1,5 +1,6 @@
 """Picks the upstream that runs a request, and retries where safe."""
 
+import asyncio
 import random
 from typing import NamedTuple
 
@@ -23,6 +24,8 @@
 from lycheedyke_daemon.work import Work
 
 MAX_ATTEMPTS = 3
+MOST_OWNER_PAUSES = 20
+OWNER_PAUSE_SECONDS = 0.05
 
 
 class _Candidate(NamedTuple):
@@ -68,7 +71,7 @@
         outcome: Outcome = NotRun(Reason.no_upstream)
         tried: set[str] = set()
         for _ in range(MAX_ATTEMPTS):
-            candidate = self._pick(work, tried)
+            candidate = await self._pick_owned(work, tried)
             if candidate is None:
                 break
             tried.add(candidate.upstream)
@@ -82,6 +85,25 @@
                     self._counters.count(f'retry.{reason.value}')
         return outcome
 
+    async def _pick_owned(
+        self,
+        work: Work,
+        tried: set[str],
+    ) -> _Candidate | None:
+        for _ in range(MOST_OWNER_PAUSES):
+            candidate = self._pick(work, tried)
+            if candidate is not None or tried or not self._may_get_owner(work):
+                return candidate
+            await asyncio.sleep(OWNER_PAUSE_SECONDS)
+        return None
+
+    def _may_get_owner(self, work: Work) -> bool:
+        configuration = self._log.configuration
+        return any(
+            configuration.region_of(upstream) == self._members.own.region
+            for upstream in configuration.serving(work.service).values()
+        )
+
     def _pick(self, work: Work, tried: set[str]) -> _Candidate | None:
         return min(
             self._candidates(work, tried),
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/runner.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/runner.py
@@ -191,7 +191,7 @@
 
 def _to_answer(name: str, answer: HttpAnswer) -> Answered:
     headers = tuple(
-        (key, text)
+        (str(key), text)
         for key, text in answer.headers.items()
         if key.lower() not in HOP_HEADERS
     )
--- a/packages/lycheedyke/src/lycheedyke/coordination/_owner_store.py
+++ b/packages/lycheedyke/src/lycheedyke/coordination/_owner_store.py
@@ -8,7 +8,8 @@
 
 from lycheedyke.clock import Clock
 from lycheedyke.coordination._assignments import Planner, Zone
-from lycheedyke.coordination._membership import Heard, Members
+from lycheedyke.coordination._links import Heard
+from lycheedyke.coordination._membership import Members
 from lycheedyke.coordination._ownership import rank
 from lycheedyke.coordination._rights import Rights
 from lycheedyke.exceptions import (
@@ -17,10 +18,11 @@
     WriteConflict,
 )
 from lycheedyke.protocol import (
-    HeartbeatReply,
+    Grant,
     OwnerRecord,
     PlatformClient,
     PlatformEntry,
+    Used,
     decode_owners,
     encode_owners,
     owners_key,
@@ -71,13 +73,41 @@
         self._key = owners_key(members.own.zone)
         self._backoff = RETRY_LEAST
         self._probes: dict[str, asyncio.Task[None]] = {}
-        members.on_heard = self._hear
-        members.grants = self.rights.grants
+        members.ownership = self
 
     def __repr__(self) -> str:
         """Returns the rights."""
         return f'<Owners: {self.rights!r}>'
 
+    @property
+    def record(self) -> OwnerRecord:
+        """The record known here."""
+        return self.rights.record
+
+    def news_for(self, incarnation: str) -> OwnerRecord | None:
+        """Returns the record if a peer's is known to be older."""
+        return self.rights.news_for(incarnation)
+
+    def grants(self) -> tuple[Grant, ...]:
+        """Returns the grants to deputies."""
+        return self.rights.grants()
+
+    def used(self) -> tuple[Used, ...]:
+        """Returns the slots used as a deputy."""
+        in_flight = self.describe().in_flight
+        used = ((name, in_flight(name)) for name in self.rights.deputized())
+        return tuple(Used(name, slots) for name, slots in used if slots)
+
+    def partners(self) -> set[str]:
+        """Returns the control addresses of the own deputies."""
+        return self.rights.partners()
+
+    def hear(self, heard: Heard) -> None:
+        """Takes in a message, before it is answered."""
+        if heard.message.owners is not None:
+            self._adopt(heard.message.owners)
+        self.rights.hear(heard)
+
     async def follow(self) -> None:
         """Proves deaths, moves upstreams and writes, until cancelled."""
         while True:
@@ -164,15 +194,8 @@
 
     def _adopt(self, record: OwnerRecord) -> None:
         if self.rights.adopt(record):
-            self._members.owners = record
             _logger.info('owner record', extra={'epoch': record.epoch})
 
-    def _hear(self, heard: Heard) -> None:
-        message = heard.message
-        if isinstance(message, HeartbeatReply) and message.owners:
-            self._adopt(message.owners)
-        self.rights.hear(heard)
-
     def _leave_to_deputies(self, planner: Planner, zone: Zone) -> None:
         for name, size in zone.sizes.items():
             if not planner.moves(name):
--- a/packages/lycheedyke/src/lycheedyke/coordination/_rights.py
+++ b/packages/lycheedyke/src/lycheedyke/coordination/_rights.py
@@ -9,14 +9,8 @@
 from typing import NamedTuple
 
 from lycheedyke.clock import Clock
-from lycheedyke.coordination._membership import Heard
-from lycheedyke.protocol import (
-    Grant,
-    Heartbeat,
-    HeartbeatReply,
-    OwnerRecord,
-    Pair,
-)
+from lycheedyke.coordination._links import Heard
+from lycheedyke.protocol import Grant, OwnerRecord, Pair
 
 LOWER_AFTER = timedelta(seconds=1)
 RUN_MARGIN = timedelta(milliseconds=250)
@@ -30,6 +24,7 @@
         self.heard: timedelta | None = None
         self.acknowledged: timedelta | None = None
         self.used: dict[str, int] = {}
+        self.epoch = 0
 
     def __repr__(self) -> str:
         """Returns the times."""
@@ -105,21 +100,17 @@
     def hear(self, heard: Heard) -> None:
         """Takes in a message of a peer."""
         message = heard.message
-        now = self._clock.elapsed()
-        sender = message.sender
-        contact = self._contacts.setdefault(sender.incarnation, Contact())
-        contact.heard = now
-        match message:
-            case Heartbeat(owner_epoch=epoch, grants=grants):
-                self._receive(sender.incarnation, epoch, grants)
-            case HeartbeatReply(loads=loads) if heard.sent is not None:
-                contact.acknowledged = heard.sent
-                contact.used = {load.upstream: load.in_flight for load in loads}
-                self._bury(
-                    sender.control_address,
-                    sender.incarnation,
-                    heard.sent,
-                )
+        sender = message.incarnation
+        contact = self._contacts.setdefault(sender, Contact())
+        contact.heard = self._clock.elapsed()
+        contact.epoch = message.owner_epoch
+        self._receive(sender, message.owner_epoch, message.grants)
+        if heard.sent is None:
+            return
+        contact.acknowledged = heard.sent
+        contact.used = {used.upstream: used.slots for used in message.used}
+        if heard.address:
+            self._bury(heard.address, sender, heard.sent)
 
     def prove_dead(self, incarnation: str) -> None:
         """Takes in the proof that an incarnation has ended."""
@@ -172,6 +163,30 @@
         """Returns the slots left to the deputy."""
         return self._granted.get(name, 0)
 
+    def news_for(self, incarnation: str) -> OwnerRecord | None:
+        """Returns the record if a peer's is known to be older."""
+        contact = self._contacts.get(incarnation)
+        if contact is None or contact.epoch >= self.record.epoch:
+            return None
+        return self.record
+
+    def partners(self) -> set[str]:
+        """Returns the control addresses of the own deputies."""
+        addresses = self.record.addresses
+        return {
+            addresses[part.pair.deputy]
+            for part in self._parts.values()
+            if part.pair.owner == self._own and part.pair.deputy
+        }
+
+    def deputized(self) -> list[str]:
+        """Returns the upstreams whose deputy this incarnation is."""
+        return [
+            name
+            for name, part in self._parts.items()
+            if part.pair.deputy == self._own
+        ]
+
     def grants(self) -> tuple[Grant, ...]:
         """Returns all grants to deputies."""
         return tuple(
--- a/packages/lycheedyke/src/lycheedyke/protocol/_owners.py
+++ b/packages/lycheedyke/src/lycheedyke/protocol/_owners.py
@@ -41,6 +41,13 @@
     slots: int
 
 
+class Used(msgspec.Struct, frozen=True, array_like=True):
+    """Requests of a deputy that an upstream may be running."""
+
+    upstream: str
+    slots: int
+
+
 _encoder = msgspec.json.Encoder(order='deterministic')
 _decoder = msgspec.json.Decoder(OwnerRecord)
 
--- a/tests/processes/test_takeover.py
+++ b/tests/processes/test_takeover.py
@@ -39,7 +39,6 @@
         """Hands the ticket in and waits until all entries are ready."""
         ticket = {
             'author': 'test', 'based_on': 0,
-            'created': '2026-03-02T00:00:00Z',
             'zones': {ZONE: {'region': 'norr'}},
             'services': {
                 'kassa': {
@@ -88,7 +87,9 @@
             except (OSError, TimeoutError, aiohttp.ClientError):
                 continue
             found[seat.name] = {
-                load[0]: load[3] for load in status['upstreams'] if load[3]
+                load['upstream']: load['limit']
+                for load in status['upstreams']
+                if load['limit']
             }
         return found
 
--- a/tests/standins/upstream.py
+++ b/tests/standins/upstream.py
@@ -2,7 +2,8 @@
 
 Run as `python -m standins.upstream PORT [PORT ...]`; each port is one
 upstream. GET /record gives its record; POST /fault sets faults:
-{"run_ms": int, "lose_answers": int, "refuse": int, "crash_on": str}.
+{"run_ms": int, "slots": int, "lose_answers": int, "refuse": int, "crash_on": str}.
+With `slots` set, more requests in flight than slots slow each other down.
 Every other path runs: a request takes `run_ms` and is answered with what
 was asked. It ends at its deadline, but not when its connection closes.
 """
@@ -10,9 +11,11 @@
 import asyncio
 import os
 import sys
+import time
 from collections import Counter
 from typing import Any
 
+import uvloop
 from aiohttp import web
 
 from lycheedyke.protocol import REMAINING_HEADER
@@ -31,6 +34,7 @@
         self._most_in_flight = 0
         self._finished = 0
         self._most_connections = 0
+        self._last_start = 0.0
         self._connections: set[Any] = set()
 
     def app(self) -> web.Application:
@@ -52,15 +56,21 @@
                 'in_flight': self._in_flight,
                 'most_in_flight': self._most_in_flight,
                 'finished': self._finished,
+                'last_start': self._last_start,
                 'connections': len(self._connections),
                 'most_connections': self._most_connections,
             },
         )
 
     async def _fault(self, request: web.Request) -> web.Response:
-        self._faults = await request.json()
+        self._faults.update(await request.json())
         return web.json_response(self._faults)
 
+    def _run_seconds(self) -> float:
+        run_ms = self._faults.get('run_ms', DEFAULT_RUN_MS)
+        slots = self._faults.get('slots', self._in_flight)
+        return float(run_ms / 1000 * max(1, self._in_flight / slots))
+
     async def _run(self, request: web.Request) -> web.Response:
         body = await request.text()
         self._connections.add(request.transport)
@@ -81,14 +91,16 @@
         name = f'{request.method} {request.path_qs} {body}'
         self._runs[name] += 1
         self._in_flight += 1
+        self._last_start = time.time()
         self._most_in_flight = max(self._most_in_flight, self._in_flight)
-        run_ms = self._faults.get('run_ms', DEFAULT_RUN_MS)
-        remaining_ms = int(request.headers.get(REMAINING_HEADER, run_ms))
+        run_s = self._run_seconds()
+        remaining_ms = request.headers.get(REMAINING_HEADER, run_s * 1000)
+        remaining_s = float(remaining_ms) / 1000
         try:
-            await asyncio.sleep(min(run_ms, remaining_ms) / 1000)
+            await asyncio.sleep(min(run_s, remaining_s))
         finally:
             self._in_flight -= 1
-        if remaining_ms < run_ms:
+        if remaining_s < run_s:
             raise web.HTTPGatewayTimeout
         self._finished += 1
         if self._faults.get('lose_answers', 0) > 0:
@@ -108,7 +120,7 @@
 
 def main() -> None:
     """Serves until the process is ended."""
-    asyncio.run(_serve([int(port) for port in sys.argv[1:]]))
+    uvloop.run(_serve([int(port) for port in sys.argv[1:]]))
 
 
 if __name__ == '__main__':
--- a/tests/unit/test_owners.py
+++ b/tests/unit/test_owners.py
@@ -26,10 +26,8 @@
     Heartbeat,
     HeartbeatReply,
     InstanceInfo,
-    OwnerRecord,
     PlatformClient,
     PlatformEntry,
-    UpstreamLoad,
     decode_owners,
 )
 from lycheedyke.state import Counters
@@ -80,9 +78,7 @@
 
     def __init__(self, own: InstanceInfo) -> None:
         self.own = own
-        self.owners = OwnerRecord()
-        self.on_heard: Any = None
-        self.grants: Any = None
+        self.ownership: Any = None
 
 
 class Entry:
@@ -126,21 +122,34 @@
             self.works[name].append(end)
 
     def beat(self) -> Heartbeat:
-        epoch = self.members.owners.epoch
+        owners = self.owners
         return Heartbeat(
-            self.info, 0, 1, owner_epoch=epoch, grants=self.members.grants()
+            self.info.incarnation,
+            1,
+            owner_epoch=owners.record.epoch,
+            grants=owners.grants(),
+            used=owners.used(),
         )
 
     def answer(self, beat: Heartbeat) -> HeartbeatReply:
-        self.members.on_heard(Heard(beat, None))
-        record = self.members.owners
-        loads = (
-            UpstreamLoad(name, self.in_flight(name), 0, 0) for name in SIZES
-        )
+        owners = self.owners
+        owners.hear(Heard(beat))
         return HeartbeatReply(
-            self.info, 0, 1, tuple(loads), owner_epoch=record.epoch,
-            owners=record if record.epoch > beat.owner_epoch else None,
-        )  # fmt: skip
+            self.info.incarnation,
+            1,
+            owner_epoch=owners.record.epoch,
+            owners=owners.news_for(beat.incarnation),
+            grants=owners.grants(),
+            used=owners.used(),
+        )
+
+    def take(
+        self,
+        reply: HeartbeatReply,
+        sent: timedelta,
+        answerer: InstanceInfo,
+    ) -> None:
+        self.owners.hear(Heard(reply, sent, answerer.control_address))
 
     def improve(self) -> None:
         try:
@@ -167,7 +176,7 @@
         self.entries = [Entry(seat, 0, self) for seat in range(SEATS)]
         self.ended: list[Entry] = []
         self.beats: list[tuple[Heartbeat, int, int, timedelta]] = []
-        self.replies: list[tuple[HeartbeatReply, Entry, timedelta]] = []
+        self.replies: list[tuple[HeartbeatReply, Entry, Entry, timedelta]] = []
 
     def running(self) -> list[Entry]:
         return [one for one in self.entries if one.is_alive and one.is_awake]
@@ -219,16 +228,16 @@
             one, other = self.entries[asker], self.entries[answerer]
             if other in self.running():
                 reply = other.answer(beat)
-                if one.info == beat.sender:
-                    self.replies.append((reply, one, sent))
+                if one.info.incarnation == beat.incarnation:
+                    self.replies.append((reply, one, other, sent))
 
     @rule(choice=st.integers(0, 9))
     def deliver_reply(self, choice: int) -> None:
         if choice < len(self.replies):
-            reply, one, sent = self.replies[choice]
+            reply, one, other, sent = self.replies[choice]
             if one in self.running():
                 self.replies.pop(choice)
-                one.members.on_heard(Heard(reply, sent))
+                one.take(reply, sent, other.info)
 
     @rule(seat=seats)
     def improve(self, seat: int) -> None:
@@ -304,7 +313,7 @@
     def exchange(self, asker: Entry, answerer: Entry) -> None:
         sent = self.clock.elapsed()
         reply = answerer.answer(asker.beat())
-        asker.members.on_heard(Heard(reply, sent))
+        asker.take(reply, sent, answerer.info)
 
 
 TestOwners = World.TestCase
@@ -332,7 +341,7 @@
     sent = world.clock.elapsed()
     reply = deputy.answer(owner.beat())
     world.check([900])
-    owner.members.on_heard(Heard(reply, sent))
+    owner.take(reply, sent, deputy.info)
     world.wait(900)
     owner.works[NAME].clear()
     world.check([0, 460])
@@ -407,7 +416,7 @@
     deputy.view = view
     assert world.pair() == (owner, deputy)
     world.exchange(deputy, owner)
-    deputy.members.on_heard(Heard(late, None))
+    deputy.owners.hear(Heard(late))
     world.check([1100, 10])
 
 
@@ -423,7 +432,7 @@
         world.round()
     owner, deputy = world.pair()
     assert owner is world.entries[seat]
-    deputy.members.on_heard(Heard(reply, sent))
+    deputy.take(reply, sent, owner.info)
     for _ in range(8):
         world.wait(240)
         world.round()
