--- a/bench/takeover.py
+++ b/bench/takeover.py
@@ -35,7 +35,9 @@
     return found
 
 
-async def _until_answered(running: Deployment, dead: str, since: float) -> float:
+async def _until_answered(
+    running: Deployment, dead: str, since: float
+) -> float:
     entry = next(seat for name, seat in running.seats.items() if name != dead)
     url = f'http://{entry.caller}/v1/services/kassa/cups/7'
     async with aiohttp.ClientSession() as session:
@@ -86,6 +88,10 @@
     return answered, await _until_full(running, owner, since)
 
 
+def _print(label: str, answered: float, full: float) -> None:
+    print(f'{label}: answered again {answered:.2f} s, all slots {full:.2f} s')
+
+
 def main() -> None:
     """Prints the times of each round and their medians."""
     rounds = int(sys.argv[1]) if len(sys.argv) > 1 else 3
@@ -100,9 +106,9 @@
         ):
             running.start_upstreams('upstream', [port])
             times.append(asyncio.run(_round(running, port)))
-        print('answered again %.2f s, all slots %.2f s' % times[-1])
-    medians = tuple(statistics.median(each) for each in zip(*times, strict=True))
-    print('median: answered again %.2f s, all slots %.2f s' % medians)
+        _print('round', *times[-1])
+    answered, full = zip(*times, strict=True)
+    _print('median', statistics.median(answered), statistics.median(full))
 
 
 if __name__ == '__main__':
