--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/instance.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/instance.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 import secrets as random_secrets
+from datetime import timedelta
 
 import aiomisc
 from aiohttp import web
@@ -23,7 +24,12 @@
     SummariesRequest,
     TicketsRequest,
 )
-from lycheedyke.state import Configuration, Counters, KeyLedger
+from lycheedyke.state import (
+    Configuration,
+    Counters,
+    KeyLedger,
+    RegionBudgets,
+)
 from lycheedyke.transport import PeerListener
 from lycheedyke_daemon.admin import AdminApi
 from lycheedyke_daemon.callers import CallerApi
@@ -35,15 +41,19 @@
     InstanceCollector,
     MetricsApi,
 )
+from lycheedyke_daemon.placement import PlacedRunner, Placement
 from lycheedyke_daemon.routing import Router
 from lycheedyke_daemon.runner import Runner
 from lycheedyke_daemon.settings import Secrets, Settings
+from lycheedyke_daemon.stopping import CallerGate, finish_callers
+from lycheedyke_daemon.table import RoutingTable
 from lycheedyke_daemon.tickets import TicketParts, connect_platform
 
 INCARNATION_BYTES = 8
 OWNERSHIP_INTERVAL_SECONDS = 0.05
 SEEDING_INTERVAL_SECONDS = 5
 MESSAGE_MARGIN_BYTES = 65_536
+MILLISECOND = timedelta(milliseconds=1)
 MAX_ADMIN_BYTES = 2_097_152
 
 _logger = logging.getLogger(__name__)
@@ -67,6 +77,7 @@
         """Makes all parts; nothing listens yet."""
         self._settings = settings
         self._clock = clock
+        self._placed_ticket = 0
         self._tasks: list[asyncio.Task[None]] = []
         self._sites: list[web.AppRunner] = []
         self._counters = Counters()
@@ -106,10 +117,27 @@
             clock,
             self._counters,
         )
+        self._table = RoutingTable(
+            self._log,
+            self._members,
+            self._runner,
+            clock,
+        )
+        self._placement = Placement(
+            self._log,
+            self._table,
+            own.region,
+            clock,
+        )
+        self._placed = PlacedRunner(self._placement, self._runner)
+        self._gate = CallerGate()
+        self._budgets = RegionBudgets(settings.region_megabits_per_s, clock)
         self._peers = PeerClient(
             self._codec,
             clock,
             self._counters,
+            budgets=self._budgets,
+            region=own.region,
             routes=settings.routes,
         )
         self._ledger = KeyLedger(
@@ -120,10 +148,12 @@
         )
         self._dispatcher = Dispatcher(
             Router(
-                self._log,
-                self._members,
-                self._runner,
+                own,
+                self._placement,
+                self._table,
+                self._placed,
                 self._peers,
+                clock,
                 self._counters,
             ),
             self._ledger,
@@ -137,6 +167,7 @@
             self._members,
             self._runner,
             self._counters,
+            table=self._table,
         )
 
     def __repr__(self) -> str:
@@ -164,7 +195,12 @@
         """Leaves the look-ups, finishes what is in flight, then closes."""
         _logger.info('stopping')
         await self._members.leave()
-        await self._clock.sleep(self._settings.stop_linger)
+        services = self._log.configuration.services.values()
+        answer_ttl = max((each.answer_ttl_ms for each in services), default=0)
+        await finish_callers(
+            self._gate,
+            answer_ttl * MILLISECOND + self._settings.stop_linger,
+        )
         await self._dispatcher.close()
         for site in reversed(self._sites):
             await site.cleanup()
@@ -184,8 +220,16 @@
             await client.close()
 
     def _caller_app(self) -> web.Application:
-        app = web.Application(client_max_size=self._settings.max_body_bytes)
-        lookups = Lookups(self._log, self._members)
+        app = web.Application(
+            client_max_size=self._settings.max_body_bytes,
+        )
+        lookups = Lookups(
+            self._log,
+            self._members,
+            self._table,
+            self._placement,
+            self._clock,
+        )
         api = CallerApi(
             self._dispatcher,
             lookups.find,
@@ -194,18 +238,20 @@
             self._clock,
             self._counters,
         )
-        app.add_routes(api.routes())
+        app.add_routes(api.routes(self._gate.watch))
         return app
 
     def _peer_app(self) -> web.Application:
         limit = self._settings.max_body_bytes + MESSAGE_MARGIN_BYTES
         app = web.Application(client_max_size=limit)
         api = PeerApi(
-            self._runner.run,
+            self._placed.run,
             self._dispatcher.run,
             self._codec,
             self._clock,
             self._counters,
+            budgets=self._budgets,
+            region=self._settings.region,
         )
         app.add_routes(api.routes())
         return app
@@ -277,10 +323,22 @@
     async def _watch_members(self) -> None:
         while True:
             self._take_over(self._log.configuration)
+            self._placement.shares.refresh()
+            self._budgets.share_among(self._senders())
             await asyncio.sleep(OWNERSHIP_INTERVAL_SECONDS)
 
+    def _senders(self) -> list[str]:
+        own = self._members.own
+        peers = [peer.info for peer in self._members.live()]
+        return [
+            info.name for info in (own, *peers) if info.region == own.region
+        ]
+
     def _take_over(self, configuration: Configuration) -> None:
         self._members.ticket = configuration.number
+        if self._placed_ticket != configuration.number:
+            self._placed_ticket = configuration.number
+            self._placement.shares.follow(configuration)
         self._runner.refresh(configuration)
 
     def _describe_zone(self) -> Zone:
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/runner.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/runner.py
@@ -10,6 +10,7 @@
     ExchangeTimeout,
 )
 from lycheedyke.protocol import (
+    LEAVING_HEADER,
     OUTCOME_HEADER,
     REMAINING_HEADER,
     Answered,
@@ -21,7 +22,13 @@
     Upstream,
     UpstreamLoad,
 )
-from lycheedyke.state import AdmissionRefused, Configuration, Counters
+from lycheedyke.state import (
+    AdmissionRefused,
+    Configuration,
+    Counters,
+    DrainLog,
+    LeavingCause,
+)
 from lycheedyke.transport import HttpAnswer, HttpClient
 from lycheedyke_daemon.attempts import Attempt, OwnedUpstream
 from lycheedyke_daemon.work import HOP_HEADERS, Work
@@ -55,6 +62,8 @@
         self._configuration = Configuration()
         self._owned: dict[str, OwnedUpstream] = {}
         self._is_ready = False
+        self._left: dict[str, Upstream] = {}
+        self.drains = DrainLog(clock)
 
     def __repr__(self) -> str:
         """Returns the upstreams that may be used."""
@@ -94,10 +103,16 @@
         if configuration.number:
             known = self._rights.record.pairs.keys()
             self._is_ready = self._is_ready or sizes.keys() <= known
+        self._follow_drains()
 
     def loads(self) -> tuple[UpstreamLoad, ...]:
         """Returns the counts of all upstreams in use here."""
-        loads = (owned.load for owned in self._owned.values())
+        loads = [
+            UpstreamLoad(name, load.in_flight, load.waiting, 0, load.usable)
+            if self.drains.find(name)
+            else load
+            for name, load in self._all_loads()
+        ]
         return tuple(load for load in loads if load.limit or load.in_flight)
 
     async def run(self, name: str, work: Work) -> Outcome:
@@ -106,8 +121,8 @@
         upstream = self._configuration.upstreams.get(name)
         if owned is None or upstream is None:
             return NotRun(Reason.no_owner)
-        if upstream.phase is not Phase.serving:
-            return NotRun(Reason.no_upstream)
+        if self._is_leaving(name):
+            return NotRun(Reason.upstream_leaving)
         service = self._configuration.services[upstream.service]
         work_class = (
             service.read_class if work.idempotent else service.write_class
@@ -120,9 +135,50 @@
         limit = min(remaining, service.run_limit_ms * MILLISECOND)
         attempt = Attempt(owned.admitter, limit, self._clock)
         try:
+            if self._is_leaving(name):
+                return NotRun(Reason.upstream_leaving)
             return await self._send(name, work, limit, attempt)
         finally:
             attempt.release()
+            self.drains.update(name, owned.admitter.in_flight)
+
+    def _all_loads(self) -> list[tuple[str, UpstreamLoad]]:
+        return [(name, owned.load) for name, owned in self._owned.items()]
+
+    def _is_leaving(self, name: str) -> bool:
+        upstream = self._configuration.upstreams.get(name)
+        if upstream is None or upstream.phase is not Phase.serving:
+            return True
+        return self.drains.find(name) is not None
+
+    def _follow_drains(self) -> None:
+        configuration = self._configuration
+        for name, owned in self._owned.items():
+            upstream = configuration.upstreams.get(name)
+            if upstream is None or upstream.phase is not Phase.serving:
+                self._start_drain(name, owned, LeavingCause.ticket)
+                self.drains.update(name, owned.admitter.in_flight)
+                continue
+            drain = self.drains.find(name)
+            # A ticket that names the upstream makes a new object of it.
+            if drain is not None and upstream is not self._left.get(name):
+                self.drains.end(name)
+
+    def _start_drain(
+        self,
+        name: str,
+        owned: OwnedUpstream,
+        cause: LeavingCause,
+    ) -> None:
+        upstream = self._configuration.upstreams.get(name)
+        if self.drains.find(name) is None and upstream is not None:
+            self._left[name] = upstream
+        self.drains.start(
+            name,
+            cause,
+            ticket=self._configuration.number,
+            in_flight=owned.admitter.in_flight,
+        )
 
     async def _send(
         self,
@@ -156,6 +212,8 @@
             pace.shed()
             return NotRun(Reason.upstream_refused)
         pace.answer()
+        if LEAVING_HEADER in answer.headers:
+            self._start_drain(name, self._owned[name], LeavingCause.upstream)
         return _to_answer(name, answer)
 
     def _refresh_one(self, name: str, size: Size) -> None:
--- a/packages/lycheedyke/src/lycheedyke/coordination/_membership.py
+++ b/packages/lycheedyke/src/lycheedyke/coordination/_membership.py
@@ -28,11 +28,12 @@
 from lycheedyke.transport import PeerLink
 
 HEARTBEAT_INTERVAL = timedelta(milliseconds=250)
-HEARTBEAT_SLOT = timedelta(milliseconds=40)
+HEARTBEAT_SLOT = timedelta(milliseconds=60)
 RETRY_INTERVAL = timedelta(seconds=5)
 SILENCE_LEAST = timedelta(milliseconds=1250)
 SILENT_INTERVALS = 4
 BACKUP_INTERVALS = 2.5
+SLOW_AFTER = timedelta(seconds=10)
 FORGET_AFTER = timedelta(minutes=10)
 MAX_ZONE_PEERS = 256
 MAX_LOADS = 64
@@ -250,7 +251,7 @@
             while not self._is_forgotten(address, met):
                 if self._is_due(address):
                     await self._exchange(address)
-                await self._clock.sleep(self._pause(address))
+                await self._clock.sleep(self._pause(address, met))
         finally:
             self._tasks.pop(address, None)
             self._peers.pop(address, None)
@@ -384,21 +385,20 @@
         silence = self._awake.elapsed() - peer.proven
         return silence > self.interval * BACKUP_INTERVALS
 
-    def _pause(self, address: str) -> timedelta:
-        peer = self._peers.get(address)
-        if peer is None or peer.proven is None:
-            return RETRY_INTERVAL
-        silence = self._awake.elapsed() - peer.proven
-        if silence > FORGET_AFTER / 60:
+    def _pause(self, address: str, met: timedelta) -> timedelta:
+        if self._silence(address, met) > SLOW_AFTER:
             return RETRY_INTERVAL
         if address in self.ownership.partners():
             return HEARTBEAT_INTERVAL
         return self.interval
 
     def _is_forgotten(self, address: str, met: timedelta) -> bool:
+        return self._silence(address, met) > FORGET_AFTER
+
+    def _silence(self, address: str, met: timedelta) -> timedelta:
         peer = self._peers.get(address)
         last = met if peer is None or peer.proven is None else peer.proven
-        return self._awake.elapsed() - max(met, last) > FORGET_AFTER
+        return self._awake.elapsed() - last
 
 
 def _stayers(peers: Iterable[Peer]) -> list[InstanceInfo]:
--- a/tests/standins/clock.py
+++ b/tests/standins/clock.py
@@ -1,29 +1,33 @@
-"""A clock that moves only when it is told to."""
+"""A clock that tests set."""
 
 from datetime import UTC, datetime, timedelta
 
-EPOCH = datetime(2026, 3, 2, tzinfo=UTC)
 
-
-class FakeClock:
-    """Starts at a fixed time; `sleep` returns at once."""
+class ManualClock:
+    """Both clocks move by `pass_time`; `step` moves the wall clock only."""
 
     def __init__(self) -> None:
-        """Starts at one hour of monotonic time."""
-        self._elapsed = timedelta(hours=1)
+        """Starts both clocks at fixed times."""
+        self._now = datetime(2026, 1, 1, tzinfo=UTC)
+        self._elapsed = timedelta(seconds=100)
 
     def now(self) -> datetime:
-        """Returns the wall-clock time in UTC."""
-        return EPOCH + self._elapsed
+        """Returns the wall-clock time."""
+        return self._now
 
     def elapsed(self) -> timedelta:
         """Returns the monotonic time."""
         return self._elapsed
 
     async def sleep(self, duration: timedelta) -> None:
-        """Moves the time on."""
-        self.advance(duration)
+        """Passes the time at once."""
+        self.pass_time(duration.total_seconds())
+
+    def pass_time(self, seconds: float) -> None:
+        """Moves both clocks."""
+        self._now += timedelta(seconds=seconds)
+        self._elapsed += timedelta(seconds=seconds)
 
-    def advance(self, duration: timedelta) -> None:
-        """Moves the time on."""
-        self._elapsed += duration
+    def step(self, seconds: float) -> None:
+        """Moves the wall clock only."""
+        self._now += timedelta(seconds=seconds)
--- a/tests/unit/test_admission.py
+++ b/tests/unit/test_admission.py
@@ -11,7 +11,7 @@
 
 from lycheedyke.protocol import Reason, UpstreamLoad, WorkClass
 from lycheedyke.state import AdmissionRefused, Admitter, Pace, keep_in_use
-from standins.clock import FakeClock
+from standins.clock import ManualClock
 
 MS = timedelta(milliseconds=1)
 LATER = timedelta(hours=2)
@@ -22,7 +22,7 @@
     """An admitter whose slots a test sets, at full pace."""
 
     def __init__(self, slots: int, queue_limit: int = 16) -> None:
-        self.clock = FakeClock()
+        self.clock = ManualClock()
         self.slots = slots
         self.pace = Pace(16, self.clock)
         for _ in range(16):
@@ -147,7 +147,7 @@
         await gate.start('first', INTERACTIVE)
         now = gate.clock.elapsed()
         task = await gate.start('late', INTERACTIVE, now + 5000 * MS)
-        gate.clock.advance(5000 * MS)
+        gate.clock.pass_time((5000 * MS).total_seconds())
         gate.admitter.leave(MS)
         await _settle()
         assert _reason(task) is Reason.deadline_passed
@@ -201,7 +201,7 @@
     slots: int, outcomes: list[str]
 ) -> None:
     """No answer raises the limit by more than one."""
-    pace = Pace(slots, FakeClock())
+    pace = Pace(slots, ManualClock())
     assert pace.limit == 1
     actions = {'a': pace.answer, 's': pace.shed, 'f': pace.fail}
     for outcome in outcomes:
@@ -216,7 +216,7 @@
     for expected in (11, 11):
         gate.pace.shed()
         assert gate.pace.limit == expected
-    gate.clock.advance(100 * MS)
+    gate.clock.pass_time((100 * MS).total_seconds())
     gate.pace.shed()
     assert gate.pace.limit == 7
 
@@ -229,12 +229,12 @@
         gate.pace.fail()
     assert not gate.pace.usable
     assert (gate.pace.limit, gate.pace.may_queue) == (1, False)
-    gate.clock.advance(500 * MS)
+    gate.clock.pass_time((500 * MS).total_seconds())
     assert gate.pace.usable
     gate.pace.fail()
-    gate.clock.advance(499 * MS)
+    gate.clock.pass_time((499 * MS).total_seconds())
     assert not gate.pace.usable
-    gate.clock.advance(501 * MS)
+    gate.clock.pass_time((501 * MS).total_seconds())
     gate.pace.answer()
     assert (gate.pace.limit, gate.pace.may_queue) == (2, True)
 
--- a/tests/unit/test_owners.py
+++ b/tests/unit/test_owners.py
@@ -31,7 +31,7 @@
     decode_owners,
 )
 from lycheedyke.state import Counters
-from standins.clock import FakeClock
+from standins.clock import ManualClock
 
 MS = timedelta(milliseconds=1)
 RUN_LIMIT = 1000 * MS
@@ -171,7 +171,7 @@
 
     def __init__(self) -> None:
         super().__init__()
-        self.clock = FakeClock()
+        self.clock = ManualClock()
         self.platform = FakePlatform()
         self.entries = [Entry(seat, 0, self) for seat in range(SEATS)]
         self.ended: list[Entry] = []
@@ -211,7 +211,7 @@
 
     @rule(step=st.sampled_from([10, 240, 600, 1000, 1300, 2600]))
     def wait(self, step: int) -> None:
-        self.clock.advance(step * MS)
+        self.clock.pass_time((step * MS).total_seconds())
 
     @rule(asker=seats, answerer=seats)
     def send(self, asker: int, answerer: int) -> None:
@@ -449,7 +449,7 @@
         owner.improve()
         world.exchange(owner, deputy)
         world.exchange(deputy, owner)
-        world.clock.advance(MS)
+        world.clock.pass_time((MS).total_seconds())
     assert (owner.in_flight(NAME), deputy.in_flight(NAME)) == (0, SLOTS)
 
 
