--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/admin.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/admin.py
@@ -94,6 +94,8 @@
     async def _ready(self, request: web.Request) -> web.Response:
         if not self._log.number:
             return fail(HTTP_UNAVAILABLE, 'not-ready', 'no ticket known')
+        if not self._runner.ready:
+            return fail(HTTP_UNAVAILABLE, 'not-ready', 'no owners known')
         return reply(
             {
                 'ready': True,
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/instance.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/instance.py
@@ -11,8 +11,9 @@
 from lycheedyke.clock import Clock
 from lycheedyke.coordination import (
     Members,
+    Owners,
     TicketLog,
-    owner_of,
+    Zone,
 )
 from lycheedyke.exceptions import MessageRejected, PlatformError
 from lycheedyke.protocol import (
@@ -49,7 +50,7 @@
 from lycheedyke_daemon.tickets import TicketParts, connect_platform
 
 INCARNATION_BYTES = 8
-OWNERSHIP_INTERVAL_SECONDS = 0.25
+OWNERSHIP_INTERVAL_SECONDS = 0.05
 SEEDING_INTERVAL_SECONDS = 5
 MESSAGE_MARGIN_BYTES = 65_536
 MILLISECOND = timedelta(milliseconds=1)
@@ -90,10 +91,23 @@
             routes=settings.routes,
         )
         self._log = TicketLog(self._take_over, self._counters.count)
-        self._runner = Runner(clock, self._counters)
+        self._platform = connect_platform(settings, clock, self._counters)
+        self._owners = Owners(
+            self._members,
+            self._platform,
+            clock,
+            self._counters,
+            routes=settings.routes,
+        )
+        self._runner = Runner(
+            settings.zone,
+            self._owners.rights,
+            clock,
+            self._counters,
+        )
+        self._owners.describe = self._describe_zone
         self._members.loads = self._runner.loads
         self._members.service_of = self._service_of
-        self._platform = connect_platform(settings, clock, self._counters)
         self._tickets = TicketParts(
             settings,
             self._log,
@@ -169,6 +183,8 @@
             asyncio.create_task(self._tickets.spread.run()),
             asyncio.create_task(self._watch_members()),
             asyncio.create_task(self._seed()),
+            asyncio.create_task(self._owners.follow()),
+            asyncio.create_task(self._owners.watch()),
         ]
         await self._serve(self._peer_app(), self._settings.peer_address)
         await self._serve(self._admin_app(), self._settings.admin_address)
@@ -191,11 +207,17 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._close_links()
+        _logger.info('stopped')
+
+    async def _close_links(self) -> None:
+        # The control address is held until no upstream is used any more.
         await self._members.close()
+        await self._owners.close()
+        await self._runner.close()
         await self._listener.close()
-        for client in (self._runner, self._peers, self._platform):
+        for client in (self._peers, self._platform):
             await client.close()
-        _logger.info('stopped')
 
     def _caller_app(self) -> web.Application:
         app = web.Application(
@@ -313,20 +335,19 @@
         ]
 
     def _take_over(self, configuration: Configuration) -> None:
-        own = self._members.own
         self._members.ticket = configuration.number
         if self._placed_ticket != configuration.number:
             self._placed_ticket = configuration.number
             self._placement.shares.follow(configuration)
-        instances = self._members.in_zone(own.zone)
-        self._runner.own(
-            configuration,
-            {
-                name
-                for name, upstream in configuration.upstreams.items()
-                if upstream.zone == own.zone
-                and owner_of(name, instances) == own
-            },
+        self._runner.refresh(configuration)
+
+    def _describe_zone(self) -> Zone:
+        own = self._members.own
+        return Zone(
+            own,
+            self._members.in_zone(own.zone),
+            self._runner.sizes(),
+            self._runner.in_flight,
         )
 
 
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/table.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/table.py
@@ -5,8 +5,14 @@
 from typing import NamedTuple
 
 from lycheedyke.clock import Clock
-from lycheedyke.coordination import Members, TicketLog, owner_of
-from lycheedyke.protocol import InstanceInfo, Phase, UpstreamLoad
+from lycheedyke.coordination import (
+    Admitting,
+    Members,
+    TicketLog,
+    find_admitters,
+    owner_of,
+)
+from lycheedyke.protocol import InstanceInfo, Phase, Upstream, UpstreamLoad
 from lycheedyke_daemon.runner import Runner
 
 REFRESH_INTERVAL = timedelta(milliseconds=100)
@@ -70,10 +76,15 @@
         return found.retry_share if found else 0
 
     def loads(self) -> dict[str, UpstreamLoad]:
-        """Returns the counts of all upstreams with a live owner."""
-        found = [load for peer in self._members.live() for load in peer.loads]
-        found.extend(self._runner.loads())
-        return {load.upstream: load for load in found}
+        """Returns the counts of all upstreams with a live owner.
+
+        Of several instances that admit work to one, those with most slots.
+        """
+        found = find_admitters(self._members)
+        return {
+            name: max((one.load for one in each), key=lambda load: load.limit)
+            for name, each in found.items()
+        }
 
     def refresh(self) -> None:
         """Collects the targets anew where that is due."""
@@ -87,15 +98,18 @@
 
     def _collect(self) -> None:
         configuration = self._log.configuration
-        loads = self.loads()
+        admitters = find_admitters(self._members)
         groups: dict[tuple[str, str], list[Target]] = defaultdict(list)
         for name, upstream in configuration.upstreams.items():
             if upstream.phase is not Phase.serving:
                 continue
-            owner = owner_of(name, self._members.in_zone(upstream.zone))
-            if owner is None:
-                continue
-            load = loads.get(name, UpstreamLoad(name, 0, 0, upstream.slots))
-            region = configuration.region_of(upstream)
-            groups[upstream.service, region].append(Target(name, owner, load))
+            group = groups[upstream.service, configuration.region_of(upstream)]
+            found = admitters.get(name) or self._proposed(name, upstream)
+            group.extend(Target(name, *each) for each in found)
         self._targets = groups
+
+    def _proposed(self, name: str, upstream: Upstream) -> list[Admitting]:
+        owner = owner_of(name, self._members.in_zone(upstream.zone))
+        if owner is None:
+            return []
+        return [Admitting(owner, UpstreamLoad(name, 0, 0, upstream.slots))]
--- a/packages/lycheedyke/src/lycheedyke/coordination/_membership.py
+++ b/packages/lycheedyke/src/lycheedyke/coordination/_membership.py
@@ -8,6 +8,7 @@
 from lycheedyke.clock import Clock
 from lycheedyke.coordination._asks import Asker, Connect
 from lycheedyke.coordination._gossip import Gossip
+from lycheedyke.coordination._links import Heard, NoOwnership, OwnershipLink
 from lycheedyke.coordination._pauses import AwakeClock
 from lycheedyke.coordination._peers import MILLISECOND, Peer, Sent
 from lycheedyke.coordination._summaries import OwnState, asks_first
@@ -73,6 +74,7 @@
         self.loads: Callable[[], tuple[UpstreamLoad, ...]] = tuple
         self.quarantine: Callable[[], tuple[str, ...]] = tuple
         self.service_of: Callable[[str], str] = str
+        self.ownership: OwnershipLink = NoOwnership()
         self._clock = clock
         self._awake = AwakeClock(clock)
         self._started = clock.elapsed()
@@ -213,6 +215,7 @@
         """Takes in a heartbeat; returns the reply, None for a replay."""
         peer = self._by_incarnation(beat.incarnation)
         if peer is None:
+            self.ownership.hear(Heard(beat))
             if beat.sender is not None and self._is_neighbour(beat.sender):
                 self._check(beat.sender.control_address)
             return self._reply(beat, peer)
@@ -222,6 +225,9 @@
         peer.last_sequence = beat.sequence
         if peer.reply is not None and beat.echo == peer.reply.sequence:
             peer.acknowledge(peer.reply)
+            self.ownership.hear(Heard(beat, peer.reply.sent))
+        else:
+            self.ownership.hear(Heard(beat))
         peer.hear(beat, self._clock.elapsed())
         reply = self._reply(beat, peer)
         peer.reply = self._note(reply.sequence, reply.loads)
@@ -289,6 +295,7 @@
                 return True
             peer = Peer(reply.sender, now)
             self._install(address, peer)
+        self.ownership.hear(Heard(reply, sent.sent, address))
         peer.acknowledge(sent)
         peer.hear(reply, now)
         peer.echo = reply.sequence
@@ -317,6 +324,12 @@
             introduce=peer is None,
             stopping=state.stopping,
             quarantined=state.quarantined,
+            owner_epoch=self.ownership.record.epoch,
+            owners=self.ownership.news_for(peer.info.incarnation)
+            if peer
+            else None,
+            grants=self.ownership.grants(),
+            used=self.ownership.used(),
         )
 
     def _reply(self, beat: Heartbeat, peer: Peer | None) -> HeartbeatReply:
@@ -334,6 +347,10 @@
             introduce=peer is None and beat.sender is None,
             stopping=state.stopping,
             quarantined=state.quarantined,
+            owner_epoch=self.ownership.record.epoch,
+            owners=self.ownership.news_for(beat.incarnation),
+            grants=self.ownership.grants(),
+            used=self.ownership.used(),
         )
 
     def _note(
@@ -361,14 +378,19 @@
         peer = self._peers.get(address)
         if peer is None or peer.proven is None or not peer.introduced:
             return True
+        if address in self.ownership.partners():
+            return True
         if asks_first(self.own.name, peer.info.name):
             return True
         silence = self._awake.elapsed() - peer.proven
         return silence > self.interval * BACKUP_INTERVALS
 
     def _pause(self, address: str, met: timedelta) -> timedelta:
-        is_silent = self._silence(address, met) > SLOW_AFTER
-        return RETRY_INTERVAL if is_silent else self.interval
+        if self._silence(address, met) > SLOW_AFTER:
+            return RETRY_INTERVAL
+        if address in self.ownership.partners():
+            return HEARTBEAT_INTERVAL
+        return self.interval
 
     def _is_forgotten(self, address: str, met: timedelta) -> bool:
         return self._silence(address, met) > FORGET_AFTER
--- a/packages/lycheedyke/src/lycheedyke/protocol/__init__.py
+++ b/packages/lycheedyke/src/lycheedyke/protocol/__init__.py
@@ -36,6 +36,15 @@
     Reason,
     Unknown,
 )
+from lycheedyke.protocol._owners import (
+    Grant,
+    OwnerRecord,
+    Pair,
+    Used,
+    decode_owners,
+    encode_owners,
+    owners_key,
+)
 from lycheedyke.protocol._platform import PlatformClient, PlatformEntry
 from lycheedyke.protocol._snapshots import (
     BlockTable,
@@ -92,6 +101,7 @@
     'Answered',
     'Block',
     'Exchange',
+    'Grant',
     'Heartbeat',
     'HeartbeatReply',
     'IdempotencyKey',
@@ -107,6 +117,8 @@
     'InstanceLoads',
     'NotRun',
     'Outcome',
+    'OwnerRecord',
+    'Pair',
     'Phase',
     'PlatformClient',
     'PlatformEntry',
@@ -121,8 +133,12 @@
     'Unknown',
     'Upstream',
     'UpstreamLoad',
+    'Used',
     'WorkClass',
     'Zone',
+    'decode_owners',
     'decode_ticket',
+    'encode_owners',
     'encode_ticket',
+    'owners_key',
 )
--- a/packages/lycheedyke/src/lycheedyke/protocol/_messages.py
+++ b/packages/lycheedyke/src/lycheedyke/protocol/_messages.py
@@ -8,6 +8,7 @@
 
 from lycheedyke.exceptions import MessageRejected
 from lycheedyke.protocol._outcomes import Answered, NotRun, Unknown
+from lycheedyke.protocol._owners import Grant, OwnerRecord, Used
 from lycheedyke.protocol._snapshots import SnapshotReply, SnapshotRequest
 
 VERSION = b'\x01'
@@ -27,6 +28,9 @@
         'author': 'a',
         'roster': 'o',
         'headroom': 'h',
+        'owner_epoch': 'p',
+        'grants': 'g',
+        'used': 'u',
     }
 )
 
@@ -54,12 +58,20 @@
 
 
 class UpstreamLoad(msgspec.Struct, frozen=True, array_like=True):
-    """What the owner of an upstream counts."""
+    """What an instance that may admit work to an upstream counts.
+
+    Attributes:
+        in_flight: requests that the upstream may be running.
+        waiting: requests in the queue.
+        limit: the slots that may be used now; 0 while another admits.
+        usable: whether its last outcomes let it take work.
+    """
 
     upstream: str
     in_flight: int
     waiting: int
     limit: int
+    usable: bool = True
 
 
 class _Beat(
@@ -84,6 +96,10 @@
         introduce: asks for `sender` in the answer.
         stopping: whether a planned stop is under way.
         quarantined: fingerprints that the sender itself has confirmed.
+        owner_epoch: epoch of the zone's owner record known there.
+        owners: that record, where the addressee's is known to be older.
+        grants: slots that the sender leaves to its deputies.
+        used: slots that the sender uses as a deputy.
     """
 
     incarnation: str
@@ -97,6 +113,10 @@
     introduce: bool = False
     stopping: bool = False
     quarantined: tuple[str, ...] = ()
+    owner_epoch: int = 0
+    owners: OwnerRecord | None = None
+    grants: tuple[Grant, ...] = ()
+    used: tuple[Used, ...] = ()
 
 
 class Heartbeat(_Beat, frozen=True, tag='hb'):
--- a/packages/lycheedyke/src/lycheedyke/state/__init__.py
+++ b/packages/lycheedyke/src/lycheedyke/state/__init__.py
@@ -23,6 +23,8 @@
 )
 from lycheedyke.state._history import TicketHistory
 from lycheedyke.state._ledger import KeyLedger, KeyRecord, KeyRefused
+from lycheedyke.state._outages import keep_in_use
+from lycheedyke.state._pace import Pace
 from lycheedyke.state._plans import Plan, make_plan
 from lycheedyke.state._references import find_reference_faults
 from lycheedyke.state._shares import (
@@ -36,10 +38,12 @@
     'export_configuration',
     'restore_configuration',
     'AcceptedShift',
+    'Pace',
     'Plan',
     'TicketHistory',
     'find_reference_faults',
     'find_time_faults',
+    'keep_in_use',
     'make_plan',
     'AdmissionRefused',
     'Admitter',
--- a/tests/standins/upstream.py
+++ b/tests/standins/upstream.py
@@ -6,7 +6,7 @@
 "leaving": int}.
 With `slots` set, more requests in flight than slots slow each other down.
 Every other path runs: a request takes `run_ms` and is answered with what
-was asked.
+was asked. It ends at its deadline, but not when its connection closes.
 """
 
 import asyncio
@@ -19,6 +19,8 @@
 import uvloop
 from aiohttp import web
 
+from lycheedyke.protocol import REMAINING_HEADER
+
 DEFAULT_RUN_MS = 5
 
 
@@ -32,6 +34,7 @@
         self._in_flight = 0
         self._most_in_flight = 0
         self._finished = 0
+        self._most_connections = 0
         self._last_start = 0.0
         self._connections: set[Any] = set()
 
@@ -56,6 +59,7 @@
                 'finished': self._finished,
                 'last_start': self._last_start,
                 'connections': len(self._connections),
+                'most_connections': self._most_connections,
             },
         )
 
@@ -71,6 +75,11 @@
     async def _run(self, request: web.Request) -> web.Response:
         body = await request.text()
         self._connections.add(request.transport)
+        self._connections = {
+            one for one in self._connections if not one.is_closing()
+        }
+        open_now = len(self._connections)
+        self._most_connections = max(self._most_connections, open_now)
         if self._faults.get('refuse', 0) > 0:
             self._faults['refuse'] -= 1
             return web.Response(
@@ -85,10 +94,15 @@
         self._in_flight += 1
         self._last_start = time.time()
         self._most_in_flight = max(self._most_in_flight, self._in_flight)
+        run_s = self._run_seconds()
+        remaining_ms = request.headers.get(REMAINING_HEADER, run_s * 1000)
+        remaining_s = float(remaining_ms) / 1000
         try:
-            await asyncio.sleep(self._run_seconds())
+            await asyncio.sleep(min(run_s, remaining_s))
         finally:
             self._in_flight -= 1
+        if remaining_s < run_s:
+            raise web.HTTPGatewayTimeout
         self._finished += 1
         if self._faults.get('lose_answers', 0) > 0:
             self._faults['lose_answers'] -= 1
