Make outcomes of keyed requests true, and answers whole

Cause: a run that raised left its key without outcome for ever; a refusal before the home said 'not run' for keys that may have run; aiohttp resends PUT and DELETE on a kept connection; answers delimited by the closing of a connection cannot be told from cut ones; repeated headers were merged; header names of aiohttp's own string type could not be encoded for the peer hop. Ruled out: an idle limit alone for credits (a restart still closes the kept connection at any moment). Change: only the home answers 'not run' for a key, and then records it, so a copy that comes later does not run; outcomes are kept packed and counted by size; non-idempotent requests use a fresh connection; kept connections with unread bytes are closed; bodies are read under limits of size, time and process memory; keyed runs at an owner outlive the peer's connection.

--- /dev/null
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/answers.py
@@ -0,0 +1,34 @@
+"""Turns the whole answer of an upstream into an outcome."""
+
+from lycheedyke.protocol import (
+    OUTCOME_HEADER,
+    REASON_HEADER,
+    Answered,
+    NotRun,
+    Outcome,
+    Reason,
+)
+from lycheedyke.transport import HttpAnswer
+from lycheedyke_daemon.work import Work, end_to_end
+
+HTTP_NOT_MODIFIED = 304
+_OWN_HEADERS = frozenset((OUTCOME_HEADER.lower(), REASON_HEADER.lower()))
+
+
+def read_answer(upstream: str, work: Work, answer: HttpAnswer) -> Outcome:
+    """Returns the outcome that an upstream's answer stands for."""
+    if answer.headers.get(OUTCOME_HEADER) == 'not-run':
+        return NotRun(Reason.upstream_refused)
+    headers = [
+        (name, text)
+        for name, text in end_to_end(answer.headers)
+        if name.lower() not in _OWN_HEADERS
+    ]
+    length = answer.headers.get('Content-Length')
+    if length and _describes_other_body(work, answer):
+        headers.append(('Content-Length', length))
+    return Answered(answer.status, tuple(headers), answer.body, upstream)
+
+
+def _describes_other_body(work: Work, answer: HttpAnswer) -> bool:
+    return work.method == 'HEAD' or answer.status == HTTP_NOT_MODIFIED
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/callers.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/callers.py
@@ -1,5 +1,6 @@
 """The HTTP API for callers: look-ups and requests."""
 
+import re
 from collections.abc import Callable
 from datetime import timedelta
 
@@ -8,7 +9,7 @@
 
 from lycheedyke.clock import Clock
 from lycheedyke.coordination import Members, TicketLog
-from lycheedyke.exceptions import KeyMalformed
+from lycheedyke.exceptions import KeyMalformed, StateError
 from lycheedyke.protocol import (
     KEY_HEADER,
     OUTCOME_HEADER,
@@ -22,8 +23,9 @@
     Unknown,
 )
 from lycheedyke.state import Counters
+from lycheedyke_daemon.bodies import BodyReader, BodyRefused
 from lycheedyke_daemon.dispatch import Dispatcher
-from lycheedyke_daemon.work import HOP_HEADERS, SAFE_METHODS, Work
+from lycheedyke_daemon.work import SAFE_METHODS, Work, end_to_end
 
 HTTP_BAD_REQUEST = 400
 HTTP_UNAVAILABLE = 503
@@ -31,6 +33,8 @@
 DEFAULT_REMAINING = timedelta(seconds=5)
 MOST_REMAINING = timedelta(seconds=60)
 MILLISECOND = timedelta(milliseconds=1)
+_REMAINING_FORM = re.compile('[0-9]{1,9}')
+_OWN_HEADERS = frozenset((KEY_HEADER.lower(), REMAINING_HEADER.lower()))
 _BAD_REQUESTS = frozenset(
     (
         Reason.bad_request,
@@ -44,6 +48,12 @@
 )
 
 
+class _Refused(StateError):
+    def __init__(self, reason: Reason) -> None:
+        super().__init__(reason.value)
+        self.reason = reason
+
+
 class CallerApi:
     """Serves callers.
 
@@ -52,6 +62,7 @@
         find_entries: returns the look-up answer for a service.
         log: the configuration in force.
         members: this instance and its peers.
+        bodies: reads the bodies of requests.
         clock: measures deadlines and latencies.
         counters: counts refusals by reason.
     """
@@ -62,6 +73,7 @@
         find_entries: Callable[[str], bytes],
         log: TicketLog,
         members: Members,
+        bodies: BodyReader,
         clock: Clock,
         counters: Counters,
     ) -> None:
@@ -70,6 +82,7 @@
         self._find_entries = find_entries
         self._log = log
         self._members = members
+        self._bodies = bodies
         self._clock = clock
         self._counters = counters
 
@@ -96,20 +109,46 @@
         )
 
     async def _request(self, request: web.Request) -> web.Response:
+        started = self._clock.elapsed()
+        try:
+            key = _read_key(request)
+        except KeyMalformed:
+            return self._respond(NotRun(Reason.key_malformed))
+        try:
+            outcome = await self._serve(request, key, started)
+        except _Refused as refusal:
+            outcome = self._dispatcher.refuse(key, refusal.reason)
+        return self._respond(outcome)
+
+    async def _serve(
+        self,
+        request: web.Request,
+        key: IdempotencyKey | None,
+        started: timedelta,
+    ) -> Outcome:
         service = request.match_info['service']
         refusal = self._refuse(service)
         if refusal is not None:
-            return self._respond(refusal)
-        started = self._clock.elapsed()
+            raise _Refused(refusal.reason)
+        target = _read_target(service, request)
+        remaining = _read_remaining(request)
         try:
-            work = await self._read(service, request)
-        except web.HTTPRequestEntityTooLarge:
-            return self._respond(NotRun(Reason.body_too_large))
-        except (KeyMalformed, ValueError) as error:
-            return self._respond(_bad_request(error))
-        outcome = await self._dispatcher.run(work)
+            async with self._bodies.read(request, remaining) as body:
+                work = Work(
+                    service=service,
+                    method=request.method,
+                    target=target,
+                    headers=_pass_on(request),
+                    body=body,
+                    deadline=started + remaining,
+                    client=request.remote or '',
+                    key=key,
+                )
+                outcome = await self._dispatcher.run(work)
+        except BodyRefused as refused:
+            raise _Refused(refused.reason) from refused
         self._counters.time(service, self._clock.elapsed() - started)
-        return self._respond(outcome)
+        return outcome
 
     def _refuse(self, service: str) -> NotRun | None:
         if not self._log.number:
@@ -118,21 +157,6 @@
             return NotRun(Reason.unknown_service)
         return None
 
-    async def _read(self, service: str, request: web.Request) -> Work:
-        prefix = f'/v1/services/{service}'
-        key = request.headers.get(KEY_HEADER, '')
-        is_keyed = bool(key) and request.method not in SAFE_METHODS
-        return Work(
-            service=service,
-            method=request.method,
-            target=request.raw_path.removeprefix(prefix),
-            headers=_end_to_end(request),
-            body=await request.read(),
-            deadline=self._clock.elapsed() + _remaining(request),
-            client=request.remote or '',
-            key=IdempotencyKey.parse(key) if is_keyed else None,
-        )
-
     def _respond(self, outcome: Outcome) -> web.Response:
         match outcome:
             case Answered(status, headers, body, _):
@@ -158,28 +182,43 @@
         return response
 
 
-def _remaining(request: web.Request) -> timedelta:
+def _read_key(request: web.Request) -> IdempotencyKey | None:
+    texts = request.headers.getall(KEY_HEADER, [])
+    if not texts or request.method in SAFE_METHODS:
+        return None
+    if len(texts) > 1:
+        raise KeyMalformed(f'{len(texts)} idempotency keys in one request')
+    return IdempotencyKey.parse(texts[0])
+
+
+def _read_target(service: str, request: web.Request) -> str:
+    prefix = f'/v1/services/{service}'
+    path = request.raw_path
+    if not path.isascii() or not path.startswith(f'{prefix}/'):
+        raise _Refused(Reason.bad_request)
+    return path.removeprefix(prefix)
+
+
+def _read_remaining(request: web.Request) -> timedelta:
     text = request.headers.get(REMAINING_HEADER)
     if text is None:
         return DEFAULT_REMAINING
-    return min(int(text) * MILLISECOND, MOST_REMAINING)
+    if not _REMAINING_FORM.fullmatch(text):
+        raise _Refused(Reason.bad_request)
+    remaining = int(text) * MILLISECOND
+    if not remaining:
+        raise _Refused(Reason.deadline_passed)
+    return min(remaining, MOST_REMAINING)
 
 
-def _end_to_end(request: web.Request) -> tuple[tuple[str, str], ...]:
-    own = {KEY_HEADER.lower(), REMAINING_HEADER.lower()}
+def _pass_on(request: web.Request) -> tuple[tuple[str, str], ...]:
     return tuple(
         (name, text)
-        for name, text in request.headers.items()
-        if name.lower() not in HOP_HEADERS and name.lower() not in own
+        for name, text in end_to_end(request.headers)
+        if name.lower() not in _OWN_HEADERS
     )
 
 
-def _bad_request(error: Exception) -> NotRun:
-    if isinstance(error, KeyMalformed):
-        return NotRun(Reason.key_malformed)
-    return NotRun(Reason.bad_request)
-
-
 def _refusal(status: int, outcome: str, reason: Reason) -> web.Response:
     body = {'outcome': outcome, 'reason': reason.value}
     return web.Response(
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/dispatch.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/dispatch.py
@@ -1,14 +1,25 @@
 """Runs idempotent work anywhere, and keyed work at its home only."""
 
 import asyncio
+import logging
 
+from lycheedyke.clock import Clock
 from lycheedyke.coordination import Members
-from lycheedyke.protocol import NotRun, Outcome, Reason, Unknown
-from lycheedyke.state import KeyLedger, KeyRefused
-from lycheedyke_daemon.forward import PeerClient
+from lycheedyke.protocol import (
+    IdempotencyKey,
+    NotRun,
+    Outcome,
+    Reason,
+    Unknown,
+)
+from lycheedyke.state import KeyLedger, KeyRecord, KeyRefused
+from lycheedyke_daemon.detached import DetachedTasks
+from lycheedyke_daemon.forward import ANSWER_MARGIN, PeerClient
 from lycheedyke_daemon.routing import Router
 from lycheedyke_daemon.work import Work
 
+_logger = logging.getLogger(__name__)
+
 
 class Dispatcher:
     """Runs idempotent work anywhere, and keyed work at its home only.
@@ -18,6 +29,7 @@
         ledger: the records of the keys whose home is here.
         members: the live instances.
         peers: forwards work to other homes.
+        clock: measures the deadlines.
     """
 
     def __init__(
@@ -26,17 +38,19 @@
         ledger: KeyLedger,
         members: Members,
         peers: PeerClient,
+        clock: Clock,
     ) -> None:
         """Makes a dispatcher over the parts of one instance."""
         self._router = router
         self._ledger = ledger
         self._members = members
         self._peers = peers
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._clock = clock
+        self._runs = DetachedTasks()
 
     def __repr__(self) -> str:
         """Returns the number of keyed runs in flight."""
-        return f'<Dispatcher with {len(self._tasks)} keyed runs>'
+        return f'<Dispatcher with {len(self._runs)} keyed runs>'
 
     async def run(self, work: Work) -> Outcome:
         """Returns the outcome of a caller's request."""
@@ -45,32 +59,54 @@
         if work.key is None:
             return NotRun(Reason.key_missing)
         if work.key.home == self._members.own.incarnation:
-            return await self._run_once(work)
+            return await self.run_here(work, work.key)
         home = self._members.find(work.key.home)
         if home is None:
             return Unknown(Reason.home_gone)
         return await self._peers.run(home.info, work)
 
+    async def run_here(self, work: Work, key: IdempotencyKey) -> Outcome:
+        """Returns the outcome of keyed work whose home is this instance."""
+        if key.home != self._members.own.incarnation:
+            return Unknown(Reason.home_gone)
+        try:
+            record, is_new = self._ledger.open(key, work.fingerprint())
+        except KeyRefused as refusal:
+            return refusal.outcome
+        if is_new:
+            self._runs.start(self._finish(work, key))
+        return await self._wait(record, work)
+
+    def refuse(self, key: IdempotencyKey | None, reason: Reason) -> Outcome:
+        """Returns the outcome of a request that is refused before it runs.
+
+        Only the home can say that a key did not run.
+        """
+        if key is None:
+            return NotRun(reason)
+        if key.home == self._members.own.incarnation:
+            return self._ledger.refuse(key, reason)
+        return Unknown(reason)
+
     async def close(self) -> None:
         """Waits for all keyed runs."""
-        await asyncio.gather(*self._tasks)
+        await self._runs.close()
 
-    async def _run_once(self, work: Work) -> Outcome:
-        if work.key is None:
-            return NotRun(Reason.key_missing)
+    async def _wait(self, record: KeyRecord, work: Work) -> Outcome:
+        remaining = work.deadline + ANSWER_MARGIN - self._clock.elapsed()
         try:
-            record, is_new = self._ledger.open(work.key, work.fingerprint())
-        except KeyRefused as refusal:
-            if refusal.may_have_run:
-                return Unknown(refusal.reason)
-            return NotRun(refusal.reason)
-        if is_new:
-            task = asyncio.create_task(self._finish(work))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
-        return await record.wait()
+            return await asyncio.wait_for(
+                record.wait(),
+                max(0, remaining.total_seconds()),
+            )
+        except TimeoutError:
+            return Unknown(Reason.deadline_passed)
 
-    async def _finish(self, work: Work) -> None:
-        outcome = await self._router.run(work)
-        if work.key is not None:
-            self._ledger.finish(work.key, outcome)
+    async def _finish(self, work: Work, key: IdempotencyKey) -> None:
+        outcome: Outcome = Unknown(Reason.internal_error)
+        try:
+            outcome = await self._router.run(work)
+        except Exception:
+            _logger.exception('keyed run failed')
+        finally:
+            self._ledger.finish(key, outcome)
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/forward.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/forward.py
@@ -1,7 +1,8 @@
 """Forwards work to other instances over HTTP, and serves theirs."""
 
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import Awaitable, Callable, Coroutine, Mapping
 from datetime import timedelta
+from typing import Any
 
 from aiohttp import web
 
@@ -25,14 +26,18 @@
 )
 from lycheedyke.state import Counters
 from lycheedyke.transport import HttpClient
+from lycheedyke_daemon.bodies import BodyReader, BodyRefused
+from lycheedyke_daemon.detached import DetachedTasks
 from lycheedyke_daemon.work import Work
 
 RUN_PATH = '/v1/run'
+MAX_RUN_BYTES = 4_194_304
 HTTP_FORBIDDEN = 403
+HTTP_UNAVAILABLE = 503
 MILLISECOND = timedelta(milliseconds=1)
 ANSWER_MARGIN = timedelta(milliseconds=200)
 
-RunHere = Callable[[str, Work], Awaitable[Outcome]]
+RunHere = Callable[[str, Work], Coroutine[Any, Any, Outcome]]
 
 
 class PeerClient:
@@ -58,7 +63,7 @@
         self._clock = clock
         self._counters = counters
         self._routes = routes
-        self._http = HttpClient()
+        self._http = HttpClient(max_body_bytes=MAX_RUN_BYTES)
 
     def __repr__(self) -> str:
         """Returns the class name."""
@@ -84,7 +89,7 @@
         """
         remaining = work.deadline - self._clock.elapsed()
         if remaining < MILLISECOND:
-            return NotRun(Reason.deadline_passed)
+            return _refuse(work, upstream, Reason.deadline_passed)
         request = RunRequest(
             service=work.service,
             upstream=upstream,
@@ -96,32 +101,48 @@
             client=work.client,
             key=str(work.key or ''),
         )
+        margin = ANSWER_MARGIN if upstream else 2 * ANSWER_MARGIN
         address = self._routes.get(peer.peer_address, peer.peer_address)
         try:
             answer = await self._http.send(
                 'POST',
                 f'http://{address}{RUN_PATH}',
-                timeout=remaining + ANSWER_MARGIN,
+                timeout=remaining + margin,
                 body=self._codec.encode(request),
             )
-            return self._codec.decode(answer.body, RunReply).outcome
+            return self._read_reply(answer.body)
         except ConnectionNotMade:
-            if work.key and not upstream:
-                return Unknown(Reason.home_unreachable)
-            return NotRun(Reason.no_owner)
+            if upstream:
+                return NotRun(Reason.no_owner)
+            return Unknown(Reason.home_unreachable)
         except ExchangeBroken:
             return Unknown(Reason.peer_broke)
         except MessageRejected:
             self._counters.count('message.rejected')
             return Unknown(Reason.peer_broke)
 
+    def _read_reply(self, body: bytes) -> Outcome:
+        reply = self._codec.decode(body, RunReply, max_bytes=MAX_RUN_BYTES)
+        return reply.outcome
+
+
+def _refuse(work: Work, upstream: str, reason: Reason) -> Outcome:
+    # An earlier request with the same key may have reached the home.
+    if work.key and not upstream:
+        return Unknown(reason)
+    return NotRun(reason)
+
 
 class PeerApi:
     """Serves the work that peers forward.
 
+    Keyed work runs to its end on an upstream, also when the connection to
+    the peer breaks; idempotent work is cancelled then.
+
     Args:
         run_owned: runs work on a named upstream of this instance.
         run_home: runs keyed work whose home is this instance.
+        bodies: reads the messages.
         codec: checks requests and signs replies.
         clock: turns remaining time into deadlines.
         counters: counts rejected requests.
@@ -130,7 +151,8 @@
     def __init__(
         self,
         run_owned: RunHere,
-        run_home: Callable[[Work], Awaitable[Outcome]],
+        run_home: Callable[[Work, IdempotencyKey], Awaitable[Outcome]],
+        bodies: BodyReader,
         codec: MessageCodec,
         clock: Clock,
         counters: Counters,
@@ -138,31 +160,53 @@
         """Makes the API over the parts of one instance."""
         self._run_owned = run_owned
         self._run_home = run_home
+        self._bodies = bodies
         self._codec = codec
         self._clock = clock
         self._counters = counters
+        self._runs = DetachedTasks()
 
     def __repr__(self) -> str:
         """Returns the class name."""
         return '<PeerApi>'
 
+    async def close(self) -> None:
+        """Waits for all keyed runs."""
+        await self._runs.close()
+
     def routes(self) -> list[web.RouteDef]:
         """Returns the routes of the peer port."""
         return [web.post(RUN_PATH, self._run)]
 
     async def _run(self, request: web.Request) -> web.Response:
         try:
-            message = self._codec.decode(await request.read(), RunRequest)
-            work = self._to_work(message)
+            async with self._bodies.read(request) as body:
+                outcome = await self._serve(body)
+        except BodyRefused as refusal:
+            self._counters.count(f'peer.{refusal.reason.value}')
+            return web.Response(status=HTTP_UNAVAILABLE)
         except (MessageRejected, KeyMalformed):
             self._counters.count('message.rejected')
             return web.Response(status=HTTP_FORBIDDEN)
-        if message.upstream:
-            outcome = await self._run_owned(message.upstream, work)
-        else:
-            outcome = await self._run_home(work)
         return web.Response(body=self._codec.encode(RunReply(outcome)))
 
+    async def _serve(self, body: bytes) -> Outcome:
+        message = self._codec.decode(
+            body,
+            RunRequest,
+            max_bytes=MAX_RUN_BYTES,
+        )
+        work = self._to_work(message)
+        match message.upstream, work.key:
+            case '', None:
+                return NotRun(Reason.key_missing)
+            case '', IdempotencyKey() as key:
+                return await self._run_home(work, key)
+            case upstream, None:
+                return await self._run_owned(upstream, work)
+            case upstream, _:
+                return await self._runs.run(self._run_owned(upstream, work))
+
     def _to_work(self, message: RunRequest) -> Work:
         remaining = message.remaining_ms * MILLISECOND
         return Work(
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/instance.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/instance.py
@@ -23,9 +23,10 @@
     TicketsReply,
     TicketsRequest,
 )
-from lycheedyke.state import Configuration, Counters, KeyLedger
+from lycheedyke.state import Configuration, Counters, KeyLedger, MemoryBudget
 from lycheedyke.transport import PeerListener
 from lycheedyke_daemon.admin import AdminApi
+from lycheedyke_daemon.bodies import BodyReader
 from lycheedyke_daemon.callers import CallerApi
 from lycheedyke_daemon.dispatch import Dispatcher
 from lycheedyke_daemon.forward import PeerApi, PeerClient
@@ -103,7 +104,9 @@
             self._ledger,
             self._members,
             self._peers,
+            clock,
         )
+        self._body_memory = MemoryBudget(settings.body_memory_bytes)
         self._listener = PeerListener(settings.control_address, self._answer)
         self._admin = AdminApi(
             secrets.admin,
@@ -138,6 +141,7 @@
         self._members.stopping = True
         await self._clock.sleep(self._settings.stop_linger)
         await self._dispatcher.close()
+        await self._peer_api.close()
         for site in reversed(self._sites):
             await site.cleanup()
         for task in self._tasks:
@@ -150,13 +154,14 @@
         _logger.info('stopped')
 
     def _caller_app(self) -> web.Application:
-        app = web.Application(client_max_size=self._settings.max_body_bytes)
+        app = web.Application()
         lookups = Lookups(self._log, self._members)
         api = CallerApi(
             self._dispatcher,
             lookups.find,
             self._log,
             self._members,
+            self._read_bodies(self._settings.max_body_bytes),
             self._clock,
             self._counters,
         )
@@ -165,17 +170,22 @@
 
     def _peer_app(self) -> web.Application:
         limit = self._settings.max_body_bytes + MESSAGE_MARGIN_BYTES
-        app = web.Application(client_max_size=limit)
+        app = web.Application()
         api = PeerApi(
             self._runner.run,
-            self._dispatcher.run,
+            self._dispatcher.run_here,
+            self._read_bodies(limit),
             self._codec,
             self._clock,
             self._counters,
         )
+        self._peer_api = api
         app.add_routes(api.routes())
         return app
 
+    def _read_bodies(self, max_bytes: int) -> BodyReader:
+        return BodyReader(self._body_memory, max_bytes)
+
     def _admin_app(self) -> web.Application:
         app = web.Application(client_max_size=self._settings.max_body_bytes)
         app.add_routes(self._admin.routes())
@@ -188,6 +198,7 @@
             access_log=None,
             handle_signals=False,
             handler_cancellation=True,
+            auto_decompress=False,
         )
         await runner.setup()
         await web.TCPSite(runner, host.strip('[]'), int(port)).start()
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/runner.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/runner.py
@@ -9,9 +9,6 @@
     ExchangeTimeout,
 )
 from lycheedyke.protocol import (
-    OUTCOME_HEADER,
-    REMAINING_HEADER,
-    Answered,
     NotRun,
     Outcome,
     Phase,
@@ -22,8 +19,9 @@
     UpstreamLoad,
 )
 from lycheedyke.state import AdmissionRefused, Admitter, Configuration, Counters
-from lycheedyke.transport import HttpAnswer, HttpClient
-from lycheedyke_daemon.work import HOP_HEADERS, Work
+from lycheedyke.transport import HttpClient
+from lycheedyke_daemon.answers import read_answer
+from lycheedyke_daemon.work import Work
 
 MILLISECOND = timedelta(milliseconds=1)
 
@@ -114,15 +112,14 @@
         limit = min(remaining, service.run_limit_ms * MILLISECOND)
         if limit < MILLISECOND:
             return NotRun(Reason.deadline_passed)
-        headers = dict(work.headers)
-        headers[REMAINING_HEADER] = str(limit // MILLISECOND)
         try:
             answer = await self._http.send(
                 work.method,
                 f'http://{upstream.address}{work.target}',
                 timeout=limit,
-                headers=headers,
+                headers=work.upstream_headers(limit),
                 body=work.body or None,
+                reuse=work.idempotent,
             )
         except ConnectionNotMade:
             return NotRun(Reason.upstream_unreachable)
@@ -130,15 +127,4 @@
             return Unknown(Reason.upstream_timeout)
         except ExchangeBroken:
             return Unknown(Reason.upstream_broke)
-        return _to_outcome(name, answer)
-
-
-def _to_outcome(name: str, answer: HttpAnswer) -> Outcome:
-    if answer.headers.get(OUTCOME_HEADER) == 'not-run':
-        return NotRun(Reason.upstream_refused)
-    headers = tuple(
-        (key, text)
-        for key, text in answer.headers.items()
-        if key.lower() not in HOP_HEADERS
-    )
-    return Answered(answer.status, headers, answer.body, name)
+        return read_answer(name, work, answer)
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/settings.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/settings.py
@@ -39,6 +39,7 @@
     seeds: tuple[str, ...]
     secrets_file: Path
     max_body_bytes: int
+    body_memory_bytes: int
     key_memory_bytes: int
     key_life: timedelta
     stop_linger: timedelta
@@ -158,6 +159,13 @@
             _COUNT_RULE,
             '1048576',
         ),
+        'body_memory_bytes': _Field(
+            'limits',
+            'body_memory_bytes',
+            _read_count,
+            _COUNT_RULE,
+            '67108864',
+        ),
         'key_memory_bytes': _Field(
             'limits',
             'key_memory_bytes',
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/work.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/work.py
@@ -1,16 +1,18 @@
 """A request on its way through the system, and its classes."""
 
 import hashlib
+from collections.abc import Iterator, Mapping
 from datetime import timedelta
 from typing import NamedTuple
 
-from lycheedyke.protocol import IdempotencyKey
+from lycheedyke.protocol import REMAINING_HEADER, IdempotencyKey
 
 SAFE_METHODS = frozenset(('GET', 'HEAD', 'OPTIONS'))
 HOP_HEADERS = frozenset(
     (
         'connection',
         'content-length',
+        'expect',
         'host',
         'keep-alive',
         'proxy-authenticate',
@@ -22,6 +24,8 @@
     ),
 )
 
+MILLISECOND = timedelta(milliseconds=1)
+
 
 class Work(NamedTuple):
     """One request of a caller.
@@ -59,3 +63,28 @@
             digest.update(b'\0')
         digest.update(self.body)
         return digest.digest()
+
+    def upstream_headers(
+        self,
+        remaining: timedelta,
+    ) -> tuple[tuple[str, str], ...]:
+        """Returns the headers that the upstream gets.
+
+        Args:
+            remaining: the time left until the deadline.
+        """
+        limit = (REMAINING_HEADER, str(remaining // MILLISECOND))
+        return (*self.headers, limit)
+
+
+def end_to_end(headers: Mapping[str, str]) -> Iterator[tuple[str, str]]:
+    """Returns the headers that a hop passes on, repeated ones included."""
+    named = headers.get('Connection', '').lower().split(',')
+    dropped = HOP_HEADERS.union(name.strip() for name in named)
+    for name, text in headers.items():
+        if name.lower() not in dropped:
+            yield _to_utf8(name), _to_utf8(text)
+
+
+def _to_utf8(text: str) -> str:
+    return text.encode(errors='surrogateescape').decode(errors='replace')
--- a/packages/lycheedyke/src/lycheedyke/protocol/_messages.py
+++ b/packages/lycheedyke/src/lycheedyke/protocol/_messages.py
@@ -140,13 +140,24 @@
         payload = msgspec.msgpack.encode(message)
         return VERSION + self._sign(payload) + payload
 
-    def decode(self, message: bytes, kind: type[_Message]) -> _Message:
+    def decode(
+        self,
+        message: bytes,
+        kind: type[_Message],
+        *,
+        max_bytes: int = MAX_MESSAGE_BYTES,
+    ) -> _Message:
         """Checks the signature and returns the typed message.
 
+        Args:
+            message: the signed message.
+            kind: the type that it must have.
+            max_bytes: the largest message.
+
         Raises:
             MessageRejected: wrong version, size, signature or form.
         """
-        if len(message) > MAX_MESSAGE_BYTES:
+        if len(message) > max_bytes:
             raise MessageRejected(f'message has {len(message)} bytes')
         if message[:1] != VERSION:
             raise MessageRejected(f'unknown version {message[:1]!r}')
--- a/packages/lycheedyke/src/lycheedyke/protocol/_outcomes.py
+++ b/packages/lycheedyke/src/lycheedyke/protocol/_outcomes.py
@@ -33,6 +33,7 @@
     deadline_passed = 'deadline-passed'
     shift_cap = 'shift-cap'
     body_too_large = 'body-too-large'
+    body_too_slow = 'body-too-slow'
     memory_full = 'memory-full'
     quarantined = 'quarantined'
     byte_budget = 'byte-budget'
@@ -41,6 +42,7 @@
     upstream_broke = 'upstream-broke'
     upstream_timeout = 'upstream-timeout'
     peer_broke = 'peer-broke'
+    internal_error = 'internal-error'
 
 
 class Answered(msgspec.Struct, frozen=True, tag='answered'):
--- a/packages/lycheedyke/src/lycheedyke/state/__init__.py
+++ b/packages/lycheedyke/src/lycheedyke/state/__init__.py
@@ -5,7 +5,13 @@
 from lycheedyke.state._checks import find_faults
 from lycheedyke.state._configuration import Configuration
 from lycheedyke.state._counters import Counters
-from lycheedyke.state._ledger import KeyLedger, KeyRecord, KeyRefused
+from lycheedyke.state._ledger import (
+    KeptKey,
+    KeyLedger,
+    KeyRecord,
+    KeyRefused,
+)
+from lycheedyke.state._memory import MemoryBudget, MemoryFull
 from lycheedyke.state._shares import hash_point, share_at
 
 __all__ = (
@@ -14,9 +20,12 @@
     'BlockMap',
     'Configuration',
     'Counters',
+    'KeptKey',
     'KeyLedger',
     'KeyRecord',
     'KeyRefused',
+    'MemoryBudget',
+    'MemoryFull',
     'find_faults',
     'hash_point',
     'share_at',
--- a/packages/lycheedyke/src/lycheedyke/state/_ledger.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_ledger.py
@@ -1,15 +1,28 @@
 """Records of idempotency keys at their home instance."""
 
 import asyncio
+import heapq
+from collections.abc import Iterator
 from datetime import timedelta
+from typing import NamedTuple
+
+import msgspec
 
 from lycheedyke.clock import Clock
 from lycheedyke.exceptions import StateError
-from lycheedyke.protocol import IdempotencyKey, Outcome, Reason
+from lycheedyke.protocol import (
+    IdempotencyKey,
+    NotRun,
+    Outcome,
+    Reason,
+    Unknown,
+)
 
 DEFAULT_MAX_BYTES = 67_108_864
 DEFAULT_MAX_LIFE = timedelta(minutes=10)
-RECORD_BYTES = 1024
+RECORD_BYTES = 768
+REFUSAL_SHARE = 8
+# One part in this many of the memory is kept for refused keys.
 
 
 class KeyRefused(StateError):
@@ -26,43 +39,70 @@
         self.reason = reason
         self.may_have_run = may_have_run
 
+    @property
+    def outcome(self) -> Outcome:
+        """The outcome to answer with."""
+        if self.may_have_run:
+            return Unknown(self.reason)
+        return NotRun(self.reason)
+
 
 class KeyRecord:
     """One key: its request, and its outcome once there is one."""
 
-    __slots__ = ('_outcome', 'expiry', 'fingerprint', 'size')
+    __slots__ = ('_outcome', '_waiting', 'expiry', 'fingerprint', 'size')
 
     def __init__(self, expiry: timedelta, fingerprint: bytes) -> None:
         """Makes a record without outcome."""
         self.expiry = expiry
         self.fingerprint = fingerprint
         self.size = RECORD_BYTES
-        self._outcome: asyncio.Future[Outcome] = (
-            asyncio.get_running_loop().create_future()
-        )
+        self._outcome = b''
+        self._waiting: asyncio.Future[None] | None = None
 
     @property
     def finished(self) -> bool:
         """Whether the outcome is known."""
-        return self._outcome.done()
+        return bool(self._outcome)
 
-    def finish(self, outcome: Outcome) -> None:
-        """Sets the outcome for all who wait for it and all resends."""
-        self._outcome.set_result(outcome)
+    @property
+    def outcome(self) -> Outcome:
+        """The outcome of a finished record."""
+        return msgspec.msgpack.decode(self._outcome, type=Outcome)
+
+    def finish(self, outcome: bytes) -> None:
+        """Sets the encoded outcome for all who wait and all resends."""
+        self._outcome = outcome
+        self.size = RECORD_BYTES + len(outcome)
+        if self._waiting is not None:
+            self._waiting.set_result(None)
+            self._waiting = None
 
     async def wait(self) -> Outcome:
         """Returns the outcome once it is known."""
-        return await asyncio.shield(self._outcome)
+        if not self.finished:
+            if self._waiting is None:
+                self._waiting = asyncio.get_running_loop().create_future()
+            await asyncio.shield(self._waiting)
+        return self.outcome
+
+
+class KeptKey(NamedTuple):
+    """A key with its record."""
+
+    key: IdempotencyKey
+    record: KeyRecord
 
 
 class KeyLedger:
-    """The records of all live keys whose home is this incarnation.
+    """The records of all live keys of one incarnation.
 
     Args:
         home: the incarnation.
         clock: measures the age of the incarnation.
         max_bytes: memory for records; more keys are refused, none forgotten.
         max_life: the longest life of a key.
+        age: the age of the incarnation now, 0 by default.
     """
 
     def __init__(
@@ -72,20 +112,27 @@
         *,
         max_bytes: int = DEFAULT_MAX_BYTES,
         max_life: timedelta = DEFAULT_MAX_LIFE,
+        age: timedelta | None = None,
     ) -> None:
-        """Makes a ledger without records; the age counts from now."""
+        """Makes a ledger without records."""
         self._home = home
         self._clock = clock
         self._max_bytes = max_bytes
         self._max_life = max_life
-        self._started = clock.elapsed()
+        self._started = clock.elapsed() - (age or timedelta())
         self._records: dict[IdempotencyKey, KeyRecord] = {}
+        self._expiries: list[tuple[timedelta, IdempotencyKey]] = []
         self._bytes = 0
 
     def __len__(self) -> int:
         """Returns the number of records."""
         return len(self._records)
 
+    def __iter__(self) -> Iterator[KeptKey]:
+        """Returns the keys with their records."""
+        for key, record in self._records.items():
+            yield KeptKey(key, record)
+
     def __repr__(self) -> str:
         """Returns the home and the number of records."""
         return f'<KeyLedger {self._home} of {len(self)} records>'
@@ -95,6 +142,11 @@
         """The age of the incarnation."""
         return self._clock.elapsed() - self._started
 
+    @property
+    def size(self) -> int:
+        """The memory taken by the records, in bytes."""
+        return self._bytes
+
     def open(
         self,
         key: IdempotencyKey,
@@ -108,44 +160,89 @@
 
         Raises:
             KeyRefused: the key expired, lives too long, stands for another
-                request, or there is no memory for its record.
+                request, or there is no memory for its record. A key refused
+                as not run is never accepted later.
+        """
+        self.drop_expired()
+        record = self._records.get(key)
+        if record is None:
+            return self._create(key, fingerprint), True
+        if record.fingerprint not in {fingerprint, b''}:
+            raise KeyRefused(Reason.key_reused, may_have_run=False)
+        return record, False
+
+    def refuse(self, key: IdempotencyKey, reason: Reason) -> Outcome:
+        """Returns the outcome of a request refused before it was read.
+
+        A key without a record is recorded as not run, so that no copy of the
+        request that arrives later runs it.
         """
+        self.drop_expired()
         record = self._records.get(key)
         if record is not None:
-            if record.fingerprint != fingerprint:
-                raise KeyRefused(Reason.key_reused, may_have_run=False)
-            return record, False
-        self._check(key)
-        record = KeyRecord(key.expiry, fingerprint)
-        self._records[key] = record
-        self._bytes += record.size
-        return record, True
+            known = record.outcome if record.finished else None
+            return known if isinstance(known, NotRun) else Unknown(reason)
+        try:
+            self._check_life(key)
+            self._tombstone(key, reason)
+        except KeyRefused as refusal:
+            return refusal.outcome
+        return NotRun(reason)
 
     def finish(self, key: IdempotencyKey, outcome: Outcome) -> None:
-        """Keeps the outcome of a key until the key expires."""
+        """Keeps the outcome of a key until the key expires.
+
+        An answer for which there is no memory is not kept: resends get an
+        unknown outcome.
+        """
         record = self._records[key]
-        body = getattr(outcome, 'body', b'')
-        record.size += len(body)
-        self._bytes += len(body)
-        record.finish(outcome)
+        packed = msgspec.msgpack.encode(outcome)
+        if self._bytes + len(packed) > self._max_bytes + RECORD_BYTES:
+            outcome = Unknown(Reason.key_memory_full)
+            packed = msgspec.msgpack.encode(outcome)
+        self._bytes -= record.size
+        record.finish(packed)
+        self._bytes += record.size
+        self._forget_if_expired(key, record)
 
     def drop_expired(self) -> None:
         """Forgets the finished records of expired keys."""
         age = self.age
-        expired = [
-            key
-            for key, record in self._records.items()
-            if record.finished and record.expiry < age
-        ]
-        for key in expired:
+        while self._expiries and self._expiries[0][0] <= age:
+            _, key = heapq.heappop(self._expiries)
+            self._forget_if_expired(key, self._records[key])
+
+    def _forget_if_expired(
+        self,
+        key: IdempotencyKey,
+        record: KeyRecord,
+    ) -> None:
+        if record.finished and record.expiry <= self.age:
             self._bytes -= self._records.pop(key).size
 
-    def _check(self, key: IdempotencyKey) -> None:
+    def _create(self, key: IdempotencyKey, fingerprint: bytes) -> KeyRecord:
+        self._check_life(key)
+        limit = self._max_bytes - self._max_bytes // REFUSAL_SHARE
+        if self._bytes + RECORD_BYTES > limit:
+            self._tombstone(key, Reason.key_memory_full)
+            raise KeyRefused(Reason.key_memory_full, may_have_run=False)
+        return self._keep(key, fingerprint)
+
+    def _tombstone(self, key: IdempotencyKey, reason: Reason) -> None:
+        if self._bytes + RECORD_BYTES > self._max_bytes:
+            raise KeyRefused(Reason.key_memory_full, may_have_run=True)
+        self._keep(key, b'')
+        self.finish(key, NotRun(reason))
+
+    def _keep(self, key: IdempotencyKey, fingerprint: bytes) -> KeyRecord:
+        record = KeyRecord(key.expiry, fingerprint)
+        self._records[key] = record
+        self._bytes += record.size
+        heapq.heappush(self._expiries, (key.expiry, key))
+        return record
+
+    def _check_life(self, key: IdempotencyKey) -> None:
         if key.expiry <= self.age:
             raise KeyRefused(Reason.key_expired, may_have_run=True)
         if key.expiry > self.age + self._max_life:
             raise KeyRefused(Reason.key_too_long_lived, may_have_run=False)
-        if self._bytes + RECORD_BYTES > self._max_bytes:
-            self.drop_expired()
-        if self._bytes + RECORD_BYTES > self._max_bytes:
-            raise KeyRefused(Reason.key_memory_full, may_have_run=False)
--- a/packages/lycheedyke/src/lycheedyke/transport/_http.py
+++ b/packages/lycheedyke/src/lycheedyke/transport/_http.py
@@ -1,12 +1,14 @@
 """HTTP exchanges that say whether bytes may have been sent."""
 
 import asyncio
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from datetime import timedelta
 from types import TracebackType
-from typing import NamedTuple, Self
+from typing import Any, NamedTuple, Self
 
 import aiohttp
+import multidict
+import yarl
 
 from lycheedyke.exceptions import (
     AnswerTooLarge,
@@ -19,16 +21,43 @@
 KEEPALIVE_SECONDS = 15
 DEFAULT_MAX_BODY_BYTES = 1_048_576
 # Bounds the answer to one exchange.
+MAX_CONNECT_SECONDS = 1
+CONNECT_SHARE = 0.8
+# The share of an exchange's time that making the connection may take.
+_NOT_CONNECTED = (
+    aiohttp.ClientConnectorError,
+    aiohttp.ConnectionTimeoutError,
+)
+_RESENT_METHODS = frozenset(('PUT', 'DELETE', 'TRACE'))
+# Methods that aiohttp itself resends when a kept connection breaks.
+_NO_BODY_STATUSES = frozenset((204, 304))
 
 
 class HttpAnswer(NamedTuple):
     """A whole HTTP answer."""
 
     status: int
-    headers: Mapping[str, str]
+    headers: multidict.CIMultiDictProxy[str]
     body: bytes
 
 
+class _Connector(aiohttp.TCPConnector):
+    """A pool that gives out no connection with unread bytes on it."""
+
+    async def connect(
+        self,
+        req: aiohttp.ClientRequest,
+        traces: list[Any],
+        timeout: aiohttp.ClientTimeout,
+    ) -> Any:
+        while True:
+            connection = await super().connect(req, traces, timeout)
+            protocol = connection.protocol
+            if protocol is None or not protocol.should_close:
+                return connection
+            connection.close()
+
+
 class HttpClient:
     """A connection pool over aiohttp, usable with `async with`.
 
@@ -46,7 +75,8 @@
         """Makes a client without connections."""
         self._max_connections = max_connections
         self._max_body_bytes = max_body_bytes
-        self._session: aiohttp.ClientSession | None = None
+        self._kept: aiohttp.ClientSession | None = None
+        self._fresh: aiohttp.ClientSession | None = None
 
     def __repr__(self) -> str:
         """Returns the constructor call."""
@@ -67,9 +97,11 @@
 
     async def close(self) -> None:
         """Closes all connections."""
-        if self._session is not None:
-            await self._session.close()
-            self._session = None
+        for session in (self._kept, self._fresh):
+            if session is not None:
+                await session.close()
+        self._kept = None
+        self._fresh = None
 
     async def send(
         self,
@@ -77,12 +109,23 @@
         url: str,
         *,
         timeout: timedelta,
-        headers: Mapping[str, str] | None = None,
+        headers: Mapping[str, str] | Iterable[tuple[str, str]] = (),
         body: bytes | None = None,
+        reuse: bool = True,
     ) -> HttpAnswer:
         """Sends one request and reads the whole answer.
 
         A connection whose exchange breaks is closed and never used again.
+        The target of the URL is sent as it stands.
+
+        Args:
+            method: the HTTP method.
+            url: where to send it.
+            timeout: the time for the whole exchange.
+            headers: the headers; a name may stand more than once.
+            body: the body, if any.
+            reuse: whether a kept connection may be used. One that the other
+                side has just closed leaves open whether the request ran.
 
         Raises:
             ConnectionNotMade: no byte was sent.
@@ -93,10 +136,17 @@
         """
         try:
             return await asyncio.wait_for(
-                self._exchange(method, url, headers, body),
+                self._exchange(
+                    method,
+                    yarl.URL(url, encoded=True),
+                    multidict.CIMultiDict(headers),
+                    body,
+                    _limit_connect(timeout),
+                    reuse=reuse and method not in _RESENT_METHODS,
+                ),
                 timeout.total_seconds(),
             )
-        except aiohttp.ClientConnectorError as error:
+        except _NOT_CONNECTED as error:
             raise _connection_error(url, error) from error
         except TimeoutError as error:
             raise ExchangeTimeout(f'{method} {url}: no answer') from error
@@ -106,17 +156,21 @@
     async def _exchange(
         self,
         method: str,
-        url: str,
-        headers: Mapping[str, str] | None,
+        url: yarl.URL,
+        headers: multidict.CIMultiDict[str],
         body: bytes | None,
+        timeout: aiohttp.ClientTimeout,
+        *,
+        reuse: bool,
     ) -> HttpAnswer:
-        session = self._open_session()
+        session = self._open_kept() if reuse else self._open_fresh()
         async with session.request(
             method,
             url,
             headers=headers,
             data=body,
             allow_redirects=False,
+            timeout=timeout,
         ) as response:
             return HttpAnswer(
                 response.status,
@@ -125,35 +179,73 @@
             )
 
     async def _read(self, response: aiohttp.ClientResponse) -> bytes:
-        length = response.content_length or 0
-        if length > self._max_body_bytes:
+        if response.method == 'HEAD' or response.status in _NO_BODY_STATUSES:
+            return await response.read()
+        if not _has_known_end(response):
             response.close()
-            raise AnswerTooLarge(f'{response.url}: {length} bytes')
-        body = await response.read()
-        if len(body) > self._max_body_bytes:
-            raise AnswerTooLarge(f'{response.url}: {len(body)} bytes')
-        return body
-
-    def _open_session(self) -> aiohttp.ClientSession:
-        if self._session is None:
-            self._session = aiohttp.ClientSession(
-                connector=aiohttp.TCPConnector(
+            raise ExchangeBroken(
+                f'{response.url}: an answer without length may be cut off',
+            )
+        if (response.content_length or 0) > self._max_body_bytes:
+            response.close()
+            raise AnswerTooLarge(
+                f'{response.url}: {response.content_length} bytes',
+            )
+        body = bytearray()
+        async for chunk in response.content.iter_any():
+            body += chunk
+            if len(body) > self._max_body_bytes:
+                response.close()
+                raise AnswerTooLarge(f'{response.url}: {len(body)} bytes')
+        return bytes(body)
+
+    def _open_kept(self) -> aiohttp.ClientSession:
+        if self._kept is None:
+            self._kept = _open_session(
+                _Connector(
                     limit=0,
                     limit_per_host=self._max_connections,
                     keepalive_timeout=KEEPALIVE_SECONDS,
                 ),
-                timeout=aiohttp.ClientTimeout(total=None),
-                cookie_jar=aiohttp.DummyCookieJar(),
-                auto_decompress=False,
-                skip_auto_headers=('User-Agent', 'Accept-Encoding'),
             )
-        return self._session
+        return self._kept
+
+    def _open_fresh(self) -> aiohttp.ClientSession:
+        if self._fresh is None:
+            self._fresh = _open_session(
+                _Connector(
+                    limit=0,
+                    limit_per_host=self._max_connections,
+                    force_close=True,
+                ),
+            )
+        return self._fresh
+
+
+def _open_session(connector: aiohttp.TCPConnector) -> aiohttp.ClientSession:
+    return aiohttp.ClientSession(
+        connector=connector,
+        cookie_jar=aiohttp.DummyCookieJar(),
+        auto_decompress=False,
+        skip_auto_headers=('User-Agent', 'Accept-Encoding'),
+    )
+
+
+def _has_known_end(response: aiohttp.ClientResponse) -> bool:
+    coding = response.headers.get('Transfer-Encoding', '')
+    return 'Content-Length' in response.headers or 'chunked' in coding.lower()
+
+
+def _limit_connect(timeout: timedelta) -> aiohttp.ClientTimeout:
+    share = timeout.total_seconds() * CONNECT_SHARE
+    return aiohttp.ClientTimeout(connect=min(MAX_CONNECT_SECONDS, share))
 
 
 def _connection_error(
     url: str,
-    error: aiohttp.ClientConnectorError,
+    error: aiohttp.ClientError,
 ) -> ConnectionNotMade:
-    if isinstance(error.os_error, ConnectionRefusedError):
+    cause = getattr(error, 'os_error', error)
+    if isinstance(cause, ConnectionRefusedError):
         return ConnectionRefusedByHost(f'{url}: connection refused')
-    return ConnectionNotMade(f'{url}: {error.os_error!r}')
+    return ConnectionNotMade(f'{url}: {cause!r}')
