--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/forward.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/forward.py
@@ -178,19 +178,16 @@
         """Returns the routes of the peer port."""
         return [web.post(RUN_PATH, self._run)]
 
-    async def _run(self, request: web.Request) -> web.Response:
-        try:
-            async with self._bodies.read(request) as body:
-                outcome = await self._serve(body)
-        except BodyRefused as refusal:
-            self._counters.count(f'peer.{refusal.reason.value}')
-            return web.Response(status=HTTP_UNAVAILABLE)
-        except (MessageRejected, KeyMalformed):
-            self._counters.count('message.rejected')
-            return web.Response(status=HTTP_FORBIDDEN)
-        return web.Response(body=self._codec.encode(RunReply(outcome)))
+    async def serve(self, body: bytes) -> Outcome:
+        """Returns the outcome of a forwarded request.
+
+        Args:
+            body: the signed `RunRequest`.
 
-    async def _serve(self, body: bytes) -> Outcome:
+        Raises:
+            MessageRejected: the message is not one of a peer.
+            KeyMalformed: its key has not the agreed form.
+        """
         message = self._codec.decode(
             body,
             RunRequest,
@@ -207,6 +204,18 @@
             case upstream, _:
                 return await self._runs.run(self._run_owned(upstream, work))
 
+    async def _run(self, request: web.Request) -> web.Response:
+        try:
+            async with self._bodies.read(request) as body:
+                outcome = await self.serve(body)
+        except BodyRefused as refusal:
+            self._counters.count(f'peer.{refusal.reason.value}')
+            return web.Response(status=HTTP_UNAVAILABLE)
+        except (MessageRejected, KeyMalformed):
+            self._counters.count('message.rejected')
+            return web.Response(status=HTTP_FORBIDDEN)
+        return web.Response(body=self._codec.encode(RunReply(outcome)))
+
     def _to_work(self, message: RunRequest) -> Work:
         remaining = message.remaining_ms * MILLISECOND
         return Work(
--- a/packages/lycheedyke/src/lycheedyke/client.py
+++ b/packages/lycheedyke/src/lycheedyke/client.py
@@ -1,6 +1,8 @@
 """The client for callers: look-ups, keys, resends and deadlines."""
 
 import contextlib
+import itertools
+import random
 import secrets
 from collections.abc import Mapping, Sequence
 from datetime import timedelta
@@ -13,7 +15,6 @@
 from lycheedyke.exceptions import (
     CallFailed,
     ConnectionNotMade,
-    ExchangeBroken,
     OutcomeUnknown,
     RequestNotRun,
     TransportError,
@@ -33,6 +34,31 @@
 RESEND_PAUSE = timedelta(milliseconds=100)
 MILLISECOND = timedelta(milliseconds=1)
 NONCE_BYTES = 12
+ANSWER_MARGIN = timedelta(milliseconds=500)
+# Callers wait this much longer than the time that they give the system.
+RETRY_JITTER = 0.5
+_FINAL_REASONS = frozenset(
+    (
+        'bad-request',
+        'body-too-large',
+        'deadline-passed',
+        'key-malformed',
+        'key-reused',
+        'quarantined',
+        'unknown-service',
+    ),
+)
+# Refusals that the same request would meet again.
+_PASSING_REASONS = frozenset(
+    (
+        'connection-broken',
+        'home-gone',
+        'home-unreachable',
+        'not-ready',
+        'peer-broke',
+    ),
+)
+# Unknown outcomes of one entry, for which another or the home may know more.
 
 
 class Entry(msgspec.Struct, frozen=True):
@@ -63,6 +89,34 @@
     deadline: timedelta
 
 
+class _Resends:
+    """What the resends of one key have found out."""
+
+    def __init__(self) -> None:
+        self.failure = OutcomeUnknown('connection-broken')
+        self.is_final = False
+        self._sent = False
+        self._home_ended = False
+
+    def take(self, error: Exception, *, is_home: bool) -> None:
+        """Takes in a failed attempt; raises it again if nothing was sent."""
+        match error:
+            case ConnectionNotMade():
+                if not self._sent:
+                    raise error
+                self._home_ended = self._home_ended or is_home
+            case OutcomeUnknown(reason=reason):
+                self._sent = True
+                self.failure = error
+                self.is_final = (
+                    is_home
+                    or reason not in _PASSING_REASONS
+                    or (self._home_ended and reason == 'home-gone')
+                )
+            case _:
+                self._sent = True
+
+
 class Reply(NamedTuple):
     """The whole answer of an upstream."""
 
@@ -181,7 +235,22 @@
         raise failure
 
     async def _send_once(self, call: _Call) -> Reply:
-        for entry in await self.lookup(call.service):
+        failure: CallFailed = RequestNotRun('no-entry-answered', 1)
+        while self._clock.elapsed() < call.deadline:
+            try:
+                return await self._try_entries(call)
+            except RequestNotRun as refused:
+                # The key of a refused request never runs; a new one is safe.
+                failure = refused
+            if failure.reason in _FINAL_REASONS:
+                break
+            await self._pause(failure, call.deadline)
+            self._cache.pop(call.service, None)
+        raise failure
+
+    async def _try_entries(self, call: _Call) -> Reply:
+        entries = await self.lookup(call.service)
+        for entry in entries:
             key = IdempotencyKey(
                 entry.incarnation,
                 entry.age_ms * MILLISECOND + KEY_LIFE,
@@ -189,22 +258,29 @@
             )
             # Where nothing was sent with a key, a new one is safe.
             with contextlib.suppress(ConnectionNotMade):
-                return await self._resend(entry, call, str(key))
-        self._cache.pop(call.service, None)
+                return await self._resend(entry, entries, call, str(key))
         raise RequestNotRun('no-entry-answered', 1)
 
-    async def _resend(self, entry: Entry, call: _Call, key: str) -> Reply:
-        sent = False
-        while self._clock.elapsed() < call.deadline:
+    async def _resend(
+        self,
+        home: Entry,
+        entries: list[Entry],
+        call: _Call,
+        key: str,
+    ) -> Reply:
+        others = [entry for entry in entries if entry != home]
+        resends = _Resends()
+        for entry in itertools.cycle([home, home, *others]):
+            if self._clock.elapsed() >= call.deadline:
+                break
             try:
                 return _to_reply(await self._send(entry, call, key))
-            except ExchangeBroken:
-                sent = True
-            except ConnectionNotMade:
-                if not sent:
-                    raise
-            await self._clock.sleep(RESEND_PAUSE)
-        raise OutcomeUnknown('connection-broken')
+            except (TransportError, OutcomeUnknown) as error:
+                resends.take(error, is_home=entry == home)
+            if resends.is_final:
+                break
+            await self._clock.sleep(RESEND_PAUSE * (1 + random.random()))
+        raise resends.failure
 
     async def _send(
         self,
@@ -219,7 +295,7 @@
         return await self._http.send(
             call.method,
             f'http://{entry.address}/v1/services/{call.service}{call.path}',
-            timeout=remaining,
+            timeout=remaining + ANSWER_MARGIN,
             headers=headers,
             body=call.body or None,
         )
@@ -244,6 +320,7 @@
         pause = RESEND_PAUSE
         if isinstance(failure, RequestNotRun):
             pause = timedelta(seconds=failure.retry_after)
+        pause *= 1 + RETRY_JITTER * random.random()
         remaining = deadline - self._clock.elapsed()
         if pause >= remaining:
             raise failure
@@ -256,9 +333,15 @@
         case 'answered':
             return Reply(answer.status, answer.headers, answer.body)
         case 'not-run':
-            retry_after = float(answer.headers.get('Retry-After', 1))
-            raise RequestNotRun(reason, retry_after)
+            raise RequestNotRun(reason, _read_retry_after(answer))
         case 'unknown':
             raise OutcomeUnknown(reason)
         case other:
             raise OutcomeUnknown(f'unexpected outcome {other!r}')
+
+
+def _read_retry_after(answer: HttpAnswer) -> float:
+    try:
+        return max(0, float(answer.headers.get('Retry-After', 1)))
+    except ValueError:
+        return 1
--- a/packages/lycheedyke/src/lycheedyke/state/_ledger.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_ledger.py
@@ -203,21 +203,18 @@
         self._bytes -= record.size
         record.finish(packed)
         self._bytes += record.size
-        self._forget_if_expired(key, record)
+        self._forget_if_expired(key)
 
     def drop_expired(self) -> None:
         """Forgets the finished records of expired keys."""
         age = self.age
         while self._expiries and self._expiries[0][0] <= age:
             _, key = heapq.heappop(self._expiries)
-            self._forget_if_expired(key, self._records[key])
+            self._forget_if_expired(key)
 
-    def _forget_if_expired(
-        self,
-        key: IdempotencyKey,
-        record: KeyRecord,
-    ) -> None:
-        if record.finished and record.expiry <= self.age:
+    def _forget_if_expired(self, key: IdempotencyKey) -> None:
+        record = self._records.get(key)
+        if record and record.finished and record.expiry <= self.age:
             self._bytes -= self._records.pop(key).size
 
     def _create(self, key: IdempotencyKey, fingerprint: bytes) -> KeyRecord:
--- a/packages/lycheedyke/src/lycheedyke/transport/_http.py
+++ b/packages/lycheedyke/src/lycheedyke/transport/_http.py
@@ -28,8 +28,6 @@
     aiohttp.ClientConnectorError,
     aiohttp.ConnectionTimeoutError,
 )
-_RESENT_METHODS = frozenset(('PUT', 'DELETE', 'TRACE'))
-# Methods that aiohttp itself resends when a kept connection breaks.
 _NO_BODY_STATUSES = frozenset((204, 304))
 
 
@@ -41,6 +39,23 @@
     body: bytes
 
 
+class _OneAttempt:
+    """Keeps aiohttp from resending PUT, DELETE and others by itself."""
+
+    def __init__(self) -> None:
+        self._used = False
+
+    async def __call__(
+        self,
+        request: aiohttp.ClientRequest,
+        handler: aiohttp.ClientHandlerType,
+    ) -> aiohttp.ClientResponse:
+        if self._used:
+            raise aiohttp.ClientConnectionError('connection broke')
+        self._used = True
+        return await handler(request)
+
+
 class _Connector(aiohttp.TCPConnector):
     """A pool that gives out no connection with unread bytes on it."""
 
@@ -142,7 +157,7 @@
                     multidict.CIMultiDict(headers),
                     body,
                     _limit_connect(timeout),
-                    reuse=reuse and method not in _RESENT_METHODS,
+                    reuse=reuse,
                 ),
                 timeout.total_seconds(),
             )
@@ -171,6 +186,7 @@
             data=body,
             allow_redirects=False,
             timeout=timeout,
+            middlewares=(_OneAttempt(),),
         ) as response:
             return HttpAnswer(
                 response.status,
--- /dev/null
+++ b/tests/unit/test_at_most_once.py
@@ -0,0 +1,392 @@
+"""A keyed request runs at most once, and "not run" is true for ever.
+
+The machine steers real dispatchers, ledgers, peer clients and peer APIs. The
+clock, the wire between instances and the upstreams are fakes; the oracle
+knows only the runs of each key and the answers to each request.
+"""
+
+import asyncio
+import tracemalloc
+from collections import defaultdict
+from datetime import UTC, datetime, timedelta
+from types import SimpleNamespace
+from typing import Any
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+)
+
+from lycheedyke.exceptions import ConnectionNotMade, ExchangeBroken
+from lycheedyke.protocol import (
+    Answered,
+    IdempotencyKey,
+    InstanceInfo,
+    MessageCodec,
+    NotRun,
+    Outcome,
+    Reason,
+    RunReply,
+    Unknown,
+)
+from lycheedyke.state import Counters, KeyLedger, KeyRefused
+from lycheedyke_daemon.dispatch import Dispatcher
+from lycheedyke_daemon.forward import PeerApi, PeerClient
+from lycheedyke_daemon.work import Work
+
+SECOND = timedelta(seconds=1)
+LIFE = 10 * SECOND
+CODEC = MessageCodec(b'secret-of-the-machine')
+MEMORY_BYTES = 8000
+
+
+class FakeClock:
+    """A clock that the machine moves."""
+
+    def __init__(self) -> None:
+        self.time = timedelta()
+
+    def now(self) -> datetime:
+        return datetime(2026, 1, 1, tzinfo=UTC) + self.time
+
+    def elapsed(self) -> timedelta:
+        return self.time
+
+    async def sleep(self, duration: timedelta) -> None:
+        raise NotImplementedError
+
+
+class Run:
+    """One run at an upstream, until the machine ends it."""
+
+    def __init__(self, work: Work) -> None:
+        self.work = work
+        self.end: asyncio.Future[Outcome] = asyncio.Future()
+
+
+class Node:
+    """An incarnation: real parts over a fake wire and fake upstreams."""
+
+    def __init__(self, world: 'World', seat: int, number: int) -> None:
+        self.info = InstanceInfo(
+            f'node-{seat}', f'incarnation{number}', 'a', 'r', '', str(seat), ''
+        )
+        self.alive = True
+        self.tasks: list[asyncio.Task[Any]] = []
+        self.ledger = KeyLedger(
+            self.info.incarnation,
+            world.clock,
+            max_bytes=MEMORY_BYTES,
+            max_life=LIFE,
+        )
+        members: Any = SimpleNamespace(own=self.info, find=world.find)
+        router: Any = SimpleNamespace(run=world.run_upstream)
+        peers = PeerClient(CODEC, world.clock, Counters(), routes={})
+        peers._http = SimpleNamespace(send=world.send)  # type: ignore[assignment]
+        self.dispatcher = Dispatcher(
+            router, self.ledger, members, peers, world.clock
+        )
+        bodies: Any = None
+        self.api = PeerApi(
+            lambda name, work: world.run_upstream(work),
+            self.dispatcher.run_here,
+            bodies,
+            CODEC,
+            world.clock,
+            Counters(),
+        )
+
+
+class World:
+    """Three seats, the wire between them, and the oracle."""
+
+    def __init__(self) -> None:
+        self.clock = FakeClock()
+        self.started = 0
+        self.nodes = [self.start(seat) for seat in range(3)]
+        self.past = list(self.nodes)
+        self.fault = 'none'
+        self.late: list[tuple[Node, bytes]] = []
+        self.runs: dict[IdempotencyKey, list[Run]] = defaultdict(list)
+
+    def start(self, seat: int) -> Node:
+        self.started += 1
+        return Node(self, seat, self.started)
+
+    def find(self, incarnation: str) -> Node | None:
+        return next(
+            (
+                node
+                for node in self.past
+                if node.info.incarnation == incarnation
+            ),
+            None,
+        )
+
+    async def run_upstream(self, work: Work) -> Outcome:
+        assert work.key is not None
+        run = Run(work)
+        self.runs[work.key].append(run)
+        return await run.end
+
+    async def send(self, method: str, url: str, **options: Any) -> Any:
+        node = self.nodes[int(url.split('/')[2])]
+        fault, self.fault = self.fault, 'none'
+        if fault == 'refused':
+            raise ConnectionNotMade(url)
+        if fault == 'late':
+            self.late.append((node, options['body']))
+            raise ExchangeBroken(url)
+        outcome = await node.api.serve(options['body'])
+        if fault == 'answer lost' or not node.alive:
+            raise ExchangeBroken(url)
+        return SimpleNamespace(body=CODEC.encode(RunReply(outcome)))
+
+
+class AtMostOnce(RuleBasedStateMachine):
+    """Sends, resends, loses, kills and ends requests in any order."""
+
+    @initialize()
+    def prepare(self) -> None:
+        self.loop = asyncio.new_event_loop()
+        self.world = World()
+        self.keys: list[IdempotencyKey] = []
+        self.asked: list[tuple[IdempotencyKey, bytes, asyncio.Task[Any]]] = []
+        self.cancelled = 0
+
+    def teardown(self) -> None:
+        for run in self._open_runs():
+            run.end.set_result(Unknown(Reason.upstream_broke))
+        self._settle()
+        stuck = [
+            key
+            for key, _, task in self.asked
+            if not task.done() and self.world.nodes
+        ]
+        for task in asyncio.all_tasks(self.loop):
+            task.cancel()
+        self._settle()
+        self.loop.close()
+        assert not stuck
+
+    @rule(seat=st.integers(0, 2), life=st.integers(1, 10))
+    def make_key(self, seat: int, life: int) -> None:
+        node = self.world.nodes[seat]
+        self.keys.append(
+            IdempotencyKey(
+                node.info.incarnation,
+                node.ledger.age + life * SECOND,
+                f'nonce-{len(self.keys):04}',
+            )
+        )
+
+    @precondition(lambda self: self.keys)
+    @rule(
+        pick=st.integers(0, 3),
+        entry=st.integers(0, 2),
+        body=st.sampled_from([b'one', b'one', b'one', b'two']),
+        fault=st.sampled_from(
+            ['none', 'none', 'refused', 'late', 'answer lost']
+        ),
+    )
+    def send(self, pick: int, entry: int, body: bytes, fault: str) -> None:
+        key = self.keys[-1 - pick % len(self.keys)]
+        self.world.fault = fault
+        deadline = self.world.clock.time + 30 * SECOND
+        work = Work('kassa', 'POST', '/', (), body, deadline, '', key)
+        node = self.world.nodes[entry]
+        task = self.loop.create_task(node.dispatcher.run(work))
+        node.tasks.append(task)
+        self.asked.append((key, body, task))
+        self._settle()
+        self.world.fault = 'none'
+
+    @precondition(lambda self: self.keys)
+    @rule(pick=st.integers(0, 3), entry=st.integers(0, 2))
+    def refuse_at_entry(self, pick: int, entry: int) -> None:
+        key = self.keys[-1 - pick % len(self.keys)]
+        dispatcher = self.world.nodes[entry].dispatcher
+
+        async def refuse() -> Outcome:
+            return dispatcher.refuse(key, Reason.body_too_large)
+
+        task = self.loop.create_task(refuse())
+        self.asked.append((key, b'', task))
+        self._settle()
+
+    @precondition(lambda self: self._open_runs())
+    @rule(
+        pick=st.integers(0, 9),
+        how=st.sampled_from(['answered', 'not run', 'unknown', 'raised']),
+    )
+    def end_run(self, pick: int, how: str) -> None:
+        runs = self._open_runs()
+        run = runs[pick % len(runs)]
+        match how:
+            case 'answered':
+                body = run.work.body
+                run.end.set_result(Answered(200, (), body, 'kassa-1'))
+            case 'not run':
+                assert run.work.key is not None
+                self.world.runs[run.work.key].remove(run)
+                run.end.set_result(NotRun(Reason.upstream_refused))
+            case 'unknown':
+                run.end.set_result(Unknown(Reason.upstream_broke))
+            case _:
+                run.end.set_exception(RuntimeError('a fault of the router'))
+        self._settle()
+
+    @rule(seat=st.integers(0, 2))
+    def replace(self, seat: int) -> None:
+        node = self.world.nodes[seat]
+        node.alive = False
+        for task in node.tasks:
+            task.cancel()
+        self.world.nodes[seat] = self.world.start(seat)
+        self.world.past.append(self.world.nodes[seat])
+        self._settle()
+
+    @precondition(lambda self: any(not t.done() for _, _, t in self.asked))
+    @rule()
+    def cancel_caller(self) -> None:
+        task = next(task for _, _, task in self.asked if not task.done())
+        task.cancel()
+        self._settle()
+
+    @precondition(lambda self: self.world.late)
+    @rule()
+    def deliver_late(self) -> None:
+        node, body = self.world.late.pop(0)
+        node.tasks.append(self.loop.create_task(node.api.serve(body)))
+        self._settle()
+
+    @rule(seconds=st.integers(1, 6))
+    def pass_time(self, seconds: int) -> None:
+        self.world.clock.time += seconds * SECOND
+
+    @invariant()
+    def runs_at_most_once(self) -> None:
+        for key, runs in self.world.runs.items():
+            assert len(runs) <= 1, key
+
+    @invariant()
+    def answers_are_true(self) -> None:
+        for key, body, outcome in self._answers():
+            match outcome:
+                case Answered():
+                    assert outcome.body == body
+                    assert [run.work.body for run in self.world.runs[key]] == [
+                        body
+                    ]
+                case NotRun(reason) if reason is not Reason.key_reused:
+                    assert not self.world.runs[key], (key, reason)
+
+    @invariant()
+    def memory_is_bounded(self) -> None:
+        for node in self.world.nodes:
+            assert node.ledger.size <= MEMORY_BYTES + 768
+
+    def _answers(self) -> list[tuple[IdempotencyKey, bytes, Outcome]]:
+        return [
+            (key, body, task.result())
+            for key, body, task in self.asked
+            if task.done() and not task.cancelled()
+        ]
+
+    def _open_runs(self) -> list[Run]:
+        return [
+            run
+            for runs in self.world.runs.values()
+            for run in runs
+            if not run.end.done()
+        ]
+
+    def _settle(self) -> None:
+        async def wait() -> None:
+            for _ in range(15):
+                await asyncio.sleep(0)
+
+        self.loop.run_until_complete(wait())
+
+
+AtMostOnce.TestCase.settings = settings(
+    max_examples=80, stateful_step_count=40, deadline=None
+)
+TestAtMostOnce = AtMostOnce.TestCase
+
+
+def open_keys(ledger: KeyLedger, count: int, expiry: timedelta) -> int:
+    """Opens keys until refused; returns how many were accepted."""
+    for number in range(count):
+        key = IdempotencyKey('h' * 32, expiry, f'{number:064}')
+        try:
+            ledger.open(key, b'f' * 16)
+        except KeyRefused as refusal:
+            assert refusal.reason is Reason.key_memory_full
+            return number
+        ledger.finish(key, Answered(200, (('A', 'b'),), b'x' * 99, 'kassa-1'))
+    return count
+
+
+def test_full_memory_forgets_no_live_key() -> None:
+    """Full means refusing new keys; expiry makes room again."""
+    clock = FakeClock()
+    ledger = KeyLedger('h' * 32, clock, max_bytes=50_000, max_life=LIFE)
+    accepted = open_keys(ledger, 100, LIFE)
+    assert 0 < accepted < 100
+    first = IdempotencyKey('h' * 32, LIFE, f'{0:064}')
+    record, is_new = ledger.open(first, b'f' * 16)
+    assert (record.finished, is_new) == (True, False)
+    refused = IdempotencyKey('h' * 32, LIFE, f'{accepted:064}')
+    assert ledger.open(refused, b'f' * 16)[0].outcome == NotRun(
+        Reason.key_memory_full
+    )
+    clock.time = LIFE
+    with pytest.raises(KeyRefused, match='key-expired') as caught:
+        ledger.open(first, b'f' * 16)
+    assert caught.value.outcome == Unknown(Reason.key_expired)
+    assert (len(ledger), ledger.size) == (0, 0)
+
+
+@pytest.mark.parametrize('count', [1000, 21_900])
+def test_records_take_no_more_than_is_accounted(count: int) -> None:
+    """The accounted size is at least what the allocator has handed out."""
+    ledger = KeyLedger('h' * 32, FakeClock(), max_bytes=10**9, max_life=LIFE)
+    tracemalloc.start()
+    before, _ = tracemalloc.get_traced_memory()
+    open_keys(ledger, count, LIFE)
+    taken = tracemalloc.get_traced_memory()[0] - before
+    tracemalloc.stop()
+    assert taken <= ledger.size
+
+
+def test_a_key_stands_for_one_request() -> None:
+    """Another request with the same key is refused; the first is unharmed."""
+    ledger = KeyLedger('h' * 32, FakeClock(), max_life=LIFE)
+    key = IdempotencyKey('h' * 32, LIFE, 'nonce-0000')
+    ledger.open(key, b'first')
+    with pytest.raises(KeyRefused) as caught:
+        ledger.open(key, b'other')
+    assert caught.value.outcome == NotRun(Reason.key_reused)
+    ledger.finish(key, Answered(200, (), b'first', 'kassa-1'))
+    record, is_new = ledger.open(key, b'first')
+    assert (record.outcome.body, is_new) == (b'first', False)  # type: ignore[union-attr]
+    assert ledger.refuse(key, Reason.not_ready) == Unknown(Reason.not_ready)
+
+
+def test_an_answer_above_the_memory_is_not_kept() -> None:
+    """Resends of a key whose answer is too large get an unknown outcome."""
+    ledger = KeyLedger('h' * 32, FakeClock(), max_bytes=5000, max_life=LIFE)
+    key = IdempotencyKey('h' * 32, LIFE, 'nonce-0000')
+    ledger.open(key, b'first')
+    ledger.finish(key, Answered(200, (), b'x' * 9000, 'kassa-1'))
+    assert ledger.open(key, b'first')[0].outcome == Unknown(
+        Reason.key_memory_full
+    )
+    assert ledger.size < 5000
--- /dev/null
+++ b/tests/unit/test_whole_answers.py
@@ -0,0 +1,251 @@
+"""An answer is passed on whole, to the request that it answers, or not."""
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator, Callable, Coroutine
+from datetime import timedelta
+from typing import Any, NamedTuple
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from lycheedyke.exceptions import (
+    AnswerTooLarge,
+    ConnectionNotMade,
+    ExchangeBroken,
+    TransportError,
+)
+from lycheedyke.protocol import Answered
+from lycheedyke.transport import HttpAnswer, HttpClient
+from lycheedyke_daemon.answers import read_answer
+from lycheedyke_daemon.work import Work
+
+LIMIT = timedelta(seconds=5)
+WHOLE = b'HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nmine'
+
+
+class Script(NamedTuple):
+    """What the server sent and saw."""
+
+    url: str
+    connections: list[bytes]
+
+
+@contextlib.asynccontextmanager
+async def serving(*answers: bytes, close: bool) -> AsyncIterator[Script]:
+    """Serves the answers in turn, the last one again and again."""
+    script = list(answers)
+    connections: list[bytes] = []
+
+    async def serve(
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        connections.append(b'')
+        own = len(connections) - 1
+        with contextlib.suppress(asyncio.IncompleteReadError, OSError):
+            while True:
+                head = await reader.readuntil(b'\r\n\r\n')
+                connections[own] += head
+                writer.write(script.pop(0) if len(script) > 1 else script[0])
+                await writer.drain()
+                if close:
+                    break
+        writer.close()
+
+    server = await asyncio.start_server(serve, '127.0.0.1', 0)
+    port = server.sockets[0].getsockname()[1]
+    yield Script(f'http://127.0.0.1:{port}/a%2Fb%41', connections)
+    server.close()
+
+
+def run(job: Callable[[], Coroutine[Any, Any, None]]) -> None:
+    """Runs a test on a new loop."""
+    asyncio.run(job())
+
+
+async def ask(
+    script: Script,
+    method: str = 'GET',
+    *,
+    times: int = 1,
+    reuse: bool = True,
+) -> HttpAnswer:
+    """Sends the same request some times; returns the last answer."""
+    async with HttpClient(max_body_bytes=100) as client:
+        for _ in range(times):
+            answer = await client.send(
+                method,
+                script.url,
+                timeout=LIMIT,
+                reuse=reuse,
+            )
+            await asyncio.sleep(0.05)
+    return answer
+
+
+@pytest.mark.parametrize(
+    'cut',
+    [
+        b'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf',
+        b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nhalf',
+        b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n',
+        b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nZZ\r\nhalf\r\n',
+        b'HTTP/1.1 200 OK\r\n\r\nno length',
+        b'HTTP/1.1 200',
+        b'',
+    ],
+)
+def test_cut_answers_are_never_whole(cut: bytes) -> None:
+    """A cut answer breaks the exchange, and its connection is not reused."""
+
+    async def job() -> None:
+        async with serving(cut, close=True) as script:
+            with pytest.raises(ExchangeBroken):
+                await ask(script, 'POST')
+            assert len(script.connections) == 1
+
+    run(job)
+
+
+@pytest.mark.parametrize(
+    'large',
+    [
+        b'HTTP/1.1 200 OK\r\nContent-Length: 999\r\n\r\n' + b'x' * 999,
+        b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
+        + b'50\r\n'
+        + b'x' * 80
+        + b'\r\n50\r\n'
+        + b'x' * 80
+        + b'\r\n0\r\n\r\n',
+    ],
+)
+def test_large_answers_are_refused(large: bytes) -> None:
+    """An answer above the limit is given up, whatever its framing."""
+
+    async def job() -> None:
+        async with serving(large, close=False) as script:
+            with pytest.raises(AnswerTooLarge):
+                await ask(script)
+
+    run(job)
+
+
+def test_surplus_bytes_reach_no_other_request() -> None:
+    """Bytes that follow an answer do not answer the next request."""
+    late = b'HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate'
+
+    async def job() -> None:
+        async with HttpClient() as client:
+            writers: list[asyncio.StreamWriter] = []
+
+            async def serve(
+                reader: asyncio.StreamReader,
+                writer: asyncio.StreamWriter,
+            ) -> None:
+                writers.append(writer)
+                with contextlib.suppress(asyncio.IncompleteReadError):
+                    while await reader.readuntil(b'\r\n\r\n'):
+                        writer.write(WHOLE)
+
+            server = await asyncio.start_server(serve, '127.0.0.1', 0)
+            port = server.sockets[0].getsockname()[1]
+            url = f'http://127.0.0.1:{port}/'
+            await client.send('GET', url, timeout=LIMIT)
+            writers[0].write(late)
+            await asyncio.sleep(0.1)
+            answer = await client.send('GET', url, timeout=LIMIT)
+            assert (answer.body, len(writers)) == (b'mine', 2)
+            server.close()
+
+    run(job)
+
+
+@pytest.mark.parametrize('method', ['POST', 'PUT', 'DELETE'])
+def test_no_write_is_resent_on_a_stale_connection(method: str) -> None:
+    """Writes neither meet stale connections nor run twice on them."""
+
+    async def job() -> None:
+        async with serving(WHOLE, WHOLE, close=False) as script:
+            await ask(script, method, times=2, reuse=False)
+            assert len(script.connections) == 2
+        async with serving(WHOLE, b'', close=True) as script:
+            async with HttpClient() as client:
+                await client.send('GET', script.url, timeout=LIMIT)
+                with pytest.raises(ExchangeBroken):
+                    await client.send(method, script.url, timeout=LIMIT)
+            sent = b''.join(script.connections)
+            assert sent.count(method.encode() + b' ') == 1
+
+    run(job)
+
+
+def test_target_is_sent_as_it_stands() -> None:
+    """Escapes in the target are not rewritten."""
+
+    async def job() -> None:
+        async with serving(WHOLE, close=False) as script:
+            await ask(script)
+            assert script.connections[0].startswith(b'GET /a%2Fb%41 HTTP')
+
+    run(job)
+
+
+@pytest.mark.parametrize(
+    ('method', 'head'),
+    [
+        ('HEAD', b'HTTP/1.1 200 OK\r\nContent-Length: 5000\r\n\r\n'),
+        ('GET', b'HTTP/1.1 304 Not Modified\r\nContent-Length: 5000\r\n\r\n'),
+        ('GET', b'HTTP/1.1 204 No Content\r\n\r\n'),
+        (
+            'GET',
+            b'HTTP/1.1 302 Found\r\nLocation: /x\r\nContent-Length: 0\r\n'
+            b'Set-Cookie: a=1\r\nSet-Cookie: b=2\r\nConnection: x-hop\r\n'
+            b'X-Hop: 1\r\nLycheedyke-Reason: forged\r\n\r\n',
+        ),
+    ],
+)
+def test_special_answers_pass_unharmed(method: str, head: bytes) -> None:
+    """Answers without body and repeated headers pass; hop headers do not."""
+
+    async def job() -> None:
+        async with serving(head, close=False) as script:
+            answer = await ask(script, method, times=2)
+            assert len(script.connections) == 1
+        work = Work('kassa', method, '/', (), b'', LIMIT, '')
+        outcome = read_answer('kassa-1', work, answer)
+        assert isinstance(outcome, Answered)
+        lines = {f'{name}: {text}' for name, text in outcome.headers}
+        sent = set(head.decode().split('\r\n')[1:-2])
+        hops = {'Connection: x-hop', 'X-Hop: 1', 'Lycheedyke-Reason: forged'}
+        assert lines == sent - hops - {'Content-Length: 0'}
+
+    run(job)
+
+
+@settings(max_examples=60)
+@given(st.binary(max_size=300), st.sampled_from([b'', WHOLE[:17], WHOLE[:40]]))
+def test_any_bytes_end_in_an_answer_or_an_error(
+    tail: bytes, start: bytes
+) -> None:
+    """Whatever a server sends, the client gives an answer or its own error."""
+
+    async def job() -> None:
+        async with serving(start + tail, close=True) as script:
+            with contextlib.suppress(TransportError):
+                await ask(script)
+
+    run(job)
+
+
+def test_connect_refused_means_nothing_sent() -> None:
+    """A refused connection is told from a broken one."""
+
+    async def job() -> None:
+        async with serving(WHOLE, close=False) as script:
+            pass
+        with pytest.raises(ConnectionNotMade):
+            await ask(script, 'POST')
+
+    run(job)
