Run suspects of crashes alone and quarantine the guilty

Cause: a request that crashes upstreams was sent to one after another. Ruled out: condemning on a broken connection alone (lost answers break it too); counting only crashes while alone (would lose three upstreams). Change: after a broken exchange the upstream is probed; where nothing listens, all in flight there are suspects and run alone from then on; one that ends is cleared, one with two lost upstreams is refused everywhere. Peers are told before the outcome is given, so a retry elsewhere finds it known. More than four upstreams lost within 10 s clear all suspicion of that time. Operators list and clear suspects at /v1/suspects. Conclusion: a crash that a supervisor repairs within 50 ms goes unseen.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/admin.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/admin.py
@@ -17,8 +17,9 @@
     TicketUnknown,
 )
 from lycheedyke.protocol import decode_ticket
-from lycheedyke.state import Counters
+from lycheedyke.state import Counters, Suspect
 from lycheedyke_daemon.runner import Runner
+from lycheedyke_daemon.spread import SuspectSpread
 
 HTTP_BAD_REQUEST = 400
 HTTP_UNAUTHORIZED = 401
@@ -38,6 +39,7 @@
         follower: hands tickets in.
         members: the live instances.
         runner: the owned upstreams.
+        spread: lists and clears suspects.
         counters: the counters to show.
     """
 
@@ -48,6 +50,7 @@
         follower: TicketFollower,
         members: Members,
         runner: Runner,
+        spread: SuspectSpread,
         counters: Counters,
     ) -> None:
         """Makes the API over the parts of one instance."""
@@ -56,6 +59,7 @@
         self._follower = follower
         self._members = members
         self._runner = runner
+        self._spread = spread
         self._counters = counters
 
     def __repr__(self) -> str:
@@ -72,6 +76,8 @@
             web.get('/v1/counters', self._guard(self._count)),
             web.post('/v1/tickets', self._guard(self._apply)),
             web.get('/v1/tickets/{number}', self._guard(self._show)),
+            web.get('/v1/suspects', self._guard(self._list_suspects)),
+            web.delete('/v1/suspects', self._guard(self._clear_suspects)),
         ]
 
     def _guard(self, handler: _Handler) -> _Handler:
@@ -132,6 +138,14 @@
             },
         )
 
+    async def _list_suspects(self, request: web.Request) -> web.Response:
+        return _reply([_describe(each) for each in self._spread.list()])
+
+    async def _clear_suspects(self, request: web.Request) -> web.Response:
+        fingerprint = request.query.get('fingerprint')
+        cleared = await self._spread.clear(fingerprint)
+        return _reply([_describe(each) for each in cleared])
+
     async def _apply(self, request: web.Request) -> web.Response:
         try:
             ticket = decode_ticket(await request.read())
@@ -161,6 +175,15 @@
     )
 
 
+def _describe(suspect: Suspect) -> dict[str, Any]:
+    return {
+        'fingerprint': suspect.fingerprint,
+        'crashed': suspect.crashed,
+        'remaining_ms': suspect.remaining_ms,
+        'quarantined': suspect.quarantined,
+    }
+
+
 def _explain(error: LycheedykeError) -> web.Response:
     match error:
         case DocumentMalformed():
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/forward.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/forward.py
@@ -1,9 +1,17 @@
 """Forwards work to other instances over HTTP, and serves theirs."""
 
-from collections.abc import Awaitable, Callable, Coroutine, Mapping
+import asyncio
+from collections.abc import (
+    Awaitable,
+    Callable,
+    Coroutine,
+    Iterable,
+    Mapping,
+)
 from datetime import timedelta
-from typing import Any
+from typing import Annotated, Any
 
+import msgspec
 from aiohttp import web
 
 from lycheedyke.clock import Clock
@@ -12,6 +20,7 @@
     ExchangeBroken,
     KeyMalformed,
     MessageRejected,
+    TransportError,
 )
 from lycheedyke.protocol import (
     IdempotencyKey,
@@ -24,19 +33,36 @@
     RunRequest,
     Unknown,
 )
-from lycheedyke.state import Counters
+from lycheedyke.state import Counters, Suspect
 from lycheedyke.transport import HttpClient
 from lycheedyke_daemon.bodies import BodyReader, BodyRefused
 from lycheedyke_daemon.detached import DetachedTasks
 from lycheedyke_daemon.work import Work
 
 RUN_PATH = '/v1/run'
+SUSPECTS_PATH = '/v1/suspects'
+REPORT_LIMIT = timedelta(milliseconds=300)
+MAX_SUSPECTS = 256
 MAX_RUN_BYTES = 4_194_304
 HTTP_FORBIDDEN = 403
 HTTP_UNAVAILABLE = 503
 MILLISECOND = timedelta(milliseconds=1)
 ANSWER_MARGIN = timedelta(milliseconds=200)
 
+
+class SuspectsReport(msgspec.Struct, frozen=True):
+    """Tells a peer of suspects, and of those that operators cleared."""
+
+    suspects: Annotated[
+        tuple[Suspect, ...],
+        msgspec.Meta(max_length=MAX_SUSPECTS),
+    ]
+    cleared: Annotated[
+        tuple[str, ...],
+        msgspec.Meta(max_length=MAX_SUSPECTS),
+    ] = ()
+
+
 RunHere = Callable[[str, Work], Coroutine[Any, Any, Outcome]]
 
 
@@ -121,6 +147,29 @@
             self._counters.count('message.rejected')
             return Unknown(Reason.peer_broke)
 
+    async def report(
+        self,
+        peers: Iterable[InstanceInfo],
+        report: SuspectsReport,
+    ) -> None:
+        """Sends a report to peers; those that do not answer are left out."""
+        message = self._codec.encode(report)
+        await asyncio.gather(
+            *(self._tell(peer, message) for peer in peers),
+        )
+
+    async def _tell(self, peer: InstanceInfo, message: bytes) -> None:
+        address = self._routes.get(peer.peer_address, peer.peer_address)
+        try:
+            await self._http.send(
+                'POST',
+                f'http://{address}{SUSPECTS_PATH}',
+                timeout=REPORT_LIMIT,
+                body=message,
+            )
+        except TransportError:
+            self._counters.count('suspects.report-lost')
+
     def _read_reply(self, body: bytes) -> Outcome:
         reply = self._codec.decode(body, RunReply, max_bytes=MAX_RUN_BYTES)
         return reply.outcome
@@ -142,6 +191,7 @@
     Args:
         run_owned: runs work on a named upstream of this instance.
         run_home: runs keyed work whose home is this instance.
+        take_suspects: takes in what a peer reports.
         bodies: reads the messages.
         codec: checks requests and signs replies.
         clock: turns remaining time into deadlines.
@@ -152,6 +202,7 @@
         self,
         run_owned: RunHere,
         run_home: Callable[[Work, IdempotencyKey], Awaitable[Outcome]],
+        take_suspects: Callable[[SuspectsReport], None],
         bodies: BodyReader,
         codec: MessageCodec,
         clock: Clock,
@@ -160,6 +211,7 @@
         """Makes the API over the parts of one instance."""
         self._run_owned = run_owned
         self._run_home = run_home
+        self._take_suspects = take_suspects
         self._bodies = bodies
         self._codec = codec
         self._clock = clock
@@ -176,7 +228,10 @@
 
     def routes(self) -> list[web.RouteDef]:
         """Returns the routes of the peer port."""
-        return [web.post(RUN_PATH, self._run)]
+        return [
+            web.post(RUN_PATH, self._run),
+            web.post(SUSPECTS_PATH, self._take),
+        ]
 
     async def serve(self, body: bytes) -> Outcome:
         """Returns the outcome of a forwarded request.
@@ -204,6 +259,16 @@
             case upstream, _:
                 return await self._runs.run(self._run_owned(upstream, work))
 
+    async def _take(self, request: web.Request) -> web.Response:
+        try:
+            async with self._bodies.read(request) as body:
+                report = self._codec.decode(body, SuspectsReport)
+        except (BodyRefused, MessageRejected):
+            self._counters.count('message.rejected')
+            return web.Response(status=HTTP_FORBIDDEN)
+        self._take_suspects(report)
+        return web.Response()
+
     async def _run(self, request: web.Request) -> web.Response:
         try:
             async with self._bodies.read(request) as body:
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/instance.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/instance.py
@@ -23,17 +23,25 @@
     TicketsReply,
     TicketsRequest,
 )
-from lycheedyke.state import Configuration, Counters, KeyLedger, MemoryBudget
+from lycheedyke.state import (
+    Configuration,
+    Counters,
+    KeyLedger,
+    MemoryBudget,
+    Suspects,
+)
 from lycheedyke.transport import PeerListener
 from lycheedyke_daemon.admin import AdminApi
 from lycheedyke_daemon.bodies import BodyReader
 from lycheedyke_daemon.callers import CallerApi
+from lycheedyke_daemon.crashes import CrashGuard
 from lycheedyke_daemon.dispatch import Dispatcher
 from lycheedyke_daemon.forward import PeerApi, PeerClient
 from lycheedyke_daemon.lookups import Lookups
 from lycheedyke_daemon.routing import Router
 from lycheedyke_daemon.runner import Runner
 from lycheedyke_daemon.settings import Secrets, Settings
+from lycheedyke_daemon.spread import SuspectSpread
 
 INCARNATION_BYTES = 8
 OWNERSHIP_INTERVAL_SECONDS = 0.25
@@ -74,8 +82,6 @@
             routes=settings.routes,
         )
         self._log = TicketLog(self._take_over)
-        self._runner = Runner(clock, self._counters)
-        self._members.loads = self._runner.loads
         self._platform = PlatformClient(
             settings.platform_address,
             timeout=settings.platform_timeout,
@@ -87,6 +93,14 @@
             self._counters,
             routes=settings.routes,
         )
+        suspects = Suspects(clock)
+        self._spread = SuspectSpread(suspects, self._members, self._peers)
+        self._runner = Runner(
+            clock,
+            self._counters,
+            CrashGuard(suspects, self._spread.report, self._counters),
+        )
+        self._members.loads = self._runner.loads
         self._ledger = KeyLedger(
             own.incarnation,
             clock,
@@ -114,6 +128,7 @@
             self._follower,
             self._members,
             self._runner,
+            self._spread,
             self._counters,
         )
 
@@ -140,8 +155,8 @@
         _logger.info('stopping')
         self._members.stopping = True
         await self._clock.sleep(self._settings.stop_linger)
-        await self._dispatcher.close()
-        await self._peer_api.close()
+        for runs in (self._dispatcher, self._peer_api, self._spread):
+            await runs.close()
         for site in reversed(self._sites):
             await site.cleanup()
         for task in self._tasks:
@@ -174,6 +189,7 @@
         api = PeerApi(
             self._runner.run,
             self._dispatcher.run_here,
+            self._spread.take,
             self._read_bodies(limit),
             self._codec,
             self._clock,
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/runner.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/runner.py
@@ -1,5 +1,6 @@
 """Runs work on the upstreams that this instance owns."""
 
+import functools
 from datetime import timedelta
 
 from lycheedyke.clock import Clock
@@ -21,6 +22,7 @@
 from lycheedyke.state import AdmissionRefused, Admitter, Configuration, Counters
 from lycheedyke.transport import HttpClient
 from lycheedyke_daemon.answers import read_answer
+from lycheedyke_daemon.crashes import CrashGuard
 from lycheedyke_daemon.work import Work
 
 MILLISECOND = timedelta(milliseconds=1)
@@ -32,12 +34,19 @@
     Args:
         clock: measures deadlines and latencies.
         counters: counts outcomes.
+        guard: runs suspects alone.
     """
 
-    def __init__(self, clock: Clock, counters: Counters) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        counters: Counters,
+        guard: CrashGuard,
+    ) -> None:
         """Makes a runner that owns nothing."""
         self._clock = clock
         self._counters = counters
+        self._guard = guard
         self._http = HttpClient()
         self._configuration = Configuration()
         self._admitters: dict[str, Admitter] = {}
@@ -97,7 +106,12 @@
         except AdmissionRefused as refusal:
             return NotRun(refusal.reason)
         try:
-            return await self._send(name, upstream, service, work)
+            return await self._guard.run(
+                name,
+                upstream.address,
+                work,
+                functools.partial(self._send, name, upstream, service, work),
+            )
         finally:
             admitter.leave()
 
--- /dev/null
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/spread.py
@@ -0,0 +1,76 @@
+"""Spreads suspects among instances."""
+
+from lycheedyke.coordination import Members
+from lycheedyke.state import Suspect, Suspects
+from lycheedyke_daemon.detached import DetachedTasks
+from lycheedyke_daemon.forward import PeerClient, SuspectsReport
+
+
+class SuspectSpread:
+    """Tells live peers what is new; they tell theirs.
+
+    Args:
+        suspects: the suspects of this instance.
+        members: the live instances.
+        peers: sends the reports.
+    """
+
+    def __init__(
+        self,
+        suspects: Suspects,
+        members: Members,
+        peers: PeerClient,
+    ) -> None:
+        """Makes a spread over the parts of one instance."""
+        self._suspects = suspects
+        self._members = members
+        self._peers = peers
+        self._reports = DetachedTasks()
+
+    def __repr__(self) -> str:
+        """Returns the suspects."""
+        return f'<SuspectSpread of {self._suspects!r}>'
+
+    def list(self) -> tuple[Suspect, ...]:
+        """Returns all suspects."""
+        return self._suspects.list()
+
+    async def report(self) -> None:
+        """Tells all live peers of all suspects."""
+        await self._tell(SuspectsReport(self._suspects.list()))
+
+    async def clear(self, fingerprint: str | None) -> tuple[Suspect, ...]:
+        """Clears one suspect, or all, here and at live peers.
+
+        Returns:
+            The suspects that were cleared here.
+        """
+        cleared = tuple(
+            suspect
+            for suspect in self._suspects.list()
+            if fingerprint in {None, suspect.fingerprint}
+        )
+        self._suspects.clear(suspect.fingerprint for suspect in cleared)
+        await self._tell(
+            SuspectsReport(
+                (),
+                cleared=tuple(suspect.fingerprint for suspect in cleared),
+            ),
+        )
+        return cleared
+
+    def take(self, report: SuspectsReport) -> None:
+        """Takes in a peer's report; what is new here is told on."""
+        is_new = self._suspects.take(report.suspects)
+        if self._suspects.clear(report.cleared):
+            self._reports.start(self._tell(report))
+        elif is_new:
+            self._reports.start(self.report())
+
+    async def close(self) -> None:
+        """Waits for all reports."""
+        await self._reports.close()
+
+    async def _tell(self, report: SuspectsReport) -> None:
+        peers = [peer.info for peer in self._members.live()]
+        await self._peers.report(peers, report)
--- a/packages/lycheedyke/src/lycheedyke/state/__init__.py
+++ b/packages/lycheedyke/src/lycheedyke/state/__init__.py
@@ -13,6 +13,7 @@
 )
 from lycheedyke.state._memory import MemoryBudget, MemoryFull
 from lycheedyke.state._shares import hash_point, share_at
+from lycheedyke.state._suspects import Suspect, Suspects, Verdict
 
 __all__ = (
     'AdmissionRefused',
@@ -26,6 +27,9 @@
     'KeyRefused',
     'MemoryBudget',
     'MemoryFull',
+    'Suspect',
+    'Suspects',
+    'Verdict',
     'find_faults',
     'hash_point',
     'share_at',
--- a/tests/processes/test_outcomes.py
+++ b/tests/processes/test_outcomes.py
@@ -22,6 +22,7 @@
 pytestmark = pytest.mark.processes
 ZONES = {'norr-a': 'norr'}
 LIFE_MS = 60_000
+UPSTREAMS = 4
 
 
 def ticket(ports: list[int]) -> dict[str, object]:
@@ -129,9 +130,10 @@
 
 def drive(tmp_path: Path, story: Any, entries: int = 3) -> None:
     """Runs a story over one zone with real processes."""
-    ports = free_ports(3)
+    ports = free_ports(UPSTREAMS)
     with Deployment(tmp_path, zones=ZONES, entries=entries) as running:
-        running.start_upstreams('upstreams', ports)
+        for index, port in enumerate(ports):
+            running.start_upstreams(f'kassa-{index}', [port])
         till = Till(running, ports)
 
         async def run() -> None:
@@ -276,3 +278,49 @@
                 assert outcome != 'not-run' or runs == 0, body
 
     drive(tmp_path, story)
+
+
+def test_a_crashing_request_is_quarantined(tmp_path: Path) -> None:
+    """It takes down two upstreams at most, with new keys, at all entries."""
+
+    async def story(till: Till) -> None:
+        names = list(till.running.seats)
+        for port in till.ports:
+            await call(
+                'POST',
+                f'http://127.0.0.1:{port}/fault',
+                json={'crash_on': 'poison', 'run_ms': 50},
+            )
+        good = [
+            asyncio.create_task(
+                till.credit(name, await till.key(name, '1'), f'good {name}')
+            )
+            for name in names
+        ]
+        for number in range(9):
+            name = names[number % 3]
+            key = await till.key(name, f'2{number}')
+            outcome, body = await till.credit(name, key, 'poison')
+        assert (outcome, body['reason']) == ('not-run', 'quarantined')
+        await asyncio.gather(*good)
+        alive = [
+            name
+            for name, process in till.running.processes.items()
+            if name.startswith('kassa-') and process.poll() is None
+        ]
+        assert len(alive) == UPSTREAMS - 2
+        seat = till.running.seats[names[0]]
+        url = f'http://{seat.admin}/v1/suspects'
+        _, listed = await call('GET', url, headers=admin_headers())
+        condemned = [each for each in listed if each['quarantined']]
+        assert [len(each['crashed']) for each in condemned] == [2]
+        for name in names:
+            key = await till.key(name, '30')
+            again = await till.credit(name, key, f'good {name}')
+            assert again[0] == 'answered', again
+        _, cleared = await call('DELETE', url, headers=admin_headers())
+        assert condemned[0]['fingerprint'] in {
+            each['fingerprint'] for each in cleared
+        }
+
+    drive(tmp_path, story)
--- a/tests/unit/test_at_most_once.py
+++ b/tests/unit/test_at_most_once.py
@@ -96,6 +96,7 @@
         self.api = PeerApi(
             lambda name, work: world.run_upstream(work),
             self.dispatcher.run_here,
+            lambda report: None,
             bodies,
             CODEC,
             world.clock,
