Hand keys over to an instance of the zone in a planned stop

Cause: after a planned stop every resend met an unknown outcome. Ruled out: taking over unfinished runs (the old process holds the exchange); telling peers alone (two could run a new key in between). A handover that is not confirmed leaves the ledger sealed: its new keys run nowhere. Dispatcher.hand_over is the hook for the stop.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/dispatch.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/dispatch.py
@@ -12,9 +12,10 @@
     Reason,
     Unknown,
 )
-from lycheedyke.state import KeyLedger, KeyRecord, KeyRefused
+from lycheedyke.state import KeyLedger, KeyMoved, KeyRecord, KeyRefused
 from lycheedyke_daemon.detached import DetachedTasks
 from lycheedyke_daemon.forward import ANSWER_MARGIN, PeerClient
+from lycheedyke_daemon.handover import KeyHomes
 from lycheedyke_daemon.routing import Router
 from lycheedyke_daemon.work import Work
 
@@ -26,7 +27,7 @@
 
     Args:
         router: runs the work.
-        ledger: the records of the keys whose home is here.
+        homes: the records of the keys whose home is here.
         members: the live instances.
         peers: forwards work to other homes.
         clock: measures the deadlines.
@@ -35,14 +36,14 @@
     def __init__(
         self,
         router: Router,
-        ledger: KeyLedger,
+        homes: KeyHomes,
         members: Members,
         peers: PeerClient,
         clock: Clock,
     ) -> None:
         """Makes a dispatcher over the parts of one instance."""
         self._router = router
-        self._ledger = ledger
+        self._homes = homes
         self._members = members
         self._peers = peers
         self._clock = clock
@@ -58,8 +59,11 @@
             return await self._router.run(work)
         if work.key is None:
             return NotRun(Reason.key_missing)
-        if work.key.home == self._members.own.incarnation:
+        if self._homes.find_ledger(work.key.home) is not None:
             return await self.run_here(work, work.key)
+        successor = self._homes.find_successor(work.key.home)
+        if successor is not None:
+            return await self._peers.run(successor, work)
         home = self._members.find(work.key.home)
         if home is None:
             return Unknown(Reason.home_gone)
@@ -67,14 +71,17 @@
 
     async def run_here(self, work: Work, key: IdempotencyKey) -> Outcome:
         """Returns the outcome of keyed work whose home is this instance."""
-        if key.home != self._members.own.incarnation:
+        ledger = self._homes.find_ledger(key.home)
+        if ledger is None:
             return Unknown(Reason.home_gone)
         try:
-            record, is_new = self._ledger.open(key, work.fingerprint())
+            record, is_new = ledger.open(key, work.fingerprint())
         except KeyRefused as refusal:
             return refusal.outcome
+        except KeyMoved:
+            return await self._run_at_successor(work, key)
         if is_new:
-            self._runs.start(self._finish(work, key))
+            self._runs.start(self._finish(work, key, ledger))
         return await self._wait(record, work)
 
     def refuse(self, key: IdempotencyKey | None, reason: Reason) -> Outcome:
@@ -84,14 +91,38 @@
         """
         if key is None:
             return NotRun(reason)
-        if key.home == self._members.own.incarnation:
-            return self._ledger.refuse(key, reason)
-        return Unknown(reason)
+        ledger = self._homes.find_ledger(key.home)
+        if ledger is None:
+            return Unknown(reason)
+        try:
+            return ledger.refuse(key, reason)
+        except KeyMoved:
+            return Unknown(reason)
+
+    async def hand_over(self) -> None:
+        """Ends all keyed runs, and hands the keys to another instance.
+
+        Called in a planned stop, while this instance still serves. New keys
+        wait from the first moment, and go to the successor in the end.
+        """
+        self._homes.seal()
+        await self._runs.close()
+        await self._homes.hand_over()
 
     async def close(self) -> None:
         """Waits for all keyed runs."""
         await self._runs.close()
 
+    async def _run_at_successor(
+        self,
+        work: Work,
+        key: IdempotencyKey,
+    ) -> Outcome:
+        successor = await self._homes.wait_for_successor(key.home)
+        if successor is None:
+            return Unknown(Reason.stopping)
+        return await self._peers.run(successor, work)
+
     async def _wait(self, record: KeyRecord, work: Work) -> Outcome:
         remaining = work.deadline + ANSWER_MARGIN - self._clock.elapsed()
         try:
@@ -102,11 +133,16 @@
         except TimeoutError:
             return Unknown(Reason.deadline_passed)
 
-    async def _finish(self, work: Work, key: IdempotencyKey) -> None:
+    async def _finish(
+        self,
+        work: Work,
+        key: IdempotencyKey,
+        ledger: KeyLedger,
+    ) -> None:
         outcome: Outcome = Unknown(Reason.internal_error)
         try:
             outcome = await self._router.run(work)
         except Exception:
             _logger.exception('keyed run failed')
         finally:
-            self._ledger.finish(key, outcome)
+            ledger.finish(key, outcome)
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/forward.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/forward.py
@@ -44,6 +44,7 @@
 REPORT_LIMIT = timedelta(milliseconds=300)
 MAX_SUSPECTS = 256
 MAX_RUN_BYTES = 4_194_304
+HTTP_OK = 200
 HTTP_FORBIDDEN = 403
 HTTP_UNAVAILABLE = 503
 MILLISECOND = timedelta(milliseconds=1)
@@ -153,22 +154,34 @@
         report: SuspectsReport,
     ) -> None:
         """Sends a report to peers; those that do not answer are left out."""
-        message = self._codec.encode(report)
-        await asyncio.gather(
-            *(self._tell(peer, message) for peer in peers),
+        results = await asyncio.gather(
+            *(
+                self.tell(peer, SUSPECTS_PATH, report, timeout=REPORT_LIMIT)
+                for peer in peers
+            ),
         )
+        self._counters.count('suspects.report-lost', results.count(False))
 
-    async def _tell(self, peer: InstanceInfo, message: bytes) -> None:
+    async def tell(
+        self,
+        peer: InstanceInfo,
+        path: str,
+        message: msgspec.Struct,
+        *,
+        timeout: timedelta,
+    ) -> bool:
+        """Sends a message to a peer port; returns whether it was taken in."""
         address = self._routes.get(peer.peer_address, peer.peer_address)
         try:
-            await self._http.send(
+            answer = await self._http.send(
                 'POST',
-                f'http://{address}{SUSPECTS_PATH}',
-                timeout=REPORT_LIMIT,
-                body=message,
+                f'http://{address}{path}',
+                timeout=timeout,
+                body=self._codec.encode(message),
             )
         except TransportError:
-            self._counters.count('suspects.report-lost')
+            return False
+        return answer.status == HTTP_OK
 
     def _read_reply(self, body: bytes) -> Outcome:
         reply = self._codec.decode(body, RunReply, max_bytes=MAX_RUN_BYTES)
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/instance.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/instance.py
@@ -37,6 +37,7 @@
 from lycheedyke_daemon.crashes import CrashGuard
 from lycheedyke_daemon.dispatch import Dispatcher
 from lycheedyke_daemon.forward import PeerApi, PeerClient
+from lycheedyke_daemon.handover import HandoverApi, KeyHomes
 from lycheedyke_daemon.lookups import Lookups
 from lycheedyke_daemon.routing import Router
 from lycheedyke_daemon.runner import Runner
@@ -101,11 +102,20 @@
             CrashGuard(suspects, self._spread.report, self._counters),
         )
         self._members.loads = self._runner.loads
-        self._ledger = KeyLedger(
-            own.incarnation,
+        memory = settings.key_memory_bytes
+        life = settings.key_life
+        self._homes = KeyHomes(
+            KeyLedger(
+                own.incarnation,
+                clock,
+                max_bytes=memory,
+                max_life=life,
+            ),
+            self._members,
+            self._peers,
             clock,
-            max_bytes=settings.key_memory_bytes,
-            max_life=settings.key_life,
+            max_bytes=memory,
+            max_life=life,
         )
         self._dispatcher = Dispatcher(
             Router(
@@ -115,7 +125,7 @@
                 self._peers,
                 self._counters,
             ),
-            self._ledger,
+            self._homes,
             self._members,
             self._peers,
             clock,
@@ -155,6 +165,7 @@
         _logger.info('stopping')
         self._members.stopping = True
         await self._clock.sleep(self._settings.stop_linger)
+        await self._dispatcher.hand_over()
         for runs in (self._dispatcher, self._peer_api, self._spread):
             await runs.close()
         for site in reversed(self._sites):
@@ -196,6 +207,13 @@
             self._counters,
         )
         self._peer_api = api
+        handover = HandoverApi(
+            self._homes,
+            self._read_bodies(limit),
+            self._codec,
+            self._counters,
+        )
+        app.add_routes(handover.routes())
         app.add_routes(api.routes())
         return app
 
--- a/packages/lycheedyke/src/lycheedyke/state/__init__.py
+++ b/packages/lycheedyke/src/lycheedyke/state/__init__.py
@@ -6,8 +6,9 @@
 from lycheedyke.state._configuration import Configuration
 from lycheedyke.state._counters import Counters
 from lycheedyke.state._ledger import (
-    KeptKey,
+    HandedRecord,
     KeyLedger,
+    KeyMoved,
     KeyRecord,
     KeyRefused,
 )
@@ -21,8 +22,9 @@
     'BlockMap',
     'Configuration',
     'Counters',
-    'KeptKey',
+    'HandedRecord',
     'KeyLedger',
+    'KeyMoved',
     'KeyRecord',
     'KeyRefused',
     'MemoryBudget',
--- a/packages/lycheedyke/src/lycheedyke/state/_ledger.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_ledger.py
@@ -2,9 +2,8 @@
 
 import asyncio
 import heapq
-from collections.abc import Iterator
+from collections.abc import Iterable
 from datetime import timedelta
-from typing import NamedTuple
 
 import msgspec
 
@@ -47,6 +46,18 @@
         return NotRun(self.reason)
 
 
+class KeyMoved(StateError):
+    """New keys of this incarnation are accepted elsewhere, if anywhere."""
+
+
+class HandedRecord(msgspec.Struct, frozen=True, array_like=True):
+    """A finished record on its way to another instance."""
+
+    key: str
+    fingerprint: bytes
+    outcome: bytes
+
+
 class KeyRecord:
     """One key: its request, and its outcome once there is one."""
 
@@ -65,6 +76,11 @@
         """Whether the outcome is known."""
         return bool(self._outcome)
 
+    @property
+    def packed(self) -> bytes:
+        """The encoded outcome of a finished record."""
+        return self._outcome
+
     @property
     def outcome(self) -> Outcome:
         """The outcome of a finished record."""
@@ -87,13 +103,6 @@
         return self.outcome
 
 
-class KeptKey(NamedTuple):
-    """A key with its record."""
-
-    key: IdempotencyKey
-    record: KeyRecord
-
-
 class KeyLedger:
     """The records of all live keys of one incarnation.
 
@@ -123,16 +132,12 @@
         self._records: dict[IdempotencyKey, KeyRecord] = {}
         self._expiries: list[tuple[timedelta, IdempotencyKey]] = []
         self._bytes = 0
+        self._sealed = False
 
     def __len__(self) -> int:
         """Returns the number of records."""
         return len(self._records)
 
-    def __iter__(self) -> Iterator[KeptKey]:
-        """Returns the keys with their records."""
-        for key, record in self._records.items():
-            yield KeptKey(key, record)
-
     def __repr__(self) -> str:
         """Returns the home and the number of records."""
         return f'<KeyLedger {self._home} of {len(self)} records>'
@@ -162,6 +167,7 @@
             KeyRefused: the key expired, lives too long, stands for another
                 request, or there is no memory for its record. A key refused
                 as not run is never accepted later.
+            KeyMoved: the key is new, and the ledger is sealed.
         """
         self.drop_expired()
         record = self._records.get(key)
@@ -176,6 +182,9 @@
 
         A key without a record is recorded as not run, so that no copy of the
         request that arrives later runs it.
+
+        Raises:
+            KeyMoved: the key is new, and the ledger is sealed.
         """
         self.drop_expired()
         record = self._records.get(key)
@@ -205,6 +214,27 @@
         self._bytes += record.size
         self._forget_if_expired(key)
 
+    def seal(self) -> None:
+        """Accepts no new key from now on; records are still answered."""
+        self._sealed = True
+
+    def export(self) -> list[HandedRecord]:
+        """Returns the finished records that are not expired."""
+        self.drop_expired()
+        return [
+            HandedRecord(str(key), record.fingerprint, record.packed)
+            for key, record in self._records.items()
+            if record.finished
+        ]
+
+    def load(self, records: Iterable[HandedRecord]) -> None:
+        """Takes in records that another instance exported."""
+        for handed in records:
+            key = IdempotencyKey.parse(handed.key)
+            record = self._keep(key, handed.fingerprint)
+            record.finish(handed.outcome)
+            self._bytes += len(handed.outcome)
+
     def drop_expired(self) -> None:
         """Forgets the finished records of expired keys."""
         age = self.age
@@ -239,6 +269,8 @@
         return record
 
     def _check_life(self, key: IdempotencyKey) -> None:
+        if self._sealed:
+            raise KeyMoved(f'{self._home} accepts no new keys')
         if key.expiry <= self.age:
             raise KeyRefused(Reason.key_expired, may_have_run=True)
         if key.expiry > self.age + self._max_life:
--- a/tests/processes/test_outcomes.py
+++ b/tests/processes/test_outcomes.py
@@ -324,3 +324,27 @@
         }
 
     drive(tmp_path, story)
+
+
+def test_a_planned_stop_hands_its_keys_over(tmp_path: Path) -> None:
+    """After the stop, resends are answered and unsent keys run, once each."""
+
+    async def story(till: Till) -> None:
+        home, *others = till.running.seats
+        done, fresh = await till.key(home, '1'), await till.key(home, '2')
+        late = await till.key(home, '3')
+        await till.fault(run_ms=300)
+        assert (await till.credit(home, done, 'done'))[0] == 'answered'
+        till.running.signal(home, signal.SIGTERM)
+        sent = [
+            asyncio.create_task(till.credit(name, fresh, 'fresh'))
+            for name in (home, *others)
+        ]
+        assert {(await each)[0] for each in sent} == {'answered'}
+        assert await asyncio.to_thread(till.running.wait, home) == 0
+        for name in others:
+            for key, body in ((done, 'done'), (fresh, 'fresh'), (late, 'late')):
+                outcome, answer = await till.credit(name, key, body)
+                assert (outcome, answer['run']) == ('answered', 1)
+
+    drive(tmp_path, story)
--- a/tests/unit/test_at_most_once.py
+++ b/tests/unit/test_at_most_once.py
@@ -38,12 +38,20 @@
 from lycheedyke.state import Counters, KeyLedger, KeyRefused
 from lycheedyke_daemon.dispatch import Dispatcher
 from lycheedyke_daemon.forward import PeerApi, PeerClient
+from lycheedyke_daemon.handover import (
+    RECORDS_PATH,
+    SUCCESSOR_PATH,
+    KeyHomes,
+    RecordsChunk,
+    SuccessorNotice,
+)
 from lycheedyke_daemon.work import Work
 
 SECOND = timedelta(seconds=1)
 LIFE = 10 * SECOND
 CODEC = MessageCodec(b'secret-of-the-machine')
 MEMORY_BYTES = 8000
+FAULTS = ('none', 'none', 'refused', 'late', 'answer lost')
 
 
 class FakeClock:
@@ -77,7 +85,8 @@
         self.info = InstanceInfo(
             f'node-{seat}', f'incarnation{number}', 'a', 'r', '', str(seat), ''
         )
-        self.alive = True
+        self.died = asyncio.Event()
+        self.stopping = False
         self.tasks: list[asyncio.Task[Any]] = []
         self.ledger = KeyLedger(
             self.info.incarnation,
@@ -85,12 +94,27 @@
             max_bytes=MEMORY_BYTES,
             max_life=LIFE,
         )
-        members: Any = SimpleNamespace(own=self.info, find=world.find)
+        members: Any = SimpleNamespace(
+            own=self.info,
+            find=world.find,
+            live=lambda: [node for node in world.nodes if node is not self],
+            in_zone=lambda zone: [
+                node.info for node in world.nodes if not node.stopping
+            ],
+        )
         router: Any = SimpleNamespace(run=world.run_upstream)
         peers = PeerClient(CODEC, world.clock, Counters(), routes={})
         peers._http = SimpleNamespace(send=world.send)  # type: ignore[assignment]
+        self.homes = KeyHomes(
+            self.ledger,
+            members,
+            peers,
+            world.clock,
+            max_bytes=MEMORY_BYTES,
+            max_life=LIFE,
+        )
         self.dispatcher = Dispatcher(
-            router, self.ledger, members, peers, world.clock
+            router, self.homes, members, peers, world.clock
         )
         bodies: Any = None
         self.api = PeerApi(
@@ -103,6 +127,18 @@
             Counters(),
         )
 
+    async def serve(self, url: str, body: bytes) -> Any:
+        """Answers what a peer sends."""
+        if url.endswith(RECORDS_PATH):
+            chunk = CODEC.decode(body, RecordsChunk)
+            status = 200 if self.homes.take(chunk) else 507
+            return SimpleNamespace(status=status)
+        if url.endswith(SUCCESSOR_PATH):
+            self.homes.note(CODEC.decode(body, SuccessorNotice))
+            return SimpleNamespace(status=200)
+        reply = RunReply(await self.api.serve(body))
+        return SimpleNamespace(body=CODEC.encode(reply))
+
 
 class World:
     """Three seats, the wire between them, and the oracle."""
@@ -144,10 +180,13 @@
         if fault == 'late':
             self.late.append((node, options['body']))
             raise ExchangeBroken(url)
-        outcome = await node.api.serve(options['body'])
-        if fault == 'answer lost' or not node.alive:
+        served = asyncio.ensure_future(node.serve(url, options['body']))
+        died = asyncio.ensure_future(node.died.wait())
+        await asyncio.wait({served, died}, return_when='FIRST_COMPLETED')
+        if fault == 'answer lost' or died.done():
             raise ExchangeBroken(url)
-        return SimpleNamespace(body=CODEC.encode(RunReply(outcome)))
+        died.cancel()
+        return served.result()
 
 
 class AtMostOnce(RuleBasedStateMachine):
@@ -192,9 +231,7 @@
         pick=st.integers(0, 3),
         entry=st.integers(0, 2),
         body=st.sampled_from([b'one', b'one', b'one', b'two']),
-        fault=st.sampled_from(
-            ['none', 'none', 'refused', 'late', 'answer lost']
-        ),
+        fault=st.sampled_from(FAULTS),
     )
     def send(self, pick: int, entry: int, body: bytes, fault: str) -> None:
         key = self.keys[-1 - pick % len(self.keys)]
@@ -243,10 +280,21 @@
                 run.end.set_exception(RuntimeError('a fault of the router'))
         self._settle()
 
+    @rule(seat=st.integers(0, 2), fault=st.sampled_from(FAULTS))
+    def hand_over(self, seat: int, fault: str) -> None:
+        node = self.world.nodes[seat]
+        if not node.stopping and fault != 'late':
+            node.stopping = True
+            self.world.fault = fault
+            job = node.dispatcher.hand_over()
+            node.tasks.append(self.loop.create_task(job))
+            self._settle()
+            self.world.fault = 'none'
+
     @rule(seat=st.integers(0, 2))
     def replace(self, seat: int) -> None:
         node = self.world.nodes[seat]
-        node.alive = False
+        node.died.set()
         for task in node.tasks:
             task.cancel()
         self.world.nodes[seat] = self.world.start(seat)
@@ -391,3 +439,37 @@
         Reason.key_memory_full
     )
     assert ledger.size < 5000
+
+
+def test_a_handover_waits_for_the_runs() -> None:
+    """A key in flight at the old home does not run at the new one."""
+
+    async def job() -> None:
+        world = World()
+        old, new, other = world.nodes
+        key = IdempotencyKey(old.info.incarnation, LIFE, 'nonce-0000')
+        work = Work('kassa', 'POST', '/', (), b'one', LIFE, '', key)
+        first = asyncio.create_task(old.dispatcher.run(work))
+        await asyncio.sleep(0)
+        old.stopping = True
+        stop = asyncio.create_task(old.dispatcher.hand_over())
+        for _ in range(20):
+            await asyncio.sleep(0)
+        again = asyncio.create_task(other.dispatcher.run(work))
+        for _ in range(20):
+            await asyncio.sleep(0)
+        assert len(world.runs[key]) == 1
+        world.runs[key][0].end.set_result(Answered(200, (), b'one', 'kassa-1'))
+        assert await first == await again
+        await stop
+        old.died.set()
+        unsent = key._replace(nonce='nonce-0001')
+        late = asyncio.create_task(other.dispatcher.run(work._replace(key=unsent)))
+        while not world.runs[unsent]:
+            await asyncio.sleep(0)
+        world.runs[unsent][0].end.set_result(NotRun(Reason.upstream_refused))
+        assert await late == NotRun(Reason.upstream_refused)
+        assert await other.dispatcher.run(work) == await first
+        assert new.homes.find_ledger(key.home) is not None
+
+    asyncio.run(job())
