--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/instance.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/instance.py
@@ -10,7 +10,6 @@
 from lycheedyke.clock import Clock
 from lycheedyke.coordination import (
     Members,
-    TicketFollower,
     TicketLog,
     owner_of,
 )
@@ -19,8 +18,8 @@
     Heartbeat,
     InstanceInfo,
     MessageCodec,
-    PlatformClient,
-    TicketsReply,
+    SnapshotRequest,
+    SummariesRequest,
     TicketsRequest,
 )
 from lycheedyke.state import (
@@ -39,15 +38,23 @@
 from lycheedyke_daemon.forward import PeerApi, PeerClient
 from lycheedyke_daemon.handover import HandoverApi, KeyHomes
 from lycheedyke_daemon.lookups import Lookups
+from lycheedyke_daemon.metrics import (
+    METRICS_PATH,
+    InstanceCollector,
+    MetricsApi,
+)
 from lycheedyke_daemon.routing import Router
 from lycheedyke_daemon.runner import Runner
 from lycheedyke_daemon.settings import Secrets, Settings
 from lycheedyke_daemon.spread import SuspectSpread
+from lycheedyke_daemon.suspects_api import SUSPECTS_PATH, SuspectsApi
+from lycheedyke_daemon.tickets import TicketParts, connect_platform
 
 INCARNATION_BYTES = 8
 OWNERSHIP_INTERVAL_SECONDS = 0.25
 SEEDING_INTERVAL_SECONDS = 5
 MESSAGE_MARGIN_BYTES = 65_536
+MAX_ADMIN_BYTES = 2_097_152
 
 _logger = logging.getLogger(__name__)
 
@@ -82,12 +89,18 @@
             self._counters,
             routes=settings.routes,
         )
-        self._log = TicketLog(self._take_over)
-        self._platform = PlatformClient(
-            settings.platform_address,
-            timeout=settings.platform_timeout,
+        self._log = TicketLog(self._take_over, self._counters.count)
+        self._members.service_of = self._service_of
+        self._platform = connect_platform(settings, clock, self._counters)
+        self._tickets = TicketParts(
+            settings,
+            self._log,
+            self._platform,
+            self._members,
+            self._codec,
+            clock,
+            self._counters,
         )
-        self._follower = TicketFollower(self._log, self._platform, clock)
         self._peers = PeerClient(
             self._codec,
             clock,
@@ -134,11 +147,9 @@
         self._listener = PeerListener(settings.control_address, self._answer)
         self._admin = AdminApi(
             secrets.admin,
-            self._log,
-            self._follower,
+            self._tickets,
             self._members,
             self._runner,
-            self._spread,
             self._counters,
         )
 
@@ -151,7 +162,8 @@
         self._listener.open()
         self._members.follow(self._settings.seeds)
         self._tasks = [
-            asyncio.create_task(self._follower.follow()),
+            asyncio.create_task(self._tickets.follower.follow()),
+            asyncio.create_task(self._tickets.spread.run()),
             asyncio.create_task(self._watch_members()),
             asyncio.create_task(self._seed()),
         ]
@@ -163,11 +175,9 @@
     async def stop(self) -> None:
         """Leaves the look-ups, finishes what is in flight, then closes."""
         _logger.info('stopping')
-        self._members.stopping = True
+        await self._members.leave()
         await self._clock.sleep(self._settings.stop_linger)
-        await self._dispatcher.hand_over()
-        for runs in (self._dispatcher, self._peer_api, self._spread):
-            await runs.close()
+        await self._end_runs()
         for site in reversed(self._sites):
             await site.cleanup()
         for task in self._tasks:
@@ -179,6 +189,11 @@
             await client.close()
         _logger.info('stopped')
 
+    async def _end_runs(self) -> None:
+        await self._dispatcher.hand_over()
+        for runs in (self._dispatcher, self._peer_api, self._spread):
+            await runs.close()
+
     def _caller_app(self) -> web.Application:
         app = web.Application()
         lookups = Lookups(self._log, self._members)
@@ -221,8 +236,20 @@
         return BodyReader(self._body_memory, max_bytes)
 
     def _admin_app(self) -> web.Application:
-        app = web.Application(client_max_size=self._settings.max_body_bytes)
+        app = web.Application(client_max_size=MAX_ADMIN_BYTES)
         app.add_routes(self._admin.routes())
+        metrics = MetricsApi(
+            InstanceCollector(self._counters, self._members, self._runner),
+        )
+        suspects = SuspectsApi(self._spread)
+        guard = self._admin.guard
+        app.add_routes(
+            [
+                web.get(METRICS_PATH, guard(metrics.scrape)),
+                web.get(SUSPECTS_PATH, guard(suspects.show)),
+                web.delete(SUSPECTS_PATH, guard(suspects.clear)),
+            ],
+        )
         return app
 
     async def _serve(self, app: web.Application, address: str) -> None:
@@ -242,17 +269,25 @@
         try:
             asked = self._codec.decode_exchange(message)
         except MessageRejected as error:
-            self._counters.count('message.rejected')
-            _logger.warning('message dropped: %s', error)
+            self._counters.count(f'message.{error.reason}')
             return None
         match asked:
             case Heartbeat():
+                reply = self._members.answer(asked)
+                if reply is None:
+                    return None
+                return self._codec.encode_exchange(reply)
+            case SummariesRequest():
+                return self._codec.encode_exchange(
+                    self._members.exchange(asked),
+                )
+            case TicketsRequest():
                 return self._codec.encode_exchange(
-                    self._members.answer(asked),
+                    self._tickets.spread.answer_tickets(asked),
                 )
-            case TicketsRequest(after):
+            case SnapshotRequest():
                 return self._codec.encode_exchange(
-                    TicketsReply(after + 1, self._log.after(after)),
+                    self._tickets.spread.answer_snapshot(asked),
                 )
         self._counters.count('message.unexpected')
         return None
@@ -267,6 +302,10 @@
                 self._members.follow(listed.values())
             await asyncio.sleep(SEEDING_INTERVAL_SECONDS)
 
+    def _service_of(self, name: str) -> str:
+        upstream = self._log.configuration.upstreams.get(name)
+        return upstream.service if upstream else ''
+
     async def _watch_members(self) -> None:
         while True:
             self._take_over(self._log.configuration)
