--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/callers.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/callers.py
@@ -1,16 +1,20 @@
 """The HTTP API for callers: look-ups and requests."""
 
+import ipaddress
 import re
 from collections.abc import Callable
 from datetime import timedelta
 
 import msgspec
 from aiohttp import web
+from multidict import CIMultiDict
 
 from lycheedyke.clock import Clock
 from lycheedyke.coordination import Members, TicketLog
 from lycheedyke.exceptions import KeyMalformed, StateError
 from lycheedyke.protocol import (
+    ATTEMPT_HEADER,
+    CLIENT_HEADER,
     KEY_HEADER,
     OUTCOME_HEADER,
     REASON_HEADER,
@@ -25,6 +29,7 @@
 from lycheedyke.state import Counters
 from lycheedyke_daemon.bodies import BodyReader, BodyRefused
 from lycheedyke_daemon.dispatch import Dispatcher
+from lycheedyke_daemon.stopping import Handler
 from lycheedyke_daemon.work import SAFE_METHODS, Work, end_to_end
 
 HTTP_BAD_REQUEST = 400
@@ -34,7 +39,11 @@
 MOST_REMAINING = timedelta(seconds=60)
 MILLISECOND = timedelta(milliseconds=1)
 _REMAINING_FORM = re.compile('[0-9]{1,9}')
-_OWN_HEADERS = frozenset((KEY_HEADER.lower(), REMAINING_HEADER.lower()))
+_OWN_HEADERS = frozenset(
+    name.lower()
+    for name in (KEY_HEADER, REMAINING_HEADER, CLIENT_HEADER, ATTEMPT_HEADER)
+)
+_JSON = CIMultiDict({'Content-Type': 'application/json'})
 _BAD_REQUESTS = frozenset(
     (
         Reason.bad_request,
@@ -59,7 +68,7 @@
 
     Args:
         dispatcher: runs requests.
-        find_entries: returns the look-up answer for a service.
+        find_entries: returns the look-up answer for a service and client.
         log: the configuration in force.
         members: this instance and its peers.
         bodies: reads the bodies of requests.
@@ -70,7 +79,7 @@
     def __init__(
         self,
         dispatcher: Dispatcher,
-        find_entries: Callable[[str], bytes],
+        find_entries: Callable[[str, str], bytes],
         log: TicketLog,
         members: Members,
         bodies: BodyReader,
@@ -90,11 +99,20 @@
         """Returns the instance's name."""
         return f'<CallerApi of {self._members.own.name}>'
 
-    def routes(self) -> list[web.RouteDef]:
-        """Returns the routes of the caller port."""
+    def routes(
+        self,
+        watch: Callable[[Handler], Handler],
+    ) -> list[web.RouteDef]:
+        """Returns the routes of the caller port.
+
+        Args:
+            watch: wraps the handler of requests.
+        """
         return [
             web.get('/v1/lookup', self._lookup),
-            web.route('*', '/v1/services/{service}/{tail:.*}', self._request),
+            web.route(
+                '*', '/v1/services/{service}/{tail:.*}', watch(self._request)
+            ),
         ]
 
     async def _lookup(self, request: web.Request) -> web.Response:
@@ -102,11 +120,13 @@
         refusal = self._refuse(service)
         if refusal is not None:
             return self._respond(refusal)
+        client = request.query.get('client', '') or request.remote or ''
+        try:
+            body = self._find_entries(service, client)
+        except ValueError:
+            return self._respond(NotRun(Reason.bad_request))
         self._counters.count('lookup')
-        return web.Response(
-            body=self._find_entries(service),
-            content_type='application/json',
-        )
+        return web.Response(body=body, headers=_JSON)
 
     async def _request(self, request: web.Request) -> web.Response:
         started = self._clock.elapsed()
@@ -132,6 +152,7 @@
             raise _Refused(refusal.reason)
         target = _read_target(service, request)
         remaining = _read_remaining(request)
+        client = _read_client(request)
         try:
             async with self._bodies.read(request, remaining) as body:
                 work = Work(
@@ -141,8 +162,9 @@
                     headers=_pass_on(request),
                     body=body,
                     deadline=started + remaining,
-                    client=request.remote or '',
+                    client=client,
                     key=key,
+                    resent=request.headers.get(ATTEMPT_HEADER, '1') != '1',
                 )
                 outcome = await self._dispatcher.run(work)
         except BodyRefused as refused:
@@ -211,6 +233,16 @@
     return min(remaining, MOST_REMAINING)
 
 
+def _read_client(request: web.Request) -> str:
+    given = request.headers.get(CLIENT_HEADER)
+    if given is None:
+        return request.remote or ''
+    try:
+        return str(ipaddress.ip_address(given))
+    except ValueError:
+        raise _Refused(Reason.bad_request) from None
+
+
 def _pass_on(request: web.Request) -> tuple[tuple[str, str], ...]:
     return tuple(
         (name, text)
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/forward.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/forward.py
@@ -33,7 +33,7 @@
     RunRequest,
     Unknown,
 )
-from lycheedyke.state import Counters, Suspect
+from lycheedyke.state import Counters, RegionBudgets, Suspect
 from lycheedyke.transport import HttpClient
 from lycheedyke_daemon.bodies import BodyReader, BodyRefused
 from lycheedyke_daemon.detached import DetachedTasks
@@ -44,6 +44,7 @@
 REPORT_LIMIT = timedelta(milliseconds=300)
 MAX_SUSPECTS = 256
 MAX_RUN_BYTES = 4_194_304
+RETRY_AFTER = timedelta(seconds=1)
 HTTP_OK = 200
 HTTP_FORBIDDEN = 403
 HTTP_UNAVAILABLE = 503
@@ -74,6 +75,8 @@
         codec: signs requests and checks replies.
         clock: turns deadlines into remaining time.
         counters: counts rejected replies.
+        budgets: the bytes that may go to other regions.
+        region: the own region.
         routes: addresses to use in place of others.
     """
 
@@ -83,12 +86,16 @@
         clock: Clock,
         counters: Counters,
         *,
+        budgets: RegionBudgets,
+        region: str,
         routes: Mapping[str, str],
     ) -> None:
         """Makes a client without connections."""
         self._codec = codec
         self._clock = clock
         self._counters = counters
+        self._budgets = budgets
+        self._region = region
         self._routes = routes
         self._http = HttpClient(max_body_bytes=MAX_RUN_BYTES)
 
@@ -127,15 +134,28 @@
             remaining_ms=remaining // MILLISECOND,
             client=work.client,
             key=str(work.key or ''),
+            home=work.home,
+            region=self._region,
+            resent=work.resent,
         )
         margin = ANSWER_MARGIN if upstream else 2 * ANSWER_MARGIN
+        message = self._codec.encode(request)
+        if peer.region != self._region:
+            wait = self._budgets.to(peer.region).take(len(message))
+            if wait is not None:
+                return _refuse(
+                    work,
+                    upstream,
+                    Reason.byte_budget,
+                    max(wait, MILLISECOND),
+                )
         address = self._routes.get(peer.peer_address, peer.peer_address)
         try:
             answer = await self._http.send(
                 'POST',
                 f'http://{address}{RUN_PATH}',
                 timeout=remaining + margin,
-                body=self._codec.encode(request),
+                body=message,
             )
             return self._read_reply(answer.body)
         except ConnectionNotMade:
@@ -188,11 +208,16 @@
         return reply.outcome
 
 
-def _refuse(work: Work, upstream: str, reason: Reason) -> Outcome:
+def _refuse(
+    work: Work,
+    upstream: str,
+    reason: Reason,
+    retry_after: timedelta = RETRY_AFTER,
+) -> Outcome:
     # An earlier request with the same key may have reached the home.
     if work.key and not upstream:
         return Unknown(reason)
-    return NotRun(reason)
+    return NotRun(reason, retry_after)
 
 
 class PeerApi:
@@ -209,6 +234,8 @@
         codec: checks requests and signs replies.
         clock: turns remaining time into deadlines.
         counters: counts rejected requests.
+        budgets: the bytes that may go to other regions.
+        region: the own region.
     """
 
     def __init__(
@@ -220,12 +247,17 @@
         codec: MessageCodec,
         clock: Clock,
         counters: Counters,
+        *,
+        budgets: RegionBudgets,
+        region: str,
     ) -> None:
         """Makes the API over the parts of one instance."""
         self._run_owned = run_owned
         self._run_home = run_home
         self._take_suspects = take_suspects
         self._bodies = bodies
+        self._budgets = budgets
+        self._region = region
         self._codec = codec
         self._clock = clock
         self._counters = counters
@@ -261,16 +293,11 @@
             RunRequest,
             max_bytes=MAX_RUN_BYTES,
         )
-        work = self._to_work(message)
-        match message.upstream, work.key:
-            case '', None:
-                return NotRun(Reason.key_missing)
-            case '', IdempotencyKey() as key:
-                return await self._run_home(work, key)
-            case upstream, None:
-                return await self._run_owned(upstream, work)
-            case upstream, _:
-                return await self._runs.run(self._run_owned(upstream, work))
+        outcome = await self._run_message(message, self._to_work(message))
+        if message.region not in {'', self._region}:
+            reply = self._codec.encode(RunReply(outcome))
+            self._budgets.to(message.region).spend(len(reply))
+        return outcome
 
     async def _take(self, request: web.Request) -> web.Response:
         try:
@@ -292,7 +319,21 @@
         except (MessageRejected, KeyMalformed):
             self._counters.count('message.rejected')
             return web.Response(status=HTTP_FORBIDDEN)
-        return web.Response(body=self._codec.encode(RunReply(outcome)))
+        reply = self._codec.encode(RunReply(outcome))
+        return web.Response(body=reply)
+
+    async def _run_message(self, message: RunRequest, work: Work) -> Outcome:
+        if not message.upstream:
+            if work.key is None:
+                return NotRun(Reason.key_missing)
+            return await self._run_home(work, work.key)
+        if message.region not in {'', self._region}:
+            # Once the work has run, its answer is sent whatever its size.
+            wait = self._budgets.to(message.region).take(0)
+            if wait is not None:
+                return NotRun(Reason.byte_budget, max(wait, MILLISECOND))
+        run = self._run_owned(message.upstream, work)
+        return await (run if work.key is None else self._runs.run(run))
 
     def _to_work(self, message: RunRequest) -> Work:
         remaining = message.remaining_ms * MILLISECOND
@@ -305,4 +346,6 @@
             deadline=self._clock.elapsed() + remaining,
             client=message.client,
             key=IdempotencyKey.parse(message.key) if message.key else None,
+            home=message.home,
+            resent=message.resent,
         )
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/instance.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/instance.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 import secrets as random_secrets
+from datetime import timedelta
 
 import aiomisc
 from aiohttp import web
@@ -27,6 +28,7 @@
     Counters,
     KeyLedger,
     MemoryBudget,
+    RegionBudgets,
     Suspects,
 )
 from lycheedyke.transport import PeerListener
@@ -43,17 +45,21 @@
     InstanceCollector,
     MetricsApi,
 )
+from lycheedyke_daemon.placement import PlacedRunner, Placement
 from lycheedyke_daemon.routing import Router
 from lycheedyke_daemon.runner import Runner
 from lycheedyke_daemon.settings import Secrets, Settings
 from lycheedyke_daemon.spread import SuspectSpread
+from lycheedyke_daemon.stopping import CallerGate, finish_callers
 from lycheedyke_daemon.suspects_api import SUSPECTS_PATH, SuspectsApi
+from lycheedyke_daemon.table import RoutingTable
 from lycheedyke_daemon.tickets import TicketParts, connect_platform
 
 INCARNATION_BYTES = 8
 OWNERSHIP_INTERVAL_SECONDS = 0.25
 SEEDING_INTERVAL_SECONDS = 5
 MESSAGE_MARGIN_BYTES = 65_536
+MILLISECOND = timedelta(milliseconds=1)
 MAX_ADMIN_BYTES = 2_097_152
 
 _logger = logging.getLogger(__name__)
@@ -77,6 +83,7 @@
         """Makes all parts; nothing listens yet."""
         self._settings = settings
         self._clock = clock
+        self._placed_ticket = 0
         self._tasks: list[asyncio.Task[None]] = []
         self._sites: list[web.AppRunner] = []
         self._counters = Counters()
@@ -101,10 +108,14 @@
             clock,
             self._counters,
         )
+        self._gate = CallerGate()
+        self._budgets = RegionBudgets(settings.region_megabits_per_s, clock)
         self._peers = PeerClient(
             self._codec,
             clock,
             self._counters,
+            budgets=self._budgets,
+            region=own.region,
             routes=settings.routes,
         )
         suspects = Suspects(clock)
@@ -115,6 +126,19 @@
             CrashGuard(suspects, self._spread.report, self._counters),
         )
         self._members.loads = self._runner.loads
+        self._table = RoutingTable(
+            self._log,
+            self._members,
+            self._runner,
+            clock,
+        )
+        self._placement = Placement(
+            self._log,
+            self._table,
+            own.region,
+            clock,
+        )
+        self._placed = PlacedRunner(self._placement, self._runner)
         memory = settings.key_memory_bytes
         life = settings.key_life
         self._homes = KeyHomes(
@@ -132,10 +156,12 @@
         )
         self._dispatcher = Dispatcher(
             Router(
-                self._log,
-                self._members,
-                self._runner,
+                own,
+                self._placement,
+                self._table,
+                self._placed,
                 self._peers,
+                clock,
                 self._counters,
             ),
             self._homes,
@@ -151,6 +177,7 @@
             self._members,
             self._runner,
             self._counters,
+            table=self._table,
         )
 
     def __repr__(self) -> str:
@@ -176,7 +203,12 @@
         """Leaves the look-ups, finishes what is in flight, then closes."""
         _logger.info('stopping')
         await self._members.leave()
-        await self._clock.sleep(self._settings.stop_linger)
+        services = self._log.configuration.services.values()
+        answer_ttl = max((each.answer_ttl_ms for each in services), default=0)
+        await finish_callers(
+            self._gate,
+            answer_ttl * MILLISECOND + self._settings.stop_linger,
+        )
         await self._end_runs()
         for site in reversed(self._sites):
             await site.cleanup()
@@ -196,7 +228,13 @@
 
     def _caller_app(self) -> web.Application:
         app = web.Application()
-        lookups = Lookups(self._log, self._members)
+        lookups = Lookups(
+            self._log,
+            self._members,
+            self._table,
+            self._placement,
+            self._clock,
+        )
         api = CallerApi(
             self._dispatcher,
             lookups.find,
@@ -206,20 +244,22 @@
             self._clock,
             self._counters,
         )
-        app.add_routes(api.routes())
+        app.add_routes(api.routes(self._gate.watch))
         return app
 
     def _peer_app(self) -> web.Application:
         limit = self._settings.max_body_bytes + MESSAGE_MARGIN_BYTES
         app = web.Application()
         api = PeerApi(
-            self._runner.run,
+            self._placed.run,
             self._dispatcher.run_here,
             self._spread.take,
             self._read_bodies(limit),
             self._codec,
             self._clock,
             self._counters,
+            budgets=self._budgets,
+            region=self._settings.region,
         )
         self._peer_api = api
         handover = HandoverApi(
@@ -309,11 +349,23 @@
     async def _watch_members(self) -> None:
         while True:
             self._take_over(self._log.configuration)
+            self._placement.shares.refresh()
+            self._budgets.share_among(self._senders())
             await asyncio.sleep(OWNERSHIP_INTERVAL_SECONDS)
 
+    def _senders(self) -> list[str]:
+        own = self._members.own
+        peers = [peer.info for peer in self._members.live()]
+        return [
+            info.name for info in (own, *peers) if info.region == own.region
+        ]
+
     def _take_over(self, configuration: Configuration) -> None:
         own = self._members.own
         self._members.ticket = configuration.number
+        if self._placed_ticket != configuration.number:
+            self._placed_ticket = configuration.number
+            self._placement.shares.follow(configuration)
         instances = self._members.in_zone(own.zone)
         self._runner.own(
             configuration,
--- a/packages/lycheedyke/src/lycheedyke/protocol/__init__.py
+++ b/packages/lycheedyke/src/lycheedyke/protocol/__init__.py
@@ -23,7 +23,10 @@
     ZoneVersion,
 )
 from lycheedyke.protocol._outcomes import (
+    ATTEMPT_HEADER,
+    CLIENT_HEADER,
     KEY_HEADER,
+    LEAVING_HEADER,
     OUTCOME_HEADER,
     REASON_HEADER,
     REMAINING_HEADER,
@@ -64,6 +67,9 @@
 )
 
 __all__ = (
+    'ATTEMPT_HEADER',
+    'CLIENT_HEADER',
+    'LEAVING_HEADER',
     'MAX_TICKET_BYTES',
     'NOT_STAMPED',
     'BlockTable',
--- a/packages/lycheedyke/src/lycheedyke/state/__init__.py
+++ b/packages/lycheedyke/src/lycheedyke/state/__init__.py
@@ -2,13 +2,25 @@
 
 from lycheedyke.state._admission import AdmissionRefused, Admitter
 from lycheedyke.state._blocks import BlockMap
+from lycheedyke.state._budgets import (
+    ByteBudget,
+    RegionBudgets,
+    RetryBudget,
+)
 from lycheedyke.state._checks import find_faults, find_time_faults
 from lycheedyke.state._configuration import AcceptedShift, Configuration
 from lycheedyke.state._counters import Counters
+from lycheedyke.state._drains import Drain, DrainLog, LeavingCause
 from lycheedyke.state._exports import (
     export_configuration,
     restore_configuration,
 )
+from lycheedyke.state._headroom import (
+    Headroom,
+    HeadroomReport,
+    free_slots,
+    report_headroom,
+)
 from lycheedyke.state._history import TicketHistory
 from lycheedyke.state._ledger import (
     HandedRecord,
@@ -20,7 +32,12 @@
 from lycheedyke.state._memory import MemoryBudget, MemoryFull
 from lycheedyke.state._plans import Plan, make_plan
 from lycheedyke.state._references import find_reference_faults
-from lycheedyke.state._shares import hash_point, share_at
+from lycheedyke.state._shares import (
+    ShiftShares,
+    Way,
+    hash_point,
+    share_at,
+)
 from lycheedyke.state._suspects import Suspect, Suspects, Verdict
 
 __all__ = (
@@ -35,9 +52,14 @@
     'AdmissionRefused',
     'Admitter',
     'BlockMap',
+    'ByteBudget',
     'Configuration',
     'Counters',
     'HandedRecord',
+    'Drain',
+    'DrainLog',
+    'Headroom',
+    'HeadroomReport',
     'KeyLedger',
     'KeyMoved',
     'KeyRecord',
@@ -47,7 +69,14 @@
     'Suspect',
     'Suspects',
     'Verdict',
+    'LeavingCause',
+    'RegionBudgets',
+    'RetryBudget',
+    'ShiftShares',
+    'Way',
     'find_faults',
+    'free_slots',
     'hash_point',
+    'report_headroom',
     'share_at',
 )
--- a/tests/unit/test_at_most_once.py
+++ b/tests/unit/test_at_most_once.py
@@ -35,7 +35,7 @@
     RunReply,
     Unknown,
 )
-from lycheedyke.state import Counters, KeyLedger, KeyRefused
+from lycheedyke.state import Counters, KeyLedger, KeyRefused, RegionBudgets
 from lycheedyke_daemon.dispatch import Dispatcher
 from lycheedyke_daemon.forward import PeerApi, PeerClient
 from lycheedyke_daemon.handover import (
@@ -103,7 +103,15 @@
             ],
         )
         router: Any = SimpleNamespace(run=world.run_upstream)
-        peers = PeerClient(CODEC, world.clock, Counters(), routes={})
+        budgets = RegionBudgets(4000, world.clock)
+        peers = PeerClient(
+            CODEC,
+            world.clock,
+            Counters(),
+            budgets=budgets,
+            region='r',
+            routes={},
+        )
         peers._http = SimpleNamespace(send=world.send)  # type: ignore[assignment]
         self.homes = KeyHomes(
             self.ledger,
@@ -125,6 +133,8 @@
             CODEC,
             world.clock,
             Counters(),
+            budgets=budgets,
+            region='r',
         )
 
     async def serve(self, url: str, body: bytes) -> Any:
