--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/forward.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/forward.py
@@ -1,8 +1,17 @@
 """Forwards work to other instances over HTTP, and serves theirs."""
 
-from collections.abc import Awaitable, Callable, Mapping
+import asyncio
+from collections.abc import (
+    Awaitable,
+    Callable,
+    Coroutine,
+    Iterable,
+    Mapping,
+)
 from datetime import timedelta
+from typing import Annotated, Any
 
+import msgspec
 from aiohttp import web
 
 from lycheedyke.clock import Clock
@@ -11,6 +20,7 @@
     ExchangeBroken,
     KeyMalformed,
     MessageRejected,
+    TransportError,
 )
 from lycheedyke.protocol import (
     IdempotencyKey,
@@ -23,16 +33,39 @@
     RunRequest,
     Unknown,
 )
-from lycheedyke.state import Counters, RegionBudgets
+from lycheedyke.state import Counters, RegionBudgets, Suspect
 from lycheedyke.transport import HttpClient
+from lycheedyke_daemon.bodies import BodyReader, BodyRefused
+from lycheedyke_daemon.detached import DetachedTasks
 from lycheedyke_daemon.work import Work
 
 RUN_PATH = '/v1/run'
+SUSPECTS_PATH = '/v1/suspects'
+REPORT_LIMIT = timedelta(milliseconds=300)
+MAX_SUSPECTS = 256
+MAX_RUN_BYTES = 4_194_304
+RETRY_AFTER = timedelta(seconds=1)
+HTTP_OK = 200
 HTTP_FORBIDDEN = 403
+HTTP_UNAVAILABLE = 503
 MILLISECOND = timedelta(milliseconds=1)
 ANSWER_MARGIN = timedelta(milliseconds=200)
 
-RunHere = Callable[[str, Work], Awaitable[Outcome]]
+
+class SuspectsReport(msgspec.Struct, frozen=True):
+    """Tells a peer of suspects, and of those that operators cleared."""
+
+    suspects: Annotated[
+        tuple[Suspect, ...],
+        msgspec.Meta(max_length=MAX_SUSPECTS),
+    ]
+    cleared: Annotated[
+        tuple[str, ...],
+        msgspec.Meta(max_length=MAX_SUSPECTS),
+    ] = ()
+
+
+RunHere = Callable[[str, Work], Coroutine[Any, Any, Outcome]]
 
 
 class PeerClient:
@@ -42,8 +75,7 @@
         codec: signs requests and checks replies.
         clock: turns deadlines into remaining time.
         counters: counts rejected replies.
-        budgets: the bytes that may go to other regions.
-        region: the own region.
+        budgets: the bytes that may go from the own region to others.
         routes: addresses to use in place of others.
     """
 
@@ -54,7 +86,6 @@
         counters: Counters,
         *,
         budgets: RegionBudgets,
-        region: str,
         routes: Mapping[str, str],
     ) -> None:
         """Makes a client without connections."""
@@ -62,9 +93,8 @@
         self._clock = clock
         self._counters = counters
         self._budgets = budgets
-        self._region = region
         self._routes = routes
-        self._http = HttpClient()
+        self._http = HttpClient(max_body_bytes=MAX_RUN_BYTES)
 
     def __repr__(self) -> str:
         """Returns the class name."""
@@ -90,7 +120,7 @@
         """
         remaining = work.deadline - self._clock.elapsed()
         if remaining < MILLISECOND:
-            return NotRun(Reason.deadline_passed)
+            return _refuse(work, upstream, Reason.deadline_passed)
         request = RunRequest(
             service=work.service,
             upstream=upstream,
@@ -102,101 +132,186 @@
             client=work.client,
             key=str(work.key or ''),
             home=work.home,
-            region=self._region,
+            region=self._budgets.region,
             resent=work.resent,
         )
+        margin = ANSWER_MARGIN if upstream else 2 * ANSWER_MARGIN
         message = self._codec.encode(request)
-        if peer.region != self._region:
+        if peer.region != self._budgets.region:
             wait = self._budgets.to(peer.region).take(len(message))
             if wait is not None:
-                return NotRun(Reason.byte_budget, max(wait, MILLISECOND))
+                return _refuse(
+                    work,
+                    upstream,
+                    Reason.byte_budget,
+                    max(wait, MILLISECOND),
+                )
         address = self._routes.get(peer.peer_address, peer.peer_address)
         try:
             answer = await self._http.send(
                 'POST',
                 f'http://{address}{RUN_PATH}',
-                timeout=remaining + ANSWER_MARGIN,
+                timeout=remaining + margin,
                 body=message,
             )
-            return self._codec.decode(answer.body, RunReply).outcome
+            return self._read_reply(answer.body)
         except ConnectionNotMade:
-            if work.key and not upstream:
-                return Unknown(Reason.home_unreachable)
-            return NotRun(Reason.no_owner)
+            if upstream:
+                return NotRun(Reason.no_owner)
+            return Unknown(Reason.home_unreachable)
         except ExchangeBroken:
             return Unknown(Reason.peer_broke)
         except MessageRejected:
             self._counters.count('message.rejected')
             return Unknown(Reason.peer_broke)
 
+    async def report(
+        self,
+        peers: Iterable[InstanceInfo],
+        report: SuspectsReport,
+    ) -> None:
+        """Sends a report to peers; those that do not answer are left out."""
+        results = await asyncio.gather(
+            *(
+                self.tell(peer, SUSPECTS_PATH, report, timeout=REPORT_LIMIT)
+                for peer in peers
+            ),
+        )
+        self._counters.count('suspects.report-lost', results.count(False))
+
+    async def tell(
+        self,
+        peer: InstanceInfo,
+        path: str,
+        message: msgspec.Struct,
+        *,
+        timeout: timedelta,
+    ) -> bool:
+        """Sends a message to a peer port; returns whether it was taken in."""
+        address = self._routes.get(peer.peer_address, peer.peer_address)
+        try:
+            answer = await self._http.send(
+                'POST',
+                f'http://{address}{path}',
+                timeout=timeout,
+                body=self._codec.encode(message),
+            )
+        except TransportError:
+            return False
+        return answer.status == HTTP_OK
+
+    def _read_reply(self, body: bytes) -> Outcome:
+        reply = self._codec.decode(body, RunReply, max_bytes=MAX_RUN_BYTES)
+        return reply.outcome
+
+
+def _refuse(
+    work: Work,
+    upstream: str,
+    reason: Reason,
+    retry_after: timedelta = RETRY_AFTER,
+) -> Outcome:
+    # An earlier request with the same key may have reached the home.
+    if work.key and not upstream:
+        return Unknown(reason)
+    return NotRun(reason, retry_after)
+
 
 class PeerApi:
     """Serves the work that peers forward.
 
+    Keyed work runs to its end on an upstream, also when the connection to
+    the peer breaks; idempotent work is cancelled then.
+
     Args:
         run_owned: runs work on a named upstream of this instance.
         run_home: runs keyed work whose home is this instance.
+        bodies: reads the messages.
         codec: checks requests and signs replies.
         clock: turns remaining time into deadlines.
         counters: counts rejected requests.
-        budgets: the bytes that may go to other regions.
-        region: the own region.
+        budgets: the bytes that may go from the own region to others.
     """
 
     def __init__(
         self,
         run_owned: RunHere,
-        run_home: Callable[[Work], Awaitable[Outcome]],
+        run_home: Callable[[Work, IdempotencyKey], Awaitable[Outcome]],
+        bodies: BodyReader,
         codec: MessageCodec,
         clock: Clock,
         counters: Counters,
         *,
         budgets: RegionBudgets,
-        region: str,
     ) -> None:
         """Makes the API over the parts of one instance."""
         self._run_owned = run_owned
         self._run_home = run_home
+        self._bodies = bodies
         self._budgets = budgets
-        self._region = region
         self._codec = codec
         self._clock = clock
         self._counters = counters
+        self._runs = DetachedTasks()
 
     def __repr__(self) -> str:
         """Returns the class name."""
         return '<PeerApi>'
 
+    async def close(self) -> None:
+        """Waits for all keyed runs."""
+        await self._runs.close()
+
     def routes(self) -> list[web.RouteDef]:
         """Returns the routes of the peer port."""
         return [web.post(RUN_PATH, self._run)]
 
+    async def serve(self, body: bytes) -> Outcome:
+        """Returns the outcome of a forwarded request.
+
+        Args:
+            body: the signed `RunRequest`.
+
+        Raises:
+            MessageRejected: the message is not one of a peer.
+            KeyMalformed: its key has not the agreed form.
+        """
+        message = self._codec.decode(
+            body,
+            RunRequest,
+            max_bytes=MAX_RUN_BYTES,
+        )
+        outcome = await self._run_message(message, self._to_work(message))
+        if message.region not in {'', self._budgets.region}:
+            reply = self._codec.encode(RunReply(outcome))
+            self._budgets.to(message.region).spend(len(reply))
+        return outcome
+
     async def _run(self, request: web.Request) -> web.Response:
         try:
-            message = self._codec.decode(await request.read(), RunRequest)
-            work = self._to_work(message)
+            async with self._bodies.read(request) as body:
+                outcome = await self.serve(body)
+        except BodyRefused as refusal:
+            self._counters.count(f'peer.{refusal.reason.value}')
+            return web.Response(status=HTTP_UNAVAILABLE)
         except (MessageRejected, KeyMalformed):
             self._counters.count('message.rejected')
             return web.Response(status=HTTP_FORBIDDEN)
-        outcome = await self._run_within_budget(message, work)
         reply = self._codec.encode(RunReply(outcome))
-        if message.region not in {'', self._region}:
-            self._budgets.to(message.region).spend(len(reply))
         return web.Response(body=reply)
 
-    async def _run_within_budget(
-        self,
-        message: RunRequest,
-        work: Work,
-    ) -> Outcome:
+    async def _run_message(self, message: RunRequest, work: Work) -> Outcome:
         if not message.upstream:
-            return await self._run_home(work)
-        if message.region not in {'', self._region}:
+            if work.key is None:
+                return NotRun(Reason.key_missing)
+            return await self._run_home(work, work.key)
+        if message.region not in {'', self._budgets.region}:
             # Once the work has run, its answer is sent whatever its size.
             wait = self._budgets.to(message.region).take(0)
             if wait is not None:
                 return NotRun(Reason.byte_budget, max(wait, MILLISECOND))
-        return await self._run_owned(message.upstream, work)
+        run = self._run_owned(message.upstream, work)
+        return await (run if work.key is None else self._runs.run(run))
 
     def _to_work(self, message: RunRequest) -> Work:
         remaining = message.remaining_ms * MILLISECOND
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/instance.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/instance.py
@@ -28,13 +28,18 @@
     Configuration,
     Counters,
     KeyLedger,
+    MemoryBudget,
     RegionBudgets,
+    Suspects,
 )
 from lycheedyke.transport import PeerListener
 from lycheedyke_daemon.admin import AdminApi
+from lycheedyke_daemon.bodies import BodyReader
 from lycheedyke_daemon.callers import CallerApi
+from lycheedyke_daemon.crashes import CrashGuard
 from lycheedyke_daemon.dispatch import Dispatcher
 from lycheedyke_daemon.forward import PeerApi, PeerClient
+from lycheedyke_daemon.handover import HandoverApi, KeyHomes
 from lycheedyke_daemon.lookups import Lookups
 from lycheedyke_daemon.metrics import (
     METRICS_PATH,
@@ -45,7 +50,9 @@
 from lycheedyke_daemon.routing import Router
 from lycheedyke_daemon.runner import Runner
 from lycheedyke_daemon.settings import Secrets, Settings
+from lycheedyke_daemon.spread import SuspectReportApi, SuspectSpread
 from lycheedyke_daemon.stopping import CallerGate, finish_callers
+from lycheedyke_daemon.suspects_api import SUSPECTS_PATH, SuspectsApi
 from lycheedyke_daemon.table import RoutingTable
 from lycheedyke_daemon.tickets import TicketParts, connect_platform
 
@@ -99,14 +106,7 @@
             self._counters,
             routes=settings.routes,
         )
-        self._runner = Runner(
-            settings.zone,
-            self._owners.rights,
-            clock,
-            self._counters,
-        )
         self._owners.describe = self._describe_zone
-        self._members.loads = self._runner.loads
         self._members.service_of = self._service_of
         self._tickets = TicketParts(
             settings,
@@ -117,6 +117,29 @@
             clock,
             self._counters,
         )
+        self._gate = CallerGate()
+        self._budgets = RegionBudgets(
+            own.region,
+            settings.region_megabits_per_s,
+            clock,
+        )
+        self._peers = PeerClient(
+            self._codec,
+            clock,
+            self._counters,
+            budgets=self._budgets,
+            routes=settings.routes,
+        )
+        suspects = Suspects(clock)
+        self._spread = SuspectSpread(suspects, self._members, self._peers)
+        self._runner = Runner(
+            settings.zone,
+            self._owners.rights,
+            clock,
+            self._counters,
+            CrashGuard(suspects, self._spread.report, self._counters),
+        )
+        self._members.loads = self._runner.loads
         self._table = RoutingTable(
             self._log,
             self._members,
@@ -130,21 +153,20 @@
             clock,
         )
         self._placed = PlacedRunner(self._placement, self._runner)
-        self._gate = CallerGate()
-        self._budgets = RegionBudgets(settings.region_megabits_per_s, clock)
-        self._peers = PeerClient(
-            self._codec,
-            clock,
-            self._counters,
-            budgets=self._budgets,
-            region=own.region,
-            routes=settings.routes,
-        )
-        self._ledger = KeyLedger(
-            own.incarnation,
+        memory = settings.key_memory_bytes
+        life = settings.key_life
+        self._homes = KeyHomes(
+            KeyLedger(
+                own.incarnation,
+                clock,
+                max_bytes=memory,
+                max_life=life,
+            ),
+            self._members,
+            self._peers,
             clock,
-            max_bytes=settings.key_memory_bytes,
-            max_life=settings.key_life,
+            max_bytes=memory,
+            max_life=life,
         )
         self._dispatcher = Dispatcher(
             Router(
@@ -156,10 +178,12 @@
                 clock,
                 self._counters,
             ),
-            self._ledger,
+            self._homes,
             self._members,
             self._peers,
+            clock,
         )
+        self._body_memory = MemoryBudget(settings.body_memory_bytes)
         self._listener = PeerListener(settings.control_address, self._answer)
         self._admin = AdminApi(
             secrets.admin,
@@ -201,7 +225,7 @@
             self._gate,
             answer_ttl * MILLISECOND + self._settings.stop_linger,
         )
-        await self._dispatcher.close()
+        await self._end_runs()
         for site in reversed(self._sites):
             await site.cleanup()
         for task in self._tasks:
@@ -219,10 +243,13 @@
         for client in (self._peers, self._platform):
             await client.close()
 
+    async def _end_runs(self) -> None:
+        await self._dispatcher.hand_over()
+        for runs in (self._dispatcher, self._peer_api, self._spread):
+            await runs.close()
+
     def _caller_app(self) -> web.Application:
-        app = web.Application(
-            client_max_size=self._settings.max_body_bytes,
-        )
+        app = web.Application()
         lookups = Lookups(
             self._log,
             self._members,
@@ -235,6 +262,7 @@
             lookups.find,
             self._log,
             self._members,
+            self._read_bodies(self._settings.max_body_bytes),
             self._clock,
             self._counters,
         )
@@ -243,27 +271,51 @@
 
     def _peer_app(self) -> web.Application:
         limit = self._settings.max_body_bytes + MESSAGE_MARGIN_BYTES
-        app = web.Application(client_max_size=limit)
+        app = web.Application()
         api = PeerApi(
             self._placed.run,
-            self._dispatcher.run,
+            self._dispatcher.run_here,
+            self._read_bodies(limit),
             self._codec,
             self._clock,
             self._counters,
             budgets=self._budgets,
-            region=self._settings.region,
         )
+        self._peer_api = api
+        handover = HandoverApi(
+            self._homes,
+            self._read_bodies(limit),
+            self._codec,
+            self._counters,
+        )
+        reports = SuspectReportApi(
+            self._spread,
+            self._read_bodies(limit),
+            self._codec,
+            self._counters,
+        )
+        app.add_routes(handover.routes())
+        app.add_routes(reports.routes())
         app.add_routes(api.routes())
         return app
 
+    def _read_bodies(self, max_bytes: int) -> BodyReader:
+        return BodyReader(self._body_memory, max_bytes)
+
     def _admin_app(self) -> web.Application:
         app = web.Application(client_max_size=MAX_ADMIN_BYTES)
         app.add_routes(self._admin.routes())
         metrics = MetricsApi(
             InstanceCollector(self._counters, self._members, self._runner),
         )
+        suspects = SuspectsApi(self._spread)
+        guard = self._admin.guard
         app.add_routes(
-            [web.get(METRICS_PATH, self._admin.guard(metrics.scrape))],
+            [
+                web.get(METRICS_PATH, guard(metrics.scrape)),
+                web.get(SUSPECTS_PATH, guard(suspects.show)),
+                web.delete(SUSPECTS_PATH, guard(suspects.clear)),
+            ],
         )
         return app
 
@@ -274,6 +326,7 @@
             access_log=None,
             handle_signals=False,
             handler_cancellation=True,
+            auto_decompress=False,
         )
         await runner.setup()
         await web.TCPSite(runner, host.strip('[]'), int(port)).start()
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/runner.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/runner.py
@@ -1,5 +1,6 @@
 """Runs work on the upstreams that this instance may use."""
 
+import functools
 from datetime import timedelta
 
 from lycheedyke.clock import Clock
@@ -11,9 +12,6 @@
 )
 from lycheedyke.protocol import (
     LEAVING_HEADER,
-    OUTCOME_HEADER,
-    REMAINING_HEADER,
-    Answered,
     NotRun,
     Outcome,
     Phase,
@@ -29,9 +27,11 @@
     DrainLog,
     LeavingCause,
 )
-from lycheedyke.transport import HttpAnswer, HttpClient
+from lycheedyke.transport import HttpClient
+from lycheedyke_daemon.answers import read_answer
 from lycheedyke_daemon.attempts import Attempt, OwnedUpstream
-from lycheedyke_daemon.work import HOP_HEADERS, Work
+from lycheedyke_daemon.crashes import CrashGuard
+from lycheedyke_daemon.work import Work
 
 MILLISECOND = timedelta(milliseconds=1)
 
@@ -44,6 +44,7 @@
         rights: the slots that this instance may use.
         clock: measures deadlines and latencies.
         counters: counts outcomes.
+        guard: runs suspects alone.
     """
 
     def __init__(
@@ -52,12 +53,14 @@
         rights: Rights,
         clock: Clock,
         counters: Counters,
+        guard: CrashGuard,
     ) -> None:
         """Makes a runner without upstreams."""
         self._zone = zone
         self._rights = rights
         self._clock = clock
         self._counters = counters
+        self._guard = guard
         self._http = HttpClient()
         self._configuration = Configuration()
         self._owned: dict[str, OwnedUpstream] = {}
@@ -131,13 +134,17 @@
             await owned.admitter.enter(work_class, work.deadline)
         except AdmissionRefused as refusal:
             return NotRun(refusal.reason, refusal.retry_after)
-        remaining = work.deadline - self._clock.elapsed()
-        limit = min(remaining, service.run_limit_ms * MILLISECOND)
+        limit = self._limit(upstream, work)
         attempt = Attempt(owned.admitter, limit, self._clock)
         try:
             if self._is_leaving(name):
                 return NotRun(Reason.upstream_leaving)
-            return await self._send(name, work, limit, attempt)
+            return await self._guard.run(
+                name,
+                upstream.address,
+                work,
+                functools.partial(self._send, name, upstream, work, attempt),
+            )
         finally:
             attempt.release()
             self.drains.update(name, owned.admitter.in_flight)
@@ -183,38 +190,42 @@
     async def _send(
         self,
         name: str,
+        upstream: Upstream,
         work: Work,
-        limit: timedelta,
         attempt: Attempt,
     ) -> Outcome:
+        limit = self._limit(upstream, work)
         if limit < MILLISECOND:
             return NotRun(Reason.deadline_passed)
-        address = self._configuration.upstreams[name].address
-        headers = dict(work.headers)
-        headers[REMAINING_HEADER] = str(limit // MILLISECOND)
-        pace = attempt.pace
         try:
             answer = await self._http.send(
                 work.method,
-                f'http://{address}{work.target}',
+                f'http://{upstream.address}{work.target}',
                 timeout=limit,
-                headers=headers,
+                headers=work.upstream_headers(limit),
                 body=work.body or None,
+                reuse=work.idempotent,
                 before_write=attempt.before_write,
             )
         except AdmissionRefused as refusal:
             return NotRun(refusal.reason, refusal.retry_after)
         except (ConnectionNotMade, ExchangeBroken) as error:
-            pace.fail()
+            attempt.pace.fail()
             return _to_failure(error)
         attempt.is_finished = True
-        if answer.headers.get(OUTCOME_HEADER) == 'not-run':
-            pace.shed()
-            return NotRun(Reason.upstream_refused)
-        pace.answer()
         if LEAVING_HEADER in answer.headers:
             self._start_drain(name, self._owned[name], LeavingCause.upstream)
-        return _to_answer(name, answer)
+        outcome = read_answer(name, work, answer)
+        if isinstance(outcome, NotRun):
+            attempt.pace.shed()
+        else:
+            attempt.pace.answer()
+        return outcome
+
+    def _limit(self, upstream: Upstream, work: Work) -> timedelta:
+        service = self._configuration.services[upstream.service]
+        remaining = work.deadline - self._clock.elapsed()
+        return min(remaining, service.run_limit_ms * MILLISECOND)
 
     def _refresh_one(self, name: str, size: Size) -> None:
         upstream = self._configuration.upstreams[name]
@@ -245,12 +256,3 @@
             return Unknown(Reason.upstream_timeout)
         case _:
             return Unknown(Reason.upstream_broke)
-
-
-def _to_answer(name: str, answer: HttpAnswer) -> Answered:
-    headers = tuple(
-        (str(key), text)
-        for key, text in answer.headers.items()
-        if key.lower() not in HOP_HEADERS
-    )
-    return Answered(answer.status, headers, answer.body, name)
--- a/packages/lycheedyke/src/lycheedyke/state/__init__.py
+++ b/packages/lycheedyke/src/lycheedyke/state/__init__.py
@@ -22,7 +22,14 @@
     report_headroom,
 )
 from lycheedyke.state._history import TicketHistory
-from lycheedyke.state._ledger import KeyLedger, KeyRecord, KeyRefused
+from lycheedyke.state._ledger import (
+    HandedRecord,
+    KeyLedger,
+    KeyMoved,
+    KeyRecord,
+    KeyRefused,
+)
+from lycheedyke.state._memory import MemoryBudget, MemoryFull
 from lycheedyke.state._outages import keep_in_use
 from lycheedyke.state._pace import Pace
 from lycheedyke.state._plans import Plan, make_plan
@@ -33,6 +40,7 @@
     hash_point,
     share_at,
 )
+from lycheedyke.state._suspects import Suspect, Suspects, Verdict
 
 __all__ = (
     'export_configuration',
@@ -51,13 +59,20 @@
     'ByteBudget',
     'Configuration',
     'Counters',
+    'HandedRecord',
     'Drain',
     'DrainLog',
     'Headroom',
     'HeadroomReport',
     'KeyLedger',
+    'KeyMoved',
     'KeyRecord',
     'KeyRefused',
+    'MemoryBudget',
+    'MemoryFull',
+    'Suspect',
+    'Suspects',
+    'Verdict',
     'LeavingCause',
     'RegionBudgets',
     'RetryBudget',
--- a/packages/lycheedyke/src/lycheedyke/state/_budgets.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_budgets.py
@@ -106,12 +106,19 @@
     count on, as they may only be cut off from here.
 
     Args:
+        region: the sending region.
         megabits_per_s: the budget of each pair of regions, each way.
         clock: the time.
     """
 
-    def __init__(self, megabits_per_s: float, clock: Clock) -> None:
+    def __init__(
+        self,
+        region: str,
+        megabits_per_s: float,
+        clock: Clock,
+    ) -> None:
         """Makes budgets for a single sender."""
+        self.region = region
         self._total = megabits_per_s * BITS_PER_MEGABIT / BITS_PER_BYTE
         self._clock = clock
         self._senders: dict[str, timedelta] = {}
--- a/packages/lycheedyke/src/lycheedyke/transport/_links.py
+++ b/packages/lycheedyke/src/lycheedyke/transport/_links.py
@@ -170,7 +170,7 @@
                 await _complete(context.asend(message))
                 return bytes(await _complete(context.arecv()))
         except pynng.NNGException as error:
-            self.close()
+            self._drop(socket)
             raise ExchangeBroken(
                 f'peer {self._address}: {error!r}',
             ) from error
@@ -184,7 +184,7 @@
             async with asyncio.timeout(CONNECT_LIMIT.total_seconds()):
                 await self._connected.wait()
         except TimeoutError:
-            await self._probe()
+            await self._probe(socket)
         return socket
 
     def _dial(self) -> pynng.Req0:
@@ -213,10 +213,14 @@
         return socket
 
     def _lose(self, lost: weakref.ref[pynng.Req0]) -> None:
-        if self._socket is not None and self._socket is lost():
+        self._drop(lost())
+
+    def _drop(self, socket: pynng.Req0 | None) -> None:
+        """Closes a socket, but not one that has taken its place."""
+        if socket is not None and self._socket is socket:
             self.close()
 
-    async def _probe(self) -> None:
+    async def _probe(self, socket: pynng.Req0) -> None:
         """Finds out why the library has not connected yet."""
         host, _, port = self._address.rpartition(':')
         try:
@@ -226,12 +230,12 @@
                     int(port),
                 )
         except ConnectionRefusedError as error:
-            self.close()
+            self._drop(socket)
             raise ConnectionRefusedByHost(
                 f'peer {self._address}: connection refused',
             ) from error
         except (OSError, TimeoutError) as error:
-            self.close()
+            self._drop(socket)
             raise ConnectionNotMade(
                 f'peer {self._address}: {error!r}',
             ) from error
--- a/tests/unit/test_budgets.py
+++ b/tests/unit/test_budgets.py
@@ -63,7 +63,7 @@
     clock = ManualClock()
     parts = []
     for name in names:
-        budgets = RegionBudgets(8, clock)
+        budgets = RegionBudgets('norr', 8, clock)
         budgets.share_among(map(str, names))
         clock.pass_time(600)
         budgets.share_among([str(name)])
