Leave failing upstreams out of the routing, and go home above the cap

Cause: the router did not read whether an owner finds an upstream usable, so upstreams that refuse connections drew work, as they are the least loaded; test_a_crashing_request_is_quarantined then saw a good credit refused as upstream-unreachable once the retries were spent. Change: the table leaves out failing upstreams, but for a third of a service in a region; a refused connection takes an upstream out at once; a refusal because of the cap runs at home. The new router test fails without the last of these (NotRun in place of Answered). The command line gains headroom, drains and suspects list|clear.

--- a/packages/lycheedyke-ctl/src/lycheedyke_ctl/commands.py
+++ b/packages/lycheedyke-ctl/src/lycheedyke_ctl/commands.py
@@ -26,6 +26,54 @@
     _get('/v1/instances', config, as_json=json)
 
 
+def headroom(*, config: Path | None = None, json: bool = False) -> None:
+    """Show the free slots by region, service and upstream.
+
+    Args:
+        config: The tool's INI file.
+        json: Print JSON.
+    """
+    _get('/v1/headroom', config, as_json=json)
+
+
+def drains(*, config: Path | None = None, json: bool = False) -> None:
+    """Show the upstreams of the answering instance that leave or left.
+
+    Args:
+        config: The tool's INI file.
+        json: Print JSON.
+    """
+    _get('/v1/drains', config, as_json=json)
+
+
+def suspects(*, config: Path | None = None, json: bool = False) -> None:
+    """Show the requests that are suspected to crash upstreams.
+
+    Args:
+        config: The tool's INI file.
+        json: Print JSON.
+    """
+    _get('/v1/suspects', config, as_json=json)
+
+
+def clear_suspects(
+    *,
+    fingerprint: str = '',
+    config: Path | None = None,
+    json: bool = False,
+) -> None:
+    """Clear one suspect, or all, at all live instances.
+
+    Args:
+        fingerprint: The suspect to clear; all of them by default.
+        config: The tool's INI file.
+        json: Print JSON.
+    """
+    query = f'?fingerprint={fingerprint}' if fingerprint else ''
+    path = f'/v1/suspects{query}'
+    show(call(read_access(config), 'DELETE', path), as_json=json)
+
+
 def counters(*, config: Path | None = None, json: bool = False) -> None:
     """Show the counters and latencies of the answering instance.
 
--- a/packages/lycheedyke-ctl/src/lycheedyke_ctl/main.py
+++ b/packages/lycheedyke-ctl/src/lycheedyke_ctl/main.py
@@ -32,6 +32,12 @@
         'ticket': dict(_TICKET_COMMANDS),
         'status': commands.status,
         'instances': commands.instances,
+        'headroom': commands.headroom,
+        'drains': commands.drains,
+        'suspects': {
+            'list': commands.suspects,
+            'clear': commands.clear_suspects,
+        },
         'counters': commands.counters,
     },
 )
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/routing.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/routing.py
@@ -29,7 +29,12 @@
 MOST_OWNER_PAUSES = 40
 # The owner changed or the upstream is leaving: nothing was sent to it.
 _REROUTED = frozenset((Reason.no_owner, Reason.upstream_leaving))
-_FINAL = _REROUTED | {Reason.byte_budget, Reason.deadline_passed}
+_FINAL = _REROUTED | {
+    Reason.byte_budget,
+    Reason.deadline_passed,
+    Reason.quarantined,
+    Reason.shift_cap,
+}
 
 
 class Router:
@@ -75,9 +80,23 @@
         place = self._placement.locate(work.client)
         work = work._replace(home=place.home)
         self._count_first(work)
+        region = self._placement.destination(work.service, place)
+        outcome = await self._run_in(region, work, place)
+        if region != place.home and _is_over_cap(outcome):
+            # The owner's share lags behind the share seen here.
+            self._counters.count('rerouted.shift-cap')
+            outcome = await self._run_in(place.home, work, place)
+        return outcome
+
+    async def _run_in(
+        self,
+        region: str,
+        work: Work,
+        place: ClientPlace,
+    ) -> Outcome:
         tried: set[str] = set()
         outcome: Outcome = self._placement.refuse(work.service, place)
-        while found := await self._attempt_any(work, place, tried):
+        while found := await self._attempt_any(region, work, tried):
             outcome = found
             is_last = len(tried) >= MAX_ATTEMPTS
             if is_last or not self._may_retry(work, outcome):
@@ -86,15 +105,15 @@
 
     async def _attempt_any(
         self,
+        region: str,
         work: Work,
-        place: ClientPlace,
         tried: set[str],
     ) -> Outcome | None:
         """Returns the outcome on an upstream that is still owned."""
         outcome: Outcome | None = None
         for _ in range(MOST_OWNER_PAUSES):
             passed_over: set[str] = set()
-            while target := self._pick(work, place, tried | passed_over):
+            while target := self._pick(region, work, tried | passed_over):
                 outcome = await self._attempt(target, work)
                 if not self._is_rerouted(outcome):
                     tried.add(target.upstream)
@@ -140,11 +159,10 @@
 
     def _pick(
         self,
+        region: str,
         work: Work,
-        place: ClientPlace,
         tried: set[str],
     ) -> Target | None:
-        region = self._placement.destination(work.service, place)
         targets = [
             target
             for target in self._table.targets(work.service, region)
@@ -185,3 +203,7 @@
             )
         finally:
             self._sent[target.upstream] -= 1
+
+
+def _is_over_cap(outcome: Outcome) -> bool:
+    return isinstance(outcome, NotRun) and outcome.reason is Reason.shift_cap
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/runner.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/runner.py
@@ -7,6 +7,7 @@
 from lycheedyke.coordination import Rights, Size
 from lycheedyke.exceptions import (
     ConnectionNotMade,
+    ConnectionRefusedByHost,
     ExchangeBroken,
     ExchangeTimeout,
 )
@@ -210,7 +211,9 @@
         except AdmissionRefused as refusal:
             return NotRun(refusal.reason, refusal.retry_after)
         except (ConnectionNotMade, ExchangeBroken) as error:
-            attempt.pace.fail()
+            attempt.pace.fail(
+                is_down=isinstance(error, ConnectionRefusedByHost),
+            )
             return _to_failure(error)
         attempt.is_finished = True
         if LEAVING_HEADER in answer.headers:
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/table.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/table.py
@@ -13,6 +13,7 @@
     owner_of,
 )
 from lycheedyke.protocol import InstanceInfo, Phase, Upstream, UpstreamLoad
+from lycheedyke.state import keep_in_use
 from lycheedyke_daemon.runner import Runner
 
 REFRESH_INTERVAL = timedelta(milliseconds=100)
@@ -106,10 +107,19 @@
             group = groups[upstream.service, configuration.region_of(upstream)]
             found = admitters.get(name) or self._proposed(name, upstream)
             group.extend(Target(name, *each) for each in found)
-        self._targets = groups
+        self._targets = {
+            place: _in_use(targets) for place, targets in groups.items()
+        }
 
     def _proposed(self, name: str, upstream: Upstream) -> list[Admitting]:
         owner = owner_of(name, self._members.in_zone(upstream.zone))
         if owner is None:
             return []
         return [Admitting(owner, UpstreamLoad(name, 0, 0, upstream.slots))]
+
+
+def _in_use(targets: list[Target]) -> list[Target]:
+    """Returns the targets without upstreams that fail, but for a third."""
+    loads = {target.upstream: target.load for target in targets}
+    kept = {load.upstream for load in keep_in_use(loads.values())}
+    return [target for target in targets if target.upstream in kept]
--- a/packages/lycheedyke/src/lycheedyke/state/_pace.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_pace.py
@@ -37,7 +37,6 @@
         self._outages = 0
         self._out_until: timedelta | None = None
         self._shed_until = timedelta()
-        self._last = clock.elapsed()
 
     def __repr__(self) -> str:
         """Returns the limit."""
@@ -53,10 +52,9 @@
     @property
     def usable(self) -> bool:
         """Whether it may take work, if only the one trial request."""
-        is_over = self._out_until is None
-        return is_over or self._clock.elapsed() >= (
-            self._out_until or self._last
-        )
+        if self._out_until is None:
+            return True
+        return self._clock.elapsed() >= self._out_until
 
     @property
     def may_queue(self) -> bool:
@@ -77,7 +75,6 @@
     def answer(self) -> None:
         """Takes in a whole answer."""
         self._failures = 0
-        self._last = self._clock.elapsed()
         if self._out_until is not None:
             self._out_until = None
             self._outages = 0
@@ -94,11 +91,15 @@
         self._window = max(START_LIMIT, self._window * SHED_FACTOR)
         self._threshold = self._window
 
-    def fail(self) -> None:
-        """Takes in a failure: no connection, or no answer on it."""
+    def fail(self, *, is_down: bool = False) -> None:
+        """Takes in a failure: no connection, or no answer on it.
+
+        Args:
+            is_down: whether it is certain that no process listens there.
+        """
         self._failures += 1
         is_trial = self._out_until is not None
-        if is_trial or self._failures >= FAILURES_BEFORE_OUT:
+        if is_down or is_trial or self._failures >= FAILURES_BEFORE_OUT:
             self._take_out()
 
     def _take_out(self) -> None:
--- a/tests/unit/test_router.py
+++ b/tests/unit/test_router.py
@@ -54,19 +54,23 @@
     runner: _Runner,
     share: float,
     methods: list[str],
+    destination: str = 'norr',
 ) -> list[Outcome]:
     place = ClientPlace('10.0.0.0/24', 'norr')
-    targets = [
-        Target(name, OWN, UpstreamLoad(name, 0, 0, 9)) for name in UPSTREAMS
-    ]
+    targets = {
+        region: [
+            Target(name, OWN, UpstreamLoad(name, 0, 0, 9)) for name in names
+        ]
+        for region, names in (('norr', UPSTREAMS), ('vast', ['away']))
+    }
     clock = ManualClock()
     placement: Any = SimpleNamespace(
         locate=lambda client: place,
-        destination=lambda service, found: 'norr',
+        destination=lambda service, found: destination,
         refuse=lambda service, found: NotRun(Reason.no_upstream),
     )
     table: Any = SimpleNamespace(
-        targets=lambda service, region: targets,
+        targets=lambda service, region: targets[region],
         retry_share=lambda service: share,
     )
     anything: Any = runner
@@ -122,3 +126,11 @@
     runner = _Runner(dict.fromkeys(UPSTREAMS[:5], leaving))
     outcomes = _route(runner, 0, ['GET', 'POST'] * 20)
     assert {type(outcome) for outcome in outcomes} == {Answered}
+
+
+def test_work_above_the_owners_share_runs_at_home() -> None:
+    """A refusal because of the cap elsewhere is no refusal at home."""
+    runner = _Runner({'away': NotRun(Reason.shift_cap)})
+    outcomes = _route(runner, 0, ['GET', 'POST'] * 20, destination='vast')
+    assert {type(outcome) for outcome in outcomes} == {Answered}
+    assert runner.runs['away'] == len(outcomes)
