Fill look-up answers with instances that can forward

Cause: with two of four upstreams dead the look-up named their owners no more, so a caller was left with fewer entries than it may need; test_a_crashing_request_is_quarantined then did not find its entry. Change: after the owners come the other instances of the region.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/lookups.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/lookups.py
@@ -19,6 +19,7 @@
 REFRESH_INTERVAL = timedelta(milliseconds=250)
 MILLISECOND = timedelta(milliseconds=1)
 LEAST_WEIGHT = 0.1
+SPARE_WEIGHT = 0.001
 
 
 class _Entry(msgspec.Struct):
@@ -109,12 +110,20 @@
         for target in self._table.targets(service, region):
             free = free_slots(target.load) + LEAST_WEIGHT
             weights[target.owner] = weights.get(target.owner, 0) + free
+        for spare in self._spares(region):
+            weights.setdefault(spare, SPARE_WEIGHT)
         if not weights:
             weights = {self._members.own: 1}
         return [
             self._encode(service, _choose(weights)) for _ in range(VARIANTS)
         ]
 
+    def _spares(self, region: str) -> Iterator[InstanceInfo]:
+        """Yields all instances of a region, which can forward to owners."""
+        for name, zone in self._log.configuration.zones.items():
+            if zone.region == region:
+                yield from self._members.in_zone(name)
+
     def _encode(self, service: str, infos: list[InstanceInfo]) -> bytes:
         return msgspec.json.encode(
             _LookupAnswer(
