Split large files, and read the platform's list less often

The comparison counts useful work until the last answer, as its arrivals fall behind in overload, and runs on uvloop. Ruled out: dropping the list; an instance that is alone needs it.

--- a/bench/compare/__main__.py
+++ b/bench/compare/__main__.py
@@ -14,6 +14,7 @@
 from typing import Any, NamedTuple
 
 import defopt
+import uvloop
 
 from bench.compare.arrivals import Arrivals
 from bench.shapes import CASCADE, CustomerShape, ServiceShape
@@ -121,13 +122,12 @@
         await failing
         watching.cancel()
         await arrivals.close()
-        return await self._summarize(arrivals, free, seconds)
+        return await self._summarize(arrivals, free)
 
     async def _summarize(
         self,
         arrivals: Arrivals,
         free: list[float],
-        seconds: float,
     ) -> Outcome:
         records = await self._records()
         p50_ms, p99_ms, p999_ms = (
@@ -140,7 +140,8 @@
             p999_ms,
             min(free),
             statistics.mean(free),
-            arrivals.kinds.pop('answered', 0) / (self._capacity * seconds),
+            arrivals.kinds.pop('answered', 0)
+            / (self._capacity * arrivals.elapsed),
             sum(record.most_in_flight > record.slots for record in records),
             dict(arrivals.kinds),
         )
@@ -232,9 +233,9 @@
     folder = Path(tempfile.mkdtemp(prefix='lycheedyke-compare-'))
     with kind(folder, zones=dict(SHAPE.zones), entries=ENTRIES) as running:
         trial = Trial(design, running)
-        asyncio.run(trial.begin())
+        uvloop.run(trial.begin())
         for phase in PHASES:
-            yield phase, asyncio.run(trial.run(phase, seconds))
+            yield phase, uvloop.run(trial.run(phase, seconds))
 
 
 def _show(design: str, phase: Phase, outcome: Outcome) -> None:
@@ -254,7 +255,8 @@
         seconds: The length of each phase.
     """
     print('latencies in ms; free slots least and mean; useful work as a share')
-    print('of what all slots can serve; upstreams that ran over their slots')
+    print('of what all slots can serve until the last answer; upstreams that')
+    print('ran over their slots; what was refused')
     print(
         'phase        design        p50    p99  p99.9  least  mean  useful  over'
     )
--- a/bench/compare/arrivals.py
+++ b/bench/compare/arrivals.py
@@ -37,6 +37,7 @@
     ) -> None:
         """Makes callers that have not asked anything."""
         self.kinds: Counter[str] = Counter()
+        self.elapsed: float = 0
         self.latency = HdrHistogram(1, HIGHEST_MICROSECONDS, SIGNIFICANT_DIGITS)
         self._service = service
         self._random = random.Random(seed)
@@ -54,8 +55,9 @@
 
     async def run(self, rate: float, seconds: float) -> None:
         """Sends requests at a rate per second, then waits for the last."""
-        end = time.monotonic() + seconds
-        arrival = time.monotonic()
+        started = time.monotonic()
+        end = started + seconds
+        arrival = started
         while arrival < end:
             arrival += self._random.expovariate(rate)
             await asyncio.sleep(max(0, arrival - time.monotonic()))
@@ -63,6 +65,7 @@
             self._pending.add(task)
             task.add_done_callback(self._pending.discard)
         await asyncio.gather(*self._pending)
+        self.elapsed = time.monotonic() - started
 
     async def close(self) -> None:
         """Closes all connections."""
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/instance.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/instance.py
@@ -2,10 +2,10 @@
 
 import asyncio
 import logging
+import random
 import secrets as random_secrets
 from datetime import timedelta
 
-import aiomisc
 from aiohttp import web
 
 from lycheedyke.clock import Clock
@@ -15,14 +15,10 @@
     TicketLog,
     Zone,
 )
-from lycheedyke.exceptions import MessageRejected, PlatformError
+from lycheedyke.exceptions import PlatformError
 from lycheedyke.protocol import (
-    Heartbeat,
     InstanceInfo,
     MessageCodec,
-    SnapshotRequest,
-    SummariesRequest,
-    TicketsRequest,
 )
 from lycheedyke.state import (
     Configuration,
@@ -36,6 +32,7 @@
 from lycheedyke_daemon.admin import AdminApi
 from lycheedyke_daemon.bodies import BodyReader
 from lycheedyke_daemon.callers import CallerApi
+from lycheedyke_daemon.control import ControlApi
 from lycheedyke_daemon.crashes import CrashGuard
 from lycheedyke_daemon.dispatch import Dispatcher
 from lycheedyke_daemon.forward import PeerApi, PeerClient
@@ -49,6 +46,7 @@
 from lycheedyke_daemon.placement import PlacedRunner, Placement
 from lycheedyke_daemon.routing import Router
 from lycheedyke_daemon.runner import Runner
+from lycheedyke_daemon.servers import HttpServers
 from lycheedyke_daemon.settings import Secrets, Settings
 from lycheedyke_daemon.spread import SuspectReportApi, SuspectSpread
 from lycheedyke_daemon.stopping import CallerGate, finish_callers
@@ -58,7 +56,8 @@
 
 INCARNATION_BYTES = 8
 OWNERSHIP_INTERVAL_SECONDS = 0.05
-SEEDING_INTERVAL_SECONDS = 5
+SEEDING_ALONE_SECONDS = 5
+SEEDING_SECONDS = 120
 MESSAGE_MARGIN_BYTES = 65_536
 MILLISECOND = timedelta(milliseconds=1)
 MAX_ADMIN_BYTES = 2_097_152
@@ -86,7 +85,7 @@
         self._clock = clock
         self._placed_ticket = 0
         self._tasks: list[asyncio.Task[None]] = []
-        self._sites: list[web.AppRunner] = []
+        self._servers = HttpServers()
         self._counters = Counters()
         self._codec = MessageCodec(secrets.peer)
         own = _describe(settings)
@@ -184,7 +183,15 @@
             clock,
         )
         self._body_memory = MemoryBudget(settings.body_memory_bytes)
-        self._listener = PeerListener(settings.control_address, self._answer)
+        self._listener = PeerListener(
+            settings.control_address,
+            ControlApi(
+                self._members,
+                self._tickets.spread,
+                self._codec,
+                self._counters,
+            ).answer,
+        )
         self._admin = AdminApi(
             secrets.admin,
             self._tickets,
@@ -210,9 +217,13 @@
             asyncio.create_task(self._owners.follow()),
             asyncio.create_task(self._owners.watch()),
         ]
-        await self._serve(self._peer_app(), self._settings.peer_address)
-        await self._serve(self._admin_app(), self._settings.admin_address)
-        await self._serve(self._caller_app(), self._settings.caller_address)
+        await self._servers.open(self._peer_app(), self._settings.peer_address)
+        await self._servers.open(
+            self._admin_app(), self._settings.admin_address
+        )
+        await self._servers.open(
+            self._caller_app(), self._settings.caller_address
+        )
         _logger.info('started', extra={'ticket': self._log.number})
 
     async def stop(self) -> None:
@@ -226,8 +237,7 @@
             answer_ttl * MILLISECOND + self._settings.stop_linger,
         )
         await self._end_runs()
-        for site in reversed(self._sites):
-            await site.cleanup()
+        await self._servers.close()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -319,46 +329,6 @@
         )
         return app
 
-    async def _serve(self, app: web.Application, address: str) -> None:
-        host, _, port = address.rpartition(':')
-        runner = web.AppRunner(
-            app,
-            access_log=None,
-            handle_signals=False,
-            handler_cancellation=True,
-            auto_decompress=False,
-        )
-        await runner.setup()
-        await web.TCPSite(runner, host.strip('[]'), int(port)).start()
-        self._sites.append(runner)
-
-    async def _answer(self, message: bytes) -> bytes | None:
-        try:
-            asked = self._codec.decode_exchange(message)
-        except MessageRejected as error:
-            self._counters.count(f'message.{error.reason}')
-            return None
-        match asked:
-            case Heartbeat():
-                reply = self._members.answer(asked)
-                if reply is None:
-                    return None
-                return self._codec.encode_exchange(reply)
-            case SummariesRequest():
-                return self._codec.encode_exchange(
-                    self._members.exchange(asked),
-                )
-            case TicketsRequest():
-                return self._codec.encode_exchange(
-                    self._tickets.spread.answer_tickets(asked),
-                )
-            case SnapshotRequest():
-                return self._codec.encode_exchange(
-                    self._tickets.spread.answer_snapshot(asked),
-                )
-        self._counters.count('message.unexpected')
-        return None
-
     async def _seed(self) -> None:
         while True:
             try:
@@ -367,7 +337,16 @@
                 _logger.debug('list not read: %s', error)
             else:
                 self._members.follow(listed.values())
-            await asyncio.sleep(SEEDING_INTERVAL_SECONDS)
+            await asyncio.sleep(self._seeding_pause())
+
+    def _seeding_pause(self) -> float:
+        """Returns the seconds to the next reading of the platform's list.
+
+        An instance that hears others learns of joiners from them.
+        """
+        is_alone = not self._members.live()
+        longest = SEEDING_ALONE_SECONDS if is_alone else SEEDING_SECONDS
+        return random.uniform(longest / 2, longest)
 
     def _service_of(self, name: str) -> str:
         upstream = self._log.configuration.upstreams.get(name)
@@ -404,22 +383,6 @@
         )
 
 
-class InstanceService(aiomisc.Service):
-    """Runs an instance until the process is asked to stop."""
-
-    __required__ = ('instance',)
-
-    instance: Instance
-
-    async def start(self) -> None:
-        """Starts the instance."""
-        await self.instance.start()
-
-    async def stop(self, exception: Exception | None = None) -> None:
-        """Stops the instance gracefully."""
-        await self.instance.stop()
-
-
 def _describe(settings: Settings) -> InstanceInfo:
     return InstanceInfo(
         name=settings.name,
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/main.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/main.py
@@ -8,7 +8,7 @@
 
 from lycheedyke.clock import SystemClock
 from lycheedyke.exceptions import SettingsInvalid
-from lycheedyke_daemon.instance import Instance, InstanceService
+from lycheedyke_daemon.instance import Instance
 from lycheedyke_daemon.logs import start_logs
 from lycheedyke_daemon.settings import describe, read_secrets, read_settings
 
@@ -17,6 +17,22 @@
 THREADS = 2
 
 
+class InstanceService(aiomisc.Service):
+    """Runs an instance until the process is asked to stop."""
+
+    __required__ = ('instance',)
+
+    instance: Instance
+
+    async def start(self) -> None:
+        """Starts the instance."""
+        await self.instance.start()
+
+    async def stop(self, exception: Exception | None = None) -> None:
+        """Stops the instance gracefully."""
+        await self.instance.stop()
+
+
 def run(*, config: Path, check: bool = False) -> int:
     """Runs one entry instance.
 
--- a/packages/lycheedyke/src/lycheedyke/coordination/_gossip.py
+++ b/packages/lycheedyke/src/lycheedyke/coordination/_gossip.py
@@ -3,9 +3,8 @@
 import asyncio
 import random
 from collections import deque
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from datetime import timedelta
-from typing import Protocol
 
 import msgspec
 
@@ -14,7 +13,6 @@
 from lycheedyke.coordination._peers import Peer
 from lycheedyke.coordination._seeds import Seeds
 from lycheedyke.coordination._summaries import (
-    OwnState,
     asks_first,
     hash_pair,
     own_roster,
@@ -22,6 +20,7 @@
     summarize,
     trim,
 )
+from lycheedyke.coordination._view import View
 from lycheedyke.coordination._zones import MAX_ZONES, KnownZone, ZoneBook
 from lycheedyke.exceptions import ConnectionRefusedByHost
 from lycheedyke.protocol import (
@@ -40,27 +39,6 @@
 RECENT_JOINERS = 32
 
 
-class View(Protocol):
-    """The part of the membership that summaries are made from."""
-
-    own: InstanceInfo
-    service_of: Callable[[str], str]
-
-    @property
-    def state(self) -> OwnState:
-        """What this instance tells its zone."""
-
-    @property
-    def addresses(self) -> set[str]:
-        """The control addresses that have a task."""
-
-    def live_in_zone(self) -> list[Peer]:
-        """Returns the live peers of the own zone."""
-
-    def meet(self, address: str) -> None:
-        """Starts the task for an address of the own zone."""
-
-
 class Gossip:
     """Makes, reports and fetches zone summaries, and finds zones by seeds.
 
--- a/packages/lycheedyke/src/lycheedyke/coordination/_membership.py
+++ b/packages/lycheedyke/src/lycheedyke/coordination/_membership.py
@@ -72,7 +72,6 @@
         self.ticket = 0
         self.stopping = False
         self.loads: Callable[[], tuple[UpstreamLoad, ...]] = tuple
-        self.quarantine: Callable[[], tuple[str, ...]] = tuple
         self.service_of: Callable[[str], str] = str
         self.ownership: OwnershipLink = NoOwnership()
         self._clock = clock
@@ -113,7 +112,6 @@
             self.ticket,
             self.loads()[:MAX_LOADS],
             self.stopping,
-            self.quarantine(),
             self.age,
         )
 
@@ -172,16 +170,6 @@
             if zone.summary is not None and self._book.is_live(zone)
         }
 
-    def quarantined(self) -> set[str]:
-        """Returns the fingerprints that other instances have confirmed."""
-        found: set[str] = set()
-        for peer in self.live_in_zone():
-            found.update(peer.quarantined)
-        for zone in self._book.others():
-            if zone.summary is not None and self._book.is_live(zone):
-                found.update(zone.summary.quarantined)
-        return found
-
     def follow(self, addresses: Iterable[str]) -> None:
         """Takes in control addresses at which instances may be."""
         self._gossip.start()
@@ -323,7 +311,6 @@
             age_ms=0 if is_known else state.age // MILLISECOND,
             introduce=peer is None,
             stopping=state.stopping,
-            quarantined=state.quarantined,
             owner_epoch=self.ownership.record.epoch,
             owners=self.ownership.news_for(peer.info.incarnation)
             if peer
@@ -346,7 +333,6 @@
             age_ms=state.age // MILLISECOND if beat.introduce else 0,
             introduce=peer is None and beat.sender is None,
             stopping=state.stopping,
-            quarantined=state.quarantined,
             owner_epoch=self.ownership.record.epoch,
             owners=self.ownership.news_for(beat.incarnation),
             grants=self.ownership.grants(),
--- a/packages/lycheedyke/src/lycheedyke/coordination/_peers.py
+++ b/packages/lycheedyke/src/lycheedyke/coordination/_peers.py
@@ -51,7 +51,6 @@
         self.ticket = 0
         self.digest = 0
         self.loads: tuple[Load, ...] = ()
-        self.quarantined: tuple[str, ...] = ()
         self.stopping = False
         self.told: tuple[Load, ...] | None = None
         self.introduced = False
@@ -69,7 +68,6 @@
         self.ticket = max(self.ticket, beat.ticket)
         self.digest = beat.digest
         self.stopping = beat.stopping
-        self.quarantined = beat.quarantined
         if beat.loads is not None:
             self.loads = beat.loads
         if beat.sender is not None:
--- a/packages/lycheedyke/src/lycheedyke/coordination/_summaries.py
+++ b/packages/lycheedyke/src/lycheedyke/coordination/_summaries.py
@@ -20,7 +20,6 @@
 )
 
 MAX_SERVICES = 32
-MAX_QUARANTINED = 32
 
 
 class OwnState(NamedTuple):
@@ -29,7 +28,6 @@
     ticket: int
     loads: tuple[UpstreamLoad, ...]
     stopping: bool
-    quarantined: tuple[str, ...]
     age: timedelta
 
 
@@ -89,8 +87,6 @@
     stopping = [peer.info.name for peer in peers if peer.stopping]
     if state.stopping:
         stopping.append(own.name)
-    quarantined = set(state.quarantined)
-    quarantined.update(*(peer.quarantined for peer in peers))
     return ZoneSummary(
         zone=own.zone,
         region=own.region,
@@ -106,7 +102,6 @@
             InstanceLoads(name, loads) for name, loads in states if loads
         ),
         stopping=tuple(sorted(stopping)),
-        quarantined=tuple(sorted(quarantined)[:MAX_QUARANTINED]),
     )
 
 
--- /dev/null
+++ b/packages/lycheedyke/src/lycheedyke/coordination/_view.py
@@ -0,0 +1,29 @@
+"""What zone summaries need to know of the membership."""
+
+from collections.abc import Callable
+from typing import Protocol
+
+from lycheedyke.coordination._peers import Peer
+from lycheedyke.coordination._summaries import OwnState
+from lycheedyke.protocol import InstanceInfo
+
+
+class View(Protocol):
+    """The part of the membership that summaries are made from."""
+
+    own: InstanceInfo
+    service_of: Callable[[str], str]
+
+    @property
+    def state(self) -> OwnState:
+        """What this instance tells its zone."""
+
+    @property
+    def addresses(self) -> set[str]:
+        """The control addresses that have a task."""
+
+    def live_in_zone(self) -> list[Peer]:
+        """Returns the live peers of the own zone."""
+
+    def meet(self, address: str) -> None:
+        """Starts the task for an address of the own zone."""
--- a/packages/lycheedyke/src/lycheedyke/protocol/_messages.py
+++ b/packages/lycheedyke/src/lycheedyke/protocol/_messages.py
@@ -95,7 +95,6 @@
         age_ms: time since the sender's start in ms, sent with `sender`.
         introduce: asks for `sender` in the answer.
         stopping: whether a planned stop is under way.
-        quarantined: fingerprints that the sender itself has confirmed.
         owner_epoch: epoch of the zone's owner record known there.
         owners: that record, where the addressee's is known to be older.
         grants: slots that the sender leaves to its deputies.
@@ -112,7 +111,6 @@
     age_ms: int = 0
     introduce: bool = False
     stopping: bool = False
-    quarantined: tuple[str, ...] = ()
     owner_epoch: int = 0
     owners: OwnerRecord | None = None
     grants: tuple[Grant, ...] = ()
@@ -174,7 +172,6 @@
         headroom: counts of each service.
         loads: counts of each upstream, only sent within the region.
         stopping: names of the instances with a planned stop under way.
-        quarantined: fingerprints confirmed in the zone.
     """
 
     zone: str
@@ -186,7 +183,6 @@
     headroom: tuple[ServiceLoad, ...] = ()
     loads: tuple[InstanceLoads, ...] = ()
     stopping: tuple[str, ...] = ()
-    quarantined: tuple[str, ...] = ()
 
 
 class ZoneVersion(msgspec.Struct, frozen=True, array_like=True):
