Count malformed requests in place of logging each with a trace

Cause: bytes that are no HTTP request made the HTTP library write an error line with a stack trace each, at the sender's pace. Change: such records are dropped and counted as http.malformed. A test throws seeded garbage, lying lengths, huge heads and heads that never end at all four ports; before the change it failed with 'Traceback' in the log, the process served on. Ruled out: a higher log level for the library, which would hide faults. Left: heads that never end keep their connection without limit.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/instance.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/instance.py
@@ -85,8 +85,8 @@
         self._clock = clock
         self._placed_ticket = 0
         self._tasks: list[asyncio.Task[None]] = []
-        self._servers = HttpServers()
         self._counters = Counters()
+        self._servers = HttpServers(self._counters)
         self._codec = MessageCodec(secrets.peer)
         own = _describe(settings)
         self._members = Members(
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/servers.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/servers.py
@@ -1,14 +1,29 @@
 """The HTTP servers of one instance."""
 
+import logging
+
 from aiohttp import web
+from aiohttp.http_exceptions import HttpProcessingError
+
+from lycheedyke.state import Counters
+
+MALFORMED_COUNTER = 'http.malformed'
+
+_logger = logging.getLogger(__name__)
 
 
 class HttpServers:
-    """Servers at some addresses, closed in the reverse of their order."""
+    """Servers at some addresses, closed in the reverse of their order.
+
+    Args:
+        counters: counts malformed requests, which are not logged one by one.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, counters: Counters) -> None:
         """Makes no server yet."""
         self._runners: list[web.AppRunner] = []
+        self._counters = counters
+        _logger.addFilter(self._pass_on)
 
     def __repr__(self) -> str:
         """Returns the number of servers."""
@@ -23,6 +38,7 @@
             handle_signals=False,
             handler_cancellation=True,
             auto_decompress=False,
+            logger=_logger,
         )
         await runner.setup()
         await web.TCPSite(runner, host.strip('[]'), int(port)).start()
@@ -32,3 +48,10 @@
         """Closes all servers once their requests have ended."""
         for runner in reversed(self._runners):
             await runner.cleanup()
+
+    def _pass_on(self, record: logging.LogRecord) -> bool:
+        error = record.exc_info[1] if record.exc_info else None
+        if not isinstance(error, HttpProcessingError):
+            return True
+        self._counters.count(MALFORMED_COUNTER)
+        return False
--- /dev/null
+++ b/tests/processes/test_bad_bytes.py
@@ -0,0 +1,85 @@
+"""Bad bytes on any port cost their sender, never the process."""
+
+import asyncio
+import contextlib
+import random
+from pathlib import Path
+
+import pytest
+
+from standins.deployment import Deployment, Seat, call, free_ports
+from standins.operators import (
+    apply_ticket,
+    get_admin,
+    make_ticket,
+    wait_in_force,
+)
+
+pytestmark = pytest.mark.processes
+ZONES = {'norr-a': 'norr'}
+SEED = 20_261_204
+ROUNDS = 60
+OPEN_CONNECTIONS = 200
+MOST_BYTES = 4096
+STARTS = (
+    b'',
+    b'GET /v1/services/kassa/x HTTP/1.1\r\nHost: a\r\n',
+    b'POST /v1/services/kassa/x HTTP/1.1\r\nContent-Length: 99999999\r\n\r\n',
+    b'POST /v1/run HTTP/1.1\r\nContent-Length: -1\r\n\r\n',
+    b'POST /v1/run HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n',
+    b'GET /v1/lookup?service=%ff%00 HTTP/1.1\r\nHost: a\r\n\r\n',
+    b'GET / HTTP/1.1\r\n' + b'A: ' + b'b' * 70_000 + b'\r\n\r\n',
+)
+
+
+async def _throw(address: str, data: bytes) -> None:
+    host, _, port = address.rpartition(':')
+    reader, writer = await asyncio.open_connection(host, int(port))
+    with contextlib.suppress(OSError, TimeoutError):
+        writer.write(data)
+        await writer.drain()
+        async with asyncio.timeout(0.05):
+            await reader.read()
+    writer.transport.abort()
+
+
+async def _hold(address: str) -> asyncio.StreamWriter:
+    host, _, port = address.rpartition(':')
+    _, writer = await asyncio.open_connection(host, int(port))
+    writer.write(b'GET /v1/lookup HTTP/1.1\r\nHost')
+    return writer
+
+
+async def _attack(seat: Seat) -> None:
+    dice = random.Random(SEED)
+    ports = (seat.caller, seat.peer, seat.control, seat.admin)
+    held = [await _hold(seat.caller) for _ in range(OPEN_CONNECTIONS)]
+    for _ in range(ROUNDS):
+        noise = dice.randbytes(dice.randrange(MOST_BYTES))
+        data = dice.choice(STARTS) + noise
+        await asyncio.gather(*(_throw(port, data) for port in ports))
+    status, body = await call(
+        'GET',
+        f'http://{seat.caller}/v1/services/kassa/cups/7',
+    )
+    assert (status, body['ran']) == (200, 'GET /cups/7 ')
+    for writer in held:
+        writer.transport.abort()
+
+
+def test_garbage_at_every_port_leaves_the_process_serving(
+    tmp_path: Path,
+) -> None:
+    """Garbage, huge heads, lying lengths, and heads that never end."""
+    ports = free_ports(1)
+    with Deployment(tmp_path, zones=ZONES) as running:
+        running.start_upstreams('upstreams', ports)
+        apply_ticket(running, make_ticket(ZONES, 'kassa', ports))
+        asyncio.run(wait_in_force(running, 1))
+        (seat,) = running.seats.values()
+        asyncio.run(_attack(seat))
+        assert running.processes[seat.name].poll() is None
+        counts = asyncio.run(get_admin(seat, '/v1/counters'))['counts']
+        assert counts['http.malformed'] > ROUNDS
+        log = (tmp_path / f'{seat.name}.log').read_text()
+        assert 'Traceback' not in log, log[-2000:]
