Find a client's place once, and tick less often when idle

Change: places are kept by client until the block map changes, at most 8,192 of them; the loops over rights, summaries, tickets and roles run every 100, 200, 200 and 500 ms in place of 50, 100, 100 and 250.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/instance.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/instance.py
@@ -55,7 +55,7 @@
 from lycheedyke_daemon.tickets import TicketParts, connect_platform
 
 INCARNATION_BYTES = 8
-OWNERSHIP_INTERVAL_SECONDS = 0.05
+OWNERSHIP_INTERVAL_SECONDS = 0.1
 SEEDING_ALONE_SECONDS = 5
 SEEDING_SECONDS = 120
 MESSAGE_MARGIN_BYTES = 65_536
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/placement.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/placement.py
@@ -13,6 +13,7 @@
 from lycheedyke_daemon.work import Work
 
 DEFAULT_BLOCK_LENGTHS = {4: 24, 6: 48}  # noqa: WPS407
+MOST_PLACES = 8192
 LEAST_WAIT = timedelta(seconds=1)
 MOST_WAIT = timedelta(seconds=30)
 
@@ -45,6 +46,8 @@
         self._log = log
         self._table = table
         self._own_region = own_region
+        self._blocks = log.configuration.blocks
+        self._places: dict[tuple[str, str], ClientPlace] = {}
         self.shares = ShiftShares(
             clock,
             lambda service, region: table.serves(region, service),
@@ -64,10 +67,15 @@
         home = home or self._own_region
         if not client:
             return ClientPlace('', home)
-        found = self._log.configuration.blocks.find(client)
-        if found is not None:
-            return ClientPlace(found.prefix, found.home)
-        return ClientPlace(_default_block(client), home)
+        blocks = self._log.configuration.blocks
+        if blocks is not self._blocks or len(self._places) >= MOST_PLACES:
+            self._blocks = blocks
+            self._places.clear()
+        place = self._places.get((client, home))
+        if place is None:
+            place = self._find_place(client, home)
+            self._places[client, home] = place
+        return place
 
     def destination(self, service: str, place: ClientPlace) -> str:
         """Returns the region in which a client's request is to run."""
@@ -99,6 +107,12 @@
         wait = max(LEAST_WAIT, min(*waits, MOST_WAIT))
         return NotRun(Reason.shift_cap, wait)
 
+    def _find_place(self, client: str, home: str) -> ClientPlace:
+        found = self._blocks.find(client)
+        if found is not None:
+            return ClientPlace(found.prefix, found.home)
+        return ClientPlace(_default_block(client), home)
+
 
 class PlacedRunner:
     """Runs work on own upstreams, if it may run in this region.
--- a/packages/lycheedyke/src/lycheedyke/coordination/_follower.py
+++ b/packages/lycheedyke/src/lycheedyke/coordination/_follower.py
@@ -11,7 +11,7 @@
 from lycheedyke.exceptions import PlatformError
 
 WATCH_WAIT = timedelta(seconds=20)
-ROLE_INTERVAL = timedelta(milliseconds=250)
+ROLE_INTERVAL = timedelta(milliseconds=500)
 START_WAIT = timedelta(milliseconds=500)
 START_SPREAD = timedelta(milliseconds=500)
 FIRST_READ_SPREAD = timedelta(seconds=6)
--- a/packages/lycheedyke/src/lycheedyke/coordination/_gossip.py
+++ b/packages/lycheedyke/src/lycheedyke/coordination/_gossip.py
@@ -32,7 +32,7 @@
 )
 
 REPORTERS = 2
-TICK = timedelta(milliseconds=100)
+TICK = timedelta(milliseconds=200)
 FETCH_LEAST = timedelta(milliseconds=250)
 STALE_INTERVALS = 2
 SETTLE_TIME = timedelta(seconds=1)
--- a/packages/lycheedyke/src/lycheedyke/coordination/_spread.py
+++ b/packages/lycheedyke/src/lycheedyke/coordination/_spread.py
@@ -27,7 +27,7 @@
 )
 from lycheedyke.transport import PeerLink
 
-CHECK_INTERVAL = timedelta(milliseconds=100)
+CHECK_INTERVAL = timedelta(milliseconds=200)
 ASK_TIMEOUT = timedelta(seconds=1)
 PARTS_KEPT = timedelta(seconds=30)
 MAX_PARTS = 256
