Use one clock in the unit tests

Cause: three test modules had fake clocks of their own. Change: all use ManualClock; a deadline that was written as a time of a clock starting at zero is now counted from the clock.

--- a/tests/standins/homes.py
+++ b/tests/standins/homes.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections import defaultdict
-from datetime import UTC, datetime, timedelta
+from datetime import timedelta
 from types import SimpleNamespace
 from typing import Any
 
@@ -25,6 +25,7 @@
     SuccessorNotice,
 )
 from lycheedyke_daemon.work import Work
+from standins.clock import ManualClock
 
 SECOND = timedelta(seconds=1)
 LIFE = 10 * SECOND
@@ -32,22 +33,6 @@
 MEMORY_BYTES = 8000
 
 
-class FakeClock:
-    """A clock that the machine moves."""
-
-    def __init__(self) -> None:
-        self.time = timedelta()
-
-    def now(self) -> datetime:
-        return datetime(2026, 1, 1, tzinfo=UTC) + self.time
-
-    def elapsed(self) -> timedelta:
-        return self.time
-
-    async def sleep(self, duration: timedelta) -> None:
-        raise NotImplementedError
-
-
 class Run:
     """One run at an upstream, until the machine ends it."""
 
@@ -129,7 +114,7 @@
     """Three seats, the wire between them, and the oracle."""
 
     def __init__(self) -> None:
-        self.clock = FakeClock()
+        self.clock = ManualClock()
         self.started = 0
         self.nodes = [self.start(seat) for seat in range(3)]
         self.past = list(self.nodes)
--- a/tests/unit/test_at_most_once.py
+++ b/tests/unit/test_at_most_once.py
@@ -31,11 +31,11 @@
 )
 from lycheedyke.state import KeyLedger, KeyRefused
 from lycheedyke_daemon.work import Work
+from standins.clock import ManualClock
 from standins.homes import (
     LIFE,
     MEMORY_BYTES,
     SECOND,
-    FakeClock,
     Run,
     World,
 )
@@ -90,7 +90,7 @@
     def send(self, pick: int, entry: int, body: bytes, fault: str) -> None:
         key = self.keys[-1 - pick % len(self.keys)]
         self.world.fault = fault
-        deadline = self.world.clock.time + 30 * SECOND
+        deadline = self.world.clock.elapsed() + 30 * SECOND
         work = Work('kassa', 'POST', '/', (), body, deadline, '', key)
         node = self.world.nodes[entry]
         task = self.loop.create_task(node.dispatcher.run(work))
@@ -171,7 +171,7 @@
 
     @rule(seconds=st.integers(1, 6))
     def pass_time(self, seconds: int) -> None:
-        self.world.clock.time += seconds * SECOND
+        self.world.clock.pass_time(seconds)
 
     @invariant()
     def runs_at_most_once(self) -> None:
@@ -239,7 +239,7 @@
 
 def test_full_memory_forgets_no_live_key() -> None:
     """Full means refusing new keys; expiry makes room again."""
-    clock = FakeClock()
+    clock = ManualClock()
     ledger = KeyLedger('h' * 32, clock, max_bytes=50_000, max_life=LIFE)
     accepted = open_keys(ledger, 100, LIFE)
     assert 0 < accepted < 100
@@ -250,7 +250,7 @@
     assert ledger.open(refused, b'f' * 16)[0].outcome == NotRun(
         Reason.key_memory_full
     )
-    clock.time = LIFE
+    clock.pass_time(LIFE.total_seconds())
     with pytest.raises(KeyRefused, match='key-expired') as caught:
         ledger.open(first, b'f' * 16)
     assert caught.value.outcome == Unknown(Reason.key_expired)
@@ -260,7 +260,7 @@
 @pytest.mark.parametrize('count', [1000, 21_900])
 def test_records_take_no_more_than_is_accounted(count: int) -> None:
     """The accounted size is at least what the allocator has handed out."""
-    ledger = KeyLedger('h' * 32, FakeClock(), max_bytes=10**9, max_life=LIFE)
+    ledger = KeyLedger('h' * 32, ManualClock(), max_bytes=10**9, max_life=LIFE)
     tracemalloc.start()
     before, _ = tracemalloc.get_traced_memory()
     open_keys(ledger, count, LIFE)
@@ -271,7 +271,7 @@
 
 def test_a_key_stands_for_one_request() -> None:
     """Another request with the same key is refused; the first is unharmed."""
-    ledger = KeyLedger('h' * 32, FakeClock(), max_life=LIFE)
+    ledger = KeyLedger('h' * 32, ManualClock(), max_life=LIFE)
     key = IdempotencyKey('h' * 32, LIFE, 'nonce-0000')
     ledger.open(key, b'first')
     with pytest.raises(KeyRefused) as caught:
@@ -285,7 +285,7 @@
 
 def test_an_answer_above_the_memory_is_not_kept() -> None:
     """Resends of a key whose answer is too large get an unknown outcome."""
-    ledger = KeyLedger('h' * 32, FakeClock(), max_bytes=5000, max_life=LIFE)
+    ledger = KeyLedger('h' * 32, ManualClock(), max_bytes=5000, max_life=LIFE)
     key = IdempotencyKey('h' * 32, LIFE, 'nonce-0000')
     ledger.open(key, b'first')
     ledger.finish(key, Answered(200, (), b'x' * 9000, 'kassa-1'))
@@ -302,7 +302,8 @@
         world = World()
         old, new, other = world.nodes
         key = IdempotencyKey(old.info.incarnation, LIFE, 'nonce-0000')
-        work = Work('kassa', 'POST', '/', (), b'one', LIFE, '', key)
+        deadline = world.clock.elapsed() + LIFE
+        work = Work('kassa', 'POST', '/', (), b'one', deadline, '', key)
         first = asyncio.create_task(old.dispatcher.run(work))
         await asyncio.sleep(0)
         old.stopping = True
--- a/tests/unit/test_suspects.py
+++ b/tests/unit/test_suspects.py
@@ -1,7 +1,7 @@
 """Suspects run alone; the guilty are condemned, the innocent are not."""
 
 import asyncio
-from datetime import UTC, datetime, timedelta
+from datetime import timedelta
 from typing import Any
 
 import pytest
@@ -11,32 +11,17 @@
 from lycheedyke_daemon import crashes
 from lycheedyke_daemon.crashes import CrashGuard
 from lycheedyke_daemon.work import Work
+from standins.clock import ManualClock
 
 ANSWER = Answered(200, (), b'', 'kassa-1')
 BROKE = Unknown(Reason.upstream_broke)
 
 
-class FakeClock:
-    """A clock that the test moves."""
-
-    def __init__(self) -> None:
-        self.time = timedelta()
-
-    def now(self) -> datetime:
-        return datetime(2026, 1, 1, tzinfo=UTC) + self.time
-
-    def elapsed(self) -> timedelta:
-        return self.time
-
-    async def sleep(self, duration: timedelta) -> None:
-        raise NotImplementedError
-
-
 class Zone:
     """A guard over fake upstreams; bodies `poison` take them down."""
 
     def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
-        self.suspects = Suspects(FakeClock())
+        self.suspects = Suspects(ManualClock())
         self.guard = CrashGuard(self.suspects, self._report, Counters())
         self.down: set[str] = set()
         self.together: list[frozenset[bytes]] = []
@@ -102,7 +87,7 @@
 
 def test_a_failing_zone_condemns_nothing() -> None:
     """More upstreams lost at once than one request can take clear all."""
-    clock = FakeClock()
+    clock = ManualClock()
     suspects, peer = Suspects(clock), Suspects(clock)
     for number in range(5):
         suspects.accuse([f'request {number}', 'common'], f'upstream {number}')
@@ -114,7 +99,7 @@
 
 def test_suspects_expire_are_bounded_and_can_be_cleared() -> None:
     """The record forgets in time, at an operator's word, and when full."""
-    clock = FakeClock()
+    clock = ManualClock()
     suspects = Suspects(clock)
     suspects.accuse(['guilty'], 'a')
     suspects.accuse(['guilty'], 'b')
@@ -126,5 +111,5 @@
     assert suspects.judge('guilty') is Verdict.clear
     suspects.take(told)
     assert suspects.judge('guilty') is Verdict.clear
-    clock.time += timedelta(minutes=10)
+    clock.pass_time(600)
     assert not suspects.list()
