Name the crash guard's parts and the failure run plainly

Cause: words of courts and travel stood for standard terms. Change: requests in flight, crashes and successes are noted by those names; the run of all failures together is 'python -m bench.failures'.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 
 export PYTHONPATH := tests
 
-.PHONY: setup demo test check format speed compare storm
+.PHONY: setup demo test check format speed compare failures
 
 setup: $(STAMP)
 
@@ -26,9 +26,9 @@
 compare: $(STAMP)
 	$(BIN)/python -m bench.compare
 
-storm: $(STAMP)
-	$(BIN)/python -m bench.storm --customer pantsaker
-	$(BIN)/python -m bench.storm --customer cascade
+failures: $(STAMP)
+	$(BIN)/python -m bench.failures --customer pantsaker
+	$(BIN)/python -m bench.failures --customer cascade
 
 test: $(STAMP)
 	$(BIN)/python -m pytest
--- a/bench/storm/__main__.py
+++ b/bench/failures/__main__.py
@@ -1,4 +1,4 @@
-"""Runs a storm: `python -m bench.storm --customer NAME --seed N`."""
+"""Causes all failures: `python -m bench.failures --customer NAME --seed N`."""
 
 import asyncio
 import statistics
@@ -14,10 +14,10 @@
 import defopt
 
 from bench.crowd import Crowd
+from bench.failures import checks
+from bench.failures.faults import Faults
+from bench.failures.operators import Operators
 from bench.shapes import CUSTOMERS, CustomerShape
-from bench.storm import checks
-from bench.storm.faults import Faults
-from bench.storm.operators import Operators
 from bench.upstreams import (
     free_share,
     read_records,
@@ -34,7 +34,7 @@
 EXIT_BROKEN = 1
 
 
-class Storm:
+class FailureRun:
     """One run against one customer's deployment.
 
     Args:
@@ -49,7 +49,7 @@
         shape: CustomerShape,
         seed: int,
     ) -> None:
-        """Makes a storm over a deployment that runs."""
+        """Makes a run over a started deployment."""
         self._running = running
         self._shape = shape
         self._ticket = start_upstreams(running, shape)
@@ -178,8 +178,8 @@
         callers: Callers for each zone and service.
     """
     shape = CUSTOMERS[customer]
-    folder = Path(tempfile.mkdtemp(prefix='lycheedyke-storm-'))
-    print(f'storm of {customer}, seed {seed}, logs in {folder}')
+    folder = Path(tempfile.mkdtemp(prefix='lycheedyke-failures-'))
+    print(f'failures of {customer}, seed {seed}, logs in {folder}')
     started = time.monotonic()
     with Deployment(
         folder,
@@ -188,9 +188,9 @@
         customer=shape.name,
         links=True,
     ) as running:
-        storm = Storm(running, shape, seed)
-        faults = asyncio.run(storm.run(seconds, callers))
-        storm.report()
+        trial = FailureRun(running, shape, seed)
+        faults = asyncio.run(trial.run(seconds, callers))
+        trial.report()
     for fault in faults:
         print('BROKEN:', fault)
     print(f'{len(faults)} broken in {time.monotonic() - started:.0f} s')
--- a/bench/storm/checks.py
+++ b/bench/failures/checks.py
@@ -1,4 +1,4 @@
-"""Checks of a storm, from the stand-ins' own records."""
+"""Checks from the stand-ins' own records."""
 
 from collections import Counter
 from collections.abc import Iterable, Iterator, Mapping
--- a/bench/storm/faults.py
+++ b/bench/failures/faults.py
@@ -1,4 +1,4 @@
-"""The failures of a storm, chosen by a seed."""
+"""Failures chosen by a seed."""
 
 import asyncio
 import random
--- a/bench/storm/operators.py
+++ b/bench/failures/operators.py
@@ -1,4 +1,4 @@
-"""Operators of a storm, who race each other with tickets."""
+"""Operators who race each other with tickets."""
 
 import asyncio
 import random
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/crashes.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/crashes.py
@@ -13,7 +13,7 @@
 PROBE_LIMIT = timedelta(milliseconds=500)
 
 
-class _Passenger:
+class _Request:
     """One request in flight; its fingerprint is made where it is needed."""
 
     def __init__(self, work: Work) -> None:
@@ -28,22 +28,22 @@
         return self._fingerprint
 
 
-class _Flight:
+class _InFlight:
     """The requests in flight at one upstream."""
 
     def __init__(self) -> None:
-        self.passengers: list[_Passenger] = []
+        self.requests: list[_Request] = []
         self.alone = False
         self._waiters: list[asyncio.Future[None]] = []
 
-    def board(self, passenger: _Passenger, *, alone: bool) -> None:
+    def add(self, request: _Request, *, alone: bool) -> None:
         """Takes a request in."""
         self.alone = alone
-        self.passengers.append(passenger)
+        self.requests.append(request)
 
-    def leave(self, passenger: _Passenger) -> None:
+    def remove(self, request: _Request) -> None:
         """Lets a request out, and wakes all who wait."""
-        self.passengers.remove(passenger)
+        self.requests.remove(request)
         self.alone = False
         for waiter in self._waiters:
             if not waiter.done():
@@ -77,11 +77,11 @@
         self._suspects = suspects
         self._report = report
         self._counters = counters
-        self._flights: dict[str, _Flight] = {}
+        self._upstreams: dict[str, _InFlight] = {}
 
     def __repr__(self) -> str:
         """Returns the number of upstreams seen."""
-        return f'<CrashGuard over {len(self._flights)} upstreams>'
+        return f'<CrashGuard over {len(self._upstreams)} upstreams>'
 
     async def run(
         self,
@@ -101,50 +101,50 @@
             work: the request.
             send: makes the exchange.
         """
-        flight = self._flights.setdefault(upstream, _Flight())
-        passenger = _Passenger(work)
-        while not self._may_enter(flight, passenger):
-            await flight.wait()
-        verdict = self._judge_one(passenger)
+        in_flight = self._upstreams.setdefault(upstream, _InFlight())
+        request = _Request(work)
+        while not self._may_enter(in_flight, request):
+            await in_flight.wait()
+        verdict = self._judge_one(request)
         if verdict is Verdict.quarantined:
             return NotRun(Reason.quarantined)
-        flight.board(passenger, alone=verdict is Verdict.suspect)
+        in_flight.add(request, alone=verdict is Verdict.suspect)
         try:
             outcome = await send()
-            await self._judge(upstream, address, flight, outcome)
+            await self._judge(upstream, address, in_flight, outcome)
         finally:
-            flight.leave(passenger)
+            in_flight.remove(request)
         return outcome
 
-    def _judge_one(self, passenger: _Passenger) -> Verdict:
+    def _judge_one(self, request: _Request) -> Verdict:
         if not self._suspects:
             return Verdict.clear
-        return self._suspects.judge(passenger.fingerprint)
+        return self._suspects.judge(request.fingerprint)
 
-    def _may_enter(self, flight: _Flight, passenger: _Passenger) -> bool:
-        match self._judge_one(passenger):
+    def _may_enter(self, in_flight: _InFlight, request: _Request) -> bool:
+        match self._judge_one(request):
             case Verdict.quarantined:
                 return True
             case Verdict.suspect:
-                return not flight.passengers
-        return not flight.alone
+                return not in_flight.requests
+        return not in_flight.alone
 
     async def _judge(
         self,
         upstream: str,
         address: str,
-        flight: _Flight,
+        in_flight: _InFlight,
         outcome: Outcome,
     ) -> None:
         if outcome != Unknown(Reason.upstream_broke):
-            if flight.alone and not isinstance(outcome, NotRun):
-                self._suspects.acquit(flight.passengers[0].fingerprint)
+            if in_flight.alone and not isinstance(outcome, NotRun):
+                self._suspects.note_success(in_flight.requests[0].fingerprint)
             return
-        accused = tuple(each.fingerprint for each in flight.passengers)
+        fingerprints = tuple(each.fingerprint for each in flight.requests)
         if not await _is_dead(address):
             return
         self._counters.count('upstream.crashed')
-        self._suspects.accuse(accused, upstream)
+        self._suspects.note_crash(fingerprints, upstream)
         await self._report()
 
 
--- a/packages/lycheedyke/src/lycheedyke/state/_suspects.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_suspects.py
@@ -83,7 +83,7 @@
             return Verdict.quarantined
         return Verdict.suspect
 
-    def accuse(self, fingerprints: Iterable[str], upstream: str) -> None:
+    def note_crash(self, fingerprints: Iterable[str], upstream: str) -> None:
         """Makes suspects of all requests in flight when an upstream crashed.
 
         When more upstreams are lost at once than one request may take down,
@@ -97,7 +97,7 @@
         for fingerprint in fingerprints:
             self._merge(fingerprint, frozenset((upstream,)), QUARANTINE_TIME)
 
-    def acquit(self, fingerprint: str) -> None:
+    def note_success(self, fingerprint: str) -> None:
         """Clears a suspect that ran alone to its end."""
         if self.judge(fingerprint) is Verdict.suspect:
             self._entries.pop(fingerprint)
--- a/tests/processes/test_outcomes.py
+++ b/tests/processes/test_outcomes.py
@@ -313,14 +313,14 @@
         seat = till.running.seats[names[0]]
         url = f'http://{seat.admin}/v1/suspects'
         _, listed = await call('GET', url, headers=admin_headers())
-        condemned = [each for each in listed if each['quarantined']]
-        assert [len(each['crashed']) for each in condemned] == [2]
+        quarantined_now = [each for each in listed if each['quarantined']]
+        assert [len(each['crashed']) for each in quarantined_now] == [2]
         for name in names:
             key = await till.key(name, '30')
             again = await till.credit(name, key, f'good {name}')
             assert again[0] == 'answered', again
         _, cleared = await call('DELETE', url, headers=admin_headers())
-        assert condemned[0]['fingerprint'] in {
+        assert quarantined_now[0]['fingerprint'] in {
             each['fingerprint'] for each in cleared
         }
 
--- a/tests/unit/test_suspects.py
+++ b/tests/unit/test_suspects.py
@@ -1,4 +1,4 @@
-"""Suspects run alone; the guilty are condemned, the innocent are not."""
+"""Suspects run alone; those that crash upstreams are refused, others not."""
 
 import asyncio
 from datetime import timedelta
@@ -50,10 +50,10 @@
         return await self.guard.run(name, name, work, send)
 
 
-def test_innocents_in_flight_are_not_condemned(
+def test_others_in_flight_are_not_refused(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    """Two upstreams are lost, the guilty is refused, the others get through."""
+    """Two upstreams are lost, the crashing request is refused, the others get through."""
     zone = Zone(monkeypatch)
 
     async def job() -> None:
@@ -73,7 +73,9 @@
     asyncio.run(job())
 
 
-def test_a_lost_answer_accuses_nobody(monkeypatch: pytest.MonkeyPatch) -> None:
+def test_a_lost_answer_makes_no_suspect(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     """A broken exchange with an upstream that still listens is no crash."""
     zone = Zone(monkeypatch)
 
@@ -90,7 +92,9 @@
     clock = ManualClock()
     suspects, peer = Suspects(clock), Suspects(clock)
     for number in range(5):
-        suspects.accuse([f'request {number}', 'common'], f'upstream {number}')
+        suspects.note_crash(
+            [f'request {number}', 'common'], f'upstream {number}'
+        )
         peer.take([Suspect('common', (f'upstream {number}',), 10_000)])
     for known in (suspects, peer):
         assert known.judge('common') is Verdict.clear
@@ -101,9 +105,9 @@
     """The record forgets in time, at an operator's word, and when full."""
     clock = ManualClock()
     suspects = Suspects(clock)
-    suspects.accuse(['guilty'], 'a')
-    suspects.accuse(['guilty'], 'b')
-    suspects.accuse([f'other {number}' for number in range(999)], 'c')
+    suspects.note_crash(['guilty'], 'a')
+    suspects.note_crash(['guilty'], 'b')
+    suspects.note_crash([f'other {number}' for number in range(999)], 'c')
     assert len(suspects) == 256
     assert suspects.judge('guilty') is Verdict.quarantined
     told = suspects.list()
