--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/crashes.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/crashes.py
@@ -140,7 +140,7 @@
             if in_flight.alone and not isinstance(outcome, NotRun):
                 self._suspects.note_success(in_flight.requests[0].fingerprint)
             return
-        fingerprints = tuple(each.fingerprint for each in flight.requests)
+        fingerprints = tuple(each.fingerprint for each in in_flight.requests)
         if not await _is_dead(address):
             return
         self._counters.count('upstream.crashed')
--- a/tests/unit/test_suspects.py
+++ b/tests/unit/test_suspects.py
@@ -105,15 +105,15 @@
     """The record forgets in time, at an operator's word, and when full."""
     clock = ManualClock()
     suspects = Suspects(clock)
-    suspects.note_crash(['guilty'], 'a')
-    suspects.note_crash(['guilty'], 'b')
+    suspects.note_crash(['crashing'], 'a')
+    suspects.note_crash(['crashing'], 'b')
     suspects.note_crash([f'other {number}' for number in range(999)], 'c')
     assert len(suspects) == 256
-    assert suspects.judge('guilty') is Verdict.quarantined
+    assert suspects.judge('crashing') is Verdict.quarantined
     told = suspects.list()
-    assert suspects.clear(['guilty']) == 1
-    assert suspects.judge('guilty') is Verdict.clear
+    assert suspects.clear(['crashing']) == 1
+    assert suspects.judge('crashing') is Verdict.clear
     suspects.take(told)
-    assert suspects.judge('guilty') is Verdict.clear
+    assert suspects.judge('crashing') is Verdict.clear
     clock.pass_time(600)
     assert not suspects.list()
