Probe an address in one place, and encode a forwarded reply once

Cause: the read-through found three copies of the check whether a process listens at an address (links to peers, proof of an owner's death, crashes of upstreams), and each reply to another region was packed and signed twice, once to count its bytes and once to send it. Change: transport has 'probe' and 'is_refused', which all three call with the limits that they had; the peer API returns the signed reply that it counted. The stand-in for homes passes that reply on. Ruled out: one limit for all; the three differ on purpose.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/crashes.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/crashes.py
@@ -1,12 +1,12 @@
 """Runs suspects alone, and finds out who was in flight at a crash."""
 
 import asyncio
-import contextlib
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
 
 from lycheedyke.protocol import NotRun, Outcome, Reason, Unknown
 from lycheedyke.state import Counters, Suspects, Verdict
+from lycheedyke.transport import is_refused
 from lycheedyke_daemon.work import Work
 
 PROBE_PAUSE = timedelta(milliseconds=50)
@@ -149,16 +149,5 @@
 
 
 async def _is_dead(address: str) -> bool:
-    host, _, port = address.rpartition(':')
     await asyncio.sleep(PROBE_PAUSE.total_seconds())
-    try:
-        async with asyncio.timeout(PROBE_LIMIT.total_seconds()):
-            _, writer = await asyncio.open_connection(host.strip('[]'), port)
-    except ConnectionRefusedError:
-        return True
-    except (OSError, TimeoutError):
-        return False
-    writer.close()
-    with contextlib.suppress(OSError):
-        await writer.wait_closed()
-    return False
+    return await is_refused(address, timeout=PROBE_LIMIT)
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/forward.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/forward.py
@@ -267,8 +267,8 @@
         """Returns the routes of the peer port."""
         return [web.post(RUN_PATH, self._run)]
 
-    async def serve(self, body: bytes) -> Outcome:
-        """Returns the outcome of a forwarded request.
+    async def serve(self, body: bytes) -> bytes:
+        """Returns the signed reply to a forwarded request.
 
         Args:
             body: the signed `RunRequest`.
@@ -283,22 +283,21 @@
             max_bytes=MAX_RUN_BYTES,
         )
         outcome = await self._run_message(message, self._to_work(message))
+        reply = self._codec.encode(RunReply(outcome))
         if message.region not in {'', self._budgets.region}:
-            reply = self._codec.encode(RunReply(outcome))
             self._budgets.to(message.region).spend(len(reply))
-        return outcome
+        return reply
 
     async def _run(self, request: web.Request) -> web.Response:
         try:
             async with self._bodies.read(request) as body:
-                outcome = await self.serve(body)
+                reply = await self.serve(body)
         except BodyRefused as refusal:
             self._counters.count(f'peer.{refusal.reason.value}')
             return web.Response(status=HTTP_UNAVAILABLE)
         except (MessageRejected, KeyMalformed):
             self._counters.count('message.rejected')
             return web.Response(status=HTTP_FORBIDDEN)
-        reply = self._codec.encode(RunReply(outcome))
         return web.Response(body=reply)
 
     async def _run_message(self, message: RunRequest, work: Work) -> Outcome:
--- a/packages/lycheedyke/src/lycheedyke/coordination/_owner_store.py
+++ b/packages/lycheedyke/src/lycheedyke/coordination/_owner_store.py
@@ -28,13 +28,14 @@
     owners_key,
 )
 from lycheedyke.state import Counters
+from lycheedyke.transport import is_refused
 
 TICK = timedelta(milliseconds=100)
 WATCH_WAIT = timedelta(seconds=20)
 RETRY_LEAST = timedelta(milliseconds=100)
 RETRY_MOST = timedelta(seconds=5)
 PROBE_AFTER = timedelta(milliseconds=600)
-PROBE_SECONDS = 0.5
+PROBE_LIMIT = timedelta(milliseconds=500)
 WATCHERS = 2
 GRANT_STEPS = 4
 
@@ -222,7 +223,7 @@
 
     async def _probe(self, incarnation: str, address: str) -> None:
         try:
-            if await is_refused(address):
+            if await is_refused(address, timeout=PROBE_LIMIT):
                 self._counters.count('owners.death-proven')
                 self.rights.prove_dead(incarnation)
             await self._clock.sleep(PROBE_AFTER)
@@ -240,20 +241,3 @@
     async def _back_off(self) -> None:
         await self._clock.sleep(self._backoff * random.uniform(0.5, 1))
         self._backoff = min(RETRY_MOST, self._backoff * 2)
-
-
-async def is_refused(address: str) -> bool:
-    """Returns whether the host says that no process listens there."""
-    host, _, port = address.rpartition(':')
-    try:
-        async with asyncio.timeout(PROBE_SECONDS):
-            _, writer = await asyncio.open_connection(
-                host.strip('[]'),
-                int(port),
-            )
-    except ConnectionRefusedError:
-        return True
-    except OSError:
-        return False
-    writer.close()
-    return False
--- a/packages/lycheedyke/src/lycheedyke/transport/__init__.py
+++ b/packages/lycheedyke/src/lycheedyke/transport/__init__.py
@@ -2,5 +2,13 @@
 
 from lycheedyke.transport._http import HttpAnswer, HttpClient
 from lycheedyke.transport._links import Link, PeerLink, PeerListener
+from lycheedyke.transport._probes import is_refused
 
-__all__ = ('HttpAnswer', 'HttpClient', 'Link', 'PeerLink', 'PeerListener')
+__all__ = (
+    'HttpAnswer',
+    'HttpClient',
+    'Link',
+    'PeerLink',
+    'PeerListener',
+    'is_refused',
+)
--- a/packages/lycheedyke/src/lycheedyke/transport/_links.py
+++ b/packages/lycheedyke/src/lycheedyke/transport/_links.py
@@ -13,10 +13,10 @@
 
 from lycheedyke.exceptions import (
     ConnectionNotMade,
-    ConnectionRefusedByHost,
     ExchangeBroken,
     ExchangeTimeout,
 )
+from lycheedyke.transport._probes import probe
 
 MAX_MESSAGE_BYTES = 1_048_576
 CONTEXTS = 8
@@ -222,24 +222,11 @@
 
     async def _probe(self, socket: pynng.Req0) -> None:
         """Finds out why the library has not connected yet."""
-        host, _, port = self._address.rpartition(':')
         try:
-            async with asyncio.timeout(PROBE_LIMIT.total_seconds()):
-                _, writer = await asyncio.open_connection(
-                    host.strip('[]'),
-                    int(port),
-                )
-        except ConnectionRefusedError as error:
+            await probe(self._address, timeout=PROBE_LIMIT)
+        except ConnectionNotMade:
             self._drop(socket)
-            raise ConnectionRefusedByHost(
-                f'peer {self._address}: connection refused',
-            ) from error
-        except (OSError, TimeoutError) as error:
-            self._drop(socket)
-            raise ConnectionNotMade(
-                f'peer {self._address}: {error!r}',
-            ) from error
-        writer.transport.abort()
+            raise
 
 
 async def _complete(operation: Awaitable[_Outcome]) -> _Outcome:
--- a/tests/standins/homes.py
+++ b/tests/standins/homes.py
@@ -12,7 +12,6 @@
     InstanceInfo,
     MessageCodec,
     Outcome,
-    RunReply,
 )
 from lycheedyke.state import Counters, KeyLedger, RegionBudgets
 from lycheedyke_daemon.dispatch import Dispatcher
@@ -106,8 +105,7 @@
         if url.endswith(SUCCESSOR_PATH):
             self.homes.note(CODEC.decode(body, SuccessorNotice))
             return SimpleNamespace(status=200)
-        reply = RunReply(await self.api.serve(body))
-        return SimpleNamespace(body=CODEC.encode(reply))
+        return SimpleNamespace(body=await self.api.serve(body))
 
 
 class World:
