Do not wait out the deadline at a peer that is cut off

Cause: a read sent to an owner in another zone waited until its deadline when that zone had just been cut off and was still in view. Change: work that does not wait for a slot ends within its service's run limit, so an idempotent request waits for the peer's reply for that and 300 ms, then goes to another upstream within the retry budget. Keyed work waits as before.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/forward.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/forward.py
@@ -110,6 +110,7 @@
         work: Work,
         *,
         upstream: str = '',
+        limit: timedelta | None = None,
     ) -> Outcome:
         """Returns the outcome of work run by a peer.
 
@@ -117,6 +118,7 @@
             peer: the instance to run it.
             work: the request.
             upstream: the upstream that the peer owns; '' if it decides.
+            limit: how long to wait for the reply; until the deadline if None.
         """
         remaining = work.deadline - self._clock.elapsed()
         if remaining < MILLISECOND:
@@ -152,7 +154,7 @@
             answer = await self._http.send(
                 'POST',
                 f'http://{address}{RUN_PATH}',
-                timeout=remaining + margin,
+                timeout=min(remaining, limit or remaining) + margin,
                 body=message,
             )
             return self._read_reply(answer.body)
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/routing.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/routing.py
@@ -28,6 +28,7 @@
 OWNER_PAUSE = timedelta(milliseconds=50)
 MOST_OWNER_PAUSES = 40
 MOST_PROBES = 3
+HOP_MARGIN = timedelta(milliseconds=300)
 # The owner changed or the upstream is leaving: nothing was sent to it.
 _REROUTED = frozenset((Reason.no_owner, Reason.upstream_leaving))
 _NOT_FREE = _REROUTED | {Reason.no_room}
@@ -232,10 +233,21 @@
                 target.owner,
                 work,
                 upstream=target.upstream,
+                limit=self._reply_limit(work),
             )
         finally:
             self._sent[target.upstream] -= 1
 
+    def _reply_limit(self, work: Work) -> timedelta | None:
+        """Returns how long to wait for a peer before asking another one.
+
+        Work that does not wait for a slot ends within the run limit; later
+        the peer is cut off or frozen, and idempotent work can go elsewhere.
+        """
+        if work.may_wait or not work.idempotent:
+            return None
+        return self._table.run_limit(work.service) + HOP_MARGIN
+
 
 def _is_over_cap(outcome: Outcome) -> bool:
     return isinstance(outcome, NotRun) and outcome.reason is Reason.shift_cap
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/table.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/table.py
@@ -17,6 +17,7 @@
 from lycheedyke_daemon.runner import Runner
 
 REFRESH_INTERVAL = timedelta(milliseconds=100)
+MILLISECOND = timedelta(milliseconds=1)
 
 
 class Target(NamedTuple):
@@ -76,6 +77,11 @@
         found = self._log.configuration.services.get(service)
         return found.retry_share if found else 0
 
+    def run_limit(self, service: str) -> timedelta:
+        """Returns the longest time that a request of a service may run."""
+        found = self._log.configuration.services.get(service)
+        return found.run_limit_ms * MILLISECOND if found else timedelta()
+
     def loads(self) -> dict[str, UpstreamLoad]:
         """Returns the counts of all upstreams with a live owner.
 
--- a/tests/processes/test_whole_path.py
+++ b/tests/processes/test_whole_path.py
@@ -7,7 +7,7 @@
 import pytest
 
 from lycheedyke import Client
-from standins.deployment import Deployment, call, free_ports
+from standins.deployment import Deployment, call, free_ports, polls
 from standins.operators import (
     apply_ticket,
     make_ticket,
@@ -22,9 +22,13 @@
 async def _drive(running: Deployment) -> None:
     await wait_in_force(running, 1)
     entries = [seat.caller for seat in running.seats.values()]
+    for _ in polls(10):
+        async with Client(entries) as client:
+            found = await client.lookup('kassa')
+        if len(found) == len(running.seats):
+            break
+    assert {entry.instance for entry in found} == set(running.seats)
     async with Client(entries) as client:
-        found = await client.lookup('kassa')
-        assert {entry.instance for entry in found} == set(running.seats)
         stock = await client.get('kassa', '/cups/7')
         assert json.loads(stock.body)['ran'] == 'GET /cups/7 '
         credit = await client.post('kassa', '/credits', b'cup 7')
