--- /dev/null
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_beliefs.py
@@ -0,0 +1,131 @@
+"""What the registry's records mean for routing, upstreams and entries."""
+
+import logging
+from collections.abc import Callable
+from datetime import timedelta
+
+from lycheedyke.clock import Clock
+from lycheedyke.protocol import (
+    EntryRecord,
+    EvacuationRecord,
+    Item,
+    Record,
+    RoutingRecord,
+    UpstreamRecord,
+)
+from lycheedyke.state import Fleet, RouteTable
+
+# Instances not heard of any more may only be cut off from here.
+ENTRY_MEMORY = timedelta(minutes=10)
+
+_logger = logging.getLogger(__name__)
+
+
+class Beliefs:
+    """The configuration in force, the upstreams and the entry instances.
+
+    Args:
+        fleet: the upstreams.
+        clock: the time.
+    """
+
+    def __init__(self, fleet: Fleet, clock: Clock) -> None:
+        """Believes in nothing yet."""
+        self.table: RouteTable | None = None
+        self.entries: dict[str, EntryRecord] = {}
+        self.on_entry_gone: Callable[[str], None] | None = None
+        self._fleet = fleet
+        self._clock = clock
+        self._zones: set[str] = set()
+        self._heard: dict[str, timedelta] = {}
+
+    def __repr__(self) -> str:
+        """Returns the number of the configuration."""
+        return f'<Beliefs of version {self.number}>'
+
+    @property
+    def number(self) -> int:
+        """The number of the configuration in force; 0 if there is none."""
+        return self.table.number if self.table else 0
+
+    @property
+    def most_instances(self) -> int:
+        """The most entry instances that may be at work."""
+        now = self._clock.elapsed()
+        self._heard.update(dict.fromkeys(self.entries, now))
+        self._heard = {
+            name: heard
+            for name, heard in self._heard.items()
+            if now - heard < ENTRY_MEMORY
+        }
+        return max(1, len(self._heard))
+
+    def follow(self, item: Item, before: Record | None) -> None:
+        """Takes in a change.
+
+        Args:
+            item: the item as it is now.
+            before: its record until now.
+        """
+        match item.record:
+            case RoutingRecord() as routing:
+                self._follow_routing(routing)
+            case UpstreamRecord() as upstream:
+                self._follow_upstream(upstream, before)
+            case EvacuationRecord(zone):
+                self._evacuate(zone)
+            case EntryRecord() as entry:
+                self._follow_entry(entry)
+            case None:
+                self._remove(before)
+
+    def _follow_routing(self, routing: RoutingRecord) -> None:
+        if routing.number <= self.number:
+            return
+        self.table = RouteTable(routing)
+        _logger.info(
+            'configuration in force',
+            extra={
+                'version': routing.number,
+                'routes': len(routing.routes),
+            },
+        )
+
+    def _follow_upstream(
+        self,
+        upstream: UpstreamRecord,
+        before: Record | None,
+    ) -> None:
+        self._fleet.take(upstream)
+        if not isinstance(before, UpstreamRecord):
+            _logger.info('upstream seen', extra={'upstream': upstream.name})
+        elif upstream.leaving and not before.leaving:
+            _logger.info('upstream leaving', extra={'upstream': upstream.name})
+
+    def _follow_entry(self, entry: EntryRecord) -> None:
+        if self.entries.get(entry.name) != entry:
+            _logger.info('entry instance seen', extra={'peer': entry.name})
+        self.entries[entry.name] = entry
+
+    def _evacuate(self, zone: str) -> None:
+        self._zones.add(zone)
+        self._fleet.evacuated = frozenset(self._zones)
+        _logger.info('zone evacuated', extra={'zone': zone})
+
+    def _remove(self, before: Record | None) -> None:
+        match before:
+            case UpstreamRecord(name):
+                self._fleet.drop(name)
+                _logger.info('upstream gone', extra={'upstream': name})
+            case EvacuationRecord(zone):
+                self._zones.discard(zone)
+                self._fleet.evacuated = frozenset(self._zones)
+                _logger.info('zone taken back', extra={'zone': zone})
+            case EntryRecord(name):
+                self.entries.pop(name, None)
+                _logger.info('entry instance gone', extra={'peer': name})
+                if self.on_entry_gone is not None:
+                    self.on_entry_gone(name)
+            case RoutingRecord() | None:
+                # The last readable configuration stays in force.
+                return
--- /dev/null
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_exchange.py
@@ -0,0 +1,156 @@
+"""One exchange with one upstream, and what its answer stands for."""
+
+from datetime import timedelta
+from typing import NamedTuple
+
+from lycheedyke.clock import Clock
+from lycheedyke.exceptions import (
+    ConnectionNotMade,
+    ConnectionRefusedByHost,
+    ExchangeBroken,
+    ExchangeTimeout,
+)
+from lycheedyke.protocol import (
+    Answered,
+    NotRun,
+    Outcome,
+    Reason,
+    Unknown,
+)
+from lycheedyke.state import UpstreamState
+from lycheedyke.transport import HttpAnswer, HttpClient
+from lycheedyke_daemon.work import Work, end_to_end
+
+MILLISECOND = timedelta(milliseconds=1)
+HTTP_MISDIRECTED = 421
+HTTP_FAILURES = 500
+# Upstreams of the users close idle connections after ten seconds.
+UPSTREAM_IDLE_LIMIT = timedelta(seconds=5)
+MAX_ANSWER_BYTES = 67_108_864
+LOAD_PARTS = 3
+
+
+class HeaderNames(NamedTuple):
+    """The headers that callers and upstreams of a deployment use.
+
+    Attributes:
+        request: identifies one attempt of a caller.
+        remaining: the milliseconds that the sender will wait.
+        thing_cookie: the cookie that names the object of a request.
+        expected_upstream: names the upstream that is to run the request.
+        not_run: says that an upstream has not run the request.
+        load: running and waiting requests and slots of an upstream.
+    """
+
+    request: str
+    remaining: str
+    thing_cookie: str
+    expected_upstream: str
+    not_run: str
+    load: str
+
+
+class UpstreamExchange:
+    """Sends work to upstreams and reads whole answers.
+
+    Args:
+        names: the headers of the deployment.
+        clock: measures deadlines.
+    """
+
+    def __init__(self, names: HeaderNames, clock: Clock) -> None:
+        """Makes an exchange without connections."""
+        self._names = names
+        self._clock = clock
+        self._http = HttpClient(
+            max_body_bytes=MAX_ANSWER_BYTES,
+            idle_limit=UPSTREAM_IDLE_LIMIT,
+            may_end_open=True,
+        )
+
+    def __repr__(self) -> str:
+        """Returns the client."""
+        return f'<UpstreamExchange over {self._http!r}>'
+
+    async def close(self) -> None:
+        """Closes the connections."""
+        await self._http.close()
+
+    async def run(self, state: UpstreamState, work: Work) -> Outcome:
+        """Returns the outcome of work at one upstream.
+
+        Non-idempotent work goes over a new connection: one that the
+        upstream has just closed would leave open whether it ran.
+        """
+        record = state.record
+        remaining = work.deadline - self._clock.elapsed()
+        if remaining < MILLISECOND:
+            return NotRun(Reason.deadline_passed)
+        try:
+            answer = await self._http.send(
+                work.method,
+                f'http://{record.address}{work.target}',
+                timeout=remaining,
+                headers=(
+                    *work.headers,
+                    (self._names.remaining, str(remaining // MILLISECOND)),
+                    (self._names.expected_upstream, record.name),
+                ),
+                body=work.body or None,
+                reuse=work.idempotent,
+            )
+        except ConnectionNotMade as error:
+            self._note_unreachable(state, error)
+            return NotRun(Reason.upstream_unreachable)
+        except ExchangeTimeout:
+            state.fail()
+            return Unknown(Reason.upstream_timeout)
+        except ExchangeBroken:
+            state.fail()
+            return Unknown(Reason.upstream_broke)
+        return self._read(state, work, answer)
+
+    def _note_unreachable(
+        self,
+        state: UpstreamState,
+        error: ConnectionNotMade,
+    ) -> None:
+        if isinstance(error, ConnectionRefusedByHost):
+            state.lose()
+        else:
+            state.fail()
+
+    def _read(
+        self,
+        state: UpstreamState,
+        work: Work,
+        answer: HttpAnswer,
+    ) -> Outcome:
+        if answer.status == HTTP_MISDIRECTED:
+            # Another upstream has the address.
+            state.lose()
+            return NotRun(Reason.upstream_replaced)
+        self._note_load(state, answer)
+        if self._names.not_run in answer.headers:
+            return NotRun(Reason.upstream_refused)
+        if answer.headers.get(self._names.request) != work.request_id:
+            state.fail()
+            return Unknown(Reason.upstream_broke)
+        if answer.status >= HTTP_FAILURES:
+            state.fail()
+        else:
+            state.succeed()
+        return Answered(
+            answer.status,
+            tuple(end_to_end(answer.headers)),
+            answer.body,
+            state.record.name,
+        )
+
+    def _note_load(self, state: UpstreamState, answer: HttpAnswer) -> None:
+        parts = answer.headers.get(self._names.load, '').split(',')
+        if len(parts) != LOAD_PARTS:
+            return
+        running, waiting, _ = parts
+        if running.isdecimal() and waiting.isdecimal():
+            state.report(int(running), int(waiting))
--- /dev/null
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
@@ -0,0 +1,303 @@
+"""One entry instance that follows a registry: its parts, start and stop."""
+
+import asyncio
+import logging
+import secrets
+from datetime import timedelta
+from typing import NamedTuple
+
+from aiohttp import web
+
+from lycheedyke.clock import Clock
+from lycheedyke.coordination import Presence, RegistryFollower, Replica
+from lycheedyke.protocol import EntryRecord, Registry
+from lycheedyke.state import (
+    Counters,
+    Distances,
+    Fleet,
+    MemoryBudget,
+    Place,
+    RepeatTerms,
+    Suspects,
+    UpstreamChoice,
+    WarmupPace,
+    WorkTimes,
+)
+from lycheedyke_daemon.crashes import CrashGuard
+from lycheedyke_daemon.gateway._beliefs import Beliefs
+from lycheedyke_daemon.gateway._callers import GatewayCallerApi
+from lycheedyke_daemon.gateway._decisions import DecisionLog
+from lycheedyke_daemon.gateway._directory import (
+    Directory,
+    LookupApi,
+    LookupForm,
+)
+from lycheedyke_daemon.gateway._exchange import HeaderNames, UpstreamExchange
+from lycheedyke_daemon.gateway._news import PeerNews
+from lycheedyke_daemon.gateway._router import GatewayRouter
+from lycheedyke_daemon.gateway._settings import GatewaySettings
+from lycheedyke_daemon.servers import HttpServers
+from lycheedyke_daemon.stopping import CallerGate
+
+INCARNATION_BYTES = 8
+READY_PATH = '/ready'
+METRICS_PATH = '/metrics'
+# Work accepted in the last half of the grace might not end in it.
+ACCEPTING_SHARE = 0.5
+# Leaves room to close before the platform kills the process.
+FINISHING_SHARE = 0.9
+POLL_SECONDS = 0.05
+
+_logger = logging.getLogger(__name__)
+
+
+class Deployment(NamedTuple):
+    """What a deployment brings: its registry and its forms on the wire.
+
+    Attributes:
+        registry: where routes, upstreams and entries stand.
+        headers: the headers of callers and upstreams.
+        lookups: how callers look up instances.
+    """
+
+    registry: Registry
+    headers: HeaderNames
+    lookups: LookupForm
+
+
+class GatewayInstance:
+    """The parts of one entry instance.
+
+    Args:
+        settings: the checked settings.
+        deployment: the registry and the forms on the wire.
+        clock: the time.
+    """
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        deployment: Deployment,
+        clock: Clock,
+    ) -> None:
+        """Makes all parts; nothing listens yet."""
+        self._settings = settings
+        self._deployment = deployment
+        self._clock = clock
+        self._tasks: list[asyncio.Task[None]] = []
+        self._stopping_since: timedelta | None = None
+        self._counters = Counters()
+        self._servers = HttpServers(self._counters)
+        self._gate = CallerGate()
+        self._fleet = Fleet(clock)
+        self._beliefs = Beliefs(self._fleet, clock)
+        own = _describe(settings)
+        self._own = own
+        self._replica = Replica(
+            clock,
+            settings.reappearance,
+            self._beliefs.follow,
+        )
+        suspects = Suspects(clock)
+        self._news = PeerNews(
+            own.name,
+            self._beliefs.entries.values,
+            self._replica,
+            suspects,
+            self._counters,
+        )
+        self._follower = RegistryFollower(
+            deployment.registry,
+            self._replica,
+            self._news.ask,
+            clock,
+        )
+        self._presence = Presence(deployment.registry, own, clock)
+        self._beliefs.on_entry_gone = self._note_entry_gone
+        self._exchange = UpstreamExchange(deployment.headers, clock)
+        self._guard = CrashGuard(suspects, self._news.report, self._counters)
+
+    def __repr__(self) -> str:
+        """Returns the instance's name."""
+        return f'<GatewayInstance {self._settings.name}>'
+
+    @property
+    def ready(self) -> bool:
+        """Whether callers may be sent here."""
+        return self._beliefs.number > 0 and self._stopping_since is None
+
+    async def start(self) -> None:
+        """Listens on all ports and starts all tasks."""
+        settings = self._settings
+        self._tasks = [
+            asyncio.create_task(self._follower.follow()),
+            asyncio.create_task(self._follower.follow_peers()),
+            asyncio.create_task(self._announce()),
+        ]
+        await self._servers.open(self._peer_app(), settings.peer_address)
+        await self._servers.open(self._lookup_app(), settings.lookup_address)
+        await self._servers.open(self._ready_app(), settings.ready_address)
+        await self._servers.open(self._metrics_app(), settings.metrics_address)
+        await self._servers.open(self._caller_app(), settings.caller_address)
+        _logger.info('started', extra={'settings': settings._asdict()})
+
+    async def stop(self) -> None:
+        """Leaves the look-ups, finishes what is in flight, then closes."""
+        self._stopping_since = self._clock.elapsed()
+        self._gate.stopping = True
+        _logger.info('stopping', extra={'in_flight': self._gate.in_flight})
+        await self._presence.withdraw()
+        grace = self._settings.stop_grace
+        await self._finish(grace * ACCEPTING_SHARE, grace * FINISHING_SHARE)
+        _logger.info('stopped', extra={'in_flight': self._gate.in_flight})
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._servers.close()
+        await self._exchange.close()
+        await self._news.close()
+        await self._deployment.registry.close()
+
+    async def _finish(self, least: timedelta, most: timedelta) -> None:
+        started = self._clock.elapsed()
+        passed = timedelta()
+        while passed < least or (self._gate.in_flight and passed < most):
+            await asyncio.sleep(POLL_SECONDS)
+            passed = self._clock.elapsed() - started
+
+    def _is_closing(self) -> bool:
+        if self._stopping_since is None:
+            return False
+        passed = self._clock.elapsed() - self._stopping_since
+        return passed > self._settings.stop_grace * ACCEPTING_SHARE
+
+    async def _announce(self) -> None:
+        while not self.ready:
+            await asyncio.sleep(POLL_SECONDS)
+        await self._presence.keep()
+
+    def _note_entry_gone(self, name: str) -> None:
+        if name == self._own.name:
+            self._presence.note_removed()
+
+    def _caller_app(self) -> web.Application:
+        settings = self._settings
+        times = WorkTimes()
+        decisions = DecisionLog(
+            self._clock,
+            self._counters,
+            sampled_of=settings.log_sampled_of,
+            lines_per_s=settings.log_lines_per_s,
+        )
+        choice = UpstreamChoice(
+            self._fleet,
+            times,
+            Place(settings.zone, settings.region, settings.zones),
+            Distances(),
+            WarmupPace(settings.name, self._clock),
+            cold_rate=self._cold_rate,
+            instances=self._count_instances,
+        )
+        router = GatewayRouter(
+            choice,
+            times,
+            self._exchange,
+            self._guard,
+            RepeatTerms(
+                settings.repeat_ratio,
+                settings.repeat_window,
+                settings.repeat_extra,
+            ),
+            self._clock,
+            self._counters,
+            decisions,
+            instances=self._count_instances,
+        )
+        api = GatewayCallerApi(
+            self._beliefs,
+            router,
+            self._deployment.headers,
+            MemoryBudget(settings.body_memory_bytes),
+            self._gate,
+            self._clock,
+            self._counters,
+            decisions,
+            is_closing=self._is_closing,
+        )
+        app = web.Application()
+        app.add_routes(api.routes())
+        return app
+
+    def _cold_rate(self, service: str) -> float:
+        table = self._beliefs.table
+        terms = table.services.get(service) if table else None
+        return terms.cold_per_s if terms else 0
+
+    def _count_instances(self) -> int:
+        return self._beliefs.most_instances
+
+    def _peer_app(self) -> web.Application:
+        app = web.Application()
+        app.add_routes(self._news.routes())
+        return app
+
+    def _lookup_app(self) -> web.Application:
+        directory = Directory(
+            self._own,
+            self._beliefs,
+            self._fleet,
+            self._settings.zones,
+            self._clock,
+        )
+        api = LookupApi(
+            self._deployment.lookups,
+            directory,
+            self._settings.answer_life,
+            self._counters,
+        )
+        app = web.Application()
+        app.add_routes(api.routes())
+        return app
+
+    def _ready_app(self) -> web.Application:
+        app = web.Application()
+        app.add_routes([web.get(READY_PATH, self._show_ready)])
+        return app
+
+    async def _show_ready(self, request: web.Request) -> web.Response:
+        if self.ready:
+            return web.Response(text='ready')
+        return web.Response(status=503, text='not ready')
+
+    def _metrics_app(self) -> web.Application:
+        app = web.Application()
+        app.add_routes([web.get(METRICS_PATH, self._show_metrics)])
+        return app
+
+    async def _show_metrics(self, request: web.Request) -> web.Response:
+        lines = [
+            f'lycheedyke_version {self._beliefs.number}',
+            f'lycheedyke_entries {len(self._beliefs.entries)}',
+            f'lycheedyke_upstreams {len(self._fleet)}',
+            f'lycheedyke_in_flight {self._gate.in_flight}',
+        ]
+        for name, count in sorted(self._counters.counts.items()):
+            lines.append(f'lycheedyke_events_total{{event="{name}"}} {count}')
+        for service, percentiles in self._counters.latencies().items():
+            for percentile, latency in percentiles.items():
+                lines.append(
+                    f'lycheedyke_latency_ms{{service="{service}",'
+                    f'percentile="{percentile}"}} {latency}',
+                )
+        return web.Response(text='\n'.join((*lines, '')))
+
+
+def _describe(settings: GatewaySettings) -> EntryRecord:
+    return EntryRecord(
+        name=settings.name,
+        incarnation=secrets.token_hex(INCARNATION_BYTES),
+        zone=settings.zone,
+        region=settings.region,
+        caller_address=settings.caller_address,
+        peer_address=settings.peer_address,
+    )
--- /dev/null
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_news.py
@@ -0,0 +1,128 @@
+"""News between entry instances, for those that the registry does not reach."""
+
+import asyncio
+import random
+from collections.abc import Callable, Iterable
+from datetime import timedelta
+
+import msgspec
+from aiohttp import web
+
+from lycheedyke.coordination import Replica
+from lycheedyke.exceptions import TransportError
+from lycheedyke.protocol import EntryRecord, ItemBatch
+from lycheedyke.state import Counters, Suspect, Suspects
+from lycheedyke.transport import HttpClient
+
+NEWS_PATH = '/v1/news'
+SUSPECTS_PATH = '/v1/suspects'
+ASK_LIMIT = timedelta(milliseconds=500)
+REPORT_LIMIT = timedelta(milliseconds=300)
+PEERS_ASKED = 3
+MAX_NEWS_BYTES = 8_388_608
+_BATCH = msgspec.msgpack.Decoder(ItemBatch)
+_SUSPECTS = msgspec.msgpack.Decoder(tuple[Suspect, ...])
+
+
+class PeerNews:
+    """Asks peers for news, and answers theirs.
+
+    Args:
+        own: the name of this instance.
+        peers: returns the entry instances.
+        replica: what is known here.
+        suspects: the requests that may crash upstreams.
+        counters: counts failed questions.
+    """
+
+    def __init__(
+        self,
+        own: str,
+        peers: Callable[[], Iterable[EntryRecord]],
+        replica: Replica,
+        suspects: Suspects,
+        counters: Counters,
+    ) -> None:
+        """Makes a client without connections."""
+        self._own = own
+        self._peers = peers
+        self._replica = replica
+        self._suspects = suspects
+        self._counters = counters
+        self._http = HttpClient(max_body_bytes=MAX_NEWS_BYTES)
+
+    def __repr__(self) -> str:
+        """Returns the instance's name."""
+        return f'<PeerNews of {self._own}>'
+
+    async def close(self) -> None:
+        """Closes the connections."""
+        await self._http.close()
+
+    async def ask(self, after: int) -> list[ItemBatch]:
+        """Returns what some peers know after a revision."""
+        others = self._others()
+        asked = random.sample(others, min(PEERS_ASKED, len(others)))
+        found = await asyncio.gather(
+            *(self._ask_one(peer, after) for peer in asked),
+        )
+        return [batch for batch in found if batch is not None]
+
+    async def report(self) -> None:
+        """Tells all peers of the suspects."""
+        body = msgspec.msgpack.encode(self._suspects.list())
+        await asyncio.gather(
+            *(self._tell_one(peer, body) for peer in self._others()),
+        )
+
+    def routes(self) -> list[web.RouteDef]:
+        """Returns the routes of the peer port."""
+        return [
+            web.get(NEWS_PATH, self._answer),
+            web.post(SUSPECTS_PATH, self._take_report),
+        ]
+
+    async def _answer(self, request: web.Request) -> web.Response:
+        try:
+            after = int(request.query.get('after', '0'))
+        except ValueError:
+            raise web.HTTPBadRequest(text='after is a revision') from None
+        batch = self._replica.after(after)
+        return web.Response(body=msgspec.msgpack.encode(batch))
+
+    async def _take_report(self, request: web.Request) -> web.Response:
+        try:
+            self._suspects.take(_SUSPECTS.decode(await request.read()))
+        except msgspec.MsgspecError as error:
+            raise web.HTTPBadRequest(text=str(error)) from error
+        return web.Response()
+
+    def _others(self) -> list[EntryRecord]:
+        return [peer for peer in self._peers() if peer.name != self._own]
+
+    async def _ask_one(
+        self,
+        peer: EntryRecord,
+        after: int,
+    ) -> ItemBatch | None:
+        try:
+            answer = await self._http.send(
+                'GET',
+                f'http://{peer.peer_address}{NEWS_PATH}?after={after}',
+                timeout=ASK_LIMIT,
+            )
+            return _BATCH.decode(answer.body)
+        except (TransportError, msgspec.MsgspecError):
+            self._counters.count('news.not-heard')
+            return None
+
+    async def _tell_one(self, peer: EntryRecord, body: bytes) -> None:
+        try:
+            await self._http.send(
+                'POST',
+                f'http://{peer.peer_address}{SUSPECTS_PATH}',
+                timeout=REPORT_LIMIT,
+                body=body,
+            )
+        except TransportError:
+            self._counters.count('suspects.report-lost')
--- /dev/null
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_settings.py
@@ -0,0 +1,169 @@
+"""Settings of an entry instance that follows a registry."""
+
+from collections.abc import Mapping
+from datetime import timedelta
+from pathlib import Path
+from types import MappingProxyType
+from typing import NamedTuple
+
+from lycheedyke.exceptions import SettingsInvalid
+from lycheedyke_daemon.ini import (
+    ADDRESS_RULE,
+    COUNT_RULE,
+    DURATION_RULE,
+    NAME_RULE,
+    SHARE_RULE,
+    Field,
+    find_unknown_keys,
+    parse_ini,
+    read_address,
+    read_count,
+    read_duration,
+    read_fields,
+    read_level,
+    read_name,
+    read_number,
+)
+
+ZONES_SECTION = 'zones'
+
+
+class GatewaySettings(NamedTuple):
+    """The effective settings.
+
+    Attributes:
+        name: the instance's name.
+        region: its region.
+        zone: its availability zone.
+        caller_address: where callers send requests.
+        ready_address: where the platform asks whether it is ready.
+        lookup_address: where callers ask which instances to use.
+        peer_address: where other entry instances ask for news.
+        metrics_address: where metrics are scraped.
+        registry_address: where the registry answers.
+        registry_timeout: the longest time for one call to it.
+        reappearance: how long after an outage of the registry the record
+            of a living upstream may be missing.
+        stop_grace: how long a planned stop may take.
+        answer_life: how long callers keep a look-up answer.
+        repeat_ratio: repeats allowed for each request of a window.
+        repeat_window: the length of that window.
+        repeat_extra: repeats allowed beyond that, for all instances.
+        cold_factor: what a cold upstream bears beyond its rate.
+        cold_slack: requests that it bears beyond that.
+        shift_cap: the largest part of a region's requests that may change
+            the region in which it runs within two seconds.
+        body_memory_bytes: the memory for all bodies together.
+        log_level: the least level that is logged.
+        log_sampled_of: one of so many requests that end well is logged.
+        log_lines_per_s: the most lines on requests in a second.
+        zones: the region of each zone.
+    """
+
+    name: str
+    region: str
+    zone: str
+    caller_address: str
+    ready_address: str
+    lookup_address: str
+    peer_address: str
+    metrics_address: str
+    registry_address: str
+    registry_timeout: timedelta
+    reappearance: timedelta
+    stop_grace: timedelta
+    answer_life: timedelta
+    repeat_ratio: float
+    repeat_window: timedelta
+    repeat_extra: int
+    cold_factor: float
+    cold_slack: int
+    shift_cap: float
+    body_memory_bytes: int
+    log_level: str
+    log_sampled_of: int
+    log_lines_per_s: int
+    zones: Mapping[str, str]
+
+
+_FIELDS = MappingProxyType(
+    {
+        'name': Field('instance', 'name', read_name, NAME_RULE),
+        'region': Field('instance', 'region', read_name, NAME_RULE),
+        'zone': Field('instance', 'zone', read_name, NAME_RULE),
+        'caller_address': Field('listen', 'caller', read_address, ADDRESS_RULE),
+        'ready_address': Field('listen', 'ready', read_address, ADDRESS_RULE),
+        'lookup_address': Field('listen', 'lookup', read_address, ADDRESS_RULE),
+        'peer_address': Field('listen', 'peer', read_address, ADDRESS_RULE),
+        'metrics_address': Field(
+            'listen', 'metrics', read_address, ADDRESS_RULE
+        ),
+        'registry_address': Field(
+            'registry', 'address', read_address, ADDRESS_RULE
+        ),
+        'registry_timeout': Field(
+            'registry', 'timeout', read_duration, DURATION_RULE, '700ms'
+        ),
+        'reappearance': Field(
+            'registry', 'reappearance', read_duration, DURATION_RULE, '2s'
+        ),
+        'stop_grace': Field(
+            'limits', 'stop_grace', read_duration, DURATION_RULE, '6s'
+        ),
+        'answer_life': Field(
+            'limits', 'answer_life', read_duration, DURATION_RULE, '2s'
+        ),
+        'repeat_ratio': Field(
+            'repeats', 'ratio', read_number, SHARE_RULE, '0.2'
+        ),
+        'repeat_window': Field(
+            'repeats', 'window', read_duration, DURATION_RULE, '10s'
+        ),
+        'repeat_extra': Field('repeats', 'extra', int, COUNT_RULE, '0'),
+        'cold_factor': Field('cold', 'factor', read_number, SHARE_RULE, '1'),
+        'cold_slack': Field('cold', 'slack', int, COUNT_RULE, '0'),
+        'shift_cap': Field('shifts', 'cap', read_number, SHARE_RULE, '0.15'),
+        'body_memory_bytes': Field(
+            'limits', 'body_memory_bytes', read_count, COUNT_RULE, '67108864'
+        ),
+        'log_sampled_of': Field(
+            'logs', 'sampled_of', read_count, COUNT_RULE, '32'
+        ),
+        'log_lines_per_s': Field(
+            'logs', 'lines_per_s', read_count, COUNT_RULE, '10'
+        ),
+        'log_level': Field(
+            'logs',
+            'level',
+            read_level,
+            'debug, info, warning or error',
+            'info',
+        ),
+    }
+)
+
+
+def read_gateway_settings(path: Path) -> GatewaySettings:
+    """Reads and checks a settings file.
+
+    Raises:
+        SettingsInvalid: with a line for each fault, which names the file,
+            the section, the key, the value and what is allowed.
+    """
+    parser = parse_ini(path)
+    faults = list(find_unknown_keys(path, parser, _FIELDS, (ZONES_SECTION,)))
+    found = read_fields(path, parser, _FIELDS, faults)
+    zones = (
+        dict(parser.items(ZONES_SECTION))
+        if parser.has_section(ZONES_SECTION)
+        else {}
+    )
+    zone = found.get('zone', '')
+    if zones.get(zone) != found.get('region'):
+        faults.append(
+            f'{path}: [{ZONES_SECTION}] {zone} = {zones.get(zone)!r}: '
+            f'allowed is the region of the instance',
+        )
+    if faults:
+        raise SettingsInvalid(faults)
+    return GatewaySettings(**found, zones=MappingProxyType(zones))
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/logs.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/logs.py
@@ -7,7 +7,11 @@
 from absl import flags
 from absl import logging as absl_logging
 
-_EXTRA_FIELDS = ('ticket', 'request', 'peer', 'upstream')
+# What every record has; all else was given as an extra field.
+_PLAIN_FIELDS = frozenset(logging.makeLogRecord({}).__dict__) | {
+    'asctime',
+    'message',
+}
 
 
 class JsonFormatter(logging.Formatter):
@@ -37,7 +41,7 @@
         event.update(
             (name, field)
             for name, field in record.__dict__.items()
-            if name in _EXTRA_FIELDS
+            if name not in _PLAIN_FIELDS
         )
         if record.exc_info:
             event['error'] = self.formatException(record.exc_info)
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/work.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/work.py
@@ -5,7 +5,11 @@
 from datetime import timedelta
 from typing import NamedTuple
 
-from lycheedyke.protocol import REMAINING_HEADER, IdempotencyKey
+from lycheedyke.protocol import (
+    REMAINING_HEADER,
+    IdempotencyKey,
+    RouteKind,
+)
 
 SAFE_METHODS = frozenset(('GET', 'HEAD', 'OPTIONS'))
 HOP_HEADERS = frozenset(
@@ -42,6 +46,8 @@
         home: the client's home region as the entry judged it, or ''.
         resent: whether the caller has sent it before.
         may_wait: whether it may wait for a slot.
+        kind: whether it may run more than once; None if the method tells.
+        request_id: the caller's id of this attempt, or ''.
     """
 
     service: str
@@ -55,10 +61,14 @@
     home: str = ''
     resent: bool = False
     may_wait: bool = True
+    kind: RouteKind | None = None
+    request_id: str = ''
 
     @property
     def idempotent(self) -> bool:
         """Whether it may run more than once."""
+        if self.kind is not None:
+            return self.kind is RouteKind.idempotent
         return self.method in SAFE_METHODS
 
     def fingerprint(self) -> bytes:
--- a/packages/lycheedyke/src/lycheedyke/coordination/__init__.py
+++ b/packages/lycheedyke/src/lycheedyke/coordination/__init__.py
@@ -13,6 +13,12 @@
     owner_of,
 )
 from lycheedyke.coordination._peers import Peer
+from lycheedyke.coordination._presence import Presence
+from lycheedyke.coordination._registry_follower import (
+    FollowPauses,
+    RegistryFollower,
+)
+from lycheedyke.coordination._replica import Replica
 from lycheedyke.coordination._rights import Rights, Size, take_after
 from lycheedyke.coordination._snapshotter import Snapshotter
 from lycheedyke.coordination._spread import TicketSpread
@@ -27,7 +33,11 @@
     'Members',
     'Owners',
     'Peer',
+    'FollowPauses',
     'Planner',
+    'Presence',
+    'RegistryFollower',
+    'Replica',
     'Rights',
     'Size',
     'Snapshotter',
--- /dev/null
+++ b/packages/lycheedyke/src/lycheedyke/coordination/_presence.py
@@ -0,0 +1,87 @@
+"""Announces this instance in the registry, and keeps it announced."""
+
+import logging
+import random
+from datetime import timedelta
+
+from lycheedyke.clock import Clock
+from lycheedyke.exceptions import LeaseEnded, PlatformError
+from lycheedyke.protocol import Announcement, EntryRecord, Registry
+
+# A dead instance is off the look-ups well within seven seconds.
+TTL = timedelta(seconds=4)
+RENEWALS_PER_TTL = 3
+RETRY_PAUSE = timedelta(milliseconds=500)
+
+_logger = logging.getLogger(__name__)
+
+
+class Presence:
+    """The announcement of one entry instance.
+
+    Args:
+        registry: where it is announced.
+        entry: the instance.
+        clock: the time.
+        ttl: how long an announcement holds without renewal.
+    """
+
+    def __init__(
+        self,
+        registry: Registry,
+        entry: EntryRecord,
+        clock: Clock,
+        ttl: timedelta = TTL,
+    ) -> None:
+        """Announces nothing yet."""
+        self._registry = registry
+        self._entry = entry
+        self._clock = clock
+        self._ttl = ttl
+        self._announcement: Announcement | None = None
+        self._is_wanted = True
+
+    def __repr__(self) -> str:
+        """Returns the instance's name."""
+        return f'<Presence of {self._entry.name}>'
+
+    async def keep(self) -> None:
+        """Announces the instance and renews, until cancelled."""
+        while self._is_wanted:
+            try:
+                await self._renew()
+            except PlatformError as error:
+                _logger.info('announcement not renewed: %s', error)
+                pause = RETRY_PAUSE
+            else:
+                pause = self._ttl / RENEWALS_PER_TTL
+            await self._clock.sleep(pause * random.uniform(0.9, 1.1))
+
+    def note_removed(self) -> None:
+        """Takes in that the announcement is gone from the registry."""
+        self._announcement = None
+
+    async def withdraw(self) -> None:
+        """Removes the announcement; it is not made again."""
+        self._is_wanted = False
+        announcement = self._announcement
+        if announcement is None:
+            return
+        try:
+            await self._registry.withdraw(announcement)
+        except PlatformError as error:
+            _logger.info('announcement lapses by itself: %s', error)
+
+    async def _renew(self) -> None:
+        announcement = self._announcement
+        if announcement is not None:
+            try:
+                await self._registry.renew(announcement)
+            except LeaseEnded:
+                self._announcement = None
+            else:
+                return
+        self._announcement = await self._registry.announce(
+            self._entry,
+            self._ttl,
+        )
--- /dev/null
+++ b/packages/lycheedyke/src/lycheedyke/coordination/_replica.py
@@ -0,0 +1,128 @@
+"""This instance's copy of what a registry tells.
+
+Each item carries the registry's revision of its last change, so copies from
+the registry and from peers merge in any order to the same state.
+"""
+
+from collections.abc import Callable, Iterable
+from datetime import timedelta
+
+from lycheedyke.clock import Clock
+from lycheedyke.protocol import (
+    EntryRecord,
+    Item,
+    ItemBatch,
+    Record,
+    UpstreamRecord,
+)
+
+Follow = Callable[[Item, Record | None], None]
+
+
+class Replica:
+    """Items by key, with those that lapsed in an outage kept for a while.
+
+    Records that lapse by silence may do so because the registry was away.
+    So what is removed until shortly after an outage is kept until its owner
+    has had the time to write it again.
+
+    Args:
+        clock: the time.
+        reappearance: how long after an outage a record may be back.
+        follow: called with each change that counts, and the record before.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        reappearance: timedelta,
+        follow: Follow,
+    ) -> None:
+        """Starts without items."""
+        self.revision = 0
+        self._clock = clock
+        self._reappearance = reappearance
+        self._follow = follow
+        self._items: dict[str, Item] = {}
+        self._lapsed: dict[str, Item] = {}
+        self._suspicious_until = timedelta()
+
+    def __repr__(self) -> str:
+        """Returns the revision and the number of items."""
+        return f'<Replica {self.revision} with {len(self._items)} items>'
+
+    def note_outage(self) -> None:
+        """Takes in that the registry is away, or has just come back."""
+        self._suspicious_until = self._clock.elapsed() + self._reappearance
+
+    def take(self, batch: ItemBatch) -> int:
+        """Takes in changes; returns how many were new.
+
+        Args:
+            batch: the changes, complete up to its revision.
+        """
+        count = sum(self._take(item) for item in batch.items)
+        self.revision = max(self.revision, batch.revision)
+        return count
+
+    def take_all(self, batch: ItemBatch) -> None:
+        """Takes in the whole state: what it lacks is removed.
+
+        Args:
+            batch: all items; they are complete at its revision, and may
+                hold later ones.
+        """
+        present = {item.key for item in batch.items}
+        missing = [
+            Item(key, batch.revision)
+            for key, item in self._items.items()
+            if key not in present
+            and item.record is not None
+            and item.revision <= batch.revision
+        ]
+        self.take(ItemBatch(batch.revision, (*batch.items, *missing)))
+
+    def after(self, revision: int) -> ItemBatch:
+        """Returns the items that changed after a revision."""
+        return ItemBatch(
+            self.revision,
+            tuple(
+                item
+                for item in self._items.values()
+                if item.revision > revision
+            ),
+        )
+
+    def drop_lapsed(self) -> None:
+        """Removes what lapsed in an outage and did not come back."""
+        if self._clock.elapsed() < self._suspicious_until:
+            return
+        lapsed = self._lapsed
+        self._lapsed = {}
+        for key, last in lapsed.items():
+            self._follow(self._items[key], last.record)
+
+    def records(self) -> Iterable[Record]:
+        """Yields all records that count."""
+        for key, item in self._items.items():
+            kept = self._lapsed.get(key, item)
+            if kept.record is not None:
+                yield kept.record
+
+    def _take(self, item: Item) -> bool:
+        known = self._items.get(item.key)
+        if known is not None and known.revision >= item.revision:
+            return False
+        self._items[item.key] = item
+        last = self._lapsed.pop(item.key, known)
+        record = last.record if last is not None else None
+        if item.record is None and last is not None and self._is_kept(record):
+            self._lapsed[item.key] = last
+            return True
+        self._follow(item, record)
+        return True
+
+    def _is_kept(self, record: Record | None) -> bool:
+        if not isinstance(record, UpstreamRecord | EntryRecord):
+            return False
+        return self._clock.elapsed() < self._suspicious_until
--- a/packages/lycheedyke/src/lycheedyke/exceptions.py
+++ b/packages/lycheedyke/src/lycheedyke/exceptions.py
@@ -78,6 +78,14 @@
     """The platform's answer lacks tickets that were accepted."""
 
 
+class HistoryLost(PlatformError):
+    """The platform has forgotten the changes after the revision asked for."""
+
+
+class LeaseEnded(PlatformError):
+    """The lease has ended, and the keys that it held are gone."""
+
+
 class WriteConflict(PlatformError):
     """The key's version is not the expected one; nothing was written."""
 
--- a/packages/lycheedyke/src/lycheedyke/protocol/_outcomes.py
+++ b/packages/lycheedyke/src/lycheedyke/protocol/_outcomes.py
@@ -19,6 +19,7 @@
 
     bad_request = 'bad-request'
     unknown_service = 'unknown-service'
+    unknown_route = 'unknown-route'
     not_ready = 'not-ready'
     stopping = 'stopping'
     key_missing = 'key-missing'
@@ -46,6 +47,7 @@
     upstream_unreachable = 'upstream-unreachable'
     upstream_leaving = 'upstream-leaving'
     upstream_refused = 'upstream-refused'
+    upstream_replaced = 'upstream-replaced'
     upstream_broke = 'upstream-broke'
     upstream_timeout = 'upstream-timeout'
     peer_broke = 'peer-broke'
--- a/packages/lycheedyke/src/lycheedyke/state/__init__.py
+++ b/packages/lycheedyke/src/lycheedyke/state/__init__.py
@@ -8,13 +8,27 @@
     RetryBudget,
 )
 from lycheedyke.state._checks import find_faults, find_time_faults
+from lycheedyke.state._choice import (
+    Distances,
+    Pick,
+    Place,
+    Request,
+    UpstreamChoice,
+    learn,
+)
 from lycheedyke.state._configuration import AcceptedShift, Configuration
 from lycheedyke.state._counters import Counters
 from lycheedyke.state._drains import Drain, DrainLog, LeavingCause
+from lycheedyke.state._entry_lists import (
+    ZoneSupply,
+    list_entries,
+    share_supply,
+)
 from lycheedyke.state._exports import (
     export_configuration,
     restore_configuration,
 )
+from lycheedyke.state._fleet import Fleet, UpstreamState
 from lycheedyke.state._headroom import (
     Headroom,
     HeadroomReport,
@@ -34,6 +48,8 @@
 from lycheedyke.state._pace import Pace
 from lycheedyke.state._plans import Plan, make_plan
 from lycheedyke.state._references import find_reference_faults
+from lycheedyke.state._repeats import RepeatBudget, RepeatTerms
+from lycheedyke.state._routes import RouteTable, SplitTurns
 from lycheedyke.state._shares import (
     ShiftShares,
     Way,
@@ -41,8 +57,29 @@
     share_at,
 )
 from lycheedyke.state._suspects import Suspect, Suspects, Verdict
+from lycheedyke.state._warmup import WarmupPace, turn_period
+from lycheedyke.state._worktimes import RunTimes, WorkTimes
 
 __all__ = (
+    'Distances',
+    'Fleet',
+    'Pick',
+    'Place',
+    'RepeatBudget',
+    'RepeatTerms',
+    'Request',
+    'RouteTable',
+    'RunTimes',
+    'SplitTurns',
+    'UpstreamChoice',
+    'UpstreamState',
+    'WarmupPace',
+    'WorkTimes',
+    'ZoneSupply',
+    'list_entries',
+    'share_supply',
+    'learn',
+    'turn_period',
     'export_configuration',
     'restore_configuration',
     'AcceptedShift',
--- /dev/null
+++ b/packages/lycheedyke/src/lycheedyke/state/_fleet.py
@@ -0,0 +1,242 @@
+"""The upstreams that records tell of, and what is known of each."""
+
+import math
+from collections import OrderedDict
+from collections.abc import Iterator
+from datetime import timedelta
+
+from lycheedyke.clock import Clock
+from lycheedyke.protocol import UpstreamRecord
+
+# An upstream of the users keeps some dozens of objects warm.
+MOST_WARM_OBJECTS = 32
+# How long a reported load says something about the present one.
+LOAD_LIFE = timedelta(milliseconds=300)
+FAILURES_BEFORE_OUT = 3
+# The share of a new sample in the comparison with other upstreams.
+COMPARED_WEIGHT = 0.15
+MOST_SLOWNESS = 20.0
+# How long the comparison holds while no request runs there.
+SLOWNESS_LIFE = timedelta(seconds=3)
+OUT_LEAST = timedelta(milliseconds=500)
+OUT_MOST = timedelta(seconds=4)
+# Covers the age of a record when it arrives here.
+COLD_MARGIN = timedelta(milliseconds=800)
+ZERO = timedelta()
+MILLISECOND = timedelta(milliseconds=1)
+
+
+class UpstreamState:
+    """One upstream as this instance sees it.
+
+    Args:
+        record: what it says of itself.
+        clock: the time.
+    """
+
+    def __init__(self, record: UpstreamRecord, clock: Clock) -> None:
+        """Takes in the first record."""
+        self.record = record
+        self.in_flight = 0
+        self.seen = clock.elapsed()
+        self._clock = clock
+        self._others = 0
+        self._others_at = ZERO
+        self._warm: OrderedDict[str, None] = OrderedDict()
+        self._failures = 0
+        self._outages = 0
+        self._out_until: timedelta | None = None
+        self._cold_until = ZERO
+        self._needs_record = False
+        self._slowness = 1.0
+        self._compared_at = ZERO
+        self.follow(record)
+
+    def __repr__(self) -> str:
+        """Returns the name and the requests in flight from here."""
+        return f'<UpstreamState {self.record.name}: {self.in_flight}>'
+
+    @property
+    def is_cold(self) -> bool:
+        """Whether it bears only a few requests a second."""
+        return self._clock.elapsed() < self._cold_until
+
+    @property
+    def is_out(self) -> bool:
+        """Whether its failures keep it from getting work now."""
+        if self._needs_record:
+            return True
+        if self._out_until is None:
+            return False
+        return self._clock.elapsed() < self._out_until or self.in_flight > 0
+
+    @property
+    def load(self) -> float:
+        """The requests that it runs or queues, as far as is known here."""
+        age = (self._clock.elapsed() - self._others_at) / LOAD_LIFE
+        return self.in_flight + self._others * math.exp(-age)
+
+    @property
+    def slowness(self) -> float:
+        """How many times as long requests run here as elsewhere."""
+        age = (self._clock.elapsed() - self._compared_at) / SLOWNESS_LIFE
+        return 1 + max(0, self._slowness - 1) * math.exp(-age)
+
+    def compare(self, took: timedelta, expected: timedelta) -> None:
+        """Takes in how long a request ran, and how long it was to run."""
+        ratio = min(MOST_SLOWNESS, took / max(expected, MILLISECOND))
+        change = (ratio - self._slowness) * COMPARED_WEIGHT
+        self._slowness = max(1, self._slowness + change)
+        self._compared_at = self._clock.elapsed()
+
+    def follow(self, record: UpstreamRecord) -> None:
+        """Takes in a newer record."""
+        if record.born != self.record.born:
+            self._forget()
+        self.record = record
+        self._needs_record = False
+        if record.cold > ZERO:
+            self._cold_until = self._clock.elapsed() + (
+                record.cold + COLD_MARGIN
+            )
+
+    def chill(self, cold: timedelta) -> None:
+        """Takes in that it is cold for some time from now on."""
+        until = self._clock.elapsed() + cold
+        self._cold_until = max(self._cold_until, until)
+
+    def is_warm(self, thing: str) -> bool:
+        """Whether it has lately handled an object for this instance."""
+        return thing in self._warm
+
+    def start(self, thing: str) -> None:
+        """Counts a request that is sent to it."""
+        self.in_flight += 1
+        if thing:
+            self._warm[thing] = None
+            self._warm.move_to_end(thing)
+            if len(self._warm) > MOST_WARM_OBJECTS:
+                self._warm.popitem(last=False)
+
+    def end(self) -> None:
+        """Counts the end of a request."""
+        self.in_flight -= 1
+
+    def report(self, running: int, waiting: int) -> None:
+        """Takes in the load that it told with an answer."""
+        self._others = max(0, running + waiting - self.in_flight)
+        self._others_at = self._clock.elapsed()
+
+    def succeed(self) -> None:
+        """Takes in a whole answer."""
+        self._failures = 0
+        self._outages = 0
+        self._out_until = None
+
+    def fail(self) -> None:
+        """Takes in a broken exchange, or a failure of the upstream."""
+        self._failures += 1
+        was_out = self._out_until is not None
+        if was_out or self._failures >= FAILURES_BEFORE_OUT:
+            self._take_out()
+
+    def lose(self) -> None:
+        """Takes in that nothing listens at its address.
+
+        It gets no work until a record tells that it lives, and whether it
+        is cold.
+        """
+        self._needs_record = True
+
+    def _take_out(self) -> None:
+        now = self._clock.elapsed()
+        if self._out_until is not None and now < self._out_until:
+            return
+        pause = min(OUT_MOST, OUT_LEAST * 2**self._outages)
+        self._outages = min(self._outages + 1, 8)
+        self._out_until = now + pause
+
+    def _forget(self) -> None:
+        self._warm.clear()
+        self._failures = 0
+        self._outages = 0
+        self._out_until = None
+        self._others = 0
+        self._slowness = 1.0
+
+
+class Fleet:
+    """All upstreams that may exist, by service.
+
+    Args:
+        clock: the time.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        """Starts without upstreams."""
+        self.evacuated: frozenset[str] = frozenset()
+        self._clock = clock
+        self._states: dict[str, UpstreamState] = {}
+        self._by_service: dict[str, list[UpstreamState]] = {}
+
+    def __repr__(self) -> str:
+        """Returns the number of upstreams."""
+        return f'<Fleet of {len(self._states)}>'
+
+    def __len__(self) -> int:
+        """Returns the number of upstreams."""
+        return len(self._states)
+
+    def __iter__(self) -> Iterator[UpstreamState]:
+        """Yields all upstreams, in use or not."""
+        return iter(self._states.values())
+
+    def find(self, name: str) -> UpstreamState | None:
+        """Returns an upstream, or None if it is not known."""
+        return self._states.get(name)
+
+    def take(self, record: UpstreamRecord) -> None:
+        """Takes in the record of an upstream, new or changed."""
+        state = self._states.get(record.name)
+        if state is None:
+            self._states[record.name] = UpstreamState(record, self._clock)
+            self._by_service.clear()
+            return
+        if state.record.service != record.service:
+            self._by_service.clear()
+        state.follow(record)
+
+    def drop(self, name: str) -> None:
+        """Takes in that an upstream is gone."""
+        if self._states.pop(name, None) is not None:
+            self._by_service.clear()
+
+    def of_service(self, service: str) -> list[UpstreamState]:
+        """Returns all upstreams of a service, in use or not."""
+        found = self._by_service.get(service)
+        if found is None:
+            found = [
+                state
+                for state in self._states.values()
+                if state.record.service == service
+            ]
+            self._by_service[service] = found
+        return found
+
+    def usable(self, service: str) -> list[UpstreamState]:
+        """Returns the upstreams of a service that may get new work.
+
+        Those that fail are left out as long as others are there.
+        """
+        serving = self.serving(service)
+        sound = [state for state in serving if not state.is_out]
+        return sound or serving
+
+    def serving(self, service: str) -> list[UpstreamState]:
+        """Returns those that neither leave nor stand in a cleared zone."""
+        return [
+            state
+            for state in self.of_service(service)
+            if not state.record.leaving
+            and state.record.zone not in self.evacuated
+        ]
--- /dev/null
+++ b/packages/lycheedyke/src/lycheedyke/state/_routes.py
@@ -0,0 +1,102 @@
+"""Finds the route of a request, and the part of the route that runs it."""
+
+from collections import defaultdict
+from collections.abc import Iterable
+
+from lycheedyke.protocol import Route, RoutingRecord
+
+
+class RouteTable:
+    """The routes of one numbered configuration.
+
+    Args:
+        record: the configuration.
+    """
+
+    def __init__(self, record: RoutingRecord) -> None:
+        """Sorts the routes of each host by the length of their prefix."""
+        self.number = record.number
+        self.limits = record.limits
+        self.services = {terms.name: terms for terms in record.services}
+        self.routes = record.routes
+        self._by_host = _by_host(record.routes)
+
+    def __repr__(self) -> str:
+        """Returns the number of the configuration and of routes."""
+        return f'<RouteTable {self.number} with {len(self.routes)} routes>'
+
+    def find(self, host: str, path: str) -> Route | None:
+        """Returns the route with the longest prefix that begins the path.
+
+        Args:
+            host: the host that the caller names, without a port.
+            path: the path, without a query.
+        """
+        prefixes = self._by_host.get(host)
+        if prefixes is None:
+            return None
+        end = len(path)
+        while (end := path.rfind('/', 0, end)) >= 0:
+            route = prefixes.get(path[: end + 1])
+            if route is not None:
+                return route
+        return None
+
+    def services_of(self, host: str) -> frozenset[str]:
+        """Returns the services to which the routes of a host lead."""
+        return frozenset(
+            part.service
+            for route in self._by_host.get(host, {}).values()
+            for part in route.parts
+        )
+
+    def homes_of(self, host: str) -> frozenset[str]:
+        """Returns the regions in which all routes of a host may run.
+
+        Returns:
+            The regions; empty where they are not restricted.
+        """
+        homes: frozenset[str] = frozenset()
+        for route in self._by_host.get(host, {}).values():
+            if route.homes:
+                homes = homes & route.homes if homes else route.homes
+        return homes
+
+
+class SplitTurns:
+    """Deals the requests of each route to its parts by weight.
+
+    Smooth weighted round robin: each request adds every part's weight to
+    its credit, the part with the most credit runs it and pays the total.
+    So after each round the shares are exact, whatever the order of routes.
+    """
+
+    def __init__(self) -> None:
+        """Starts with no credit."""
+        self._credits: dict[tuple[str, tuple[str, ...]], list[float]] = {}
+
+    def __repr__(self) -> str:
+        """Returns the number of routes dealt."""
+        return f'<SplitTurns over {len(self._credits)} routes>'
+
+    def choose(self, route: Route) -> str:
+        """Returns the service that runs the next request of a route."""
+        parts = route.parts
+        if len(parts) == 1:
+            return parts[0].service
+        key = (route.name, tuple(part.service for part in parts))
+        credit = self._credits.setdefault(key, [0.0] * len(parts))
+        total = 0
+        for index, part in enumerate(parts):
+            credit[index] += part.weight
+            total += part.weight
+        best = max(range(len(parts)), key=credit.__getitem__)
+        credit[best] -= total
+        return parts[best].service
+
+
+def _by_host(routes: Iterable[Route]) -> dict[str, dict[str, Route]]:
+    found: defaultdict[str, dict[str, Route]] = defaultdict(dict)
+    for route in routes:
+        found[route.host][route.prefix] = route
+    return dict(found)
--- /dev/null
+++ b/packages/lycheedyke/src/lycheedyke/state/_worktimes.py
@@ -0,0 +1,76 @@
+"""How long requests run, learned from the answers."""
+
+from datetime import timedelta
+
+from lycheedyke.protocol import Route
+
+# The share of a new sample in the moving mean.
+SAMPLE_WEIGHT = 0.08
+# Before the first answer a cold run is taken to use up the route's goal, but
+# no more than this part of its timeout; a warm one takes a third of that.
+TIMEOUT_SHARE = 0.3
+WARM_SHARE = 0.33
+FIRST_SERVICE_TIME = timedelta(milliseconds=100)
+
+
+class RunTimes:
+    """The mean run times of one route: with a known object, and without.
+
+    Args:
+        cold: the time that a run without it is taken to need at first.
+    """
+
+    def __init__(self, cold: timedelta) -> None:
+        """Assumes times before the first answer."""
+        self.cold = cold
+        self.warm = cold * WARM_SHARE
+
+    def __repr__(self) -> str:
+        """Returns both means."""
+        return f'<RunTimes cold {self.cold}, warm {self.warm}>'
+
+    def learn(self, duration: timedelta, *, is_warm: bool) -> None:
+        """Takes in the run time of an answered request."""
+        if is_warm:
+            self.warm += (duration - self.warm) * SAMPLE_WEIGHT
+        else:
+            self.cold += (duration - self.cold) * SAMPLE_WEIGHT
+
+
+class WorkTimes:
+    """The run times of all routes and services seen."""
+
+    def __init__(self) -> None:
+        """Starts without routes."""
+        self._routes: dict[tuple[str, str], RunTimes] = {}
+        self._services: dict[str, timedelta] = {}
+
+    def __repr__(self) -> str:
+        """Returns the number of routes."""
+        return f'<WorkTimes of {len(self._routes)} routes>'
+
+    def of(self, route: Route, service: str) -> RunTimes:
+        """Returns the run times of a route at one of its services."""
+        key = (route.name, service)
+        found = self._routes.get(key)
+        if found is None:
+            found = RunTimes(min(route.goal, route.timeout * TIMEOUT_SHARE))
+            self._routes[key] = found
+        return found
+
+    def of_service(self, service: str) -> timedelta:
+        """Returns the mean run time of a service, known objects or not."""
+        return self._services.get(service, FIRST_SERVICE_TIME)
+
+    def learn_service(self, service: str, duration: timedelta) -> None:
+        """Takes in the run time of an answered request of a service."""
+        mean = self.of_service(service)
+        self._services[service] = mean + (duration - mean) * SAMPLE_WEIGHT
+
+    def keep(self, routes: frozenset[str]) -> None:
+        """Forgets all routes but these."""
+        self._routes = {
+            key: times
+            for key, times in self._routes.items()
+            if key[0] in routes
+        }
--- a/packages/lycheedyke/src/lycheedyke/transport/_http.py
+++ b/packages/lycheedyke/src/lycheedyke/transport/_http.py
@@ -69,6 +69,9 @@
     Args:
         max_connections: the most connections open to one address.
         max_body_bytes: the largest answer body accepted.
+        idle_limit: how long a kept connection may be idle.
+        may_end_open: whether an answer without a length is accepted, which
+            ends with its connection.
     """
 
     def __init__(
@@ -76,10 +79,14 @@
         *,
         max_connections: int = 100,
         max_body_bytes: int = DEFAULT_MAX_BODY_BYTES,
+        idle_limit: timedelta = timedelta(seconds=KEEPALIVE_SECONDS),
+        may_end_open: bool = False,
     ) -> None:
         """Makes a client without connections."""
         self._max_connections = max_connections
         self._max_body_bytes = max_body_bytes
+        self._idle_limit = idle_limit
+        self._may_end_open = may_end_open
         self._kept: aiohttp.ClientSession | None = None
         self._fresh: aiohttp.ClientSession | None = None
 
@@ -194,7 +201,7 @@
     async def _read(self, response: aiohttp.ClientResponse) -> bytes:
         if response.method == 'HEAD' or response.status in _NO_BODY_STATUSES:
             return await response.read()
-        if not _has_known_end(response):
+        if not self._may_end_open and not _has_known_end(response):
             response.close()
             raise ExchangeBroken(
                 f'{response.url}: an answer without length may be cut off',
@@ -218,7 +225,7 @@
                 _Connector(
                     limit=0,
                     limit_per_host=self._max_connections,
-                    keepalive_timeout=KEEPALIVE_SECONDS,
+                    keepalive_timeout=self._idle_limit.total_seconds(),
                 ),
             )
         return self._kept
