Let requests for one object meet at one upstream of a pool

Cause: an upstream that knows an object runs it in about a third of the time, and the first path spread objects: 23 % of lookups left their upstream, and a known run was taken to need the mean of both kinds. Ruled out: one pool over all regions (callers' objects belong to a region; the bytes between zones cost more than the few first runs).

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_beliefs.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_beliefs.py
@@ -1,5 +1,6 @@
 """What the registry's records mean for routing, upstreams and entries."""
 
+import asyncio
 import logging
 from collections.abc import Callable
 from datetime import timedelta
@@ -34,6 +35,7 @@
         self.table: RouteTable | None = None
         self.entries: dict[str, EntryRecord] = {}
         self.on_entry_gone: Callable[[str], None] | None = None
+        self.in_force = asyncio.Event()
         self._fleet = fleet
         self._clock = clock
         self._zones: set[str] = set()
@@ -83,6 +85,7 @@
         if routing.number <= self.number:
             return
         self.table = RouteTable(routing)
+        self.in_force.set()
         _logger.info(
             'configuration in force',
             extra={
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_callers.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_callers.py
@@ -7,7 +7,6 @@
 
 from aiohttp import web
 
-from lycheedyke.clock import Clock
 from lycheedyke.protocol import (
     Answered,
     NotRun,
@@ -16,10 +15,10 @@
     Route,
     Unknown,
 )
-from lycheedyke.state import Counters, MemoryBudget, Request, SplitTurns
+from lycheedyke.state import MemoryBudget, Request, SplitTurns
 from lycheedyke_daemon.bodies import BodyReader, BodyRefused
 from lycheedyke_daemon.gateway._beliefs import Beliefs
-from lycheedyke_daemon.gateway._decisions import DecisionLog
+from lycheedyke_daemon.gateway._decisions import Instruments
 from lycheedyke_daemon.gateway._exchange import HeaderNames
 from lycheedyke_daemon.gateway._router import GatewayRouter
 from lycheedyke_daemon.stopping import CallerGate
@@ -59,9 +58,7 @@
         names: the headers of the deployment.
         memory: the memory for all bodies.
         gate: counts the requests in flight.
-        clock: the time.
-        counters: counts outcomes.
-        decisions: tells of each request.
+        instruments: counts outcomes and tells of each request.
         is_closing: whether new requests are refused, as a stop is near.
     """
 
@@ -72,9 +69,7 @@
         names: HeaderNames,
         memory: MemoryBudget,
         gate: CallerGate,
-        clock: Clock,
-        counters: Counters,
-        decisions: DecisionLog,
+        instruments: Instruments,
         *,
         is_closing: Callable[[], bool],
     ) -> None:
@@ -84,9 +79,9 @@
         self._names = names
         self._memory = memory
         self._gate = gate
-        self._clock = clock
-        self._counters = counters
-        self._decisions = decisions
+        self._clock = instruments.clock
+        self._counters = instruments.counters
+        self._decisions = instruments.decisions
         self._is_closing = is_closing
         self._turns = SplitTurns()
 
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_decisions.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_decisions.py
@@ -2,6 +2,7 @@
 
 import logging
 from datetime import timedelta
+from typing import NamedTuple
 
 import xxhash
 
@@ -90,6 +91,20 @@
         return True
 
 
+class Instruments(NamedTuple):
+    """What each part measures and tells with.
+
+    Attributes:
+        clock: the time.
+        counters: counts and latencies.
+        decisions: the log of decisions on requests.
+    """
+
+    clock: Clock
+    counters: Counters
+    decisions: DecisionLog
+
+
 def _describe(outcome: Outcome) -> dict[str, object]:
     match outcome:
         case Answered(status, _, _, upstream):
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_directory.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_directory.py
@@ -96,7 +96,7 @@
             or self._zones.get(name, '') in homes | {self._zones.get(zone, '')}
         }
         entries = allowed or entries
-        shares = share_supply(zone, self._supplies(host, entries))
+        shares = share_supply(self._supplies(host, entries)).get(zone, {})
         listed = list_entries(zone, shares, entries)
         return listed or [self._own.caller_address]
 
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
@@ -26,7 +26,10 @@
 from lycheedyke_daemon.crashes import CrashGuard
 from lycheedyke_daemon.gateway._beliefs import Beliefs
 from lycheedyke_daemon.gateway._callers import GatewayCallerApi
-from lycheedyke_daemon.gateway._decisions import DecisionLog
+from lycheedyke_daemon.gateway._decisions import (
+    DecisionLog,
+    Instruments,
+)
 from lycheedyke_daemon.gateway._directory import (
     Directory,
     LookupApi,
@@ -172,8 +175,7 @@
         return passed > self._settings.stop_grace * ACCEPTING_SHARE
 
     async def _announce(self) -> None:
-        while not self.ready:
-            await asyncio.sleep(POLL_SECONDS)
+        await self._beliefs.in_force.wait()
         await self._presence.keep()
 
     def _note_entry_gone(self, name: str) -> None:
@@ -183,12 +185,7 @@
     def _caller_app(self) -> web.Application:
         settings = self._settings
         times = WorkTimes()
-        decisions = DecisionLog(
-            self._clock,
-            self._counters,
-            sampled_of=settings.log_sampled_of,
-            lines_per_s=settings.log_lines_per_s,
-        )
+        instruments = self._make_instruments()
         choice = UpstreamChoice(
             self._fleet,
             times,
@@ -208,9 +205,7 @@
                 settings.repeat_window,
                 settings.repeat_extra,
             ),
-            self._clock,
-            self._counters,
-            decisions,
+            instruments,
             instances=self._count_instances,
         )
         api = GatewayCallerApi(
@@ -219,15 +214,22 @@
             self._deployment.headers,
             MemoryBudget(settings.body_memory_bytes),
             self._gate,
-            self._clock,
-            self._counters,
-            decisions,
+            instruments,
             is_closing=self._is_closing,
         )
         app = web.Application()
         app.add_routes(api.routes())
         return app
 
+    def _make_instruments(self) -> Instruments:
+        decisions = DecisionLog(
+            self._clock,
+            self._counters,
+            sampled_of=self._settings.log_sampled_of,
+            lines_per_s=self._settings.log_lines_per_s,
+        )
+        return Instruments(self._clock, self._counters, decisions)
+
     def _cold_rate(self, service: str) -> float:
         table = self._beliefs.table
         terms = table.services.get(service) if table else None
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_router.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_router.py
@@ -4,7 +4,6 @@
 from collections.abc import Callable
 from datetime import timedelta
 
-from lycheedyke.clock import Clock
 from lycheedyke.protocol import (
     Answered,
     NotRun,
@@ -13,7 +12,6 @@
     Unknown,
 )
 from lycheedyke.state import (
-    Counters,
     Pick,
     RepeatBudget,
     RepeatTerms,
@@ -23,7 +21,7 @@
     learn,
 )
 from lycheedyke_daemon.crashes import CrashGuard
-from lycheedyke_daemon.gateway._decisions import DecisionLog
+from lycheedyke_daemon.gateway._decisions import Instruments
 from lycheedyke_daemon.gateway._exchange import UpstreamExchange
 from lycheedyke_daemon.work import Work
 
@@ -47,9 +45,7 @@
         exchange: sends to upstreams.
         guard: runs suspects alone.
         repeats: the bound on repeats.
-        clock: the time.
-        counters: counts repeats and refusals by reason.
-        decisions: tells of each attempt.
+        instruments: counts repeats by reason and tells of each attempt.
         instances: returns the most instances that share the budget.
     """
 
@@ -60,9 +56,7 @@
         exchange: UpstreamExchange,
         guard: CrashGuard,
         repeats: RepeatTerms,
-        clock: Clock,
-        counters: Counters,
-        decisions: DecisionLog,
+        instruments: Instruments,
         *,
         instances: Callable[[], int],
     ) -> None:
@@ -71,12 +65,12 @@
         self._times = times
         self._exchange = exchange
         self._guard = guard
-        self._clock = clock
-        self._counters = counters
-        self._decisions = decisions
+        self._clock = instruments.clock
+        self._counters = instruments.counters
+        self._decisions = instruments.decisions
         self._instances = instances
         self._budgets: defaultdict[str, RepeatBudget] = defaultdict(
-            lambda: RepeatBudget(repeats, clock),
+            lambda: RepeatBudget(repeats, instruments.clock),
         )
 
     def __repr__(self) -> str:
@@ -90,28 +84,39 @@
             request: its route, service and object.
             work: what is sent; its deadline covers the route's timeout.
         """
-        budget = self._budgets[request.service]
-        budget.add_request()
+        self._budgets[request.service].add_request()
         outcome: Outcome | None = None
         tried: set[str] = set()
         attempts = 0
         while attempts < request.route.attempts and len(tried) < MOST_SENDS:
-            pick = self._choice.choose(request, tried)
-            if pick is None or not self._ends_in_time(pick, work):
-                break
-            if attempts and not budget.take(self._instances()):
-                self._counters.count('repeat.no-budget')
+            pick = self._pick(request, work, tried)
+            if pick is None:
                 break
             found = await self._attempt(request, pick, work)
             tried.add(pick.state.record.name)
             attempts += _is_sent(found)
-            outcome = _worse(outcome, found)
+            outcome = _combine(outcome, found)
             if not _may_repeat(work, found):
-                return outcome if isinstance(found, NotRun) else found
-            self._counters.count(f'repeat.{_name(found)}')
-        if outcome is None:
-            return self._refuse(request)
-        return outcome
+                break
+        return outcome or self._refuse(request)
+
+    def _pick(
+        self,
+        request: Request,
+        work: Work,
+        tried: set[str],
+    ) -> Pick | None:
+        """Returns where to send next; None if that is not worth it."""
+        pick = self._choice.choose(request, tried)
+        if pick is None or not self._ends_in_time(pick, work):
+            return None
+        if not tried:
+            return pick
+        if self._budgets[request.service].take(self._instances()):
+            self._counters.count('repeat')
+            return pick
+        self._counters.count('repeat.no-budget')
+        return None
 
     async def _attempt(
         self,
@@ -154,7 +159,7 @@
             upstream_zone=record.zone,
             expected_ms=pick.expected // MILLISECOND,
             took_ms=took // MILLISECOND,
-            is_warm=pick.is_warm,
+            known=pick.known,
             load=round(pick.load, 1),
             slowness=round(pick.state.slowness, 2),
             time_left_ms=(work.deadline - self._clock.elapsed()) // MILLISECOND,
@@ -175,7 +180,7 @@
     return not (isinstance(outcome, NotRun) and outcome.reason in _NOT_SENT)
 
 
-def _worse(before: Outcome | None, outcome: Outcome) -> Outcome:
+def _combine(before: Outcome | None, outcome: Outcome) -> Outcome:
     """Returns what may be said after both: "not run" only if both say so."""
     if before is None or isinstance(before, NotRun):
         return outcome
@@ -192,9 +197,3 @@
             return reason not in _FINAL
         case Unknown(reason):
             return work.idempotent and reason is not Reason.upstream_timeout
-
-
-def _name(outcome: Outcome) -> str:
-    if isinstance(outcome, Answered):
-        return 'upstream-failed'
-    return outcome.reason.value
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/ini.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/ini.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Collection, Iterator, Mapping
 from datetime import timedelta
 from pathlib import Path
+from types import MappingProxyType
 from typing import Any, NamedTuple
 
 from lycheedyke.exceptions import SettingsInvalid
@@ -13,7 +14,9 @@
 MAX_PORT = 65535
 _NAME = re.compile('[a-z0-9][a-z0-9-]{0,62}')
 _DURATION = re.compile(r'(\d+(?:\.\d+)?)(ms|s)')
-_UNITS = {'ms': timedelta(milliseconds=1), 's': timedelta(seconds=1)}
+_UNITS = MappingProxyType(
+    {'ms': timedelta(milliseconds=1), 's': timedelta(seconds=1)},
+)
 
 Reader = Callable[[str], Any]
 
--- a/packages/lycheedyke/src/lycheedyke/state/_choice.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_choice.py
@@ -5,7 +5,8 @@
 leave it only when waiting there costs more than running cold elsewhere.
 """
 
-from collections.abc import Callable, Collection, Iterable, Mapping
+from collections import Counter
+from collections.abc import Callable, Collection, Mapping, Sequence
 from datetime import timedelta
 from typing import NamedTuple
 
@@ -14,11 +15,25 @@
 from lycheedyke.protocol import Route
 from lycheedyke.state._fleet import Fleet, UpstreamState
 from lycheedyke.state._warmup import WarmupPace, turn_period
-from lycheedyke.state._worktimes import RunTimes, WorkTimes
+from lycheedyke.state._worktimes import WorkTimes
 
 ZERO = timedelta()
+_NONE = (-1, '')
 # Cold upstreams work at about half speed.
 COLD_FACTOR = 2
+# How likely an upstream knows an object: where the requests of the own pool
+# meet, where this instance sent it lately, where the requests of another pool
+# meet, and anywhere else.
+KNOWN_AT_HOME = 1
+KNOWN_LATELY = 0.9
+KNOWN_AT_FAR_HOME = 0.5
+KNOWN_ELSEWHERE = 0.1
+# Fewer upstreams can't keep the objects of a zone's callers known; the zones
+# of a region that have fewer form one pool.
+LEAST_POOL = 3
+# A run without the object takes slots from others for so much of the time
+# by which it is longer.
+CROWDING = 0.5
 
 
 class Distances(NamedTuple):
@@ -51,16 +66,18 @@
     Attributes:
         state: the upstream.
         expected: the time until the answer is here.
-        is_warm: whether the object is expected to be known there.
+        known: how likely the object is known there.
         trip: the part of `expected` that is the round trip.
         load: the requests that it was taken to hold.
+        crowding: what a long run costs the requests of others.
     """
 
     state: UpstreamState
     expected: timedelta
-    is_warm: bool
+    known: float
     trip: timedelta
     load: float
+    crowding: timedelta = ZERO
 
     @property
     def waits(self) -> bool:
@@ -131,7 +148,9 @@
             if state.record.name not in passed_over
             and self._is_home(request.route, state)
         ]
-        homes = _homes(request.thing, candidates) if request.thing else {}
+        homes: Mapping[str, str] = {}
+        if request.thing:
+            homes = self._homes(request.thing, candidates)
         picks = [
             self._judge(request, state, homes)
             for state in candidates
@@ -168,12 +187,9 @@
         homes: Mapping[str, str],
     ) -> Pick:
         record = state.record
-        is_warm = not request.thing or (
-            homes.get(record.zone) == record.name
-            or state.is_warm(request.thing)
-        )
         own = self._times.of(request.route, request.service)
-        run = own.warm if is_warm and request.thing else own.cold
+        known = self._known(request, state, homes)
+        run = own.cold - (own.cold - own.warm) * known
         if state.is_cold:
             run *= COLD_FACTOR
         run *= state.slowness
@@ -184,7 +200,50 @@
             others = self._times.of_service(request.service)
             wait = ahead / record.slots * others * state.slowness
         trip = self._trip(record.zone)
-        return Pick(state, wait + run + trip, is_warm, trip, load)
+        crowding = (run - own.warm) * CROWDING if request.thing else ZERO
+        return Pick(state, wait + run + trip, known, trip, load, crowding)
+
+    def _known(
+        self,
+        request: Request,
+        state: UpstreamState,
+        homes: Mapping[str, str],
+    ) -> float:
+        if not request.thing:
+            return 0
+        record = state.record
+        is_home = homes.get(record.zone) == record.name
+        if is_home and homes.get(self._place.zone) == record.name:
+            return KNOWN_AT_HOME
+        if state.is_warm(request.thing):
+            return KNOWN_LATELY
+        return KNOWN_AT_FAR_HOME if is_home else KNOWN_ELSEWHERE
+
+    def _homes(
+        self,
+        thing: str,
+        states: Sequence[UpstreamState],
+    ) -> dict[str, str]:
+        """Returns where requests for an object meet, by zone.
+
+        The zones of a pool name the same upstream.
+        """
+        sizes = Counter(state.record.zone for state in states)
+        best: dict[str, tuple[int, str]] = {}
+        for state in states:
+            name = state.record.name
+            pool = self._pool(state.record.zone, sizes)
+            best[pool] = max((_point(thing, name), name), best.get(pool, _NONE))
+        return {
+            zone: best[pool][1]
+            for zone in self._place.regions
+            if (pool := self._pool(zone, sizes)) in best
+        }
+
+    def _pool(self, zone: str, sizes: Mapping[str, int]) -> str:
+        if sizes.get(zone, 0) >= LEAST_POOL:
+            return zone
+        return self._place.regions.get(zone, zone)
 
     def _trip(self, zone: str) -> timedelta:
         if zone == self._place.zone:
@@ -201,11 +260,14 @@
         elif zone != self._place.zone:
             charge = self._distances.zone_charge
         rank = _point(request.thing, pick.state.record.name)
-        return pick.expected + charge, rank
+        return pick.expected + pick.crowding + charge, -rank
 
 
 def learn(
-    times: WorkTimes, request: Request, pick: Pick, took: timedelta
+    times: WorkTimes,
+    request: Request,
+    pick: Pick,
+    took: timedelta,
 ) -> None:
     """Takes in how long an answered request took.
 
@@ -219,27 +281,10 @@
     if pick.waits or pick.state.is_cold:
         return
     own = times.of(request.route, request.service)
-    pick.state.compare(run, _expected(own, request, pick))
-    is_warm = pick.is_warm and bool(request.thing)
-    own.learn(run, is_warm=is_warm)
+    was_known = own.learn(run)
+    pick.state.compare(run, own.warm if was_known else own.cold)
     times.learn_service(request.service, run)
 
 
-def _expected(own: RunTimes, request: Request, pick: Pick) -> timedelta:
-    return own.warm if pick.is_warm and request.thing else own.cold
-
-
-def _homes(thing: str, states: Iterable[UpstreamState]) -> dict[str, str]:
-    """Returns the upstream of each zone at which requests for a thing meet."""
-    best: dict[str, tuple[int, str]] = {}
-    for state in states:
-        name = state.record.name
-        ranked = (_point(thing, name), name)
-        zone = state.record.zone
-        if zone not in best or ranked > best[zone]:
-            best[zone] = ranked
-    return {zone: name for zone, (_, name) in best.items()}
-
-
 def _point(thing: str, upstream: str) -> int:
     return xxhash.xxh64_intdigest(f'{thing} {upstream}'.encode())
--- a/packages/lycheedyke/src/lycheedyke/state/_entry_lists.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_entry_lists.py
@@ -12,6 +12,8 @@
 
 MOST_LISTED = 64
 LEAST_LISTED = 3
+# A smaller part of a zone's callers is not worth sending away.
+NEGLIGIBLE = 0.02
 
 
 class ZoneSupply(NamedTuple):
@@ -31,38 +33,30 @@
 
 
 def share_supply(
-    zone: str,
     supplies: Collection[ZoneSupply],
-) -> dict[str, float]:
-    """Returns the share of a zone's callers that goes to each zone.
+) -> dict[str, dict[str, float]]:
+    """Returns the part of each zone's callers that goes to each zone.
 
     Callers are taken to be even over the zones. A zone carries its own
-    callers first, up to its part of all slots; what it can't carry goes to
-    zones with a surplus, in proportion, those of its region first.
+    callers up to its part of all slots. The rest goes to one other zone,
+    the one that is the least loaded with it: callers of one zone ask for
+    the same objects, and each further zone would have to learn them.
 
     Args:
-        zone: the zone of the callers.
         supplies: what each zone can carry.
     """
-    carrying = [each for each in supplies if each.entries and each.slots > 0]
-    total = sum(each.slots for each in carrying)
-    if not total:
-        return {
-            each.zone: len(each.entries) for each in supplies if each.entries
-        }
-    demand = 1 / max(1, len({each.zone for each in supplies} | {zone}))
-    parts = {each.zone: each.slots / total for each in carrying}
-    own = min(demand, parts.get(zone, 0))
-    spare = {
-        name: part - demand for name, part in parts.items() if part > demand
-    }
-    missing = demand - own
-    shares = {zone: own / demand} if own else {}
-    spare_total = sum(spare.values())
-    if missing and spare_total:
-        for name, part in spare.items():
-            share = missing * part / spare_total / demand
-            shares[name] = shares.get(name, 0) + share
+    parts = _parts(supplies)
+    demand = 1 / max(1, len(supplies))
+    loads = {zone: min(demand, part) for zone, part in parts.items()}
+    shares: dict[str, dict[str, float]] = {}
+    for supply in sorted(supplies):
+        own = min(demand, parts.get(supply.zone, 0))
+        shares[supply.zone] = {supply.zone: own / demand} if own else {}
+        missing = demand - own
+        target = _least_loaded(supply.zone, missing, loads, parts)
+        if missing > NEGLIGIBLE and target is not None:
+            loads[target] += missing
+            shares[supply.zone][target] = missing / demand
     return shares
 
 
@@ -97,6 +91,29 @@
     return listed[:MOST_LISTED]
 
 
+def _parts(supplies: Iterable[ZoneSupply]) -> dict[str, float]:
+    """Returns the part of all slots that each zone with instances has."""
+    slots = {
+        each.zone: each.slots
+        for each in supplies
+        if each.entries and each.slots > 0
+    }
+    total = sum(slots.values())
+    return {zone: count / total for zone, count in slots.items()}
+
+
+def _least_loaded(
+    zone: str,
+    missing: float,
+    loads: Mapping[str, float],
+    parts: Mapping[str, float],
+) -> str | None:
+    others = [name for name in sorted(parts) if name != zone]
+    if not others:
+        return None
+    return min(others, key=lambda name: (loads[name] + missing) / parts[name])
+
+
 def _ranked(zone: str, addresses: Iterable[str]) -> list[str]:
     return sorted(
         addresses,
--- a/packages/lycheedyke/src/lycheedyke/state/_routes.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_routes.py
@@ -35,11 +35,12 @@
         prefixes = self._by_host.get(host)
         if prefixes is None:
             return None
-        end = len(path)
-        while (end := path.rfind('/', 0, end)) >= 0:
+        end = path.rfind('/')
+        while end >= 0:
             route = prefixes.get(path[: end + 1])
             if route is not None:
                 return route
+            end = path.rfind('/', 0, end)
         return None
 
     def services_of(self, host: str) -> frozenset[str]:
@@ -73,7 +74,7 @@
 
     def __init__(self) -> None:
         """Starts with no credit."""
-        self._credits: dict[tuple[str, tuple[str, ...]], list[float]] = {}
+        self._credits: dict[tuple[str, tuple[str, ...]], list[int]] = {}
 
     def __repr__(self) -> str:
         """Returns the number of routes dealt."""
@@ -85,7 +86,7 @@
         if len(parts) == 1:
             return parts[0].service
         key = (route.name, tuple(part.service for part in parts))
-        credit = self._credits.setdefault(key, [0.0] * len(parts))
+        credit = self._credits.setdefault(key, [0] * len(parts))
         total = 0
         for index, part in enumerate(parts):
             credit[index] += part.weight
--- a/packages/lycheedyke/src/lycheedyke/state/_worktimes.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_worktimes.py
@@ -4,8 +4,8 @@
 
 from lycheedyke.protocol import Route
 
-# The share of a new sample in the moving mean.
-SAMPLE_WEIGHT = 0.08
+# The least share of a new sample in a moving mean.
+SAMPLE_WEIGHT = 0.05
 # Before the first answer a cold run is taken to use up the route's goal, but
 # no more than this part of its timeout; a warm one takes a third of that.
 TIMEOUT_SHARE = 0.3
@@ -13,28 +13,58 @@
 FIRST_SERVICE_TIME = timedelta(milliseconds=100)
 
 
+class _Mean:
+    """A mean that starts as that of all samples, then forgets old ones."""
+
+    def __init__(self, first: timedelta) -> None:
+        self.mean = first
+        self._count = 1
+
+    def add(self, sample: timedelta) -> None:
+        self._count += 1
+        weight = max(SAMPLE_WEIGHT, 1 / self._count)
+        self.mean += (sample - self.mean) * weight
+
+
 class RunTimes:
     """The mean run times of one route: with a known object, and without.
 
+    A sample counts for the mean to which it is nearer, by ratio: whether an
+    upstream knew the object shows in the time, not in the answer.
+
     Args:
         cold: the time that a run without it is taken to need at first.
     """
 
     def __init__(self, cold: timedelta) -> None:
         """Assumes times before the first answer."""
-        self.cold = cold
-        self.warm = cold * WARM_SHARE
+        self._cold = _Mean(cold)
+        self._warm = _Mean(cold * WARM_SHARE)
 
     def __repr__(self) -> str:
         """Returns both means."""
         return f'<RunTimes cold {self.cold}, warm {self.warm}>'
 
-    def learn(self, duration: timedelta, *, is_warm: bool) -> None:
-        """Takes in the run time of an answered request."""
-        if is_warm:
-            self.warm += (duration - self.warm) * SAMPLE_WEIGHT
-        else:
-            self.cold += (duration - self.cold) * SAMPLE_WEIGHT
+    @property
+    def cold(self) -> timedelta:
+        """The mean of runs for which the object was not known."""
+        return self._cold.mean
+
+    @property
+    def warm(self) -> timedelta:
+        """The mean of runs for which the object was known."""
+        return min(self._warm.mean, self._cold.mean)
+
+    def learn(self, duration: timedelta) -> bool:
+        """Takes in a run time; returns whether the object was known."""
+        if duration * duration.total_seconds() < self._middle():
+            self._warm.add(duration)
+            return True
+        self._cold.add(duration)
+        return False
+
+    def _middle(self) -> timedelta:
+        return self._cold.mean * self._warm.mean.total_seconds()
 
 
 class WorkTimes:
--- a/packages/lycheedyke/src/lycheedyke/transport/_http.py
+++ b/packages/lycheedyke/src/lycheedyke/transport/_http.py
@@ -21,7 +21,7 @@
     ExchangeTimeout,
 )
 
-KEEPALIVE_SECONDS = 15
+IDLE_LIMIT = timedelta(seconds=15)
 DEFAULT_MAX_BODY_BYTES = 1_048_576
 # Bounds the answer to one exchange.
 MAX_CONNECT_SECONDS = 1
@@ -79,7 +79,7 @@
         *,
         max_connections: int = 100,
         max_body_bytes: int = DEFAULT_MAX_BODY_BYTES,
-        idle_limit: timedelta = timedelta(seconds=KEEPALIVE_SECONDS),
+        idle_limit: timedelta = IDLE_LIMIT,
         may_end_open: bool = False,
     ) -> None:
         """Makes a client without connections."""
@@ -192,12 +192,30 @@
             allow_redirects=False,
             timeout=timeout,
         ) as response:
+            if self._may_end_open and not _has_known_end(response):
+                return await self._read_to_close(response)
             return HttpAnswer(
                 response.status,
                 response.headers,
                 await self._read(response),
             )
 
+    async def _read_to_close(
+        self,
+        response: aiohttp.ClientResponse,
+    ) -> HttpAnswer:
+        """Reads an answer that ends with its connection.
+
+        It is whole only if the connection was closed, not reset.
+        """
+        connection = response.connection
+        protocol = connection.protocol if connection else None
+        closed = protocol.closed if protocol else None
+        body = await self._read(response)
+        if closed is not None:
+            await closed
+        return HttpAnswer(response.status, response.headers, body)
+
     async def _read(self, response: aiohttp.ClientResponse) -> bytes:
         if response.method == 'HEAD' or response.status in _NO_BODY_STATUSES:
             return await response.read()
