Take an open-ended answer only if its connection was closed

The first mend asked for the connection's end after the headers were read; by then the reset may already have been forgotten. Ruled out: refusing all answers without a length (they are allowed).

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
-SOURCES := packages tests bench
+SOURCES := packages platform tests bench
 
 export PYTHONPATH := tests
 
@@ -38,7 +38,7 @@
 	$(BIN)/ruff format --check $(SOURCES)
 	$(BIN)/ruff check $(SOURCES)
 	$(BIN)/flake8 $(SOURCES)
-	$(BIN)/mypy packages/lycheedyke/src packages/lycheedyke-daemon/src packages/lycheedyke-ctl/src tests bench
+	$(BIN)/mypy packages/lycheedyke/src packages/lycheedyke-daemon/src packages/lycheedyke-ctl/src platform tests bench
 	$(BIN)/lint-imports
 
 format: $(STAMP)
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
@@ -144,6 +144,10 @@
         await self._servers.open(self._caller_app(), settings.caller_address)
         _logger.info('started', extra={'settings': settings._asdict()})
 
+    async def wait_ready(self) -> None:
+        """Waits until a configuration is in force."""
+        await self._beliefs.in_force.wait()
+
     async def stop(self) -> None:
         """Leaves the look-ups, finishes what is in flight, then closes."""
         self._stopping_since = self._clock.elapsed()
--- a/packages/lycheedyke/src/lycheedyke/state/_choice.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_choice.py
@@ -186,7 +186,6 @@
         state: UpstreamState,
         homes: Mapping[str, str],
     ) -> Pick:
-        record = state.record
         own = self._times.of(request.route, request.service)
         known = self._known(request, state, homes)
         run = own.cold - (own.cold - own.warm) * known
@@ -194,14 +193,26 @@
             run *= COLD_FACTOR
         run *= state.slowness
         load = state.load
-        ahead = load - record.slots + 1
-        wait = ZERO
-        if ahead > 0:
-            others = self._times.of_service(request.service)
-            wait = ahead / record.slots * others * state.slowness
-        trip = self._trip(record.zone)
-        crowding = (run - own.warm) * CROWDING if request.thing else ZERO
-        return Pick(state, wait + run + trip, known, trip, load, crowding)
+        trip = self._trip(state.record.zone)
+        return Pick(
+            state,
+            self._wait(request, state, load) + run + trip,
+            known,
+            trip,
+            load,
+            (run - own.warm) * CROWDING if request.thing else ZERO,
+        )
+
+    def _wait(
+        self,
+        request: Request,
+        state: UpstreamState,
+        load: float,
+    ) -> timedelta:
+        slots = state.record.slots
+        ahead = max(0, load - slots + 1)
+        mean = self._times.of_service(request.service)
+        return ahead / slots * mean * state.slowness
 
     def _known(
         self,
--- a/packages/lycheedyke/src/lycheedyke/state/_entry_lists.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_entry_lists.py
@@ -50,13 +50,12 @@
     loads = {zone: min(demand, part) for zone, part in parts.items()}
     shares: dict[str, dict[str, float]] = {}
     for supply in sorted(supplies):
-        own = min(demand, parts.get(supply.zone, 0))
-        shares[supply.zone] = {supply.zone: own / demand} if own else {}
-        missing = demand - own
-        target = _least_loaded(supply.zone, missing, loads, parts)
-        if missing > NEGLIGIBLE and target is not None:
-            loads[target] += missing
-            shares[supply.zone][target] = missing / demand
+        away = max(0, 1 - parts.get(supply.zone, 0) / demand)
+        target = _least_loaded(supply.zone, away * demand, loads, parts)
+        shares[supply.zone] = {supply.zone: 1}
+        if target is not None and away > NEGLIGIBLE:
+            loads[target] += away * demand
+            shares[supply.zone] = {supply.zone: 1 - away, target: away}
     return shares
 
 
--- a/packages/lycheedyke/src/lycheedyke/state/_fleet.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_fleet.py
@@ -61,11 +61,14 @@
         """Whether it bears only a few requests a second."""
         return self._clock.elapsed() < self._cold_until
 
+    @property
+    def is_lost(self) -> bool:
+        """Whether it gets no work until its next record."""
+        return self._needs_record
+
     @property
     def is_out(self) -> bool:
         """Whether its failures keep it from getting work now."""
-        if self._needs_record:
-            return True
         if self._out_until is None:
             return False
         return self._clock.elapsed() < self._out_until or self.in_flight > 0
@@ -233,10 +236,11 @@
         return sound or serving
 
     def serving(self, service: str) -> list[UpstreamState]:
-        """Returns those that neither leave nor stand in a cleared zone."""
+        """Returns those that live, don't leave and stand in no cleared zone."""
         return [
             state
             for state in self.of_service(service)
             if not state.record.leaving
+            and not state.is_lost
             and state.record.zone not in self.evacuated
         ]
--- a/packages/lycheedyke/src/lycheedyke/transport/_http.py
+++ b/packages/lycheedyke/src/lycheedyke/transport/_http.py
@@ -11,6 +11,7 @@
 import multidict
 import yarl
 from aiohttp.abc import AbstractStreamWriter
+from aiohttp.client_proto import ResponseHandler
 from aiohttp.connector import Connection
 
 from lycheedyke.exceptions import (
@@ -62,6 +63,19 @@
                 return connection
             connection.close()
 
+    async def _create_connection(
+        self,
+        req: aiohttp.ClientRequest,
+        traces: list[Any],
+        timeout: aiohttp.ClientTimeout,
+    ) -> ResponseHandler:
+        protocol = await super()._create_connection(req, traces, timeout)
+        # How a connection ends is kept only if asked for before it does.
+        closed = protocol.closed
+        if closed is not None:
+            closed.add_done_callback(_note_end)
+        return protocol
+
 
 class HttpClient:
     """A connection pool over aiohttp, usable with `async with`.
@@ -210,10 +224,10 @@
         """
         connection = response.connection
         protocol = connection.protocol if connection else None
-        closed = protocol.closed if protocol else None
         body = await self._read(response)
-        if closed is not None:
-            await closed
+        if protocol is None or protocol.closed is None:
+            raise ExchangeBroken(f'{response.url}: the end was not seen')
+        await protocol.closed
         return HttpAnswer(response.status, response.headers, body)
 
     async def _read(self, response: aiohttp.ClientResponse) -> bytes:
@@ -260,6 +274,11 @@
         return self._fresh
 
 
+def _note_end(closed: asyncio.Future[None]) -> None:
+    if not closed.cancelled():
+        closed.exception()
+
+
 def _open_session(connector: aiohttp.TCPConnector) -> aiohttp.ClientSession:
     return aiohttp.ClientSession(
         connector=connector,
--- /dev/null
+++ b/tests/standins/users_platform.py
@@ -0,0 +1,184 @@
+"""A small deployment on the users' platform, within one process."""
+
+import sys
+from pathlib import Path
+from types import TracebackType
+from typing import Any, NamedTuple, Self
+
+import aiohttp
+import yarl
+from aiohttp import web
+
+from lycheedyke.clock import SystemClock
+from lycheedyke_daemon.gateway import GatewayInstance, read_gateway_settings
+from standins.deployment import free_ports
+from standins.users_store import UsersStore, config_value, upstream_value
+from standins.users_upstream import UsersUpstream
+
+PLATFORM = Path(__file__).resolve().parents[2] / 'platform'
+if str(PLATFORM) not in sys.path:
+    sys.path.insert(0, str(PLATFORM))
+
+from deployment import deploy
+
+HOST = 'shop.example'
+ROUTES = (
+    {'name': 'read', 'prefix': '/read/', 'service': 'desk'},
+    {
+        'name': 'order',
+        'prefix': '/order/',
+        'type': 'unsafe',
+        'service': 'desk',
+        'timeout': '800ms',
+    },
+)
+SETTINGS = """
+[instance]
+name = {name}
+region = pnw
+zone = pnw-a
+
+[listen]
+caller = 127.0.0.1:{ports[0]}
+ready = 127.0.0.1:{ports[1]}
+lookup = 127.0.0.1:{ports[2]}
+peer = 127.0.0.1:{ports[3]}
+metrics = 127.0.0.1:{ports[4]}
+
+[registry]
+address = {store}
+
+[limits]
+stop_grace = 2s
+
+[repeats]
+extra = 100
+
+[zones]
+pnw-a = pnw
+nc-a = nc
+"""
+
+
+class Reply(NamedTuple):
+    """An answer as the caller got it."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+class UsersPlatform:
+    """A store, upstreams and entry instances; used with `async with`.
+
+    Args:
+        folder: where the settings files go.
+        upstreams: how many upstreams there are.
+        instances: how many entry instances there are.
+    """
+
+    def __init__(
+        self,
+        folder: Path,
+        upstreams: int = 2,
+        instances: int = 1,
+    ) -> None:
+        """Makes all parts; nothing listens yet."""
+        self.store = UsersStore()
+        self.upstreams = [UsersUpstream(f'i-{at}') for at in range(upstreams)]
+        self.instances: list[GatewayInstance] = []
+        self.settings: list[Any] = []
+        self._folder = folder
+        self._count = instances
+        self._sent = 0
+
+    async def __aenter__(self) -> Self:
+        """Starts everything and waits until the instances are ready."""
+        self._runner = web.AppRunner(self.store.app(), access_log=None)
+        await self._runner.setup()
+        port = free_ports(1)[0]
+        await web.TCPSite(self._runner, '127.0.0.1', port).start()
+        self._http = aiohttp.ClientSession(
+            cookie_jar=aiohttp.DummyCookieJar(), auto_decompress=False
+        )
+        self.store.put('op/config', config_value(0x11, list(ROUTES)))
+        for upstream in self.upstreams:
+            await upstream.open()
+            self.register(upstream)
+        for at in range(self._count):
+            await self._start(f'edge-{at}', f'127.0.0.1:{port}')
+        return self
+
+    async def __aexit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        """Stops everything."""
+        for instance in self.instances:
+            await instance.stop()
+        for upstream in self.upstreams:
+            await upstream.close()
+        await self._http.close()
+        await self._runner.cleanup()
+
+    def register(self, upstream: UsersUpstream, **changes: Any) -> int:
+        """Writes what an upstream says of itself."""
+        value = upstream_value('desk', upstream.address, **changes)
+        return self.store.put(f'servers/{upstream.name}', value)
+
+    async def send(
+        self,
+        path: str = '/read/1',
+        *,
+        method: str = 'GET',
+        body: Any = None,
+        instance: int = 0,
+        deadline_ms: int = 1200,
+        thing: str = '17',
+    ) -> Reply:
+        """Sends one request with an id of its own."""
+        self._sent += 1
+        address = self.settings[instance].caller_address
+        async with self._http.request(
+            method,
+            yarl.URL(f'http://{address}{path}', encoded=True),
+            data=body,
+            headers={
+                'Host': HOST,
+                'Lycheedyke-Request-Id': f'r-{self._sent}',
+                'Lycheedyke-Deadline-Ms': str(deadline_ms),
+                'Cookie': f'Lycheedyke-Affinity-Key={thing}',
+            },
+        ) as answer:
+            return Reply(
+                answer.status, dict(answer.headers), await answer.read()
+            )
+
+    async def get(self, address: str, path: str) -> Reply:
+        """Asks any port of an instance."""
+        async with self._http.get(f'http://{address}{path}') as answer:
+            return Reply(
+                answer.status, dict(answer.headers), await answer.read()
+            )
+
+    def arrivals(self) -> int:
+        """Returns the requests that reached the upstreams."""
+        return sum(len(each.arrivals) for each in self.upstreams)
+
+    def ran(self) -> list[str]:
+        """Returns the ids of all requests that ran, once for each run."""
+        return [name for each in self.upstreams for name in each.ran]
+
+    async def _start(self, name: str, store: str) -> None:
+        path = self._folder / f'{name}.ini'
+        path.write_text(
+            SETTINGS.format(name=name, ports=free_ports(5), store=store),
+        )
+        settings = read_gateway_settings(path)
+        instance = GatewayInstance(settings, deploy(settings), SystemClock())
+        await instance.start()
+        await instance.wait_ready()
+        self.instances.append(instance)
+        self.settings.append(settings)
--- /dev/null
+++ b/tests/standins/users_store.py
@@ -0,0 +1,235 @@
+"""Stand-in of the users' store: revisions, watches, pages, leases, faults.
+
+It speaks what the users' pages say of the store. Faults are attributes:
+`down` (503), `silent` (no answer), `lose_writes` (the next writes are done
+and not answered), `forget_before` (history up to that revision is gone) and
+`turned_away` (peers' names are not known here, so a share of calls).
+"""
+
+import asyncio
+import base64
+import json
+from typing import Any, NamedTuple
+
+from aiohttp import web
+
+PAGE_ITEMS = 3
+POLL_SECONDS = 0.01
+
+
+class _Item(NamedTuple):
+    value: bytes | None
+    revision: int
+    lease: int
+
+
+class UsersStore:
+    """Keys with revisions, in memory."""
+
+    def __init__(self) -> None:
+        """Makes an empty store at revision 1."""
+        self.down = False
+        self.silent = False
+        self.lose_writes = 0
+        self.forget_before = 0
+        self.calls: list[str] = []
+        self._revision = 1
+        self._items: dict[str, _Item] = {}
+        self._leases: set[int] = set()
+        self._next_lease = 100
+
+    def app(self) -> web.Application:
+        """Returns the HTTP application."""
+        app = web.Application(middlewares=[self._fail])
+        app.add_routes(
+            [
+                web.get('/kv-range', self._range),
+                web.get('/kv-watch', self._watch),
+                web.post('/kv-txn', self._write),
+                web.post('/kv-lease', self._lease),
+                web.post('/kv-keep/{lease}', self._keep),
+                web.delete('/kv-lease-end/{lease}', self._end),
+            ],
+        )
+        return app
+
+    def put(self, key: str, value: object, lease: int = 0) -> int:
+        """Writes a key; bytes as they are, all else as JSON."""
+        self._revision += 1
+        content = (
+            value if isinstance(value, bytes) else json.dumps(value).encode()
+        )
+        self._items[key] = _Item(content, self._revision, lease)
+        return self._revision
+
+    def remove(self, key: str) -> int:
+        """Removes a key and leaves the trace of it."""
+        self._revision += 1
+        self._items[key] = _Item(None, self._revision, 0)
+        return self._revision
+
+    def end_lease(self, lease: int) -> None:
+        """Ends a lease and removes its keys."""
+        self._leases.discard(lease)
+        for key, item in list(self._items.items()):
+            if item.lease == lease and item.value is not None:
+                self.remove(key)
+
+    def keys(self) -> set[str]:
+        """Returns the present keys."""
+        return {key for key, item in self._items.items() if item.value}
+
+    @web.middleware
+    async def _fail(self, request: web.Request, handler: Any) -> Any:
+        self.calls.append(request.path)
+        if self.silent:
+            await asyncio.Event().wait()
+        if self.down:
+            raise web.HTTPServiceUnavailable
+        response = await handler(request)
+        if self.lose_writes and request.path == '/kv-txn':
+            self.lose_writes -= 1
+            assert request.transport is not None
+            request.transport.abort()
+        return response
+
+    async def _range(self, request: web.Request) -> web.Response:
+        prefix = request.query['prefix']
+        after = request.query.get('after', '')
+        keys = sorted(
+            key
+            for key, item in self._items.items()
+            if key.startswith(prefix) and key > after and item.value
+        )
+        page = keys[:PAGE_ITEMS]
+        return web.json_response(
+            {
+                'items': [self._show(key) for key in page],
+                'hasMore': len(keys) > len(page),
+                'currentRev': self._revision,
+            },
+        )
+
+    async def _watch(self, request: web.Request) -> web.Response:
+        after = int(request.query['after'])
+        if after < self.forget_before:
+            raise web.HTTPGone
+        polls = int(request.query['waitMs']) / 1000 / POLL_SECONDS
+        while polls > 0:
+            changed = sorted(
+                (item.revision, key)
+                for key, item in self._items.items()
+                if item.revision > after
+            )
+            if changed:
+                break
+            polls -= 1
+            await asyncio.sleep(POLL_SECONDS)
+        return web.json_response(
+            {
+                'events': [self._show(key) for _, key in changed],
+                'currentRev': self._revision,
+            },
+        )
+
+    async def _write(self, request: web.Request) -> web.Response:
+        change = await request.json()
+        for put in change['puts']:
+            lease = put.get('lease', 0)
+            if lease and lease not in self._leases:
+                raise web.HTTPNotFound
+            self.put(put['key'], base64.b64decode(put['value']), lease)
+        return web.json_response({'revision': self._revision})
+
+    async def _lease(self, request: web.Request) -> web.Response:
+        body = await request.json()
+        self._next_lease += 1
+        self._leases.add(self._next_lease)
+        return web.json_response(
+            {'lease': self._next_lease, 'ttl_time': body['ttl_time']},
+        )
+
+    async def _keep(self, request: web.Request) -> web.Response:
+        if int(request.match_info['lease']) not in self._leases:
+            raise web.HTTPNotFound
+        return web.json_response({'ttl_time': '3000ms'})
+
+    async def _end(self, request: web.Request) -> web.Response:
+        self.end_lease(int(request.match_info['lease']))
+        return web.json_response({})
+
+    def _show(self, key: str) -> dict[str, Any]:
+        item = self._items[key]
+        if item.value is None:
+            return {'key': key, 'revision': item.revision, 'tombstone': True}
+        return {
+            'key': key,
+            'value': base64.b64encode(item.value).decode(),
+            'revision': item.revision,
+            'created': item.revision,
+            'lease': item.lease,
+        }
+
+
+def upstream_value(service: str, address: str, **changes: Any) -> Any:
+    """Returns what an upstream writes of itself."""
+    return {
+        'service': service,
+        'addr': address,
+        'zone': 'pnw-a',
+        'version': 'v1',
+        'slots': 3,
+        'state': 'ready',
+        'coldLeft': '0ms',
+        'seq': 4,
+        'born': 1_770_000_000_000,
+        **changes,
+    }
+
+
+def config_value(version: int, routes: list[dict[str, Any]]) -> Any:
+    """Returns what the operator writes: all routes, and two services."""
+    columns = (
+        'name',
+        'host',
+        'prefix',
+        'type',
+        'timeout',
+        'goal',
+        'priority',
+        'split',
+        'attempts',
+        'sticky',
+        'homeRegions',
+        'service',
+    )
+    defaults = {
+        'host': 'shop.example',
+        'type': 'safe',
+        'timeout': '1200ms',
+        'goal': '250ms',
+        'priority': 1,
+        'attempts': 2,
+        'sticky': True,
+        'homeRegions': [],
+    }
+    return {
+        'version': f'{version:08x}',
+        'routes': {
+            'columns': columns,
+            'rows': [
+                [{**defaults, **route}.get(name) for name in columns]
+                for route in routes
+            ],
+        },
+        'services': {
+            'columns': ['name', 'maxConns', 'cold', 'coldPerS'],
+            'rows': [['desk', 780, '3s', 7.1], ['guide', 780, '3s', 7.1]],
+        },
+        'limits': {
+            'headerBytes': 16384,
+            'bodyBytes': 67108864,
+            'headerTimeout': '3000ms',
+            'idleTimeout': '15000ms',
+        },
+    }
--- /dev/null
+++ b/tests/standins/users_upstream.py
@@ -0,0 +1,205 @@
+"""Stand-in of an upstream as the users' pages tell of it.
+
+It writes its answers byte by byte, so that tests can have it break the
+protocol. `script` holds what it does with the next requests; without one it
+answers. It runs a request only if the request expects this very instance.
+"""
+
+import asyncio
+import contextlib
+import socket
+import struct
+from collections import deque
+from typing import NamedTuple
+
+SEAL = 'Lycheedyke-Server-Seal: seal-1\r\n'
+
+
+class Arrival(NamedTuple):
+    """A request as the upstream got it."""
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+
+
+class UsersUpstream:
+    """One upstream on a port of loopback.
+
+    Attributes:
+        name: its id; requests that expect another get 421.
+        script: names of what to do with the next requests.
+        run_s: how long a request runs.
+        arrivals: all requests, run or not.
+        ran: the ids of the requests that it began to run.
+        cut: the ids of those whose connection closed while they ran.
+    """
+
+    def __init__(self, name: str) -> None:
+        """Makes an upstream that does not listen yet."""
+        self.name = name
+        self.script: deque[str] = deque()
+        self.run_s = 0.005
+        self.arrivals: list[Arrival] = []
+        self.ran: list[str] = []
+        self.cut: list[str] = []
+        self.address = ''
+        self._server: asyncio.Server | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def open(self, port: int = 0) -> None:
+        """Listens."""
+        self._server = await asyncio.start_server(
+            self._serve, '127.0.0.1', port
+        )
+        host, bound = self._server.sockets[0].getsockname()
+        self.address = f'{host}:{bound}'
+
+    async def close(self) -> None:
+        """Stops listening and drops all connections."""
+        assert self._server is not None
+        self._server.close()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def _serve(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        self._tasks.add(task)
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            while await self._serve_one(reader, writer):
+                continue
+        self._tasks.discard(task)
+        writer.close()
+
+    async def _serve_one(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        head = (await reader.readuntil(b'\r\n\r\n')).decode()
+        lines = head.split('\r\n')
+        method, target, _ = lines[0].split(' ')
+        headers = dict(line.split(': ', 1) for line in lines[1:] if line)
+        act = self.script.popleft() if self.script else 'answer'
+        length = int(headers.get('Content-Length', '0'))
+        if act == 'early':
+            # It answers before it has read the body, and reads on.
+            await self._answer(writer, headers, b'{"ran": "early"}')
+            await reader.readexactly(length)
+            return True
+        body = await reader.readexactly(length) if length else b''
+        if 'chunked' in headers.get('Transfer-Encoding', ''):
+            body = await _read_chunks(reader)
+        self.arrivals.append(Arrival(method, target, headers, body))
+        if headers.get('Lycheedyke-Expect-Instance') != self.name:
+            await self._send(writer, headers, '421 Misdirected', '', b'')
+            return True
+        return await self._act(act, reader, writer, headers)
+
+    async def _act(
+        self,
+        act: str,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        headers: dict[str, str],
+    ) -> bool:
+        if act == 'shed':
+            extra = 'Lycheedyke-Not-Run: 1\r\n'
+            await self._send(writer, headers, '503 Busy', extra, b'')
+            return True
+        self.ran.append(headers['Lycheedyke-Request-Id'])
+        if act == 'silent':
+            await asyncio.Event().wait()
+        if act == 'wait':
+            await self._wait_cut(reader, headers)
+            return False
+        await asyncio.sleep(self.run_s)
+        if act == 'lose':
+            _reset(writer)
+            return False
+        if act == 'fail':
+            await self._send(writer, headers, '500 Failed', SEAL, b'no')
+            return True
+        if act in {'cut', 'open-cut', 'open'}:
+            return await self._break_off(act, writer, headers)
+        if act == 'other':
+            headers = {**headers, 'Lycheedyke-Request-Id': 'another'}
+        await self._answer(writer, headers, b'{"ran": "whole"}')
+        if act == 'extra':
+            await self._answer(writer, headers, b'{"ran": "extra"}')
+        return act != 'close'
+
+    async def _wait_cut(
+        self,
+        reader: asyncio.StreamReader,
+        headers: dict[str, str],
+    ) -> None:
+        if await reader.read(1) == b'':
+            self.cut.append(headers['Lycheedyke-Request-Id'])
+
+    async def _break_off(
+        self,
+        act: str,
+        writer: asyncio.StreamWriter,
+        headers: dict[str, str],
+    ) -> bool:
+        length = '' if act.startswith('open') else 'Content-Length: 90\r\n'
+        writer.write(
+            f'HTTP/1.1 200 OK\r\n{length}{SEAL}Lycheedyke-Request-Id: '
+            f'{headers["Lycheedyke-Request-Id"]}\r\n'
+            f'Connection: close\r\n\r\nhalf'.encode(),
+        )
+        await writer.drain()
+        await asyncio.sleep(0.02)
+        if act != 'open':
+            _reset(writer)
+        return False
+
+    async def _answer(
+        self,
+        writer: asyncio.StreamWriter,
+        headers: dict[str, str],
+        body: bytes,
+    ) -> None:
+        load = 'Lycheedyke-Server-Load: 1,0,3\r\n'
+        await self._send(writer, headers, '200 OK', SEAL + load, body)
+
+    async def _send(
+        self,
+        writer: asyncio.StreamWriter,
+        headers: dict[str, str],
+        status: str,
+        extra: str,
+        body: bytes,
+    ) -> None:
+        request = headers['Lycheedyke-Request-Id']
+        writer.write(
+            f'HTTP/1.1 {status}\r\nContent-Length: {len(body)}\r\n{extra}'
+            f'Lycheedyke-Request-Id: {request}\r\n\r\n'.encode()
+            + body,
+        )
+        await writer.drain()
+
+
+async def _read_chunks(reader: asyncio.StreamReader) -> bytes:
+    body = b''
+    while size := int(await reader.readline(), 16):
+        body += await reader.readexactly(size)
+        await reader.readline()
+    await reader.readline()
+    return body
+
+
+def _reset(writer: asyncio.StreamWriter) -> None:
+    found = writer.get_extra_info('socket')
+    found.setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
+    )
+    writer.transport.abort()
--- /dev/null
+++ b/tests/unit/gateway/test_choice.py
@@ -0,0 +1,184 @@
+"""Where a request is sent: known objects, queues, cold and failing ones."""
+
+from datetime import timedelta
+
+from lycheedyke.protocol import RoutePart
+from lycheedyke.state import (
+    Distances,
+    Fleet,
+    Pick,
+    Place,
+    Request,
+    UpstreamChoice,
+    WarmupPace,
+    WorkTimes,
+    learn,
+)
+from standins.clock import ManualClock
+from standins.records import make_route, make_upstream
+
+REGIONS = {'pnw-a': 'pnw', 'pnw-b': 'pnw', 'nc-a': 'nc', 'nc-b': 'nc'}
+MS = timedelta(milliseconds=1)
+
+
+class _Setting:
+    """A fleet and the choice of one instance in a zone."""
+
+    def __init__(self, zone: str = 'nc-a') -> None:
+        self.clock = ManualClock()
+        self.fleet = Fleet(self.clock)
+        self.times = WorkTimes()
+        self.choice = UpstreamChoice(
+            self.fleet,
+            self.times,
+            Place(zone, REGIONS[zone], REGIONS),
+            Distances(),
+            WarmupPace('edge-1', self.clock),
+            cold_rate=lambda service: 7.1,
+            instances=lambda: 4,
+        )
+
+    def add(self, zone: str, count: int, **changes: object) -> list[str]:
+        """Adds upstreams of a zone; returns their names."""
+        names = [f'{zone}-{at}' for at in range(count)]
+        for name in names:
+            self.fleet.take(make_upstream(name, zone=zone, **changes))
+        return names
+
+    def pick(self, thing: str = 'x') -> Pick:
+        """Returns the pick for a request; there must be one."""
+        pick = self.choice.choose(self.request(thing))
+        assert pick is not None
+        return pick
+
+    def request(self, thing: str) -> Request:
+        """Returns a request for an object."""
+        return Request(make_route('/', RoutePart('desk', 1)), 'desk', thing)
+
+
+def test_requests_for_one_object_meet_at_one_upstream_of_a_zone() -> None:
+    """All instances of a zone choose alike; objects spread over it."""
+    settings = [_Setting() for _ in range(3)]
+    for setting in settings:
+        setting.add('nc-a', 5)
+        setting.add('nc-b', 5)
+    chosen = {
+        thing: {each.pick(thing).state.record.name for each in settings}
+        for thing in map(str, range(40))
+    }
+    assert all(len(names) == 1 for names in chosen.values())
+    assert len(set.union(*chosen.values())) == 5
+
+
+def test_small_zones_of_a_region_form_one_pool() -> None:
+    """One upstream alone would not keep a zone's objects known."""
+    settings = [_Setting('pnw-a'), _Setting('pnw-b')]
+    for setting in settings:
+        setting.add('pnw-a', 1)
+        setting.add('pnw-b', 1)
+    for thing in map(str, range(20)):
+        names = {each.pick(thing).state.record.name for each in settings}
+        assert len(names) == 1
+
+
+def test_a_short_queue_is_better_than_an_upstream_that_knows_nothing() -> None:
+    """A request stays at its upstream until waiting costs too much."""
+    setting = _Setting()
+    setting.add('nc-a', 5)
+    home = setting.pick().state
+    for _ in range(4):
+        home.start('x')
+    assert setting.pick().state is home
+    for _ in range(30):
+        home.start('x')
+    assert setting.pick().state is not home
+
+
+def test_leaving_upstreams_and_cleared_zones_get_nothing() -> None:
+    """No load makes them eligible again."""
+    setting = _Setting()
+    setting.add('nc-a', 2, leaving=True)
+    setting.add('nc-b', 2)
+    setting.fleet.evacuated = frozenset(('nc-b',))
+    assert setting.choice.choose(setting.request('x')) is None
+
+
+def test_homes_of_a_route_bind() -> None:
+    """A route with homes runs there or not at all."""
+    setting = _Setting()
+    setting.add('nc-a', 3)
+    bound = make_route('/', homes=frozenset(('pnw',)))
+    request = Request(bound, 'desk', 'x')
+    assert setting.choice.choose(request) is None
+    setting.add('pnw-b', 1)
+    pick = setting.choice.choose(request)
+    assert pick is not None
+    assert pick.state.record.zone == 'pnw-b'
+
+
+def test_an_upstream_that_fails_is_left_out_and_tried_again() -> None:
+    """Three failures in a row take it out for a while."""
+    setting = _Setting()
+    setting.add('nc-a', 2)
+    first = setting.pick().state
+    for _ in range(3):
+        first.fail()
+    assert setting.pick().state is not first
+    setting.clock.pass_time(5)
+    assert setting.pick().state is first
+
+
+def test_a_lost_upstream_waits_for_its_record() -> None:
+    """Where nothing listened, only the registry says that it lives."""
+    setting = _Setting()
+    setting.add('nc-a', 2)
+    lost = setting.pick().state
+    lost.lose()
+    setting.clock.pass_time(60)
+    assert setting.pick().state is not lost
+    setting.fleet.take(make_upstream(lost.record.name, zone='nc-a', born=2))
+    assert setting.pick().state is lost
+
+
+def test_a_slow_upstream_is_relieved_and_comes_back() -> None:
+    """One that takes several times as long loses its requests."""
+    setting = _Setting()
+    setting.add('nc-a', 4)
+    pick = setting.pick()
+    request = setting.request('x')
+    for _ in range(30):
+        learn(setting.times, request, pick, 80 * MS)
+    for _ in range(40):
+        pick.state.compare(2000 * MS, 80 * MS)
+    assert setting.pick().state is not pick.state
+    setting.clock.pass_time(30)
+    assert setting.pick().state is pick.state
+
+
+def test_known_and_unknown_runs_are_told_apart() -> None:
+    """Means of both kinds follow the samples, whichever comes first."""
+    setting = _Setting()
+    setting.add('nc-a', 1)
+    pick = setting.pick()
+    request = setting.request('x')
+    for at in range(200):
+        took = 240 * MS if at % 4 == 0 else 72 * MS
+        learn(setting.times, request, pick, took)
+    times = setting.times.of(request.route, 'desk')
+    assert abs(times.cold - 240 * MS) < 25 * MS
+    assert abs(times.warm - 72 * MS) < 10 * MS
+
+
+def test_cold_upstream_gets_only_its_turns() -> None:
+    """A cold upstream is chosen in this instance's turns, if at all."""
+    setting = _Setting()
+    setting.add('nc-a', 1, cold=timedelta(seconds=3))
+    request = setting.request('x')
+    sent = 0
+    for _ in range(100):
+        pick = setting.choice.choose(request)
+        if pick is not None:
+            setting.choice.take_turn(pick.state)
+            sent += 1
+        setting.clock.pass_time(0.01)
+    assert sent <= 2
--- /dev/null
+++ b/tests/unit/gateway/test_entry_lists.py
@@ -0,0 +1,54 @@
+"""Callers are spread as the upstreams stand."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from lycheedyke.state import ZoneSupply, list_entries, share_supply
+
+ENTRIES = tuple(f'10.0.0.{at}:80' for at in range(4))
+SLOTS = {'pnw-a': 6, 'pnw-b': 6, 'mt-a': 21, 'mt-b': 21, 'nc-a': 24, 'nc-b': 24}
+
+
+def _supplies(slots: dict[str, int]) -> list[ZoneSupply]:
+    return [
+        ZoneSupply(zone, zone.partition('-')[0], count, ENTRIES)
+        for zone, count in slots.items()
+    ]
+
+
+def test_a_zone_keeps_what_it_carries_and_sends_the_rest_to_one_zone() -> None:
+    """Each zone that learns the objects of others' callers costs."""
+    shares = share_supply(_supplies(SLOTS))
+    assert shares['nc-a'] == {'nc-a': 1}
+    assert shares['pnw-a']['pnw-a'] == pytest.approx(6 / 102 * 6)
+    assert len(shares['pnw-a']) == 2
+    targets = (set(shares['pnw-a']) | set(shares['pnw-b'])) - {
+        'pnw-a',
+        'pnw-b',
+    }
+    assert len(targets) == 2
+
+
+@given(st.lists(st.integers(0, 30), min_size=1, max_size=9))
+def test_shares_of_a_zone_sum_to_all_its_callers(slots: list[int]) -> None:
+    """Nobody is left without an instance where any zone carries."""
+    supplies = _supplies({f'z{at}-a': each for at, each in enumerate(slots)})
+    for shares in share_supply(supplies).values():
+        assert not sum(slots) or sum(shares.values()) == pytest.approx(1)
+
+
+def test_list_follows_the_shares_and_is_the_same_everywhere() -> None:
+    """The part of a zone's addresses is its share, as far as they go."""
+    entries = {zone: tuple(f'{zone}:{at}' for at in range(4)) for zone in SLOTS}
+    shares = {'pnw-a': 0.35, 'nc-a': 0.65}
+    listed = list_entries('pnw-a', shares, entries)
+    own = sum(1 for address in listed if address.startswith('pnw-a'))
+    assert listed == list_entries('pnw-a', shares, entries)
+    assert (own, len(listed)) == (2, 6)
+
+
+def test_all_are_listed_where_no_zone_carries() -> None:
+    """Without upstreams callers still get somebody who answers."""
+    listed = list_entries('a', {}, {'a': ('1:1',), 'b': ('2:1',)})
+    assert sorted(listed) == ['1:1', '2:1']
--- /dev/null
+++ b/tests/unit/gateway/test_replica.py
@@ -0,0 +1,206 @@
+"""The copy of the registry: merging, lapses in an outage, lost history."""
+
+import asyncio
+from datetime import timedelta
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from lycheedyke.coordination import (
+    FollowPauses,
+    RegistryFollower,
+    Replica,
+)
+from lycheedyke.exceptions import HistoryLost, PlatformUnreachable
+from lycheedyke.protocol import (
+    EvacuationRecord,
+    Item,
+    ItemBatch,
+    Record,
+)
+from standins.clock import ManualClock
+from standins.records import make_upstream
+
+REAPPEARANCE = timedelta(seconds=2)
+
+
+class _Log:
+    def __init__(self) -> None:
+        self.lines: list[tuple[str, bool]] = []
+
+    def follow(self, item: Item, before: Record | None) -> None:
+        self.lines.append((item.key, item.record is not None))
+
+
+def _make() -> tuple[Replica, ManualClock, _Log]:
+    clock = ManualClock()
+    log = _Log()
+    return Replica(clock, REAPPEARANCE, log.follow), clock, log
+
+
+def _seen(key: str, revision: int) -> Item:
+    return Item(key, revision, make_upstream(key))
+
+
+@given(st.permutations([_seen('a', 2), Item('a', 3), _seen('a', 5)]))
+def test_copies_merge_to_the_newest_in_any_order(items: list[Item]) -> None:
+    """Late, old and repeated news change nothing."""
+    replica, _, _ = _make()
+    for item in (*items, *items):
+        replica.take(ItemBatch(item.revision, (item,)))
+    assert replica.after(0).items == (_seen('a', 5),)
+
+
+def test_whole_state_removes_what_it_lacks() -> None:
+    """What is gone while history was lost is gone here."""
+    replica, _, log = _make()
+    replica.take(ItemBatch(2, (_seen('a', 1), _seen('b', 2))))
+    replica.take_all(ItemBatch(7, (_seen('b', 2),)))
+    assert log.lines[-1] == ('a', False)
+    assert list(replica.records()) == [make_upstream('b')]
+
+
+def test_whole_state_keeps_what_is_newer_than_it() -> None:
+    """Pages are read over a time in which news arrive."""
+    replica, _, _ = _make()
+    replica.take(ItemBatch(9, (_seen('a', 9),)))
+    replica.take_all(ItemBatch(7, ()))
+    assert len(list(replica.records())) == 1
+
+
+def test_lapsed_in_an_outage_is_kept_then_gone() -> None:
+    """A record has two seconds after the return to be back."""
+    replica, clock, log = _make()
+    replica.take(ItemBatch(1, (_seen('a', 1),)))
+    replica.note_outage()
+    clock.pass_time(1)
+    replica.take(ItemBatch(2, (Item('a', 2),)))
+    replica.drop_lapsed()
+    assert log.lines == [('a', True)]
+    clock.pass_time(1.1)
+    replica.drop_lapsed()
+    assert log.lines[-1] == ('a', False)
+
+
+def test_lapsed_in_an_outage_and_back_never_left() -> None:
+    """An upstream that lives and writes again stays in use throughout."""
+    replica, clock, log = _make()
+    replica.take(ItemBatch(1, (_seen('a', 1),)))
+    replica.note_outage()
+    replica.take(ItemBatch(2, (Item('a', 2),)))
+    clock.pass_time(1.5)
+    replica.take(ItemBatch(3, (_seen('a', 3),)))
+    clock.pass_time(5)
+    replica.drop_lapsed()
+    assert ('a', False) not in log.lines
+
+
+def test_removal_without_an_outage_counts_at_once() -> None:
+    """What leaves while the registry is sound is gone."""
+    replica, _, log = _make()
+    replica.take(ItemBatch(1, (_seen('a', 1),)))
+    replica.take(ItemBatch(2, (Item('a', 2),)))
+    assert log.lines[-1] == ('a', False)
+
+
+def test_operators_words_never_lapse() -> None:
+    """A zone taken back in an outage is taken back at once."""
+    replica, _, log = _make()
+    zone = Item('evacuation/a', 1, EvacuationRecord('a'))
+    replica.take(ItemBatch(1, (zone,)))
+    replica.note_outage()
+    replica.take(ItemBatch(2, (Item('evacuation/a', 2),)))
+    assert log.lines[-1] == ('evacuation/a', False)
+
+
+class _Registry:
+    """Gives scripted answers, then waits for ever."""
+
+    def __init__(self, *answers: ItemBatch | Exception) -> None:
+        self.asked: list[int | None] = []
+        self._answers = list(answers)
+
+    async def read(self) -> ItemBatch:
+        return await self._next(None)
+
+    async def changes(self, after: int, wait: timedelta) -> ItemBatch:
+        return await self._next(after)
+
+    async def _next(self, after: int | None) -> ItemBatch:
+        self.asked.append(after)
+        if not self._answers:
+            await asyncio.Event().wait()
+        answer = self._answers.pop(0)
+        if isinstance(answer, Exception):
+            raise answer
+        return answer
+
+
+async def _follow(registry: _Registry, replica: Replica) -> None:
+    clock = ManualClock()
+
+    async def _ask_peers(after: int) -> list[ItemBatch]:
+        return []
+
+    follower = RegistryFollower(
+        registry,  # type: ignore[arg-type]
+        replica,
+        _ask_peers,
+        clock,
+        FollowPauses(),
+    )
+    task = asyncio.create_task(follower.follow())
+    for _ in range(50):
+        await asyncio.sleep(0)
+    task.cancel()
+
+
+def test_lost_history_leads_to_reading_everything() -> None:
+    """After history is lost the whole state is read, then changes again."""
+    replica, _, _ = _make()
+    registry = _Registry(
+        ItemBatch(4, (_seen('a', 3),)),
+        HistoryLost('gone'),
+        ItemBatch(9, ()),
+    )
+    asyncio.run(_follow(registry, replica))
+    assert registry.asked == [None, 4, None, 9]
+    assert not list(replica.records())
+
+
+def test_failed_calls_are_made_again() -> None:
+    """An outage at the start delays the first reading only."""
+    replica, _, _ = _make()
+    registry = _Registry(
+        PlatformUnreachable('down'),
+        ItemBatch(4, (_seen('a', 3),)),
+    )
+    asyncio.run(_follow(registry, replica))
+    assert registry.asked == [None, None, 4]
+
+
+def test_peers_are_asked_once_the_registry_is_silent() -> None:
+    """An instance that is turned away learns from others."""
+
+    async def _run() -> Replica:
+        clock = ManualClock()
+        log = _Log()
+        replica = Replica(clock, REAPPEARANCE, log.follow)
+
+        async def _ask_peers(after: int) -> list[ItemBatch]:
+            await asyncio.sleep(0)
+            return [ItemBatch(5, (_seen('a', 5),))]
+
+        follower = RegistryFollower(
+            _Registry(),  # type: ignore[arg-type]
+            replica,
+            _ask_peers,
+            clock,
+        )
+        task = asyncio.create_task(follower.follow_peers())
+        for _ in range(30):
+            await asyncio.sleep(0)
+        task.cancel()
+        return replica
+
+    assert asyncio.run(_run()).revision == 5
--- /dev/null
+++ b/tests/unit/gateway/test_requests.py
@@ -0,0 +1,219 @@
+"""Requests through one gateway: whole answers, true refusals, repeats."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+import pytest
+
+from standins.users_platform import Reply, UsersPlatform
+
+Scene = Callable[[UsersPlatform], Awaitable[None]]
+
+
+def _play(folder: Path, scene: Scene, **parts: int) -> None:
+    async def _run() -> None:
+        async with UsersPlatform(folder, **parts) as platform:
+            await scene(platform)
+
+    asyncio.run(asyncio.wait_for(_run(), 30))
+
+
+def _script(platform: UsersPlatform, *acts: str) -> None:
+    for upstream in platform.upstreams:
+        upstream.script.extend(acts)
+
+
+def test_a_request_passes_unchanged_and_its_answer_too(tmp_path: Path) -> None:
+    """Method, path, query, body, cookie and id reach the upstream as sent."""
+
+    async def _scene(platform: UsersPlatform) -> None:
+        reply = await platform.send(
+            '/order/a%20b?x=%2f&y', method='POST', body=b'cup 7'
+        )
+        (arrival,) = [each for up in platform.upstreams for each in up.arrivals]
+        assert (reply.status, reply.body) == (200, b'{"ran": "whole"}')
+        assert reply.headers['Lycheedyke-Server-Seal'] == 'seal-1'
+        assert reply.headers['Lycheedyke-Request-Id'] == 'r-1'
+        assert arrival.method == 'POST'
+        assert arrival.target == '/order/a%20b?x=%2f&y'
+        assert arrival.body == b'cup 7'
+        assert arrival.headers['Host'] == 'shop.example'
+        assert arrival.headers['Cookie'] == 'Lycheedyke-Affinity-Key=17'
+        # The route's timeout is shorter than the caller's deadline.
+        assert 700 < int(arrival.headers['Lycheedyke-Deadline-Ms']) <= 800
+
+    _play(tmp_path, _scene)
+
+
+def test_a_chunked_body_arrives_whole(tmp_path: Path) -> None:
+    """A body without a length is passed on whole."""
+
+    async def _chunks() -> object:
+        for _ in range(50):
+            yield b'x' * 1000
+
+    async def _scene(platform: UsersPlatform) -> None:
+        reply = await platform.send('/order/1', method='POST', body=_chunks())
+        (arrival,) = [each for up in platform.upstreams for each in up.arrivals]
+        assert reply.status == 200
+        assert len(arrival.body) == 50_000
+
+    _play(tmp_path, _scene)
+
+
+def test_what_no_route_names_is_not_found(tmp_path: Path) -> None:
+    """Unknown paths get 404 and reach no upstream."""
+
+    async def _scene(platform: UsersPlatform) -> None:
+        assert (await platform.send('/other/1')).status == 404
+        assert not platform.arrivals()
+
+    _play(tmp_path, _scene)
+
+
+@pytest.mark.parametrize('act', ['lose', 'cut', 'open-cut', 'other', 'fail'])
+def test_a_broken_answer_is_repeated_for_reads_only(
+    tmp_path: Path,
+    act: str,
+) -> None:
+    """A read is sent to a second upstream, an order never."""
+
+    async def _scene(platform: UsersPlatform) -> None:
+        _script(platform, act)
+        # Whichever upstream comes second answers.
+        second = await _send_to_second(platform)
+        assert (second.status, second.body) == (200, b'{"ran": "whole"}')
+        for upstream in platform.upstreams:
+            upstream.script.clear()
+        _script(platform, act)
+        before = len(platform.ran())
+        order = await platform.send('/order/1', method='POST', body=b'x')
+        assert len(platform.ran()) == before + 1
+        assert order.status == (500 if act == 'fail' else 502)
+        assert 'Retry-After' not in order.headers
+
+    _play(tmp_path, _scene)
+
+
+async def _send_to_second(platform: UsersPlatform) -> Reply:
+    first, second = platform.upstreams
+    first_script = list(first.script)
+    # Only the one that is asked first misbehaves.
+    second.script.clear()
+    reply = await platform.send('/read/1')
+    if not first.arrivals:
+        second.script.extend(first_script)
+        first.script.clear()
+        second.arrivals.clear()
+        reply = await platform.send('/read/1')
+    return reply
+
+
+def test_shed_orders_may_go_to_another_upstream(tmp_path: Path) -> None:
+    """An upstream that says "not run" allows a second one."""
+
+    async def _scene(platform: UsersPlatform) -> None:
+        _script(platform, 'shed')
+        order = await platform.send('/order/1', method='POST', body=b'x')
+        assert order.status == 503
+        assert 0 < float(order.headers['Retry-After']) < 3
+        assert 'Lycheedyke-Server-Seal' not in order.headers
+        assert not platform.ran()
+        order = await platform.send('/order/1', method='POST', body=b'x')
+        assert order.status == 200
+        assert platform.arrivals() == 3
+
+    _play(tmp_path, _scene)
+
+
+def test_an_address_used_again_runs_nothing(tmp_path: Path) -> None:
+    """Another instance at the address answers 421 and is not asked again."""
+
+    async def _scene(platform: UsersPlatform) -> None:
+        for upstream in platform.upstreams:
+            upstream.name = f'{upstream.name}-next'
+        for _ in range(5):
+            assert (await platform.send('/read/1')).status == 503
+        assert not platform.ran()
+        assert platform.arrivals() <= 4
+
+    _play(tmp_path, _scene)
+
+
+def test_bytes_after_an_answer_reach_nobody(tmp_path: Path) -> None:
+    """An extra answer is not taken for that of the next request."""
+
+    async def _scene(platform: UsersPlatform) -> None:
+        _script(platform, 'extra', 'answer', 'extra')
+        for _ in range(6):
+            reply = await platform.send('/read/1')
+            assert reply.status == 200
+            assert reply.body == b'{"ran": "whole"}'
+
+    _play(tmp_path, _scene)
+
+
+def test_an_answer_without_a_length_ends_with_its_connection(
+    tmp_path: Path,
+) -> None:
+    """It counts if the connection was closed, and only then."""
+
+    async def _scene(platform: UsersPlatform) -> None:
+        _script(platform, 'open')
+        reply = await platform.send('/order/1', method='POST', body=b'x')
+        assert (reply.status, reply.body) == (200, b'half')
+        for upstream in platform.upstreams:
+            upstream.script.clear()
+        _script(platform, 'open-cut')
+        reply = await platform.send('/order/1', method='POST', body=b'x')
+        assert reply.status == 502
+
+    _play(tmp_path, _scene)
+
+
+def test_a_connection_answered_early_is_not_used_again(
+    tmp_path: Path,
+) -> None:
+    """The rest of a body never stands where the next request is due."""
+
+    async def _scene(platform: UsersPlatform) -> None:
+        _script(platform, 'early')
+        body = b'x' * 3_000_000
+        await platform.send('/read/1', method='PUT', body=body)
+        for _ in range(3):
+            reply = await platform.send('/read/1')
+            assert reply.body == b'{"ran": "whole"}'
+
+    _play(tmp_path, _scene, upstreams=1)
+
+
+def test_a_silent_upstream_costs_no_more_than_the_timeout(
+    tmp_path: Path,
+) -> None:
+    """The caller hears within half a second of the route's timeout."""
+
+    async def _scene(platform: UsersPlatform) -> None:
+        _script(platform, 'silent')
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        reply = await platform.send(
+            '/order/1', method='POST', body=b'x', deadline_ms=5000
+        )
+        assert reply.status == 504
+        assert 0.7 < loop.time() - started < 1.3
+
+    _play(tmp_path, _scene)
+
+
+def test_work_of_a_caller_that_left_is_cancelled(tmp_path: Path) -> None:
+    """The upstream sees the connection close within half a second."""
+
+    async def _scene(platform: UsersPlatform) -> None:
+        _script(platform, 'wait')
+        with pytest.raises(TimeoutError):
+            await asyncio.wait_for(platform.send('/read/1'), 0.2)
+        await asyncio.sleep(0.4)
+        assert [name for up in platform.upstreams for name in up.cut]
+
+    _play(tmp_path, _scene)
