Let in what ends within its goal, and refuse the rest at once

Change: an object stays at its home; a request is let in where its wait fits into the goal, the less urgent to shorter queues; refusals name a spread time to come back; slow upstreams lose their objects for a while.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_callers.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_callers.py
@@ -15,7 +15,13 @@
     Route,
     Unknown,
 )
-from lycheedyke.state import MemoryBudget, Request, SplitTurns
+from lycheedyke.state import (
+    MemoryBudget,
+    Request,
+    RouteTable,
+    SplitTurns,
+    patience,
+)
 from lycheedyke_daemon.bodies import BodyReader, BodyRefused
 from lycheedyke_daemon.gateway._beliefs import Beliefs
 from lycheedyke_daemon.gateway._decisions import Instruments
@@ -43,6 +49,7 @@
     """A request as it came, before its body is read."""
 
     http: web.Request
+    table: RouteTable
     route: Route
     service: str
     started: timedelta
@@ -121,6 +128,7 @@
             return NotRun(Reason.bad_request)
         return _Arrival(
             http,
+            table,
             route,
             self._turns.choose(route),
             started,
@@ -129,9 +137,8 @@
 
     async def _run(self, arrival: _Arrival) -> Outcome:
         http = arrival.http
-        table = self._beliefs.table
-        largest = table.limits.body_bytes if table else 0
-        bodies = BodyReader(self._memory, largest)
+        table = arrival.table
+        bodies = BodyReader(self._memory, table.limits.body_bytes)
         left = arrival.deadline - arrival.started
         try:
             async with bodies.read(http, left) as body:
@@ -140,6 +147,7 @@
                     arrival.route,
                     arrival.service,
                     self._read_thing(arrival),
+                    patience(table.rank(arrival.route, arrival.service)),
                 )
                 return await self._router.run(request, work)
         except BodyRefused as refused:
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_router.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_router.py
@@ -18,7 +18,9 @@
     Request,
     UpstreamChoice,
     WorkTimes,
+    has_room,
     learn,
+    time_to_return,
 )
 from lycheedyke_daemon.crashes import CrashGuard
 from lycheedyke_daemon.gateway._decisions import Instruments
@@ -29,13 +31,32 @@
 MILLISECOND = timedelta(milliseconds=1)
 # Sends that never reached an upstream are not attempts; this bounds them.
 MOST_SENDS = 4
-LEAST_RETRY_AFTER = timedelta(milliseconds=100)
-MOST_RETRY_AFTER = timedelta(seconds=2)
 # Nothing was sent, so the upstream got no attempt.
 _NOT_SENT = frozenset((Reason.upstream_unreachable, Reason.quarantined))
 _FINAL = frozenset((Reason.deadline_passed, Reason.quarantined))
 
 
+class _Story:
+    """What has become of a request so far."""
+
+    def __init__(self, started: timedelta) -> None:
+        self.started = started
+        self.tried: set[str] = set()
+        self.attempts = 0
+        self.outcome: Outcome | None = None
+
+    def add(self, upstream: str, outcome: Outcome) -> None:
+        """Takes in the outcome at one upstream.
+
+        Only if all say so, the request has not run.
+        """
+        self.tried.add(upstream)
+        if not _is_not_sent(outcome):
+            self.attempts += 1
+        if not isinstance(outcome, NotRun) or self.outcome is None:
+            self.outcome = outcome
+
+
 class GatewayRouter:
     """Runs work at the upstream where it is expected to end first.
 
@@ -85,38 +106,52 @@
             work: what is sent; its deadline covers the route's timeout.
         """
         self._budgets[request.service].add_request()
-        outcome: Outcome | None = None
-        tried: set[str] = set()
-        attempts = 0
-        while attempts < request.route.attempts and len(tried) < MOST_SENDS:
-            pick = self._pick(request, work, tried)
-            if pick is None:
+        story = _Story(self._clock.elapsed())
+        while pick := self._next(request, work, story):
+            outcome = await self._attempt(request, pick, work)
+            story.add(pick.state.record.name, outcome)
+            if not _may_repeat(work, outcome):
                 break
-            found = await self._attempt(request, pick, work)
-            tried.add(pick.state.record.name)
-            attempts += _is_sent(found)
-            outcome = _combine(outcome, found)
-            if not _may_repeat(work, found):
-                break
-        return outcome or self._refuse(request)
+        if story.outcome is None or isinstance(story.outcome, NotRun):
+            return self._refuse(request, story.outcome)
+        return story.outcome
 
-    def _pick(
+    def _next(
         self,
         request: Request,
         work: Work,
-        tried: set[str],
+        story: _Story,
     ) -> Pick | None:
-        """Returns where to send next; None if that is not worth it."""
-        pick = self._choice.choose(request, tried)
-        if pick is None or not self._ends_in_time(pick, work):
+        """Returns where to send next; None if it is sent no more."""
+        is_used_up = story.attempts >= request.route.attempts
+        if is_used_up or len(story.tried) >= MOST_SENDS:
+            return None
+        pick = self._choice.choose(request, story.tried)
+        if pick is None:
+            return None
+        if not self._is_let_in(request, pick, work, story.started):
+            return None
+        if story.tried and not self._may_repeat_now(request):
             return None
-        if not tried:
-            return pick
+        return pick
+
+    def _is_let_in(
+        self,
+        request: Request,
+        pick: Pick,
+        work: Work,
+        started: timedelta,
+    ) -> bool:
+        now = self._clock.elapsed()
+        ends_in_time = now + pick.expected < work.deadline
+        return ends_in_time and has_room(request, pick, now - started)
+
+    def _may_repeat_now(self, request: Request) -> bool:
         if self._budgets[request.service].take(self._instances()):
             self._counters.count('repeat')
-            return pick
+            return True
         self._counters.count('repeat.no-budget')
-        return None
+        return False
 
     async def _attempt(
         self,
@@ -165,28 +200,17 @@
             time_left_ms=(work.deadline - self._clock.elapsed()) // MILLISECOND,
         )
 
-    def _ends_in_time(self, pick: Pick, work: Work) -> bool:
-        return self._clock.elapsed() + pick.expected < work.deadline
-
-    def _refuse(self, request: Request) -> NotRun:
+    def _refuse(self, request: Request, outcome: NotRun | None) -> NotRun:
+        """Returns the refusal, with a time at which there may be room."""
         pick = self._choice.choose(request)
-        if pick is None:
-            return NotRun(Reason.no_upstream, MOST_RETRY_AFTER / 4)
-        wait = min(MOST_RETRY_AFTER, max(LEAST_RETRY_AFTER, pick.expected))
-        return NotRun(Reason.no_room, wait)
-
+        reason = Reason.no_upstream if pick is None else Reason.no_room
+        if outcome is not None:
+            reason = outcome.reason
+        return NotRun(reason, time_to_return(request, pick))
 
-def _is_sent(outcome: Outcome) -> bool:
-    return not (isinstance(outcome, NotRun) and outcome.reason in _NOT_SENT)
 
-
-def _combine(before: Outcome | None, outcome: Outcome) -> Outcome:
-    """Returns what may be said after both: "not run" only if both say so."""
-    if before is None or isinstance(before, NotRun):
-        return outcome
-    if isinstance(outcome, NotRun):
-        return before
-    return outcome
+def _is_not_sent(outcome: Outcome) -> bool:
+    return isinstance(outcome, NotRun) and outcome.reason in _NOT_SENT
 
 
 def _may_repeat(work: Work, outcome: Outcome) -> bool:
--- a/packages/lycheedyke/src/lycheedyke/state/__init__.py
+++ b/packages/lycheedyke/src/lycheedyke/state/__init__.py
@@ -11,7 +11,6 @@
 from lycheedyke.state._choice import (
     Distances,
     Pick,
-    Place,
     Request,
     UpstreamChoice,
     learn,
@@ -47,8 +46,10 @@
 from lycheedyke.state._outages import keep_in_use
 from lycheedyke.state._pace import Pace
 from lycheedyke.state._plans import Plan, make_plan
+from lycheedyke.state._pools import Place, Pools
 from lycheedyke.state._references import find_reference_faults
 from lycheedyke.state._repeats import RepeatBudget, RepeatTerms
+from lycheedyke.state._room import has_room, patience, time_to_return
 from lycheedyke.state._routes import RouteTable, SplitTurns
 from lycheedyke.state._shares import (
     ShiftShares,
@@ -65,6 +66,10 @@
     'Fleet',
     'Pick',
     'Place',
+    'Pools',
+    'has_room',
+    'patience',
+    'time_to_return',
     'RepeatBudget',
     'RepeatTerms',
     'Request',
--- a/packages/lycheedyke/src/lycheedyke/state/_choice.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_choice.py
@@ -1,36 +1,29 @@
 """Chooses the upstream at which a request is expected to end first.
 
 Answers the pattern of a service whose upstreams run known objects several
-times faster: requests for one object meet at one upstream of each zone, and
-leave it only when waiting there costs more than running cold elsewhere.
+times faster: requests for one object meet at one upstream of each pool, and
+go elsewhere only where that one can't have them.
 """
 
-from collections import Counter
-from collections.abc import Callable, Collection, Mapping, Sequence
+from collections.abc import Callable, Collection, Mapping
 from datetime import timedelta
 from typing import NamedTuple
 
-import xxhash
-
 from lycheedyke.protocol import Route
 from lycheedyke.state._fleet import Fleet, UpstreamState
+from lycheedyke.state._pools import Place, Pools, point
 from lycheedyke.state._warmup import WarmupPace, turn_period
 from lycheedyke.state._worktimes import WorkTimes
 
 ZERO = timedelta()
-_NONE = (-1, '')
 # Cold upstreams work at about half speed.
 COLD_FACTOR = 2
-# How likely an upstream knows an object: where the requests of the own pool
-# meet, where this instance sent it lately, where the requests of another pool
-# meet, and anywhere else.
+# How likely an upstream knows an object: at its home in the own pool, where
+# this instance sent it lately, at its home in another pool, and elsewhere.
 KNOWN_AT_HOME = 1
 KNOWN_LATELY = 0.9
 KNOWN_AT_FAR_HOME = 0.5
 KNOWN_ELSEWHERE = 0.1
-# Fewer upstreams can't keep the objects of a zone's callers known; the zones
-# of a region that have fewer form one pool.
-LEAST_POOL = 3
 # A run without the object takes slots from others for so much of the time
 # by which it is longer.
 CROWDING = 0.5
@@ -52,32 +45,31 @@
     region_charge: timedelta = timedelta(milliseconds=40)
 
 
-class Place(NamedTuple):
-    """A zone, its region, and the regions of all zones."""
-
-    zone: str
-    region: str
-    regions: Mapping[str, str]
-
-
 class Pick(NamedTuple):
     """An upstream, and what is expected there.
 
     Attributes:
         state: the upstream.
-        expected: the time until the answer is here.
+        wait: the time until it has a free slot.
+        run: the time that it then needs.
+        trip: the round trip.
         known: how likely the object is known there.
-        trip: the part of `expected` that is the round trip.
         load: the requests that it was taken to hold.
-        crowding: what a long run costs the requests of others.
+        is_home: whether requests for the object meet there.
     """
 
     state: UpstreamState
-    expected: timedelta
-    known: float
+    wait: timedelta
+    run: timedelta
     trip: timedelta
+    known: float
     load: float
-    crowding: timedelta = ZERO
+    is_home: bool
+
+    @property
+    def expected(self) -> timedelta:
+        """The time until the answer is here."""
+        return self.wait + self.run + self.trip
 
     @property
     def waits(self) -> bool:
@@ -86,11 +78,19 @@
 
 
 class Request(NamedTuple):
-    """What the choice needs to know of a request."""
+    """What the choice needs to know of a request.
+
+    Attributes:
+        route: its route.
+        service: the part of the route that runs it.
+        thing: the object that it concerns, or ''.
+        patience: the share of its spare time that it may wait for a slot.
+    """
 
     route: Route
     service: str
     thing: str
+    patience: float = 1
 
 
 class UpstreamChoice:
@@ -122,6 +122,7 @@
         self._fleet = fleet
         self._times = times
         self._place = place
+        self._pools = Pools(place.regions)
         self._distances = distances
         self._pace = pace
         self._cold_rate = cold_rate
@@ -138,6 +139,10 @@
     ) -> Pick | None:
         """Returns the best upstream, or None if there is none.
 
+        An upstream that is no home of the object gets it only if there is no
+        home: it would take the place of several known ones, and what is
+        known of its load is old.
+
         Args:
             request: what is to run.
             passed_over: names of upstreams that are not to be chosen.
@@ -146,19 +151,22 @@
             state
             for state in self._fleet.usable(request.service)
             if state.record.name not in passed_over
-            and self._is_home(request.route, state)
+            and self._may_run(request.route, state)
         ]
         homes: Mapping[str, str] = {}
         if request.thing:
-            homes = self._homes(request.thing, candidates)
+            homes = self._pools.homes(request.thing, candidates)
         picks = [
             self._judge(request, state, homes)
             for state in candidates
             if self._may_send(state)
         ]
-        if not picks:
-            return None
-        return min(picks, key=lambda pick: self._cost(request, pick))
+        fitting = [pick for pick in picks if pick.is_home]
+        return min(
+            fitting or picks,
+            key=lambda pick: self._cost(request, pick),
+            default=None,
+        )
 
     def take_turn(self, state: UpstreamState) -> None:
         """Uses the turn at an upstream, if it is cold."""
@@ -175,7 +183,7 @@
         rate = self._cold_rate(state.record.service)
         return turn_period(self._instances(), rate)
 
-    def _is_home(self, route: Route, state: UpstreamState) -> bool:
+    def _may_run(self, route: Route, state: UpstreamState) -> bool:
         if not route.homes:
             return True
         return self._place.regions.get(state.record.zone, '') in route.homes
@@ -186,32 +194,32 @@
         state: UpstreamState,
         homes: Mapping[str, str],
     ) -> Pick:
+        record = state.record
         own = self._times.of(request.route, request.service)
         known = self._known(request, state, homes)
         run = own.cold - (own.cold - own.warm) * known
         if state.is_cold:
             run *= COLD_FACTOR
-        run *= state.slowness
         load = state.load
-        trip = self._trip(state.record.zone)
         return Pick(
             state,
-            self._wait(request, state, load) + run + trip,
+            self._wait(request.service, state, load),
+            run * state.slowness,
+            self._trip(record.zone),
             known,
-            trip,
             load,
-            (run - own.warm) * CROWDING if request.thing else ZERO,
+            not homes or record.name == homes.get(self._place.zone),
         )
 
     def _wait(
         self,
-        request: Request,
+        service: str,
         state: UpstreamState,
         load: float,
     ) -> timedelta:
         slots = state.record.slots
         ahead = max(0, load - slots + 1)
-        mean = self._times.of_service(request.service)
+        mean = self._times.of_service(service)
         return ahead / slots * mean * state.slowness
 
     def _known(
@@ -223,38 +231,13 @@
         if not request.thing:
             return 0
         record = state.record
-        is_home = homes.get(record.zone) == record.name
-        if is_home and homes.get(self._place.zone) == record.name:
+        if homes.get(self._place.zone) == record.name:
             return KNOWN_AT_HOME
         if state.is_warm(request.thing):
             return KNOWN_LATELY
-        return KNOWN_AT_FAR_HOME if is_home else KNOWN_ELSEWHERE
-
-    def _homes(
-        self,
-        thing: str,
-        states: Sequence[UpstreamState],
-    ) -> dict[str, str]:
-        """Returns where requests for an object meet, by zone.
-
-        The zones of a pool name the same upstream.
-        """
-        sizes = Counter(state.record.zone for state in states)
-        best: dict[str, tuple[int, str]] = {}
-        for state in states:
-            name = state.record.name
-            pool = self._pool(state.record.zone, sizes)
-            best[pool] = max((_point(thing, name), name), best.get(pool, _NONE))
-        return {
-            zone: best[pool][1]
-            for zone in self._place.regions
-            if (pool := self._pool(zone, sizes)) in best
-        }
-
-    def _pool(self, zone: str, sizes: Mapping[str, int]) -> str:
-        if sizes.get(zone, 0) >= LEAST_POOL:
-            return zone
-        return self._place.regions.get(zone, zone)
+        if homes.get(record.zone) == record.name:
+            return KNOWN_AT_FAR_HOME
+        return KNOWN_ELSEWHERE
 
     def _trip(self, zone: str) -> timedelta:
         if zone == self._place.zone:
@@ -270,8 +253,11 @@
             charge = self._distances.region_charge
         elif zone != self._place.zone:
             charge = self._distances.zone_charge
-        rank = _point(request.thing, pick.state.record.name)
-        return pick.expected + pick.crowding + charge, -rank
+        if request.thing:
+            own = self._times.of(request.route, request.service)
+            charge += (pick.run - own.warm) * CROWDING
+        rank = point(request.thing, pick.state.record.name)
+        return pick.expected + charge, -rank
 
 
 def learn(
@@ -295,7 +281,3 @@
     was_known = own.learn(run)
     pick.state.compare(run, own.warm if was_known else own.cold)
     times.learn_service(request.service, run)
-
-
-def _point(thing: str, upstream: str) -> int:
-    return xxhash.xxh64_intdigest(f'{thing} {upstream}'.encode())
--- a/packages/lycheedyke/src/lycheedyke/state/_fleet.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_fleet.py
@@ -11,11 +11,13 @@
 # An upstream of the users keeps some dozens of objects warm.
 MOST_WARM_OBJECTS = 32
 # How long a reported load says something about the present one.
-LOAD_LIFE = timedelta(milliseconds=300)
+LOAD_LIFE = timedelta(seconds=1)
 FAILURES_BEFORE_OUT = 3
 # The share of a new sample in the comparison with other upstreams.
 COMPARED_WEIGHT = 0.15
 MOST_SLOWNESS = 20.0
+# One that takes so many times as long as others is left out for a while.
+SLOW = 2.5
 # How long the comparison holds while no request runs there.
 SLOWNESS_LIFE = timedelta(seconds=3)
 OUT_LEAST = timedelta(milliseconds=500)
@@ -229,10 +231,14 @@
     def usable(self, service: str) -> list[UpstreamState]:
         """Returns the upstreams of a service that may get new work.
 
-        Those that fail are left out as long as others are there.
+        Those that fail or are slow are left out as long as others are there.
         """
         serving = self.serving(service)
-        sound = [state for state in serving if not state.is_out]
+        sound = [
+            state
+            for state in serving
+            if not state.is_out and state.slowness < SLOW
+        ]
         return sound or serving
 
     def serving(self, service: str) -> list[UpstreamState]:
--- /dev/null
+++ b/packages/lycheedyke/src/lycheedyke/state/_room.py
@@ -0,0 +1,58 @@
+"""Whether a request that must wait can still be useful when it ends.
+
+Answers the pattern of a peak above what the upstreams carry: what is let in
+ends within its goal, and the rest hears at once, while there is time to come
+back. Less urgent requests are let in to shorter queues, so that more urgent
+ones of the same service find room.
+"""
+
+import random
+from datetime import timedelta
+
+from lycheedyke.state._choice import Pick, Request
+
+ZERO = timedelta()
+# The share of its spare time that a request may wait, by how many more
+# urgent ranks its service has.
+PATIENCE = (1.0, 0.6, 0.4)
+LEAST_RETRY_AFTER = timedelta(milliseconds=100)
+MOST_RETRY_AFTER = timedelta(seconds=2)
+# Spreads the return of those that were refused together.
+RETRY_SPREAD = (0.75, 1.75)
+
+
+def has_room(request: Request, pick: Pick, waited: timedelta) -> bool:
+    """Whether a request is let in where it would be sent.
+
+    Where a slot is free it is let in, however late it ends: it takes the
+    place of no other.
+
+    Args:
+        request: the request.
+        pick: where it would be sent.
+        waited: the time since it came.
+    """
+    if not pick.waits:
+        return True
+    spare = request.route.goal - waited - pick.run - pick.trip
+    return pick.wait <= spare * request.patience
+
+
+def time_to_return(request: Request, pick: Pick | None) -> timedelta:
+    """Returns when a refused request is likely to find room.
+
+    Args:
+        request: the request.
+        pick: where it would have been sent, if anywhere.
+    """
+    wait = LEAST_RETRY_AFTER
+    if pick is not None:
+        spare = request.route.goal - pick.run - pick.trip
+        wait = max(wait, pick.wait - max(ZERO, spare * request.patience))
+    spread = random.uniform(*RETRY_SPREAD)
+    return min(MOST_RETRY_AFTER, wait * spread)
+
+
+def patience(rank: int) -> float:
+    """Returns the patience of requests with so many more urgent ranks."""
+    return PATIENCE[min(rank, len(PATIENCE) - 1)]
--- a/packages/lycheedyke/src/lycheedyke/state/_routes.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_routes.py
@@ -20,6 +20,7 @@
         self.services = {terms.name: terms for terms in record.services}
         self.routes = record.routes
         self._by_host = _by_host(record.routes)
+        self._priorities = _priorities(record.routes)
 
     def __repr__(self) -> str:
         """Returns the number of the configuration and of routes."""
@@ -43,6 +44,11 @@
             end = path.rfind('/', 0, end)
         return None
 
+    def rank(self, route: Route, service: str) -> int:
+        """Returns how many more urgent priorities a service serves."""
+        priorities = self._priorities.get(service, ())
+        return sum(1 for each in priorities if each < route.priority)
+
     def services_of(self, host: str) -> frozenset[str]:
         """Returns the services to which the routes of a host lead."""
         return frozenset(
@@ -101,3 +107,11 @@
     for route in routes:
         found[route.host][route.prefix] = route
     return dict(found)
+
+
+def _priorities(routes: Iterable[Route]) -> dict[str, frozenset[int]]:
+    found: defaultdict[str, set[int]] = defaultdict(set)
+    for route in routes:
+        for part in route.parts:
+            found[part.service].add(route.priority)
+    return {service: frozenset(each) for service, each in found.items()}
