Ask the registry once for each zone, and the watcher for the rest

Ruled out: fewer questions of each (a leaving upstream must be left in 2.5 s). Change: the watcher of a zone asks the registry; others ask it over the peer port and go to the registry themselves where its news are older than 1.2 s. Life of an instance tested without the bench: versions, malformed records, leaving, evacuation, outage with lapses, lost history, look-ups, planned stop.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
@@ -103,7 +103,7 @@
         )
         suspects = Suspects(clock)
         self._news = PeerNews(
-            own.name,
+            own,
             self._beliefs.entries.values,
             self._replica,
             suspects,
@@ -112,9 +112,10 @@
         self._follower = RegistryFollower(
             deployment.registry,
             self._replica,
-            self._news.ask,
+            self._news,
             clock,
         )
+        self._news.age = lambda: self._follower.age
         self._presence = Presence(deployment.registry, own, clock)
         self._beliefs.on_entry_gone = self._note_entry_gone
         self._exchange = UpstreamExchange(deployment.headers, clock)
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_news.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_news.py
@@ -8,9 +8,9 @@
 import msgspec
 from aiohttp import web
 
-from lycheedyke.coordination import Replica
+from lycheedyke.coordination import Replica, watchers_of
 from lycheedyke.exceptions import TransportError
-from lycheedyke.protocol import EntryRecord, ItemBatch
+from lycheedyke.protocol import EntryRecord, News
 from lycheedyke.state import Counters, Suspect, Suspects
 from lycheedyke.transport import HttpClient
 
@@ -19,8 +19,9 @@
 ASK_LIMIT = timedelta(milliseconds=500)
 REPORT_LIMIT = timedelta(milliseconds=300)
 PEERS_ASKED = 3
+MILLISECOND = timedelta(milliseconds=1)
 MAX_NEWS_BYTES = 8_388_608
-_BATCH = msgspec.msgpack.Decoder(ItemBatch)
+_NEWS = msgspec.msgpack.Decoder(News)
 _SUSPECTS = msgspec.msgpack.Decoder(tuple[Suspect, ...])
 
 
@@ -28,7 +29,7 @@
     """Asks peers for news, and answers theirs.
 
     Args:
-        own: the name of this instance.
+        own: this instance.
         peers: returns the entry instances.
         replica: what is known here.
         suspects: the requests that may crash upstreams.
@@ -37,13 +38,14 @@
 
     def __init__(
         self,
-        own: str,
+        own: EntryRecord,
         peers: Callable[[], Iterable[EntryRecord]],
         replica: Replica,
         suspects: Suspects,
         counters: Counters,
     ) -> None:
         """Makes a client without connections."""
+        self.age: Callable[[], timedelta] = timedelta
         self._own = own
         self._peers = peers
         self._replica = replica
@@ -53,20 +55,29 @@
 
     def __repr__(self) -> str:
         """Returns the instance's name."""
-        return f'<PeerNews of {self._own}>'
+        return f'<PeerNews of {self._own.name}>'
 
     async def close(self) -> None:
         """Closes the connections."""
         await self._http.close()
 
-    async def ask(self, after: int) -> list[ItemBatch]:
-        """Returns what some peers know after a revision."""
+    async def ask_watcher(self, after: int) -> News | None:
+        """Returns the news of the zone's watcher, unless it is this one."""
+        own = self._own
+        zone = [peer for peer in self._peers() if peer.zone == own.zone]
+        watchers = watchers_of(zone, 1)
+        if not watchers or watchers[0].name == own.name:
+            return None
+        return await self._ask_one(watchers[0], after)
+
+    async def ask_some(self, after: int) -> list[News]:
+        """Returns the news of some instances of any zone."""
         others = self._others()
         asked = random.sample(others, min(PEERS_ASKED, len(others)))
         found = await asyncio.gather(
             *(self._ask_one(peer, after) for peer in asked),
         )
-        return [batch for batch in found if batch is not None]
+        return [news for news in found if news is not None]
 
     async def report(self) -> None:
         """Tells all peers of the suspects."""
@@ -87,8 +98,8 @@
             after = int(request.query.get('after', '0'))
         except ValueError:
             raise web.HTTPBadRequest(text='after is a revision') from None
-        batch = self._replica.after(after)
-        return web.Response(body=msgspec.msgpack.encode(batch))
+        news = News(self.age() // MILLISECOND, self._replica.after(after))
+        return web.Response(body=msgspec.msgpack.encode(news))
 
     async def _take_report(self, request: web.Request) -> web.Response:
         try:
@@ -98,20 +109,20 @@
         return web.Response()
 
     def _others(self) -> list[EntryRecord]:
-        return [peer for peer in self._peers() if peer.name != self._own]
+        return [peer for peer in self._peers() if peer.name != self._own.name]
 
     async def _ask_one(
         self,
         peer: EntryRecord,
         after: int,
-    ) -> ItemBatch | None:
+    ) -> News | None:
         try:
             answer = await self._http.send(
                 'GET',
                 f'http://{peer.peer_address}{NEWS_PATH}?after={after}',
                 timeout=ASK_LIMIT,
             )
-            return _BATCH.decode(answer.body)
+            return _NEWS.decode(answer.body)
         except (TransportError, msgspec.MsgspecError):
             self._counters.count('news.not-heard')
             return None
--- a/packages/lycheedyke/src/lycheedyke/coordination/__init__.py
+++ b/packages/lycheedyke/src/lycheedyke/coordination/__init__.py
@@ -16,6 +16,7 @@
 from lycheedyke.coordination._presence import Presence
 from lycheedyke.coordination._registry_follower import (
     FollowPauses,
+    Peers,
     RegistryFollower,
 )
 from lycheedyke.coordination._replica import Replica
@@ -34,6 +35,7 @@
     'Owners',
     'Peer',
     'FollowPauses',
+    'Peers',
     'Planner',
     'Presence',
     'RegistryFollower',
--- a/packages/lycheedyke/src/lycheedyke/coordination/_registry_follower.py
+++ b/packages/lycheedyke/src/lycheedyke/coordination/_registry_follower.py
@@ -1,23 +1,40 @@
-"""Keeps the replica up to date: from the registry, or else from peers."""
+"""Keeps the replica up to date: from the registry, or else from peers.
+
+One instance of each zone, the watcher, asks the registry; the others ask the
+watcher, and the registry themselves where the watcher has no fresh news. An
+instance without any news asks peers of all zones.
+"""
 
 import logging
 import random
-from collections.abc import Awaitable, Callable
 from datetime import timedelta
-from typing import NamedTuple
+from typing import NamedTuple, Protocol
 
 from lycheedyke.clock import Clock
 from lycheedyke.coordination._replica import Replica
 from lycheedyke.exceptions import (
     HistoryLost,
-    LycheedykeError,
     PlatformError,
 )
-from lycheedyke.protocol import ItemBatch, Registry
+from lycheedyke.protocol import News, Registry
 
 _logger = logging.getLogger(__name__)
 
-AskPeers = Callable[[int], Awaitable[list[ItemBatch]]]
+MILLISECOND = timedelta(milliseconds=1)
+
+
+class Peers(Protocol):
+    """The other entry instances, as sources of news."""
+
+    async def ask_watcher(self, after: int) -> News | None:
+        """Returns the news of the zone's watcher.
+
+        Returns:
+            None if this instance is the watcher, or the watcher is silent.
+        """
+
+    async def ask_some(self, after: int) -> list[News]:
+        """Returns the news of some instances of any zone."""
 
 
 class FollowPauses(NamedTuple):
@@ -47,7 +64,7 @@
     Args:
         registry: the registry.
         replica: the copy to keep up to date.
-        ask_peers: returns what live peers know after a revision.
+        peers: the other entry instances.
         clock: the time.
         pauses: how often to ask.
     """
@@ -56,53 +73,71 @@
         self,
         registry: Registry,
         replica: Replica,
-        ask_peers: AskPeers,
+        peers: Peers,
         clock: Clock,
         pauses: FollowPauses = DEFAULT_PAUSES,
     ) -> None:
         """Makes a follower that has read nothing."""
-        self.is_in_touch = False
         self._registry = registry
         self._replica = replica
-        self._ask_peers = ask_peers
+        self._peers = peers
         self._clock = clock
         self._pauses = pauses
         self._heard = clock.elapsed()
         self._is_read = False
         self._failed_since: timedelta | None = None
 
+    @property
+    def age(self) -> timedelta:
+        """How long ago the registry told what is known here."""
+        return self._clock.elapsed() - self._heard
+
     def __repr__(self) -> str:
         """Returns the replica."""
         return f'<RegistryFollower of {self._replica!r}>'
 
     async def follow(self) -> None:
-        """Follows the registry until cancelled."""
+        """Follows the registry, or the watcher, until cancelled."""
         while True:
-            try:
-                await self._ask()
-            except PlatformError as error:
-                self._note_failure(error)
+            pause = self._pauses.poll * random.uniform(0.9, 1.1)
+            if not await self._hear_watcher() and not await self._hear():
                 pause = self._pauses.retry * random.uniform(0.5, 1.5)
-            else:
-                self._note_answer()
-                pause = self._pauses.poll * random.uniform(0.9, 1.1)
             await self._clock.sleep(pause)
 
     async def follow_peers(self) -> None:
-        """Asks peers while the registry is silent, until cancelled."""
-        pause = self._pauses.retry
+        """Asks peers while there is no news, until cancelled."""
         while True:
-            await self._clock.sleep(pause)
+            await self._clock.sleep(self._pauses.retry)
             self._replica.drop_lapsed()
-            if self._clock.elapsed() - self._heard < self._pauses.silence:
-                continue
-            try:
-                batches = await self._ask_peers(self._replica.revision)
-            except LycheedykeError as error:
-                _logger.debug('peers have no news: %s', error)
+            if self._is_fresh(self._heard):
                 continue
-            for batch in batches:
-                self._replica.take(batch)
+            for news in await self._peers.ask_some(self._replica.revision):
+                self._take(news)
+
+    async def _hear_watcher(self) -> bool:
+        news = await self._peers.ask_watcher(self._replica.revision)
+        return news is not None and self._take(news)
+
+    async def _hear(self) -> bool:
+        """Asks the registry; returns whether it answered."""
+        try:
+            await self._ask()
+        except PlatformError as error:
+            self._note_failure(error)
+            return False
+        self._note_answer()
+        return True
+
+    def _take(self, news: News) -> bool:
+        """Takes in a peer's news; returns whether they are fresh."""
+        told = self._clock.elapsed() - news.age_ms * MILLISECOND
+        self._replica.take(news.batch)
+        self._heard = max(self._heard, told)
+        self._is_read = self._is_read or self._replica.revision > 0
+        return self._is_fresh(told)
+
+    def _is_fresh(self, told: timedelta) -> bool:
+        return self._clock.elapsed() - told < self._pauses.silence
 
     async def _ask(self) -> None:
         if not self._is_read:
@@ -127,7 +162,6 @@
     def _note_answer(self) -> None:
         now = self._clock.elapsed()
         self._heard = now
-        self.is_in_touch = True
         if self._failed_since is None:
             return
         away = now - self._failed_since
@@ -142,6 +176,5 @@
         self._replica.note_outage()
         if self._failed_since is not None:
             return
-        self.is_in_touch = False
         self._failed_since = self._clock.elapsed()
         _logger.warning('registry lost: %s', error)
--- a/packages/lycheedyke/src/lycheedyke/coordination/_watchers.py
+++ b/packages/lycheedyke/src/lycheedyke/coordination/_watchers.py
@@ -2,18 +2,24 @@
 
 import heapq
 from collections.abc import Iterable
+from typing import TypeVar
 
 import xxhash
 
-from lycheedyke.protocol import InstanceInfo
+from lycheedyke.protocol import EntryRecord, InstanceInfo
 
 WATCHERS_PER_ZONE = 2
 
+_Instance = TypeVar('_Instance', InstanceInfo, EntryRecord)
 
-def watchers_of(instances: Iterable[InstanceInfo]) -> list[InstanceInfo]:
+
+def watchers_of(
+    instances: Iterable[_Instance],
+    count: int = WATCHERS_PER_ZONE,
+) -> list[_Instance]:
     """Returns the watchers among a zone's live instances, by rendezvous."""
-    return heapq.nlargest(WATCHERS_PER_ZONE, instances, key=_weigh)
+    return heapq.nlargest(count, instances, key=_weigh)
 
 
-def _weigh(info: InstanceInfo) -> int:
+def _weigh(info: InstanceInfo | EntryRecord) -> int:
     return xxhash.xxh3_64_intdigest(f'watch {info.name}'.encode())
--- a/packages/lycheedyke/src/lycheedyke/protocol/_registry.py
+++ b/packages/lycheedyke/src/lycheedyke/protocol/_registry.py
@@ -167,6 +167,18 @@
     items: tuple[Item, ...]
 
 
+class News(msgspec.Struct, frozen=True, array_like=True):
+    """What a peer knows.
+
+    Attributes:
+        age_ms: how long ago the registry told it, in milliseconds.
+        batch: the items that changed after the revision asked for.
+    """
+
+    age_ms: int
+    batch: ItemBatch
+
+
 class Announcement(NamedTuple):
     """The proof that an instance announced itself, for its renewal."""
 
--- /dev/null
+++ b/tests/unit/gateway/test_life.py
@@ -0,0 +1,272 @@
+"""Records come and go while a gateway serves; it starts and stops."""
+
+import asyncio
+import json
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+from lycheedyke.exceptions import ConnectionNotMade
+from standins.users_platform import ROUTES, UsersPlatform
+from standins.users_store import config_value
+
+Scene = Callable[[UsersPlatform], Awaitable[None]]
+# From a write in the store to its effect, the users allow 2.5 s.
+APPLY_SECONDS = 2.0
+
+
+def _play(folder: Path, scene: Scene, **parts: int) -> None:
+    async def _run() -> None:
+        async with UsersPlatform(folder, **parts) as platform:
+            await scene(platform)
+
+    asyncio.run(asyncio.wait_for(_run(), 40))
+
+
+async def _until(
+    check: Callable[[], Awaitable[bool]],
+    seconds: float = APPLY_SECONDS,
+) -> bool:
+    loop = asyncio.get_running_loop()
+    end = loop.time() + seconds
+    while loop.time() < end:
+        if await check():
+            return True
+        await asyncio.sleep(0.05)
+    return False
+
+
+def test_a_version_is_in_force_at_all_instances(tmp_path: Path) -> None:
+    """Added routes work, dropped ones are gone, within the bound."""
+
+    async def _scene(platform: UsersPlatform) -> None:
+        added = {'name': 'new', 'prefix': '/new/', 'service': 'desk'}
+        value = config_value(0x2F, [ROUTES[1], added])
+        platform.store.put('op/config', value)
+
+        async def _is_in_force() -> bool:
+            replies = [
+                await platform.send(path, instance=at)
+                for at in range(3)
+                for path in ('/new/1', '/read/1')
+            ]
+            return [each.status for each in replies] == [200, 404] * 3
+
+        assert await _until(_is_in_force)
+
+    _play(tmp_path, _scene, instances=3)
+
+
+def test_an_unreadable_configuration_leaves_the_last_in_force(
+    tmp_path: Path,
+) -> None:
+    """Bytes that hold no configuration change nothing."""
+
+    async def _scene(platform: UsersPlatform) -> None:
+        platform.store.put('op/config', b'{"version": "000000')
+        await asyncio.sleep(1.2)
+        assert (await platform.send('/read/1')).status == 200
+
+    _play(tmp_path, _scene)
+
+
+def test_malformed_records_name_no_upstream(tmp_path: Path) -> None:
+    """The other records hold."""
+
+    async def _scene(platform: UsersPlatform) -> None:
+        good = platform.upstreams[0].address
+        for at, value in enumerate(
+            (
+                b'\xff\xfe',
+                {'service': 'desk'},
+                {'service': 'desk', 'addr': good, 'state': 'odd'},
+            )
+        ):
+            platform.store.put(f'servers/bad-{at}', value)
+        platform.store.put('other/key', {'a': 1})
+        await asyncio.sleep(1.2)
+        for thing in '123456':
+            assert (await platform.send('/read/1', thing=thing)).status == 200
+        assert len(platform.ran()) == platform.arrivals() == 6
+
+    _play(tmp_path, _scene)
+
+
+def test_a_leaving_upstream_gets_nothing_new(tmp_path: Path) -> None:
+    """It is left within the bound, and what runs there ends."""
+
+    async def _scene(platform: UsersPlatform) -> None:
+        leaver, stayer = platform.upstreams
+        platform.register(leaver, state='draining')
+        await asyncio.sleep(APPLY_SECONDS)
+        before = len(leaver.arrivals)
+        for thing in map(str, range(20)):
+            assert (await platform.send('/read/1', thing=thing)).status == 200
+        assert len(leaver.arrivals) == before
+        assert len(stayer.arrivals) >= 20
+
+    _play(tmp_path, _scene)
+
+
+def test_an_evacuated_zone_gets_nothing_until_it_is_taken_back(
+    tmp_path: Path,
+) -> None:
+    """The operator's word binds for all upstreams of the zone."""
+
+    async def _scene(platform: UsersPlatform) -> None:
+        here, there = platform.upstreams
+        platform.register(there, zone='nc-a')
+        platform.store.put('op/evacuate/pnw-a', {})
+        await asyncio.sleep(APPLY_SECONDS)
+        before = len(here.arrivals)
+        for thing in map(str, range(10)):
+            assert (await platform.send('/read/1', thing=thing)).status == 200
+        assert len(here.arrivals) == before
+        platform.store.remove('op/evacuate/pnw-a')
+
+        async def _is_back() -> bool:
+            await platform.send('/read/1')
+            return len(here.arrivals) > before
+
+        assert await _until(_is_back)
+
+    _play(tmp_path, _scene)
+
+
+def test_requests_are_served_while_the_store_is_away(tmp_path: Path) -> None:
+    """Records that lapse meanwhile hold until the store is back."""
+
+    async def _scene(platform: UsersPlatform) -> None:
+        platform.store.down = True
+        await asyncio.sleep(1.5)
+        for upstream in platform.upstreams:
+            platform.store.remove(f'servers/{upstream.name}')
+        assert (await platform.send('/read/1')).status == 200
+        platform.store.down = False
+        await asyncio.sleep(1)
+        assert (await platform.send('/read/1')).status == 200
+        platform.register(platform.upstreams[0])
+        await asyncio.sleep(2.5)
+        before = len(platform.upstreams[1].arrivals)
+        for thing in map(str, range(10)):
+            assert (await platform.send('/read/1', thing=thing)).status == 200
+        assert len(platform.upstreams[1].arrivals) == before
+
+    _play(tmp_path, _scene)
+
+
+def test_lost_history_is_read_anew(tmp_path: Path) -> None:
+    """What changed in the gap counts."""
+
+    async def _scene(platform: UsersPlatform) -> None:
+        platform.store.forget_before = platform.store.remove(
+            f'servers/{platform.upstreams[0].name}'
+        )
+        await asyncio.sleep(APPLY_SECONDS)
+        before = len(platform.upstreams[0].arrivals)
+        for thing in map(str, range(10)):
+            assert (await platform.send('/read/1', thing=thing)).status == 200
+        assert len(platform.upstreams[0].arrivals) == before
+
+    _play(tmp_path, _scene)
+
+
+def test_look_ups_name_all_instances_and_drop_the_stopped(
+    tmp_path: Path,
+) -> None:
+    """An instance that stops is not named any more."""
+
+    async def _scene(platform: UsersPlatform) -> None:
+        addresses = {each.caller_address for each in platform.settings}
+        asked = platform.settings[0].lookup_address
+
+        async def _look_up() -> set[str]:
+            reply = await platform.get(
+                asked, '/lookup?name=shop.example&region=pnw&zone=pnw-a'
+            )
+            answer = json.loads(reply.body)
+            assert answer['ttl'] == '2s'
+            return set(answer['addrs'])
+
+        async def _is_whole() -> bool:
+            return await _look_up() == addresses
+
+        assert await _until(_is_whole)
+        stopped = platform.instances.pop()
+        stopping = asyncio.create_task(stopped.stop())
+
+        async def _is_dropped() -> bool:
+            gone = platform.settings[-1].caller_address
+            return gone not in await _look_up()
+
+        assert await _until(_is_dropped)
+        await stopping
+
+    _play(tmp_path, _scene, instances=3)
+
+
+def test_a_planned_stop_cuts_no_request(tmp_path: Path) -> None:
+    """It is not ready at once, and still answers what it has read."""
+
+    async def _scene(platform: UsersPlatform) -> None:
+        for upstream in platform.upstreams:
+            upstream.run_s = 0.6
+        running = asyncio.create_task(platform.send('/read/1'))
+        await asyncio.sleep(0.2)
+        ready = platform.settings[0].ready_address
+        assert (await platform.get(ready, '/ready')).status == 200
+        stopping = asyncio.create_task(platform.instances.pop().stop())
+        await asyncio.sleep(0.1)
+        assert (await platform.get(ready, '/ready')).status == 503
+        late = await platform.send('/read/2')
+        assert late.status == 200
+        assert late.headers['Connection'] == 'close'
+        assert (await running).status == 200
+        await stopping
+
+    _play(tmp_path, _scene)
+
+
+def test_an_instance_without_a_configuration_refuses(tmp_path: Path) -> None:
+    """It says "not run" and when to come back, never "not found"."""
+
+    async def _scene(platform: UsersPlatform) -> None:
+        instance = platform.instances[0]
+        table = instance._beliefs.table
+        instance._beliefs.table = None
+        reply = await platform.send('/read/1')
+        instance._beliefs.table = table
+        assert reply.status == 503
+        assert float(reply.headers['Retry-After']) > 0
+
+    _play(tmp_path, _scene)
+
+
+def test_instances_turned_away_by_the_store_learn_from_peers(
+    tmp_path: Path,
+) -> None:
+    """A version reaches an instance that the store does not serve."""
+
+    async def _scene(platform: UsersPlatform) -> None:
+        blind = platform.instances[1]
+        await asyncio.sleep(1)
+
+        async def _fail(*args: object, **options: object) -> None:
+            raise ConnectionNotMade('cut off')
+
+        registry = blind._deployment.registry
+        registry._http.send = _fail  # type: ignore[attr-defined]
+        blind._news.ask_watcher = _no_news  # type: ignore[method-assign]
+        added = {'name': 'new', 'prefix': '/new/', 'service': 'desk'}
+        value = config_value(0x2F, [*ROUTES, added])
+        platform.store.put('op/config', value)
+
+        async def _is_known() -> bool:
+            return (await platform.send('/new/1', instance=1)).status == 200
+
+        assert await _until(_is_known, 4)
+
+    _play(tmp_path, _scene, instances=2)
+
+
+async def _no_news(after: int) -> None:
+    return None
--- a/tests/unit/gateway/test_replica.py
+++ b/tests/unit/gateway/test_replica.py
@@ -6,16 +6,13 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from lycheedyke.coordination import (
-    FollowPauses,
-    RegistryFollower,
-    Replica,
-)
+from lycheedyke.coordination import RegistryFollower, Replica
 from lycheedyke.exceptions import HistoryLost, PlatformUnreachable
 from lycheedyke.protocol import (
     EvacuationRecord,
     Item,
     ItemBatch,
+    News,
     Record,
 )
 from standins.clock import ManualClock
@@ -136,20 +133,43 @@
         return answer
 
 
-async def _follow(registry: _Registry, replica: Replica) -> None:
-    clock = ManualClock()
+class _Peers:
+    """Tells scripted news."""
+
+    def __init__(
+        self,
+        watcher: News | None = None,
+        some: News | None = None,
+    ) -> None:
+        self.asked = 0
+        self._watcher = watcher
+        self._some = some
+
+    async def ask_watcher(self, after: int) -> News | None:
+        self.asked += 1
+        await asyncio.sleep(0)
+        return self._watcher
+
+    async def ask_some(self, after: int) -> list[News]:
+        await asyncio.sleep(0)
+        return [self._some] if self._some else []
 
-    async def _ask_peers(after: int) -> list[ItemBatch]:
-        return []
 
+async def _follow(
+    registry: _Registry,
+    replica: Replica,
+    peers: _Peers | None = None,
+    *,
+    cut_off: bool = False,
+) -> None:
     follower = RegistryFollower(
         registry,  # type: ignore[arg-type]
         replica,
-        _ask_peers,
-        clock,
-        FollowPauses(),
+        peers or _Peers(),
+        ManualClock(),
     )
-    task = asyncio.create_task(follower.follow())
+    way = follower.follow_peers if cut_off else follower.follow
+    task = asyncio.create_task(way())
     for _ in range(50):
         await asyncio.sleep(0)
     task.cancel()
@@ -181,26 +201,27 @@
 
 def test_peers_are_asked_once_the_registry_is_silent() -> None:
     """An instance that is turned away learns from others."""
+    replica, _, _ = _make()
+    peers = _Peers(some=News(100, ItemBatch(5, (_seen('a', 5),))))
+    asyncio.run(_follow(_Registry(), replica, peers, cut_off=True))
+    assert replica.revision == 5
+
+
+def test_fresh_news_of_the_watcher_spare_the_registry() -> None:
+    """Calls grow with the zones, not with the instances."""
+    replica, _, _ = _make()
+    registry = _Registry()
+    peers = _Peers(watcher=News(300, ItemBatch(5, (_seen('a', 5),))))
+    asyncio.run(_follow(registry, replica, peers))
+    assert replica.revision == 5
+    assert not registry.asked
+    assert peers.asked > 3
+
 
-    async def _run() -> Replica:
-        clock = ManualClock()
-        log = _Log()
-        replica = Replica(clock, REAPPEARANCE, log.follow)
-
-        async def _ask_peers(after: int) -> list[ItemBatch]:
-            await asyncio.sleep(0)
-            return [ItemBatch(5, (_seen('a', 5),))]
-
-        follower = RegistryFollower(
-            _Registry(),  # type: ignore[arg-type]
-            replica,
-            _ask_peers,
-            clock,
-        )
-        task = asyncio.create_task(follower.follow_peers())
-        for _ in range(30):
-            await asyncio.sleep(0)
-        task.cancel()
-        return replica
-
-    assert asyncio.run(_run()).revision == 5
+def test_old_news_of_the_watcher_do_not() -> None:
+    """A watcher that is turned away blinds nobody."""
+    replica, _, _ = _make()
+    registry = _Registry(ItemBatch(7, (_seen('a', 7),)))
+    peers = _Peers(watcher=News(9000, ItemBatch(5, (_seen('a', 5),))))
+    asyncio.run(_follow(registry, replica, peers))
+    assert replica.revision == 7
