Write logs off the request path, and tell a request's story

Cause: a reader of the logs that stops reading would have stopped the process at its next line, and a failed request could be followed only by hand. Change: a bounded writer thread drops and counts what does not fit, lines go to standard output; upstreams out, lost and back leave a line; lycheedykectl story puts together what many processes told of an id. Before: 5,000 lines into a full pipe never returned. After: under a second, the dropped are told (tests/unit/test_log_writer.py, test_stories.py).

--- a/packages/lycheedyke-ctl/src/lycheedyke_ctl/main.py
+++ b/packages/lycheedyke-ctl/src/lycheedyke_ctl/main.py
@@ -10,7 +10,7 @@
 import defopt
 
 from lycheedyke.exceptions import LycheedykeError, SettingsInvalid
-from lycheedyke_ctl import commands, tickets
+from lycheedyke_ctl import commands, stories, tickets
 from lycheedyke_ctl.server import AnswerLost, NoServerAnswered, ServerRefused
 
 EXIT_REFUSED = 1
@@ -39,6 +39,7 @@
             'clear': commands.clear_suspects,
         },
         'counters': commands.counters,
+        'story': stories.story,
     },
 )
 
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/__init__.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/__init__.py
@@ -1,5 +1,6 @@
 """An entry instance that follows a registry and sends to upstreams itself."""
 
+from lycheedyke_daemon.gateway._decisions import DecisionLog
 from lycheedyke_daemon.gateway._directory import LookupForm
 from lycheedyke_daemon.gateway._exchange import HeaderNames
 from lycheedyke_daemon.gateway._instance import Deployment, GatewayInstance
@@ -10,6 +11,7 @@
 )
 
 __all__ = (
+    'DecisionLog',
     'Deployment',
     'GatewayInstance',
     'GatewaySettings',
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_main.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_main.py
@@ -51,7 +51,7 @@
     except SettingsInvalid as error:
         sys.stderr.write(f'{error}\n')
         return EXIT_BAD_SETTINGS
-    start_logs(settings.name, settings.zone, settings.log_level)
+    writer = start_logs(settings.name, settings.zone, settings.log_level)
     instance = GatewayInstance(settings, deploy(settings), SystemClock())
     with aiomisc.entrypoint(
         GatewayService(instance=instance),
@@ -60,4 +60,5 @@
         shutdown_timeout=STOP_TIMEOUT_SECONDS,
     ) as loop:
         loop.run_forever()
+    writer.close()
     return 0
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/logs.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/logs.py
@@ -2,11 +2,14 @@
 
 import json
 import logging
+import sys
 from datetime import UTC, datetime
 
 from absl import flags
 from absl import logging as absl_logging
 
+from lycheedyke_daemon.log_writer import BoundedWriter
+
 # What every record has; all else was given as an extra field.
 _PLAIN_FIELDS = frozenset(logging.makeLogRecord({}).__dict__) | {
     'asctime',
@@ -48,11 +51,18 @@
         return json.dumps(event, default=repr)
 
 
-def start_logs(instance: str, zone: str, level: str) -> None:
-    """Sends all logs of the process to standard error as JSON lines."""
+def start_logs(instance: str, zone: str, level: str) -> BoundedWriter:
+    """Sends all logs of the process to standard output as JSON lines.
+
+    Returns:
+        The writer, to be closed at the end.
+    """
     # Parsed flags, even none, keep absl from printing a warning line.
     flags.FLAGS(['lycheedyked'])
     absl_logging.use_absl_handler()
     absl_logging.set_verbosity(level)
     handler = absl_logging.get_absl_handler()
     handler.setFormatter(JsonFormatter(instance, zone))
+    writer = BoundedWriter(sys.stdout)
+    handler.python_handler.setStream(writer)
+    return writer
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/main.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/main.py
@@ -49,7 +49,7 @@
     if check:
         sys.stdout.write(f'{describe(settings)}\n')
         return 0
-    start_logs(settings.name, settings.zone, settings.log_level)
+    writer = start_logs(settings.name, settings.zone, settings.log_level)
     instance = Instance(settings, secrets, SystemClock())
     with aiomisc.entrypoint(
         InstanceService(instance=instance),
@@ -58,6 +58,7 @@
         shutdown_timeout=STOP_TIMEOUT_SECONDS,
     ) as loop:
         loop.run_forever()
+    writer.close()
     return 0
 
 
--- a/packages/lycheedyke/src/lycheedyke/state/_fleet.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_fleet.py
@@ -1,5 +1,6 @@
 """The upstreams that records tell of, and what is known of each."""
 
+import logging
 import math
 from collections import OrderedDict
 from collections.abc import Iterator
@@ -8,6 +9,8 @@
 from lycheedyke.clock import Clock
 from lycheedyke.protocol import UpstreamRecord
 
+_logger = logging.getLogger(__name__)
+
 # An upstream of the users keeps some dozens of objects warm.
 MOST_WARM_OBJECTS = 32
 # How long a reported load says something about the present one.
@@ -134,6 +137,8 @@
 
     def succeed(self) -> None:
         """Takes in a whole answer."""
+        if self._out_until is not None:
+            self._tell('upstream back')
         self._failures = 0
         self._outages = 0
         self._out_until = None
@@ -151,6 +156,8 @@
         It gets no work until a record tells that it lives, and whether it
         is cold.
         """
+        if not self._needs_record:
+            self._tell('upstream lost')
         self._needs_record = True
 
     def _take_out(self) -> None:
@@ -160,6 +167,17 @@
         pause = min(OUT_MOST, OUT_LEAST * 2**self._outages)
         self._outages = min(self._outages + 1, 8)
         self._out_until = now + pause
+        self._tell('upstream out', pause_ms=pause // MILLISECOND)
+
+    def _tell(self, event: str, **fields: object) -> None:
+        extra = {
+            'upstream': self.record.name,
+            'service': self.record.service,
+            'in_flight': self.in_flight,
+            'failures': self._failures,
+            **fields,
+        }
+        _logger.info(event, extra=extra)
 
     def _forget(self) -> None:
         self._warm.clear()
