Read changed settings, end silent connections, bound what is remembered

Cause: SIGHUP ended the process (its default action); a connection that goes silent held its requests to their timeout; traces of removed records and run times of dropped routes grew for ever; header lines over 8 KB were refused though the users allow 16. Ruled out: restarting on each change (callers would lose an instance). Change: the settings file is read anew on SIGHUP or when its content changes, faults leave the old ones in force; keep-alive probes and a bound on unacknowledged data on every connection that we make; a connection to an upstream may take 500 ms, and one that can't be made takes it out at once. Before: exit by SIGHUP, seen in the new test. After: test_platform, test_replica green.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_beliefs.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_beliefs.py
@@ -35,6 +35,7 @@
         self.table: RouteTable | None = None
         self.entries: dict[str, EntryRecord] = {}
         self.on_entry_gone: Callable[[str], None] | None = None
+        self.on_routes: Callable[[frozenset[str]], None] | None = None
         self.in_force = asyncio.Event()
         self._fleet = fleet
         self._clock = clock
@@ -86,6 +87,8 @@
             return
         self.table = RouteTable(routing)
         self.in_force.set()
+        if self.on_routes is not None:
+            self.on_routes(frozenset(route.name for route in routing.routes))
         _logger.info(
             'configuration in force',
             extra={
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_exchange.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_exchange.py
@@ -26,6 +26,8 @@
 HTTP_FAILURES = 500
 # Upstreams of the users close idle connections after ten seconds.
 UPSTREAM_IDLE_LIMIT = timedelta(seconds=5)
+# Several round trips between regions.
+CONNECT_LIMIT = timedelta(milliseconds=500)
 MAX_ANSWER_BYTES = 67_108_864
 LOAD_PARTS = 3
 
@@ -65,6 +67,7 @@
         self._http = HttpClient(
             max_body_bytes=MAX_ANSWER_BYTES,
             idle_limit=UPSTREAM_IDLE_LIMIT,
+            connect_limit=CONNECT_LIMIT,
             may_end_open=True,
         )
 
@@ -118,7 +121,7 @@
         if isinstance(error, ConnectionRefusedByHost):
             state.lose()
         else:
-            state.fail()
+            state.fail(is_unreachable=True)
 
     def _read(
         self,
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
@@ -37,6 +37,7 @@
 )
 from lycheedyke_daemon.gateway._exchange import HeaderNames, UpstreamExchange
 from lycheedyke_daemon.gateway._news import PeerNews
+from lycheedyke_daemon.gateway._reload import SettingsFile
 from lycheedyke_daemon.gateway._router import GatewayRouter
 from lycheedyke_daemon.gateway._settings import GatewaySettings
 from lycheedyke_daemon.servers import HttpServers
@@ -50,6 +51,7 @@
 # Leaves room to close before the platform kills the process.
 FINISHING_SHARE = 0.9
 POLL_SECONDS = 0.05
+_CHANGEABLE = frozenset(('stop_grace', 'log_level'))
 
 _logger = logging.getLogger(__name__)
 
@@ -89,6 +91,7 @@
         self._clock = clock
         self._tasks: list[asyncio.Task[None]] = []
         self._stopping_since: timedelta | None = None
+        self._settings_file: SettingsFile | None = None
         self._counters = Counters()
         self._servers = HttpServers(self._counters)
         self._gate = CallerGate()
@@ -138,6 +141,9 @@
             asyncio.create_task(self._follower.follow_peers()),
             asyncio.create_task(self._announce()),
         ]
+        if self._settings_file is not None:
+            following = self._settings_file.follow(self._apply, self._clock)
+            self._tasks.append(asyncio.create_task(following))
         await self._servers.open(self._peer_app(), settings.peer_address)
         await self._servers.open(self._lookup_app(), settings.lookup_address)
         await self._servers.open(self._ready_app(), settings.ready_address)
@@ -145,6 +151,10 @@
         await self._servers.open(self._caller_app(), settings.caller_address)
         _logger.info('started', extra={'settings': settings._asdict()})
 
+    def follow_settings(self, settings_file: SettingsFile) -> None:
+        """Takes in changes of the settings file from the start on."""
+        self._settings_file = settings_file
+
     async def wait_ready(self) -> None:
         """Waits until a configuration is in force."""
         await self._beliefs.in_force.wait()
@@ -173,6 +183,23 @@
             await asyncio.sleep(POLL_SECONDS)
             passed = self._clock.elapsed() - started
 
+    def _apply(
+        self, settings: GatewaySettings, changed: frozenset[str]
+    ) -> None:
+        """Takes in what can change while it runs; the rest at a restart."""
+        self._settings = settings._replace(
+            **{
+                name: getattr(self._settings, name)
+                for name in changed - _CHANGEABLE
+            },
+        )
+        logging.getLogger().setLevel(settings.log_level.upper())
+        if changed - _CHANGEABLE:
+            _logger.warning(
+                'settings take effect at the next start',
+                extra={'names': sorted(changed - _CHANGEABLE)},
+            )
+
     def _is_closing(self) -> bool:
         if self._stopping_since is None:
             return False
@@ -190,6 +217,7 @@
     def _caller_app(self) -> web.Application:
         settings = self._settings
         times = WorkTimes()
+        self._beliefs.on_routes = times.keep
         instruments = self._make_instruments()
         choice = UpstreamChoice(
             self._fleet,
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_main.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_main.py
@@ -9,6 +9,7 @@
 from lycheedyke.clock import SystemClock
 from lycheedyke.exceptions import SettingsInvalid
 from lycheedyke_daemon.gateway._instance import Deployment, GatewayInstance
+from lycheedyke_daemon.gateway._reload import SettingsFile
 from lycheedyke_daemon.gateway._settings import (
     GatewaySettings,
     read_gateway_settings,
@@ -53,6 +54,7 @@
         return EXIT_BAD_SETTINGS
     writer = start_logs(settings.name, settings.zone, settings.log_level)
     instance = GatewayInstance(settings, deploy(settings), SystemClock())
+    instance.follow_settings(SettingsFile(config, settings))
     with aiomisc.entrypoint(
         GatewayService(instance=instance),
         log_config=False,
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/servers.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/servers.py
@@ -6,6 +6,7 @@
 from aiohttp.http_exceptions import HttpProcessingError
 
 from lycheedyke.state import Counters
+from lycheedyke.transport import MAX_HEAD_BYTES
 
 MALFORMED_COUNTER = 'http.malformed'
 
@@ -38,6 +39,8 @@
             handle_signals=False,
             handler_cancellation=True,
             auto_decompress=False,
+            max_line_size=MAX_HEAD_BYTES,
+            max_field_size=MAX_HEAD_BYTES,
             logger=_logger,
         )
         await runner.setup()
--- a/packages/lycheedyke/src/lycheedyke/coordination/_replica.py
+++ b/packages/lycheedyke/src/lycheedyke/coordination/_replica.py
@@ -16,6 +16,9 @@
     UpstreamRecord,
 )
 
+# Traces of removed items that are kept, so that peers learn of the removal.
+MOST_TRACES = 2_048
+
 Follow = Callable[[Item, Record | None], None]
 
 
@@ -63,6 +66,7 @@
         """
         count = sum(self._take(item) for item in batch.items)
         self.revision = max(self.revision, batch.revision)
+        self._drop_traces()
         return count
 
     def take_all(self, batch: ItemBatch) -> None:
@@ -122,6 +126,24 @@
         self._follow(item, record)
         return True
 
+    def _drop_traces(self) -> None:
+        """Forgets the older half of the traces once there are too many."""
+        traces = sorted(
+            item.revision
+            for key, item in self._items.items()
+            if item.record is None and key not in self._lapsed
+        )
+        if len(traces) <= MOST_TRACES:
+            return
+        oldest = traces[len(traces) // 2]
+        self._items = {
+            key: item
+            for key, item in self._items.items()
+            if item.record is not None
+            or item.revision >= oldest
+            or key in self._lapsed
+        }
+
     def _is_kept(self, record: Record | None) -> bool:
         if not isinstance(record, UpstreamRecord | EntryRecord):
             return False
--- a/packages/lycheedyke/src/lycheedyke/state/_fleet.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_fleet.py
@@ -143,10 +143,14 @@
         self._outages = 0
         self._out_until = None
 
-    def fail(self) -> None:
-        """Takes in a broken exchange, or a failure of the upstream."""
+    def fail(self, *, is_unreachable: bool = False) -> None:
+        """Takes in a broken exchange, or a failure of the upstream.
+
+        Args:
+            is_unreachable: whether no connection could be made at all.
+        """
         self._failures += 1
-        was_out = self._out_until is not None
+        was_out = self._out_until is not None or is_unreachable
         if was_out or self._failures >= FAILURES_BEFORE_OUT:
             self._take_out()
 
--- a/packages/lycheedyke/src/lycheedyke/transport/_http.py
+++ b/packages/lycheedyke/src/lycheedyke/transport/_http.py
@@ -21,11 +21,13 @@
     ExchangeBroken,
     ExchangeTimeout,
 )
+from lycheedyke.transport._sockets import open_socket
 
 IDLE_LIMIT = timedelta(seconds=15)
 DEFAULT_MAX_BODY_BYTES = 1_048_576
+MAX_HEAD_BYTES = 32_768
 # Bounds the answer to one exchange.
-MAX_CONNECT_SECONDS = 1
+CONNECT_LIMIT = timedelta(seconds=1)
 CONNECT_SHARE = 0.8
 # The share of an exchange's time that making the connection may take.
 _NOT_CONNECTED = (
@@ -34,7 +36,6 @@
 )
 _NO_BODY_STATUSES = frozenset((204, 304))
 
-
 BeforeWrite = Callable[[], None]
 _gate: ContextVar['_WriteGate | None'] = ContextVar('gate', default=None)
 
@@ -84,6 +85,7 @@
         max_connections: the most connections open to one address.
         max_body_bytes: the largest answer body accepted.
         idle_limit: how long a kept connection may be idle.
+        connect_limit: the longest time for making a connection.
         may_end_open: whether an answer without a length is accepted, which
             ends with its connection.
     """
@@ -94,12 +96,14 @@
         max_connections: int = 100,
         max_body_bytes: int = DEFAULT_MAX_BODY_BYTES,
         idle_limit: timedelta = IDLE_LIMIT,
+        connect_limit: timedelta = CONNECT_LIMIT,
         may_end_open: bool = False,
     ) -> None:
         """Makes a client without connections."""
         self._max_connections = max_connections
         self._max_body_bytes = max_body_bytes
         self._idle_limit = idle_limit
+        self._connect_limit = connect_limit
         self._may_end_open = may_end_open
         self._kept: aiohttp.ClientSession | None = None
         self._fresh: aiohttp.ClientSession | None = None
@@ -173,7 +177,7 @@
                     yarl.URL(url, encoded=True),
                     multidict.CIMultiDict(headers),
                     body,
-                    _limit_connect(timeout),
+                    self._limit_connect(timeout),
                     reuse=reuse,
                 ),
                 timeout.total_seconds(),
@@ -251,12 +255,17 @@
                 raise AnswerTooLarge(f'{response.url}: {len(body)} bytes')
         return bytes(body)
 
+    def _limit_connect(self, timeout: timedelta) -> aiohttp.ClientTimeout:
+        longest = min(self._connect_limit, timeout * CONNECT_SHARE)
+        return aiohttp.ClientTimeout(connect=longest.total_seconds())
+
     def _open_kept(self) -> aiohttp.ClientSession:
         if self._kept is None:
             self._kept = _open_session(
                 _Connector(
                     limit=0,
                     limit_per_host=self._max_connections,
+                    socket_factory=open_socket,
                     keepalive_timeout=self._idle_limit.total_seconds(),
                 ),
             )
@@ -268,6 +277,7 @@
                 _Connector(
                     limit=0,
                     limit_per_host=self._max_connections,
+                    socket_factory=open_socket,
                     force_close=True,
                 ),
             )
@@ -286,6 +296,8 @@
         request_class=_GatedRequest,
         auto_decompress=False,
         skip_auto_headers=('User-Agent', 'Accept-Encoding'),
+        max_line_size=MAX_HEAD_BYTES,
+        max_field_size=MAX_HEAD_BYTES,
     )
 
 
@@ -294,11 +306,6 @@
     return 'Content-Length' in response.headers or 'chunked' in coding.lower()
 
 
-def _limit_connect(timeout: timedelta) -> aiohttp.ClientTimeout:
-    share = timeout.total_seconds() * CONNECT_SHARE
-    return aiohttp.ClientTimeout(connect=min(MAX_CONNECT_SECONDS, share))
-
-
 class _WriteGate:
     """Lets one request be written once, if its check permits."""
 
--- /dev/null
+++ b/tests/processes/test_platform.py
@@ -0,0 +1,98 @@
+"""The program of the users' platform as the platform starts it."""
+
+import asyncio
+import json
+import os
+import signal
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+from standins.deployment import free_ports
+from standins.users_platform import PLATFORM, SETTINGS, UsersPlatform
+
+pytestmark = pytest.mark.processes
+START_SECONDS = 15
+
+
+def _start(path: Path) -> subprocess.Popen[bytes]:
+    return subprocess.Popen(
+        [sys.executable, str(PLATFORM / 'launch.py')],
+        stdout=subprocess.PIPE,
+        env={**os.environ, 'LYCHEEDYKE_BOOT': str(path)},
+    )
+
+
+async def _wait_ready(platform: UsersPlatform, address: str) -> None:
+    for _ in range(int(START_SECONDS / 0.1)):
+        try:
+            reply = await platform.get(address, '/ready')
+        except OSError:
+            reply = None
+        if reply is not None and reply.status == 200:
+            return
+        await asyncio.sleep(0.1)
+    raise TimeoutError(address)
+
+
+def _write(path: Path, store: str, ports: list[int], level: str) -> None:
+    text = SETTINGS.format(name='edge-9', ports=ports, store=store)
+    path.write_text(f'{text}\n[logs]\nlevel = {level}\n')
+
+
+async def _play(folder: Path) -> list[dict[str, object]]:
+    async with UsersPlatform(folder) as platform:
+        path = folder / 'local.json'
+        ports = free_ports(5)
+        store = platform.settings[0].registry_address
+        _write(path, store, ports, 'info')
+        process = _start(path)
+        await _wait_ready(platform, f'127.0.0.1:{ports[1]}')
+        _write(path, store, ports, 'warning')
+        process.send_signal(signal.SIGHUP)
+        await asyncio.sleep(0.5)
+        _write(path, store, ports, 'louder')
+        process.send_signal(signal.SIGHUP)
+        await asyncio.sleep(0.5)
+        _write(path, store, ports, 'info')
+        # Without a signal the change is seen a little later.
+        await asyncio.sleep(2.5)
+        reply = await platform.get(f'127.0.0.1:{ports[4]}', '/metrics')
+        assert b'lycheedyke_version 17' in reply.body
+        process.send_signal(signal.SIGTERM)
+        output, _ = await asyncio.to_thread(process.communicate, timeout=10)
+        assert process.returncode == 0
+        return [json.loads(line) for line in output.splitlines()]
+
+
+def test_it_starts_reloads_and_stops(tmp_path: Path) -> None:
+    """A hang-up reads the settings anew; a faulty file changes nothing."""
+    lines = asyncio.run(asyncio.wait_for(_play(tmp_path), 60))
+    events = [line['event'] for line in lines]
+    assert 'started' in events
+    assert any('settings not reloaded' in str(each) for each in events)
+    changes = [
+        line['changed']
+        for line in lines
+        if line['event'] == 'settings reloaded'
+    ]
+    assert changes == [['log_level'], ['log_level']]
+    assert events[-1] == 'stopped'
+
+
+def test_faulty_settings_end_it_with_each_fault(tmp_path: Path) -> None:
+    """The status is 2, and every fault has its line."""
+    path = tmp_path / 'local.json'
+    _write(path, '127.0.0.1:1', [0, 1, 2, 3, 4], 'info')
+    done = subprocess.run(
+        [sys.executable, str(PLATFORM / 'launch.py')],
+        env={**os.environ, 'LYCHEEDYKE_BOOT': str(path)},
+        capture_output=True,
+        text=True,
+        check=False,
+        timeout=20,
+    )
+    assert done.returncode == 2
+    assert "[listen] caller = '127.0.0.1:0'" in done.stderr
--- a/tests/unit/gateway/test_replica.py
+++ b/tests/unit/gateway/test_replica.py
@@ -225,3 +225,16 @@
     peers = _Peers(watcher=News(9000, ItemBatch(5, (_seen('a', 5),))))
     asyncio.run(_follow(registry, replica, peers))
     assert replica.revision == 7
+
+
+def test_traces_of_removed_items_are_bounded() -> None:
+    """Upstreams come and go for months."""
+    replica, _, _ = _make()
+    for at in range(6_000):
+        replica.take(
+            ItemBatch(2 * at + 2, (_seen(f'u{at}', 2 * at + 1),)),
+        )
+        gone = Item(f'u{at}', 2 * at + 2)
+        replica.take(ItemBatch(2 * at + 2, (gone,)))
+    assert 1_000 < len(replica.after(0).items) <= 2_049
+    assert gone in replica.after(0).items
--- a/tests/unit/test_log_writer.py
+++ b/tests/unit/test_log_writer.py
@@ -31,9 +31,8 @@
         assert time.monotonic() - started < 1
         assert writer.dropped > 4_000
         with os.fdopen(read_end) as reader:
-            reading = threading.Thread(
-                target=_drain, args=(reader, lines := [])
-            )
+            lines: list[str] = []
+            reading = threading.Thread(target=_drain, args=(reader, lines))
             reading.start()
             writer.close()
             writer.write(LINE)
