Serve both kinds of instance through one service

Cause: the gateway's start repeated the daemon's service, entry point and the reading of failed exchanges. Before and after: test_platform, test_whole_path and the gateway's tests pass.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_exchange.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_exchange.py
@@ -8,7 +8,6 @@
     ConnectionNotMade,
     ConnectionRefusedByHost,
     ExchangeBroken,
-    ExchangeTimeout,
 )
 from lycheedyke.protocol import (
     Answered,
@@ -19,6 +18,7 @@
 )
 from lycheedyke.state import UpstreamState
 from lycheedyke.transport import HttpAnswer, HttpClient
+from lycheedyke_daemon.failures import outcome_of
 from lycheedyke_daemon.work import Work, end_to_end
 
 MILLISECOND = timedelta(milliseconds=1)
@@ -104,13 +104,10 @@
             )
         except ConnectionNotMade as error:
             self._note_unreachable(state, error)
-            return NotRun(Reason.upstream_unreachable)
-        except ExchangeTimeout:
+            return outcome_of(error)
+        except ExchangeBroken as error:
             state.fail()
-            return Unknown(Reason.upstream_timeout)
-        except ExchangeBroken:
-            state.fail()
-            return Unknown(Reason.upstream_broke)
+            return outcome_of(error)
         return self._read(state, work, answer)
 
     def _note_unreachable(
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/main.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/main.py
@@ -3,34 +3,15 @@
 import sys
 from pathlib import Path
 
-import aiomisc
 import defopt
 
 from lycheedyke.clock import SystemClock
 from lycheedyke.exceptions import SettingsInvalid
 from lycheedyke_daemon.instance import Instance
-from lycheedyke_daemon.logs import start_logs
+from lycheedyke_daemon.service import serve
 from lycheedyke_daemon.settings import describe, read_secrets, read_settings
 
 EXIT_BAD_SETTINGS = 2
-STOP_TIMEOUT_SECONDS = 60
-THREADS = 2
-
-
-class InstanceService(aiomisc.Service):
-    """Runs an instance until the process is asked to stop."""
-
-    __required__ = ('instance',)
-
-    instance: Instance
-
-    async def start(self) -> None:
-        """Starts the instance."""
-        await self.instance.start()
-
-    async def stop(self, exception: Exception | None = None) -> None:
-        """Stops the instance gracefully."""
-        await self.instance.stop()
 
 
 def run(*, config: Path, check: bool = False) -> int:
@@ -49,16 +30,8 @@
     if check:
         sys.stdout.write(f'{describe(settings)}\n')
         return 0
-    writer = start_logs(settings.name, settings.zone, settings.log_level)
     instance = Instance(settings, secrets, SystemClock())
-    with aiomisc.entrypoint(
-        InstanceService(instance=instance),
-        log_config=False,
-        pool_size=THREADS,
-        shutdown_timeout=STOP_TIMEOUT_SECONDS,
-    ) as loop:
-        loop.run_forever()
-    writer.close()
+    serve(instance, settings.name, settings.zone, settings.log_level)
     return 0
 
 
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/runner.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/runner.py
@@ -9,7 +9,6 @@
     ConnectionNotMade,
     ConnectionRefusedByHost,
     ExchangeBroken,
-    ExchangeTimeout,
 )
 from lycheedyke.protocol import (
     LEAVING_HEADER,
@@ -17,7 +16,6 @@
     Outcome,
     Phase,
     Reason,
-    Unknown,
     Upstream,
     UpstreamLoad,
 )
@@ -32,6 +30,7 @@
 from lycheedyke_daemon.answers import read_answer
 from lycheedyke_daemon.attempts import Attempt, OwnedUpstream
 from lycheedyke_daemon.crashes import CrashGuard
+from lycheedyke_daemon.failures import outcome_of
 from lycheedyke_daemon.work import Work
 
 MILLISECOND = timedelta(milliseconds=1)
@@ -218,7 +217,7 @@
             attempt.pace.fail(
                 is_down=isinstance(error, ConnectionRefusedByHost),
             )
-            return _to_failure(error)
+            return outcome_of(error)
         attempt.is_finished = True
         if LEAVING_HEADER in answer.headers:
             self._start_drain(name, self._owned[name], LeavingCause.upstream)
@@ -253,13 +252,3 @@
     def _size(self, upstream: Upstream) -> Size:
         service = self._configuration.services[upstream.service]
         return Size(upstream.slots, service.run_limit_ms * MILLISECOND)
-
-
-def _to_failure(error: ConnectionNotMade | ExchangeBroken) -> Outcome:
-    match error:
-        case ConnectionNotMade():
-            return NotRun(Reason.upstream_unreachable)
-        case ExchangeTimeout():
-            return Unknown(Reason.upstream_timeout)
-        case _:
-            return Unknown(Reason.upstream_broke)
