Load numpy only where there are blocks, and claim ports in tests

Cause: numpy was a sixth of the memory of an entry that has no block map. Two test runs on this machine drew ports from one range without knowing of each other. Change: ports are claimed with locks across runs, and a start that fails shows the instance's log; tables of blocks are packed by a module that is loaded at the first block.

--- a/packages/lycheedyke/src/lycheedyke/state/_block_tables.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_block_tables.py
@@ -7,33 +7,20 @@
 import numpy as np
 
 from lycheedyke.protocol import BlockTable
+from lycheedyke.state._block_shapes import ABSENT, Shape, Table
 
-ABSENT = -1
 MAX_PACKED_LENGTH = 64
 WIDE_BYTES = 16
 _HOME_TYPE = np.dtype('<u2')
 _Array = np.ndarray[Any, np.dtype[Any]]
 
 
-class Shape(NamedTuple):
-    """The IP version and the prefix length of a table."""
-
-    version: int
-    length: int
-
-
-class Table(NamedTuple):
-    """Networks as numbers in ascending order, each with its home."""
-
-    numbers: Sequence[int]
-    homes: Sequence[int]
-
-    def count_homes(self) -> Counter[int]:
-        """Returns how many blocks each home has."""
-        counts = np.bincount(np.asarray(self.homes, dtype=_HOME_TYPE))
-        return Counter(
-            {home: int(count) for home, count in enumerate(counts) if count},
-        )
+def count_homes(table: Table) -> Counter[int]:
+    """Returns how many blocks each home has."""
+    counts = np.bincount(np.asarray(table.homes, dtype=_HOME_TYPE))
+    return Counter(
+        {home: int(count) for home, count in enumerate(counts) if count},
+    )
 
 
 def merge(
--- a/packages/lycheedyke/src/lycheedyke/state/_blocks.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_blocks.py
@@ -4,22 +4,16 @@
 overlay of changes that is merged into the tables once it has grown.
 """
 
+import importlib
 import ipaddress
 import socket
 from bisect import bisect_left
 from collections import Counter
 from collections.abc import Mapping
-from typing import NamedTuple, Self
+from typing import Any, NamedTuple, Self
 
 from lycheedyke.protocol import Block, BlockTable
-from lycheedyke.state._block_tables import (
-    ABSENT,
-    Shape,
-    Table,
-    merge,
-    read_table,
-    write_table,
-)
+from lycheedyke.state._block_shapes import ABSENT, Shape, Table
 
 MAX_OVERLAY = 16_384
 _FAMILIES = ((socket.AF_INET, 4, 32), (socket.AF_INET6, 6, 128))
@@ -27,6 +21,15 @@
 _Overlay = dict[Shape, dict[int, int]]
 
 
+def _arrays() -> Any:
+    """Returns the module that packs tables.
+
+    It needs numpy, which an instance without blocks does not load: a sixth
+    of the memory of one that follows a registry.
+    """
+    return importlib.import_module('lycheedyke.state._block_tables')
+
+
 class FoundBlock(NamedTuple):
     """The block that holds an address."""
 
@@ -115,7 +118,7 @@
         merged = self._copy()
         merged._merge()
         return merged._homes, tuple(
-            write_table(shape, table)
+            _arrays().write_table(shape, table)
             for shape, table in sorted(merged._tables.items())
         )
 
@@ -129,9 +132,9 @@
         restored = cls()
         restored._homes = homes
         for wire in tables:
-            shape, table = read_table(wire)
+            shape, table = _arrays().read_table(wire)
             restored._tables[shape] = table
-            restored._counts.update(table.count_homes())
+            restored._counts.update(_arrays().count_homes(table))
         restored._sort_shapes()
         return restored
 
@@ -173,7 +176,7 @@
 
     def _merge(self) -> None:
         for shape, changes in self._overlay.items():
-            self._tables[shape] = merge(
+            self._tables[shape] = _arrays().merge(
                 shape,
                 self._tables.get(shape),
                 changes,
--- a/tests/standins/deployment.py
+++ b/tests/standins/deployment.py
@@ -1,27 +1,30 @@
 """Starts and ends a deployment of real processes on loopback."""
 
+import fcntl
 import os
 import random
 import signal
 import socket
 import subprocess
 import sys
+import tempfile
 import time
 from collections.abc import Iterator, Sequence
 from pathlib import Path
-from typing import Any, NamedTuple, Self
+from typing import IO, Any, NamedTuple, Self
 
 import aiohttp
 
 TESTS = Path(__file__).resolve().parent.parent
 START_SECONDS = 20
 POLL_SECONDS = 0.05
+PORT_LOCKS = Path(tempfile.gettempdir()) / 'lycheedyke-ports'
 PORT_RANGE = (10_000, 32_000)
 PEER_SECRET = 'peer-secret-for-tests'
 ADMIN_SECRET = 'admin-secret-for-tests'
 
 _random = random.SystemRandom()
-_given_ports: set[int] = set()
+_given_ports: dict[int, IO[str]] = {}
 
 SETTINGS = """
 [instance]
@@ -74,12 +77,27 @@
     found: list[int] = []
     while len(found) < count:
         port = _random.randrange(*PORT_RANGE)
-        if port not in _given_ports and _is_free(port):
-            _given_ports.add(port)
+        if port not in _given_ports and _is_free(port) and _claim(port):
             found.append(port)
     return found
 
 
+def _claim(port: int) -> bool:
+    """Claims a port against other test runs on this machine.
+
+    The lock is let go when this process ends.
+    """
+    PORT_LOCKS.mkdir(exist_ok=True)
+    lock = (PORT_LOCKS / str(port)).open('w')
+    try:
+        fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+    except OSError:
+        lock.close()
+        return False
+    _given_ports[port] = lock
+    return True
+
+
 def _is_free(port: int) -> bool:
     with socket.socket() as probe:
         try:
@@ -147,7 +165,7 @@
         for name in self.seats:
             self.start_entry(name, wait=False)
         for seat in self.seats.values():
-            wait_for_port(seat.caller)
+            wait_for_port(seat.caller, self.folder / f'{seat.name}.log')
         return self
 
     def __exit__(self, *_: object) -> None:
@@ -280,8 +298,13 @@
         return config
 
 
-def wait_for_port(address: str) -> None:
-    """Waits until something listens at the address."""
+def wait_for_port(address: str, log: Path | None = None) -> None:
+    """Waits until something listens at the address.
+
+    Args:
+        address: where it is to listen.
+        log: its output, which tells why it does not.
+    """
     host, _, port = address.rpartition(':')
     for _ in polls(START_SECONDS):
         try:
@@ -289,7 +312,8 @@
         except OSError:
             continue
         return
-    raise TimeoutError(f'nothing listens at {address}')
+    told = log.read_text(errors='replace')[-2000:] if log else ''
+    raise TimeoutError(f'nothing listens at {address}: {told}')
 
 
 def polls(seconds: float) -> Iterator[None]:
