Learn from seeds and tell of a stop while the store is away

Ruled out: keeping a copy on disk (there is none). Change: the control address serves news; an instance that knows nobody asks the seeds of its settings; one that stops tells its peers. Data that stays unacknowledged for half a second ends a connection, so that a read at a dark upstream can be repeated within its timeout. Before: test_life's two new scenes red (timeout; still named). After: green.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_beliefs.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_beliefs.py
@@ -41,6 +41,7 @@
         self._clock = clock
         self._zones: set[str] = set()
         self._heard: dict[str, timedelta] = {}
+        self._leaving: dict[str, str] = {}
 
     def __repr__(self) -> str:
         """Returns the number of the configuration."""
@@ -51,6 +52,20 @@
         """The number of the configuration in force; 0 if there is none."""
         return self.table.number if self.table else 0
 
+    def present(self) -> list[EntryRecord]:
+        """Returns the entry instances that have not said that they leave."""
+        return [
+            entry
+            for entry in self.entries.values()
+            if self._leaving.get(entry.name) != entry.incarnation
+        ]
+
+    def note_leaving(self, entry: EntryRecord) -> None:
+        """Takes in that this run of an entry instance ends soon."""
+        if self._leaving.get(entry.name) != entry.incarnation:
+            _logger.info('entry instance leaving', extra={'peer': entry.name})
+        self._leaving[entry.name] = entry.incarnation
+
     @property
     def most_instances(self) -> int:
         """The most entry instances that may be at work."""
@@ -129,6 +144,7 @@
                 _logger.info('zone taken back', extra={'zone': zone})
             case EntryRecord(name):
                 self.entries.pop(name, None)
+                self._leaving.pop(name, None)
                 _logger.info('entry instance gone', extra={'peer': name})
                 if self.on_entry_gone is not None:
                     self.on_entry_gone(name)
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_directory.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_directory.py
@@ -122,7 +122,7 @@
 
     def _entries_by_zone(self) -> dict[str, tuple[str, ...]]:
         found: defaultdict[str, list[str]] = defaultdict(list)
-        for entry in self._beliefs.entries.values():
+        for entry in self._beliefs.present():
             found[entry.zone].append(entry.caller_address)
         return {zone: tuple(sorted(each)) for zone, each in found.items()}
 
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
@@ -107,7 +107,8 @@
         suspects = Suspects(clock)
         self._news = PeerNews(
             own,
-            self._beliefs.entries.values,
+            self._beliefs,
+            settings.seeds,
             self._replica,
             suspects,
             self._counters,
@@ -164,7 +165,7 @@
         self._stopping_since = self._clock.elapsed()
         self._gate.stopping = True
         _logger.info('stopping', extra={'in_flight': self._gate.in_flight})
-        await self._presence.withdraw()
+        await asyncio.gather(self._news.leave(), self._presence.withdraw())
         grace = self._settings.stop_grace
         await self._finish(grace * ACCEPTING_SHARE, grace * FINISHING_SHARE)
         _logger.info('stopped', extra={'in_flight': self._gate.in_flight})
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_news.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_news.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Sequence
 from datetime import timedelta
 
 import msgspec
@@ -13,15 +13,18 @@
 from lycheedyke.protocol import EntryRecord, News
 from lycheedyke.state import Counters, Suspect, Suspects
 from lycheedyke.transport import HttpClient
+from lycheedyke_daemon.gateway._beliefs import Beliefs
 
 NEWS_PATH = '/v1/news'
 SUSPECTS_PATH = '/v1/suspects'
+LEAVING_PATH = '/v1/leaving'
 ASK_LIMIT = timedelta(milliseconds=500)
 REPORT_LIMIT = timedelta(milliseconds=300)
 PEERS_ASKED = 3
 MILLISECOND = timedelta(milliseconds=1)
 MAX_NEWS_BYTES = 8_388_608
 _NEWS = msgspec.msgpack.Decoder(News)
+_ENTRY = msgspec.msgpack.Decoder(EntryRecord)
 _SUSPECTS = msgspec.msgpack.Decoder(tuple[Suspect, ...])
 
 
@@ -30,7 +33,8 @@
 
     Args:
         own: this instance.
-        peers: returns the entry instances.
+        beliefs: the entry instances.
+        seeds: addresses to ask while no entry instance is known.
         replica: what is known here.
         suspects: the requests that may crash upstreams.
         counters: counts failed questions.
@@ -39,7 +43,8 @@
     def __init__(
         self,
         own: EntryRecord,
-        peers: Callable[[], Iterable[EntryRecord]],
+        beliefs: Beliefs,
+        seeds: Sequence[str],
         replica: Replica,
         suspects: Suspects,
         counters: Counters,
@@ -47,7 +52,8 @@
         """Makes a client without connections."""
         self.age: Callable[[], timedelta] = timedelta
         self._own = own
-        self._peers = peers
+        self._beliefs = beliefs
+        self._seeds = tuple(seeds)
         self._replica = replica
         self._suspects = suspects
         self._counters = counters
@@ -64,15 +70,20 @@
     async def ask_watcher(self, after: int) -> News | None:
         """Returns the news of the zone's watcher, unless it is this one."""
         own = self._own
-        zone = [peer for peer in self._peers() if peer.zone == own.zone]
+        zone = [
+            peer for peer in self._beliefs.present() if peer.zone == own.zone
+        ]
         watchers = watchers_of(zone, 1)
         if not watchers or watchers[0].name == own.name:
             return None
-        return await self._ask_one(watchers[0], after)
+        return await self._ask_one(watchers[0].peer_address, after)
 
     async def ask_some(self, after: int) -> list[News]:
-        """Returns the news of some instances of any zone."""
-        others = self._others()
+        """Returns the news of some instances of any zone.
+
+        An instance that knows no other asks its seeds.
+        """
+        others = self._others() or self._seeds
         asked = random.sample(others, min(PEERS_ASKED, len(others)))
         found = await asyncio.gather(
             *(self._ask_one(peer, after) for peer in asked),
@@ -82,15 +93,21 @@
     async def report(self) -> None:
         """Tells all peers of the suspects."""
         body = msgspec.msgpack.encode(self._suspects.list())
-        await asyncio.gather(
-            *(self._tell_one(peer, body) for peer in self._others()),
-        )
+        await self._tell(SUSPECTS_PATH, body)
+
+    async def leave(self) -> None:
+        """Tells all peers that this instance ends soon.
+
+        The registry may be away, and would tell them later.
+        """
+        await self._tell(LEAVING_PATH, msgspec.msgpack.encode(self._own))
 
     def routes(self) -> list[web.RouteDef]:
         """Returns the routes of the peer port."""
         return [
             web.get(NEWS_PATH, self._answer),
             web.post(SUSPECTS_PATH, self._take_report),
+            web.post(LEAVING_PATH, self._take_leaving),
         ]
 
     async def _answer(self, request: web.Request) -> web.Response:
@@ -108,18 +125,26 @@
             raise web.HTTPBadRequest(text=str(error)) from error
         return web.Response()
 
-    def _others(self) -> list[EntryRecord]:
-        return [peer for peer in self._peers() if peer.name != self._own.name]
+    async def _take_leaving(self, request: web.Request) -> web.Response:
+        try:
+            entry = _ENTRY.decode(await request.read())
+        except msgspec.MsgspecError as error:
+            raise web.HTTPBadRequest(text=str(error)) from error
+        self._beliefs.note_leaving(entry)
+        return web.Response()
 
-    async def _ask_one(
-        self,
-        peer: EntryRecord,
-        after: int,
-    ) -> News | None:
+    def _others(self) -> list[str]:
+        return [
+            peer.peer_address
+            for peer in self._beliefs.present()
+            if peer.name != self._own.name
+        ]
+
+    async def _ask_one(self, address: str, after: int) -> News | None:
         try:
             answer = await self._http.send(
                 'GET',
-                f'http://{peer.peer_address}{NEWS_PATH}?after={after}',
+                f'http://{address}{NEWS_PATH}?after={after}',
                 timeout=ASK_LIMIT,
             )
             return _NEWS.decode(answer.body)
@@ -127,13 +152,18 @@
             self._counters.count('news.not-heard')
             return None
 
-    async def _tell_one(self, peer: EntryRecord, body: bytes) -> None:
+    async def _tell(self, path: str, body: bytes) -> None:
+        await asyncio.gather(
+            *(self._tell_one(peer, path, body) for peer in self._others()),
+        )
+
+    async def _tell_one(self, address: str, path: str, body: bytes) -> None:
         try:
             await self._http.send(
                 'POST',
-                f'http://{peer.peer_address}{SUSPECTS_PATH}',
+                f'http://{address}{path}',
                 timeout=REPORT_LIMIT,
                 body=body,
             )
         except TransportError:
-            self._counters.count('suspects.report-lost')
+            self._counters.count('news.not-told')
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_settings.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_settings.py
@@ -17,6 +17,7 @@
     find_unknown_keys,
     parse_ini,
     read_address,
+    read_addresses,
     read_count,
     read_duration,
     read_fields,
@@ -40,6 +41,7 @@
         lookup_address: where callers ask which instances to use.
         peer_address: where other entry instances ask for news.
         metrics_address: where metrics are scraped.
+        seeds: peer addresses of some instances, which may be down.
         registry_address: where the registry answers.
         registry_timeout: the longest time for one call to it.
         reappearance: how long after an outage of the registry the record
@@ -68,6 +70,7 @@
     lookup_address: str
     peer_address: str
     metrics_address: str
+    seeds: tuple[str, ...]
     registry_address: str
     registry_timeout: timedelta
     reappearance: timedelta
@@ -98,6 +101,13 @@
         'metrics_address': Field(
             'listen', 'metrics', read_address, ADDRESS_RULE
         ),
+        'seeds': Field(
+            'peers',
+            'seeds',
+            read_addresses,
+            'peer addresses of other instances, separated by commas',
+            '',
+        ),
         'registry_address': Field(
             'registry', 'address', read_address, ADDRESS_RULE
         ),
--- a/packages/lycheedyke/src/lycheedyke/transport/_sockets.py
+++ b/packages/lycheedyke/src/lycheedyke/transport/_sockets.py
@@ -3,9 +3,9 @@
 import socket
 from typing import Any
 
-# A peer that acknowledges nothing for so long is taken to be gone: several
+# A peer that acknowledges nothing for so long is taken to be gone: seven
 # round trips between regions, and well within the shortest timeouts.
-UNACKNOWLEDGED_MS = 1_000
+UNACKNOWLEDGED_MS = 500
 PROBE_AFTER_SECONDS = 1
 PROBE_INTERVAL_SECONDS = 1
 PROBES = 2
--- a/tests/processes/test_platform.py
+++ b/tests/processes/test_platform.py
@@ -38,7 +38,7 @@
 
 
 def _write(path: Path, store: str, ports: list[int], level: str) -> None:
-    text = SETTINGS.format(name='edge-9', ports=ports, store=store)
+    text = SETTINGS.format(name='edge-9', ports=ports, store=store, seeds='')
     path.write_text(f'{text}\n[logs]\nlevel = {level}\n')
 
 
--- a/tests/standins/users_platform.py
+++ b/tests/standins/users_platform.py
@@ -45,6 +45,9 @@
 peer = 127.0.0.1:{ports[3]}
 metrics = 127.0.0.1:{ports[4]}
 
+[peers]
+seeds = {seeds}
+
 [registry]
 address = {store}
 
@@ -97,6 +100,7 @@
         self._runner = web.AppRunner(self.store.app(), access_log=None)
         await self._runner.setup()
         port = free_ports(1)[0]
+        self._store = f'127.0.0.1:{port}'
         await web.TCPSite(self._runner, '127.0.0.1', port).start()
         self._http = aiohttp.ClientSession(
             cookie_jar=aiohttp.DummyCookieJar(), auto_decompress=False
@@ -106,7 +110,7 @@
             await upstream.open()
             self.register(upstream)
         for at in range(self._count):
-            await self._start(f'edge-{at}', f'127.0.0.1:{port}')
+            await self.start(f'edge-{at}')
         return self
 
     async def __aexit__(
@@ -171,10 +175,16 @@
         """Returns the ids of all requests that ran, once for each run."""
         return [name for each in self.upstreams for name in each.ran]
 
-    async def _start(self, name: str, store: str) -> None:
+    async def start(self, name: str, seeds: str = '') -> None:
+        """Starts an entry instance and waits until it is ready."""
         path = self._folder / f'{name}.ini'
         path.write_text(
-            SETTINGS.format(name=name, ports=free_ports(5), store=store),
+            SETTINGS.format(
+                name=name,
+                ports=free_ports(5),
+                store=self._store,
+                seeds=seeds,
+            ),
         )
         settings = read_gateway_settings(path)
         instance = GatewayInstance(settings, deploy(settings), SystemClock())
--- a/tests/unit/gateway/test_life.py
+++ b/tests/unit/gateway/test_life.py
@@ -241,6 +241,44 @@
     _play(tmp_path, _scene)
 
 
+def test_an_instance_that_starts_without_the_store_asks_its_seeds(
+    tmp_path: Path,
+) -> None:
+    """A restart in an outage of the store serves what its peers know."""
+
+    async def _scene(platform: UsersPlatform) -> None:
+        seed = platform.settings[0].peer_address
+        await asyncio.sleep(0.5)
+        platform.store.down = True
+        await platform.start('edge-new', seeds=seed)
+        reply = await platform.send('/read/1', instance=1)
+        assert reply.status == 200
+
+    _play(tmp_path, _scene)
+
+
+def test_peers_hear_of_a_stop_while_the_store_is_away(tmp_path: Path) -> None:
+    """Look-ups drop an instance that stops in an outage of the store."""
+
+    async def _scene(platform: UsersPlatform) -> None:
+        await asyncio.sleep(1.5)
+        platform.store.down = True
+        stopping = asyncio.create_task(platform.instances.pop().stop())
+        asked = platform.settings[0].lookup_address
+
+        async def _is_dropped() -> bool:
+            reply = await platform.get(
+                asked, '/lookup?name=shop.example&region=pnw&zone=pnw-a'
+            )
+            gone = platform.settings[-1].caller_address
+            return gone not in json.loads(reply.body)['addrs']
+
+        assert await _until(_is_dropped, 1)
+        await stopping
+
+    _play(tmp_path, _scene, instances=2)
+
+
 def test_instances_turned_away_by_the_store_learn_from_peers(
     tmp_path: Path,
 ) -> None:
