Tell on what a refusal was decided

Cause: stories of refused requests picked blindly from the incident's logs named the reason and nothing that led to it. Change: a line with the best upstream, its load, the expected wait and run against the goal, patience and the repeats left; durations and tables in lines read plainly. After: test_a_refusal_leaves_what_it_was_decided_on.

--- a/packages/lycheedyke-ctl/src/lycheedyke_ctl/stories.py
+++ b/packages/lycheedyke-ctl/src/lycheedyke_ctl/stories.py
@@ -14,6 +14,7 @@
 )
 # What an instance came to believe this long before a request concerns it.
 BELIEF_SECONDS = 5
+_UPSTREAMS = ('sent_to', 'best')
 _BELIEFS = frozenset(
     (
         'configuration in force',
@@ -73,7 +74,9 @@
     if not own:
         return []
     instances = {line['instance'] for line in own}
-    names = {line['sent_to'] for line in own if 'sent_to' in line}
+    names = {
+        line[field] for line in own for field in _UPSTREAMS if field in line
+    }
     beliefs = [
         line
         for line in ordered
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_router.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_router.py
@@ -113,7 +113,7 @@
             if not _may_repeat(work, outcome):
                 break
         if story.outcome is None or isinstance(story.outcome, NotRun):
-            return self._refuse(request, story.outcome)
+            return self._refuse(request, work, story.outcome)
         return story.outcome
 
     def _next(
@@ -200,13 +200,36 @@
             time_left_ms=(work.deadline - self._clock.elapsed()) // MILLISECOND,
         )
 
-    def _refuse(self, request: Request, outcome: NotRun | None) -> NotRun:
+    def _refuse(
+        self,
+        request: Request,
+        work: Work,
+        outcome: NotRun | None,
+    ) -> NotRun:
         """Returns the refusal, with a time at which there may be room."""
         pick = self._choice.choose(request)
         reason = Reason.no_upstream if pick is None else Reason.no_room
         if outcome is not None:
             reason = outcome.reason
-        return NotRun(reason, time_to_return(request, pick))
+        refusal = NotRun(reason, time_to_return(request, pick))
+        if pick is not None:
+            self._decisions.write(
+                'request refused',
+                work.request_id,
+                refusal,
+                best=pick.state.record.name,
+                load=round(pick.load, 1),
+                slots=pick.state.record.slots,
+                wait_ms=pick.wait // MILLISECOND,
+                run_ms=pick.run // MILLISECOND,
+                trip_ms=pick.trip // MILLISECOND,
+                goal_ms=request.route.goal // MILLISECOND,
+                patience=request.patience,
+                budget_left=self._budgets[request.service].left(
+                    self._instances(),
+                ),
+            )
+        return refusal
 
 
 def _is_not_sent(outcome: Outcome) -> bool:
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_settings.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_settings.py
@@ -140,7 +140,7 @@
             'logs', 'sampled_of', read_count, COUNT_RULE, '32'
         ),
         'log_lines_per_s': Field(
-            'logs', 'lines_per_s', read_count, COUNT_RULE, '10'
+            'logs', 'lines_per_s', read_count, COUNT_RULE, '20'
         ),
         'log_level': Field(
             'logs',
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/logs.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/logs.py
@@ -3,7 +3,8 @@
 import json
 import logging
 import sys
-from datetime import UTC, datetime
+from collections.abc import Mapping
+from datetime import UTC, datetime, timedelta
 
 from absl import flags
 from absl import logging as absl_logging
@@ -48,7 +49,17 @@
         )
         if record.exc_info:
             event['error'] = self.formatException(record.exc_info)
-        return json.dumps(event, default=repr)
+        return json.dumps(event, default=_to_json)
+
+
+def _to_json(value: object) -> object:
+    match value:
+        case timedelta():
+            return f'{value.total_seconds():g}s'
+        case Mapping():
+            return dict(value)
+        case _:
+            return repr(value)
 
 
 def start_logs(instance: str, zone: str, level: str) -> BoundedWriter:
--- a/packages/lycheedyke/src/lycheedyke/state/_repeats.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_repeats.py
@@ -58,13 +58,21 @@
         Args:
             instances: the instances among which `extra` is divided.
         """
-        extra = self._terms.extra / max(1, instances)
-        allowed = self._terms.ratio * self._requests.count() + extra
-        if self._repeats.count() + 1 > allowed * SHARE_USED:
+        if self.left(instances) < 1:
             return False
         self._repeats.add()
         return True
 
+    def left(self, instances: int) -> int:
+        """Returns the repeats that are allowed now.
+
+        Args:
+            instances: the instances among which `extra` is divided.
+        """
+        extra = self._terms.extra / max(1, instances)
+        allowed = self._terms.ratio * self._requests.count() + extra
+        return max(0, int(allowed * SHARE_USED) - self._repeats.count())
+
 
 class _WindowCount:
     """Counts events in a sliding window, in slices of a tenth of it."""
--- a/tests/unit/gateway/test_requests.py
+++ b/tests/unit/gateway/test_requests.py
@@ -1,6 +1,7 @@
 """Requests through one gateway: whole answers, true refusals, repeats."""
 
 import asyncio
+import logging
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
@@ -127,6 +128,31 @@
     _play(tmp_path, _scene)
 
 
+def test_a_refusal_leaves_what_it_was_decided_on(
+    tmp_path: Path,
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """The line of a refusal names the inputs and the time to come back."""
+
+    async def _scene(platform: UsersPlatform) -> None:
+        _script(platform, 'shed')
+        with caplog.at_level(logging.INFO):
+            await platform.send('/order/1', method='POST', body=b'x')
+        lines = {
+            record.getMessage(): vars(record)
+            for record in caplog.records
+            if vars(record).get('request') == 'r-1'
+        }
+        refused = lines['request refused']
+        assert refused['reason'] == 'upstream-refused'
+        assert {'best', 'load', 'slots', 'wait_ms', 'goal_ms'} <= set(refused)
+        assert lines['attempt ended']['sent_to'].startswith('i-')
+        assert lines['request ended']['version'] == 0x11
+        assert float(lines['request ended']['retry_after']) > 0
+
+    _play(tmp_path, _scene)
+
+
 def test_an_address_used_again_runs_nothing(tmp_path: Path) -> None:
     """Another instance at the address answers 421 and is not asked again."""
 
