--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_settings.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_settings.py
@@ -11,7 +11,7 @@
     ADDRESS_RULE,
     COUNT_RULE,
     DURATION_RULE,
-    NAME_RULE,
+    LABEL_RULE,
     SHARE_RULE,
     Field,
     find_unknown_keys,
@@ -21,8 +21,8 @@
     read_count,
     read_duration,
     read_fields,
+    read_label,
     read_level,
-    read_name,
     read_number,
 )
 
@@ -51,10 +51,6 @@
         repeat_ratio: repeats allowed for each request of a window.
         repeat_window: the length of that window.
         repeat_extra: repeats allowed beyond that, for all instances.
-        cold_factor: what a cold upstream bears beyond its rate.
-        cold_slack: requests that it bears beyond that.
-        shift_cap: the largest part of a region's requests that may change
-            the region in which it runs within two seconds.
         body_memory_bytes: the memory for all bodies together.
         log_level: the least level that is logged.
         log_sampled_of: one of so many requests that end well is logged.
@@ -79,9 +75,6 @@
     repeat_ratio: float
     repeat_window: timedelta
     repeat_extra: int
-    cold_factor: float
-    cold_slack: int
-    shift_cap: float
     body_memory_bytes: int
     log_level: str
     log_sampled_of: int
@@ -91,9 +84,9 @@
 
 _FIELDS = MappingProxyType(
     {
-        'name': Field('instance', 'name', read_name, NAME_RULE),
-        'region': Field('instance', 'region', read_name, NAME_RULE),
-        'zone': Field('instance', 'zone', read_name, NAME_RULE),
+        'name': Field('instance', 'name', read_label, LABEL_RULE),
+        'region': Field('instance', 'region', read_label, LABEL_RULE),
+        'zone': Field('instance', 'zone', read_label, LABEL_RULE),
         'caller_address': Field('listen', 'caller', read_address, ADDRESS_RULE),
         'ready_address': Field('listen', 'ready', read_address, ADDRESS_RULE),
         'lookup_address': Field('listen', 'lookup', read_address, ADDRESS_RULE),
@@ -130,9 +123,6 @@
             'repeats', 'window', read_duration, DURATION_RULE, '10s'
         ),
         'repeat_extra': Field('repeats', 'extra', int, COUNT_RULE, '0'),
-        'cold_factor': Field('cold', 'factor', read_number, SHARE_RULE, '1'),
-        'cold_slack': Field('cold', 'slack', int, COUNT_RULE, '0'),
-        'shift_cap': Field('shifts', 'cap', read_number, SHARE_RULE, '0.15'),
         'body_memory_bytes': Field(
             'limits', 'body_memory_bytes', read_count, COUNT_RULE, '67108864'
         ),
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/ini.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/ini.py
@@ -13,6 +13,7 @@
 
 MAX_PORT = 65535
 _NAME = re.compile('[a-z0-9][a-z0-9-]{0,62}')
+_LABEL = re.compile('[A-Za-z0-9][A-Za-z0-9._-]{0,62}')
 _DURATION = re.compile(r'(\d+(?:\.\d+)?)(ms|s)')
 _UNITS = MappingProxyType(
     {'ms': timedelta(milliseconds=1), 's': timedelta(seconds=1)},
@@ -38,6 +39,13 @@
     return text
 
 
+def read_label(text: str) -> str:
+    """Returns a name as other systems give it."""
+    if not _LABEL.fullmatch(text):
+        raise ValueError
+    return text
+
+
 def read_address(text: str) -> str:
     """Returns an `ip:port` address."""
     host, _, port = text.rpartition(':')
@@ -79,6 +87,7 @@
 
 
 NAME_RULE = 'lower-case letters, digits and -, at most 63 characters'
+LABEL_RULE = 'letters, digits, ., _ and -, at most 63 characters'
 ADDRESS_RULE = 'an IP address and a port, as 192.0.2.1:8080'
 COUNT_RULE = 'a whole number above 0'
 
@@ -125,6 +134,8 @@
         SettingsInvalid: it is missing or not an INI file.
     """
     parser = configparser.ConfigParser(interpolation=None, delimiters='=')
+    # Names of zones are keys, and keep their case.
+    parser.optionxform = str  # type: ignore[assignment, method-assign]
     try:
         parser.read_string(path.read_text(encoding='utf-8'), str(path))
     except (OSError, UnicodeDecodeError, configparser.Error) as error:
--- a/packages/lycheedyke/src/lycheedyke/state/_fleet.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_fleet.py
@@ -3,7 +3,6 @@
 import logging
 import math
 from collections import OrderedDict
-from collections.abc import Iterator
 from datetime import timedelta
 
 from lycheedyke.clock import Clock
@@ -43,7 +42,6 @@
         """Takes in the first record."""
         self.record = record
         self.in_flight = 0
-        self.seen = clock.elapsed()
         self._clock = clock
         self._others = 0
         self._others_at = ZERO
@@ -108,11 +106,6 @@
                 record.cold + COLD_MARGIN
             )
 
-    def chill(self, cold: timedelta) -> None:
-        """Takes in that it is cold for some time from now on."""
-        until = self._clock.elapsed() + cold
-        self._cold_until = max(self._cold_until, until)
-
     def is_warm(self, thing: str) -> bool:
         """Whether it has lately handled an object for this instance."""
         return thing in self._warm
@@ -214,14 +207,6 @@
         """Returns the number of upstreams."""
         return len(self._states)
 
-    def __iter__(self) -> Iterator[UpstreamState]:
-        """Yields all upstreams, in use or not."""
-        return iter(self._states.values())
-
-    def find(self, name: str) -> UpstreamState | None:
-        """Returns an upstream, or None if it is not known."""
-        return self._states.get(name)
-
     def take(self, record: UpstreamRecord) -> None:
         """Takes in the record of an upstream, new or changed."""
         state = self._states.get(record.name)
--- /dev/null
+++ b/tests/unit/gateway/test_gateway_settings.py
@@ -0,0 +1,58 @@
+"""Settings of an instance that follows a registry."""
+
+from datetime import timedelta
+from pathlib import Path
+
+import pytest
+
+from lycheedyke.exceptions import SettingsInvalid
+from lycheedyke_daemon.gateway import read_gateway_settings
+from standins.users_platform import SETTINGS
+
+PORTS = [1001, 1002, 1003, 1004, 1005]
+
+
+def _write(folder: Path, text: str) -> Path:
+    path = folder / 'local.json'
+    path.write_text(text)
+    return path
+
+
+def _text(name: str = 'edge-1') -> str:
+    return SETTINGS.format(
+        name=name, ports=PORTS, store='10.0.0.1:80', seeds='10.0.0.2:80'
+    )
+
+
+def test_settings_are_read_with_their_units(tmp_path: Path) -> None:
+    """Times have units, zones keep their case, absent ones a default."""
+    text = _text('Edge_1.x').replace('[zones]', '[zones]\nNorr-A = Norr')
+    settings = read_gateway_settings(_write(tmp_path, text))
+    assert settings.name == 'Edge_1.x'
+    assert settings.zones['Norr-A'] == 'Norr'
+    assert settings.stop_grace == timedelta(seconds=2)
+    assert settings.repeat_window == timedelta(seconds=10)
+    assert settings.seeds == ('10.0.0.2:80',)
+
+
+@pytest.mark.parametrize(
+    ('old', 'new', 'fault'),
+    [
+        ('stop_grace = 2s', 'stop_grace = 2', 'stop_grace'),
+        ('zone = pnw-a', 'zone = mars', '[zones] mars'),
+        ('extra = 100', 'extra = many', "extra = 'many'"),
+        ('[peers]', '[peers]\nsaplings = 1', 'saplings'),
+        ('caller = 127.0.0.1:1001', 'caller = here', "caller = 'here'"),
+    ],
+)
+def test_each_fault_names_its_place(
+    tmp_path: Path,
+    old: str,
+    new: str,
+    fault: str,
+) -> None:
+    """A faulty value, an unknown key or zone is told with what is allowed."""
+    path = _write(tmp_path, _text().replace(old, new))
+    with pytest.raises(SettingsInvalid) as caught:
+        read_gateway_settings(path)
+    assert any(fault in each for each in caught.value.faults)
