Never say that a request was not sent once it was written

Ruled out: non-idempotent requests (they use new connections). Change: once written, a request's failure is 'unknown'; no second connection is made for it. Less urgent requests have one patience: routes without traffic made ranks that shortened the queues of all look-ups. Before: the new test raised ConnectionRefused as not sent. After: green.

--- a/packages/lycheedyke/src/lycheedyke/state/_room.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_room.py
@@ -12,9 +12,9 @@
 from lycheedyke.state._choice import Pick, Request
 
 ZERO = timedelta()
-# The share of its spare time that a request may wait, by how many more
-# urgent ranks its service has.
-PATIENCE = (1.0, 0.6, 0.4)
+# The share of its spare time that a request may wait, if its service has no
+# more urgent rank, and if it has.
+PATIENCE = (1.0, 0.6)
 LEAST_RETRY_AFTER = timedelta(milliseconds=100)
 MOST_RETRY_AFTER = timedelta(seconds=2)
 # Spreads the return of those that were refused together.
--- a/packages/lycheedyke/src/lycheedyke/transport/_http.py
+++ b/packages/lycheedyke/src/lycheedyke/transport/_http.py
@@ -183,6 +183,8 @@
                 timeout.total_seconds(),
             )
         except _NOT_CONNECTED as error:
+            if gate.is_passed:
+                raise ExchangeBroken(f'{method} {url}: {error!r}') from error
             raise _connection_error(url, error) from error
         except TimeoutError as error:
             raise ExchangeTimeout(f'{method} {url}: no answer') from error
@@ -290,7 +292,7 @@
 
 
 def _open_session(connector: aiohttp.TCPConnector) -> aiohttp.ClientSession:
-    return aiohttp.ClientSession(
+    session = aiohttp.ClientSession(
         connector=connector,
         cookie_jar=aiohttp.DummyCookieJar(),
         request_class=_GatedRequest,
@@ -299,6 +301,10 @@
         max_line_size=MAX_HEAD_BYTES,
         max_field_size=MAX_HEAD_BYTES,
     )
+    # A request is written once; making a second connection for it on which
+    # it would not be written only takes time.
+    session._retry_connection = False
+    return session
 
 
 def _has_known_end(response: aiohttp.ClientResponse) -> bool:
@@ -312,14 +318,14 @@
     def __init__(self, check: BeforeWrite | None) -> None:
         self.refusal: Exception | None = None
         self._check = check
-        self._is_passed = False
+        self.is_passed = False
 
     def open(self) -> None:
         """Lets the request through for the first time only."""
-        if self._is_passed:
+        if self.is_passed:
             raise aiohttp.ClientError('the request was written before')
         self.check()
-        self._is_passed = True
+        self.is_passed = True
 
     def check(self) -> None:
         """Checks again, and keeps the refusal."""
--- /dev/null
+++ b/tests/unit/gateway/test_load.py
@@ -0,0 +1,100 @@
+"""The decisions under load: each test is one pattern, played in a model.
+
+Bounds come from the users' goals and floors.
+"""
+
+from typing import Any
+
+import pytest
+
+from standins.load_model import Kind, Load, LoadModel, Result
+
+# A desk of twenty upstreams as the users' sheet has it, warm work of 72 and
+# 94 ms; 60 slots carry about 760 known requests a second.
+# The least part of the credit that the users' days of high load ask for.
+PEAK_FLOOR = 0.247
+UPSTREAMS = {
+    'pnw-a': 1,
+    'pnw-b': 1,
+    'mt-a': 4,
+    'mt-b': 4,
+    'nc-a': 5,
+    'nc-b': 5,
+}
+
+
+def _kinds(per_s: float) -> tuple[Kind, ...]:
+    """Returns both kinds of the desk, so many requests for each zone."""
+    return (
+        Kind('lookup', per_s * 0.76, 0.24, 0.25, 1.2, 52, rank=1),
+        Kind('order', per_s * 0.24, 0.312, 0.3, 0.8, 24, worth=2),
+    )
+
+
+def _play(per_s: float, **changes: Any) -> Result:
+    load = Load(_kinds(per_s), UPSTREAMS)._replace(**changes)
+    return LoadModel(load).run()
+
+
+def _calm(result: Result) -> float:
+    """Returns the share in the goal once objects have been learnt."""
+    windows = [own for at, own in result.windows.items() if at >= 3]
+    return sum(own[1] for own in windows) / sum(own[0] for own in windows)
+
+
+def test_a_calm_day_ends_within_its_goals() -> None:
+    """Objects are learnt within seconds and then nearly all is in time."""
+    result = _play(32)
+    assert _calm(result) >= 0.9
+    assert result.refused.total() <= 0.01 * result.asked.total()
+
+
+def test_callers_of_a_zone_with_few_upstreams_are_served_as_others() -> None:
+    """Two of twenty upstreams stand where a third of the callers are."""
+    result = _play(32)
+    alone = _play(32, upstreams={**UPSTREAMS, 'pnw-a': 5, 'pnw-b': 5})
+    assert result.in_goal_share >= alone.in_goal_share - 0.1
+
+
+def test_a_peak_above_all_slots_keeps_its_useful_work() -> None:
+    """At far more than is carried, the users' floor of a peak holds."""
+    peak = _play(180, seconds=8)
+    assert peak.in_goal_share >= PEAK_FLOOR
+
+
+def test_more_urgent_requests_find_room_in_a_peak() -> None:
+    """Orders lose no larger share than look-ups of the same service."""
+    peak = _play(150, seconds=8)
+    assert peak.share('order') >= peak.share('lookup') - 0.05
+
+
+def test_no_kind_starves_in_a_peak() -> None:
+    """The less urgent kind is served at least a quarter as often as all."""
+    peak = _play(150, seconds=8)
+    served = (peak.asked - peak.refused)['lookup'] / peak.asked['lookup']
+    everything = 1 - peak.refused.total() / peak.asked.total()
+    assert served >= everything / 4
+
+
+def test_a_queue_that_grew_goes_down_again() -> None:
+    """A peak at the start, when nothing is known, does not stay."""
+    result = _play(70, seconds=14)
+    first = result.windows[0]
+    assert _calm(result) > first[1] / first[0] + 0.2
+
+
+def test_slow_upstreams_are_relieved() -> None:
+    """Those that run eight times as long get far less than their part."""
+    slow = {'nc-a-0': 8.0, 'mt-b-1': 8.0}
+    result = _play(32, slow=slow)
+    part = sum(result.sent[name] for name in slow) / result.sent.total()
+    assert part < 0.5 * len(slow) / 20
+    assert _calm(result) >= 0.8
+
+
+@pytest.mark.parametrize('seed', [1, 2, 3])
+def test_the_model_repeats_with_its_seed(seed: int) -> None:
+    """A finding can be played again."""
+    load = Load(_kinds(10), UPSTREAMS, seconds=3)
+    first = LoadModel(load, seed).run().asked
+    assert first == LoadModel(load, seed).run().asked
--- a/tests/unit/test_whole_answers.py
+++ b/tests/unit/test_whole_answers.py
@@ -20,6 +20,7 @@
 from lycheedyke.transport import HttpAnswer, HttpClient
 from lycheedyke_daemon.answers import read_answer
 from lycheedyke_daemon.work import Work
+from standins.deployment import free_ports
 
 LIMIT = timedelta(seconds=5)
 WHOLE = b'HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nmine'
@@ -249,3 +250,36 @@
             await ask(script, 'POST')
 
     run(job)
+
+
+async def _serve_once_then_hang(port: int) -> asyncio.Server:
+    """Answers one request, then closes; new connections are refused."""
+    server: asyncio.Server
+
+    async def _serve(
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n')
+        await reader.readuntil(b'\r\n\r\n')
+        server.close()
+        writer.close()
+
+    server = await asyncio.start_server(_serve, '127.0.0.1', port)
+    return server
+
+
+def test_what_was_written_once_is_never_said_not_to_be_sent() -> None:
+    """A kept connection breaks, and then no other can be made."""
+
+    async def _run() -> None:
+        (port,) = free_ports(1)
+        await _serve_once_then_hang(port)
+        url = f'http://127.0.0.1:{port}/x'
+        async with HttpClient() as client:
+            await client.send('GET', url, timeout=timedelta(seconds=2))
+            with pytest.raises(ExchangeBroken):
+                await client.send('GET', url, timeout=timedelta(seconds=2))
+
+    asyncio.run(_run())
