Serve the gateway's metrics through the metrics library

Cause: the gateway wrote the text format by hand, beside the daemon's use of the library, and had no gauges of what it believes. Change: families common to both kinds of instances stand in one module; upstreams by service and state, age of news, entries. Before and after: test_platform reads them; the daemon's metrics unchanged.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
@@ -36,16 +36,17 @@
     LookupForm,
 )
 from lycheedyke_daemon.gateway._exchange import HeaderNames, UpstreamExchange
+from lycheedyke_daemon.gateway._metrics import GatewayCollector
 from lycheedyke_daemon.gateway._news import PeerNews
 from lycheedyke_daemon.gateway._reload import SettingsFile
 from lycheedyke_daemon.gateway._router import GatewayRouter
 from lycheedyke_daemon.gateway._settings import GatewaySettings
+from lycheedyke_daemon.metric_families import METRICS_PATH, MetricsApi
 from lycheedyke_daemon.servers import HttpServers
 from lycheedyke_daemon.stopping import CallerGate
 
 INCARNATION_BYTES = 8
 READY_PATH = '/ready'
-METRICS_PATH = '/metrics'
 # Work accepted in the last half of the grace might not end in it.
 ACCEPTING_SHARE = 0.5
 # Leaves room to close before the platform kills the process.
@@ -307,26 +308,16 @@
 
     def _metrics_app(self) -> web.Application:
         app = web.Application()
-        app.add_routes([web.get(METRICS_PATH, self._show_metrics)])
+        collector = GatewayCollector(
+            self._counters,
+            self._beliefs,
+            self._fleet,
+            self._follower,
+            self._gate,
+        )
+        app.add_routes([web.get(METRICS_PATH, MetricsApi(collector).scrape)])
         return app
 
-    async def _show_metrics(self, request: web.Request) -> web.Response:
-        lines = [
-            f'lycheedyke_version {self._beliefs.number}',
-            f'lycheedyke_entries {len(self._beliefs.entries)}',
-            f'lycheedyke_upstreams {len(self._fleet)}',
-            f'lycheedyke_in_flight {self._gate.in_flight}',
-        ]
-        for name, count in sorted(self._counters.counts.items()):
-            lines.append(f'lycheedyke_events_total{{event="{name}"}} {count}')
-        for service, percentiles in self._counters.latencies().items():
-            for percentile, latency in percentiles.items():
-                lines.append(
-                    f'lycheedyke_latency_ms{{service="{service}",'
-                    f'percentile="{percentile}"}} {latency}',
-                )
-        return web.Response(text='\n'.join((*lines, '')))
-
 
 def _describe(settings: GatewaySettings) -> EntryRecord:
     return EntryRecord(
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/instance.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/instance.py
@@ -38,11 +38,8 @@
 from lycheedyke_daemon.forward import PeerApi, PeerClient
 from lycheedyke_daemon.handover import HandoverApi, KeyHomes
 from lycheedyke_daemon.lookups import Lookups
-from lycheedyke_daemon.metrics import (
-    METRICS_PATH,
-    InstanceCollector,
-    MetricsApi,
-)
+from lycheedyke_daemon.metric_families import METRICS_PATH, MetricsApi
+from lycheedyke_daemon.metrics import InstanceCollector
 from lycheedyke_daemon.placement import PlacedRunner, Placement
 from lycheedyke_daemon.routing import Router
 from lycheedyke_daemon.runner import Runner
--- /dev/null
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/metric_families.py
@@ -0,0 +1,87 @@
+"""The metrics that all kinds of instances have, and how they are served."""
+
+from collections.abc import Iterator
+from typing import Protocol
+
+from aiohttp import web
+from prometheus_client import CollectorRegistry
+from prometheus_client.exposition import CONTENT_TYPE_LATEST, generate_latest
+from prometheus_client.metrics_core import (
+    CounterMetricFamily,
+    GaugeMetricFamily,
+    Metric,
+)
+
+from lycheedyke.protocol import Reason
+from lycheedyke.state import Counters
+
+METRICS_PATH = '/metrics'
+
+
+class MetricsCollector(Protocol):
+    """Yields the metrics of one instance at each scrape."""
+
+    def collect(self) -> Iterator[Metric]:
+        """Yields all metrics."""
+
+
+class MetricsApi:
+    """Serves the metrics of one instance.
+
+    Args:
+        collector: collects them.
+    """
+
+    def __init__(self, collector: MetricsCollector) -> None:
+        """Makes the API over a collector."""
+        self._registry = CollectorRegistry()
+        self._registry.register(collector)
+
+    def __repr__(self) -> str:
+        """Returns the path."""
+        return f'<MetricsApi at {METRICS_PATH}>'
+
+    async def scrape(self, request: web.Request) -> web.Response:
+        """Answers with the metrics in the text format."""
+        return web.Response(
+            body=generate_latest(self._registry),
+            headers={'Content-Type': CONTENT_TYPE_LATEST},
+        )
+
+
+def count_events(counters: Counters) -> Metric:
+    """Returns all counters; each refusal and retry reason is there."""
+    family = CounterMetricFamily(
+        'lycheedyke_events',
+        'Events by name; each refusal and retry reason is one.',
+        labels=('event',),
+    )
+    expected = dict.fromkeys(refusal_names(), 0)
+    for name, count in {**expected, **counters.counts}.items():
+        family.add_metric((name,), count)
+    return family
+
+
+def list_latencies(counters: Counters) -> Metric:
+    """Returns the percentiles of each latency."""
+    family = GaugeMetricFamily(
+        'lycheedyke_latency_ms',
+        'Latency percentiles by service, in milliseconds.',
+        labels=('service', 'percentile'),
+    )
+    for service, percentiles in counters.latencies().items():
+        for percentile, latency in percentiles.items():
+            family.add_metric((service, percentile), latency)
+    return family
+
+
+def plain_gauge(name: str, text: str, number: float) -> Metric:
+    """Returns a gauge without labels."""
+    return GaugeMetricFamily(name, text, value=number)
+
+
+def refusal_names() -> Iterator[str]:
+    """Yields the counter names of all refusals and retries."""
+    for kind in ('not-run', 'unknown', 'retry'):
+        for reason in Reason:
+            yield f'{kind}.{reason.value}'
--- a/packages/lycheedyke/src/lycheedyke/state/_fleet.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_fleet.py
@@ -207,6 +207,10 @@
         """Returns the number of upstreams."""
         return len(self._states)
 
+    def all(self) -> tuple[UpstreamState, ...]:
+        """Returns all upstreams, in use or not."""
+        return tuple(self._states.values())
+
     def take(self, record: UpstreamRecord) -> None:
         """Takes in the record of an upstream, new or changed."""
         state = self._states.get(record.name)
--- a/tests/processes/test_platform.py
+++ b/tests/processes/test_platform.py
@@ -60,7 +60,9 @@
         # Without a signal the change is seen a little later.
         await asyncio.sleep(2.5)
         reply = await platform.get(f'127.0.0.1:{ports[4]}', '/metrics')
-        assert b'lycheedyke_version 17' in reply.body
+        assert b'lycheedyke_version 17.0' in reply.body
+        states = b'lycheedyke_upstreams{service="desk",state="usable"} 2.0'
+        assert states in reply.body
         process.send_signal(signal.SIGTERM)
         output, _ = await asyncio.to_thread(process.communicate, timeout=10)
         assert process.returncode == 0
