--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
@@ -149,8 +149,8 @@
         await self._servers.open(self._peer_app(), settings.peer_address)
         await self._servers.open(self._lookup_app(), settings.lookup_address)
         await self._servers.open(self._ready_app(), settings.ready_address)
-        await self._servers.open(self._metrics_app(), settings.metrics_address)
         await self._servers.open(self._caller_app(), settings.caller_address)
+        await self._open_metrics()
         _logger.info('started', extra={'settings': settings._asdict()})
 
     def follow_settings(self, settings_file: SettingsFile) -> None:
@@ -178,6 +178,14 @@
         await self._news.close()
         await self._deployment.registry.close()
 
+    async def _open_metrics(self) -> None:
+        """Serves metrics; without them the instance still serves callers."""
+        address = self._settings.metrics_address
+        try:
+            await self._servers.open(self._metrics_app(), address)
+        except OSError as error:
+            _logger.error('metrics not served at %s: %s', address, error)
+
     async def _finish(self, least: timedelta, most: timedelta) -> None:
         started = self._clock.elapsed()
         passed = timedelta()
--- a/tests/processes/test_platform.py
+++ b/tests/processes/test_platform.py
@@ -38,7 +38,13 @@
 
 
 def _write(path: Path, store: str, ports: list[int], level: str) -> None:
-    text = SETTINGS.format(name='edge-9', ports=ports, store=store, seeds='')
+    text = SETTINGS.format(
+        name='edge-9',
+        ports=ports,
+        store=store,
+        seeds='',
+        metrics=f'127.0.0.1:{ports[4]}',
+    )
     path.write_text(f'{text}\n[logs]\nlevel = {level}\n')
 
 
--- a/tests/standins/users_platform.py
+++ b/tests/standins/users_platform.py
@@ -43,7 +43,7 @@
 ready = 127.0.0.1:{ports[1]}
 lookup = 127.0.0.1:{ports[2]}
 peer = 127.0.0.1:{ports[3]}
-metrics = 127.0.0.1:{ports[4]}
+metrics = {metrics}
 
 [peers]
 seeds = {seeds}
@@ -175,15 +175,22 @@
         """Returns the ids of all requests that ran, once for each run."""
         return [name for each in self.upstreams for name in each.ran]
 
-    async def start(self, name: str, seeds: str = '') -> None:
+    async def start(
+        self,
+        name: str,
+        seeds: str = '',
+        metrics: str = '',
+    ) -> None:
         """Starts an entry instance and waits until it is ready."""
         path = self._folder / f'{name}.ini'
+        ports = free_ports(5)
         path.write_text(
             SETTINGS.format(
                 name=name,
-                ports=free_ports(5),
+                ports=ports,
                 store=self._store,
                 seeds=seeds,
+                metrics=metrics or f'127.0.0.1:{ports[4]}',
             ),
         )
         settings = read_gateway_settings(path)
--- a/tests/unit/gateway/test_gateway_settings.py
+++ b/tests/unit/gateway/test_gateway_settings.py
@@ -20,7 +20,11 @@
 
 def _text(name: str = 'edge-1') -> str:
     return SETTINGS.format(
-        name=name, ports=PORTS, store='10.0.0.1:80', seeds='10.0.0.2:80'
+        name=name,
+        ports=PORTS,
+        store='10.0.0.1:80',
+        seeds='10.0.0.2:80',
+        metrics='127.0.0.1:1005',
     )
 
 
--- a/tests/unit/gateway/test_life.py
+++ b/tests/unit/gateway/test_life.py
@@ -241,6 +241,17 @@
     _play(tmp_path, _scene)
 
 
+def test_a_taken_metrics_port_costs_the_metrics_only(tmp_path: Path) -> None:
+    """An instance that can't serve metrics serves callers."""
+
+    async def _scene(platform: UsersPlatform) -> None:
+        taken = platform.settings[0].metrics_address
+        await platform.start('edge-new', metrics=taken)
+        assert (await platform.send('/read/1', instance=1)).status == 200
+
+    _play(tmp_path, _scene)
+
+
 def test_an_instance_that_starts_without_the_store_asks_its_seeds(
     tmp_path: Path,
 ) -> None:
