--- a/tests/standins/deployment.py
+++ b/tests/standins/deployment.py
@@ -159,6 +159,15 @@
 
     def __enter__(self) -> Self:
         """Starts the platform and all entry instances."""
+        try:
+            self._start_all()
+        except BaseException:
+            # Nobody else ends what was started.
+            self.__exit__()
+            raise
+        return self
+
+    def _start_all(self) -> None:
         self.start_platform()
         if self.links:
             self._start_relay()
@@ -166,7 +175,6 @@
             self.start_entry(name, wait=False)
         for seat in self.seats.values():
             wait_for_port(seat.caller, self.folder / f'{seat.name}.log')
-        return self
 
     def __exit__(self, *_: object) -> None:
         """Ends all processes that are left."""
