Judge only the home of an object, and choose once for a refusal

A pause, a property and a field had no reader. Ruled out: a change of decisions; the same upstreams are eligible, turns at cold ones are looked at as before. Change: the home is picked before judging; the refusal keeps the last choice.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_router.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_router.py
@@ -47,6 +47,7 @@
         self.tried: set[str] = set()
         self.attempts = 0
         self.outcome: Outcome | None = None
+        self.pick: Pick | None = None
 
     def add(self, upstream: str, outcome: Outcome) -> None:
         """Takes in the outcome at one upstream.
@@ -116,7 +117,9 @@
             if not _may_repeat(work, outcome):
                 break
         if story.outcome is None or isinstance(story.outcome, NotRun):
-            return self._refuse(request, work, story.outcome)
+            # Without a send the last choice was among all upstreams.
+            pick = self._choice.choose(request) if story.tried else story.pick
+            return self._refuse(request, work, pick, story.outcome)
         return story.outcome
 
     def _next(
@@ -130,6 +133,7 @@
         if is_used_up or len(story.tried) >= MOST_SENDS:
             return None
         pick = self._choice.choose(request, story.tried)
+        story.pick = pick
         if pick is None:
             return None
         if not self._is_let_in(request, pick, work, story.started):
@@ -220,10 +224,10 @@
         self,
         request: Request,
         work: Work,
+        pick: Pick | None,
         outcome: NotRun | None,
     ) -> NotRun:
         """Returns the refusal, with a time at which there may be room."""
-        pick = self._choice.choose(request)
         reason = Reason.no_upstream if pick is None else Reason.no_room
         if outcome is not None:
             reason = outcome.reason
--- a/packages/lycheedyke/src/lycheedyke/coordination/_registry_follower.py
+++ b/packages/lycheedyke/src/lycheedyke/coordination/_registry_follower.py
@@ -45,14 +45,12 @@
         wait: how long a question waits for a change.
         retry: from a failed call to the next one.
         silence: without news for that long, peers are asked.
-        reread: from one reading of everything to the next.
     """
 
     poll: timedelta = timedelta(milliseconds=500)
     wait: timedelta = timedelta(seconds=1)
     retry: timedelta = timedelta(milliseconds=300)
     silence: timedelta = timedelta(milliseconds=1200)
-    reread: timedelta = timedelta(seconds=20)
 
 
 DEFAULT_PAUSES = FollowPauses()
--- a/packages/lycheedyke/src/lycheedyke/protocol/_registry.py
+++ b/packages/lycheedyke/src/lycheedyke/protocol/_registry.py
@@ -55,11 +55,6 @@
     sticky: bool = False
     homes: frozenset[str] = frozenset()
 
-    @property
-    def idempotent(self) -> bool:
-        """Whether a request may run more than once."""
-        return self.kind is RouteKind.idempotent
-
 
 class ServiceTerms(msgspec.Struct, frozen=True, array_like=True):
     """What the upstreams of a service bear.
--- a/packages/lycheedyke/src/lycheedyke/state/_choice.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_choice.py
@@ -55,7 +55,6 @@
         trip: the round trip.
         known: how likely the object is known there.
         load: the requests that it was taken to hold.
-        is_home: whether requests for the object meet there.
     """
 
     state: UpstreamState
@@ -64,7 +63,6 @@
     trip: timedelta
     known: float
     load: float
-    is_home: bool
 
     @property
     def expected(self) -> timedelta:
@@ -156,14 +154,11 @@
         homes: Mapping[str, str] = {}
         if request.thing:
             homes = self._pools.homes(request.thing, candidates)
-        picks = [
-            self._judge(request, state, homes)
-            for state in candidates
-            if self._may_send(state)
-        ]
-        fitting = [pick for pick in picks if pick.is_home]
+        ready = [state for state in candidates if self._may_send(state)]
+        home = homes.get(self._place.zone)
+        fitting = [state for state in ready if state.record.name == home]
         return min(
-            fitting or picks,
+            (self._judge(request, state, homes) for state in fitting or ready),
             key=lambda pick: self._cost(request, pick),
             default=None,
         )
@@ -208,7 +203,6 @@
             self._trip(record.zone),
             known,
             load,
-            not homes or record.name == homes.get(self._place.zone),
         )
 
     def _wait(
