Keep processes of other tests out of a deployment's views

Cause, of the listed test of views: a view by name held norr-a-1 for 30 s after its stop. All deployments of the tests signed with the same secret and use the same names, and instances of an earlier failed start had been left alive; their gossip takes over a port that a later test is given, and another live norr-a-1 answers there. Reproduced: with one secret for both, an instance of another deployment enters the views (the new test fails). Second: the clock without pauses counted each step over 500 ms as 100 ms, so a process that is starved all the time hardly counts silence.

Ruled out: reading the clock too rarely. The gossip reads it every 200 ms.

Change: each deployment has its own secret. A step counts as 500 ms, so the clock runs at a quarter of the real rate or more at steps of 2 s.

Conclusion: what was seen is explained by the first; the second was found while looking for it (tests failed before: 0.1 s counted of 1 s).

--- a/packages/lycheedyke/src/lycheedyke/coordination/_pauses.py
+++ b/packages/lycheedyke/src/lycheedyke/coordination/_pauses.py
@@ -4,8 +4,8 @@
 
 from lycheedyke.clock import Clock
 
+# Longer than the ticks and heartbeats (200 and 250 ms) that read the clock.
 LONGEST_STEP = timedelta(milliseconds=500)
-PAUSE_COUNTS_AS = timedelta(milliseconds=100)
 
 
 class AwakeClock:
@@ -13,7 +13,8 @@
 
     It is read often while the process runs, so a long step between two
     readings means that the process was frozen or starved. Such a step counts
-    as `PAUSE_COUNTS_AS`.
+    as `LONGEST_STEP`: it goes on counting in a process that is starved all
+    the time.
 
     Args:
         clock: the monotonic clock.
@@ -41,5 +42,5 @@
         self._last = now
         if step > LONGEST_STEP:
             self.pauses += 1
-            self._paused += step - PAUSE_COUNTS_AS
+            self._paused += step - LONGEST_STEP
         return now - self._paused
--- a/tests/processes/test_members.py
+++ b/tests/processes/test_members.py
@@ -96,3 +96,19 @@
         for way in ways:
             asyncio.run(running.heal(*way))
         _wait(running, everyone)
+
+
+def test_what_another_test_left_behind_is_no_peer(tmp_path: Path) -> None:
+    """Processes of one run that outlive it stay out of the views of others."""
+    zones = {'norr-a': 'norr'}
+    folders = [tmp_path / 'left', tmp_path / 'own']
+    for folder in folders:
+        folder.mkdir()
+    with Deployment(folders[0], zones=zones) as left:
+        running = Deployment(folders[1], zones=zones, entries=2)
+        running.seeds += left.seeds
+        with running:
+            _wait(running, running.seats)
+            for _ in polls(3):
+                assert asyncio.run(_view(left.seats['norr-a-0'])) == {}
+            _wait(running, running.seats)
--- a/tests/standins/deployment.py
+++ b/tests/standins/deployment.py
@@ -3,6 +3,7 @@
 import fcntl
 import os
 import random
+import secrets
 import signal
 import socket
 import subprocess
@@ -20,7 +21,6 @@
 POLL_SECONDS = 0.05
 PORT_LOCKS = Path(tempfile.gettempdir()) / 'lycheedyke-ports'
 PORT_RANGE = (10_000, 32_000)
-PEER_SECRET = 'peer-secret-for-tests'
 ADMIN_SECRET = 'admin-secret-for-tests'
 
 _random = random.SystemRandom()
@@ -145,6 +145,8 @@
     ) -> None:
         """Chooses addresses; nothing is started."""
         self.folder = folder
+        # Processes that another test left behind are no peers of this one's.
+        self.peer_secret = secrets.token_hex()
         self.customer = customer
         self.zones = zones
         self.seats = {
@@ -152,6 +154,7 @@
             for zone, region in zones.items()
             for index in range(entries)
         }
+        self.seeds = [seat.control for seat in self.seats.values()][:3]
         self.platform = f'127.0.0.1:{free_ports(1)[0]}'
         self.links: list[Link] = self._make_links() if links else []
         self.relay = f'127.0.0.1:{free_ports(1)[0]}'
@@ -283,12 +286,11 @@
         return target
 
     def _write_settings(self, seat: Seat) -> Path:
-        secrets = self.folder / 'secrets.ini'
-        secrets.write_text(
-            f'[secrets]\npeer = {PEER_SECRET}\nadmin = {ADMIN_SECRET}\n',
+        secret_file = self.folder / 'secrets.ini'
+        secret_file.write_text(
+            f'[secrets]\npeer = {self.peer_secret}\nadmin = {ADMIN_SECRET}\n',
         )
         config = self.folder / f'{seat.name}.ini'
-        seeds = [other.control for other in self.seats.values()]
         config.write_text(
             SETTINGS.format(
                 **seat._asdict(),
@@ -299,8 +301,8 @@
                     for link in self.links
                     if link.source == seat.zone and link.target != self.platform
                 ),
-                seeds=', '.join(seeds[:3]),
-                secrets=secrets,
+                seeds=', '.join(self.seeds),
+                secrets=secret_file,
             ),
         )
         return config
--- /dev/null
+++ b/tests/unit/test_pauses.py
@@ -0,0 +1,36 @@
+"""The clock that leaves out the pauses of its own process."""
+
+from datetime import timedelta
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from lycheedyke.coordination._pauses import LONGEST_STEP, AwakeClock
+from standins.clock import ManualClock
+
+
+def test_a_pause_counts_as_the_longest_step() -> None:
+    """A process that was frozen for long does not find everyone silent."""
+    clock = ManualClock()
+    awake = AwakeClock(clock)
+    before = awake.elapsed()
+    clock.pass_time(3600)
+    assert awake.elapsed() - before == LONGEST_STEP
+    assert awake.pauses == 1
+
+
+@given(steps=st.lists(st.floats(0.0, 2.0), min_size=1))
+def test_starvation_slows_the_clock_and_does_not_stop_it(
+    steps: list[float],
+) -> None:
+    """Steps of up to 2 s still count at a quarter of the real rate or more."""
+    clock = ManualClock()
+    awake = AwakeClock(clock)
+    before = awake.elapsed(), awake.real()
+    for step in steps:
+        clock.pass_time(step)
+        awake.elapsed()
+    counted = awake.elapsed() - before[0]
+    real = awake.real() - before[1]
+    assert real / 4 <= counted + len(steps) * timedelta(microseconds=1)
+    assert counted <= real
