Ask the store from one instance of all, in place of one a zone

Each zone's watcher asked for changes; on a quiet store such a question waits 1 s, so the news of a watcher was up to 1.5 s old and other instances, which take it as fresh for 1.2 s, asked the store themselves. In an outage every instance retried three times a second.

Ruled out: a longer freshness alone, which delays what a cut-off zone learns.

Change: one watcher is the head and asks the store, at most three times a second; the other zones' watchers ask the head four times a second, and the rest their watcher. The ages on that way sum to less than 1.6 s. Whoever hears nothing fresh asks the store itself; a silent source is left alone for 2 s. While the store is away, instances that are no watchers retry with growing pauses of up to 3 s.

Before, 16 instances in 2 zones, quiet store, 4 s: 19 calls, twice (the new test, red); after: within its bound of 12.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
@@ -113,6 +113,7 @@
             self._replica,
             suspects,
             self._counters,
+            clock,
         )
         self._follower = RegistryFollower(
             deployment.registry,
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_news.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_news.py
@@ -1,13 +1,16 @@
 """News between entry instances, for those that the registry does not reach."""
 
 import asyncio
+import logging
 import random
+from collections import defaultdict
 from collections.abc import Callable, Sequence
 from datetime import timedelta
 
 import msgspec
 from aiohttp import web
 
+from lycheedyke.clock import Clock
 from lycheedyke.coordination import Replica, watchers_of
 from lycheedyke.exceptions import TransportError
 from lycheedyke.protocol import EntryRecord, News
@@ -21,8 +24,11 @@
 ASK_LIMIT = timedelta(milliseconds=500)
 REPORT_LIMIT = timedelta(milliseconds=300)
 PEERS_ASKED = 3
+# A source that was silent is asked again after that; it costs ASK_LIMIT.
+SILENT_PAUSE = timedelta(seconds=2)
 MILLISECOND = timedelta(milliseconds=1)
 MAX_NEWS_BYTES = 8_388_608
+_logger = logging.getLogger(__name__)
 _NEWS = msgspec.msgpack.Decoder(News)
 _ENTRY = msgspec.msgpack.Decoder(EntryRecord)
 _SUSPECTS = msgspec.msgpack.Decoder(tuple[Suspect, ...])
@@ -38,6 +44,7 @@
         replica: what is known here.
         suspects: the requests that may crash upstreams.
         counters: counts failed questions.
+        clock: the time.
     """
 
     def __init__(
@@ -48,6 +55,7 @@
         replica: Replica,
         suspects: Suspects,
         counters: Counters,
+        clock: Clock,
     ) -> None:
         """Makes a client without connections."""
         self.age: Callable[[], timedelta] = timedelta
@@ -57,6 +65,8 @@
         self._replica = replica
         self._suspects = suspects
         self._counters = counters
+        self._clock = clock
+        self._silent_until: dict[str, timedelta] = {}
         self._http = HttpClient(max_body_bytes=MAX_NEWS_BYTES)
 
     def __repr__(self) -> str:
@@ -67,16 +77,25 @@
         """Closes the connections."""
         await self._http.close()
 
-    async def ask_watcher(self, after: int) -> News | None:
-        """Returns the news of the zone's watcher, unless it is this one."""
-        own = self._own
-        zone = [
-            peer for peer in self._beliefs.present() if peer.zone == own.zone
-        ]
-        watchers = watchers_of(zone, 1)
-        if not watchers or watchers[0].name == own.name:
+    @property
+    def is_watcher(self) -> bool:
+        """Whether this instance tells its zone the news."""
+        watcher = self._watchers().get(self._own.zone)
+        return watcher is None or watcher.name == self._own.name
+
+    async def ask_source(self, after: int) -> News | None:
+        """Returns the news of the zone's watcher, or of the head.
+
+        Returns:
+            None if this instance is the head, or its source is silent.
+        """
+        source = self._source()
+        now = self._clock.elapsed()
+        if source is None or now < self._silent_until.get(source.name, now):
             return None
-        return await self._ask_one(watchers[0].peer_address, after)
+        news = await self._ask_one(source.peer_address, after)
+        self._note_source(source.name, is_heard=news is not None)
+        return news
 
     async def ask_some(self, after: int) -> list[News]:
         """Returns the news of some instances of any zone.
@@ -133,6 +152,30 @@
         self._beliefs.note_leaving(entry)
         return web.Response()
 
+    def _watchers(self) -> dict[str, EntryRecord]:
+        zones: defaultdict[str, list[EntryRecord]] = defaultdict(list)
+        for entry in self._beliefs.present():
+            zones[entry.zone].append(entry)
+        return {zone: watchers_of(zones[zone], 1)[0] for zone in zones}
+
+    def _source(self) -> EntryRecord | None:
+        watchers = self._watchers()
+        source = watchers.get(self._own.zone)
+        if source is not None and source.name == self._own.name:
+            source = watchers_of(watchers.values(), 1)[0]
+        if source is None or source.name == self._own.name:
+            return None
+        return source
+
+    def _note_source(self, name: str, *, is_heard: bool) -> None:
+        was_silent = self._silent_until.pop(name, None) is not None
+        if not is_heard:
+            until = self._clock.elapsed() + SILENT_PAUSE
+            self._silent_until = {name: until}
+        if was_silent == is_heard:
+            state = 'regained' if is_heard else 'lost'
+            _logger.info('source of news %s', state, extra={'peer': name})
+
     def _others(self) -> list[str]:
         return [
             peer.peer_address
--- a/packages/lycheedyke/src/lycheedyke/coordination/_registry_follower.py
+++ b/packages/lycheedyke/src/lycheedyke/coordination/_registry_follower.py
@@ -1,8 +1,10 @@
 """Keeps the replica up to date: from the registry, or else from peers.
 
-One instance of each zone, the watcher, asks the registry; the others ask the
-watcher, and the registry themselves where the watcher has no fresh news. An
-instance without any news asks peers of all zones.
+One instance of all, the head, asks the registry. One instance of each zone,
+its watcher, asks the head, and the others ask their watcher; so the calls to
+the registry grow neither with instances nor with zones. Whoever hears nothing
+fresh that way asks the registry itself. An instance without any news asks
+peers of all zones.
 """
 
 import logging
@@ -21,16 +23,21 @@
 _logger = logging.getLogger(__name__)
 
 MILLISECOND = timedelta(milliseconds=1)
+MOST_DOUBLINGS = 8
 
 
 class Peers(Protocol):
     """The other entry instances, as sources of news."""
 
-    async def ask_watcher(self, after: int) -> News | None:
-        """Returns the news of the zone's watcher.
+    @property
+    def is_watcher(self) -> bool:
+        """Whether this instance tells its zone the news."""
+
+    async def ask_source(self, after: int) -> News | None:
+        """Returns the news of the zone's watcher, or of the head.
 
         Returns:
-            None if this instance is the watcher, or the watcher is silent.
+            None if this instance is the head, or its source is silent.
         """
 
     async def ask_some(self, after: int) -> list[News]:
@@ -40,17 +47,27 @@
 class FollowPauses(NamedTuple):
     """How often the registry and peers are asked.
 
+    The ages that add up on the way from the registry over the head and a
+    watcher stay below `silence`.
+
     Attributes:
-        poll: from one answer of the registry to the next question.
-        wait: how long a question waits for a change.
-        retry: from a failed call to the next one.
+        registry: between two questions to the registry.
+        wait: how long such a question waits for a change.
+        head: between two questions of a watcher to the head.
+        watcher: between two questions to the zone's watcher.
+        retry: from a failed call of the registry to the next one.
+        most_retry: the same for those that others tell the news, after some
+            failures.
         silence: without news for that long, peers are asked.
     """
 
-    poll: timedelta = timedelta(milliseconds=500)
-    wait: timedelta = timedelta(seconds=1)
+    registry: timedelta = timedelta(milliseconds=330)
+    wait: timedelta = timedelta(milliseconds=500)
+    head: timedelta = timedelta(milliseconds=250)
+    watcher: timedelta = timedelta(milliseconds=500)
     retry: timedelta = timedelta(milliseconds=300)
-    silence: timedelta = timedelta(milliseconds=1200)
+    most_retry: timedelta = timedelta(seconds=3)
+    silence: timedelta = timedelta(milliseconds=1600)
 
 
 DEFAULT_PAUSES = FollowPauses()
@@ -84,6 +101,8 @@
         self._heard = clock.elapsed()
         self._is_read = False
         self._failed_since: timedelta | None = None
+        self._failures = 0
+        self._retry_at = timedelta()
 
     @property
     def age(self) -> timedelta:
@@ -95,12 +114,9 @@
         return f'<RegistryFollower of {self._replica!r}>'
 
     async def follow(self) -> None:
-        """Follows the registry, or the watcher, until cancelled."""
+        """Follows the registry, or a peer that does, until cancelled."""
         while True:
-            pause = self._pauses.poll * random.uniform(0.9, 1.1)
-            if not await self._hear_watcher() and not await self._hear():
-                pause = self._pauses.retry * random.uniform(0.5, 1.5)
-            await self._clock.sleep(pause)
+            await self._clock.sleep(await self._hear())
 
     async def follow_peers(self) -> None:
         """Asks peers while there is no news, until cancelled."""
@@ -109,22 +125,34 @@
             self._replica.drop_lapsed()
             if self._is_fresh(self._heard):
                 continue
+            # Records may lapse that nobody could renew.
+            self._replica.note_outage()
             for news in await self._peers.ask_some(self._replica.revision):
                 self._take(news)
 
-    async def _hear_watcher(self) -> bool:
-        news = await self._peers.ask_watcher(self._replica.revision)
-        return news is not None and self._take(news)
-
-    async def _hear(self) -> bool:
-        """Asks the registry; returns whether it answered."""
+    async def _hear(self) -> timedelta:
+        """Asks for news; returns the pause until the next time."""
+        news = await self._peers.ask_source(self._replica.revision)
+        if news is not None and self._take(news):
+            self._note_regained()
+            return self._poll_pause * random.uniform(0.9, 1.1)
+        asked = self._clock.elapsed()
+        if asked < self._retry_at:
+            return min(self._poll_pause, self._retry_at - asked)
         try:
             await self._ask()
         except PlatformError as error:
             self._note_failure(error)
-            return False
+            return min(self._poll_pause, self._retry_at - self._clock.elapsed())
         self._note_answer()
-        return True
+        took = self._clock.elapsed() - asked
+        return max(self._pauses.registry - took, MILLISECOND)
+
+    @property
+    def _poll_pause(self) -> timedelta:
+        if self._peers.is_watcher:
+            return self._pauses.head
+        return self._pauses.watcher
 
     def _take(self, news: News) -> bool:
         """Takes in a peer's news; returns whether they are fresh."""
@@ -158,11 +186,14 @@
         self._replica.take(batch)
 
     def _note_answer(self) -> None:
-        now = self._clock.elapsed()
-        self._heard = now
+        self._heard = self._clock.elapsed()
+        self._note_regained()
+
+    def _note_regained(self) -> None:
         if self._failed_since is None:
             return
-        away = now - self._failed_since
+        away = self._clock.elapsed() - self._failed_since
+        self._failures = 0
         self._failed_since = None
         self._replica.note_outage()
         _logger.info(
@@ -172,6 +203,14 @@
 
     def _note_failure(self, error: PlatformError) -> None:
         self._replica.note_outage()
+        pause = self._pauses.retry * 2 ** min(self._failures, MOST_DOUBLINGS)
+        if self._peers.is_watcher:
+            pause = self._pauses.retry
+        pause = min(pause, self._pauses.most_retry)
+        self._retry_at = self._clock.elapsed() + (
+            pause * random.uniform(0.5, 1.5)
+        )
+        self._failures += 1
         if self._failed_since is not None:
             return
         self._failed_since = self._clock.elapsed()
--- a/tests/processes/test_platform.py
+++ b/tests/processes/test_platform.py
@@ -40,6 +40,8 @@
 def _write(path: Path, store: str, ports: list[int], level: str) -> None:
     text = SETTINGS.format(
         name='edge-9',
+        region='pnw',
+        zone='pnw-a',
         ports=ports,
         store=store,
         seeds='',
--- a/tests/standins/users_platform.py
+++ b/tests/standins/users_platform.py
@@ -35,8 +35,8 @@
 SETTINGS = """
 [instance]
 name = {name}
-region = pnw
-zone = pnw-a
+region = {region}
+zone = {zone}
 
 [listen]
 caller = 127.0.0.1:{ports[0]}
@@ -180,6 +180,7 @@
         name: str,
         seeds: str = '',
         metrics: str = '',
+        zone: str = 'pnw-a',
     ) -> None:
         """Starts an entry instance and waits until it is ready."""
         path = self._folder / f'{name}.ini'
@@ -187,6 +188,8 @@
         path.write_text(
             SETTINGS.format(
                 name=name,
+                zone=zone,
+                region=zone.partition('-')[0],
                 ports=ports,
                 store=self._store,
                 seeds=seeds,
--- a/tests/unit/gateway/test_gateway_settings.py
+++ b/tests/unit/gateway/test_gateway_settings.py
@@ -21,6 +21,8 @@
 def _text(name: str = 'edge-1') -> str:
     return SETTINGS.format(
         name=name,
+        region='pnw',
+        zone='pnw-a',
         ports=PORTS,
         store='10.0.0.1:80',
         seeds='10.0.0.2:80',
--- a/tests/unit/gateway/test_life.py
+++ b/tests/unit/gateway/test_life.py
@@ -12,6 +12,10 @@
 Scene = Callable[[UsersPlatform], Awaitable[None]]
 # From a write in the store to its effect, the users allow 2.5 s.
 APPLY_SECONDS = 2.0
+QUIET_SECONDS = 4
+MANY_INSTANCES = 16
+# At a third of a second between two of them.
+WATCHES_PER_S = 3
 
 
 def _play(folder: Path, scene: Scene, **parts: int) -> None:
@@ -304,7 +308,7 @@
 
         registry = blind._deployment.registry
         registry._http.send = _fail  # type: ignore[attr-defined]
-        blind._news.ask_watcher = _no_news  # type: ignore[method-assign]
+        blind._news.ask_source = _no_news  # type: ignore[method-assign]
         added = {'name': 'new', 'prefix': '/new/', 'service': 'desk'}
         value = config_value(0x2F, [*ROUTES, added])
         platform.store.put('op/config', value)
@@ -317,5 +321,35 @@
     _play(tmp_path, _scene, instances=2)
 
 
+def test_calls_to_a_quiet_store_do_not_grow_with_instances(
+    tmp_path: Path,
+) -> None:
+    """One instance asks for changes, the others learn from it."""
+
+    async def _scene(platform: UsersPlatform) -> None:
+        for at in range(2, MANY_INSTANCES):
+            zone = ('pnw-a', 'nc-a')[at % 2]
+            await platform.start(f'edge-{at}', zone=zone)
+        await asyncio.sleep(2)
+        platform.store.calls.clear()
+        await asyncio.sleep(QUIET_SECONDS)
+        calls = platform.store.calls.count('/kv-watch')
+        assert 0 < calls <= QUIET_SECONDS * WATCHES_PER_S
+        added = {'name': 'new', 'prefix': '/new/', 'service': 'desk'}
+        value = config_value(0x2F, [*ROUTES, added])
+        platform.store.put('op/config', value)
+
+        async def _is_in_force() -> bool:
+            replies = [
+                await platform.send('/new/1', instance=at)
+                for at in range(MANY_INSTANCES)
+            ]
+            return all(each.status == 200 for each in replies)
+
+        assert await _until(_is_in_force)
+
+    _play(tmp_path, _scene, instances=2)
+
+
 async def _no_news(after: int) -> None:
     return None
--- a/tests/unit/gateway/test_replica.py
+++ b/tests/unit/gateway/test_replica.py
@@ -145,7 +145,11 @@
         self._watcher = watcher
         self._some = some
 
-    async def ask_watcher(self, after: int) -> News | None:
+    @property
+    def is_watcher(self) -> bool:
+        return True
+
+    async def ask_source(self, after: int) -> News | None:
         self.asked += 1
         await asyncio.sleep(0)
         return self._watcher
