Ramp shares after a configuration, close idle callers, check every log line

Causes: callers' shares followed a new configuration at once, which may move more of a region's callers in two seconds than the deployment allows; the limit on idle connections was read and not kept; an instance whose announcement the store dropped waited up to 1.3 s before it was named again; a background task that failed left no line; 'zone' of an evacuated zone overwrote the instance's own zone in the line.

Changes: shares step to those of a new configuration at half of the setting [shifts] most (the deployment's shiftMax), in 2 s windows, unless the old place carries nothing; connections without a whole request for the limit are closed once their answer is written; a lost announcement is made again within 0.3 s; lines for cold upstreams, moved shares, lost and regained sources of news, failed tasks. docs/OPERATIONS.md lists every event with its fields, and a test compares it with the code; each gateway test checks each line it causes.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_beliefs.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_beliefs.py
@@ -16,6 +16,7 @@
 )
 from lycheedyke.state import Fleet, RouteTable
 
+MILLISECOND = timedelta(milliseconds=1)
 # Instances not heard of any more may only be cut off from here.
 ENTRY_MEMORY = timedelta(minutes=10)
 
@@ -118,10 +119,15 @@
         before: Record | None,
     ) -> None:
         self._fleet.take(upstream)
-        if not isinstance(before, UpstreamRecord):
-            _logger.info('upstream seen', extra={'upstream': upstream.name})
-        elif upstream.leaving and not before.leaving:
-            _logger.info('upstream leaving', extra={'upstream': upstream.name})
+        known = before if isinstance(before, UpstreamRecord) else None
+        fields = {'upstream': upstream.name, 'service': upstream.service}
+        if known is None:
+            _logger.info('upstream seen', extra=fields)
+        elif upstream.leaving and not known.leaving:
+            _logger.info('upstream leaving', extra=fields)
+        if upstream.cold and not (known is not None and known.cold):
+            left = upstream.cold // MILLISECOND
+            _logger.info('upstream cold', extra={**fields, 'cold_ms': left})
 
     def _follow_entry(self, entry: EntryRecord) -> None:
         if self.entries.get(entry.name) != entry:
@@ -131,7 +137,7 @@
     def _evacuate(self, zone: str) -> None:
         self._zones.add(zone)
         self._fleet.evacuated = frozenset(self._zones)
-        _logger.info('zone evacuated', extra={'zone': zone})
+        _logger.info('zone evacuated', extra={'zone_name': zone})
 
     def _remove(self, before: Record | None) -> None:
         match before:
@@ -141,7 +147,7 @@
             case EvacuationRecord(zone):
                 self._zones.discard(zone)
                 self._fleet.evacuated = frozenset(self._zones)
-                _logger.info('zone taken back', extra={'zone': zone})
+                _logger.info('zone taken back', extra={'zone_name': zone})
             case EntryRecord(name):
                 self.entries.pop(name, None)
                 self._leaving.pop(name, None)
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_callers.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_callers.py
@@ -27,6 +27,7 @@
 from lycheedyke_daemon.gateway._decisions import Instruments
 from lycheedyke_daemon.gateway._exchange import HeaderNames
 from lycheedyke_daemon.gateway._router import GatewayRouter
+from lycheedyke_daemon.idle import IdleConnections
 from lycheedyke_daemon.stopping import CallerGate
 from lycheedyke_daemon.work import Work, end_to_end
 
@@ -96,9 +97,13 @@
         """Returns the beliefs."""
         return f'<GatewayCallerApi with {self._beliefs!r}>'
 
-    def routes(self) -> list[web.RouteDef]:
-        """Returns the routes of the callers' port."""
-        handler = self._gate.watch(self._serve)
+    def routes(self, idle: IdleConnections) -> list[web.RouteDef]:
+        """Returns the routes of the callers' port.
+
+        Args:
+            idle: knows which connections are idle.
+        """
+        handler = idle.watch(self._gate.watch(self._serve))
         return [web.route('*', '/{path:.*}', handler)]
 
     async def _serve(self, http: web.Request) -> web.StreamResponse:
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_directory.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_directory.py
@@ -1,7 +1,8 @@
 """Tells callers which entry instances to use."""
 
+import logging
 from collections import defaultdict
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Collection, Mapping
 from datetime import timedelta
 from typing import NamedTuple
 
@@ -14,11 +15,20 @@
     Fleet,
     ZoneSupply,
     list_entries,
+    ramp_shares,
     share_supply,
 )
 from lycheedyke_daemon.gateway._beliefs import Beliefs
 
 REFRESH_INTERVAL = timedelta(milliseconds=250)
+# The users count the callers that change their region by windows of that.
+SHIFT_WINDOW = timedelta(seconds=2)
+# Leaves the other half to the chance of which callers ask in a window.
+SHIFT_PART = 0.5
+# A smaller change of a share gets no line in the log.
+TOLD_CHANGE = 0.05
+
+_logger = logging.getLogger(__name__)
 
 
 class LookupForm(NamedTuple):
@@ -37,6 +47,86 @@
     encode: Callable[[list[str], timedelta], bytes]
 
 
+class _Steering:
+    """The shares of the callers of one host and zone.
+
+    They follow upstreams and instances at once, and a new configuration
+    step by step.
+
+    Attributes:
+        shares: the present share of each zone.
+    """
+
+    def __init__(
+        self,
+        number: int,
+        shares: Mapping[str, float],
+        clock: Clock,
+    ) -> None:
+        """Takes in the first shares, of a numbered configuration."""
+        self.shares = dict(shares)
+        self._clock = clock
+        self._at = clock.elapsed()
+        self._told = self.shares
+        self._number = number
+        self._is_ramping = False
+
+    def __repr__(self) -> str:
+        """Returns the shares."""
+        return f'<_Steering {self.shares}>'
+
+    def follow(
+        self,
+        number: int,
+        wanted: Mapping[str, float],
+        supplies: Collection[ZoneSupply],
+        most: float,
+    ) -> None:
+        """Moves the shares to the wanted ones, or some way.
+
+        Args:
+            number: of the configuration that asks for them.
+            wanted: the shares to get to.
+            supplies: what each zone can carry.
+            most: the part of the callers that may change their region in a
+                window.
+        """
+        now = self._clock.elapsed()
+        windows = min((now - self._at) / SHIFT_WINDOW, 1)
+        self._at = now
+        if number != self._number:
+            self._number = number
+            self._is_ramping = True
+        if self._is_ramping:
+            step = most * SHIFT_PART * windows
+            self.shares = ramp_shares(self.shares, wanted, supplies, step)
+            self._is_ramping = self.shares != wanted
+        else:
+            self.shares = dict(wanted)
+
+    def tell(self, host: str, zone: str) -> None:
+        """Writes a line if the shares have moved much since the last."""
+        told = self._told
+        names = set(self.shares) | set(told)
+        if all(
+            abs(self.shares.get(name, 0) - told.get(name, 0)) < TOLD_CHANGE
+            for name in names
+        ):
+            return
+        self._told = self.shares
+        shares = {name: round(part, 2) for name, part in self.shares.items()}
+        _logger.info(
+            'share moved',
+            extra={
+                'host': host,
+                'callers_zone': zone,
+                'shares': shares,
+                'version': self._number,
+                'is_ramping': self._is_ramping,
+            },
+        )
+
+
 class Directory:
     """Makes look-up answers, ahead of the look-ups.
 
@@ -45,6 +135,8 @@
         beliefs: the entry instances and routes.
         fleet: the upstreams.
         zones: the region of each zone.
+        shift_most: the part of a region's callers that may change their
+            region in a window.
         clock: the time.
     """
 
@@ -54,6 +146,7 @@
         beliefs: Beliefs,
         fleet: Fleet,
         zones: Mapping[str, str],
+        shift_most: float,
         clock: Clock,
     ) -> None:
         """Makes a directory without answers."""
@@ -61,8 +154,10 @@
         self._beliefs = beliefs
         self._fleet = fleet
         self._zones = zones
+        self._shift_most = shift_most
         self._clock = clock
         self._made = timedelta()
+        self._steering: dict[tuple[str, str], _Steering] = {}
         self._lists: dict[tuple[str, str], list[str]] = {}
 
     def __repr__(self) -> str:
@@ -80,6 +175,7 @@
         if now >= self._made + REFRESH_INTERVAL:
             self._made = now
             self._lists.clear()
+            self._drop_unknown()
         listed = self._lists.get((host, zone))
         if listed is None:
             listed = self._make(host, zone)
@@ -96,10 +192,38 @@
             or self._zones.get(name, '') in homes | {self._zones.get(zone, '')}
         }
         entries = allowed or entries
-        shares = share_supply(self._supplies(host, entries)).get(zone, {})
+        shares = self._steer(host, zone, self._supplies(host, entries))
         listed = list_entries(zone, shares, entries)
         return listed or [self._own.caller_address]
 
+    def _steer(
+        self,
+        host: str,
+        zone: str,
+        supplies: list[ZoneSupply],
+    ) -> dict[str, float]:
+        wanted = share_supply(supplies).get(zone, {})
+        if not self._is_known(host, zone):
+            return wanted
+        number = self._beliefs.number
+        steering = self._steering.get((host, zone))
+        if steering is None:
+            steering = _Steering(number, wanted, self._clock)
+            self._steering[host, zone] = steering
+        steering.follow(number, wanted, supplies, self._shift_most)
+        steering.tell(host, zone)
+        return steering.shares
+
+    def _is_known(self, host: str, zone: str) -> bool:
+        table = self._beliefs.table
+        return bool(table and table.services_of(host)) and zone in self._zones
+
+    def _drop_unknown(self) -> None:
+        """Forgets hosts that no route has any more."""
+        for host, zone in list(self._steering):
+            if not self._is_known(host, zone):
+                self._steering.pop((host, zone))
+
     def _homes(self, host: str) -> frozenset[str]:
         table = self._beliefs.table
         return table.homes_of(host) if table else frozenset()
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 import secrets
+from collections.abc import Coroutine
 from datetime import timedelta
 from typing import NamedTuple
 
@@ -41,6 +42,7 @@
 from lycheedyke_daemon.gateway._reload import SettingsFile
 from lycheedyke_daemon.gateway._router import GatewayRouter
 from lycheedyke_daemon.gateway._settings import GatewaySettings
+from lycheedyke_daemon.idle import IdleConnections
 from lycheedyke_daemon.metric_families import METRICS_PATH, MetricsApi
 from lycheedyke_daemon.servers import HttpServers
 from lycheedyke_daemon.stopping import CallerGate
@@ -96,6 +98,7 @@
         self._counters = Counters()
         self._servers = HttpServers(self._counters)
         self._gate = CallerGate()
+        self._idle = IdleConnections(self._idle_limit, clock, self._counters)
         self._fleet = Fleet(clock)
         self._beliefs = Beliefs(self._fleet, clock)
         own = _describe(settings)
@@ -139,18 +142,19 @@
     async def start(self) -> None:
         """Listens on all ports and starts all tasks."""
         settings = self._settings
-        self._tasks = [
-            asyncio.create_task(self._follower.follow()),
-            asyncio.create_task(self._follower.follow_peers()),
-            asyncio.create_task(self._announce()),
-        ]
+        self._begin(self._follower.follow())
+        self._begin(self._follower.follow_peers())
+        self._begin(self._announce())
         if self._settings_file is not None:
-            following = self._settings_file.follow(self._apply, self._clock)
-            self._tasks.append(asyncio.create_task(following))
+            self._begin(self._settings_file.follow(self._apply, self._clock))
         await self._servers.open(self._peer_app(), settings.peer_address)
         await self._servers.open(self._lookup_app(), settings.lookup_address)
         await self._servers.open(self._ready_app(), settings.ready_address)
-        await self._servers.open(self._caller_app(), settings.caller_address)
+        callers = await self._servers.open(
+            self._caller_app(),
+            settings.caller_address,
+        )
+        self._begin(self._idle.sweep(callers))
         await self._open_metrics()
         _logger.info('started', extra={'settings': settings._asdict()})
 
@@ -179,13 +183,22 @@
         await self._news.close()
         await self._deployment.registry.close()
 
+    def _begin(self, work: Coroutine[object, object, None]) -> None:
+        """Starts a task that runs until the stop."""
+        task = asyncio.create_task(work, name=work.__qualname__)
+        task.add_done_callback(_tell_failure)
+        self._tasks.append(task)
+
     async def _open_metrics(self) -> None:
         """Serves metrics; without them the instance still serves callers."""
         address = self._settings.metrics_address
         try:
             await self._servers.open(self._metrics_app(), address)
         except OSError as error:
-            _logger.error('metrics not served at %s: %s', address, error)
+            _logger.error(
+                'metrics not served',
+                extra={'address': address, 'error': str(error)},
+            )
 
     async def _finish(self, least: timedelta, most: timedelta) -> None:
         started = self._clock.elapsed()
@@ -262,7 +275,7 @@
             is_closing=self._is_closing,
         )
         app = web.Application()
-        app.add_routes(api.routes())
+        app.add_routes(api.routes(self._idle))
         return app
 
     def _make_instruments(self) -> Instruments:
@@ -274,6 +287,10 @@
         )
         return Instruments(self._clock, self._counters, decisions)
 
+    def _idle_limit(self) -> timedelta | None:
+        table = self._beliefs.table
+        return table.limits.idle_timeout if table else None
+
     def _cold_rate(self, service: str) -> float:
         table = self._beliefs.table
         terms = table.services.get(service) if table else None
@@ -293,6 +310,7 @@
             self._beliefs,
             self._fleet,
             self._settings.zones,
+            self._settings.shift_most,
             self._clock,
         )
         api = LookupApi(
@@ -328,6 +346,15 @@
         return app
 
 
+def _tell_failure(task: asyncio.Task[None]) -> None:
+    error = None if task.cancelled() else task.exception()
+    if error is not None:
+        _logger.error(
+            'task failed',
+            extra={'task': task.get_name(), 'error': repr(error)},
+        )
+
+
 def _describe(settings: GatewaySettings) -> EntryRecord:
     return EntryRecord(
         name=settings.name,
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_news.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_news.py
@@ -173,8 +173,8 @@
             until = self._clock.elapsed() + SILENT_PAUSE
             self._silent_until = {name: until}
         if was_silent == is_heard:
-            state = 'regained' if is_heard else 'lost'
-            _logger.info('source of news %s', state, extra={'peer': name})
+            event = 'news source regained' if is_heard else 'news source lost'
+            _logger.info(event, extra={'peer': name})
 
     def _others(self) -> list[str]:
         return [
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_reload.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_reload.py
@@ -75,7 +75,7 @@
         try:
             settings = read_gateway_settings(self._path)
         except SettingsInvalid as error:
-            _logger.error('settings not reloaded: %s', error)
+            _logger.error('settings not reloaded', extra={'error': str(error)})
             return
         changed = frozenset(
             name
@@ -91,5 +91,5 @@
     try:
         return path.read_bytes()
     except OSError as error:
-        _logger.warning('settings file not read: %s', error)
+        _logger.warning('settings file not read', extra={'error': str(error)})
         return b''
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_settings.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_settings.py
@@ -51,6 +51,8 @@
         repeat_ratio: repeats allowed for each request of a window.
         repeat_window: the length of that window.
         repeat_extra: repeats allowed beyond that, for all instances.
+        shift_most: the part of a region's callers that may change the region
+            in 2 s after a change of configuration.
         body_memory_bytes: the memory for all bodies together.
         log_level: the least level that is logged.
         log_sampled_of: one of so many requests that end well is logged.
@@ -75,6 +77,7 @@
     repeat_ratio: float
     repeat_window: timedelta
     repeat_extra: int
+    shift_most: float
     body_memory_bytes: int
     log_level: str
     log_sampled_of: int
@@ -123,6 +126,7 @@
             'repeats', 'window', read_duration, DURATION_RULE, '10s'
         ),
         'repeat_extra': Field('repeats', 'extra', int, COUNT_RULE, '0'),
+        'shift_most': Field('shifts', 'most', read_number, SHARE_RULE, '0.15'),
         'body_memory_bytes': Field(
             'limits', 'body_memory_bytes', read_count, COUNT_RULE, '67108864'
         ),
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/servers.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/servers.py
@@ -1,15 +1,19 @@
 """The HTTP servers of one instance."""
 
 import logging
+from collections.abc import Callable
 
 from aiohttp import web
 from aiohttp.http_exceptions import HttpProcessingError
+from aiohttp.web_protocol import RequestHandler
 
 from lycheedyke.state import Counters
 from lycheedyke.transport import MAX_HEAD_BYTES
 
 MALFORMED_COUNTER = 'http.malformed'
 
+Connections = Callable[[], list[RequestHandler]]
+
 _logger = logging.getLogger(__name__)
 
 
@@ -30,8 +34,12 @@
         """Returns the number of servers."""
         return f'<HttpServers: {len(self._runners)}>'
 
-    async def open(self, app: web.Application, address: str) -> None:
-        """Serves an application at `ip:port`."""
+    async def open(self, app: web.Application, address: str) -> Connections:
+        """Serves an application at `ip:port`.
+
+        Returns:
+            A function that returns the server's present connections.
+        """
         host, _, port = address.rpartition(':')
         runner = web.AppRunner(
             app,
@@ -46,6 +54,9 @@
         await runner.setup()
         await web.TCPSite(runner, host.strip('[]'), int(port)).start()
         self._runners.append(runner)
+        server = runner.server
+        assert server is not None, 'it is made by the set-up'
+        return lambda: server.connections
 
     async def close(self) -> None:
         """Closes all servers once their requests have ended."""
--- a/packages/lycheedyke/src/lycheedyke/coordination/_presence.py
+++ b/packages/lycheedyke/src/lycheedyke/coordination/_presence.py
@@ -1,5 +1,6 @@
 """Announces this instance in the registry, and keeps it announced."""
 
+import asyncio
 import logging
 import random
 from datetime import timedelta
@@ -12,6 +13,8 @@
 TTL = timedelta(seconds=4)
 RENEWALS_PER_TTL = 3
 RETRY_PAUSE = timedelta(milliseconds=500)
+# Many instances may lose their announcements at one moment.
+MOST_SPREAD = timedelta(milliseconds=300)
 
 _logger = logging.getLogger(__name__)
 
@@ -40,6 +43,7 @@
         self._ttl = ttl
         self._announcement: Announcement | None = None
         self._is_wanted = True
+        self._removed = asyncio.Event()
 
     def __repr__(self) -> str:
         """Returns the instance's name."""
@@ -51,15 +55,23 @@
             try:
                 await self._renew()
             except PlatformError as error:
-                _logger.info('announcement not renewed: %s', error)
+                _logger.info(
+                    'announcement not renewed', extra={'error': str(error)}
+                )
                 pause = RETRY_PAUSE
             else:
                 pause = self._ttl / RENEWALS_PER_TTL
-            await self._clock.sleep(pause * random.uniform(0.9, 1.1))
+            await self._wait(pause * random.uniform(0.9, 1.1))
 
     def note_removed(self) -> None:
-        """Takes in that the announcement is gone from the registry."""
-        self._announcement = None
+        """Takes in that the announcement is gone from the registry.
+
+        It is made again at once: until then no caller is sent here.
+        """
+        if self._announcement is not None and self._is_wanted:
+            _logger.warning('announcement lost')
+            self._announcement = None
+            self._removed.set()
 
     async def withdraw(self) -> None:
         """Removes the announcement; it is not made again."""
@@ -70,7 +82,24 @@
         try:
             await self._registry.withdraw(announcement)
         except PlatformError as error:
-            _logger.info('announcement lapses by itself: %s', error)
+            _logger.info(
+                'announcement lapses by itself', extra={'error': str(error)}
+            )
+
+    async def _wait(self, pause: timedelta) -> None:
+        """Waits for a time, or until shortly after the announcement is gone."""
+        ways = [
+            asyncio.ensure_future(self._clock.sleep(pause)),
+            asyncio.ensure_future(self._removed.wait()),
+        ]
+        try:
+            await asyncio.wait(ways, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            for way in ways:
+                way.cancel()
+        if self._removed.is_set():
+            self._removed.clear()
+            await self._clock.sleep(MOST_SPREAD * random.random())
 
     async def _renew(self) -> None:
         announcement = self._announcement
--- a/packages/lycheedyke/src/lycheedyke/coordination/_registry_follower.py
+++ b/packages/lycheedyke/src/lycheedyke/coordination/_registry_follower.py
@@ -214,4 +214,4 @@
         if self._failed_since is not None:
             return
         self._failed_since = self._clock.elapsed()
-        _logger.warning('registry lost: %s', error)
+        _logger.warning('registry lost', extra={'error': str(error)})
--- a/packages/lycheedyke/src/lycheedyke/state/__init__.py
+++ b/packages/lycheedyke/src/lycheedyke/state/__init__.py
@@ -21,6 +21,7 @@
 from lycheedyke.state._entry_lists import (
     ZoneSupply,
     list_entries,
+    ramp_shares,
     share_supply,
 )
 from lycheedyke.state._exports import (
@@ -82,6 +83,7 @@
     'WorkTimes',
     'ZoneSupply',
     'list_entries',
+    'ramp_shares',
     'share_supply',
     'learn',
     'turn_period',
--- a/packages/lycheedyke/src/lycheedyke/state/_entry_lists.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_entry_lists.py
@@ -5,6 +5,7 @@
 instances in proportion, and instances of zones with spare upstreams.
 """
 
+from collections import defaultdict
 from collections.abc import Collection, Iterable, Mapping
 from typing import NamedTuple
 
@@ -59,6 +60,36 @@
     return shares
 
 
+def ramp_shares(
+    before: Mapping[str, float],
+    wanted: Mapping[str, float],
+    supplies: Collection[ZoneSupply],
+    most: float,
+) -> dict[str, float]:
+    """Returns the next shares of a zone on the way to the wanted ones.
+
+    Answers the pattern of a new configuration that sends callers to another
+    region: all at once they would find neither warm upstreams nor room.
+
+    Args:
+        before: the present shares.
+        wanted: the shares to get to.
+        supplies: what each zone can carry.
+        most: the part of the callers that may change their region in this
+            step. What a zone got that now carries nothing is not counted.
+    """
+    held = _carried(before, supplies)
+    if not held:
+        return dict(wanted)
+    zones = sorted(set(held) | set(wanted))
+    changes = {name: wanted.get(name, 0) - held.get(name, 0) for name in zones}
+    crossing = _crossing(changes, supplies)
+    pace = most / crossing if crossing > most else 1
+    if pace == 1:
+        return dict(wanted)
+    return {name: held.get(name, 0) + pace * changes[name] for name in zones}
+
+
 def list_entries(
     zone: str,
     shares: Mapping[str, float],
@@ -101,6 +132,29 @@
     return {zone: count / total for zone, count in slots.items()}
 
 
+def _carried(
+    shares: Mapping[str, float],
+    supplies: Iterable[ZoneSupply],
+) -> dict[str, float]:
+    """Returns the shares among those zones that carry anything."""
+    able = {each.zone for each in supplies if each.entries and each.slots > 0}
+    held = {zone: part for zone, part in shares.items() if zone in able}
+    total = sum(held.values())
+    return {zone: part / total for zone, part in held.items()}
+
+
+def _crossing(
+    changes: Mapping[str, float],
+    supplies: Iterable[ZoneSupply],
+) -> float:
+    """Returns the part of the callers that change their region."""
+    regions = {each.zone: each.region for each in supplies}
+    gained: defaultdict[str, float] = defaultdict(float)
+    for zone, change in changes.items():
+        gained[regions.get(zone, zone)] += change
+    return sum(max(0, part) for part in gained.values())
+
+
 def _least_loaded(
     zone: str,
     missing: float,
--- a/tests/processes/test_platform.py
+++ b/tests/processes/test_platform.py
@@ -6,11 +6,13 @@
 import signal
 import subprocess
 import sys
+from datetime import datetime
 from pathlib import Path
 
 import pytest
 
 from standins.deployment import free_ports
+from standins.log_lines import COMMON, find_unlisted
 from standins.users_platform import PLATFORM, SETTINGS, UsersPlatform
 
 pytestmark = pytest.mark.processes
@@ -81,6 +83,12 @@
     """A hang-up reads the settings anew; a faulty file changes nothing."""
     lines = asyncio.run(asyncio.wait_for(_play(tmp_path), 60))
     events = [line['event'] for line in lines]
+    for line in lines:
+        assert line.keys() >= COMMON
+        assert datetime.fromisoformat(str(line['time'])).tzinfo is not None
+        if str(line['logger']).startswith('lycheedyke'):
+            found = find_unlisted(str(line['event']), line.keys() - COMMON)
+            assert not found
     assert 'started' in events
     assert any('settings not reloaded' in str(each) for each in events)
     changes = [
--- a/tests/standins/users_store.py
+++ b/tests/standins/users_store.py
@@ -115,16 +115,14 @@
         if after < self.forget_before:
             raise web.HTTPGone
         polls = int(request.query['waitMs']) / 1000 / POLL_SECONDS
-        while polls > 0:
-            changed = sorted(
-                (item.revision, key)
-                for key, item in self._items.items()
-                if item.revision > after
-            )
-            if changed:
-                break
+        while self._revision <= after and polls > 0:
             polls -= 1
             await asyncio.sleep(POLL_SECONDS)
+        changed = sorted(
+            (item.revision, key)
+            for key, item in self._items.items()
+            if item.revision > after
+        )
         return web.json_response(
             {
                 'events': [self._show(key) for _, key in changed],
@@ -187,7 +185,11 @@
     }
 
 
-def config_value(version: int, routes: list[dict[str, Any]]) -> Any:
+def config_value(
+    version: int,
+    routes: list[dict[str, Any]],
+    **limits: Any,
+) -> Any:
     """Returns what the operator writes: all routes, and two services."""
     columns = (
         'name',
@@ -231,5 +233,6 @@
             'bodyBytes': 67108864,
             'headerTimeout': '3000ms',
             'idleTimeout': '15000ms',
+            **limits,
         },
     }
--- /dev/null
+++ b/tests/unit/gateway/test_directory.py
@@ -0,0 +1,104 @@
+"""Look-up answers follow upstreams at once, configurations step by step."""
+
+from datetime import timedelta
+
+import pytest
+
+from lycheedyke.protocol import (
+    CallerLimits,
+    EntryRecord,
+    Item,
+    Route,
+    RouteKind,
+    RoutePart,
+    RoutingRecord,
+    ServiceTerms,
+)
+from lycheedyke.state import Fleet
+from lycheedyke_daemon.gateway._beliefs import Beliefs
+from lycheedyke_daemon.gateway._directory import Directory
+from standins.clock import ManualClock
+from standins.records import make_upstream
+
+ZONES = {'pnw-a': 'pnw', 'nc-a': 'nc'}
+HOST = 'shop.example'
+SHIFT_MOST = 0.15
+SHIFT_WINDOW_SECONDS = 2
+STEPS_PER_WINDOW = 4
+INSTANCES = 30
+# An answer names at most 64 instances.
+ROUNDING = 0.03
+
+
+def _routing(number: int, service: str) -> RoutingRecord:
+    second = timedelta(seconds=1)
+    route = Route(
+        name='read',
+        host=HOST,
+        prefix='/read/',
+        kind=RouteKind.idempotent,
+        parts=(RoutePart(service, 1),),
+        timeout=second,
+        goal=second,
+    )
+    terms = tuple(ServiceTerms(name, 10, 1) for name in ('here', 'there'))
+    return RoutingRecord(number, (route,), terms, CallerLimits())
+
+
+class _Scene:
+    """One directory; 'here' runs in pnw-a only and 'there' in nc-a only."""
+
+    def __init__(self) -> None:
+        self.clock = ManualClock()
+        self.fleet = Fleet(self.clock)
+        self.beliefs = Beliefs(self.fleet, self.clock)
+        entries = [
+            EntryRecord(f'{zone}-{at}', 'run', zone, region, f'{zone}:{at}', '')
+            for zone, region in ZONES.items()
+            for at in range(INSTANCES)
+        ]
+        for entry in entries:
+            self.beliefs.follow(Item(entry.name, 1, entry), None)
+        for service, zone in (('here', 'pnw-a'), ('there', 'nc-a')):
+            for at in range(3):
+                name = f'{service}-{at}'
+                self.fleet.take(make_upstream(name, service=service, zone=zone))
+        self.configure(1, 'here')
+        self.directory = Directory(
+            entries[0], self.beliefs, self.fleet, ZONES, SHIFT_MOST, self.clock
+        )
+
+    def configure(self, number: int, service: str) -> None:
+        record = _routing(number, service)
+        self.beliefs.follow(Item('routing', number, record), None)
+
+    def part_away(self) -> float:
+        """Returns the part of the callers of pnw-a that is sent to nc-a."""
+        listed = self.directory.find(HOST, 'pnw-a')
+        return sum(each.startswith('nc-a') for each in listed) / len(listed)
+
+
+def test_a_configuration_moves_callers_at_the_pace_of_the_setting() -> None:
+    """No window sees more callers change their region than it may."""
+    scene = _Scene()
+    record = make_upstream('there-9', service='there', zone='pnw-a')
+    scene.fleet.take(record)
+    parts = [scene.part_away()]
+    scene.configure(2, 'there')
+    for _ in range(STEPS_PER_WINDOW * 15):
+        scene.clock.pass_time(SHIFT_WINDOW_SECONDS / STEPS_PER_WINDOW)
+        parts.append(scene.part_away())
+    # Of 4 upstreams 1 is in the zone, which has half of the callers.
+    assert parts[0] == 0
+    assert parts[-1] == pytest.approx(0.5, abs=ROUNDING)
+    for before, after in zip(parts, parts[STEPS_PER_WINDOW:], strict=False):
+        assert after - before <= SHIFT_MOST + ROUNDING
+
+
+def test_callers_follow_lost_upstreams_at_once() -> None:
+    """Callers are not held where nothing is left."""
+    scene = _Scene()
+    assert scene.part_away() == 0
+    scene.configure(2, 'there')
+    scene.clock.pass_time(0.3)
+    assert scene.part_away() == 1
--- a/tests/unit/gateway/test_entry_lists.py
+++ b/tests/unit/gateway/test_entry_lists.py
@@ -4,7 +4,12 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from lycheedyke.state import ZoneSupply, list_entries, share_supply
+from lycheedyke.state import (
+    ZoneSupply,
+    list_entries,
+    ramp_shares,
+    share_supply,
+)
 
 ENTRIES = tuple(f'10.0.0.{at}:80' for at in range(4))
 SLOTS = {'pnw-a': 6, 'pnw-b': 6, 'mt-a': 21, 'mt-b': 21, 'nc-a': 24, 'nc-b': 24}
@@ -52,3 +57,46 @@
     """Without upstreams callers still get somebody who answers."""
     listed = list_entries('a', {}, {'a': ('1:1',), 'b': ('2:1',)})
     assert sorted(listed) == ['1:1', '2:1']
+
+
+@given(
+    st.dictionaries(st.sampled_from(sorted(SLOTS)), st.floats(0.1, 1)),
+    st.dictionaries(st.sampled_from(sorted(SLOTS)), st.floats(0.1, 1)),
+    st.floats(0.01, 0.3),
+)
+def test_no_step_moves_more_to_other_regions_than_it_may(
+    before: dict[str, float],
+    wanted: dict[str, float],
+    most: float,
+) -> None:
+    """Callers change the region at the pace of the setting, and get there."""
+    if not before or not wanted:
+        return
+    shares, goal = _normalized(before), _normalized(wanted)
+    for _ in range(int(1 / most) + 2):
+        step = ramp_shares(shares, goal, _supplies(SLOTS), most)
+        assert _crossing(shares, step) <= most + 1e-9
+        assert sum(step.values()) == pytest.approx(1)
+        shares = step
+    assert shares == goal
+
+
+def test_callers_of_a_zone_that_carries_nothing_move_at_once() -> None:
+    """A ramp is no reason to send callers where nobody serves them."""
+    slots = {**SLOTS, 'pnw-a': 0}
+    step = ramp_shares({'pnw-a': 1}, {'nc-a': 1}, _supplies(slots), 0.05)
+    assert step == {'nc-a': 1}
+
+
+def _normalized(shares: dict[str, float]) -> dict[str, float]:
+    total = sum(shares.values())
+    return {zone: part / total for zone, part in shares.items()}
+
+
+def _crossing(before: dict[str, float], after: dict[str, float]) -> float:
+    moved: dict[str, float] = {}
+    for sign, shares in ((-1, before), (1, after)):
+        for zone, part in shares.items():
+            region = zone.partition('-')[0]
+            moved[region] = moved.get(region, 0) + sign * part
+    return sum(max(0, change) for change in moved.values())
--- a/tests/unit/gateway/test_life.py
+++ b/tests/unit/gateway/test_life.py
@@ -13,6 +13,8 @@
 # From a write in the store to its effect, the users allow 2.5 s.
 APPLY_SECONDS = 2.0
 QUIET_SECONDS = 4
+# Less than the 1.2 s or more between two renewals.
+ANNOUNCE_SECONDS = 0.9
 MANY_INSTANCES = 16
 # At a third of a second between two of them.
 WATCHES_PER_S = 3
@@ -351,5 +353,55 @@
     _play(tmp_path, _scene, instances=2)
 
 
+def test_idle_connections_are_closed_after_the_limit(tmp_path: Path) -> None:
+    """Neither a silent caller nor a head sent in part holds a descriptor."""
+
+    async def _scene(platform: UsersPlatform) -> None:
+        value = config_value(0x2F, list(ROUTES), idleTimeout='2000ms')
+        platform.store.put('op/config', value)
+        await asyncio.sleep(APPLY_SECONDS)
+        host, _, port = platform.settings[0].caller_address.rpartition(':')
+        ways = [
+            await asyncio.open_connection(host, int(port)) for _ in range(3)
+        ]
+        whole = b'GET /read/1 HTTP/1.1\r\nHost: shop.example\r\n'
+        request = whole + b'Lycheedyke-Request-Id: r-9\r\n\r\n'
+        ways[0][1].write(request)
+        ways[1][1].write(whole)
+        assert await ways[0][0].readuntil(b'{"ran": "whole"}')
+        await asyncio.sleep(1.5)
+        ways[0][1].write(request)
+        assert await ways[0][0].readuntil(b'{"ran": "whole"}')
+        await asyncio.sleep(1)
+        assert not ways[0][0].at_eof()
+        for reader, writer in ways:
+            assert await asyncio.wait_for(reader.read(), 5) == b''
+            writer.close()
+
+    _play(tmp_path, _scene)
+
+
+def test_an_announcement_that_is_lost_is_made_again_at_once(
+    tmp_path: Path,
+) -> None:
+    """Callers are sent here again without waiting for the next renewal."""
+
+    async def _scene(platform: UsersPlatform) -> None:
+        key = 'lycheedyke/entries/edge-0'
+
+        async def _is_announced() -> bool:
+            return key in platform.store.keys()
+
+        async def _is_renewed() -> bool:
+            return platform.store.calls[-1].startswith('/kv-keep')
+
+        assert await _until(_is_announced)
+        assert await _until(_is_renewed)
+        platform.store.remove(key)
+        assert await _until(_is_announced, ANNOUNCE_SECONDS)
+
+    _play(tmp_path, _scene)
+
+
 async def _no_news(after: int) -> None:
     return None
--- /dev/null
+++ b/tests/unit/gateway/test_log_lines.py
@@ -0,0 +1,54 @@
+"""What the lines hold that a gateway writes of its decisions and beliefs."""
+
+import ast
+import re
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+
+from standins.log_lines import listed_events
+
+ROOT = Path(__file__).resolve().parents[3]
+DAEMON = ROOT / 'packages/lycheedyke-daemon/src/lycheedyke_daemon'
+LIBRARY = ROOT / 'packages/lycheedyke/src/lycheedyke'
+SOURCES = (
+    *sorted((DAEMON / 'gateway').glob('*.py')),
+    LIBRARY / 'state/_fleet.py',
+    LIBRARY / 'coordination/_registry_follower.py',
+    LIBRARY / 'coordination/_presence.py',
+    ROOT / 'platform/store.py',
+)
+WRITERS = frozenset(('info', 'warning', 'error', 'write', '_tell'))
+
+
+def _events(path: Path) -> Iterator[str]:
+    for node in ast.walk(ast.parse(path.read_text())):
+        if not isinstance(node, ast.Call) or not node.args:
+            continue
+        called = node.func
+        if not isinstance(called, ast.Attribute) or called.attr not in WRITERS:
+            continue
+        yield from _texts(node.args[0])
+    names = re.findall(
+        r"event = '([^']+)' if \w+ else '([^']+)'", path.read_text()
+    )
+    for pair in names:
+        yield from pair
+
+
+def _texts(node: ast.expr) -> Iterator[str]:
+    if isinstance(node, ast.Constant) and isinstance(node.value, str):
+        yield node.value
+
+
+def test_the_page_lists_every_event_and_no_other() -> None:
+    """An operator finds each line that the code writes."""
+    written = {event for path in SOURCES for event in _events(path)}
+    assert written == set(listed_events())
+
+
+@pytest.mark.parametrize('event', ['request ended', 'request refused'])
+def test_lines_on_requests_name_their_inputs(event: str) -> None:
+    """Each has the request, what came of it and what it was decided on."""
+    assert {'request', 'outcome', 'reason'} <= listed_events()[event]
