--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
@@ -142,11 +142,12 @@
     async def start(self) -> None:
         """Listens on all ports and starts all tasks."""
         settings = self._settings
-        self._begin(self._follower.follow())
-        self._begin(self._follower.follow_peers())
-        self._begin(self._announce())
+        self._begin('registry', self._follower.follow())
+        self._begin('peers', self._follower.follow_peers())
+        self._begin('presence', self._announce())
         if self._settings_file is not None:
-            self._begin(self._settings_file.follow(self._apply, self._clock))
+            following = self._settings_file.follow(self._apply, self._clock)
+            self._begin('settings', following)
         await self._servers.open(self._peer_app(), settings.peer_address)
         await self._servers.open(self._lookup_app(), settings.lookup_address)
         await self._servers.open(self._ready_app(), settings.ready_address)
@@ -154,7 +155,7 @@
             self._caller_app(),
             settings.caller_address,
         )
-        self._begin(self._idle.sweep(callers))
+        self._begin('idle', self._idle.sweep(callers))
         await self._open_metrics()
         _logger.info('started', extra={'settings': settings._asdict()})
 
@@ -183,9 +184,13 @@
         await self._news.close()
         await self._deployment.registry.close()
 
-    def _begin(self, work: Coroutine[object, object, None]) -> None:
+    def _begin(
+        self,
+        name: str,
+        work: Coroutine[object, object, None],
+    ) -> None:
         """Starts a task that runs until the stop."""
-        task = asyncio.create_task(work, name=work.__qualname__)
+        task = asyncio.create_task(work, name=name)
         task.add_done_callback(_tell_failure)
         self._tasks.append(task)
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,10 +1,20 @@
 """Settings of the test run, and the list of known red tests."""
 
+import logging
+from collections.abc import Iterator
 from pathlib import Path
 
 import pytest
 from hypothesis import settings
 
+from standins.log_lines import check_record
+
+LISTED_LOGGERS = (
+    'lycheedyke_daemon.gateway',
+    'lycheedyke.state',
+    'lycheedyke.coordination',
+    'store',
+)
 KNOWN_RED = Path(__file__).resolve().parent.parent / 'KNOWN-RED.txt'
 TEST_FIELD = 'test: '
 
@@ -28,3 +38,22 @@
     for item in items:
         if item.nodeid in known:
             item.add_marker(pytest.mark.xfail(reason='KNOWN-RED.txt'))
+
+
+@pytest.fixture(autouse=True)
+def _lines_are_listed(
+    request: pytest.FixtureRequest,
+    caplog: pytest.LogCaptureFixture,
+) -> Iterator[None]:
+    """Checks every line that a gateway's test causes against the page."""
+    if request.path.parent.name != 'gateway':
+        yield
+        return
+    with caplog.at_level(logging.INFO):
+        yield
+    found = [
+        check_record(record)
+        for record in caplog.get_records('call')
+        if record.name.startswith(LISTED_LOGGERS)
+    ]
+    assert not {line for line in found if line}
