--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 
 export PYTHONPATH := tests
 
-.PHONY: setup demo test check format speed compare failures
+.PHONY: setup demo test check format speed compare failures soak
 
 setup: $(STAMP)
 
@@ -30,6 +30,9 @@
 	$(BIN)/python -m bench.failures --customer pantsaker
 	$(BIN)/python -m bench.failures --customer cascade
 
+soak: $(STAMP)
+	$(BIN)/python -m bench.soak
+
 test: $(STAMP)
 	$(BIN)/python -m pytest
 	$(BIN)/behave --format progress
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
@@ -54,6 +54,8 @@
 # Leaves room to close before the platform kills the process.
 FINISHING_SHARE = 0.9
 POLL_SECONDS = 0.05
+# What was in flight has ended; a caller may still owe a body that is refused.
+CLOSE_LIMIT = timedelta(milliseconds=100)
 _CHANGEABLE = frozenset(('stop_grace', 'log_level'))
 
 _logger = logging.getLogger(__name__)
@@ -96,7 +98,7 @@
         self._stopping_since: timedelta | None = None
         self._settings_file: SettingsFile | None = None
         self._counters = Counters()
-        self._servers = HttpServers(self._counters)
+        self._servers = HttpServers(self._counters, CLOSE_LIMIT)
         self._gate = CallerGate()
         self._idle = IdleConnections(self._idle_limit, clock, self._counters)
         self._fleet = Fleet(clock)
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/servers.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/servers.py
@@ -2,6 +2,7 @@
 
 import logging
 from collections.abc import Callable
+from datetime import timedelta
 
 from aiohttp import web
 from aiohttp.http_exceptions import HttpProcessingError
@@ -10,6 +11,8 @@
 from lycheedyke.state import Counters
 from lycheedyke.transport import MAX_HEAD_BYTES
 
+# As long as the process may take to stop.
+CLOSE_LIMIT = timedelta(seconds=60)
 MALFORMED_COUNTER = 'http.malformed'
 
 Connections = Callable[[], list[RequestHandler]]
@@ -22,10 +25,16 @@
 
     Args:
         counters: counts malformed requests, which are not logged one by one.
+        close_limit: how long each server waits for its requests to end.
     """
 
-    def __init__(self, counters: Counters) -> None:
+    def __init__(
+        self,
+        counters: Counters,
+        close_limit: timedelta = CLOSE_LIMIT,
+    ) -> None:
         """Makes no server yet."""
+        self._close_limit = close_limit
         self._runners: list[web.AppRunner] = []
         self._counters = counters
         _logger.addFilter(self._pass_on)
@@ -50,6 +59,7 @@
             max_line_size=MAX_HEAD_BYTES,
             max_field_size=MAX_HEAD_BYTES,
             logger=_logger,
+            shutdown_timeout=self._close_limit.total_seconds(),
         )
         await runner.setup()
         await web.TCPSite(runner, host.strip('[]'), int(port)).start()
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/service.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/service.py
@@ -1,5 +1,8 @@
 """Runs one entry instance, of either kind, until the process is to stop."""
 
+import asyncio
+import logging
+import signal
 from typing import Protocol
 
 import aiomisc
@@ -9,6 +12,9 @@
 # The settings of an instance bound its stop; this is the last resort.
 STOP_TIMEOUT_SECONDS = 60
 THREADS = 2
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+
+_logger = logging.getLogger(__name__)
 
 
 class Instance(Protocol):
@@ -24,18 +30,30 @@
 class InstanceService(aiomisc.Service):
     """Runs an instance until the process is asked to stop."""
 
-    __required__ = ('instance',)
+    __required__ = ('instance', 'stop_request')
 
     instance: Instance
+    stop_request: asyncio.Event
 
     async def start(self) -> None:
-        """Starts the instance."""
+        """Starts the instance.
+
+        The signals stay caught to the end: one that is sent once more must
+        not cut what the first one lets finish.
+        """
+        loop = asyncio.get_running_loop()
+        for number in STOP_SIGNALS:
+            loop.add_signal_handler(number, self._note_signal, number)
         await self.instance.start()
 
     async def stop(self, exception: Exception | None = None) -> None:
         """Stops the instance gracefully."""
         await self.instance.stop()
 
+    def _note_signal(self, number: signal.Signals) -> None:
+        _logger.info('stop requested', extra={'signal': number.name})
+        self.stop_request.set()
+
 
 def serve(instance: Instance, name: str, zone: str, log_level: str) -> None:
     """Runs an instance until SIGTERM or SIGINT.
@@ -47,11 +65,13 @@
         log_level: the least level that is logged.
     """
     writer = start_logs(name, zone, log_level)
+    stop_request = asyncio.Event()
     with aiomisc.entrypoint(
-        InstanceService(instance=instance),
+        InstanceService(instance=instance, stop_request=stop_request),
+        catch_signals=(),
         log_config=False,
         pool_size=THREADS,
         shutdown_timeout=STOP_TIMEOUT_SECONDS,
     ) as loop:
-        loop.run_forever()
+        loop.run_until_complete(stop_request.wait())
     writer.close()
--- a/tests/processes/test_platform.py
+++ b/tests/processes/test_platform.py
@@ -100,6 +100,42 @@
     assert events[-1] == 'stopped'
 
 
+async def _stop_repeatedly(folder: Path) -> tuple[int, bytes]:
+    """Sends each signal at a moment at which it might end the process."""
+    async with UsersPlatform(folder) as platform:
+        path = folder / 'local.json'
+        ports = free_ports(5)
+        _write(path, platform.settings[0].registry_address, ports, 'info')
+        process = _start(path)
+        # The interpreter takes longer than that to load the program.
+        await asyncio.sleep(0.15)
+        process.send_signal(signal.SIGHUP)
+        await _wait_ready(platform, f'127.0.0.1:{ports[1]}')
+        for upstream in platform.upstreams:
+            upstream.run_s = 1
+        reader, writer = await asyncio.open_connection('127.0.0.1', ports[0])
+        writer.write(
+            b'GET /read/1 HTTP/1.1\r\nHost: shop.example\r\n'
+            b'Lycheedyke-Request-Id: r-9\r\n\r\n',
+        )
+        await asyncio.sleep(0.3)
+        for _ in range(3):
+            process.send_signal(signal.SIGTERM)
+            await asyncio.sleep(0.1)
+        answer = await reader.read()
+        writer.close()
+        await asyncio.to_thread(process.communicate, timeout=10)
+        return process.returncode, answer
+
+
+def test_signals_that_are_sent_again_cut_nothing(tmp_path: Path) -> None:
+    """A second SIGTERM, or an early SIGHUP, ends no process."""
+    playing = _stop_repeatedly(tmp_path)
+    status, answer = asyncio.run(asyncio.wait_for(playing, 60))
+    assert b'{"ran": "whole"}' in answer
+    assert status == 0
+
+
 def test_faulty_settings_end_it_with_each_fault(tmp_path: Path) -> None:
     """The status is 2, and every fault has its line."""
     path = tmp_path / 'local.json'
--- a/tests/standins/relay.py
+++ b/tests/standins/relay.py
@@ -6,7 +6,10 @@
 """
 
 import asyncio
+import socket
+import struct
 import sys
+import time
 
 from aiohttp import web
 
@@ -14,13 +17,41 @@
 
 
 class Relay:
-    """One relayed link."""
+    """One relayed link.
+
+    Attributes:
+        open: whether bytes pass at all; else they wait, both ways.
+        there: whether bytes pass towards the target.
+        back: whether bytes pass towards who connected.
+        delay_s: how long each chunk waits.
+        refuses: whether new connections are reset.
+        refused_at: when nobody listened at the target, in seconds of the
+            monotonic clock.
+    """
 
     def __init__(self, target: str) -> None:
         """Makes an open link to a target."""
         self.open = asyncio.Event()
-        self.open.set()
+        self.there = asyncio.Event()
+        self.back = asyncio.Event()
+        self.delay_s = 0.0
+        self.refuses = False
+        self.refused_at: list[float] = []
         self._target = target
+        self._writers: set[asyncio.StreamWriter] = set()
+        self.heal()
+
+    def heal(self) -> None:
+        """Lets all bytes pass again, those that waited first."""
+        self.delay_s = 0
+        self.refuses = False
+        for way in (self.open, self.there, self.back):
+            way.set()
+
+    def reset(self) -> None:
+        """Resets all present connections."""
+        for writer in list(self._writers):
+            reset(writer)
 
     async def serve(
         self,
@@ -30,24 +61,35 @@
         """Relays one connection."""
         await self.open.wait()
         host, _, port = self._target.rpartition(':')
+        if self.refuses:
+            reset(writer)
+            return
         try:
             far_reader, far_writer = await asyncio.open_connection(host, port)
         except OSError:
+            self.refused_at.append(time.monotonic())
             writer.transport.abort()
             return
+        pair = {writer, far_writer}
+        self._writers |= pair
         await asyncio.gather(
-            self._pump(reader, far_writer),
-            self._pump(far_reader, writer),
+            self._pump(reader, far_writer, self.there),
+            self._pump(far_reader, writer, self.back),
         )
+        self._writers -= pair
 
     async def _pump(
         self,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
+        way: asyncio.Event,
     ) -> None:
         try:
             while chunk := await reader.read(CHUNK_BYTES):
                 await self.open.wait()
+                await way.wait()
+                if self.delay_s:
+                    await asyncio.sleep(self.delay_s)
                 writer.write(chunk)
                 await writer.drain()
         except OSError:
@@ -55,6 +97,16 @@
         writer.close()
 
 
+def reset(writer: asyncio.StreamWriter) -> None:
+    """Resets a connection, so that its peer sees no orderly end."""
+    found = writer.get_extra_info('socket')
+    if found is not None and found.fileno() >= 0:
+        found.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
+        )
+    writer.transport.abort()
+
+
 async def _serve(control: str, pairs: list[str]) -> None:
     links = {}
     for pair in pairs:
--- a/tests/standins/users_platform.py
+++ b/tests/standins/users_platform.py
@@ -1,5 +1,6 @@
 """A small deployment on the users' platform, within one process."""
 
+import asyncio
 import sys
 from pathlib import Path
 from types import TracebackType
@@ -120,8 +121,7 @@
         traceback: TracebackType | None,
     ) -> None:
         """Stops everything."""
-        for instance in self.instances:
-            await instance.stop()
+        await asyncio.gather(*(each.stop() for each in self.instances))
         for upstream in self.upstreams:
             await upstream.close()
         await self._http.close()
--- a/tests/standins/users_store.py
+++ b/tests/standins/users_store.py
@@ -2,13 +2,15 @@
 
 It speaks what the users' pages say of the store. Faults are attributes:
 `down` (503), `silent` (no answer), `lose_writes` (the next writes are done
-and not answered), `forget_before` (history up to that revision is gone) and
-`turned_away` (peers' names are not known here, so a share of calls).
+and not answered), `late_s` (writes that get no answer are done so much later)
+and `forget_before` (history up to that revision is gone).
 """
 
 import asyncio
 import base64
+import contextlib
 import json
+import time
 from typing import Any, NamedTuple
 
 from aiohttp import web
@@ -31,12 +33,15 @@
         self.down = False
         self.silent = False
         self.lose_writes = 0
+        self.late_s = 0.0
         self.forget_before = 0
         self.calls: list[str] = []
         self._revision = 1
         self._items: dict[str, _Item] = {}
         self._leases: set[int] = set()
         self._next_lease = 100
+        self._kept: dict[int, tuple[float, float]] = {}
+        self._late: set[asyncio.Task[None]] = set()
 
     def app(self) -> web.Application:
         """Returns the HTTP application."""
@@ -75,6 +80,24 @@
             if item.lease == lease and item.value is not None:
                 self.remove(key)
 
+    def end_old_leases(self) -> None:
+        """Ends the leases that were not renewed in time."""
+        now = time.monotonic()
+        for lease in list(self._leases):
+            kept, ttl_s = self._kept[lease]
+            if now - kept > ttl_s:
+                self.end_lease(lease)
+
+    def value(self, key: str) -> bytes:
+        """Returns what a present key holds."""
+        content = self._items[key].value
+        assert content is not None, key
+        return content
+
+    def forget(self) -> None:
+        """Drops the history of all changes up to now."""
+        self.forget_before = self._revision
+
     def keys(self) -> set[str]:
         """Returns the present keys."""
         return {key for key, item in self._items.items() if item.value}
@@ -86,6 +109,11 @@
             await asyncio.Event().wait()
         if self.down:
             raise web.HTTPServiceUnavailable
+        if self.late_s and request.path == '/kv-txn':
+            await request.read()
+            late = asyncio.create_task(self._do_late(request, handler))
+            self._late.add(late)
+            await asyncio.Event().wait()
         response = await handler(request)
         if self.lose_writes and request.path == '/kv-txn':
             self.lose_writes -= 1
@@ -93,6 +121,11 @@
             request.transport.abort()
         return response
 
+    async def _do_late(self, request: web.Request, handler: Any) -> None:
+        await asyncio.sleep(self.late_s)
+        with contextlib.suppress(web.HTTPException):
+            await handler(request)
+
     async def _range(self, request: web.Request) -> web.Response:
         prefix = request.query['prefix']
         after = request.query.get('after', '')
@@ -143,13 +176,17 @@
         body = await request.json()
         self._next_lease += 1
         self._leases.add(self._next_lease)
+        ttl_s = int(body['ttl_time'].removesuffix('ms')) / 1000
+        self._kept[self._next_lease] = (time.monotonic(), ttl_s)
         return web.json_response(
             {'lease': self._next_lease, 'ttl_time': body['ttl_time']},
         )
 
     async def _keep(self, request: web.Request) -> web.Response:
-        if int(request.match_info['lease']) not in self._leases:
+        lease = int(request.match_info['lease'])
+        if lease not in self._leases:
             raise web.HTTPNotFound
+        self._kept[lease] = (time.monotonic(), self._kept[lease][1])
         return web.json_response({'ttl_time': '3000ms'})
 
     async def _end(self, request: web.Request) -> web.Response:
--- a/tests/standins/users_upstream.py
+++ b/tests/standins/users_upstream.py
@@ -7,11 +7,12 @@
 
 import asyncio
 import contextlib
-import socket
-import struct
+import time
 from collections import deque
 from typing import NamedTuple
 
+from standins.relay import reset
+
 SEAL = 'Lycheedyke-Server-Seal: seal-1\r\n'
 
 
@@ -22,6 +23,7 @@
     target: str
     headers: dict[str, str]
     body: bytes
+    at: float
 
 
 class UsersUpstream:
@@ -31,7 +33,7 @@
         name: its id; requests that expect another get 421.
         script: names of what to do with the next requests.
         run_s: how long a request runs.
-        arrivals: all requests, run or not.
+        arrivals: all requests, run or not, with their times.
         ran: the ids of the requests that it began to run.
         cut: the ids of those whose connection closed while they ran.
     """
@@ -72,7 +74,8 @@
         task = asyncio.current_task()
         assert task is not None
         self._tasks.add(task)
-        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+        gone = OSError, asyncio.IncompleteReadError, asyncio.CancelledError
+        with contextlib.suppress(*gone):
             while await self._serve_one(reader, writer):
                 continue
         self._tasks.discard(task)
@@ -97,7 +100,9 @@
         body = await reader.readexactly(length) if length else b''
         if 'chunked' in headers.get('Transfer-Encoding', ''):
             body = await _read_chunks(reader)
-        self.arrivals.append(Arrival(method, target, headers, body))
+        self.arrivals.append(
+            Arrival(method, target, headers, body, time.monotonic())
+        )
         if headers.get('Lycheedyke-Expect-Instance') != self.name:
             await self._send(writer, headers, '421 Misdirected', '', b'')
             return True
@@ -122,7 +127,7 @@
             return False
         await asyncio.sleep(self.run_s)
         if act == 'lose':
-            _reset(writer)
+            reset(writer)
             return False
         if act == 'fail':
             await self._send(writer, headers, '500 Failed', SEAL, b'no')
@@ -131,11 +136,14 @@
             return await self._break_off(act, writer, headers)
         if act == 'other':
             headers = {**headers, 'Lycheedyke-Request-Id': 'another'}
-        await self._answer(writer, headers, b'{"ran": "whole"}')
+        await self._answer(writer, headers, self._make_body(headers))
         if act == 'extra':
             await self._answer(writer, headers, b'{"ran": "extra"}')
         return act != 'close'
 
+    def _make_body(self, headers: dict[str, str]) -> bytes:
+        return b'{"ran": "whole"}'
+
     async def _wait_cut(
         self,
         reader: asyncio.StreamReader,
@@ -159,7 +167,7 @@
         await writer.drain()
         await asyncio.sleep(0.02)
         if act != 'open':
-            _reset(writer)
+            reset(writer)
         return False
 
     async def _answer(
@@ -195,11 +203,3 @@
         await reader.readline()
     await reader.readline()
     return body
-
-
-def _reset(writer: asyncio.StreamWriter) -> None:
-    found = writer.get_extra_info('socket')
-    found.setsockopt(
-        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
-    )
-    writer.transport.abort()
--- a/tests/unit/gateway/test_life.py
+++ b/tests/unit/gateway/test_life.py
@@ -13,6 +13,7 @@
 # From a write in the store to its effect, the users allow 2.5 s.
 APPLY_SECONDS = 2.0
 QUIET_SECONDS = 4
+STOP_GRACE_SECONDS = 2
 # Less than the 1.2 s or more between two renewals.
 ANNOUNCE_SECONDS = 0.9
 MANY_INSTANCES = 16
@@ -403,5 +404,26 @@
     _play(tmp_path, _scene)
 
 
+def test_a_body_that_never_comes_holds_no_stop(tmp_path: Path) -> None:
+    """A refused caller may leave its body unsent and its connection open."""
+
+    async def _scene(platform: UsersPlatform) -> None:
+        host, _, port = platform.settings[0].caller_address.rpartition(':')
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(
+            b'POST /order/1 HTTP/1.1\r\nHost: shop.example\r\n'
+            b'Lycheedyke-Request-Id: r-9\r\nLycheedyke-Deadline-Ms: 200\r\n'
+            b'Content-Length: 9\r\n\r\n',
+        )
+        assert b' 408 ' in await reader.readline()
+        loop = asyncio.get_running_loop()
+        begun = loop.time()
+        await platform.instances.pop().stop()
+        assert loop.time() - begun < STOP_GRACE_SECONDS
+        writer.close()
+
+    _play(tmp_path, _scene)
+
+
 async def _no_news(after: int) -> None:
     return None
--- a/tests/unit/gateway/test_log_lines.py
+++ b/tests/unit/gateway/test_log_lines.py
@@ -14,6 +14,7 @@
 LIBRARY = ROOT / 'packages/lycheedyke/src/lycheedyke'
 SOURCES = (
     *sorted((DAEMON / 'gateway').glob('*.py')),
+    DAEMON / 'service.py',
     LIBRARY / 'state/_fleet.py',
     LIBRARY / 'coordination/_registry_follower.py',
     LIBRARY / 'coordination/_presence.py',
