Make the distances between zones and regions settings

The price of bytes and the round trips were constants of the code; a deployment weighs them otherwise. [distances] has them, with the old values as defaults; [shifts] most must be a part from 0 to 1.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
@@ -254,7 +254,12 @@
             self._fleet,
             times,
             Place(settings.zone, settings.region, settings.zones),
-            Distances(),
+            Distances(
+                settings.zone_trip,
+                settings.region_trip,
+                settings.zone_charge,
+                settings.region_charge,
+            ),
             WarmupPace(settings.name, self._clock),
             cold_rate=self._cold_rate,
             instances=self._count_instances,
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_settings.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_settings.py
@@ -12,6 +12,7 @@
     COUNT_RULE,
     DURATION_RULE,
     LABEL_RULE,
+    PART_RULE,
     SHARE_RULE,
     Field,
     find_unknown_keys,
@@ -24,6 +25,7 @@
     read_label,
     read_level,
     read_number,
+    read_part,
 )
 
 ZONES_SECTION = 'zones'
@@ -53,6 +55,10 @@
         repeat_extra: repeats allowed beyond that, for all instances.
         shift_most: the part of a region's callers that may change the region
             in 2 s after a change of configuration.
+        zone_trip: the round trip to another zone of the region.
+        region_trip: the round trip to another region.
+        zone_charge: the price of bytes between zones, as time.
+        region_charge: the price of bytes between regions, as time.
         body_memory_bytes: the memory for all bodies together.
         log_level: the least level that is logged.
         log_sampled_of: one of so many requests that end well is logged.
@@ -78,6 +84,10 @@
     repeat_window: timedelta
     repeat_extra: int
     shift_most: float
+    zone_trip: timedelta
+    region_trip: timedelta
+    zone_charge: timedelta
+    region_charge: timedelta
     body_memory_bytes: int
     log_level: str
     log_sampled_of: int
@@ -126,7 +136,19 @@
             'repeats', 'window', read_duration, DURATION_RULE, '10s'
         ),
         'repeat_extra': Field('repeats', 'extra', int, COUNT_RULE, '0'),
-        'shift_most': Field('shifts', 'most', read_number, SHARE_RULE, '0.15'),
+        'shift_most': Field('shifts', 'most', read_part, PART_RULE, '0.15'),
+        'zone_trip': Field(
+            'distances', 'zone_trip', read_duration, DURATION_RULE, '1ms'
+        ),
+        'region_trip': Field(
+            'distances', 'region_trip', read_duration, DURATION_RULE, '70ms'
+        ),
+        'zone_charge': Field(
+            'distances', 'zone_charge', read_duration, DURATION_RULE, '60ms'
+        ),
+        'region_charge': Field(
+            'distances', 'region_charge', read_duration, DURATION_RULE, '40ms'
+        ),
         'body_memory_bytes': Field(
             'limits', 'body_memory_bytes', read_count, COUNT_RULE, '67108864'
         ),
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/ini.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/ini.py
@@ -93,6 +93,7 @@
 
 DURATION_RULE = 'a number with its unit, as 250ms or 2.5s'
 SHARE_RULE = 'a number of at least 0'
+PART_RULE = 'a number from 0 to 1'
 
 
 def read_duration(text: str) -> timedelta:
@@ -111,6 +112,14 @@
     return number
 
 
+def read_part(text: str) -> float:
+    """Returns a part of a whole, from 0 to 1."""
+    part = read_number(text)
+    if part > 1:
+        raise ValueError
+    return part
+
+
 def read_fields(
     path: Path,
     parser: configparser.ConfigParser,
--- a/tests/unit/gateway/test_gateway_settings.py
+++ b/tests/unit/gateway/test_gateway_settings.py
@@ -39,6 +39,15 @@
     assert settings.stop_grace == timedelta(seconds=2)
     assert settings.repeat_window == timedelta(seconds=10)
     assert settings.seeds == ('10.0.0.2:80',)
+    assert settings.zone_charge == timedelta(milliseconds=60)
+
+
+def test_distances_are_those_of_the_deployment(tmp_path: Path) -> None:
+    """What it costs to send a request away is a setting."""
+    text = _text() + '\n[distances]\nregion_trip = 9ms\nzone_charge = 0ms\n'
+    settings = read_gateway_settings(_write(tmp_path, text))
+    assert settings.region_trip == timedelta(milliseconds=9)
+    assert settings.zone_charge == timedelta()
 
 
 @pytest.mark.parametrize(
@@ -47,6 +56,7 @@
         ('stop_grace = 2s', 'stop_grace = 2', 'stop_grace'),
         ('zone = pnw-a', 'zone = mars', '[zones] mars'),
         ('extra = 100', 'extra = many', "extra = 'many'"),
+        ('[zones]', '[shifts]\nmost = 2\n[zones]', "most = '2'"),
         ('[peers]', '[peers]\nsaplings = 1', 'saplings'),
         ('caller = 127.0.0.1:1001', 'caller = here', "caller = 'here'"),
     ],
