--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_callers.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_callers.py
@@ -43,6 +43,7 @@
     Reason.body_too_large: HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
     Reason.body_too_slow: HTTPStatus.REQUEST_TIMEOUT,
     Reason.upstream_timeout: HTTPStatus.GATEWAY_TIMEOUT,
+    Reason.upstream_silent: HTTPStatus.GATEWAY_TIMEOUT,
 }
 
 
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_exchange.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_exchange.py
@@ -126,6 +126,7 @@
         work: Work,
         answer: HttpAnswer,
     ) -> Outcome:
+        state.note_answer()
         if answer.status == HTTP_MISDIRECTED:
             # Another upstream has the address.
             state.lose()
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_router.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_router.py
@@ -22,6 +22,7 @@
     WorkTimes,
     has_room,
     learn,
+    time_to_give_up,
     time_to_return,
 )
 from lycheedyke_daemon.crashes import CrashGuard
@@ -112,7 +113,8 @@
         self._budgets[request.service].add_request()
         story = _Story(self._clock.elapsed())
         while pick := self._next(request, work, story):
-            outcome = await self._attempt(request, pick, work)
+            patience = self._time_to_give_up(request, pick, work, story)
+            outcome = await self._attempt(request, pick, work, patience)
             story.add(pick.state.record.name, outcome)
             if not _may_repeat(work, outcome):
                 break
@@ -165,13 +167,14 @@
         request: Request,
         pick: Pick,
         work: Work,
+        patience: timedelta | None,
     ) -> Outcome:
         state = pick.state
         self._choice.take_turn(state)
         state.start(request.thing)
         started = self._clock.elapsed()
         try:
-            outcome = await self._run_guarded(state, work)
+            outcome = await self._run_guarded(state, work, patience)
         finally:
             state.end()
         took = self._clock.elapsed() - started
@@ -180,15 +183,47 @@
             learn(self._times, request, pick, took)
         return outcome
 
-    async def _run_guarded(self, state: UpstreamState, work: Work) -> Outcome:
+    def _time_to_give_up(
+        self,
+        request: Request,
+        pick: Pick,
+        work: Work,
+        story: _Story,
+    ) -> timedelta | None:
+        """Returns how long a silent upstream is waited for, None to the end."""
+        if not work.idempotent or story.attempts + 1 >= request.route.attempts:
+            return None
+        if not self._budgets[request.service].left(self._instances()):
+            return None
+        left = work.deadline - self._clock.elapsed()
+        return time_to_give_up(request, pick, self._times, left)
+
+    async def _run_guarded(
+        self,
+        state: UpstreamState,
+        work: Work,
+        patience: timedelta | None,
+    ) -> Outcome:
         """Returns the outcome, also where the guard lets nobody in in time.
 
         The exchange ends by itself at the deadline; this bounds the wait
-        before it, in which a suspect is kept until it can run alone.
+        before it, in which a suspect is kept until it can run alone, and the
+        wait for an upstream that answers nothing.
         """
-        left = work.deadline - self._clock.elapsed() + GUARD_MARGIN
+        started = self._clock.elapsed()
+        left = work.deadline - started + GUARD_MARGIN
+        watch: asyncio.TimerHandle | None = None
+        reason = Reason.upstream_timeout
         try:
-            async with asyncio.timeout(left.total_seconds()):
+            async with asyncio.timeout(left.total_seconds()) as timer:
+                if patience is not None:
+                    watch = asyncio.get_running_loop().call_later(
+                        patience.total_seconds(),
+                        _end_if_silent,
+                        timer,
+                        state,
+                        started,
+                    )
                 return await self._guard.run(
                     state.record.name,
                     state.record.address,
@@ -196,7 +231,13 @@
                     lambda: self._exchange.run(state, work),
                 )
         except TimeoutError:
-            return Unknown(Reason.upstream_timeout)
+            if self._clock.elapsed() < work.deadline:
+                state.fail()
+                reason = Reason.upstream_silent
+            return Unknown(reason)
+        finally:
+            if watch is not None:
+                watch.cancel()
 
     def _tell(
         self,
@@ -252,6 +293,15 @@
         return refusal
 
 
+def _end_if_silent(
+    timer: asyncio.Timeout,
+    state: UpstreamState,
+    since: timedelta,
+) -> None:
+    if state.answered_at < since and not timer.expired():
+        timer.reschedule(asyncio.get_running_loop().time())
+
+
 def _is_not_sent(outcome: Outcome) -> bool:
     return isinstance(outcome, NotRun) and outcome.reason in _NOT_SENT
 
--- a/packages/lycheedyke/src/lycheedyke/protocol/_outcomes.py
+++ b/packages/lycheedyke/src/lycheedyke/protocol/_outcomes.py
@@ -50,6 +50,7 @@
     upstream_replaced = 'upstream-replaced'
     upstream_broke = 'upstream-broke'
     upstream_timeout = 'upstream-timeout'
+    upstream_silent = 'upstream-silent'
     peer_broke = 'peer-broke'
     internal_error = 'internal-error'
 
--- a/packages/lycheedyke/src/lycheedyke/state/__init__.py
+++ b/packages/lycheedyke/src/lycheedyke/state/__init__.py
@@ -58,6 +58,7 @@
     hash_point,
     share_at,
 )
+from lycheedyke.state._silence import time_to_give_up
 from lycheedyke.state._suspects import Suspect, Suspects, Verdict
 from lycheedyke.state._warmup import WarmupPace, turn_period
 from lycheedyke.state._worktimes import RunTimes, WorkTimes
@@ -70,6 +71,7 @@
     'Pools',
     'has_room',
     'patience',
+    'time_to_give_up',
     'time_to_return',
     'RepeatBudget',
     'RepeatTerms',
--- a/packages/lycheedyke/src/lycheedyke/state/_fleet.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_fleet.py
@@ -33,6 +33,11 @@
 class UpstreamState:
     """One upstream as this instance sees it.
 
+    Attributes:
+        record: what it says of itself.
+        in_flight: the requests that run there from here.
+        answered_at: when it last answered anything, on the monotonic clock.
+
     Args:
         record: what it says of itself.
         clock: the time.
@@ -42,6 +47,7 @@
         """Takes in the first record."""
         self.record = record
         self.in_flight = 0
+        self.answered_at = ZERO
         self._clock = clock
         self._others = 0
         self._others_at = ZERO
@@ -123,6 +129,10 @@
         """Counts the end of a request."""
         self.in_flight -= 1
 
+    def note_answer(self) -> None:
+        """Takes in that it has answered something, whatever that was."""
+        self.answered_at = self._clock.elapsed()
+
     def report(self, running: int, waiting: int) -> None:
         """Takes in the load that it told with an answer."""
         self._others = max(0, running + waiting - self.in_flight)
--- a/tests/unit/gateway/test_requests.py
+++ b/tests/unit/gateway/test_requests.py
@@ -8,6 +8,7 @@
 import pytest
 
 from standins.users_platform import Reply, UsersPlatform
+from standins.users_upstream import UsersUpstream
 
 Scene = Callable[[UsersPlatform], Awaitable[None]]
 
@@ -232,6 +233,51 @@
     _play(tmp_path, _scene)
 
 
+async def _find_home(
+    platform: UsersPlatform,
+) -> tuple[UsersUpstream, UsersUpstream]:
+    """Returns the upstream that gets the usual object, and the other one."""
+    await platform.send('/read/1')
+    first, second = platform.upstreams
+    return (first, second) if first.arrivals else (second, first)
+
+
+def test_a_silent_upstream_is_given_up_while_there_is_time(
+    tmp_path: Path,
+) -> None:
+    """An idempotent request ends at another one, well before its deadline."""
+
+    async def _scene(platform: UsersPlatform) -> None:
+        home, other = await _find_home(platform)
+        home.script.append('silent')
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        reply = await platform.send('/read/1')
+        assert reply.status == 200
+        assert loop.time() - started < 1.0
+        assert len(other.arrivals) == 1
+
+    _play(tmp_path, _scene)
+
+
+def test_a_slow_upstream_that_answers_others_is_not_given_up(
+    tmp_path: Path,
+) -> None:
+    """A repeat would add to its load."""
+
+    async def _scene(platform: UsersPlatform) -> None:
+        home, other = await _find_home(platform)
+        home.run_s = 0.9
+        slow = asyncio.create_task(platform.send('/read/1'))
+        await asyncio.sleep(0.2)
+        home.run_s = 0.005
+        assert (await platform.send('/read/2')).status == 200
+        assert (await slow).status == 200
+        assert not other.arrivals
+
+    _play(tmp_path, _scene)
+
+
 def test_work_of_a_caller_that_left_is_cancelled(tmp_path: Path) -> None:
     """The upstream sees the connection close within half a second."""
 
