--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_router.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_router.py
@@ -13,12 +13,10 @@
     Unknown,
 )
 from lycheedyke.state import (
-    CallerRequest,
     Pick,
     RepeatBudget,
     RepeatTerms,
     Request,
-    Returns,
     UpstreamChoice,
     UpstreamState,
     WorkTimes,
@@ -97,7 +95,6 @@
         self._counters = instruments.counters
         self._decisions = instruments.decisions
         self._instances = instances
-        self._returns = Returns(instruments.clock)
         self._budgets: defaultdict[str, RepeatBudget] = defaultdict(
             lambda: RepeatBudget(repeats, instruments.clock),
         )
@@ -154,9 +151,6 @@
         work: Work,
         started: timedelta,
     ) -> bool:
-        if pick.waits and self._returns.left(_to_caller_request(work)):
-            self._counters.count('refused.early')
-            return False
         now = self._clock.elapsed()
         ends_in_time = now + pick.expected < work.deadline
         return ends_in_time and has_room(request, pick, now - started)
@@ -278,11 +272,7 @@
         reason = Reason.no_upstream if pick is None else Reason.no_room
         if outcome is not None:
             reason = outcome.reason
-        repeat = _to_caller_request(work)
-        early = self._returns.left(repeat)
-        retry_after = time_to_return(request, pick) + early
-        self._returns.note(repeat, retry_after)
-        refusal = NotRun(reason, retry_after)
+        refusal = NotRun(reason, time_to_return(request, pick))
         if pick is not None:
             self._decisions.write(
                 'request refused',
@@ -296,7 +286,6 @@
                 trip_ms=pick.trip // MILLISECOND,
                 goal_ms=request.route.goal // MILLISECOND,
                 patience=request.patience,
-                early_ms=early // MILLISECOND,
                 budget_left=self._budgets[request.service].left(
                     self._instances(),
                 ),
@@ -304,10 +293,6 @@
         return refusal
 
 
-def _to_caller_request(work: Work) -> CallerRequest:
-    return CallerRequest(work.client, work.target)
-
-
 def _end_if_silent(
     timer: asyncio.Timeout,
     state: UpstreamState,
--- a/packages/lycheedyke/src/lycheedyke/state/__init__.py
+++ b/packages/lycheedyke/src/lycheedyke/state/__init__.py
@@ -50,7 +50,6 @@
 from lycheedyke.state._pools import Place, Pools
 from lycheedyke.state._references import find_reference_faults
 from lycheedyke.state._repeats import RepeatBudget, RepeatTerms
-from lycheedyke.state._returns import CallerRequest, Returns
 from lycheedyke.state._room import has_room, patience, time_to_return
 from lycheedyke.state._routes import RouteTable, SplitTurns
 from lycheedyke.state._shares import (
@@ -65,8 +64,6 @@
 from lycheedyke.state._worktimes import RunTimes, WorkTimes
 
 __all__ = (
-    'CallerRequest',
-    'Returns',
     'Distances',
     'Fleet',
     'Pick',
