Follow a record in time where the head is turned away by the store

Its news were taken as fresh for 1.6 s, then the watchers asked the store, and the rest of their zones heard it half a second later.

Ruled out: the give-up of silent upstreams, which changes no belief.

Change: who was turned away tells its news as too old at once. News are fresh for 1.2 s again; the head asks four times a second and waits a quarter of a second, the watchers ask it every 0.2 s, the rest their watcher every 0.4 s.

Test: the age told after a refused call (0 s before).

--- a/packages/lycheedyke/src/lycheedyke/coordination/_registry_follower.py
+++ b/packages/lycheedyke/src/lycheedyke/coordination/_registry_follower.py
@@ -48,7 +48,8 @@
     """How often the registry and peers are asked.
 
     The ages that add up on the way from the registry over the head and a
-    watcher stay below `silence`.
+    watcher stay below `silence`. Twice `silence` is less than the 2.5 s in
+    which the users' instances have to follow a record.
 
     Attributes:
         registry: between two questions to the registry.
@@ -61,13 +62,13 @@
         silence: without news for that long, peers are asked.
     """
 
-    registry: timedelta = timedelta(milliseconds=330)
-    wait: timedelta = timedelta(milliseconds=500)
-    head: timedelta = timedelta(milliseconds=250)
-    watcher: timedelta = timedelta(milliseconds=500)
+    registry: timedelta = timedelta(milliseconds=250)
+    wait: timedelta = timedelta(milliseconds=250)
+    head: timedelta = timedelta(milliseconds=200)
+    watcher: timedelta = timedelta(milliseconds=400)
     retry: timedelta = timedelta(milliseconds=300)
     most_retry: timedelta = timedelta(seconds=3)
-    silence: timedelta = timedelta(milliseconds=1600)
+    silence: timedelta = timedelta(milliseconds=1200)
 
 
 DEFAULT_PAUSES = FollowPauses()
@@ -106,8 +107,15 @@
 
     @property
     def age(self) -> timedelta:
-        """How long ago the registry told what is known here."""
-        return self._clock.elapsed() - self._heard
+        """How long ago the registry told what is known here.
+
+        While the registry turns this instance away, it is no less than the
+        age at which others ask the registry themselves.
+        """
+        age = self._clock.elapsed() - self._heard
+        if self._failed_since is None:
+            return age
+        return max(age, self._pauses.silence)
 
     def __repr__(self) -> str:
         """Returns the replica."""
--- a/tests/unit/gateway/test_life.py
+++ b/tests/unit/gateway/test_life.py
@@ -17,8 +17,11 @@
 # Less than the 1.2 s or more between two renewals.
 ANNOUNCE_SECONDS = 0.9
 MANY_INSTANCES = 16
-# At a third of a second between two of them.
-WATCHES_PER_S = 3
+SOME_INSTANCES = 6
+# Two polls of peers and two questions to the store, and some to spare.
+NEWS_SECONDS = 1.4
+# At a quarter of a second between two of them.
+WATCHES_PER_S = 4
 
 
 def _play(folder: Path, scene: Scene, **parts: int) -> None:
@@ -425,5 +428,37 @@
     _play(tmp_path, _scene)
 
 
+def test_a_head_that_is_turned_away_holds_up_nobody(tmp_path: Path) -> None:
+    """The others hear from it at once that its news are old."""
+
+    async def _scene(platform: UsersPlatform) -> None:
+        for at in range(2, SOME_INSTANCES):
+            zone = ('pnw-a', 'nc-a')[at % 2]
+            await platform.start(f'edge-{at}', zone=zone)
+        await asyncio.sleep(2)
+        heads = [
+            each for each in platform.instances if each._news._source() is None
+        ]
+        assert len(heads) == 1
+
+        async def _fail(*args: object, **options: object) -> None:
+            raise ConnectionNotMade('turned away')
+
+        registry = heads[0]._deployment.registry
+        registry._http.send = _fail  # type: ignore[attr-defined]
+        added = {'name': 'new', 'prefix': '/new/', 'service': 'desk'}
+        value = config_value(0x2F, [*ROUTES, added])
+        platform.store.put('op/config', value)
+
+        async def _is_in_force() -> bool:
+            return all(
+                each._beliefs.number == 0x2F for each in platform.instances
+            )
+
+        assert await _until(_is_in_force, NEWS_SECONDS)
+
+    _play(tmp_path, _scene, instances=2)
+
+
 async def _no_news(after: int) -> None:
     return None
--- a/tests/unit/gateway/test_replica.py
+++ b/tests/unit/gateway/test_replica.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies as st
 
 from lycheedyke.coordination import RegistryFollower, Replica
+from lycheedyke.coordination._registry_follower import DEFAULT_PAUSES
 from lycheedyke.exceptions import HistoryLost, PlatformUnreachable
 from lycheedyke.protocol import (
     EvacuationRecord,
@@ -231,6 +232,27 @@
     assert replica.revision == 7
 
 
+def test_news_of_who_is_turned_away_are_old_at_once() -> None:
+    """Others ask the registry themselves rather than wait for their age."""
+
+    async def _play() -> None:
+        replica, _, _ = _make()
+        registry = _Registry(ItemBatch(4, ()), PlatformUnreachable('busy'))
+        clock = ManualClock()
+        follower = RegistryFollower(
+            registry,  # type: ignore[arg-type]
+            replica,
+            _Peers(),
+            clock,
+        )
+        await follower._hear()
+        assert follower.age == timedelta()
+        await follower._hear()
+        assert follower.age >= DEFAULT_PAUSES.silence
+
+    asyncio.run(_play())
+
+
 def test_traces_of_removed_items_are_bounded() -> None:
     """Upstreams come and go for months."""
     replica, _, _ = _make()
