--- a/tests/unit/gateway/test_life.py
+++ b/tests/unit/gateway/test_life.py
@@ -13,7 +13,6 @@
 # From a write in the store to its effect, the users allow 2.5 s.
 APPLY_SECONDS = 2.0
 QUIET_SECONDS = 4
-STOP_GRACE_SECONDS = 2
 # Less than the 1.2 s or more between two renewals.
 ANNOUNCE_SECONDS = 0.9
 MANY_INSTANCES = 16
@@ -214,28 +213,6 @@
     _play(tmp_path, _scene, instances=3)
 
 
-def test_a_planned_stop_cuts_no_request(tmp_path: Path) -> None:
-    """It is not ready at once, and still answers what it has read."""
-
-    async def _scene(platform: UsersPlatform) -> None:
-        for upstream in platform.upstreams:
-            upstream.run_s = 0.6
-        running = asyncio.create_task(platform.send('/read/1'))
-        await asyncio.sleep(0.2)
-        ready = platform.settings[0].ready_address
-        assert (await platform.get(ready, '/ready')).status == 200
-        stopping = asyncio.create_task(platform.instances.pop().stop())
-        await asyncio.sleep(0.1)
-        assert (await platform.get(ready, '/ready')).status == 503
-        late = await platform.send('/read/2')
-        assert late.status == 200
-        assert late.headers['Connection'] == 'close'
-        assert (await running).status == 200
-        await stopping
-
-    _play(tmp_path, _scene)
-
-
 def test_an_instance_without_a_configuration_refuses(tmp_path: Path) -> None:
     """It says "not run" and when to come back, never "not found"."""
 
@@ -357,34 +334,6 @@
     _play(tmp_path, _scene, instances=2)
 
 
-def test_idle_connections_are_closed_after_the_limit(tmp_path: Path) -> None:
-    """Neither a silent caller nor a head sent in part holds a descriptor."""
-
-    async def _scene(platform: UsersPlatform) -> None:
-        value = config_value(0x2F, list(ROUTES), idleTimeout='2000ms')
-        platform.store.put('op/config', value)
-        await asyncio.sleep(APPLY_SECONDS)
-        host, _, port = platform.settings[0].caller_address.rpartition(':')
-        ways = [
-            await asyncio.open_connection(host, int(port)) for _ in range(3)
-        ]
-        whole = b'GET /read/1 HTTP/1.1\r\nHost: shop.example\r\n'
-        request = whole + b'Lycheedyke-Request-Id: r-9\r\n\r\n'
-        ways[0][1].write(request)
-        ways[1][1].write(whole)
-        assert await ways[0][0].readuntil(b'{"ran": "whole"}')
-        await asyncio.sleep(1.5)
-        ways[0][1].write(request)
-        assert await ways[0][0].readuntil(b'{"ran": "whole"}')
-        await asyncio.sleep(1)
-        assert not ways[0][0].at_eof()
-        for reader, writer in ways:
-            assert await asyncio.wait_for(reader.read(), 5) == b''
-            writer.close()
-
-    _play(tmp_path, _scene)
-
-
 def test_an_announcement_that_is_lost_is_made_again_at_once(
     tmp_path: Path,
 ) -> None:
@@ -407,27 +356,6 @@
     _play(tmp_path, _scene)
 
 
-def test_a_body_that_never_comes_holds_no_stop(tmp_path: Path) -> None:
-    """A refused caller may leave its body unsent and its connection open."""
-
-    async def _scene(platform: UsersPlatform) -> None:
-        host, _, port = platform.settings[0].caller_address.rpartition(':')
-        reader, writer = await asyncio.open_connection(host, int(port))
-        writer.write(
-            b'POST /order/1 HTTP/1.1\r\nHost: shop.example\r\n'
-            b'Lycheedyke-Request-Id: r-9\r\nLycheedyke-Deadline-Ms: 200\r\n'
-            b'Content-Length: 9\r\n\r\n',
-        )
-        assert b' 408 ' in await reader.readline()
-        loop = asyncio.get_running_loop()
-        begun = loop.time()
-        await platform.instances.pop().stop()
-        assert loop.time() - begun < STOP_GRACE_SECONDS
-        writer.close()
-
-    _play(tmp_path, _scene)
-
-
 def test_a_head_that_is_turned_away_holds_up_nobody(tmp_path: Path) -> None:
     """The others hear from it at once that its news are old."""
 
@@ -460,25 +388,5 @@
     _play(tmp_path, _scene, instances=2)
 
 
-async def _lose_one_cancellation() -> None:
-    try:
-        await asyncio.Event().wait()
-    except asyncio.CancelledError:
-        await asyncio.Event().wait()
-
-
-def test_a_cancellation_that_got_lost_holds_no_stop(tmp_path: Path) -> None:
-    """A task that goes on after the first one is cancelled again."""
-
-    async def _scene(platform: UsersPlatform) -> None:
-        stopped = platform.instances.pop()
-        stopped._begin('stubborn', _lose_one_cancellation())
-        await asyncio.sleep(0.1)
-        async with asyncio.timeout(STOP_GRACE_SECONDS):
-            await stopped.stop()
-
-    _play(tmp_path, _scene)
-
-
 async def _no_news(after: int) -> None:
     return None
--- /dev/null
+++ b/tests/unit/gateway/test_stops.py
@@ -0,0 +1,112 @@
+"""Planned stops, and connections that callers leave open."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+from standins.users_platform import ROUTES, UsersPlatform
+from standins.users_store import config_value
+
+Scene = Callable[[UsersPlatform], Awaitable[None]]
+# From a write in the store to its effect, the users allow 2.5 s.
+APPLY_SECONDS = 2.0
+STOP_GRACE_SECONDS = 2
+
+
+def _play(folder: Path, scene: Scene, **parts: int) -> None:
+    async def _run() -> None:
+        async with UsersPlatform(folder, **parts) as platform:
+            await scene(platform)
+
+    asyncio.run(asyncio.wait_for(_run(), 40))
+
+
+def test_idle_connections_are_closed_after_the_limit(tmp_path: Path) -> None:
+    """Neither a silent caller nor a head sent in part holds a descriptor."""
+
+    async def _scene(platform: UsersPlatform) -> None:
+        value = config_value(0x2F, list(ROUTES), idleTimeout='2000ms')
+        platform.store.put('op/config', value)
+        await asyncio.sleep(APPLY_SECONDS)
+        host, _, port = platform.settings[0].caller_address.rpartition(':')
+        ways = [
+            await asyncio.open_connection(host, int(port)) for _ in range(3)
+        ]
+        whole = b'GET /read/1 HTTP/1.1\r\nHost: shop.example\r\n'
+        request = whole + b'Lycheedyke-Request-Id: r-9\r\n\r\n'
+        ways[0][1].write(request)
+        ways[1][1].write(whole)
+        assert await ways[0][0].readuntil(b'{"ran": "whole"}')
+        await asyncio.sleep(1.5)
+        ways[0][1].write(request)
+        assert await ways[0][0].readuntil(b'{"ran": "whole"}')
+        await asyncio.sleep(1)
+        assert not ways[0][0].at_eof()
+        for reader, writer in ways:
+            assert await asyncio.wait_for(reader.read(), 5) == b''
+            writer.close()
+
+    _play(tmp_path, _scene)
+
+
+def test_a_body_that_never_comes_holds_no_stop(tmp_path: Path) -> None:
+    """A refused caller may leave its body unsent and its connection open."""
+
+    async def _scene(platform: UsersPlatform) -> None:
+        host, _, port = platform.settings[0].caller_address.rpartition(':')
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(
+            b'POST /order/1 HTTP/1.1\r\nHost: shop.example\r\n'
+            b'Lycheedyke-Request-Id: r-9\r\nLycheedyke-Deadline-Ms: 200\r\n'
+            b'Content-Length: 9\r\n\r\n',
+        )
+        assert b' 408 ' in await reader.readline()
+        loop = asyncio.get_running_loop()
+        begun = loop.time()
+        await platform.instances.pop().stop()
+        assert loop.time() - begun < STOP_GRACE_SECONDS
+        writer.close()
+
+    _play(tmp_path, _scene)
+
+
+async def _lose_one_cancellation() -> None:
+    try:
+        await asyncio.Event().wait()
+    except asyncio.CancelledError:
+        await asyncio.Event().wait()
+
+
+def test_a_cancellation_that_got_lost_holds_no_stop(tmp_path: Path) -> None:
+    """A task that goes on after the first one is cancelled again."""
+
+    async def _scene(platform: UsersPlatform) -> None:
+        stopped = platform.instances.pop()
+        stopped._begin('stubborn', _lose_one_cancellation())
+        await asyncio.sleep(0.1)
+        async with asyncio.timeout(STOP_GRACE_SECONDS):
+            await stopped.stop()
+
+    _play(tmp_path, _scene)
+
+
+def test_a_planned_stop_cuts_no_request(tmp_path: Path) -> None:
+    """It is not ready at once, and still answers what it has read."""
+
+    async def _scene(platform: UsersPlatform) -> None:
+        for upstream in platform.upstreams:
+            upstream.run_s = 0.6
+        running = asyncio.create_task(platform.send('/read/1'))
+        await asyncio.sleep(0.2)
+        ready = platform.settings[0].ready_address
+        assert (await platform.get(ready, '/ready')).status == 200
+        stopping = asyncio.create_task(platform.instances.pop().stop())
+        await asyncio.sleep(0.1)
+        assert (await platform.get(ready, '/ready')).status == 503
+        late = await platform.send('/read/2')
+        assert late.status == 200
+        assert late.headers['Connection'] == 'close'
+        assert (await running).status == 200
+        await stopping
+
+    _play(tmp_path, _scene)
