Keep the quarantine of a request that crashes upstreams

Callers' view: a request that had ended two upstreams was refused, until any five upstreams had crashed within ten seconds.

Cause: the evidence against a request was deleted whenever more than four upstreams crashed in the window, whether or not they had to do with it. Two more of the same class: crashes that a peer reported late counted as crashes of this moment, so a restarted instance dropped the verdicts that it learnt; and crashes were a set of names, so an upstream that is back under its name never counted twice.

Ruled out: that instances never hear of it. In the test both had the verdict before they dropped it.

Change: evidence keeps each crash with its time. Crashes count as the failure of a zone only if more than four upstreams crash within two seconds of them, and never if the request was in flight at crashes in three separate moments. Reports carry the ages; reports of earlier versions, which carry none, add a known upstream only once. An answer clears a suspect as before.

--- a/packages/lycheedyke/src/lycheedyke/state/__init__.py
+++ b/packages/lycheedyke/src/lycheedyke/state/__init__.py
@@ -63,7 +63,13 @@
     hash_point,
     share_at,
 )
-from lycheedyke.state._suspects import Suspect, Suspects, Verdict
+from lycheedyke.state._suspects import (
+    QUARANTINE_TIME,
+    SettledQuarantine,
+    Suspect,
+    Suspects,
+    Verdict,
+)
 from lycheedyke.state._upstreams import UpstreamState, UpstreamTable
 from lycheedyke.state._warmup_limiter import WarmupLimiter, permit_interval
 
@@ -120,6 +126,8 @@
     'KeyRefused',
     'MemoryBudget',
     'MemoryFull',
+    'QUARANTINE_TIME',
+    'SettledQuarantine',
     'Suspect',
     'Suspects',
     'Verdict',
--- a/packages/lycheedyke/src/lycheedyke/state/_suspects.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_suspects.py
@@ -1,5 +1,7 @@
 """Requests that are suspected of crashing the upstreams that run them."""
 
+import bisect
+import logging
 from collections.abc import Iterable
 from datetime import timedelta
 from enum import Enum
@@ -8,17 +10,21 @@
 import msgspec
 
 from lycheedyke.clock import Clock
+from lycheedyke.state._crash_evidence import CONFIRMATIONS, Crash, Evidence
 
 QUARANTINE_TIME = timedelta(minutes=10)
 CLEARED_TIME = timedelta(seconds=30)
 MAX_SUSPECTS = 256
-CONFIRMATIONS = 2
-# If more upstreams than this crash within `FAILURE_WINDOW`, the cause is taken
-# to be the failure of a zone or region, not a request.
+# If more upstreams than this crash within `FAILURE_SPREAD` of each other, the
+# cause may be the failure of a zone or region, not a request.
 MAX_CRASHED_UPSTREAMS = 4
-FAILURE_WINDOW = timedelta(seconds=10)
+FAILURE_SPREAD = timedelta(seconds=2)
+# After this time no report of a peer on a failing zone is on its way.
+SETTLING_TIME = timedelta(seconds=4)
 MILLISECOND = timedelta(milliseconds=1)
 
+_logger = logging.getLogger(__name__)
+
 
 class Verdict(Enum):
     """The treatment of a request."""
@@ -32,14 +38,17 @@
     """A suspect as reported to peers and operators.
 
     Attributes:
-        fingerprint: the digest of service, method, target and body, in hex.
+        fingerprint: the digest that equal requests of one caller share, in hex.
         crashed: the upstreams that crashed while it was in flight there.
         remaining_ms: the time until the suspect expires, in ms.
+        ages_ms: how long ago each of these crashes was, in ms. Reports of
+            earlier versions have none.
     """
 
     fingerprint: str
     crashed: tuple[str, ...]
     remaining_ms: int
+    ages_ms: tuple[int, ...] = ()
 
     @property
     def quarantined(self) -> bool:
@@ -47,9 +56,16 @@
         return len(self.crashed) >= CONFIRMATIONS
 
 
-class _Entry(NamedTuple):
-    crashed: frozenset[str]
-    expiry: timedelta
+class SettledQuarantine(NamedTuple):
+    """A quarantine that no later crash of other upstreams can lift.
+
+    Attributes:
+        fingerprint: the digest of the request, in hex.
+        is_first_hand: whether this instance observed one of the crashes.
+    """
+
+    fingerprint: str
+    is_first_hand: bool
 
 
 class Suspects:
@@ -61,14 +77,16 @@
 
     def __init__(self, clock: Clock) -> None:
         """Initializes without suspects."""
+        self.revision = 0
         self._clock = clock
-        self._entries: dict[str, _Entry] = {}
+        self._entries: dict[str, Evidence] = {}
+        self._registered: set[str] = set()
         self._cleared: dict[str, timedelta] = {}
         self._crashes: dict[str, timedelta] = {}
 
     def __len__(self) -> int:
-        """Returns the number of suspects."""
-        return len(self._entries)
+        """Returns the number of requests with crashes or in quarantine."""
+        return len(self._entries) + len(self._registered)
 
     def __repr__(self) -> str:
         """Returns the number of suspects."""
@@ -76,32 +94,48 @@
 
     def judge(self, fingerprint: str) -> Verdict:
         """Returns the current treatment of a request."""
-        self._drop_expired()
-        entry = self._entries.get(fingerprint)
-        if entry is None:
+        if fingerprint in self._registered:
+            return Verdict.quarantined
+        evidence = self._entries.get(fingerprint)
+        if evidence is None or evidence.expiry <= self._clock.elapsed():
             return Verdict.clear
-        if len(entry.crashed) >= CONFIRMATIONS:
+        if evidence.is_confirmed:
             return Verdict.quarantined
-        return Verdict.suspect
+        return Verdict.suspect if evidence.standing else Verdict.clear
+
+    def may_repeat(self, fingerprint: str) -> bool:
+        """Returns whether a request may run again for the same attempt.
+
+        Crashes that may have been the failure of a zone count as well, so
+        that one attempt ends few upstreams if they were not.
+        """
+        if fingerprint in self._registered:
+            return False
+        evidence = self._entries.get(fingerprint, Evidence())
+        return len(evidence.crashes) < CONFIRMATIONS
 
     def record_crash(self, fingerprints: Iterable[str], upstream: str) -> None:
         """Marks all requests as suspects that were in flight at a crash.
 
-        If more upstreams crash in the window than one request may cause, a
-        zone or region is failing. All suspects of that window are dropped.
+        If more upstreams crash together than one request may cause, a zone
+        or region is failing. Such crashes count only against requests that
+        were in flight at crashes in several other moments.
         """
         self._drop_expired()
-        self._crashes[upstream] = self._clock.elapsed()
-        if self._has_zone_failure():
-            self._drop_suspects_of_window()
-            return
+        crash = Crash(self._clock.elapsed(), upstream)
+        self._crashes[upstream] = crash.time
+        seen = Evidence((crash,), expiry=crash.time + QUARANTINE_TIME)
         for fingerprint in fingerprints:
-            self._add(fingerprint, frozenset((upstream,)), QUARANTINE_TIME)
+            self._add(fingerprint, seen._replace(is_first_hand=True))
+        self._dismiss_zone_failure()
 
     def record_success(self, fingerprint: str) -> None:
-        """Clears a suspect that ran alone without a crash."""
-        if self.judge(fingerprint) is Verdict.suspect:
-            self._entries.pop(fingerprint)
+        """Clears a suspect that ran to its end."""
+        if self.judge(fingerprint) is Verdict.quarantined:
+            return
+        if self._entries.pop(fingerprint, None) is not None:
+            self.revision += 1
+            _logger.info('suspect cleared', extra={'fingerprint': fingerprint})
 
     def clear(self, fingerprints: Iterable[str]) -> int:
         """Clears suspects for an operator, and returns how many were cleared.
@@ -114,90 +148,182 @@
                 count += 1
                 expiry = self._clock.elapsed() + CLEARED_TIME
                 self._cleared[fingerprint] = expiry
+        self.revision += count
         return count
 
     def list(self) -> tuple[Suspect, ...]:
-        """Returns all suspects."""
-        self._drop_expired()
-        now = self._clock.elapsed()
+        """Returns the suspects that are isolated or in quarantine."""
         return tuple(
-            Suspect(
-                fingerprint,
-                tuple(sorted(entry.crashed)),
-                (entry.expiry - now) // MILLISECOND,
-            )
-            for fingerprint, entry in self._entries.items()
+            self._describe(fingerprint, evidence, evidence.standing)
+            for fingerprint, evidence in self._current()
+            if evidence.standing
+        )
+
+    def report(self) -> tuple[Suspect, ...]:
+        """Returns all evidence for peers, dismissed crashes included."""
+        return tuple(
+            self._describe(fingerprint, evidence, evidence.crashes)
+            for fingerprint, evidence in self._current()
         )
 
     def merge(self, reported: Iterable[Suspect]) -> bool:
         """Merges the report of a peer, and returns whether any was new."""
         self._drop_expired()
-        return any([self._merge_reported(suspect) for suspect in reported])
+        is_new = any([self._merge_reported(suspect) for suspect in reported])
+        if is_new:
+            self._dismiss_zone_failure()
+        return is_new
+
+    def settled(self) -> tuple[SettledQuarantine, ...]:
+        """Returns the quarantines that are final and not registered."""
+        since = self._clock.elapsed() - SETTLING_TIME
+        return tuple(
+            SettledQuarantine(fingerprint, evidence.is_first_hand)
+            for fingerprint, evidence in self._current()
+            if fingerprint not in self._registered
+            and evidence.is_confirmed
+            and (evidence.is_proven or evidence.standing[-1].time < since)
+        )
+
+    def register(self, fingerprint: str) -> None:
+        """Quarantines a request that the registry lists."""
+        if fingerprint not in self._registered:
+            self._registered.add(fingerprint)
+            self._log_quarantine(fingerprint, Evidence(), source='registry')
+
+    def unregister(self, fingerprint: str) -> None:
+        """Ends a quarantine that the registry does not list any more."""
+        self._registered.discard(fingerprint)
 
     def _merge_reported(self, suspect: Suspect) -> bool:
-        known = self._entries.get(suspect.fingerprint)
-        crashed = frozenset(suspect.crashed)
         if suspect.fingerprint in self._cleared:
             return False
-        if known is not None and crashed <= known.crashed:
+        now = self._clock.elapsed()
+        known = self._entries.get(suspect.fingerprint, Evidence())
+        crashes = tuple(_reported_crashes(suspect, known, now))
+        for crash in crashes:
+            if crash.time > now - SETTLING_TIME:
+                self._crashes.setdefault(crash.upstream, crash.time)
+        remaining = min(suspect.remaining_ms * MILLISECOND, QUARANTINE_TIME)
+        reported = Evidence(crashes, expiry=now + remaining)
+        return self._add(suspect.fingerprint, reported)
+
+    def _dismiss_zone_failure(self) -> None:
+        """Dismisses the crashes that coincide with many others."""
+        if len(self._crashes) <= MAX_CRASHED_UPSTREAMS:
+            return
+        times = sorted(self._crashes.values())
+        count = 0
+        for fingerprint, evidence in self._entries.items():
+            dismissed = evidence.dismiss(
+                crash
+                for crash in evidence.crashes
+                if _count_near(times, crash.time) > MAX_CRASHED_UPSTREAMS
+            )
+            count += len(dismissed.standing) < len(evidence.standing)
+            self._entries[fingerprint] = dismissed
+        if count:
+            _logger.info(
+                'suspects dismissed',
+                extra={'count': count, 'crashed': sorted(self._crashes)},
+            )
+
+    def _add(self, fingerprint: str, found: Evidence) -> bool:
+        """Adds crashes to the evidence; returns whether any was new."""
+        before = self._entries.get(fingerprint, Evidence())
+        after = before
+        for crash in found.crashes:
+            if not after.includes(crash):
+                after = after.add(crash)
+        if after == before:
             return False
-        for upstream in crashed:
-            self._crashes.setdefault(upstream, self._clock.elapsed())
-        lifetime = min(suspect.remaining_ms * MILLISECOND, QUARANTINE_TIME)
-        self._add(suspect.fingerprint, crashed, lifetime)
-        if self._has_zone_failure():
-            self._drop_suspects_of_window()
+        if fingerprint not in self._entries:
+            self._make_room()
+        self._entries[fingerprint] = after._replace(
+            expiry=max(before.expiry, found.expiry),
+            is_first_hand=before.is_first_hand or found.is_first_hand,
+        )
+        self.revision += 1
+        if after.is_confirmed and not before.is_confirmed:
+            source = 'own' if found.is_first_hand else 'peer'
+            self._log_quarantine(fingerprint, after, source=source)
         return True
 
-    def _has_zone_failure(self) -> bool:
-        return len(self._crashes) > MAX_CRASHED_UPSTREAMS
-
-    def _drop_suspects_of_window(self) -> None:
-        self._entries = {
-            fingerprint: entry
-            for fingerprint, entry in self._entries.items()
-            if not entry.crashed <= self._crashes.keys()
-        }
-
-    def _add(
-        self,
-        fingerprint: str,
-        crashed: frozenset[str],
-        lifetime: timedelta,
-    ) -> None:
-        expiry = self._clock.elapsed() + lifetime
-        entry = self._entries.get(fingerprint)
-        if entry is not None:
-            crashed |= entry.crashed
-            expiry = max(expiry, entry.expiry)
-        elif len(self._entries) >= MAX_SUSPECTS:
-            self._evict_weakest()
-        self._entries[fingerprint] = _Entry(crashed, expiry)
-
-    def _evict_weakest(self) -> None:
+    def _make_room(self) -> None:
+        if len(self._entries) < MAX_SUSPECTS:
+            return
         weakest = min(
             self._entries,
             key=lambda name: (
-                len(self._entries[name].crashed),
+                len(self._entries[name].standing),
                 self._entries[name].expiry,
             ),
         )
         self._entries.pop(weakest)
 
+    def _current(self) -> Iterable[tuple[str, Evidence]]:
+        self._drop_expired()
+        return self._entries.items()
+
     def _drop_expired(self) -> None:
         now = self._clock.elapsed()
         self._entries = {
-            fingerprint: entry
-            for fingerprint, entry in self._entries.items()
-            if entry.expiry > now
+            fingerprint: evidence
+            for fingerprint, evidence in self._entries.items()
+            if evidence.expiry > now
         }
         self._crashes = {
             upstream: time
             for upstream, time in self._crashes.items()
-            if time > now - FAILURE_WINDOW
+            if time > now - SETTLING_TIME
         }
         self._cleared = {
             fingerprint: expiry
             for fingerprint, expiry in self._cleared.items()
             if expiry > now
         }
+
+    def _describe(
+        self, fingerprint: str, evidence: Evidence, crashes: tuple[Crash, ...]
+    ) -> Suspect:
+        now = self._clock.elapsed()
+        return Suspect(
+            fingerprint,
+            tuple(crash.upstream for crash in crashes),
+            (evidence.expiry - now) // MILLISECOND,
+            tuple((now - crash.time) // MILLISECOND for crash in crashes),
+        )
+
+    def _log_quarantine(
+        self, fingerprint: str, evidence: Evidence, *, source: str
+    ) -> None:
+        _logger.warning(
+            'request quarantined',
+            extra={
+                'fingerprint': fingerprint,
+                'crashed': [crash.upstream for crash in evidence.crashes],
+                'moments': evidence.moments,
+                'source': source,
+            },
+        )
+
+
+def _count_near(times: list[timedelta], time: timedelta) -> int:
+    """Returns how many of the sorted times lie within the spread of a time."""
+    first = bisect.bisect_left(times, time - FAILURE_SPREAD)
+    return bisect.bisect_right(times, time + FAILURE_SPREAD) - first
+
+
+def _reported_crashes(
+    suspect: Suspect, known: Evidence, now: timedelta
+) -> Iterable[Crash]:
+    """Yields the crashes of a report by the clock of this instance."""
+    if len(suspect.ages_ms) == len(suspect.crashed):
+        for upstream, age in zip(suspect.crashed, suspect.ages_ms, strict=True):
+            yield Crash(now - max(0, age) * MILLISECOND, upstream)
+        return
+    # Earlier versions report no times, so a known upstream is no new crash.
+    known_upstreams = {crash.upstream for crash in known.crashes}
+    for upstream in suspect.crashed:
+        if upstream not in known_upstreams:
+            yield Crash(now, upstream)
--- a/tests/standins/scripted_upstream.py
+++ b/tests/standins/scripted_upstream.py
@@ -33,6 +33,9 @@
         name: its id; requests that expect another instance get 421.
         script: names of the actions for the next requests.
         run_s: the run time of a request in seconds.
+        crashes_on: a target that ends the upstream once it begins to run, as
+            the action `crash` does.
+        crashed: set when the upstream has ended.
         arrivals: all received requests, whether they ran or not.
         started: the ids of the requests that began to run.
         disconnected: the ids of the requests whose connection was closed
@@ -44,11 +47,14 @@
         self.name = name
         self.script: deque[str] = deque()
         self.run_s = 0.005
+        self.crashes_on = ''
+        self.crashed = asyncio.Event()
         self.arrivals: list[Arrival] = []
         self.started: list[str] = []
         self.disconnected: list[str] = []
         self.address = ''
         self._server: asyncio.Server | None = None
+        self._end: asyncio.Task[None] | None = None
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def open(self, port: int = 0) -> None:
@@ -111,8 +117,18 @@
         if headers.get('Lycheedyke-Expect-Instance') != self.name:
             await self._send(writer, headers, '421 Misdirected', '', b'')
             return True
+        if target == self.crashes_on or action == 'crash':
+            self._end = self._end or asyncio.create_task(self._crash())
+            # Closing ends this task.
+            await asyncio.Event().wait()
         return await self._perform(action, reader, writer, headers)
 
+    async def _crash(self) -> None:
+        await asyncio.sleep(self.run_s)
+        await self.close()
+        self._end = None
+        self.crashed.set()
+
     async def _perform(
         self,
         action: str,
--- a/tests/unit/gateway/test_log_lines.py
+++ b/tests/unit/gateway/test_log_lines.py
@@ -16,6 +16,7 @@
     *sorted((DAEMON / 'gateway').glob('*.py')),
     DAEMON / 'service.py',
     LIBRARY / 'state/_upstreams.py',
+    LIBRARY / 'state/_suspects.py',
     LIBRARY / 'coordination/_registry_follower.py',
     LIBRARY / 'coordination/_presence.py',
     ROOT / 'platform/store.py',
--- /dev/null
+++ b/tests/unit/test_quarantine.py
@@ -0,0 +1,106 @@
+"""A request that crashes upstreams stays in quarantine."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from lycheedyke.state import Suspect, Suspects, Verdict
+from standins.clock import ManualClock
+
+TEN_MINUTES_MS = 600_000
+
+
+# Guards against a quarantine that ends because of the crashes that caused it.
+def test_its_own_crashes_do_not_end_a_quarantine() -> None:
+    """Copies in flight crash six more upstreams after the verdict."""
+    clock = ManualClock()
+    suspects = Suspects(clock)
+    for number in range(8):
+        suspects.record_crash(['poison'], f'upstream {number}')
+        expected = Verdict.quarantined if number else Verdict.suspect
+        assert suspects.judge('poison') is expected
+        clock.advance(1.5)
+
+
+# Guards against a quarantine that ends because unrelated upstreams crash.
+def test_other_crashes_do_not_end_a_quarantine() -> None:
+    """A fifth of a service crashes three seconds after the verdict."""
+    clock = ManualClock()
+    suspects = Suspects(clock)
+    for name in ('kassa-1', 'kassa-2'):
+        suspects.record_crash(['poison'], name)
+        clock.advance(1.5)
+    clock.advance(3)
+    for number in range(17):
+        suspects.record_crash([f'other {number}'], f'upstream {number}')
+    assert suspects.judge('poison') is Verdict.quarantined
+    assert len(suspects.list()) == 1
+
+
+# Guards against a request that is never quarantined because its crashes are
+# taken for the failure of a zone each time.
+@given(st.lists(st.integers(0, 12), min_size=3, max_size=3))
+def test_three_moments_of_crashes_are_final(others: list[int]) -> None:
+    """However many upstreams crash with it, the third moment is final."""
+    clock = ManualClock()
+    suspects = Suspects(clock)
+    for moment, count in enumerate(others):
+        for number in range(count):
+            names = ['victim', 'other'] if number == 0 else ['other']
+            suspects.record_crash(names, f'{moment} {number}')
+        suspects.record_success('victim')
+        suspects.record_crash(['poison'], f'{moment}')
+        clock.advance(1.5)
+    assert suspects.judge('poison') is Verdict.quarantined
+    assert suspects.judge('victim') is not Verdict.quarantined
+    for number in range(20):
+        suspects.record_crash(['other'], f'later {number}')
+        assert suspects.judge('poison') is Verdict.quarantined
+    assert 'poison' in {each.fingerprint for each in suspects.settled()}
+
+
+# Guards against a verdict that a restarted instance drops as it learns it.
+def test_old_crashes_in_a_report_are_not_the_failure_of_a_zone() -> None:
+    """A report of five old crashes keeps the verdict of the sender."""
+    clock = ManualClock()
+    sender, receiver = Suspects(clock), Suspects(clock)
+    for number in range(5):
+        sender.record_crash(['poison'], f'upstream {number}')
+        clock.advance(3)
+    clock.advance(20)
+    assert receiver.merge(sender.report())
+    assert receiver.judge('poison') is Verdict.quarantined
+    assert not receiver.merge(sender.report())
+
+
+# Guards against a report of an earlier version that counts one crash twice.
+def test_a_report_without_times_counts_a_crash_once() -> None:
+    """Reports without times of a known crash change nothing."""
+    clock = ManualClock()
+    suspects = Suspects(clock)
+    for _ in range(4):
+        suspects.merge([Suspect('request', ('kassa-1',), TEN_MINUTES_MS)])
+        clock.advance(2)
+    assert suspects.judge('request') is Verdict.suspect
+
+
+# Guards against a request that crashes one upstream again and again.
+def test_an_upstream_that_crashes_twice_counts_twice() -> None:
+    """An upstream that is back under its name is another crash."""
+    clock = ManualClock()
+    suspects = Suspects(clock)
+    for _ in range(2):
+        suspects.record_crash(['poison'], 'kassa-1')
+        suspects.record_crash(['poison'], 'kassa-1')
+        clock.advance(2)
+    assert suspects.judge('poison') is Verdict.quarantined
+
+
+# Guards against one attempt that ends upstream after upstream while a zone
+# seems to fail.
+def test_no_third_run_for_one_attempt() -> None:
+    """Dismissed crashes count against repeats."""
+    suspects = Suspects(ManualClock())
+    for number in range(6):
+        assert suspects.may_repeat('poison') is (number < 2)
+        suspects.record_crash(['poison'], f'upstream {number}')
+    assert suspects.judge('poison') is Verdict.clear
