Recognize a crashing request by caller, host, method, path and body

Callers' view: a request that its caller sends again is the same request with another id; it may have another query, and a route that is split or moved sends it to another service. The crash guard counted each of these apart, so each took two more upstreams. On the other hand, equal requests of all callers were one: two crashes under a popular look-up refused it to everybody.

Cause: the guard used the digest that an idempotency key is checked with, which has the service and the query and not the caller.

Change: a digest of its own, of what the users' page says stays the same ("the same path, caller and body"), with host and method. Where no host is known, requests name a service and the service takes its place.

Evidence: test_a_repeated_request_is_recognized, seven cases, red before for want of the digest. Whether a query changed in the reported case is not known.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/crashes.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/crashes.py
@@ -24,7 +24,7 @@
     def fingerprint(self) -> str:
         """The fingerprint of the request, in hexadecimal."""
         if not self._fingerprint:
-            self._fingerprint = self._work.fingerprint().hex()
+            self._fingerprint = self._work.repeat_fingerprint().hex()
         return self._fingerprint
 
 
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_caller_api.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_caller_api.py
@@ -178,6 +178,7 @@
             client=http.remote or '',
             kind=admitted.route.kind,
             request_id=http.headers[self._names.request],
+            host=admitted.route.host,
         )
 
     def _read_object_key(self, admitted: _AdmittedRequest) -> str:
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/work.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/work.py
@@ -51,6 +51,8 @@
         kind: whether the request may run more than once; None to decide by the
             method.
         request_id: the id that the caller gave this attempt, or ''.
+        host: the host in the request, if the target is relative to it; '' if
+            it is relative to the service.
     """
 
     service: str
@@ -66,6 +68,7 @@
     may_wait: bool = True
     kind: RouteKind | None = None
     request_id: str = ''
+    host: str = ''
 
     @property
     def idempotent(self) -> bool:
@@ -76,12 +79,17 @@
 
     def fingerprint(self) -> bytes:
         """Returns a digest that is equal for equal requests."""
-        digest = hashlib.blake2b(digest_size=16)
-        for part in (self.service, self.method, self.target):
-            digest.update(part.encode())
-            digest.update(b'\0')
-        digest.update(self.body)
-        return digest.digest()
+        return _digest(self.body, self.service, self.method, self.target)
+
+    def repeat_fingerprint(self) -> bytes:
+        """Returns a digest that is equal if a caller repeats a request.
+
+        A repeated request may have another query, and a route may send it to
+        another service.
+        """
+        path, _, _ = self.target.partition('?')
+        scope = self.host or self.service
+        return _digest(self.body, self.client, scope, self.method, path)
 
     def upstream_headers(
         self,
@@ -96,6 +104,15 @@
         return (*self.headers, limit)
 
 
+def _digest(body: bytes, *parts: str) -> bytes:
+    digest = hashlib.blake2b(digest_size=16)
+    for part in parts:
+        digest.update(part.encode())
+        digest.update(b'\0')
+    digest.update(body)
+    return digest.digest()
+
+
 def end_to_end_headers(headers: Mapping[str, str]) -> Iterator[tuple[str, str]]:
     """Yields the headers that are not hop-by-hop, including repeated ones."""
     named = headers.get('Connection', '').lower().split(',')
--- a/tests/unit/test_quarantine.py
+++ b/tests/unit/test_quarantine.py
@@ -1,9 +1,13 @@
 """A request that crashes upstreams stays in quarantine."""
 
+from datetime import timedelta
+
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
 from lycheedyke.state import Suspect, Suspects, Verdict
+from lycheedyke_daemon.work import Work
 from standins.clock import ManualClock
 
 TEN_MINUTES_MS = 600_000
@@ -104,3 +108,36 @@
         assert suspects.may_repeat('poison') is (number < 2)
         suspects.record_crash(['poison'], f'upstream {number}')
     assert suspects.judge('poison') is Verdict.clear
+
+
+@pytest.mark.parametrize(
+    ('change', 'is_same'),
+    [
+        ({'service': 'vend'}, True),
+        ({'target': '/cups/7?page=2'}, True),
+        ({'request_id': 'another'}, True),
+        ({'client': '192.0.2.2'}, False),
+        ({'target': '/cups/8'}, False),
+        ({'body': b'cup 8'}, False),
+        ({'host': 'other.example'}, False),
+    ],
+)
+# Guards against a repeated request that is not recognized: it may reach
+# another service of a split route, and may have another query.
+def test_a_repeated_request_is_recognized(
+    change: dict[str, str], is_same: bool
+) -> None:
+    """Caller, host, method, path and body identify a request."""
+    first = Work(
+        'kassa',
+        'GET',
+        '/cups/7',
+        (),
+        b'cup 7',
+        timedelta(),
+        '192.0.2.1',
+        host='shop.example',
+    )
+    second = first._replace(**change)  # type: ignore[arg-type]
+    is_equal = first.repeat_fingerprint() == second.repeat_fingerprint()
+    assert is_equal is is_same
