Count a crash though its caller leaves, and clear suspects by answers only

Cause: the probe that tells a crash from a lost answer ran in the caller's request and was cancelled with it. A suspect that timed out counted as run to its end, and was cleared. An upstream back within 50 ms was not seen as dead. One attempt could end a third upstream where its crashes had been taken for the failure of a zone.

Change: the check runs in a task of its own, probes at once and after 50 ms, and leaves a line "upstream crashed" with the fingerprints. Only an answer clears a suspect. An attempt in which two upstreams crashed is not sent again.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/crashes.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/crashes.py
@@ -1,17 +1,21 @@
 """Isolates suspect requests, and finds the requests in flight at a crash."""
 
 import asyncio
+import logging
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
 
-from lycheedyke.protocol import NotRun, Outcome, Reason, Unknown
+from lycheedyke.protocol import Answered, NotRun, Outcome, Reason, Unknown
 from lycheedyke.state import Counters, Suspects, Verdict
 from lycheedyke.transport import is_connection_refused
+from lycheedyke_daemon.detached import DetachedTasks
 from lycheedyke_daemon.work import Work
 
 PROBE_DELAY = timedelta(milliseconds=50)
 PROBE_TIMEOUT = timedelta(milliseconds=500)
 
+_logger = logging.getLogger(__name__)
+
 
 class _Request:
     """A request whose fingerprint is computed on first use."""
@@ -82,6 +86,7 @@
         self._report = report
         self._counters = counters
         self._upstreams: dict[str, _InFlight] = {}
+        self._checks = DetachedTasks()
 
     def __repr__(self) -> str:
         """Returns the class and the number of upstreams used so far."""
@@ -116,11 +121,19 @@
         in_flight.add(request, alone=verdict is Verdict.suspect)
         try:
             outcome = await send()
-            await self._check_outcome(upstream, address, in_flight, outcome)
+            await self._check_outcome(
+                upstream, address, in_flight, request, outcome
+            )
         finally:
             in_flight.remove(request)
         return outcome
 
+    def may_repeat(self, work: Work) -> bool:
+        """Returns whether work may run again for the same attempt."""
+        if not self._suspects:
+            return True
+        return self._suspects.may_repeat(work.repeat_fingerprint().hex())
+
     def _classify(self, request: _Request) -> Verdict:
         if not self._suspects:
             return Verdict.clear
@@ -139,22 +152,40 @@
         upstream: str,
         address: str,
         in_flight: _InFlight,
+        request: _Request,
         outcome: Outcome,
     ) -> None:
+        if isinstance(outcome, Answered) and self._suspects:
+            self._suspects.record_success(request.fingerprint)
         if outcome != Unknown(Reason.upstream_broke):
-            if in_flight.alone and not isinstance(outcome, NotRun):
-                self._suspects.record_success(in_flight.requests[0].fingerprint)
             return
-        fingerprints = tuple(
-            request.fingerprint for request in in_flight.requests
+        fingerprints = tuple(each.fingerprint for each in in_flight.requests)
+        # The caller may leave before the check ends; the crash counts all
+        # the same.
+        await self._checks.run(
+            self._check_crash(upstream, address, fingerprints)
         )
+
+    async def _check_crash(
+        self, upstream: str, address: str, fingerprints: tuple[str, ...]
+    ) -> None:
         if not await _is_dead(address):
             return
         self._counters.count('upstream.crashed')
+        _logger.warning(
+            'upstream crashed',
+            extra={'upstream': upstream, 'fingerprints': fingerprints},
+        )
         self._suspects.record_crash(fingerprints, upstream)
         await self._report()
 
 
 async def _is_dead(address: str) -> bool:
+    """Returns whether nothing listens at an address.
+
+    A process that ends may close its connections before its listening socket.
+    """
+    if await is_connection_refused(address, timeout=PROBE_TIMEOUT):
+        return True
     await asyncio.sleep(PROBE_DELAY.total_seconds())
     return await is_connection_refused(address, timeout=PROBE_TIMEOUT)
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_router.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_router.py
@@ -121,7 +121,7 @@
                 request, candidate, work, silence_limit
             )
             progress.add(candidate.state.record.name, outcome)
-            if not _may_repeat(work, outcome):
+            if not self._may_repeat(work, outcome):
                 break
         if progress.outcome is None or isinstance(progress.outcome, NotRun):
             # Without a send, the last candidate was chosen from all upstreams.
@@ -153,6 +153,9 @@
             return None
         return candidate
 
+    def _may_repeat(self, work: Work, outcome: Outcome) -> bool:
+        return _is_repeatable(work, outcome) and self._guard.may_repeat(work)
+
     def _is_admitted(
         self,
         request: Request,
@@ -319,7 +322,7 @@
     return isinstance(outcome, NotRun) and outcome.reason in _NOT_SENT
 
 
-def _may_repeat(work: Work, outcome: Outcome) -> bool:
+def _is_repeatable(work: Work, outcome: Outcome) -> bool:
     match outcome:
         case Answered(status):
             return work.idempotent and status >= HTTP_SERVER_ERROR
--- a/tests/unit/gateway/test_log_lines.py
+++ b/tests/unit/gateway/test_log_lines.py
@@ -15,6 +15,7 @@
 SOURCES = (
     *sorted((DAEMON / 'gateway').glob('*.py')),
     DAEMON / 'service.py',
+    DAEMON / 'crashes.py',
     LIBRARY / 'state/_upstreams.py',
     LIBRARY / 'state/_suspects.py',
     LIBRARY / 'coordination/_registry_follower.py',
