Keep quarantines in the registry, for instances that no peer told

Callers' view: an instance that was cut off when the others were told, or that started later, ran a crashing request again; after a restart of all instances nobody knew it. The users count each request that reaches an upstream later than 4 s after the third crash, at any instance that is in touch with the store.

Cause: verdicts lived in memory and were pushed once, to the peers known then. Nothing brought them to the others.

The registry's updates bring it to all instances, and to a new one before it is ready. Peers of the last version can't decode the record and do not get it. A report to all peers is sent once for all requests that wait for one, and not at all if nothing is new: a crash with ten requests in flight sent ten.

Weighed: pulling suspects with each poll of the peers. It brings no verdict to a system that starts anew, and evidence of one crash is no use to an instance that is about to see the second.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/__init__.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/__init__.py
@@ -1,7 +1,8 @@
 """An entry instance that replicates a registry and calls upstreams itself."""
 
 from lycheedyke_daemon.gateway._decision_log import DecisionLog
-from lycheedyke_daemon.gateway._instance import Deployment, GatewayInstance
+from lycheedyke_daemon.gateway._deployment import Deployment
+from lycheedyke_daemon.gateway._instance import GatewayInstance
 from lycheedyke_daemon.gateway._lookup import LookupFormat
 from lycheedyke_daemon.gateway._main import run
 from lycheedyke_daemon.gateway._settings import (
--- /dev/null
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_deployment.py
@@ -0,0 +1,21 @@
+"""What a deployment of the gateway provides."""
+
+from typing import NamedTuple
+
+from lycheedyke.protocol import Registry
+from lycheedyke_daemon.gateway._lookup import LookupFormat
+from lycheedyke_daemon.gateway._upstream_client import HeaderNames
+
+
+class Deployment(NamedTuple):
+    """What a deployment provides: its registry and its wire formats.
+
+    Attributes:
+        registry: stores routes, upstreams and entry instances.
+        headers: the header names of callers and upstreams.
+        lookups: the format of callers' look-ups.
+    """
+
+    registry: Registry
+    headers: HeaderNames
+    lookups: LookupFormat
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
@@ -5,13 +5,17 @@
 import secrets
 from collections.abc import Coroutine
 from datetime import timedelta
-from typing import NamedTuple
 
 from aiohttp import web
 
 from lycheedyke.clock import Clock
-from lycheedyke.coordination import Presence, RegistryFollower, Replica
-from lycheedyke.protocol import EntryRecord, Registry
+from lycheedyke.coordination import (
+    Presence,
+    QuarantinePublisher,
+    RegistryFollower,
+    Replica,
+)
+from lycheedyke.protocol import EntryRecord
 from lycheedyke.state import (
     Counters,
     Distances,
@@ -27,21 +31,15 @@
 from lycheedyke_daemon.crashes import CrashGuard
 from lycheedyke_daemon.gateway._caller_api import GatewayCallerApi
 from lycheedyke_daemon.gateway._decision_log import DecisionLog, Telemetry
-from lycheedyke_daemon.gateway._lookup import (
-    LookupApi,
-    LookupDirectory,
-    LookupFormat,
-)
+from lycheedyke_daemon.gateway._deployment import Deployment
+from lycheedyke_daemon.gateway._lookup import LookupApi, LookupDirectory
 from lycheedyke_daemon.gateway._metrics import GatewayCollector
 from lycheedyke_daemon.gateway._peer_updates import PeerUpdates
 from lycheedyke_daemon.gateway._registry_view import RegistryView
 from lycheedyke_daemon.gateway._router import GatewayRouter
 from lycheedyke_daemon.gateway._settings import GatewaySettings
 from lycheedyke_daemon.gateway._settings_file import SettingsFile
-from lycheedyke_daemon.gateway._upstream_client import (
-    HeaderNames,
-    UpstreamClient,
-)
+from lycheedyke_daemon.gateway._upstream_client import UpstreamClient
 from lycheedyke_daemon.idle_connections import IdleConnectionCloser
 from lycheedyke_daemon.metric_families import METRICS_PATH, MetricsApi
 from lycheedyke_daemon.servers import HttpServers
@@ -64,20 +62,6 @@
 _logger = logging.getLogger(__name__)
 
 
-class Deployment(NamedTuple):
-    """What a deployment provides: its registry and its wire formats.
-
-    Attributes:
-        registry: stores routes, upstreams and entry instances.
-        headers: the header names of callers and upstreams.
-        lookups: the format of callers' look-ups.
-    """
-
-    registry: Registry
-    headers: HeaderNames
-    lookups: LookupFormat
-
-
 class GatewayInstance:
     """One entry instance.
 
@@ -104,13 +88,15 @@
             self._idle_limit, clock, self._counters
         )
         self._upstream_table = UpstreamTable(clock)
-        self._registry_view = RegistryView(self._upstream_table, clock)
+        suspects = Suspects(clock)
+        self._registry_view = RegistryView(
+            self._upstream_table, suspects, clock
+        )
         own = _describe(settings)
         self._own = own
         self._replica = Replica(
             clock, settings.reappearance, self._registry_view.apply
         )
-        suspects = Suspects(clock)
         self._peer_updates = PeerUpdates(
             own,
             self._registry_view,
@@ -125,6 +111,9 @@
         )
         self._peer_updates.age = lambda: self._follower.age
         self._presence = Presence(deployment.registry, own, clock)
+        self._quarantines = QuarantinePublisher(
+            deployment.registry, suspects, clock
+        )
         self._registry_view.on_entry_removed = self._handle_entry_removed
         self._client = UpstreamClient(deployment.headers, clock)
         self._guard = CrashGuard(
@@ -146,6 +135,7 @@
         self._start_task('registry', self._follower.follow())
         self._start_task('peers', self._follower.follow_peers())
         self._start_task('presence', self._announce())
+        self._start_task('quarantines', self._quarantines.run())
         if self._settings_file is not None:
             watching = self._settings_file.watch(self._apply, self._clock)
             self._start_task('settings', watching)
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_main.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_main.py
@@ -6,7 +6,8 @@
 
 from lycheedyke.clock import SystemClock
 from lycheedyke.exceptions import SettingsInvalid
-from lycheedyke_daemon.gateway._instance import Deployment, GatewayInstance
+from lycheedyke_daemon.gateway._deployment import Deployment
+from lycheedyke_daemon.gateway._instance import GatewayInstance
 from lycheedyke_daemon.gateway._settings import (
     GatewaySettings,
     read_gateway_settings,
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_peer_updates.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_peer_updates.py
@@ -12,7 +12,12 @@
 from lycheedyke.clock import Clock
 from lycheedyke.coordination import Replica, watchers_of
 from lycheedyke.exceptions import TransportError
-from lycheedyke.protocol import EntryRecord, RegistryUpdate
+from lycheedyke.protocol import (
+    EntryRecord,
+    ItemBatch,
+    QuarantineRecord,
+    RegistryUpdate,
+)
 from lycheedyke.state import Counters, Suspect, Suspects
 from lycheedyke.transport import HttpClient
 from lycheedyke_daemon.gateway._registry_view import RegistryView
@@ -20,6 +25,8 @@
 UPDATES_PATH = '/v1/news'
 SUSPECTS_PATH = '/v1/suspects'
 LEAVING_PATH = '/v1/leaving'
+# Earlier versions can't decode quarantine records, and do not ask for them.
+QUARANTINES = 'quarantines'
 POLL_TIMEOUT = timedelta(milliseconds=500)
 SEND_TIMEOUT = timedelta(milliseconds=300)
 PEERS_POLLED = 3
@@ -67,6 +74,8 @@
         self._counters = counters
         self._clock = clock
         self._silent_until: dict[str, timedelta] = {}
+        self._sending_suspects = asyncio.Lock()
+        self._sent_revision = 0
         self._http = HttpClient(max_body_bytes=MAX_UPDATE_BYTES)
 
     def __repr__(self) -> str:
@@ -111,9 +120,16 @@
         return [update for update in found if update is not None]
 
     async def send_suspects(self) -> None:
-        """Sends the suspects to all peers."""
-        body = msgspec.msgpack.encode(self._suspects.list())
-        await self._send_to_all(SUSPECTS_PATH, body)
+        """Sends the suspects to all peers, unless they know them already.
+
+        Of several calls at the same time, one sends for all that wait.
+        """
+        async with self._sending_suspects:
+            if self._suspects.revision == self._sent_revision:
+                return
+            self._sent_revision = self._suspects.revision
+            body = msgspec.msgpack.encode(self._suspects.report())
+            await self._send_to_all(SUSPECTS_PATH, body)
 
     async def announce_leaving(self) -> None:
         """Notifies all peers that this instance stops soon.
@@ -135,9 +151,10 @@
             after = int(request.query.get('after', '0'))
         except ValueError:
             raise web.HTTPBadRequest(text='after is a revision') from None
-        update = RegistryUpdate(
-            self.age() // MILLISECOND, self._replica.changes_after(after)
-        )
+        batch = self._replica.changes_after(after)
+        if QUARANTINES not in request.query:
+            batch = _without_quarantines(batch)
+        update = RegistryUpdate(self.age() // MILLISECOND, batch)
         return web.Response(body=msgspec.msgpack.encode(update))
 
     async def _handle_suspects(self, request: web.Request) -> web.Response:
@@ -197,7 +214,7 @@
         try:
             answer = await self._http.send(
                 'GET',
-                f'http://{address}{UPDATES_PATH}?after={after}',
+                f'http://{address}{UPDATES_PATH}?after={after}&{QUARANTINES}=1',
                 timeout=POLL_TIMEOUT,
             )
             return _UPDATE.decode(answer.body)
@@ -220,3 +237,12 @@
             )
         except TransportError:
             self._counters.count('news.not-told')
+
+
+def _without_quarantines(batch: ItemBatch) -> ItemBatch:
+    items = tuple(
+        item
+        for item in batch.items
+        if not isinstance(item.record, QuarantineRecord)
+    )
+    return ItemBatch(batch.revision, items)
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_registry_view.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_registry_view.py
@@ -9,12 +9,13 @@
 from lycheedyke.protocol import (
     EntryRecord,
     EvacuationRecord,
+    QuarantineRecord,
     RegistryItem,
     RegistryRecord,
     RoutingRecord,
     UpstreamRecord,
 )
-from lycheedyke.state import RouteTable, UpstreamTable
+from lycheedyke.state import RouteTable, Suspects, UpstreamTable
 
 MILLISECOND = timedelta(milliseconds=1)
 # An instance whose record is missing may be disconnected and still run, so it
@@ -29,10 +30,13 @@
 
     Args:
         upstream_table: holds the upstreams.
+        suspects: holds the requests in quarantine.
         clock: measures how long ago an entry instance was last listed.
     """
 
-    def __init__(self, upstream_table: UpstreamTable, clock: Clock) -> None:
+    def __init__(
+        self, upstream_table: UpstreamTable, suspects: Suspects, clock: Clock
+    ) -> None:
         """Starts without a configuration, upstreams and entry instances."""
         self.table: RouteTable | None = None
         self.entries: dict[str, EntryRecord] = {}
@@ -40,6 +44,7 @@
         self.on_routes_changed: Callable[[frozenset[str]], None] | None = None
         self.in_force = asyncio.Event()
         self._upstream_table = upstream_table
+        self._suspects = suspects
         self._clock = clock
         self._evacuated: set[str] = set()
         self._last_listed: dict[str, timedelta] = {}
@@ -99,6 +104,8 @@
                 self._evacuate(zone)
             case EntryRecord() as entry:
                 self._apply_entry(entry)
+            case QuarantineRecord(fingerprint):
+                self._suspects.register(fingerprint)
             case None:
                 self._apply_removal(before)
 
@@ -162,6 +169,8 @@
                 _logger.info('entry instance gone', extra={'peer': name})
                 if self.on_entry_removed is not None:
                     self.on_entry_removed(name)
+            case QuarantineRecord(fingerprint):
+                self._suspects.unregister(fingerprint)
             case RoutingRecord() | None:
                 # The last readable configuration stays in force.
                 return
--- a/packages/lycheedyke/src/lycheedyke/coordination/__init__.py
+++ b/packages/lycheedyke/src/lycheedyke/coordination/__init__.py
@@ -16,6 +16,7 @@
 )
 from lycheedyke.coordination._peers import Peer
 from lycheedyke.coordination._presence import Presence
+from lycheedyke.coordination._quarantine_publisher import QuarantinePublisher
 from lycheedyke.coordination._registry_follower import (
     FollowIntervals,
     RegistryFollower,
@@ -45,6 +46,7 @@
     'UpdateSources',
     'OwnershipPlanner',
     'Presence',
+    'QuarantinePublisher',
     'RegistryFollower',
     'Replica',
     'SlotAllowance',
--- a/packages/lycheedyke/src/lycheedyke/protocol/_registry.py
+++ b/packages/lycheedyke/src/lycheedyke/protocol/_registry.py
@@ -140,7 +140,23 @@
     peer_address: str
 
 
-RegistryRecord = RoutingRecord | UpstreamRecord | EvacuationRecord | EntryRecord
+class QuarantineRecord(msgspec.Struct, frozen=True, tag='quarantine'):
+    """A request that crashes upstreams and that no instance may run.
+
+    Attributes:
+        fingerprint: the digest that equal requests of one caller share, in hex.
+    """
+
+    fingerprint: str
+
+
+RegistryRecord = (
+    RoutingRecord
+    | UpstreamRecord
+    | EvacuationRecord
+    | EntryRecord
+    | QuarantineRecord
+)
 
 
 class RegistryItem(msgspec.Struct, frozen=True, array_like=True):
@@ -220,5 +236,10 @@
     async def withdraw(self, announcement: Announcement) -> None:
         """Removes an announcement."""
 
+    async def quarantine(
+        self, record: QuarantineRecord, ttl: timedelta
+    ) -> None:
+        """Writes a quarantine, which expires after `ttl`."""
+
     async def close(self) -> None:
         """Closes the connections."""
--- a/tests/unit/gateway/test_crashing_requests.py
+++ b/tests/unit/gateway/test_crashing_requests.py
@@ -2,8 +2,15 @@
 
 import asyncio
 import itertools
+from collections.abc import Callable
+from datetime import timedelta
 from pathlib import Path
 
+from lycheedyke.coordination import QuarantinePublisher
+from lycheedyke.exceptions import PlatformUnreachable
+from lycheedyke.protocol import QuarantineRecord
+from lycheedyke.state import Suspects
+from standins.clock import ManualClock
 from standins.gateway_testbed import GatewayTestbed, run_scenario
 from standins.scripted_upstream import ScriptedUpstream
 
@@ -14,6 +21,8 @@
 # The users' bound: so long after the third crash, and so many requests.
 STABLE_S = 4.0
 MAX_RETRIES = 3
+LIMIT_S = 20.0
+POLL_S = 0.05
 
 
 class _Service:
@@ -56,6 +65,18 @@
         )
 
 
+async def _wait_for(condition: Callable[[], bool]) -> None:
+    loop = asyncio.get_running_loop()
+    end = loop.time() + LIMIT_S
+    while not condition():
+        assert loop.time() < end, 'the condition never held'
+        await asyncio.sleep(POLL_S)
+
+
+def _quarantined_in(platform: GatewayTestbed) -> set[str]:
+    return {key for key in platform.store.keys() if 'quarantine' in key}
+
+
 # Guards against a crashing request that upstreams get again and again, once
 # other upstreams have crashed beside it.
 def test_other_crashes_do_not_let_a_crashing_request_run_again(
@@ -84,3 +105,108 @@
         await service.close()
 
     run_scenario(tmp_path, _scene, limit_s=60, upstreams=UPSTREAMS, instances=2)
+
+
+# Guards against a crashing request that an instance runs because it was cut
+# off, or had not started, when the others were told.
+def test_a_quarantine_reaches_instances_that_no_peer_told(
+    tmp_path: Path,
+) -> None:
+    """Reports are lost, and a third instance starts later."""
+
+    async def _scene(platform: GatewayTestbed) -> None:
+        service = _Service(platform)
+        for instance in platform.instances:
+            instance._peer_updates._send_to_all = _lose  # type: ignore[method-assign]
+        await platform.send(POISON)
+        await platform.send(POISON)
+        await _wait_for(lambda: bool(_quarantined_in(platform)))
+        await platform.start('edge-9')
+        known = platform.instances[1]._guard._suspects
+        await _wait_for(lambda: bool(known))
+        before = service.count_poison_after(0)
+        for at in range(3):
+            reply = await platform.send(POISON, instance=at)
+            assert (reply.status, reply.body) == (503, b'quarantined')
+        assert service.count_poison_after(0) == before
+        await service.close()
+
+    run_scenario(tmp_path, _scene, limit_s=60, upstreams=UPSTREAMS, instances=2)
+
+
+async def _lose(path: str, body: bytes) -> None:
+    """Sends nothing."""
+
+
+# Guards against a quarantine that ends because all instances start again.
+def test_a_quarantine_outlasts_all_instances(tmp_path: Path) -> None:
+    """The registry keeps it until its lease ends."""
+
+    async def _scene(platform: GatewayTestbed) -> None:
+        service = _Service(platform)
+        await platform.send(POISON)
+        await _wait_for(lambda: bool(_quarantined_in(platform)))
+        before = service.count_poison_after(0)
+        await platform.instances.pop().stop()
+        platform.settings.pop()
+        await platform.start('edge-0')
+        assert (await platform.send(POISON)).body == b'quarantined'
+        assert service.count_poison_after(0) == before
+        (key,) = _quarantined_in(platform)
+        platform.store.remove(key)
+        suspects = platform.instances[0]._guard._suspects
+        await _wait_for(lambda: not suspects)
+        assert (await platform.send(POISON)).status == 502
+        await service.close()
+
+    run_scenario(tmp_path, _scene, limit_s=60, upstreams=UPSTREAMS)
+
+
+class _Registry:
+    """A registry that fails at first."""
+
+    def __init__(self, failures: int) -> None:
+        self.written: list[str] = []
+        self._failures = failures
+
+    async def quarantine(
+        self, record: QuarantineRecord, ttl: timedelta
+    ) -> None:
+        """Writes a quarantine, or fails."""
+        if self._failures:
+            self._failures -= 1
+            raise PlatformUnreachable('down')
+        self.written.append(record.fingerprint)
+
+
+def test_a_quarantine_is_written_once_and_after_a_failure_again() -> None:
+    """The observer writes it; the others do so if it stays unlisted."""
+    clock = ManualClock()
+    observer, informed = Suspects(clock), Suspects(clock)
+    for name in ('kassa-1', 'kassa-2'):
+        observer.record_crash(['poison'], name)
+        clock.advance(2)
+    informed.merge(observer.report())
+    clock.advance(5)
+    registry, backup = _Registry(failures=1), _Registry(failures=0)
+    publishers = (
+        QuarantinePublisher(registry, observer, clock),  # type: ignore[arg-type]
+        QuarantinePublisher(backup, informed, clock),  # type: ignore[arg-type]
+    )
+
+    async def _publish() -> None:
+        for publisher in publishers:
+            await publisher.publish()
+
+    asyncio.run(_publish())
+    assert not registry.written
+    assert not backup.written
+    clock.advance(6)
+    asyncio.run(_publish())
+    assert registry.written == ['poison']
+    observer.register('poison')
+    informed.register('poison')
+    clock.advance(60)
+    asyncio.run(_publish())
+    assert registry.written == ['poison']
+    assert len(backup.written) <= 1
--- a/tests/unit/gateway/test_directory.py
+++ b/tests/unit/gateway/test_directory.py
@@ -14,7 +14,7 @@
     RoutingRecord,
     ServiceLimits,
 )
-from lycheedyke.state import UpstreamTable
+from lycheedyke.state import Suspects, UpstreamTable
 from lycheedyke_daemon.gateway._lookup import LookupDirectory
 from lycheedyke_daemon.gateway._registry_view import RegistryView
 from standins.clock import ManualClock
@@ -51,7 +51,9 @@
     def __init__(self) -> None:
         self.clock = ManualClock()
         self.upstream_table = UpstreamTable(self.clock)
-        self.registry_view = RegistryView(self.upstream_table, self.clock)
+        self.registry_view = RegistryView(
+            self.upstream_table, Suspects(self.clock), self.clock
+        )
         entries = [
             EntryRecord(f'{zone}-{at}', 'run', zone, region, f'{zone}:{at}', '')
             for zone, region in ZONES.items()
--- a/tests/unit/gateway/test_log_lines.py
+++ b/tests/unit/gateway/test_log_lines.py
@@ -20,6 +20,7 @@
     LIBRARY / 'state/_suspects.py',
     LIBRARY / 'coordination/_registry_follower.py',
     LIBRARY / 'coordination/_presence.py',
+    LIBRARY / 'coordination/_quarantine_publisher.py',
     ROOT / 'platform/store.py',
 )
 WRITERS = frozenset(('info', 'warning', 'error', 'write', '_tell'))
