--- a/tests/unit/gateway/test_log_lines.py
+++ b/tests/unit/gateway/test_log_lines.py
@@ -15,9 +15,12 @@
 SOURCES = (
     *sorted((DAEMON / 'gateway').glob('*.py')),
     DAEMON / 'service.py',
+    DAEMON / 'crashes.py',
     LIBRARY / 'state/_upstreams.py',
+    LIBRARY / 'state/_suspects.py',
     LIBRARY / 'coordination/_registry_follower.py',
     LIBRARY / 'coordination/_presence.py',
+    LIBRARY / 'coordination/_quarantine_publisher.py',
     ROOT / 'platform/store.py',
 )
 WRITERS = frozenset(('info', 'warning', 'error', 'write', '_tell'))
