Keep a request at a silent upstream until another one can run it

Callers' view: a statement pull got 504 after 3.3 s while its upstream was at work and the route allowed 5 s.

Cause: whether another run is possible was decided when the request was sent. When the upstream had been silent for the limit the attempt ended, and only then another upstream was looked for; if none was free or the repeats were used up, the request had lost its run for nothing.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_router.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_router.py
@@ -1,6 +1,7 @@
 """Sends a request to upstreams, and repeats it where that is safe."""
 
 import asyncio
+import functools
 from collections import defaultdict
 from collections.abc import Callable
 from datetime import timedelta
@@ -27,6 +28,7 @@
 )
 from lycheedyke_daemon.crashes import CrashGuard
 from lycheedyke_daemon.gateway._decision_log import Telemetry
+from lycheedyke_daemon.gateway._silence_watch import SilenceWatch
 from lycheedyke_daemon.gateway._upstream_client import UpstreamClient
 from lycheedyke_daemon.work import Work
 
@@ -49,6 +51,7 @@
         self.attempts = 0
         self.outcome: Outcome | None = None
         self.candidate: Candidate | None = None
+        self.next_candidate: Candidate | None = None
 
     def add(self, upstream: str, outcome: Outcome) -> None:
         """Records the outcome at one upstream.
@@ -61,6 +64,12 @@
         if not isinstance(outcome, NotRun) or self.outcome is None:
             self.outcome = outcome
 
+    def take_next_candidate(self) -> Candidate | None:
+        """Returns the upstream that was found while the last was silent."""
+        found = self.next_candidate
+        self.next_candidate = None
+        return found
+
 
 class GatewayRouter:
     """Runs work at the upstream where it is expected to end first.
@@ -114,12 +123,7 @@
         self._budgets[request.service].add_request()
         progress = _RequestProgress(self._clock.elapsed())
         while candidate := self._next(request, work, progress):
-            silence_limit = self._silence_limit(
-                request, candidate, work, progress
-            )
-            outcome = await self._attempt(
-                request, candidate, work, silence_limit
-            )
+            outcome = await self._attempt(request, candidate, work, progress)
             progress.add(candidate.state.record.name, outcome)
             if not self._may_repeat(work, outcome):
                 break
@@ -140,6 +144,8 @@
         progress: _RequestProgress,
     ) -> Candidate | None:
         """Returns the next upstream, or None if there is no further send."""
+        if progress.next_candidate is not None:
+            return progress.take_next_candidate()
         is_used_up = progress.attempts >= request.route.attempts
         if is_used_up or len(progress.tried) >= MAX_SENDS:
             return None
@@ -179,15 +185,22 @@
         request: Request,
         candidate: Candidate,
         work: Work,
-        silence_limit: timedelta | None,
+        progress: _RequestProgress,
     ) -> Outcome:
         state = candidate.state
         self._selector.acquire_permit(state)
         state.begin_request(request.object_key)
         started = self._clock.elapsed()
+        silence = SilenceWatch(
+            state,
+            started,
+            self._silence_limit(request, candidate, work, progress),
+            functools.partial(self._find_other, request, work, progress),
+        )
         try:
-            outcome = await self._run_guarded(state, work, silence_limit)
+            outcome = await self._run_guarded(state, work, silence)
         finally:
+            silence.close()
             state.end_request()
         took = self._clock.elapsed() - started
         self._log_attempt(candidate, work, outcome, took)
@@ -213,11 +226,23 @@
         left = work.deadline - self._clock.elapsed()
         return response_timeout(request, candidate, self._times, left)
 
+    def _find_other(
+        self,
+        request: Request,
+        work: Work,
+        progress: _RequestProgress,
+        silent: str,
+    ) -> bool:
+        """Returns whether another upstream is found to run a request now."""
+        progress.tried.add(silent)
+        progress.next_candidate = self._next(request, work, progress)
+        return progress.next_candidate is not None
+
     async def _run_guarded(
         self,
         state: UpstreamState,
         work: Work,
-        silence_limit: timedelta | None,
+        silence: SilenceWatch,
     ) -> Outcome:
         """Returns the outcome, even if the guard admits no request in time.
 
@@ -228,18 +253,10 @@
         """
         started = self._clock.elapsed()
         left = work.deadline - started + GUARD_MARGIN
-        silence_timer: asyncio.TimerHandle | None = None
         reason = Reason.upstream_timeout
         try:
             async with asyncio.timeout(left.total_seconds()) as timer:
-                if silence_limit is not None:
-                    silence_timer = asyncio.get_running_loop().call_later(
-                        silence_limit.total_seconds(),
-                        _end_if_silent,
-                        timer,
-                        state,
-                        started,
-                    )
+                silence.watch(timer)
                 return await self._guard.run(
                     state.record.name,
                     state.record.address,
@@ -248,12 +265,8 @@
                 )
         except TimeoutError:
             if self._clock.elapsed() < work.deadline:
-                state.record_failure()
                 reason = Reason.upstream_silent
             return Unknown(reason)
-        finally:
-            if silence_timer is not None:
-                silence_timer.cancel()
 
     def _log_attempt(
         self,
@@ -309,15 +322,6 @@
         return refusal
 
 
-def _end_if_silent(
-    timer: asyncio.Timeout,
-    state: UpstreamState,
-    since: timedelta,
-) -> None:
-    if state.answered_at < since and not timer.expired():
-        timer.reschedule(asyncio.get_running_loop().time())
-
-
 def _is_not_sent(outcome: Outcome) -> bool:
     return isinstance(outcome, NotRun) and outcome.reason in _NOT_SENT
 
--- /dev/null
+++ b/tests/unit/gateway/test_silent_upstreams.py
@@ -0,0 +1,28 @@
+"""Requests to upstreams that are silent for longer than they should be."""
+
+import asyncio
+from pathlib import Path
+
+from standins.gateway_testbed import GatewayTestbed, run_scenario
+
+
+# Guards against a request that ends with 504 before its deadline, while its
+# upstream is at work: it was given up for another run that was not possible.
+def test_a_silent_upstream_is_kept_if_no_other_can_run_the_request(
+    tmp_path: Path,
+) -> None:
+    """The other upstream leaves while the first is silent, and then answers."""
+
+    async def _scene(platform: GatewayTestbed) -> None:
+        await platform.send('/read/1')
+        home, other = platform.upstreams
+        if not home.arrivals:
+            home, other = other, home
+        home.run_s = 1.0
+        request = asyncio.create_task(platform.send('/read/1'))
+        await asyncio.sleep(0.05)
+        platform.register(other, state='draining')
+        assert (await request).status == 200
+        assert not other.arrivals
+
+    run_scenario(tmp_path, _scene)
