Weigh the evidence against a suspect alike at all instances

- A process that stood still dates a crash as late as it reads the report.
One crash under two times counted twice.
A crash is now known by the incarnation of its upstream (name and start), for half a minute however it is dated.
- An answer cleared a suspect at one instance only; its peers kept the crash, and the next unrelated one condemned it.
An answer is now kept with its time, and outweighs earlier crashes.
A peer that is sent outweighed crashes replies with the answer, and the sender tells all.
A server's 5xx is no such answer.
- A full table dropped evidence that was dismissed twice before single crashes, and weighed all entries for each newcomer.
It is ordered by confirmation, moments and crashes, in a heap.
- Reports of the last version have no times and other fingerprints.
They are ignored: their crashes counted as crashes of this moment.
- Where tickets are followed, peers were not told of dismissed crashes, so they refused the victims of a zone that failed.
- Ten requests that one crash cut made ten checks, and a report for each revision of the list.
One check and one report serve all, and reports carry what changed.
A refused request may be sent again, as it ran nowhere.

The test that a report without times counts a crash once became one that it changes nothing, which is stricter.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/crashes.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/crashes.py
@@ -11,6 +11,7 @@
 from lycheedyke_daemon.detached import DetachedTasks
 from lycheedyke_daemon.work import Work
 
+HTTP_SERVER_ERROR = 500
 PROBE_DELAY = timedelta(milliseconds=50)
 PROBE_TIMEOUT = timedelta(milliseconds=500)
 
@@ -38,6 +39,8 @@
     def __init__(self) -> None:
         self.requests: list[_Request] = []
         self.alone = False
+        self.users = 0
+        self.check: asyncio.Task[None] | None = None
         self._waiters: list[asyncio.Future[None]] = []
 
     def add(self, request: _Request, *, alone: bool) -> None:
@@ -106,12 +109,34 @@
         the deadline after this wait.
 
         Args:
-            upstream: the name of the upstream.
+            upstream: the name of the upstream, or of its incarnation.
             address: the address of the upstream, `ip:port`.
             work: the request.
             send: performs the exchange.
         """
         in_flight = self._upstreams.setdefault(upstream, _InFlight())
+        in_flight.users += 1
+        try:
+            return await self._run(upstream, address, in_flight, work, send)
+        finally:
+            in_flight.users -= 1
+            if not in_flight.users:
+                self._upstreams.pop(upstream)
+
+    def may_repeat(self, work: Work) -> bool:
+        """Returns whether work may run again for the same attempt."""
+        if not self._suspects:
+            return True
+        return self._suspects.may_repeat(work.repeat_fingerprint().hex())
+
+    async def _run(
+        self,
+        upstream: str,
+        address: str,
+        in_flight: _InFlight,
+        work: Work,
+        send: Callable[[], Awaitable[Outcome]],
+    ) -> Outcome:
         request = _Request(work)
         while not self._may_enter(in_flight, request):
             await in_flight.wait()
@@ -128,12 +153,6 @@
             in_flight.remove(request)
         return outcome
 
-    def may_repeat(self, work: Work) -> bool:
-        """Returns whether work may run again for the same attempt."""
-        if not self._suspects:
-            return True
-        return self._suspects.may_repeat(work.repeat_fingerprint().hex())
-
     def _classify(self, request: _Request) -> Verdict:
         if not self._suspects:
             return Verdict.clear
@@ -155,16 +174,20 @@
         request: _Request,
         outcome: Outcome,
     ) -> None:
-        if isinstance(outcome, Answered) and self._suspects:
+        if self._suspects and _is_success(outcome):
             self._suspects.record_success(request.fingerprint)
         if outcome != Unknown(Reason.upstream_broke):
             return
-        fingerprints = tuple(each.fingerprint for each in in_flight.requests)
+        if in_flight.check is None or in_flight.check.done():
+            fingerprints = tuple(
+                each.fingerprint for each in in_flight.requests
+            )
+            in_flight.check = self._checks.start(
+                self._check_crash(upstream, address, fingerprints)
+            )
         # The caller may leave before the check ends; the crash counts all
         # the same.
-        await self._checks.run(
-            self._check_crash(upstream, address, fingerprints)
-        )
+        await asyncio.shield(in_flight.check)
 
     async def _check_crash(
         self, upstream: str, address: str, fingerprints: tuple[str, ...]
@@ -180,12 +203,14 @@
         await self._report()
 
 
+def _is_success(outcome: Outcome) -> bool:
+    return isinstance(outcome, Answered) and outcome.status < HTTP_SERVER_ERROR
+
+
 async def _is_dead(address: str) -> bool:
     """Returns whether nothing listens at an address.
 
     A process that ends may close its connections before its listening socket.
     """
-    if await is_connection_refused(address, timeout=PROBE_TIMEOUT):
-        return True
     await asyncio.sleep(PROBE_DELAY.total_seconds())
     return await is_connection_refused(address, timeout=PROBE_TIMEOUT)
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_peer_updates.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_peer_updates.py
@@ -34,6 +34,7 @@
 # how often that happens.
 SILENT_PAUSE = timedelta(seconds=2)
 MILLISECOND = timedelta(milliseconds=1)
+HTTP_OK = 200
 MAX_UPDATE_BYTES = 8_388_608
 _logger = logging.getLogger(__name__)
 _UPDATE = msgspec.msgpack.Decoder(RegistryUpdate)
@@ -122,14 +123,20 @@
     async def send_suspects(self) -> None:
         """Sends the suspects to all peers, unless they know them already.
 
-        Of several calls at the same time, one sends for all that wait.
+        Of several calls at the same time, one sends for all that wait. Peers
+        answer with what they know to speak for a suspect, which is then sent
+        to all as well.
         """
+        wanted = self._suspects.revision
         async with self._sending_suspects:
-            if self._suspects.revision == self._sent_revision:
-                return
-            self._sent_revision = self._suspects.revision
-            body = msgspec.msgpack.encode(self._suspects.report())
-            await self._send_to_all(SUSPECTS_PATH, body)
+            while self._sent_revision < wanted:
+                reported = self._suspects.report_changes(self._sent_revision)
+                self._sent_revision = self._suspects.revision
+                answers = await self._send_to_all(
+                    SUSPECTS_PATH, msgspec.msgpack.encode(reported)
+                )
+                if self._merge_corrections(answers):
+                    wanted = self._suspects.revision
 
     async def announce_leaving(self) -> None:
         """Notifies all peers that this instance stops soon.
@@ -159,10 +166,14 @@
 
     async def _handle_suspects(self, request: web.Request) -> web.Response:
         try:
-            self._suspects.merge(_SUSPECTS.decode(await request.read()))
+            reported = _SUSPECTS.decode(await request.read())
         except msgspec.MsgspecError as error:
             raise web.HTTPBadRequest(text=str(error)) from error
-        return web.Response()
+        self._suspects.merge(reported)
+        corrections = self._suspects.corrections(reported)
+        if not corrections:
+            return web.Response()
+        return web.Response(body=msgspec.msgpack.encode(corrections))
 
     async def _handle_leaving(self, request: web.Request) -> web.Response:
         try:
@@ -172,6 +183,19 @@
         self._registry_view.mark_leaving(entry)
         return web.Response()
 
+    def _merge_corrections(self, answers: list[bytes]) -> bool:
+        """Merges the answers of peers; returns whether any was new."""
+        is_new = False
+        for body in answers:
+            # Earlier versions answer without a body.
+            if not body:
+                continue
+            try:
+                is_new = self._suspects.merge(_SUSPECTS.decode(body)) or is_new
+            except msgspec.MsgspecError:
+                self._counters.count('news.not-heard')
+        return is_new
+
     def _watcher(self) -> EntryRecord | None:
         """Returns the watcher of this instance's zone."""
         zone = self._own.zone
@@ -222,14 +246,15 @@
             self._counters.count('news.not-heard')
             return None
 
-    async def _send_to_all(self, path: str, body: bytes) -> None:
-        await asyncio.gather(
+    async def _send_to_all(self, path: str, body: bytes) -> list[bytes]:
+        """Sends a message to all peers, and returns their answers."""
+        return await asyncio.gather(
             *(self._send(peer, path, body) for peer in self._peer_addresses()),
         )
 
-    async def _send(self, address: str, path: str, body: bytes) -> None:
+    async def _send(self, address: str, path: str, body: bytes) -> bytes:
         try:
-            await self._http.send(
+            answer = await self._http.send(
                 'POST',
                 f'http://{address}{path}',
                 timeout=SEND_TIMEOUT,
@@ -237,6 +262,8 @@
             )
         except TransportError:
             self._counters.count('news.not-told')
+            return b''
+        return answer.body if answer.status == HTTP_OK else b''
 
 
 def _without_quarantines(batch: ItemBatch) -> ItemBatch:
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_router.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_router.py
@@ -160,7 +160,9 @@
         return candidate
 
     def _may_repeat(self, work: Work, outcome: Outcome) -> bool:
-        return _is_repeatable(work, outcome) and self._guard.may_repeat(work)
+        if not _is_repeatable(work, outcome):
+            return False
+        return isinstance(outcome, NotRun) or self._guard.may_repeat(work)
 
     def _is_admitted(
         self,
@@ -258,7 +260,7 @@
             async with asyncio.timeout(left.total_seconds()) as timer:
                 silence.watch(timer)
                 return await self._guard.run(
-                    state.record.name,
+                    state.record.incarnation,
                     state.record.address,
                     work,
                     lambda: self._client.run(state, work),
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/suspect_replication.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/suspect_replication.py
@@ -47,7 +47,7 @@
 
     async def report(self) -> None:
         """Sends all suspects to all live peers."""
-        await self._send(SuspectsReport(self._suspects.list()))
+        await self._send(SuspectsReport(self._suspects.report()))
 
     async def clear(self, fingerprint: str | None) -> tuple[Suspect, ...]:
         """Clears one suspect or all, at this instance and at live peers.
--- a/packages/lycheedyke/src/lycheedyke/protocol/_registry.py
+++ b/packages/lycheedyke/src/lycheedyke/protocol/_registry.py
@@ -113,6 +113,11 @@
     cold: timedelta
     born: int
 
+    @property
+    def incarnation(self) -> str:
+        """The name of this run of the upstream; it may reuse its `name`."""
+        return f'{self.name}@{self.born}'
+
 
 class EvacuationRecord(msgspec.Struct, frozen=True, tag='evacuation'):
     """The operators' instruction to send nothing to the upstreams of a zone."""
--- a/packages/lycheedyke/src/lycheedyke/state/__init__.py
+++ b/packages/lycheedyke/src/lycheedyke/state/__init__.py
@@ -63,10 +63,10 @@
     hash_point,
     share_at,
 )
+from lycheedyke.state._suspect_reports import Suspect
 from lycheedyke.state._suspects import (
     QUARANTINE_TIME,
     SettledQuarantine,
-    Suspect,
     Suspects,
     Verdict,
 )
--- a/packages/lycheedyke/src/lycheedyke/state/_crash_evidence.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_crash_evidence.py
@@ -11,6 +11,9 @@
 # A request that was in flight at crashes in this many moments causes them.
 PROVEN_MOMENTS = 3
 MAX_CRASHES = 16
+# Two observers may date one crash as differently as a process may stand still
+# before it reads a report.
+SAME_CRASH = timedelta(seconds=30)
 
 
 class Crash(NamedTuple):
@@ -18,13 +21,22 @@
 
     Attributes:
         time: when it was observed, on the monotonic clock.
-        upstream: the name of the upstream.
+        upstream: the name of the upstream, or of its incarnation.
     """
 
     time: timedelta
     upstream: str
 
 
+class Strength(NamedTuple):
+    """How much speaks against a request; compares by importance."""
+
+    is_confirmed: bool
+    moments: int
+    crashes: int
+    expiry: timedelta
+
+
 class Evidence(NamedTuple):
     """The crashes at which one request was in flight.
 
@@ -32,12 +44,15 @@
         crashes: the crashes by time, at most `MAX_CRASHES`.
         dismissed: those of them that were attributed to the failure of a zone
             or region.
+        answered: when an upstream last answered the request; None if that is
+            not known. Earlier crashes do not count.
         expiry: when the evidence expires.
         is_first_hand: whether this instance observed one of the crashes.
     """
 
     crashes: tuple[Crash, ...] = ()
     dismissed: frozenset[Crash] = frozenset()
+    answered: timedelta | None = None
     expiry: timedelta = timedelta()
     is_first_hand: bool = False
 
@@ -71,23 +86,32 @@
         """Whether the request must not run again."""
         return len(self.standing) >= CONFIRMATIONS
 
-    def includes(self, crash: Crash) -> bool:
-        """Returns whether a crash is known, perhaps by another observer.
+    @property
+    def strength(self) -> Strength:
+        """The order in which evidence is kept if there is too much of it."""
+        return Strength(
+            self.is_confirmed, self.moments, len(self.crashes), self.expiry
+        )
 
-        An upstream that crashes again does so in another moment.
-        """
+    def includes(self, crash: Crash) -> bool:
+        """Returns whether a crash is known, perhaps by another observer."""
         return any(
             known.upstream == crash.upstream
-            and abs(known.time - crash.time) <= MOMENT
+            and abs(known.time - crash.time) <= SAME_CRASH
             for known in self.crashes
         )
 
     def add(self, crash: Crash) -> Self:
-        """Returns the evidence with one more crash.
+        """Returns the evidence with one more crash, unless it is known.
 
         Above the limit, the crash closest to the one before it is left out,
         so that the number of moments stays.
         """
+        is_outweighed = self.answered is not None and (
+            crash.time <= self.answered
+        )
+        if is_outweighed or self.includes(crash):
+            return self
         crashes = sorted((*self.crashes, crash))
         if len(crashes) > MAX_CRASHES:
             gaps = [
@@ -95,8 +119,22 @@
                 for before, after in itertools.pairwise(crashes)
             ]
             crashes.pop(gaps.index(min(gaps)) + 1)
-        return self._replace(crashes=tuple(crashes))
+        return self._replace(
+            crashes=tuple(crashes),
+            dismissed=self.dismissed.intersection(crashes),
+        )
 
     def dismiss(self, crashes: Iterable[Crash]) -> Self:
         """Returns the evidence with crashes that a failing zone explains."""
         return self._replace(dismissed=self.dismissed.union(crashes))
+
+    def answer(self, time: timedelta) -> Self:
+        """Returns the evidence after an answer: only later crashes count."""
+        if self.answered is not None and self.answered >= time:
+            return self
+        later = tuple(crash for crash in self.crashes if crash.time > time)
+        return self._replace(
+            crashes=later,
+            dismissed=self.dismissed.intersection(later),
+            answered=time,
+        )
--- a/packages/lycheedyke/src/lycheedyke/state/_suspects.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_suspects.py
@@ -1,27 +1,33 @@
 """Requests that are suspected of crashing the upstreams that run them."""
 
 import bisect
+import heapq
 import logging
 from collections.abc import Iterable
 from datetime import timedelta
 from enum import Enum
 from typing import NamedTuple
 
-import msgspec
-
 from lycheedyke.clock import Clock
-from lycheedyke.state._crash_evidence import CONFIRMATIONS, Crash, Evidence
+from lycheedyke.state._crash_evidence import (
+    CONFIRMATIONS,
+    Crash,
+    Evidence,
+    Strength,
+)
+from lycheedyke.state._suspect_reports import MILLISECOND, Suspect
 
 QUARANTINE_TIME = timedelta(minutes=10)
 CLEARED_TIME = timedelta(seconds=30)
 MAX_SUSPECTS = 256
+# The outdated pairs that are kept for each suspect, as their removal costs time.
+MAX_OUTDATED = 4
 # If more upstreams than this crash within `FAILURE_SPREAD` of each other, the
 # cause may be the failure of a zone or region, not a request.
 MAX_CRASHED_UPSTREAMS = 4
 FAILURE_SPREAD = timedelta(seconds=2)
 # After this time no report of a peer on a failing zone is on its way.
 SETTLING_TIME = timedelta(seconds=4)
-MILLISECOND = timedelta(milliseconds=1)
 
 _logger = logging.getLogger(__name__)
 
@@ -34,28 +40,6 @@
     quarantined = 'quarantined'
 
 
-class Suspect(msgspec.Struct, frozen=True, array_like=True):
-    """A suspect as reported to peers and operators.
-
-    Attributes:
-        fingerprint: the digest that equal requests of one caller share, in hex.
-        crashed: the upstreams that crashed while it was in flight there.
-        remaining_ms: the time until the suspect expires, in ms.
-        ages_ms: how long ago each of these crashes was, in ms. Reports of
-            earlier versions have none.
-    """
-
-    fingerprint: str
-    crashed: tuple[str, ...]
-    remaining_ms: int
-    ages_ms: tuple[int, ...] = ()
-
-    @property
-    def quarantined(self) -> bool:
-        """Whether all instances refuse the request."""
-        return len(self.crashed) >= CONFIRMATIONS
-
-
 class SettledQuarantine(NamedTuple):
     """A quarantine that no later crash of other upstreams can lift.
 
@@ -83,6 +67,9 @@
         self._registered: set[str] = set()
         self._cleared: dict[str, timedelta] = {}
         self._crashes: dict[str, timedelta] = {}
+        self._changed: dict[str, int] = {}
+        # The weakest evidence first; pairs may be outdated.
+        self._weakest: list[tuple[Strength, str]] = []
 
     def __len__(self) -> int:
         """Returns the number of requests with crashes or in quarantine."""
@@ -112,7 +99,8 @@
         if fingerprint in self._registered:
             return False
         evidence = self._entries.get(fingerprint, Evidence())
-        return len(evidence.crashes) < CONFIRMATIONS
+        is_expired = evidence.expiry <= self._clock.elapsed()
+        return is_expired or len(evidence.crashes) < CONFIRMATIONS
 
     def record_crash(self, fingerprints: Iterable[str], upstream: str) -> None:
         """Marks all requests as suspects that were in flight at a crash.
@@ -124,18 +112,30 @@
         self._drop_expired()
         crash = Crash(self._clock.elapsed(), upstream)
         self._crashes[upstream] = crash.time
-        seen = Evidence((crash,), expiry=crash.time + QUARANTINE_TIME)
         for fingerprint in fingerprints:
-            self._add(fingerprint, seen._replace(is_first_hand=True))
+            before = self._entries.get(fingerprint, Evidence())
+            after = before.add(crash)._replace(
+                expiry=crash.time + QUARANTINE_TIME, is_first_hand=True
+            )
+            self._update(fingerprint, before, after, source='own')
         self._dismiss_zone_failure()
 
     def record_success(self, fingerprint: str) -> None:
-        """Clears a suspect that ran to its end."""
+        """Clears a suspect that ran to its end.
+
+        The answer is remembered, to correct peers that do not know of it.
+        """
+        before = self._entries.get(fingerprint)
+        if before is None or not before.crashes:
+            return
         if self.judge(fingerprint) is Verdict.quarantined:
             return
-        if self._entries.pop(fingerprint, None) is not None:
-            self.revision += 1
-            _logger.info('suspect cleared', extra={'fingerprint': fingerprint})
+        now = self._clock.elapsed()
+        _logger.info('suspect cleared', extra={'fingerprint': fingerprint})
+        self._store(
+            fingerprint,
+            before.answer(now)._replace(expiry=now + QUARANTINE_TIME),
+        )
 
     def clear(self, fingerprints: Iterable[str]) -> int:
         """Clears suspects for an operator, and returns how many were cleared.
@@ -144,7 +144,7 @@
         """
         count = 0
         for fingerprint in fingerprints:
-            if self._entries.pop(fingerprint, None) is not None:
+            if self._entries.pop(fingerprint, Evidence()).crashes:
                 count += 1
                 expiry = self._clock.elapsed() + CLEARED_TIME
                 self._cleared[fingerprint] = expiry
@@ -166,6 +166,32 @@
             for fingerprint, evidence in self._current()
         )
 
+    def report_changes(self, after: int) -> tuple[Suspect, ...]:
+        """Returns the evidence that peers may not have.
+
+        It leaves out single crashes that this instance knows from peers.
+
+        Args:
+            after: the revision of the last report.
+        """
+        return tuple(
+            self._describe(fingerprint, evidence, evidence.crashes)
+            for fingerprint, evidence in self._current()
+            if len(evidence.crashes) >= CONFIRMATIONS
+            or (evidence.is_first_hand and self._changed[fingerprint] > after)
+        )
+
+    def corrections(self, reported: Iterable[Suspect]) -> tuple[Suspect, ...]:
+        """Returns the answers known here that outweigh a peer's report."""
+        now = self._clock.elapsed()
+        return tuple(
+            self._describe(suspect.fingerprint, known, ())
+            for suspect in reported
+            if (known := self._entries.get(suspect.fingerprint)) is not None
+            and known.answered is not None
+            and suspect.is_outweighed(now - known.answered)
+        )
+
     def merge(self, reported: Iterable[Suspect]) -> bool:
         """Merges the report of a peer, and returns whether any was new."""
         self._drop_expired()
@@ -198,15 +224,26 @@
     def _merge_reported(self, suspect: Suspect) -> bool:
         if suspect.fingerprint in self._cleared:
             return False
+        if not suspect.has_times:
+            # Earlier versions report no times, and other fingerprints.
+            return False
         now = self._clock.elapsed()
-        known = self._entries.get(suspect.fingerprint, Evidence())
-        crashes = tuple(_reported_crashes(suspect, known, now))
-        for crash in crashes:
+        before = self._entries.get(suspect.fingerprint, Evidence())
+        after = before
+        if suspect.answered_ms is not None:
+            answered = now - max(0, suspect.answered_ms) * MILLISECOND
+            after = after.answer(answered)
+        for upstream, age in zip(suspect.crashed, suspect.ages_ms, strict=True):
+            crash = Crash(now - max(0, age) * MILLISECOND, upstream)
+            after = after.add(crash)
             if crash.time > now - SETTLING_TIME:
-                self._crashes.setdefault(crash.upstream, crash.time)
+                self._crashes.setdefault(upstream, crash.time)
+        if after == before:
+            return False
         remaining = min(suspect.remaining_ms * MILLISECOND, QUARANTINE_TIME)
-        reported = Evidence(crashes, expiry=now + remaining)
-        return self._add(suspect.fingerprint, reported)
+        after = after._replace(expiry=max(before.expiry, now + remaining))
+        self._update(suspect.fingerprint, before, after, source='peer')
+        return True
 
     def _dismiss_zone_failure(self) -> None:
         """Dismisses the crashes that coincide with many others."""
@@ -220,46 +257,59 @@
                 for crash in evidence.crashes
                 if _count_near(times, crash.time) > MAX_CRASHED_UPSTREAMS
             )
-            count += len(dismissed.standing) < len(evidence.standing)
-            self._entries[fingerprint] = dismissed
+            if len(dismissed.standing) < len(evidence.standing):
+                count += 1
+                self._entries[fingerprint] = dismissed
+                heapq.heappush(self._weakest, (dismissed.strength, fingerprint))
         if count:
             _logger.info(
                 'suspects dismissed',
                 extra={'count': count, 'crashed': sorted(self._crashes)},
             )
 
-    def _add(self, fingerprint: str, found: Evidence) -> bool:
-        """Adds crashes to the evidence; returns whether any was new."""
-        before = self._entries.get(fingerprint, Evidence())
-        after = before
-        for crash in found.crashes:
-            if not after.includes(crash):
-                after = after.add(crash)
-        if after == before:
-            return False
+    def _update(
+        self,
+        fingerprint: str,
+        before: Evidence,
+        after: Evidence,
+        *,
+        source: str,
+    ) -> None:
+        if (
+            before.crashes == after.crashes
+            and before.answered == after.answered
+        ):
+            return
+        if after.is_confirmed and not before.is_confirmed:
+            self._log_quarantine(fingerprint, after, source=source)
+        self._store(fingerprint, after)
+
+    def _store(self, fingerprint: str, evidence: Evidence) -> None:
         if fingerprint not in self._entries:
             self._make_room()
-        self._entries[fingerprint] = after._replace(
-            expiry=max(before.expiry, found.expiry),
-            is_first_hand=before.is_first_hand or found.is_first_hand,
-        )
         self.revision += 1
-        if after.is_confirmed and not before.is_confirmed:
-            source = 'own' if found.is_first_hand else 'peer'
-            self._log_quarantine(fingerprint, after, source=source)
-        return True
+        self._changed[fingerprint] = self.revision
+        self._entries[fingerprint] = evidence
+        heapq.heappush(self._weakest, (evidence.strength, fingerprint))
+        if len(self._weakest) > MAX_OUTDATED * MAX_SUSPECTS:
+            self._sort_by_strength()
 
     def _make_room(self) -> None:
-        if len(self._entries) < MAX_SUSPECTS:
-            return
-        weakest = min(
-            self._entries,
-            key=lambda name: (
-                len(self._entries[name].standing),
-                self._entries[name].expiry,
-            ),
-        )
-        self._entries.pop(weakest)
+        """Drops the weakest evidence if there is too much of it."""
+        while len(self._entries) >= MAX_SUSPECTS:
+            if not self._weakest:
+                self._sort_by_strength()
+            strength, fingerprint = heapq.heappop(self._weakest)
+            evidence = self._entries.get(fingerprint)
+            if evidence is not None and evidence.strength == strength:
+                self._entries.pop(fingerprint)
+
+    def _sort_by_strength(self) -> None:
+        self._weakest = [
+            (evidence.strength, fingerprint)
+            for fingerprint, evidence in self._entries.items()
+        ]
+        heapq.heapify(self._weakest)
 
     def _current(self) -> Iterable[tuple[str, Evidence]]:
         self._drop_expired()
@@ -272,6 +322,11 @@
             for fingerprint, evidence in self._entries.items()
             if evidence.expiry > now
         }
+        self._changed = {
+            fingerprint: revision
+            for fingerprint, revision in self._changed.items()
+            if fingerprint in self._entries
+        }
         self._crashes = {
             upstream: time
             for upstream, time in self._crashes.items()
@@ -292,6 +347,9 @@
             tuple(crash.upstream for crash in crashes),
             (evidence.expiry - now) // MILLISECOND,
             tuple((now - crash.time) // MILLISECOND for crash in crashes),
+            None
+            if evidence.answered is None
+            else (now - evidence.answered) // MILLISECOND,
         )
 
     def _log_quarantine(
@@ -312,18 +370,3 @@
     """Returns how many of the sorted times lie within the spread of a time."""
     first = bisect.bisect_left(times, time - FAILURE_SPREAD)
     return bisect.bisect_right(times, time + FAILURE_SPREAD) - first
-
-
-def _reported_crashes(
-    suspect: Suspect, known: Evidence, now: timedelta
-) -> Iterable[Crash]:
-    """Yields the crashes of a report by the clock of this instance."""
-    if len(suspect.ages_ms) == len(suspect.crashed):
-        for upstream, age in zip(suspect.crashed, suspect.ages_ms, strict=True):
-            yield Crash(now - max(0, age) * MILLISECOND, upstream)
-        return
-    # Earlier versions report no times, so a known upstream is no new crash.
-    known_upstreams = {crash.upstream for crash in known.crashes}
-    for upstream in suspect.crashed:
-        if upstream not in known_upstreams:
-            yield Crash(now, upstream)
--- a/tests/unit/gateway/test_crashing_requests.py
+++ b/tests/unit/gateway/test_crashing_requests.py
@@ -134,8 +134,9 @@
     run_scenario(tmp_path, _scene, limit_s=60, upstreams=UPSTREAMS, instances=2)
 
 
-async def _lose(path: str, body: bytes) -> None:
+async def _lose(path: str, body: bytes) -> list[bytes]:
     """Sends nothing."""
+    return []
 
 
 # Guards against a quarantine that ends because all instances start again.
--- a/tests/unit/test_quarantine.py
+++ b/tests/unit/test_quarantine.py
@@ -7,12 +7,13 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from lycheedyke.protocol import NotRun, Outcome, Reason, Unknown
+from lycheedyke.protocol import Answered, NotRun, Outcome, Reason, Unknown
 from lycheedyke.state import Counters, Suspect, Suspects, Verdict
 from lycheedyke_daemon import crashes
 from lycheedyke_daemon.crashes import CrashGuard
 from lycheedyke_daemon.work import Work
 from standins.clock import ManualClock
+from standins.records import make_upstream
 
 TEN_MINUTES_MS = 600_000
 
@@ -80,25 +81,103 @@
     assert not receiver.merge(sender.report())
 
 
-# Guards against a report of an earlier version that counts one crash twice.
-def test_a_report_without_times_counts_a_crash_once() -> None:
-    """Reports without times of a known crash change nothing."""
+# Guards against reports of an earlier version, whose crashes would count as
+# crashes of this moment and as the failure of a zone.
+def test_a_report_without_times_changes_nothing() -> None:
+    """Such reports name other fingerprints, too."""
     clock = ManualClock()
     suspects = Suspects(clock)
-    for _ in range(4):
-        suspects.merge([Suspect('request', ('kassa-1',), TEN_MINUTES_MS)])
-        clock.advance(2)
-    assert suspects.judge('request') is Verdict.suspect
+    old = tuple(f'upstream {number}' for number in range(5))
+    suspects.record_crash(['poison'], 'kassa-1')
+    assert not suspects.merge([Suspect('request', old, TEN_MINUTES_MS)])
+    assert suspects.judge('request') is Verdict.clear
+    assert suspects.judge('poison') is Verdict.suspect
+
+
+# Guards against a victim that is refused everywhere, because a process that
+# stood still dates its crash later than others do.
+def test_a_report_that_is_read_late_adds_no_crash() -> None:
+    """One crash counts once, whenever it is learnt."""
+    clock = ManualClock()
+    observer, stalled, other = (Suspects(clock) for _ in range(3))
+    observer.record_crash(['victim'], 'kassa-1')
+    report = observer.report()
+    other.merge(report)
+    clock.advance(3)
+    stalled.merge(report)
+    other.merge(stalled.report())
+    assert other.judge('victim') is Verdict.suspect
+    clock.advance(5)
+    assert not other.settled()
+
+
+# Guards against a victim that is refused everywhere, though an upstream has
+# answered it between two unrelated crashes.
+def test_an_answer_between_two_crashes_counts_everywhere() -> None:
+    """The instance that saw the answer corrects the others."""
+    clock = ManualClock()
+    answered, observer, peer = (Suspects(clock) for _ in range(3))
+    answered.record_crash(['popular'], 'kassa-1')
+    for known in (observer, peer):
+        known.merge(answered.report())
+    clock.advance(1)
+    answered.record_success('popular')
+    clock.advance(120)
+    observer.record_crash(['popular'], 'kassa-2')
+    first = observer.report_changes(0)
+    peer.merge(first)
+    assert peer.judge('popular') is Verdict.quarantined
+    answered.merge(first)
+    sent = observer.revision
+    assert observer.merge(answered.corrections(first))
+    peer.merge(observer.report_changes(sent))
+    for known in (answered, observer, peer):
+        assert known.judge('popular') is Verdict.suspect
+    clock.advance(5)
+    assert not peer.settled()
+    assert not observer.settled()
+
+
+# Guards against a crashing request that is forgotten because many others were
+# in flight at crashes.
+def test_fresh_victims_do_not_displace_a_repeated_crasher() -> None:
+    """Two dismissed moments weigh more than one crash."""
+    clock = ManualClock()
+    suspects = Suspects(clock)
+    for moment in range(2):
+        suspects.record_crash(['poison'], f'u{moment}')
+        for number in range(5):
+            suspects.record_crash(['other'], f'o{moment}-{number}')
+        clock.advance(5)
+    suspects.record_crash([f'victim {number}' for number in range(600)], 'v')
+    assert len(suspects) == 256
+    clock.advance(5)
+    suspects.record_crash(['poison'], 'u9')
+    assert suspects.judge('poison') is Verdict.quarantined
+
+
+# Guards against peers that refuse the victims of a failing zone: they hear of
+# the crashes up to the fifth, and not that they are dismissed.
+def test_peers_learn_that_a_zone_failed() -> None:
+    """Crashes that are dismissed are reported, too."""
+    clock = ManualClock()
+    observer, peer = Suspects(clock), Suspects(clock)
+    for number in range(6):
+        observer.record_crash(['popular'], f'u{number}')
+        peer.merge(observer.report())
+        clock.advance(0.2)
+    assert peer.judge('popular') is Verdict.clear
 
 
 # Guards against a request that crashes one upstream again and again.
 def test_an_upstream_that_crashes_twice_counts_twice() -> None:
-    """An upstream that is back under its name is another crash."""
+    """An upstream that is back under its name is another incarnation."""
     clock = ManualClock()
     suspects = Suspects(clock)
-    for _ in range(2):
-        suspects.record_crash(['poison'], 'kassa-1')
-        suspects.record_crash(['poison'], 'kassa-1')
+    for born in (1, 2):
+        upstream = make_upstream('kassa-1', born=born)
+        suspects.record_crash(['poison'], upstream.incarnation)
+        suspects.record_crash(['poison'], upstream.incarnation)
         clock.advance(2)
     assert suspects.judge('poison') is Verdict.quarantined
 
@@ -195,8 +274,32 @@
     asyncio.run(scenario())
 
 
+# Guards against a probe and a report for each of the requests that one crash
+# has cut.
+def test_one_crash_is_checked_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Its requests wait for one check, and all are suspects."""
+
+    async def scenario() -> None:
+        testbed = _Crashing(monkeypatch)
+        requests = [
+            asyncio.create_task(testbed.run(Unknown(Reason.upstream_broke)))
+            for _ in range(5)
+        ]
+        await asyncio.sleep(0.01)
+        testbed.checked.set()
+        await asyncio.wait(requests)
+        assert testbed.reports == 1
+
+    asyncio.run(scenario())
+
+
 @pytest.mark.parametrize(
-    'outcome', [Unknown(Reason.upstream_timeout), NotRun(Reason.no_room)]
+    'outcome',
+    [
+        Unknown(Reason.upstream_timeout),
+        NotRun(Reason.no_room),
+        Answered(500, (), b'', 'kassa-2'),
+    ],
 )
 # Guards against a suspect that is cleared without having run to its end.
 def test_only_an_answer_clears_a_suspect(
