Count the times of a planned stop from its signal

Callers of an instance that was stopped while the store did not answer kept waiting, and could lose their connection as the platform killed the process.

Cause: the stop first told the peers and the store, and began to count the grace period after that. A silent store takes 0.7 s (its time limit), so the requests ended 0.7 s late, after the grace period. Refusals were already counted from the signal, the end of the stop was not.

Ruled out: that telling the peers takes longer than the store (0.3 s, all at once).

Change: the times of a stop stand in one object, which counts from the signal. A test store that is silent no longer holds its own end for a minute.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_caller_api.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_caller_api.py
@@ -1,6 +1,5 @@
 """The HTTP API for callers of a gateway."""
 
-from collections.abc import Callable
 from datetime import timedelta
 from http import HTTPStatus
 from typing import NamedTuple
@@ -26,6 +25,7 @@
 from lycheedyke_daemon.gateway._decision_log import Telemetry
 from lycheedyke_daemon.gateway._registry_view import RegistryView
 from lycheedyke_daemon.gateway._router import GatewayRouter
+from lycheedyke_daemon.gateway._stop_schedule import StopSchedule
 from lycheedyke_daemon.gateway._upstream_client import HeaderNames
 from lycheedyke_daemon.idle_connections import IdleConnectionCloser
 from lycheedyke_daemon.stopping import RequestTracker
@@ -68,8 +68,7 @@
         memory: bounds the memory of all bodies together.
         tracker: counts the requests in flight.
         telemetry: counts outcomes and logs each request.
-        is_closing: returns whether new requests are refused, as the
-            instance is about to stop.
+        schedule: whether a planned stop refuses new requests.
     """
 
     def __init__(
@@ -81,7 +80,7 @@
         tracker: RequestTracker,
         telemetry: Telemetry,
         *,
-        is_closing: Callable[[], bool],
+        schedule: StopSchedule,
     ) -> None:
         """Initializes the API."""
         self._registry_view = registry_view
@@ -92,7 +91,7 @@
         self._clock = telemetry.clock
         self._counters = telemetry.counters
         self._decision_log = telemetry.decision_log
-        self._is_closing = is_closing
+        self._schedule = schedule
         self._round_robin = WeightedRoundRobin()
 
     def __repr__(self) -> str:
@@ -128,7 +127,7 @@
         route = table.find(host, http.raw_path.partition('?')[0])
         if route is None:
             return NotRun(Reason.unknown_route)
-        if self._is_closing():
+        if self._schedule.is_refusing:
             return NotRun(Reason.stopping, RETRY_AFTER_STOP)
         remaining = self._read_remaining(http)
         if remaining is None or not http.headers.get(self._names.request):
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
@@ -38,6 +38,7 @@
 from lycheedyke_daemon.gateway._router import GatewayRouter
 from lycheedyke_daemon.gateway._settings import GatewaySettings
 from lycheedyke_daemon.gateway._settings_file import SettingsFile
+from lycheedyke_daemon.gateway._stop_schedule import StopSchedule
 from lycheedyke_daemon.gateway._upstream_client import (
     HeaderNames,
     UpstreamClient,
@@ -49,11 +50,6 @@
 
 INCARNATION_BYTES = 8
 READY_PATH = '/ready'
-# Work accepted in the last half of the grace period might outlast it.
-ACCEPTING_SHARE = 0.5
-# Leaves time to close connections before the platform kills the process.
-FINISHING_SHARE = 0.9
-POLL_SECONDS = 0.05
 # A task ends within one loop iteration; all cancels take less than 0.5 s.
 CANCEL_SECONDS = 0.1
 MAX_CANCELS = 4
@@ -95,11 +91,11 @@
         self._deployment = deployment
         self._clock = clock
         self._tasks: list[asyncio.Task[None]] = []
-        self._stopping_since: timedelta | None = None
         self._settings_file: SettingsFile | None = None
         self._counters = Counters()
         self._servers = HttpServers(self._counters, CLOSE_LIMIT)
         self._tracker = RequestTracker()
+        self._schedule = StopSchedule(clock, lambda: self._settings.stop_grace)
         self._idle = IdleConnectionCloser(
             self._idle_limit, clock, self._counters
         )
@@ -138,7 +134,7 @@
     @property
     def ready(self) -> bool:
         """Whether look-ups may direct callers to this instance."""
-        return self._registry_view.number > 0 and self._stopping_since is None
+        return self._registry_view.number > 0 and not self._schedule.has_begun
 
     async def start(self) -> None:
         """Starts all tasks and listens on all ports."""
@@ -169,14 +165,13 @@
 
     async def stop(self) -> None:
         """Leaves the look-ups, finishes requests in flight, then closes."""
-        self._stopping_since = self._clock.elapsed()
+        self._schedule.begin()
         self._tracker.stopping = True
         _logger.info('stopping', extra={'in_flight': self._tracker.in_flight})
         await asyncio.gather(
             self._peer_updates.announce_leaving(), self._presence.withdraw()
         )
-        grace = self._settings.stop_grace
-        await self._drain(grace * ACCEPTING_SHARE, grace * FINISHING_SHARE)
+        await self._schedule.drain(lambda: self._tracker.in_flight > 0)
         _logger.info('stopped', extra={'in_flight': self._tracker.in_flight})
         await self._end_tasks()
         await self._servers.close()
@@ -221,13 +216,6 @@
                 extra={'address': address, 'error': str(error)},
             )
 
-    async def _drain(self, lower: timedelta, upper: timedelta) -> None:
-        started = self._clock.elapsed()
-        passed = timedelta()
-        while passed < lower or (self._tracker.in_flight and passed < upper):
-            await asyncio.sleep(POLL_SECONDS)
-            passed = self._clock.elapsed() - started
-
     def _apply(
         self, settings: GatewaySettings, changed: frozenset[str]
     ) -> None:
@@ -245,12 +233,6 @@
                 extra={'names': sorted(changed - _RELOADABLE)},
             )
 
-    def _is_closing(self) -> bool:
-        if self._stopping_since is None:
-            return False
-        passed = self._clock.elapsed() - self._stopping_since
-        return passed > self._settings.stop_grace * ACCEPTING_SHARE
-
     async def _announce(self) -> None:
         await self._registry_view.in_force.wait()
         await self._presence.keep_announced()
@@ -298,7 +280,7 @@
             MemoryBudget(settings.body_memory_bytes),
             self._tracker,
             telemetry,
-            is_closing=self._is_closing,
+            schedule=self._schedule,
         )
         app = web.Application()
         app.add_routes(api.routes(self._idle))
--- /dev/null
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_stop_schedule.py
@@ -0,0 +1,64 @@
+"""The times of a planned stop."""
+
+import asyncio
+from collections.abc import Callable
+from datetime import timedelta
+
+from lycheedyke.clock import Clock
+
+# Work accepted in the last half of the grace period might outlast it.
+ACCEPTING_SHARE = 0.5
+# Leaves time to close connections before the platform kills the process.
+FINISHING_SHARE = 0.9
+POLL_SECONDS = 0.05
+
+
+class StopSchedule:
+    """Decides what a planned stop does when.
+
+    All times count from the begin of the stop, however long its steps take:
+    the platform kills the process at the end of the grace period.
+
+    Args:
+        clock: the time source.
+        grace: returns the grace period.
+    """
+
+    def __init__(self, clock: Clock, grace: Callable[[], timedelta]) -> None:
+        """Initializes the schedule of a stop that has not begun."""
+        self._clock = clock
+        self._grace = grace
+        self._begun_at: timedelta | None = None
+
+    def __repr__(self) -> str:
+        """Returns the time since the begin of the stop."""
+        return f'<StopSchedule: {self._passed()} passed>'
+
+    @property
+    def has_begun(self) -> bool:
+        """Whether the instance is stopping."""
+        return self._begun_at is not None
+
+    @property
+    def is_refusing(self) -> bool:
+        """Whether new requests are refused."""
+        return self._passed() > self._grace() * ACCEPTING_SHARE
+
+    def begin(self) -> None:
+        """Begins the stop."""
+        self._begun_at = self._clock.elapsed()
+
+    async def drain(self, is_busy: Callable[[], bool]) -> None:
+        """Waits until new requests are refused, and longer while busy."""
+        grace = self._grace()
+        passed = self._passed()
+        while passed < grace * ACCEPTING_SHARE or (
+            is_busy() and passed < grace * FINISHING_SHARE
+        ):
+            await asyncio.sleep(POLL_SECONDS)
+            passed = self._passed()
+
+    def _passed(self) -> timedelta:
+        if self._begun_at is None:
+            return timedelta()
+        return self._clock.elapsed() - self._begun_at
--- a/tests/standins/gateway_testbed.py
+++ b/tests/standins/gateway_testbed.py
@@ -116,7 +116,9 @@
 
     async def __aenter__(self) -> Self:
         """Starts all parts and waits until the instances are ready."""
-        self._runner = web.AppRunner(self.store.app(), access_log=None)
+        self._runner = web.AppRunner(
+            self.store.app(), access_log=None, shutdown_timeout=1
+        )
         await self._runner.setup()
         port = free_ports(1)[0]
         self._store = f'127.0.0.1:{port}'
--- /dev/null
+++ b/tests/unit/gateway/test_unanswered.py
@@ -0,0 +1,86 @@
+"""Requests that were passed on, around the planned stop of an instance.
+
+A caller whose connection is closed without an answer does not learn whether
+its request has run.
+"""
+
+import asyncio
+import socket
+from datetime import timedelta
+from pathlib import Path
+
+from standins.gateway_testbed import GatewayTestbed, run_scenario
+from standins.registry_store import config_value
+
+LIMIT_SECONDS = 40
+# Below the allowed 2.5 s from a write in the store to its effect.
+APPLY_SECONDS = 1.5
+GRACE_SECONDS = 4
+WAIT_SECONDS = 10
+# Longer than the grace period of every test here.
+ROUTES = (
+    {
+        'name': 'slow',
+        'prefix': '/slow/',
+        'service': 'desk',
+        'timeout': '9000ms',
+    },
+)
+REQUEST = (
+    b'GET /slow/1 HTTP/1.1\r\nHost: shop.example\r\n'
+    b'Lycheedyke-Request-Id: r-9\r\n\r\n'
+)
+
+
+async def _prepare(platform: GatewayTestbed, action: str) -> None:
+    """Sets the route, the grace period and what the upstreams do."""
+    platform.store.put('op/config', config_value(0x2F, list(ROUTES)))
+    await asyncio.sleep(APPLY_SECONDS)
+    (instance,) = platform.instances
+    instance._settings = instance._settings._replace(
+        stop_grace=timedelta(seconds=GRACE_SECONDS)
+    )
+    for upstream in platform.upstreams:
+        upstream.script.append(action)
+
+
+async def _connect(
+    platform: GatewayTestbed,
+) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    host, _, port = platform.settings[0].caller_address.rpartition(':')
+    caller = socket.socket()
+    caller.setblocking(False)
+    # A small buffer, so that a large answer waits at the instance.
+    caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    loop = asyncio.get_running_loop()
+    await loop.sock_connect(caller, (host, int(port)))
+    return await asyncio.open_connection(sock=caller)
+
+
+async def _wait_passed_on(platform: GatewayTestbed) -> None:
+    for _ in range(WAIT_SECONDS * 100):
+        if platform.count_arrivals():
+            return
+        await asyncio.sleep(0.01)
+    raise TimeoutError('no request arrived')
+
+
+# Guards against a stop that outlasts its grace period, at whose end the
+# platform kills the process, while the store does not answer.
+def test_a_store_that_is_silent_delays_no_stop(tmp_path: Path) -> None:
+    """The requests have ended within the grace period from the signal."""
+
+    async def _scene(platform: GatewayTestbed) -> None:
+        await _prepare(platform, 'wait')
+        reader, writer = await _connect(platform)
+        writer.write(REQUEST)
+        await _wait_passed_on(platform)
+        loop = asyncio.get_running_loop()
+        begun = loop.time()
+        platform.store.silent = True
+        stopping = asyncio.create_task(platform.instances.pop().stop())
+        await reader.read()
+        assert loop.time() - begun < GRACE_SECONDS
+        await stopping
+
+    run_scenario(tmp_path, _scene, limit_s=LIMIT_SECONDS)
