Count a request as in flight until its answer is written

Callers that read a large answer slowly got only its first part when their instance was stopped.

Cause: the count of requests in flight went down before the answer was written, as the writing stood around the counting. A stop with nothing in flight closes its servers and ends the process, and what the process still had to send was gone.

Change: the counting handler writes the answer, and a planned stop waits, within the same limits, until no connection of a caller has bytes left to send.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
@@ -45,7 +45,7 @@
 )
 from lycheedyke_daemon.idle_connections import IdleConnectionCloser
 from lycheedyke_daemon.metric_families import METRICS_PATH, MetricsApi
-from lycheedyke_daemon.servers import HttpServers
+from lycheedyke_daemon.servers import Connections, HttpServers
 from lycheedyke_daemon.stopping import RequestTracker
 
 INCARNATION_BYTES = 8
@@ -99,6 +99,7 @@
         self._idle = IdleConnectionCloser(
             self._idle_limit, clock, self._counters
         )
+        self._list_callers: Connections = list
         self._upstream_table = UpstreamTable(clock)
         self._registry_view = RegistryView(self._upstream_table, clock)
         own = _describe(settings)
@@ -148,10 +149,10 @@
         await self._servers.open(self._peer_app(), settings.peer_address)
         await self._servers.open(self._lookup_app(), settings.lookup_address)
         await self._servers.open(self._ready_app(), settings.ready_address)
-        callers = await self._servers.open(
+        self._list_callers = await self._servers.open(
             self._caller_app(), settings.caller_address
         )
-        self._start_task('idle', self._idle.run(callers))
+        self._start_task('idle', self._idle.run(self._list_callers))
         await self._open_metrics()
         _logger.info('started', extra={'settings': settings._asdict()})
 
@@ -171,7 +172,7 @@
         await asyncio.gather(
             self._peer_updates.announce_leaving(), self._presence.withdraw()
         )
-        await self._schedule.drain(lambda: self._tracker.in_flight > 0)
+        await self._schedule.drain(self._is_busy)
         _logger.info('stopped', extra={'in_flight': self._tracker.in_flight})
         await self._end_tasks()
         await self._servers.close()
@@ -216,6 +217,14 @@
                 extra={'address': address, 'error': str(error)},
             )
 
+    def _is_busy(self) -> bool:
+        """Whether requests are in flight or answers are still being sent."""
+        return self._tracker.in_flight > 0 or any(
+            connection.transport.get_write_buffer_size()
+            for connection in self._list_callers()
+            if connection.transport is not None
+        )
+
     def _apply(
         self, settings: GatewaySettings, changed: frozenset[str]
     ) -> None:
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/idle_connections.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/idle_connections.py
@@ -45,7 +45,12 @@
         return f'<IdleConnectionCloser: {len(self._idle_since)} known>'
 
     def track(self, handler: Handler) -> Handler:
-        """Returns a handler whose connections count as in use while it runs."""
+        """Returns a handler whose connections count as in use while it runs.
+
+        Args:
+            handler: also writes the answer, during which the connection is
+                in use.
+        """
         return functools.partial(self._serve, handler)
 
     async def run(
@@ -78,10 +83,6 @@
     ) -> web.StreamResponse:
         self._idle_since[request.protocol] = None
         try:
-            response = await handler(request)
-            # The connection stays in use until the answer is written.
-            await response.prepare(request)
-            await response.write_eof()
-            return response
+            return await handler(request)
         finally:
             self._idle_since[request.protocol] = self._clock.elapsed()
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/stopping.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/stopping.py
@@ -15,7 +15,10 @@
 
 
 class RequestTracker:
-    """Counts requests in flight, and closes connections during a stop."""
+    """Counts requests in flight, and closes connections during a stop.
+
+    A request is in flight until its answer is written.
+    """
 
     def __init__(self) -> None:
         """Starts without requests in flight."""
@@ -29,8 +32,8 @@
     def track(self, handler: Handler) -> Handler:
         """Returns a handler whose requests are counted.
 
-        While the instance is stopping, the handler closes the connection
-        after each answer.
+        The handler writes the answer itself. While the instance is stopping,
+        it closes the connection after each answer.
         """
         return functools.partial(self._serve, handler)
 
@@ -42,10 +45,12 @@
         self.in_flight += 1
         try:
             response = await handler(request)
+            if self.stopping:
+                response.force_close()
+            await response.prepare(request)
+            await response.write_eof()
         finally:
             self.in_flight -= 1
-        if self.stopping:
-            response.force_close()
         return response
 
 
--- a/tests/processes/test_platform.py
+++ b/tests/processes/test_platform.py
@@ -4,6 +4,7 @@
 import json
 import os
 import signal
+import socket
 import subprocess
 import sys
 from datetime import datetime
@@ -20,6 +21,15 @@
 # Half of the timeout of the route, so that the answer is in time also on a
 # busy machine.
 RUN_SECONDS = 0.6
+REQUEST = (
+    b'GET /read/1 HTTP/1.1\r\nHost: shop.example\r\n'
+    b'Lycheedyke-Request-Id: r-9\r\n\r\n'
+)
+# More than the buffers of the kernel hold.
+LARGE_BYTES = 8_000_000
+# The grace period of the deployments; new requests are accepted for half.
+GRACE = 'stop_grace = 6s'
+LATER_SECONDS = 3.4
 
 
 def _start_gateway(path: Path) -> subprocess.Popen[bytes]:
@@ -137,10 +147,7 @@
         for upstream in testbed.upstreams:
             upstream.run_s = RUN_SECONDS
         reader, writer = await asyncio.open_connection('127.0.0.1', ports[0])
-        writer.write(
-            b'GET /read/1 HTTP/1.1\r\nHost: shop.example\r\n'
-            b'Lycheedyke-Request-Id: r-9\r\n\r\n',
-        )
+        writer.write(REQUEST)
         await asyncio.sleep(RUN_SECONDS / 3)
         for _ in range(3):
             process.send_signal(signal.SIGTERM)
@@ -159,6 +166,41 @@
     assert status == 0
 
 
+async def _stop_while_sending(folder: Path) -> int:
+    """Returns the size of an answer that is read late in a stop."""
+    async with GatewayTestbed(folder) as testbed:
+        for upstream in testbed.upstreams:
+            upstream.body = bytes(LARGE_BYTES)
+        path = folder / 'local.json'
+        ports = free_ports(5)
+        store = testbed.settings[0].registry_address
+        _write_settings(path, store, ports, 'info')
+        path.write_text(path.read_text().replace('stop_grace = 2s', GRACE))
+        process = _start_gateway(path)
+        await _wait_ready(testbed, f'127.0.0.1:{ports[1]}')
+        loop = asyncio.get_running_loop()
+        with socket.socket() as caller:
+            caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            caller.setblocking(False)
+            await loop.sock_connect(caller, ('127.0.0.1', ports[0]))
+            await loop.sock_sendall(caller, REQUEST)
+            received = len(await loop.sock_recv(caller, 1))
+            process.send_signal(signal.SIGTERM)
+            await asyncio.sleep(LATER_SECONDS)
+            while chunk := await loop.sock_recv(caller, 1_048_576):
+                received += len(chunk)
+        await asyncio.to_thread(process.communicate, timeout=10)
+        return received
+
+
+# Guards against answers that are cut as the process ends: requests counted as
+# finished before their answers were written.
+def test_a_stop_waits_for_answers_that_are_being_sent(tmp_path: Path) -> None:
+    """A caller that reads a large answer slowly gets all of it."""
+    run = _stop_while_sending(tmp_path)
+    assert asyncio.run(asyncio.wait_for(run, 60)) > LARGE_BYTES
+
+
 def test_faulty_settings_end_it_with_each_fault(tmp_path: Path) -> None:
     """Faulty settings give exit status 2 and a line for each fault."""
     path = tmp_path / 'local.json'
--- a/tests/standins/scripted_upstream.py
+++ b/tests/standins/scripted_upstream.py
@@ -33,6 +33,7 @@
         name: its id; requests that expect another instance get 421.
         script: names of the actions for the next requests.
         run_s: the run time of a request in seconds.
+        body: the body of the answers.
         arrivals: all received requests, whether they ran or not.
         started: the ids of the requests that began to run.
         disconnected: the ids of the requests whose connection was closed
@@ -44,6 +45,7 @@
         self.name = name
         self.script: deque[str] = deque()
         self.run_s = 0.005
+        self.body = b'{"ran": "whole"}'
         self.arrivals: list[Arrival] = []
         self.started: list[str] = []
         self.disconnected: list[str] = []
@@ -147,7 +149,7 @@
         return action != 'close'
 
     def _make_body(self, headers: dict[str, str]) -> bytes:
-        return b'{"ran": "whole"}'
+        return self.body
 
     async def _wait_disconnect(
         self,
