Answer the requests that outlast a planned stop

Callers whose requests still ran at nine tenths of the grace period saw their connection close without an answer, and could not tell whether they had run.

Cause: the stop cancelled the handlers, and the server closes the connection of a cancelled handler without an answer.

Ruled out: more time for them. The process is killed 0.6 s later, and routes of 5 s were accepted until 3 s after the signal.

Change: such requests are interrupted and answered through the usual path, and the close waits until the answers are sent, up to 0.95 of the grace period. A request that was passed on gets 502 with the reason `stopping`, never 503; one whose body was still being read gets 503 and is not passed on. An answer that arrives in the moment of the interruption is still used.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_caller_api.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_caller_api.py
@@ -142,22 +142,34 @@
         )
 
     async def _run(self, admitted: _AdmittedRequest) -> Outcome:
+        """Returns the outcome; a stop that can't wait for it interrupts it."""
         http = admitted.http
-        table = admitted.table
-        bodies = BodyReader(self._memory, table.limits.body_bytes)
+        bodies = BodyReader(self._memory, admitted.table.limits.body_bytes)
         left = admitted.deadline - admitted.started
+        interrupted: Outcome = NotRun(Reason.stopping, RETRY_AFTER_STOP)
         try:
-            async with bodies.read(http, left) as body:
-                work = self._to_work(admitted, body)
-                request = Request(
-                    admitted.route,
-                    admitted.service,
-                    self._read_object_key(admitted),
-                    wait_share_of(table.rank(admitted.route, admitted.service)),
-                )
-                return await self._router.run(request, work)
+            async with (
+                self._tracker.interruptible(),
+                bodies.read(http, left) as body,
+            ):
+                interrupted = Unknown(Reason.stopping)
+                return await self._pass_on(admitted, body)
         except BodyRefused as refused:
             return NotRun(refused.reason)
+        except TimeoutError:
+            return interrupted
+
+    async def _pass_on(
+        self, admitted: _AdmittedRequest, body: bytes
+    ) -> Outcome:
+        table = admitted.table
+        request = Request(
+            admitted.route,
+            admitted.service,
+            self._read_object_key(admitted),
+            wait_share_of(table.rank(admitted.route, admitted.service)),
+        )
+        return await self._router.run(request, self._to_work(admitted, body))
 
     def _to_work(self, admitted: _AdmittedRequest, body: bytes) -> Work:
         http = admitted.http
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
@@ -172,7 +172,7 @@
         await asyncio.gather(
             self._peer_updates.announce_leaving(), self._presence.withdraw()
         )
-        await self._schedule.drain(self._is_busy)
+        await self._finish_requests()
         _logger.info('stopped', extra={'in_flight': self._tracker.in_flight})
         await self._end_tasks()
         await self._servers.close()
@@ -180,6 +180,12 @@
         await self._peer_updates.close()
         await self._deployment.registry.close()
 
+    async def _finish_requests(self) -> None:
+        """Waits for the requests in flight, then answers those that remain."""
+        await self._schedule.drain(self._is_busy)
+        self._tracker.interrupt()
+        await self._schedule.flush(self._is_busy)
+
     def _start_task(
         self, name: str, work: Coroutine[object, object, None]
     ) -> None:
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_stop_schedule.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_stop_schedule.py
@@ -8,8 +8,10 @@
 
 # Work accepted in the last half of the grace period might outlast it.
 ACCEPTING_SHARE = 0.5
-# Leaves time to close connections before the platform kills the process.
+# Leaves time to answer what still runs.
 FINISHING_SHARE = 0.9
+# Leaves time to close connections before the platform kills the process.
+CLOSING_SHARE = 0.95
 POLL_SECONDS = 0.05
 
 
@@ -50,11 +52,17 @@
 
     async def drain(self, is_busy: Callable[[], bool]) -> None:
         """Waits until new requests are refused, and longer while busy."""
-        grace = self._grace()
+        await self._wait(lambda: True, ACCEPTING_SHARE)
+        await self._wait(is_busy, FINISHING_SHARE)
+
+    async def flush(self, is_busy: Callable[[], bool]) -> None:
+        """Waits until the last answers are sent or it is time to close."""
+        await self._wait(is_busy, CLOSING_SHARE)
+
+    async def _wait(self, is_busy: Callable[[], bool], share: float) -> None:
+        limit = self._grace() * share
         passed = self._passed()
-        while passed < grace * ACCEPTING_SHARE or (
-            is_busy() and passed < grace * FINISHING_SHARE
-        ):
+        while is_busy() and passed < limit:
             await asyncio.sleep(POLL_SECONDS)
             passed = self._passed()
 
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/stopping.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/stopping.py
@@ -1,8 +1,9 @@
 """The graceful stop of an entry instance."""
 
 import asyncio
+import contextlib
 import functools
-from collections.abc import Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from datetime import timedelta
 
 from aiohttp import web
@@ -24,6 +25,7 @@
         """Starts without requests in flight."""
         self.in_flight = 0
         self.stopping = False
+        self._timers: set[asyncio.Timeout] = set()
 
     def __repr__(self) -> str:
         """Returns the number of requests in flight."""
@@ -37,6 +39,26 @@
         """
         return functools.partial(self._serve, handler)
 
+    @contextlib.asynccontextmanager
+    async def interruptible(self) -> AsyncIterator[None]:
+        """Ends the block when requests are interrupted.
+
+        Raises:
+            TimeoutError: the block was interrupted.
+        """
+        async with asyncio.timeout(None) as timer:
+            self._timers.add(timer)
+            try:
+                yield
+            finally:
+                self._timers.discard(timer)
+
+    def interrupt(self) -> None:
+        """Interrupts the requests in flight, which are answered at once."""
+        now = asyncio.get_running_loop().time()
+        for timer in self._timers:
+            timer.reschedule(now)
+
     async def _serve(
         self,
         handler: Handler,
--- a/tests/unit/gateway/test_unanswered.py
+++ b/tests/unit/gateway/test_unanswered.py
@@ -9,6 +9,7 @@
 from datetime import timedelta
 from pathlib import Path
 
+from lycheedyke_daemon.stopping import RequestTracker
 from standins.gateway_testbed import GatewayTestbed, run_scenario
 from standins.registry_store import config_value
 
@@ -84,3 +85,61 @@
         await stopping
 
     run_scenario(tmp_path, _scene, limit_s=LIMIT_SECONDS)
+
+
+# Guards against a stop that closes connections whose requests still run.
+def test_a_request_that_outlasts_a_stop_is_answered(tmp_path: Path) -> None:
+    """Its outcome is unknown, which 503 would deny; its run is ended."""
+
+    async def _scene(platform: GatewayTestbed) -> None:
+        await _prepare(platform, 'wait')
+        reader, writer = await _connect(platform)
+        writer.write(REQUEST)
+        await _wait_passed_on(platform)
+        await platform.instances.pop().stop()
+        answer = await reader.read()
+        assert answer.startswith(b'HTTP/1.1 502 ')
+        assert b'Connection: close\r\n' in answer
+        assert answer.endswith(b'\r\n\r\nstopping')
+        for upstream in platform.upstreams:
+            assert upstream.disconnected == upstream.started
+
+    run_scenario(tmp_path, _scene, limit_s=LIMIT_SECONDS)
+
+
+# Guards against a stop that closes connections while bodies are being read.
+def test_a_body_that_outlasts_a_stop_is_refused(tmp_path: Path) -> None:
+    """The request was not passed on, so it has not run and will not run."""
+
+    async def _scene(platform: GatewayTestbed) -> None:
+        await _prepare(platform, 'wait')
+        reader, writer = await _connect(platform)
+        head = REQUEST.replace(b'GET', b'POST').removesuffix(b'\r\n')
+        writer.write(head + b'Content-Length: 9\r\n\r\nhalf')
+        await asyncio.sleep(APPLY_SECONDS / 3)
+        await platform.instances.pop().stop()
+        assert (await reader.read()).startswith(b'HTTP/1.1 503 ')
+        assert not platform.count_arrivals()
+
+    run_scenario(tmp_path, _scene, limit_s=LIMIT_SECONDS)
+
+
+async def _answer_and_interrupt() -> str:
+    tracker = RequestTracker()
+    answer: asyncio.Future[str] = asyncio.get_running_loop().create_future()
+
+    async def _serve() -> str:
+        async with tracker.interruptible():
+            return await asyncio.wait_for(answer, LIMIT_SECONDS)
+
+    serving = asyncio.create_task(_serve())
+    await asyncio.sleep(0)
+    answer.set_result('whole')
+    tracker.interrupt()
+    return await serving
+
+
+# Guards against an interrupted request whose answer is thrown away.
+def test_an_answer_that_is_there_survives_the_interruption() -> None:
+    """An answer that arrives in the moment of the interruption is used."""
+    assert asyncio.run(_answer_and_interrupt()) == 'whole'
