Bound requests that begin in a planned stop by its end

A request that was accepted in the first half of the grace period was passed on with the whole time limit of its route, and was interrupted while its upstream was at work if that limit ended after the stop.

Cause: the deadline did not know the stop.

Routes of 5 s would be refused from 0.3 s after the signal, though most of their requests end well within their goal; a refused caller has to come back over a new connection.

Change: the deadline of a request that begins in a stop ends 0.1 s before the interruption.

Before and after, grace period 4 s, route of 9 s, an upstream that does not answer: interrupted with 502 before, ended at its deadline with 504 now.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_caller_api.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_caller_api.py
@@ -68,7 +68,8 @@
         memory: bounds the memory of all bodies together.
         tracker: counts the requests in flight.
         telemetry: counts outcomes and logs each request.
-        schedule: whether a planned stop refuses new requests.
+        schedule: decides which requests a planned stop refuses, and how long
+            the others may run.
     """
 
     def __init__(
@@ -138,7 +139,9 @@
             route,
             self._round_robin.choose(route),
             started,
-            started + min(remaining, route.timeout),
+            self._schedule.bound_deadline(
+                started + min(remaining, route.timeout)
+            ),
         )
 
     async def _run(self, admitted: _AdmittedRequest) -> Outcome:
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_stop_schedule.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_stop_schedule.py
@@ -12,6 +12,8 @@
 FINISHING_SHARE = 0.9
 # Leaves time to close connections before the platform kills the process.
 CLOSING_SHARE = 0.95
+# Lets exchanges end at their deadlines before the rest is interrupted.
+DEADLINE_MARGIN = timedelta(milliseconds=100)
 POLL_SECONDS = 0.05
 
 
@@ -50,6 +52,13 @@
         """Begins the stop."""
         self._begun_at = self._clock.elapsed()
 
+    def bound_deadline(self, deadline: timedelta) -> timedelta:
+        """Returns the deadline of a new request, which a stop may shorten."""
+        if self._begun_at is None:
+            return deadline
+        limit = self._grace() * FINISHING_SHARE - DEADLINE_MARGIN
+        return min(deadline, self._begun_at + limit)
+
     async def drain(self, is_busy: Callable[[], bool]) -> None:
         """Waits until new requests are refused, and longer while busy."""
         await self._wait(lambda: True, ACCEPTING_SHARE)
--- a/tests/unit/gateway/test_unanswered.py
+++ b/tests/unit/gateway/test_unanswered.py
@@ -107,6 +107,27 @@
     run_scenario(tmp_path, _scene, limit_s=LIMIT_SECONDS)
 
 
+# Guards against runs that are begun in a stop and can't end in it.
+def test_a_request_in_a_stop_ends_within_its_grace(tmp_path: Path) -> None:
+    """The upstream learns how long the instance will wait."""
+
+    async def _scene(platform: GatewayTestbed) -> None:
+        await _prepare(platform, 'wait')
+        reader, writer = await _connect(platform)
+        stopping = asyncio.create_task(platform.instances.pop().stop())
+        await asyncio.sleep(0)
+        writer.write(REQUEST)
+        assert (await reader.read()).startswith(b'HTTP/1.1 504 ')
+        await stopping
+        for upstream in platform.upstreams:
+            for arrival in upstream.arrivals:
+                remaining_ms = int(arrival.headers['Lycheedyke-Deadline-Ms'])
+                assert remaining_ms < GRACE_SECONDS * 1000
+        assert platform.count_arrivals()
+
+    run_scenario(tmp_path, _scene, limit_s=LIMIT_SECONDS)
+
+
 # Guards against a stop that closes connections while bodies are being read.
 def test_a_body_that_outlasts_a_stop_is_refused(tmp_path: Path) -> None:
     """The request was not passed on, so it has not run and will not run."""
