Answer 502 where an upstream switches protocols unasked

A caller could be left waiting on its connection for an answer that never came.

Cause: an upstream's 101 was passed on as a complete answer (as were statuses below 100). It is an interim status, so a caller waits for the final one.

Ruled out, by trials with raw bytes: 100 and 102 before the final answer are skipped; 204, 304, 407, 600 and 999 pass as they are; an upstream that keeps the connection open after its 101 runs into the time limit (504).

Change: an answer with a status below 200 counts as broken off.

Before and after: 101 before, 502 now.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_upstream_client.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_upstream_client.py
@@ -22,6 +22,7 @@
 from lycheedyke_daemon.work import Work, end_to_end_headers
 
 MILLISECOND = timedelta(milliseconds=1)
+HTTP_OK = 200
 HTTP_MISDIRECTED = 421
 HTTP_SERVER_ERROR = 500
 # Below the ten seconds after which upstreams close idle connections.
@@ -135,7 +136,10 @@
         self._record_load(state, answer)
         if self._names.not_run in answer.headers:
             return NotRun(Reason.upstream_refused)
-        if answer.headers.get(self._names.request) != work.request_id:
+        # A caller would go on waiting after an interim answer such as 101.
+        is_interim = answer.status < HTTP_OK
+        request = answer.headers.get(self._names.request)
+        if is_interim or request != work.request_id:
             state.record_failure()
             return Unknown(Reason.upstream_broke)
         if answer.status >= HTTP_SERVER_ERROR:
--- a/tests/unit/gateway/test_requests.py
+++ b/tests/unit/gateway/test_requests.py
@@ -204,6 +204,30 @@
     run_scenario(tmp_path, _scene, upstreams=1)
 
 
+async def _switch_protocols(
+    writer: asyncio.StreamWriter, headers: dict[str, str], body: bytes
+) -> None:
+    request = headers['Lycheedyke-Request-Id']
+    writer.write(
+        b'HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\n'
+        b'Upgrade: other\r\nLycheedyke-Request-Id: %s\r\n\r\n'
+        % request.encode(),
+    )
+    writer.close()
+
+
+# Guards against callers that wait on their connection for a final answer.
+def test_an_interim_answer_is_not_passed_on(tmp_path: Path) -> None:
+    """The caller gets 502 if an upstream switches protocols and closes."""
+
+    async def _scene(platform: GatewayTestbed) -> None:
+        for upstream in platform.upstreams:
+            upstream._answer = _switch_protocols  # type: ignore[method-assign]
+        assert (await platform.send('/read/1')).status == 502
+
+    run_scenario(tmp_path, _scene)
+
+
 def test_a_silent_upstream_costs_no_more_than_the_timeout(
     tmp_path: Path,
 ) -> None:
