--- /dev/null
+++ b/tests/unit/test_quarantine.py
@@ -0,0 +1,214 @@
+"""A request that crashes upstreams stays in quarantine."""
+
+import asyncio
+from datetime import timedelta
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from lycheedyke.protocol import NotRun, Outcome, Reason, Unknown
+from lycheedyke.state import Counters, Suspect, Suspects, Verdict
+from lycheedyke_daemon import crashes
+from lycheedyke_daemon.crashes import CrashGuard
+from lycheedyke_daemon.work import Work
+from standins.clock import ManualClock
+
+TEN_MINUTES_MS = 600_000
+
+
+# Guards against a quarantine that ends because of the crashes that caused it.
+def test_its_own_crashes_do_not_end_a_quarantine() -> None:
+    """Copies in flight crash six more upstreams after the verdict."""
+    clock = ManualClock()
+    suspects = Suspects(clock)
+    for number in range(8):
+        suspects.record_crash(['poison'], f'upstream {number}')
+        expected = Verdict.quarantined if number else Verdict.suspect
+        assert suspects.judge('poison') is expected
+        clock.advance(1.5)
+
+
+# Guards against a quarantine that ends because unrelated upstreams crash.
+def test_other_crashes_do_not_end_a_quarantine() -> None:
+    """A fifth of a service crashes three seconds after the verdict."""
+    clock = ManualClock()
+    suspects = Suspects(clock)
+    for name in ('kassa-1', 'kassa-2'):
+        suspects.record_crash(['poison'], name)
+        clock.advance(1.5)
+    clock.advance(3)
+    for number in range(17):
+        suspects.record_crash([f'other {number}'], f'upstream {number}')
+    assert suspects.judge('poison') is Verdict.quarantined
+    assert len(suspects.list()) == 1
+
+
+# Guards against a request that is never quarantined because its crashes are
+# taken for the failure of a zone each time.
+@given(st.lists(st.integers(0, 12), min_size=3, max_size=3))
+def test_three_moments_of_crashes_are_final(others: list[int]) -> None:
+    """However many upstreams crash with it, the third moment is final."""
+    clock = ManualClock()
+    suspects = Suspects(clock)
+    for moment, count in enumerate(others):
+        for number in range(count):
+            names = ['victim', 'other'] if number == 0 else ['other']
+            suspects.record_crash(names, f'{moment} {number}')
+        suspects.record_success('victim')
+        suspects.record_crash(['poison'], f'{moment}')
+        clock.advance(1.5)
+    assert suspects.judge('poison') is Verdict.quarantined
+    assert suspects.judge('victim') is not Verdict.quarantined
+    for number in range(20):
+        suspects.record_crash(['other'], f'later {number}')
+        assert suspects.judge('poison') is Verdict.quarantined
+    assert 'poison' in {each.fingerprint for each in suspects.settled()}
+
+
+# Guards against a verdict that a restarted instance drops as it learns it.
+def test_old_crashes_in_a_report_are_not_the_failure_of_a_zone() -> None:
+    """A report of five old crashes keeps the verdict of the sender."""
+    clock = ManualClock()
+    sender, receiver = Suspects(clock), Suspects(clock)
+    for number in range(5):
+        sender.record_crash(['poison'], f'upstream {number}')
+        clock.advance(3)
+    clock.advance(20)
+    assert receiver.merge(sender.report())
+    assert receiver.judge('poison') is Verdict.quarantined
+    assert not receiver.merge(sender.report())
+
+
+# Guards against a report of an earlier version that counts one crash twice.
+def test_a_report_without_times_counts_a_crash_once() -> None:
+    """Reports without times of a known crash change nothing."""
+    clock = ManualClock()
+    suspects = Suspects(clock)
+    for _ in range(4):
+        suspects.merge([Suspect('request', ('kassa-1',), TEN_MINUTES_MS)])
+        clock.advance(2)
+    assert suspects.judge('request') is Verdict.suspect
+
+
+# Guards against a request that crashes one upstream again and again.
+def test_an_upstream_that_crashes_twice_counts_twice() -> None:
+    """An upstream that is back under its name is another crash."""
+    clock = ManualClock()
+    suspects = Suspects(clock)
+    for _ in range(2):
+        suspects.record_crash(['poison'], 'kassa-1')
+        suspects.record_crash(['poison'], 'kassa-1')
+        clock.advance(2)
+    assert suspects.judge('poison') is Verdict.quarantined
+
+
+# Guards against one attempt that ends upstream after upstream while a zone
+# seems to fail.
+def test_no_third_run_for_one_attempt() -> None:
+    """Dismissed crashes count against repeats."""
+    suspects = Suspects(ManualClock())
+    for number in range(6):
+        assert suspects.may_repeat('poison') is (number < 2)
+        suspects.record_crash(['poison'], f'upstream {number}')
+    assert suspects.judge('poison') is Verdict.clear
+
+
+@pytest.mark.parametrize(
+    ('change', 'is_same'),
+    [
+        ({'service': 'vend'}, True),
+        ({'target': '/cups/7?page=2'}, True),
+        ({'request_id': 'another'}, True),
+        ({'client': '192.0.2.2'}, False),
+        ({'target': '/cups/8'}, False),
+        ({'body': b'cup 8'}, False),
+        ({'host': 'other.example'}, False),
+    ],
+)
+# Guards against a repeated request that is not recognized: it may reach
+# another service of a split route, and may have another query.
+def test_a_repeated_request_is_recognized(
+    change: dict[str, str], is_same: bool
+) -> None:
+    """Caller, host, method, path and body identify a request."""
+    first = Work(
+        'kassa',
+        'GET',
+        '/cups/7',
+        (),
+        b'cup 7',
+        timedelta(),
+        '192.0.2.1',
+        host='shop.example',
+    )
+    second = first._replace(**change)  # type: ignore[arg-type]
+    is_equal = first.repeat_fingerprint() == second.repeat_fingerprint()
+    assert is_equal is is_same
+
+
+class _Crashing:
+    """A guard over upstreams that are dead, and a report to wait for."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        self.suspects = Suspects(ManualClock())
+        self.checked = asyncio.Event()
+        self.reports = 0
+        self._guard = CrashGuard(self.suspects, self._report, Counters())
+        monkeypatch.setattr(crashes, '_is_dead', self._is_dead)
+
+    async def run(self, outcome: Outcome, upstream: str = 'kassa-1') -> Outcome:
+        work = Work('kassa', 'GET', '/', (), b'', timedelta(), '')
+
+        async def send() -> Outcome:
+            return outcome
+
+        return await self._guard.run(upstream, upstream, work, send)
+
+    async def _report(self) -> None:
+        self.reports += 1
+
+    async def _is_dead(self, address: str) -> bool:
+        await self.checked.wait()
+        return True
+
+
+# Guards against a crash that is forgotten because its caller leaves.
+def test_a_crash_counts_though_its_caller_left(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The check of an upstream goes on without the request."""
+
+    async def scenario() -> None:
+        testbed = _Crashing(monkeypatch)
+        request = asyncio.create_task(
+            testbed.run(Unknown(Reason.upstream_broke))
+        )
+        await asyncio.sleep(0.01)
+        request.cancel()
+        await asyncio.wait([request])
+        testbed.checked.set()
+        await asyncio.sleep(0.01)
+        assert testbed.reports == 1
+        assert len(testbed.suspects.list()) == 1
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(
+    'outcome', [Unknown(Reason.upstream_timeout), NotRun(Reason.no_room)]
+)
+# Guards against a suspect that is cleared without having run to its end.
+def test_only_an_answer_clears_a_suspect(
+    monkeypatch: pytest.MonkeyPatch, outcome: Outcome
+) -> None:
+    """A suspect that timed out or did not run stays a suspect."""
+
+    async def scenario() -> None:
+        testbed = _Crashing(monkeypatch)
+        testbed.checked.set()
+        await testbed.run(Unknown(Reason.upstream_broke))
+        await testbed.run(outcome, 'kassa-2')
+        assert len(testbed.suspects.list()) == 1
+
+    asyncio.run(scenario())
