Log and count each request that ends without an answer

Operators could not tell from the logs that a connection was closed without an answer, nor why: 'request ended' is written before the answer is, and a cancelled request wrote nothing. So the reports of LOST could not be traced.

Change: one line 'request unanswered' with the id, the upstreams that the request was sent to, its age and the reason: caller-left, stopping (the close at the end of a stop) or internal-error (the connection was still open); and a counter unanswered.<reason>. The line goes through the decision log, so it is bounded by lines_per_s, and the log's thread writes it.

Ruled out: telling it from the upstreams' side; they see the same closed connection when a request is given up or repeated.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_caller_api.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_caller_api.py
@@ -26,6 +26,7 @@
 from lycheedyke_daemon.gateway._registry_view import RegistryView
 from lycheedyke_daemon.gateway._router import GatewayRouter
 from lycheedyke_daemon.gateway._stop_schedule import StopSchedule
+from lycheedyke_daemon.gateway._unanswered import SENT_TO, UnansweredReport
 from lycheedyke_daemon.gateway._upstream_client import HeaderNames
 from lycheedyke_daemon.idle_connections import IdleConnectionCloser
 from lycheedyke_daemon.stopping import RequestTracker
@@ -93,6 +94,7 @@
         self._counters = telemetry.counters
         self._decision_log = telemetry.decision_log
         self._schedule = schedule
+        self._unanswered = UnansweredReport(names.request, telemetry, schedule)
         self._round_robin = WeightedRoundRobin()
 
     def __repr__(self) -> str:
@@ -105,8 +107,8 @@
         Args:
             idle: tracks which connections are idle.
         """
-        handler = idle.track(self._tracker.track(self._serve))
-        return [web.route('*', '/{path:.*}', handler)]
+        handler = self._unanswered.track(self._tracker.track(self._serve))
+        return [web.route('*', '/{path:.*}', idle.track(handler))]
 
     async def _serve(self, http: web.Request) -> web.StreamResponse:
         started = self._clock.elapsed()
@@ -172,7 +174,8 @@
             self._read_object_key(admitted),
             wait_share_of(table.rank(admitted.route, admitted.service)),
         )
-        return await self._router.run(request, self._to_work(admitted, body))
+        work = self._to_work(admitted, body)
+        return await self._router.run(request, work, admitted.http[SENT_TO])
 
     def _to_work(self, admitted: _AdmittedRequest, body: bytes) -> Work:
         http = admitted.http
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_router.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_router.py
@@ -113,16 +113,20 @@
         """Returns the selector of upstreams."""
         return f'<GatewayRouter with {self._selector!r}>'
 
-    async def run(self, request: Request, work: Work) -> Outcome:
+    async def run(
+        self, request: Request, work: Work, sent_to: list[str]
+    ) -> Outcome:
         """Sends a request to upstreams and returns its outcome.
 
         Args:
             request: the route, service and object key.
             work: the work to send; its deadline includes the route's timeout.
+            sent_to: the name of each upstream is added once it is tried.
         """
         self._budgets[request.service].add_request()
         progress = _RequestProgress(self._clock.elapsed())
         while candidate := self._next(request, work, progress):
+            sent_to.append(candidate.state.record.name)
             outcome = await self._attempt(request, candidate, work, progress)
             progress.add(candidate.state.record.name, outcome)
             if not self._may_repeat(work, outcome):
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_stop_schedule.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_stop_schedule.py
@@ -26,6 +26,9 @@
     Args:
         clock: the time source.
         grace: returns the grace period.
+
+    Attributes:
+        is_over: whether all connections are closed now.
     """
 
     def __init__(self, clock: Clock, grace: Callable[[], timedelta]) -> None:
@@ -33,6 +36,7 @@
         self._clock = clock
         self._grace = grace
         self._begun_at: timedelta | None = None
+        self.is_over = False
 
     def __repr__(self) -> str:
         """Returns the time since the begin of the stop."""
@@ -67,6 +71,7 @@
     async def flush(self, is_busy: Callable[[], bool]) -> None:
         """Waits until the last answers are sent or it is time to close."""
         await self._wait(is_busy, CLOSING_SHARE)
+        self.is_over = True
 
     async def _wait(self, is_busy: Callable[[], bool], share: float) -> None:
         limit = self._grace() * share
--- a/packages/lycheedyke/src/lycheedyke/protocol/_outcomes.py
+++ b/packages/lycheedyke/src/lycheedyke/protocol/_outcomes.py
@@ -52,6 +52,7 @@
     upstream_timeout = 'upstream-timeout'
     upstream_silent = 'upstream-silent'
     peer_broke = 'peer-broke'
+    caller_left = 'caller-left'
     internal_error = 'internal-error'
 
 
--- a/tests/unit/gateway/test_log_lines.py
+++ b/tests/unit/gateway/test_log_lines.py
@@ -52,7 +52,9 @@
     assert written == set(listed_events())
 
 
-@pytest.mark.parametrize('event', ['request ended', 'request refused'])
+@pytest.mark.parametrize(
+    'event', ['request ended', 'request refused', 'request unanswered']
+)
 def test_lines_on_requests_name_their_inputs(event: str) -> None:
     """Each line has the request, its outcome and the reason."""
     assert {'request', 'outcome', 'reason'} <= listed_events()[event]
--- a/tests/unit/gateway/test_unanswered.py
+++ b/tests/unit/gateway/test_unanswered.py
@@ -1,14 +1,17 @@
-"""Requests that were passed on, around the planned stop of an instance.
+"""Requests that end without an answer, at a planned stop and otherwise.
 
 A caller whose connection is closed without an answer does not learn whether
 its request has run.
 """
 
 import asyncio
+import logging
 import socket
 from datetime import timedelta
 from pathlib import Path
 
+import pytest
+
 from lycheedyke_daemon.stopping import RequestTracker
 from standins.gateway_testbed import GatewayTestbed, run_scenario
 from standins.registry_store import config_value
@@ -18,6 +21,8 @@
 APPLY_SECONDS = 1.5
 GRACE_SECONDS = 4
 WAIT_SECONDS = 10
+# More than the buffers of the kernel hold.
+LARGE_BYTES = 32_000_000
 # Longer than the grace period of every test here.
 ROUTES = (
     {
@@ -164,3 +169,68 @@
 def test_an_answer_that_is_there_survives_the_interruption() -> None:
     """An answer that arrives in the moment of the interruption is used."""
     assert asyncio.run(_answer_and_interrupt()) == 'whole'
+
+
+def _find_lines(caplog: pytest.LogCaptureFixture) -> list[logging.LogRecord]:
+    return [
+        record
+        for record in caplog.get_records('call')
+        if record.getMessage() == 'request unanswered'
+    ]
+
+
+async def _wait_counted(platform: GatewayTestbed, counter: str) -> None:
+    counts = platform.instances[0]._counters.counts
+    for _ in range(WAIT_SECONDS * 100):
+        if counts[counter]:
+            return
+        await asyncio.sleep(0.01)
+    raise TimeoutError(f'{counter} was not counted')
+
+
+# Guards against connections that close without a trace in log and counters.
+def test_a_caller_that_leaves_is_logged(
+    tmp_path: Path, caplog: pytest.LogCaptureFixture
+) -> None:
+    """One line names the request, the upstream, the age and the reason."""
+
+    async def _scene(platform: GatewayTestbed) -> None:
+        await _prepare(platform, 'wait')
+        _, writer = await _connect(platform)
+        writer.write(REQUEST)
+        await _wait_passed_on(platform)
+        writer.close()
+        await _wait_counted(platform, 'unanswered.caller-left')
+        (line,) = _find_lines(caplog)
+        (tried,) = [each for each in platform.upstreams if each.started]
+        fields = vars(line)
+        assert fields['request'] == 'r-9'
+        assert fields['sent_to'] == tried.name
+        assert fields['reason'] == 'caller-left'
+        assert 0 <= fields['took_ms'] < LIMIT_SECONDS * 1000
+
+    run_scenario(tmp_path, _scene, limit_s=LIMIT_SECONDS)
+
+
+# Guards against answers that a stop cuts without a trace in the log.
+def test_an_answer_that_a_stop_cuts_is_logged(
+    tmp_path: Path, caplog: pytest.LogCaptureFixture
+) -> None:
+    """A caller that never reads its answer does not hold the stop."""
+
+    async def _scene(platform: GatewayTestbed) -> None:
+        await _prepare(platform, 'answer')
+        for upstream in platform.upstreams:
+            upstream.body = bytes(LARGE_BYTES)
+        _, writer = await _connect(platform)
+        writer.write(REQUEST)
+        await _wait_passed_on(platform)
+        loop = asyncio.get_running_loop()
+        begun = loop.time()
+        await platform.instances.pop().stop()
+        assert loop.time() - begun < 2 * GRACE_SECONDS
+        (line,) = _find_lines(caplog)
+        assert vars(line)['reason'] == 'stopping'
+        writer.close()
+
+    run_scenario(tmp_path, _scene, limit_s=LIMIT_SECONDS)
