Answer a request whose exchange is cancelled from within

Callers would see their connection close without an answer if anything that a request awaits were cancelled by another part: the server takes every CancelledError of a handler for a caller that has left.

No such part was found. A ConnectionError of a handler is answered with 500 by aiohttp, not closed.

Change: a CancelledError while the request's own task is not cancelled is logged with its traceback ('exchange cancelled') and answered: 502, internal-error.

Before and after, a client made to raise CancelledError: 0 bytes before, the 502 now.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_caller_api.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_caller_api.py
@@ -1,5 +1,7 @@
 """The HTTP API for callers of a gateway."""
 
+import asyncio
+import logging
 from datetime import timedelta
 from http import HTTPStatus
 from typing import NamedTuple
@@ -48,6 +50,9 @@
 }
 
 
+_logger = logging.getLogger(__name__)
+
+
 class _AdmittedRequest(NamedTuple):
     """An admitted request, before its body is read."""
 
@@ -163,6 +168,12 @@
             return NotRun(refused.reason)
         except TimeoutError:
             return interrupted
+        except asyncio.CancelledError:
+            if _is_cancelled():
+                raise
+            # The server would close the connection without an answer.
+            _logger.exception('exchange cancelled')
+            return Unknown(Reason.internal_error)
 
     async def _pass_on(
         self, admitted: _AdmittedRequest, body: bytes
@@ -247,5 +258,11 @@
         return response
 
 
+def _is_cancelled() -> bool:
+    """Whether the current task, not only what it awaited, is cancelled."""
+    task = asyncio.current_task()
+    return task is not None and task.cancelling() > 0
+
+
 def _refuse(reason: Reason, status: HTTPStatus) -> web.Response:
     return web.Response(status=_STATUSES.get(reason, status), text=reason.value)
--- a/tests/unit/gateway/test_log_lines.py
+++ b/tests/unit/gateway/test_log_lines.py
@@ -23,7 +23,7 @@
     LIBRARY / 'coordination/_quarantine_publisher.py',
     ROOT / 'platform/store.py',
 )
-WRITERS = frozenset(('info', 'warning', 'error', 'write', '_tell'))
+WRITERS = frozenset(('info', 'warning', 'error', 'exception', 'write', '_tell'))
 
 
 def _events(path: Path) -> Iterator[str]:
--- a/tests/unit/gateway/test_unanswered.py
+++ b/tests/unit/gateway/test_unanswered.py
@@ -9,9 +9,11 @@
 import socket
 from datetime import timedelta
 from pathlib import Path
+from typing import Any
 
 import pytest
 
+from lycheedyke.protocol import Outcome
 from lycheedyke_daemon.stopping import RequestTracker
 from standins.gateway_testbed import GatewayTestbed, run_scenario
 from standins.registry_store import config_value
@@ -171,6 +173,27 @@
     assert asyncio.run(_answer_and_interrupt()) == 'whole'
 
 
+async def _cancel_within(*args: object) -> Outcome:
+    raise asyncio.CancelledError
+
+
+# Guards against connections that close as a part of an exchange is cancelled.
+def test_a_cancellation_within_an_exchange_is_answered(tmp_path: Path) -> None:
+    """Neither the caller nor a stop has cancelled the request."""
+
+    async def _scene(platform: GatewayTestbed) -> None:
+        await _prepare(platform, 'answer')
+        client: Any = platform.instances[0]._client
+        client.run = _cancel_within
+        reader, writer = await _connect(platform)
+        writer.write(REQUEST)
+        answer = await reader.readuntil(b'internal-error')
+        assert answer.startswith(b'HTTP/1.1 502 ')
+        writer.close()
+
+    run_scenario(tmp_path, _scene, limit_s=LIMIT_SECONDS)
+
+
 def _find_lines(caplog: pytest.LogCaptureFixture) -> list[logging.LogRecord]:
     return [
         record
