--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_caller_api.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_caller_api.py
@@ -1,6 +1,7 @@
 """The HTTP API for callers of a gateway."""
 
-from collections.abc import Callable
+import asyncio
+import logging
 from datetime import timedelta
 from http import HTTPStatus
 from typing import NamedTuple
@@ -26,6 +27,8 @@
 from lycheedyke_daemon.gateway._decision_log import Telemetry
 from lycheedyke_daemon.gateway._registry_view import RegistryView
 from lycheedyke_daemon.gateway._router import GatewayRouter
+from lycheedyke_daemon.gateway._stop_schedule import StopSchedule
+from lycheedyke_daemon.gateway._unanswered import SENT_TO, UnansweredReport
 from lycheedyke_daemon.gateway._upstream_client import HeaderNames
 from lycheedyke_daemon.idle_connections import IdleConnectionCloser
 from lycheedyke_daemon.stopping import RequestTracker
@@ -47,6 +50,9 @@
 }
 
 
+_logger = logging.getLogger(__name__)
+
+
 class _AdmittedRequest(NamedTuple):
     """An admitted request, before its body is read."""
 
@@ -68,8 +74,8 @@
         memory: bounds the memory of all bodies together.
         tracker: counts the requests in flight.
         telemetry: counts outcomes and logs each request.
-        is_closing: returns whether new requests are refused, as the
-            instance is about to stop.
+        schedule: decides which requests a planned stop refuses, and how long
+            the others may run.
     """
 
     def __init__(
@@ -81,7 +87,7 @@
         tracker: RequestTracker,
         telemetry: Telemetry,
         *,
-        is_closing: Callable[[], bool],
+        schedule: StopSchedule,
     ) -> None:
         """Initializes the API."""
         self._registry_view = registry_view
@@ -92,7 +98,8 @@
         self._clock = telemetry.clock
         self._counters = telemetry.counters
         self._decision_log = telemetry.decision_log
-        self._is_closing = is_closing
+        self._schedule = schedule
+        self._unanswered = UnansweredReport(names.request, telemetry, schedule)
         self._round_robin = WeightedRoundRobin()
 
     def __repr__(self) -> str:
@@ -105,8 +112,8 @@
         Args:
             idle: tracks which connections are idle.
         """
-        handler = idle.track(self._tracker.track(self._serve))
-        return [web.route('*', '/{path:.*}', handler)]
+        handler = self._unanswered.track(self._tracker.track(self._serve))
+        return [web.route('*', '/{path:.*}', idle.track(handler))]
 
     async def _serve(self, http: web.Request) -> web.StreamResponse:
         started = self._clock.elapsed()
@@ -128,7 +135,7 @@
         route = table.find(host, http.raw_path.partition('?')[0])
         if route is None:
             return NotRun(Reason.unknown_route)
-        if self._is_closing():
+        if self._schedule.is_refusing:
             return NotRun(Reason.stopping, RETRY_AFTER_STOP)
         remaining = self._read_remaining(http)
         if remaining is None or not http.headers.get(self._names.request):
@@ -139,26 +146,47 @@
             route,
             self._round_robin.choose(route),
             started,
-            started + min(remaining, route.timeout),
+            self._schedule.bound_deadline(
+                started + min(remaining, route.timeout)
+            ),
         )
 
     async def _run(self, admitted: _AdmittedRequest) -> Outcome:
+        """Returns the outcome; a stop that can't wait for it interrupts it."""
         http = admitted.http
-        table = admitted.table
-        bodies = BodyReader(self._memory, table.limits.body_bytes)
+        bodies = BodyReader(self._memory, admitted.table.limits.body_bytes)
         left = admitted.deadline - admitted.started
+        interrupted: Outcome = NotRun(Reason.stopping, RETRY_AFTER_STOP)
         try:
-            async with bodies.read(http, left) as body:
-                work = self._to_work(admitted, body)
-                request = Request(
-                    admitted.route,
-                    admitted.service,
-                    self._read_object_key(admitted),
-                    wait_share_of(table.rank(admitted.route, admitted.service)),
-                )
-                return await self._router.run(request, work)
+            async with (
+                self._tracker.interruptible(),
+                bodies.read(http, left) as body,
+            ):
+                interrupted = Unknown(Reason.stopping)
+                return await self._pass_on(admitted, body)
         except BodyRefused as refused:
             return NotRun(refused.reason)
+        except TimeoutError:
+            return interrupted
+        except asyncio.CancelledError:
+            if _is_cancelled():
+                raise
+            # The server would close the connection without an answer.
+            _logger.exception('exchange cancelled')
+            return Unknown(Reason.internal_error)
+
+    async def _pass_on(
+        self, admitted: _AdmittedRequest, body: bytes
+    ) -> Outcome:
+        table = admitted.table
+        request = Request(
+            admitted.route,
+            admitted.service,
+            self._read_object_key(admitted),
+            wait_share_of(table.rank(admitted.route, admitted.service)),
+        )
+        work = self._to_work(admitted, body)
+        return await self._router.run(request, work, admitted.http[SENT_TO])
 
     def _to_work(self, admitted: _AdmittedRequest, body: bytes) -> Work:
         http = admitted.http
@@ -230,5 +258,11 @@
         return response
 
 
+def _is_cancelled() -> bool:
+    """Whether the current task, not only what it awaited, is cancelled."""
+    task = asyncio.current_task()
+    return task is not None and task.cancelling() > 0
+
+
 def _refuse(reason: Reason, status: HTTPStatus) -> web.Response:
     return web.Response(status=_STATUSES.get(reason, status), text=reason.value)
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/stopping.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/stopping.py
@@ -1,8 +1,9 @@
 """The graceful stop of an entry instance."""
 
 import asyncio
+import contextlib
 import functools
-from collections.abc import Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from datetime import timedelta
 
 from aiohttp import web
@@ -15,12 +16,16 @@
 
 
 class RequestTracker:
-    """Counts requests in flight, and closes connections during a stop."""
+    """Counts requests in flight, and closes connections during a stop.
+
+    A request is in flight until its answer is written.
+    """
 
     def __init__(self) -> None:
         """Starts without requests in flight."""
         self.in_flight = 0
         self.stopping = False
+        self._timers: set[asyncio.Timeout] = set()
 
     def __repr__(self) -> str:
         """Returns the number of requests in flight."""
@@ -29,11 +34,31 @@
     def track(self, handler: Handler) -> Handler:
         """Returns a handler whose requests are counted.
 
-        While the instance is stopping, the handler closes the connection
-        after each answer.
+        The handler writes the answer itself. While the instance is stopping,
+        it closes the connection after each answer.
         """
         return functools.partial(self._serve, handler)
 
+    @contextlib.asynccontextmanager
+    async def interruptible(self) -> AsyncIterator[None]:
+        """Ends the block when requests are interrupted.
+
+        Raises:
+            TimeoutError: the block was interrupted.
+        """
+        async with asyncio.timeout(None) as timer:
+            self._timers.add(timer)
+            try:
+                yield
+            finally:
+                self._timers.discard(timer)
+
+    def interrupt(self) -> None:
+        """Interrupts the requests in flight, which are answered at once."""
+        now = asyncio.get_running_loop().time()
+        for timer in self._timers:
+            timer.reschedule(now)
+
     async def _serve(
         self,
         handler: Handler,
@@ -42,10 +67,12 @@
         self.in_flight += 1
         try:
             response = await handler(request)
+            if self.stopping:
+                response.force_close()
+            await response.prepare(request)
+            await response.write_eof()
         finally:
             self.in_flight -= 1
-        if self.stopping:
-            response.force_close()
         return response
 
 
--- a/tests/standins/scripted_upstream.py
+++ b/tests/standins/scripted_upstream.py
@@ -33,6 +33,7 @@
         name: its id; requests that expect another instance get 421.
         script: names of the actions for the next requests.
         run_s: the run time of a request in seconds.
+        body: the body of the answers.
         crashes_on: a target that ends the upstream once it begins to run, as
             the action `crash` does.
         crashed: set when the upstream has ended.
@@ -47,6 +48,7 @@
         self.name = name
         self.script: deque[str] = deque()
         self.run_s = 0.005
+        self.body = b'{"ran": "whole"}'
         self.crashes_on = ''
         self.crashed = asyncio.Event()
         self.arrivals: list[Arrival] = []
@@ -163,7 +165,7 @@
         return action != 'close'
 
     def _make_body(self, headers: dict[str, str]) -> bytes:
-        return b'{"ran": "whole"}'
+        return self.body
 
     async def _wait_disconnect(
         self,
