--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
@@ -20,7 +20,6 @@
     Counters,
     Distances,
     Location,
-    MemoryBudget,
     RepeatLimit,
     RunTimeStats,
     Suspects,
@@ -28,6 +27,7 @@
     UpstreamTable,
     WarmupLimiter,
 )
+from lycheedyke.transport import BodyMemory
 from lycheedyke_daemon.crashes import CrashGuard
 from lycheedyke_daemon.gateway._caller_api import GatewayCallerApi
 from lycheedyke_daemon.gateway._decision_log import DecisionLog, Telemetry
@@ -112,7 +112,12 @@
             deployment.registry, suspects, clock
         )
         self._registry_view.on_entry_removed = self._handle_entry_removed
-        self._client = UpstreamClient(deployment.headers, clock)
+        self._telemetry = self._make_telemetry()
+        self._client = UpstreamClient(
+            deployment.headers,
+            self._telemetry,
+            BodyMemory(settings.answer_memory_bytes),
+        )
         self._guard = CrashGuard(
             suspects, self._peer_updates.send_suspects, self._counters
         )
@@ -250,7 +255,6 @@
         settings = self._settings
         times = RunTimeStats()
         self._registry_view.on_routes_changed = times.retain
-        telemetry = self._make_telemetry()
         choice = UpstreamSelector(
             self._upstream_table,
             times,
@@ -275,19 +279,19 @@
                 settings.repeat_window,
                 settings.repeat_extra,
             ),
-            telemetry,
+            self._telemetry,
             max_instances=self._max_instances,
         )
         api = GatewayCallerApi(
             self._registry_view,
             router,
             self._deployment.headers,
-            MemoryBudget(settings.body_memory_bytes),
+            BodyMemory(settings.body_memory_bytes),
             self._tracker,
-            telemetry,
+            self._telemetry,
             schedule=self._schedule,
         )
-        app = web.Application()
+        app = web.Application(middlewares=[self._client.hold_answers])
         app.add_routes(api.routes(self._idle))
         return app
 
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_peer_updates.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_peer_updates.py
@@ -19,7 +19,7 @@
     RegistryUpdate,
 )
 from lycheedyke.state import Counters, Suspect, Suspects
-from lycheedyke.transport import HttpClient
+from lycheedyke.transport import BodyMemory, HttpClient
 from lycheedyke_daemon.gateway._registry_view import RegistryView
 
 UPDATES_PATH = '/v1/news'
@@ -35,6 +35,7 @@
 SILENT_PAUSE = timedelta(seconds=2)
 MILLISECOND = timedelta(milliseconds=1)
 HTTP_OK = 200
+# Of one update, and of all that are received at once.
 MAX_UPDATE_BYTES = 8_388_608
 _logger = logging.getLogger(__name__)
 _UPDATE = msgspec.msgpack.Decoder(RegistryUpdate)
@@ -77,7 +78,10 @@
         self._silent_until: dict[str, timedelta] = {}
         self._sending_suspects = asyncio.Lock()
         self._sent_revision = 0
-        self._http = HttpClient(max_body_bytes=MAX_UPDATE_BYTES)
+        self._http = HttpClient(
+            max_body_bytes=MAX_UPDATE_BYTES,
+            memory=BodyMemory(MAX_UPDATE_BYTES),
+        )
 
     def __repr__(self) -> str:
         """Returns the instance's name."""
