Answer look-ups where no zone that is left had callers

What callers saw: a look-up answered with 500, and so no address, while a new configuration was taking effect and the upstreams of all zones in use were lost.

Cause: ramp_shares divides the shares of the zones that still have capacity by their sum. A zone without callers keeps a share of 0 in the mapping (the target of a zone that sends all its callers away names that zone with 0), and where only such zones were left the sum was 0.

Change: the ramp starts from the zones that have both callers and capacity. Where there is none, callers move at once, as documented for callers of a zone that lost its capacity.

Looked for elsewhere: all 67 divisions and remainders in packages/ and platform/ whose divisor is no constant were read.

`make check` passes.

--- a/packages/lycheedyke/src/lycheedyke/state/_entry_lists.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_entry_lists.py
@@ -78,7 +78,8 @@
         capacities: the capacity of each zone.
         max_step: the maximum share of the callers that may change their region
             in this step. The callers of a zone that has lost its capacity
-            move at once and are not counted.
+            move at once and are not counted; neither counts a zone that had
+            no callers.
     """
     held = _shares_with_capacity(before, capacities)
     if not held:
@@ -141,12 +142,14 @@
     shares: Mapping[str, float],
     capacities: Iterable[ZoneCapacity],
 ) -> dict[str, float]:
-    """Returns the shares among the zones that have capacity."""
+    """Returns the shares among the zones that have callers and capacity."""
     with_capacity = {
         each.zone for each in capacities if each.entries and each.slots > 0
     }
     held = {
-        zone: share for zone, share in shares.items() if zone in with_capacity
+        zone: share
+        for zone, share in shares.items()
+        if share > 0 and zone in with_capacity
     }
     total = sum(held.values())
     return {zone: share / total for zone, share in held.items()}
--- a/tests/unit/gateway/test_entry_lists.py
+++ b/tests/unit/gateway/test_entry_lists.py
@@ -11,6 +11,8 @@
     ramp_shares,
 )
 
+REGIONS = {'pnw-a': 'pnw', 'pnw-b': 'pnw', 'mt-a': 'mt', 'nc-a': 'nc'}
+SHARES = st.sampled_from((0.0, 5e-324, 1e-9, 0.1, 0.5, 1.0))
 ENTRIES = tuple(f'10.0.0.{at}:80' for at in range(4))
 SLOTS = {'pnw-a': 6, 'pnw-b': 6, 'mt-a': 21, 'mt-b': 21, 'nc-a': 24, 'nc-b': 24}
 
@@ -62,6 +64,49 @@
     assert ramp_shares(before, {'pnw-a': 1}, capacities, 0.1) == {'pnw-a': 1}
 
 
+@st.composite
+def _any_capacities(draw: st.DrawFn) -> list[ZoneCapacity]:
+    """Zones with and without upstreams and instances, in any combination."""
+    return [
+        ZoneCapacity(
+            zone,
+            region,
+            draw(st.sampled_from((0, 0, 1, 9))),
+            tuple(f'{zone}:{at}' for at in range(draw(st.integers(0, 3)))),
+        )
+        for zone, region in REGIONS.items()
+    ]
+
+
+@given(
+    st.dictionaries(st.sampled_from(sorted(REGIONS)), SHARES),
+    st.lists(
+        st.tuples(_any_capacities(), st.floats(0, 0.15), st.booleans()),
+        min_size=1,
+        max_size=6,
+    ),
+)
+def test_callers_get_addresses_whatever_zones_have_lost(
+    before: dict[str, float],
+    changes: list[tuple[list[ZoneCapacity], float, bool]],
+) -> None:
+    """Guards against look-ups that fail where the shares sum to zero."""
+    shares = before
+    for capacities, max_step, is_ramping in changes:
+        target = compute_zone_shares(capacities)['pnw-a']
+        shares = (
+            ramp_shares(shares, target, capacities, max_step)
+            if is_ramping
+            else target
+        )
+        assert sum(shares.values()) == pytest.approx(1)
+        entries = {each.zone: each.entries for each in capacities}
+        listed = list_entries('pnw-a', shares, entries)
+        assert bool(listed) == any(entries.values())
+        zones = {address.partition(':')[0] for address in listed}
+        assert zones <= (_zones_with_capacity(capacities) or set(entries))
+
+
 def test_all_are_listed_where_no_zone_carries() -> None:
     """Without upstreams callers still get addresses of instances."""
     listed = list_entries('a', {}, {'a': ('1:1',), 'b': ('2:1',)})
@@ -97,6 +142,10 @@
     assert step == {'nc-a': 1}
 
 
+def _zones_with_capacity(capacities: list[ZoneCapacity]) -> set[str]:
+    return {each.zone for each in capacities if each.slots and each.entries}
+
+
 def _normalized(shares: dict[str, float]) -> dict[str, float]:
     total = sum(shares.values())
     return {zone: share / total for zone, share in shares.items()}
