Refuse a window of repeats without length

What callers would see: 500 for each request, as the window of repeats is divided into slices and the clock by a slice. A settings file with `window = 0s`, or so short that a slice rounds to nothing, was accepted.

Found when all divisions were read for the one in ramp_shares; it is the only divisor that a setting, a document or a record could make 0. Ruled out: other durations of the settings may be 0, as nothing is divided by them.

The setting is refused at the start with its place and what is allowed. The two cases of the new test fail before the change and pass after it; `make check` passes.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_settings.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_settings.py
@@ -14,6 +14,7 @@
     FRACTION_RULE,
     LABEL_RULE,
     NUMBER_RULE,
+    WINDOW_RULE,
     Field,
     find_unknown_keys,
     parse_ini,
@@ -26,6 +27,7 @@
     read_label,
     read_level,
     read_number,
+    read_window,
 )
 
 ZONES_SECTION = 'zones'
@@ -135,7 +137,7 @@
             'repeats', 'ratio', read_number, NUMBER_RULE, '0.2'
         ),
         'repeat_window': Field(
-            'repeats', 'window', read_duration, DURATION_RULE, '10s'
+            'repeats', 'window', read_window, WINDOW_RULE, '10s'
         ),
         'repeat_extra': Field('repeats', 'extra', int, COUNT_RULE, '0'),
         'shift_most': Field(
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/ini.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/ini.py
@@ -96,6 +96,7 @@
 COUNT_RULE = 'a whole number above 0'
 
 DURATION_RULE = 'a number with its unit, for example 250ms or 2.5s'
+WINDOW_RULE = 'a duration of at least 1ms, for example 250ms or 2.5s'
 NUMBER_RULE = 'a number of at least 0'
 FRACTION_RULE = 'a number from 0 to 1'
 
@@ -108,6 +109,14 @@
     return float(match[1]) * _UNITS[match[2]]
 
 
+def read_window(text: str) -> timedelta:
+    """Reads the length of a window, by which rates are divided."""
+    window = read_duration(text)
+    if window < _UNITS['ms']:
+        raise ValueError
+    return window
+
+
 def read_number(text: str) -> float:
     """Reads a number of at least 0."""
     number = float(text)
--- a/tests/unit/gateway/test_gateway_settings.py
+++ b/tests/unit/gateway/test_gateway_settings.py
@@ -42,6 +42,16 @@
     assert settings.zone_charge == timedelta(milliseconds=60)
 
 
+@pytest.mark.parametrize('window', ['0s', '0.004ms'])
+def test_a_window_without_length_is_refused(
+    tmp_path: Path, window: str
+) -> None:
+    """Guards against a division by zero in each request."""
+    text = _text().replace('extra = 100', f'extra = 100\nwindow = {window}')
+    with pytest.raises(SettingsInvalid, match='window'):
+        read_gateway_settings(_write(tmp_path, text))
+
+
 def test_distances_are_those_of_the_deployment(tmp_path: Path) -> None:
     """The round trips and charges between zones and regions are settings."""
     text = _text() + '\n[distances]\nregion_trip = 9ms\nzone_charge = 0ms\n'
