Estimate costs as numbers, and make a candidate of the cheapest only

Cause: without a home in its own pool, a request is weighed at every upstream of the service. Each of them cost five readings of the clock, a look-up of the run times, durations in several objects, a candidate and a hash.

Change: a choice is made at one time; what is the same for the upstreams of a zone or for the whole request is computed once, costs are numbers of microseconds, and only the cheapest upstream becomes a candidate. The hash is taken only among equal costs.

--- a/packages/lycheedyke/src/lycheedyke/state/_pools.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_pools.py
@@ -1,6 +1,6 @@
 """The home upstreams of objects: one upstream per object and pool."""
 
-from collections import Counter
+from collections import defaultdict
 from collections.abc import Mapping, Sequence
 from typing import NamedTuple
 
@@ -52,20 +52,24 @@
             object_key: the key of the object.
             states: the upstreams that may run its requests.
         """
-        sizes = Counter(state.record.zone for state in states)
-        best: dict[str, tuple[int, str]] = {}
+        names: defaultdict[str, list[str]] = defaultdict(list)
         for state in states:
-            name = state.record.name
-            pool = self._pool(state.record.zone, sizes)
-            ranked = (rendezvous_hash(object_key, name), name)
-            best[pool] = max(ranked, best.get(pool, ranked))
-        pools = {zone: self._pool(zone, sizes) for zone in self._regions}
+            names[state.record.zone].append(state.record.name)
+        pools: defaultdict[str, list[str]] = defaultdict(list)
+        for each, in_zone in names.items():
+            pools[self._pool(each, names)].extend(in_zone)
+        homes = {
+            pool: _find_home(object_key, in_pool)
+            for pool, in_pool in pools.items()
+        }
         return {
-            zone: best[pool][1] for zone, pool in pools.items() if pool in best
+            zone: homes[self._pool(zone, names)]
+            for zone in self._regions
+            if self._pool(zone, names) in homes
         }
 
-    def _pool(self, zone: str, sizes: Mapping[str, int]) -> str:
-        if sizes.get(zone, 0) >= MIN_POOL_SIZE:
+    def _pool(self, zone: str, names: Mapping[str, Sequence[str]]) -> str:
+        if len(names.get(zone, ())) >= MIN_POOL_SIZE:
             return zone
         return self._regions.get(zone, zone)
 
@@ -73,3 +77,7 @@
 def rendezvous_hash(object_key: str, upstream: str) -> int:
     """Returns the rendezvous hash of an object and an upstream."""
     return xxhash.xxh64_intdigest(f'{object_key} {upstream}'.encode())
+
+
+def _find_home(object_key: str, names: Sequence[str]) -> str:
+    return max((rendezvous_hash(object_key, name), name) for name in names)[1]
--- a/packages/lycheedyke/src/lycheedyke/state/_selection.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_selection.py
@@ -5,7 +5,7 @@
 and to other upstreams only if the home cannot get them.
 """
 
-from collections.abc import Callable, Collection, Mapping
+from collections.abc import Callable, Collection, Mapping, Sequence
 from datetime import timedelta
 from typing import NamedTuple
 
@@ -16,6 +16,7 @@
 from lycheedyke.state._warmup_limiter import WarmupLimiter, permit_interval
 
 ZERO = timedelta()
+MICROSECOND = timedelta(microseconds=1)
 # Cold upstreams run requests at about half speed.
 COLD_FACTOR = 2
 # The probability that an upstream knows an object: at its home in the pool of
@@ -148,34 +149,36 @@
             request: the request to send.
             excluded: the names of upstreams that must not be chosen.
         """
+        now = self._upstreams.elapsed()
         candidates = [
             state
             for state in self._upstreams.usable(request.service)
             if state.record.name not in excluded
-            and self._may_run(request.route, state)
         ]
+        if request.route.homes:
+            candidates = [
+                state
+                for state in candidates
+                if self._may_run(request.route, state)
+            ]
         homes: Mapping[str, str] = {}
         if request.object_key:
             homes = self._pools.homes(request.object_key, candidates)
-        ready = [state for state in candidates if self._may_send(state)]
+        ready = [state for state in candidates if self._may_send(state, now)]
         home = homes.get(self._location.zone)
         at_home = [state for state in ready if state.record.name == home]
-        return min(
-            (
-                self._evaluate(request, state, homes)
-                for state in at_home or ready
-            ),
-            key=lambda candidate: self._cost(request, candidate),
-            default=None,
+        estimator = _Estimator(
+            request, self._times, self._location, self._distances, homes, now
         )
+        return estimator.cheapest(at_home or ready)
 
     def acquire_permit(self, state: UpstreamState) -> None:
         """Acquires the send permit of an upstream, if it is cold."""
         if state.is_cold:
             self._limiter.acquire(state.record.name, self._period(state))
 
-    def _may_send(self, state: UpstreamState) -> bool:
-        if not state.is_cold:
+    def _may_send(self, state: UpstreamState, now: timedelta) -> bool:
+        if not state.is_cold_at(now):
             self._limiter.forget(state.record.name)
             return True
         return self._limiter.is_due(state.record.name, self._period(state))
@@ -185,57 +188,111 @@
         return permit_interval(self._instances(), rate)
 
     def _may_run(self, route: Route, state: UpstreamState) -> bool:
-        if not route.homes:
-            return True
         return self._location.regions.get(state.record.zone, '') in route.homes
 
-    def _evaluate(
+
+class _Estimator:
+    """Estimates the times and costs of one request at upstreams.
+
+    There may be hundreds of upstreams for each choice. So what is the same
+    for all upstreams of a zone is computed once, costs are numbers, and only
+    the cheapest upstream becomes a candidate.
+
+    Args:
+        request: the request.
+        times: the run times of requests.
+        location: the location of this instance.
+        distances: the costs of other zones and regions.
+        homes: the home of the request's object in each zone.
+        now: the time of the choice.
+    """
+
+    def __init__(
         self,
         request: Request,
-        state: UpstreamState,
+        times: RunTimeStats,
+        location: Location,
+        distances: Distances,
         homes: Mapping[str, str],
-    ) -> Candidate:
-        record = state.record
-        run_times = self._times.of_route(request.route, request.service)
-        known = self._known_probability(request, state, homes)
-        run = run_times.cold - (run_times.cold - run_times.warm) * known
-        if state.is_cold:
-            run *= COLD_FACTOR
-        load = state.load
+        now: timedelta,
+    ) -> None:
+        run_times = times.of_route(request.route, request.service)
+        self._object_key = request.object_key
+        self._location = location
+        self._distances = distances
+        self._homes = homes
+        self._home = homes.get(location.zone)
+        self._now = now
+        self._cold = run_times.cold / MICROSECOND
+        self._warm = run_times.warm / MICROSECOND
+        self._mean = times.of_service(request.service) / MICROSECOND
+        self._zone_costs: dict[str, float] = {}
+
+    def cheapest(self, states: Sequence[UpstreamState]) -> Candidate | None:
+        """Returns the upstream with the lowest cost, or None without any.
+
+        Among upstreams of the same cost, the rendezvous hash decides.
+        """
+        if not states:
+            return None
+        costs = [self._cost(state) for state in states]
+        least = min(costs)
+        tied = [
+            state
+            for state, cost in zip(states, costs, strict=True)
+            if cost == least
+        ]
+        return self._candidate(max(tied, key=self._rank))
+
+    def _rank(self, state: UpstreamState) -> int:
+        return rendezvous_hash(self._object_key, state.record.name)
+
+    def _candidate(self, state: UpstreamState) -> Candidate:
+        known = self._known_probability(state)
         return Candidate(
             state,
-            self._wait(request.service, state, load),
-            run * state.slowness,
-            self._round_trip(record.zone),
+            self._wait(state) * MICROSECOND,
+            self._run(state, known) * MICROSECOND,
+            self._round_trip(state.record.zone),
             known,
-            load,
+            state.load_at(self._now),
         )
 
-    def _wait(
-        self,
-        service: str,
-        state: UpstreamState,
-        load: float,
-    ) -> timedelta:
+    def _cost(self, state: UpstreamState) -> int:
+        """Returns the cost in microseconds."""
+        zone = state.record.zone
+        cost = self._zone_costs.get(zone)
+        if cost is None:
+            cost = (self._round_trip(zone) + self._charge(zone)) / MICROSECOND
+            self._zone_costs[zone] = cost
+        run = self._run(state, self._known_probability(state))
+        cost += self._wait(state) + run
+        if self._object_key:
+            cost += (run - self._warm) * SLOT_COST_SHARE
+        return round(cost)
+
+    def _run(self, state: UpstreamState, known: float) -> float:
+        run = self._cold - (self._cold - self._warm) * known
+        if state.is_cold_at(self._now):
+            run *= COLD_FACTOR
+        return run * state.slowness_at(self._now)
+
+    def _wait(self, state: UpstreamState) -> float:
         slots = state.record.slots
-        ahead = max(0, load - slots + 1)
-        mean = self._times.of_service(service)
-        return ahead / slots * mean * state.slowness
+        ahead = state.load_at(self._now) - slots + 1
+        if ahead <= 0:
+            return 0
+        return ahead / slots * self._mean * state.slowness_at(self._now)
 
-    def _known_probability(
-        self,
-        request: Request,
-        state: UpstreamState,
-        homes: Mapping[str, str],
-    ) -> float:
-        if not request.object_key:
+    def _known_probability(self, state: UpstreamState) -> float:
+        if not self._object_key:
             return 0
         record = state.record
-        if homes.get(self._location.zone) == record.name:
+        if self._home == record.name:
             return KNOWN_AT_HOME
-        if state.is_warm(request.object_key):
+        if state.is_warm(self._object_key):
             return KNOWN_RECENTLY
-        if homes.get(record.zone) == record.name:
+        if self._homes.get(record.zone) == record.name:
             return KNOWN_AT_FAR_HOME
         return KNOWN_ELSEWHERE
 
@@ -246,20 +303,12 @@
             return self._distances.zone
         return self._distances.region
 
-    def _cost(
-        self, request: Request, candidate: Candidate
-    ) -> tuple[timedelta, int]:
-        zone = candidate.state.record.zone
-        charge = ZERO
+    def _charge(self, zone: str) -> timedelta:
         if self._location.regions.get(zone) != self._location.region:
-            charge = self._distances.region_charge
-        elif zone != self._location.zone:
-            charge = self._distances.zone_charge
-        if request.object_key:
-            run_times = self._times.of_route(request.route, request.service)
-            charge += (candidate.run - run_times.warm) * SLOT_COST_SHARE
-        rank = rendezvous_hash(request.object_key, candidate.state.record.name)
-        return candidate.expected + charge, -rank
+            return self._distances.region_charge
+        if zone != self._location.zone:
+            return self._distances.zone_charge
+        return ZERO
 
 
 def record_run_time(
--- a/packages/lycheedyke/src/lycheedyke/state/_upstreams.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_upstreams.py
@@ -69,7 +69,7 @@
     @property
     def is_cold(self) -> bool:
         """Whether the upstream is cold and can handle only a low rate."""
-        return self._clock.elapsed() < self._cold_until
+        return self.is_cold_at(self._clock.elapsed())
 
     @property
     def is_lost(self) -> bool:
@@ -79,21 +79,41 @@
     @property
     def is_ejected(self) -> bool:
         """Whether the upstream is excluded now because of its failures."""
-        if self._ejected_until is None:
-            return False
-        return self._clock.elapsed() < self._ejected_until or self.in_flight > 0
+        return self.is_ejected_at(self._clock.elapsed())
 
     @property
     def load(self) -> float:
         """The estimated number of requests that run or wait there."""
-        age = (self._clock.elapsed() - self._other_load_at) / LOAD_DECAY_TIME
-        return self.in_flight + self._other_load * math.exp(-age)
+        return self.load_at(self._clock.elapsed())
 
     @property
     def slowness(self) -> float:
         """The ratio of its run times to those of other upstreams."""
-        age = (self._clock.elapsed() - self._slowness_at) / SLOWNESS_DECAY_TIME
-        return 1 + max(0, self._slowness - 1) * math.exp(-age)
+        return self.slowness_at(self._clock.elapsed())
+
+    def is_cold_at(self, now: timedelta) -> bool:
+        """Returns whether the upstream is cold at a time of the clock."""
+        return now < self._cold_until
+
+    def is_ejected_at(self, now: timedelta) -> bool:
+        """Returns whether its failures exclude it at a time of the clock."""
+        if self._ejected_until is None:
+            return False
+        return now < self._ejected_until or self.in_flight > 0
+
+    def load_at(self, now: timedelta) -> float:
+        """Returns the load at a time of the clock."""
+        if not self._other_load:
+            return float(self.in_flight)
+        age = (now - self._other_load_at) / LOAD_DECAY_TIME
+        return self.in_flight + self._other_load * math.exp(-age)
+
+    def slowness_at(self, now: timedelta) -> float:
+        """Returns the slowness at a time of the clock."""
+        if self._slowness <= 1:
+            return 1
+        age = (now - self._slowness_at) / SLOWNESS_DECAY_TIME
+        return 1 + (self._slowness - 1) * math.exp(-age)
 
     def record_slowness(self, took: timedelta, expected: timedelta) -> None:
         """Records how long a request ran, and how long was expected."""
@@ -221,6 +241,10 @@
         """Returns the number of upstreams."""
         return len(self._states)
 
+    def elapsed(self) -> timedelta:
+        """Returns the time of the clock of the states."""
+        return self._clock.elapsed()
+
     def all(self) -> tuple[UpstreamState, ...]:
         """Returns all upstreams, including those that get no requests."""
         return tuple(self._states.values())
@@ -258,11 +282,13 @@
 
         Failing and slow upstreams are excluded while any others are serving.
         """
+        now = self._clock.elapsed()
         serving = self.serving(service)
         healthy = [
             state
             for state in serving
-            if not state.is_ejected and state.slowness < SLOWNESS_LIMIT
+            if not state.is_ejected_at(now)
+            and state.slowness_at(now) < SLOWNESS_LIMIT
         ]
         return healthy or serving
 
