--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/crashes.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/crashes.py
@@ -41,6 +41,7 @@
         self.alone = False
         self.users = 0
         self.check: asyncio.Task[None] | None = None
+        self.checked: tuple[_Request, ...] = ()
         self._waiters: list[asyncio.Future[None]] = []
 
     def add(self, request: _Request, *, alone: bool) -> None:
@@ -64,6 +65,32 @@
         await waiter
 
 
+class _SharedReport:
+    """Sends one report at a time, for all requests that wait for one.
+
+    When a zone fails, many exchanges break at the same moment. A request waits
+    for a report that starts after its crash was recorded; so all that break
+    while a report is being sent share the next one.
+    """
+
+    def __init__(self, send: Callable[[], Awaitable[None]]) -> None:
+        self._send = send
+        self._next: asyncio.Task[None] | None = None
+        self._sending = asyncio.Lock()
+        self._tasks = DetachedTasks()
+
+    async def send(self) -> None:
+        """Waits until a report has been sent that starts after this call."""
+        if self._next is None:
+            self._next = self._tasks.start(self._send_next())
+        await asyncio.shield(self._next)
+
+    async def _send_next(self) -> None:
+        async with self._sending:
+            self._next = None
+            await self._send()
+
+
 class CrashGuard:
     """Isolates suspect requests, and detects crashes of upstreams.
 
@@ -74,7 +101,7 @@
         suspects: the suspects that this instance knows.
         report: sends the suspects to peers. It is awaited before the
             outcome of a crash is returned, so that peers know the suspects
-            before a retry reaches them.
+            before a retry reaches them. Crashes at the same time share it.
         counters: counts crashes and refusals.
     """
 
@@ -86,7 +113,7 @@
     ) -> None:
         """Initializes the guard."""
         self._suspects = suspects
-        self._report = report
+        self._report = _SharedReport(report)
         self._counters = counters
         self._upstreams: dict[str, _InFlight] = {}
         self._checks = DetachedTasks()
@@ -178,29 +205,29 @@
             self._suspects.record_success(request.fingerprint)
         if outcome != Unknown(Reason.upstream_broke):
             return
-        if in_flight.check is None or in_flight.check.done():
-            fingerprints = tuple(
-                each.fingerprint for each in in_flight.requests
-            )
+        # One crash breaks all exchanges, which share a check.
+        if in_flight.check is None or request not in in_flight.checked:
+            in_flight.checked = tuple(in_flight.requests)
             in_flight.check = self._checks.start(
-                self._check_crash(upstream, address, fingerprints)
+                self._check_crash(upstream, address, in_flight.checked)
             )
         # The caller may leave before the check ends; the crash counts all
         # the same.
         await asyncio.shield(in_flight.check)
 
     async def _check_crash(
-        self, upstream: str, address: str, fingerprints: tuple[str, ...]
+        self, upstream: str, address: str, requests: tuple[_Request, ...]
     ) -> None:
         if not await _is_dead(address):
             return
+        fingerprints = tuple(request.fingerprint for request in requests)
         self._counters.count('upstream.crashed')
         _logger.warning(
             'upstream crashed',
             extra={'upstream': upstream, 'fingerprints': fingerprints},
         )
         self._suspects.record_crash(fingerprints, upstream)
-        await self._report()
+        await self._report.send()
 
 
 def _is_success(outcome: Outcome) -> bool:
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_peer_updates.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_peer_updates.py
@@ -76,7 +76,6 @@
         self._counters = counters
         self._clock = clock
         self._silent_until: dict[str, timedelta] = {}
-        self._sending_suspects = asyncio.Lock()
         self._sent_revision = 0
         self._http = HttpClient(
             max_body_bytes=MAX_UPDATE_BYTES,
@@ -127,20 +126,17 @@
     async def send_suspects(self) -> None:
         """Sends the suspects to all peers, unless they know them already.
 
-        Of several calls at the same time, one sends for all that wait. Peers
-        answer with what they know to speak for a suspect, which is then sent
-        to all as well.
+        Peers answer with what they know to speak for a suspect, which is then
+        sent to all as well.
         """
-        wanted = self._suspects.revision
-        async with self._sending_suspects:
-            while self._sent_revision < wanted:
-                reported = self._suspects.report_changes(self._sent_revision)
-                self._sent_revision = self._suspects.revision
-                answers = await self._send_to_all(
-                    SUSPECTS_PATH, msgspec.msgpack.encode(reported)
-                )
-                if self._merge_corrections(answers):
-                    wanted = self._suspects.revision
+        is_new = self._sent_revision < self._suspects.revision
+        while is_new:
+            reported = self._suspects.report_changes(self._sent_revision)
+            self._sent_revision = self._suspects.revision
+            answers = await self._send_to_all(
+                SUSPECTS_PATH, msgspec.msgpack.encode(reported)
+            )
+            is_new = self._merge_corrections(answers)
 
     async def announce_leaving(self) -> None:
         """Notifies all peers that this instance stops soon.
