Crash upstreams in the soak, by one request sent again and by chance

Change: - One request with the same path, caller and body, a new id and sometimes another query goes to any instance for the whole run; a read or an order, by seed. Each upstream that runs it ends, its address refuses connections, and it is back after one to three seconds, mostly under a new name, at the same or another address, cold or not. - One, two or five upstreams at a time crash at whatever request comes next. - Callers send the same few paths again, so that a request that crashes nothing can be condemned at all. - Checks: at most three arrivals later than 4 s after the third crash. Excused are senders that had a kill, freeze, stop, start or broken link or a broken store in the 4 s before, and harmed links to the upstream; a delay of the sender's links and a shorter history of the store are not. The fault `lose` of the store ends with its record; before, up to two answers were lost at any time after it. - The records of a run have a module of their own.

--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -12,9 +12,11 @@
 import aiohttp
 import defopt
 
-from bench.soak.checks import Observations, find_violations
+from bench.soak.checks import find_violations
+from bench.soak.crashes import CrashInjector
 from bench.soak.faults import FaultInjector
-from bench.soak.load_generator import LoadGenerator
+from bench.soak.load_generator import LoadGenerator, make_call
+from bench.soak.observations import Observations
 from bench.soak.testbed import Testbed
 
 POLL_SECONDS = 0.5
@@ -38,6 +40,9 @@
         """Initializes the run; `run` starts it."""
         self.load_generator = LoadGenerator(testbed, random.Random(seed))
         self.fault_injector = FaultInjector(testbed, random.Random(seed))
+        self.crash_injector = CrashInjector(
+            testbed, self.load_generator, random.Random(f'crashes {seed}')
+        )
         self._testbed = testbed
         self._versions: dict[tuple[str, float], int] = {}
         self._violations: list[str] = []
@@ -50,11 +55,13 @@
             callers: the number of callers.
         """
         calling = asyncio.create_task(self.load_generator.run(callers))
+        crashing = asyncio.create_task(self.crash_injector.run(seconds))
         watching = asyncio.create_task(self._poll_versions())
         await self.fault_injector.run(seconds)
         await asyncio.sleep(SETTLE_SECONDS)
         self.load_generator.stop()
         await calling
+        await crashing
         watching.cancel()
         await self._probe_instances()
         observations = Observations(
@@ -66,13 +73,23 @@
                 name: self._testbed.links[f'callers {name}'].failed_connects
                 for name in self._testbed.instances
             },
+            self._testbed.crashing_path,
         )
-        return [*self._violations, *find_violations(observations)]
+        return [
+            *self._violations,
+            *self.load_generator.bad_lookups,
+            *find_violations(observations),
+        ]
 
     def report(self) -> None:
         """Prints the numbers of injected faults and of results by kind."""
         injected = Counter(each.kind for each in self.fault_injector.injected)
         print('faults:', ', '.join(f'{k} {n}' for k, n in injected.items()))
+        print(
+            f'crashes: {self.crash_injector.crash_count}; '
+            f'request to {self._testbed.crashing_path}: '
+            f'{self._count_crashing_runs()} runs'
+        )
         outcomes = Counter(
             each.status or each.error for each in self.load_generator.results
         )
@@ -81,6 +98,12 @@
             ', '.join(f'{k}: {n}' for k, n in outcomes.most_common()),
         )
 
+    def _count_crashing_runs(self) -> int:
+        return sum(
+            len(each.arrivals_at(self._testbed.crashing_path))
+            for each in self._testbed.upstreams
+        )
+
     async def _poll_versions(self) -> None:
         """Polls the configuration version of all instances until cancelled."""
         async with aiohttp.ClientSession() as http:
@@ -138,7 +161,7 @@
                 for at in range(PROBES_PER_INSTANCE):
                     request = f'probe-{name}-{at}'
                     result = await self.load_generator.send(
-                        http, name, request, rng
+                        http, name, make_call(request, rng)
                     )
                     self.load_generator.results.append(result)
                     if result.status != HTTP_OK:
--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -1,18 +1,18 @@
 """Checks the guarantees of the service against the records of a soak test."""
 
 from collections import Counter, defaultdict
-from collections.abc import Iterator, Mapping, Sequence
-from typing import NamedTuple
+from collections.abc import Iterator
 
-from bench.soak.faults import InjectedFault, PlannedStop
+from bench.soak.crash_checks import find_crash_violations
+from bench.soak.echo_upstream import EchoUpstream
 from bench.soak.load_generator import REFUSALS, CallResult
+from bench.soak.observations import Observations
 from bench.soak.testbed import (
     COLD_PER_S,
     COLD_SECONDS,
     RETRY_EXTRA,
     RETRY_RATIO,
     RETRY_WINDOW_SECONDS,
-    EchoUpstream,
 )
 
 MAX_ATTEMPTS = 2
@@ -24,55 +24,9 @@
 # A request that was sent within this time of the exit of its instance may have
 # been lost with the connection.
 CONNECTION_LOSS_SECONDS = 0.2
-# A fault may affect requests for this long after it has ended.
-FAULT_EFFECT_SECONDS = 2.0
 HTTP_OK = 200
 
 
-class Observations(NamedTuple):
-    """Records of one run of the soak test.
-
-    All times are in seconds of the monotonic clock.
-
-    Attributes:
-        results: results of all calls.
-        upstreams: all upstreams with the requests that they received.
-        injected: the injected faults.
-        stops: the planned stops.
-        failed_connects: times at which connecting to the caller port of an
-            instance failed, by instance.
-    """
-
-    results: Sequence[CallResult]
-    upstreams: Sequence[EchoUpstream]
-    injected: Sequence[InjectedFault]
-    stops: Sequence[PlannedStop]
-    failed_connects: Mapping[str, Sequence[float]]
-
-    def overlaps_fault(
-        self,
-        kinds: Sequence[str],
-        name: str,
-        started: float,
-        ended: float,
-    ) -> bool:
-        """Returns whether a fault or its effects overlap a period.
-
-        Args:
-            kinds: prefixes of the kinds of faults to consider.
-            name: suffix of the name of the faulted target; '' for all.
-            started: start of the period.
-            ended: end of the period.
-        """
-        return any(
-            each.kind.startswith(tuple(kinds))
-            and (not name or each.name.endswith(name))
-            and each.started <= ended
-            and started <= each.ended + FAULT_EFFECT_SECONDS
-            for each in self.injected
-        )
-
-
 def find_violations(observations: Observations) -> Iterator[str]:
     """Yields a line for each violated guarantee."""
     runs: Counter[str] = Counter()
@@ -85,6 +39,7 @@
         yield from _find_late_requests(observations, upstream)
         yield from _find_cold_overload(upstream)
     yield from _find_excess_retries(observations)
+    yield from find_crash_violations(observations)
     for stop in observations.stops:
         if stop.exit_status:
             yield (
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -7,7 +7,8 @@
 from collections.abc import Callable, Coroutine
 from typing import NamedTuple
 
-from bench.soak.testbed import ROUTES, EchoUpstream, Testbed
+from bench.soak.echo_upstream import EchoUpstream
+from bench.soak.testbed import ROUTES, Testbed
 from standins.relay import Relay
 
 PAUSE_SECONDS = (0.2, 1.2)
@@ -153,9 +154,11 @@
         if name is None:
             return
         process = self._testbed.processes[name]
+        started = time.monotonic()
         for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGTERM):
             process.send_signal(number)
             await asyncio.sleep(self._rng.uniform(0, 0.5))
+        self._record('signals', name, started)
         await self._stop_instance(name)
 
     async def _stop_instance(self, name: str) -> None:
@@ -222,6 +225,7 @@
         store.down = False
         store.silent = False
         store.write_delay_s = 0
+        store.lose_writes = 0
         self._record(f'store {kind}', 'store', started)
         self._claimed.discard('store')
 
@@ -270,7 +274,10 @@
         )
 
     async def _script_upstream(self) -> None:
-        upstream = self._rng.choice(self._serving())
+        serving = self._serving()
+        if not serving:
+            return
+        upstream = self._rng.choice(serving)
         for _ in range(self._rng.randint(1, 6)):
             upstream.script.append(self._rng.choice(UPSTREAM_FAULTS))
 
--- a/bench/soak/load_generator.py
+++ b/bench/soak/load_generator.py
@@ -4,6 +4,7 @@
 import json
 import random
 import time
+from types import MappingProxyType
 from typing import NamedTuple
 
 import aiohttp
@@ -14,10 +15,31 @@
 ANSWER_MARGIN_SECONDS = 0.6
 LOOKUP_INTERVAL_SECONDS = 2.0
 OBJECT_KEY_COUNT = 12
+ORDER_SHARE = 0.3
+PREFIXES = MappingProxyType({False: '/read/', True: '/order/'})
+REPEATED_PATHS = 5
 REFUSALS = frozenset((404, 408, 421, 429, 503))
 MAX_PAUSE_SECONDS = 0.1
 
 
+class Call(NamedTuple):
+    """A request that a caller sends.
+
+    Attributes:
+        request: the request id.
+        is_order: whether the request is an order, which may run at most once.
+        path: its path; '' for the id below the prefix of its route.
+        query: its query with the question mark, or ''.
+        object_key: the object that it concerns.
+    """
+
+    request: str
+    is_order: bool
+    path: str = ''
+    query: str = ''
+    object_key: int = 0
+
+
 class CallResult(NamedTuple):
     """Result of one call, as the caller observed it.
 
@@ -30,6 +52,8 @@
         status: HTTP status of the response; 0 if there was none.
         response_id: request id in the body of the response; '' if none.
         is_sealed: whether the response has the seal header of an upstream.
+        path: the path of the request.
+        reason: the body of a response without seal.
         error: type name of the exception if there was no response.
     """
 
@@ -41,6 +65,8 @@
     status: int
     response_id: str
     is_sealed: bool
+    path: str
+    reason: str
     error: str
 
 
@@ -55,10 +81,10 @@
     def __init__(self, testbed: Testbed, rng: random.Random) -> None:
         """Initializes the load generator; `run` starts the callers."""
         self.results: list[CallResult] = []
-        self.paths = {False: '/read/', True: '/order/'}
+        self.bad_lookups: list[str] = []
         self._testbed = testbed
         self._rng = rng
-        self._is_running = True
+        self.is_running = True
         self._names_by_address = {
             f'127.0.0.1:{spec.ports[0]}': spec.name
             for spec in testbed.instances.values()
@@ -76,54 +102,54 @@
 
     def stop(self) -> None:
         """Stops each caller after its current request."""
-        self._is_running = False
+        self.is_running = False
 
     async def send(
         self,
         http: aiohttp.ClientSession,
         name: str,
-        request: str,
-        rng: random.Random,
+        call: Call,
     ) -> CallResult:
         """Sends one request to an instance; returns the result."""
-        is_order = rng.random() < 0.3
+        path = call.path or f'{PREFIXES[call.is_order]}{call.request}'
         sent = time.monotonic()
         status = 0
-        response_id = ''
+        body = b''
         is_sealed = False
         error = ''
         address = self._testbed.instances[name].caller_address
         limit = DEADLINE_MS / 1000 + ANSWER_MARGIN_SECONDS
         try:
             async with http.request(
-                'POST' if is_order else 'GET',
-                f'http://{address}{self.paths[is_order]}{request}',
-                data=b'x' * 300 if is_order else None,
+                'POST' if call.is_order else 'GET',
+                f'http://{address}{path}{call.query}',
+                data=b'x' * 300 if call.is_order else None,
                 headers={
                     'Host': 'shop.example',
-                    'Lycheedyke-Request-Id': request,
+                    'Lycheedyke-Request-Id': call.request,
                     'Lycheedyke-Deadline-Ms': str(DEADLINE_MS),
-                    'Cookie': 'Lycheedyke-Affinity-Key='
-                    f'{rng.randrange(OBJECT_KEY_COUNT)}',
+                    'Cookie': f'Lycheedyke-Affinity-Key={call.object_key}',
                 },
                 timeout=aiohttp.ClientTimeout(total=limit),
             ) as response:
                 status = response.status
                 is_sealed = 'Lycheedyke-Server-Seal' in response.headers
-                response_id = _read_id(await response.read())
+                body = await response.read()
         except (aiohttp.ClientError, TimeoutError, OSError) as failure:
             error = type(failure).__name__
             status = 0
         ended = time.monotonic()
         return CallResult(
-            request,
+            call.request,
             name,
-            is_order,
+            call.is_order,
             sent,
             ended,
             status,
-            response_id,
+            _read_id(body),
             is_sealed,
+            path,
+            '' if is_sealed else body.decode(errors='replace'),
             error,
         )
 
@@ -135,13 +161,20 @@
             names: list[str] = []
             last_lookup = -LOOKUP_INTERVAL_SECONDS
             count = 0
-            while self._is_running:
+            while self.is_running:
                 if time.monotonic() - last_lookup > LOOKUP_INTERVAL_SECONDS:
                     names = await self._look_up(http, zone, rng) or names
                     last_lookup = time.monotonic()
                 count += 1
                 name = rng.choice(names or sorted(self._testbed.instances))
-                result = await self.send(http, name, f'c{caller}-{count}', rng)
+                call = make_call(f'c{caller}-{count}', rng)
+                # Callers send the same few requests again.
+                path = f'c{caller}/{count % REPEATED_PATHS}'
+                result = await self.send(
+                    http,
+                    name,
+                    call._replace(path=f'{PREFIXES[call.is_order]}{path}'),
+                )
                 self.results.append(result)
                 pause = rng.random() * MAX_PAUSE_SECONDS
                 await asyncio.sleep(pause if result.status else 0.2)
@@ -162,10 +195,24 @@
             async with http.get(
                 url, timeout=aiohttp.ClientTimeout(total=0.5)
             ) as response:
-                found = json.loads(await response.read())['addrs']
+                body = await response.read()
         except (aiohttp.ClientError, TimeoutError, OSError):
             return []
-        return [self._names_by_address[address] for address in found]
+        try:
+            found = json.loads(body)['addrs']
+            return [self._names_by_address[address] for address in found]
+        except (ValueError, KeyError, TypeError):
+            self.bad_lookups.append(
+                f'look-up at {spec.name} was answered with '
+                f'{response.status} {body!r}'
+            )
+            return []
+
+
+def make_call(request: str, rng: random.Random) -> Call:
+    """Returns a request with a random type and object."""
+    is_order = rng.random() < ORDER_SHARE
+    return Call(request, is_order, object_key=rng.randrange(OBJECT_KEY_COUNT))
 
 
 def _read_id(body: bytes) -> str:
--- a/bench/soak/testbed.py
+++ b/bench/soak/testbed.py
@@ -13,6 +13,7 @@
 
 from aiohttp import web
 
+from bench.soak.echo_upstream import EchoUpstream
 from standins.deployment import free_ports
 from standins.gateway_testbed import LOCATION_SETTINGS, PLATFORM_DIR
 from standins.registry_store import (
@@ -21,7 +22,6 @@
     upstream_value,
 )
 from standins.relay import Relay
-from standins.scripted_upstream import ScriptedUpstream
 
 ZONES = {'norr-a': 'norr', 'norr-b': 'norr', 'syd-a': 'syd'}
 INSTANCES_PER_ZONE = 2
@@ -67,26 +67,6 @@
 )
 
 
-class EchoUpstream(ScriptedUpstream):
-    """Upstream whose response bodies contain the id of the request.
-
-    Attributes:
-        left_at: when the store had acknowledged that the upstream leaves, or
-            when the upstream was killed; in seconds of the monotonic clock.
-        cold_from: start of the cold time, in seconds of the monotonic clock.
-    """
-
-    def __init__(self, name: str) -> None:
-        """Initializes the upstream; `open` starts it."""
-        super().__init__(name)
-        self.left_at: float | None = None
-        self.cold_from: float | None = None
-
-    def _make_body(self, headers: dict[str, str]) -> bytes:
-        request = headers['Lycheedyke-Request-Id']
-        return json.dumps({'ran': request, 'pad': 'x' * 200}).encode()
-
-
 class InstanceSpec(NamedTuple):
     """Name, zone, ports and relayed addresses of one instance.
 
@@ -141,6 +121,7 @@
             self.store.app(), access_log=None, shutdown_timeout=1
         )
         self._upstream_count = 0
+        self.crashing_path = f'{rng.choice(ROUTES)["prefix"]}crash'
 
     async def __aenter__(self) -> 'Testbed':
         """Starts all parts, and waits until the instances are ready."""
@@ -188,14 +169,28 @@
         port: int = 0,
         *,
         is_cold: bool = False,
+        name: str = '',
+        link_port: int = 0,
     ) -> EchoUpstream:
-        """Starts an upstream behind a link, and registers it."""
+        """Starts an upstream behind a link, and registers it.
+
+        Args:
+            zone: its zone.
+            port: its port; 0 selects a free port.
+            is_cold: whether it is cold at first.
+            name: its id; '' selects a new one.
+            link_port: the port of its link; 0 selects a free port.
+        """
         self._upstream_count += 1
-        upstream = EchoUpstream(f'i-{self._upstream_count}')
-        upstream.run_s = 0.02
+        upstream = EchoUpstream(name or f'i-{self._upstream_count}', zone)
+        upstream.crashes_on = self.crashing_path
         await upstream.open(port)
         self.upstreams.append(upstream)
-        address = await self._open_link(upstream.name, upstream.address)
+        address = await self._open_link(
+            upstream.name, upstream.address, link_port
+        )
+        upstream.link = self._servers[-1]
+        upstream.link_port = int(address.rpartition(':')[2])
         if is_cold:
             upstream.cold_from = time.monotonic()
         self.register(upstream, zone, address, is_cold=is_cold)
@@ -213,6 +208,7 @@
         value = upstream_value(
             'desk',
             address,
+            born=int(time.time() * 1000),
             zone=zone,
             slots=SLOTS,
             coldLeft=f'{COLD_SECONDS if is_cold else 0}s',
@@ -302,10 +298,10 @@
             name, zone, ports, callers, to_store
         )
 
-    async def _open_link(self, name: str, target: str) -> str:
+    async def _open_link(self, name: str, target: str, port: int = 0) -> str:
         link = Relay(target)
         self.links[name] = link
-        server = await asyncio.start_server(link.serve, '127.0.0.1', 0)
+        server = await asyncio.start_server(link.serve, '127.0.0.1', port)
         self._servers.append(server)
         host, port = server.sockets[0].getsockname()
         return f'{host}:{port}'
--- a/tests/standins/scripted_upstream.py
+++ b/tests/standins/scripted_upstream.py
@@ -33,8 +33,8 @@
         name: its id; requests that expect another instance get 421.
         script: names of the actions for the next requests.
         run_s: the run time of a request in seconds.
-        crashes_on: a target that ends the upstream once it begins to run, as
-            the action `crash` does.
+        crashes_on: a path that ends the upstream once a request for it begins
+            to run, as the action `crash` does.
         crashed: set when the upstream has ended.
         arrivals: all received requests, whether they ran or not.
         started: the ids of the requests that began to run.
@@ -117,7 +117,9 @@
         if headers.get('Lycheedyke-Expect-Instance') != self.name:
             await self._send(writer, headers, '421 Misdirected', '', b'')
             return True
-        if target == self.crashes_on or action == 'crash':
+        is_crashing = target.partition('?')[0] == self.crashes_on
+        if is_crashing or action == 'crash':
+            self.started.append(headers['Lycheedyke-Request-Id'])
             self._end = self._end or asyncio.create_task(self._crash())
             # Closing ends this task.
             await asyncio.Event().wait()
--- a/tests/unit/test_soak_checks.py
+++ b/tests/unit/test_soak_checks.py
@@ -5,12 +5,15 @@
 
 import pytest
 
-from bench.soak.checks import Observations, find_violations
+from bench.soak.checks import find_violations
+from bench.soak.echo_upstream import EchoUpstream
 from bench.soak.faults import InjectedFault, PlannedStop
 from bench.soak.load_generator import CallResult
-from bench.soak.testbed import EchoUpstream
+from bench.soak.observations import Observations
 from standins.scripted_upstream import Arrival
 
+CRASHING_PATH = '/read/crash'
+
 
 def _make_result(request: str = 'a', **changes: Any) -> CallResult:
     fields = {
@@ -21,6 +24,8 @@
         'status': 200,
         'response_id': request,
         'is_sealed': True,
+        'path': '/read/a',
+        'reason': '',
         'error': '',
         **changes,
     }
@@ -43,6 +48,22 @@
     return upstream
 
 
+def _make_crashed(
+    crashed_at: float | None, *arrived_at: float, expected: str = 'i-1'
+) -> EchoUpstream:
+    """Returns an upstream that received the crashing request."""
+    upstream = _make_upstream([], crashed_at=crashed_at)
+    headers = {
+        'Lycheedyke-Request-Id': 'crash-1',
+        'Lycheedyke-Expect-Instance': expected,
+    }
+    upstream.arrivals = [
+        Arrival('GET', f'{CRASHING_PATH}?at=1', headers, b'', at)
+        for at in arrived_at
+    ]
+    return upstream
+
+
 def _find_violations(
     results: Sequence[CallResult] = (),
     upstreams: Sequence[EchoUpstream] = (),
@@ -52,11 +73,19 @@
     refused: dict[str, list[float]] = {'edge-0': []}
     return list(
         find_violations(
-            Observations(results, upstreams, injected, stops, refused)
+            Observations(
+                results, upstreams, injected, stops, refused, CRASHING_PATH
+            )
         )
     )
 
 
+# The third crash is at 12 s, so three requests may arrive after 16 s.
+THREE_CRASHES = [_make_crashed(at, at - 0.1) for at in (10.0, 11.0, 12.0)]
+FOUR_LATE = [_make_crashed(None, 16.1, 17.0, 18.0, 19.0)]
+CRASHING_RESULT = _make_result(
+    'crash-1', is_order=False, status=502, is_sealed=False, path=CRASHING_PATH
+)
 LOST_RESPONSE = _make_result(status=0, error='ServerDisconnectedError')
 FIRST_ARRIVALS = [(f'r{at}', 10.0) for at in range(60)]
 RETRIES = [(request, 11.0) for request, _ in FIRST_ARRIVALS]
@@ -106,6 +135,14 @@
             ([], [], [], [PlannedStop('edge-0', 1, 2, 70)]),
             'exited with status 70',
         ),
+        (
+            ([CRASHING_RESULT], [*THREE_CRASHES, *FOUR_LATE]),
+            'the crashing request reached upstreams 4 times',
+        ),
+        (
+            ([_make_result(status=503, reason='quarantined')], []),
+            'a to /read/a was quarantined',
+        ),
     ],
 )
 def test_each_broken_promise_has_its_line(seen: Any, words: str) -> None:
@@ -123,6 +160,62 @@
     assert _find_violations([LOST_RESPONSE], [], [far, other])
 
 
+@pytest.mark.parametrize(
+    ('kind', 'name'),
+    [
+        ('kill', 'edge-0'),
+        ('signals', 'edge-0'),
+        ('link cut', 'store edge-0'),
+        ('link reset', 'callers edge-0'),
+        ('store lose', 'store'),
+        ('link delay', 'i-1'),
+    ],
+)
+def test_faults_excuse_late_retries_for_the_stable_time(
+    kind: str, name: str
+) -> None:
+    """Instances in touch only are bound, unless the upstream's link holds."""
+    seen = ([CRASHING_RESULT], [*THREE_CRASHES, *FOUR_LATE])
+    # The first of the four requests arrives at 16.1 s.
+    assert not _find_violations(*seen, [InjectedFault(kind, name, 12.0, 12.2)])
+    assert _find_violations(*seen, [InjectedFault(kind, name, 12.0, 12.0)])
+
+
+@pytest.mark.parametrize(
+    ('kind', 'name'),
+    [
+        ('kill', 'edge-1'),
+        ('link cut', 'store edge-1'),
+        ('link delay', 'callers edge-0'),
+        ('link delay', 'i-2'),
+        ('store forget', 'store'),
+        ('replace', 'i-1'),
+    ],
+)
+def test_other_faults_excuse_no_late_retries(kind: str, name: str) -> None:
+    """Others' faults, delays and a shorter history leave instances in touch."""
+    seen = ([CRASHING_RESULT], [*THREE_CRASHES, *FOUR_LATE])
+    assert _find_violations(*seen, [InjectedFault(kind, name, 9, 20)])
+
+
+def test_late_retries_are_counted_from_the_third_crash() -> None:
+    """Three may come late; upstreams that refuse a request do not count."""
+    three = _make_crashed(None, 15.9, 16.1, 17.0, 18.0)
+    elsewhere = _make_crashed(None, 17.0, 18.0, expected='i-2')
+    assert not _find_violations(
+        [CRASHING_RESULT], [*THREE_CRASHES, three, elsewhere]
+    )
+    assert not _find_violations(
+        [CRASHING_RESULT], [*THREE_CRASHES[1:], *FOUR_LATE]
+    )
+
+
+def test_a_crashing_request_is_refused_as_quarantined() -> None:
+    """Its own refusal is no violation."""
+    refused = CRASHING_RESULT._replace(status=503, reason='quarantined')
+    assert not _find_violations([refused])
+
+
 def test_a_sound_run_has_no_line() -> None:
     """Answers, refusals without a run and upstream errors are no violations."""
     results = [
