Check in the soak that each request passed on is answered

The check on calls without a response takes a planned stop, a failed connect and any fault at the instance within two seconds as an excuse. A request that an upstream had received and that a stopping instance dropped would have passed.

Change: a request that an upstream accepted needs an answer. Only a kill during the call and a link between caller and instance that was cut, held or reset during it excuse a missing one, and a frozen process if the caller gave up (bytes that are held close no connection, but the caller does not wait longer). Planned stops, delays, and faults of the store or behind the instance excuse nothing. The check from before stays as it is, for requests that were not passed on.

--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -6,6 +6,7 @@
 from bench.soak.crash_checks import find_crash_violations
 from bench.soak.echo_upstream import EchoUpstream
 from bench.soak.load_generator import REFUSALS, CallResult
+from bench.soak.lost_answers import find_lost_answers
 from bench.soak.observations import Observations
 from bench.soak.testbed import (
     COLD_PER_S,
@@ -40,6 +41,7 @@
         yield from _find_cold_overload(upstream)
     yield from _find_excess_retries(observations)
     yield from find_crash_violations(observations)
+    yield from find_lost_answers(observations)
     for stop in observations.stops:
         if stop.exit_status:
             yield (
--- a/tests/unit/test_soak_checks.py
+++ b/tests/unit/test_soak_checks.py
@@ -86,6 +86,19 @@
 CRASHING_RESULT = _make_result(
     'crash-1', is_order=False, status=502, is_sealed=False, path=CRASHING_PATH
 )
+PASSED_ON = _make_upstream([])
+PASSED_ON.arrivals = [
+    Arrival(
+        'POST',
+        '/order/a',
+        {
+            'Lycheedyke-Request-Id': 'a',
+            'Lycheedyke-Expect-Instance': 'i-1',
+        },
+        b'',
+        10.1,
+    )
+]
 LOST_RESPONSE = _make_result(status=0, error='ServerDisconnectedError')
 FIRST_ARRIVALS = [(f'r{at}', 10.0) for at in range(60)]
 RETRIES = [(request, 11.0) for request, _ in FIRST_ARRIVALS]
@@ -143,6 +156,7 @@
             ([_make_result(status=503, reason='quarantined')], []),
             'a to /read/a was quarantined',
         ),
+        (([LOST_RESPONSE], [PASSED_ON]), 'was passed on by edge-0'),
     ],
 )
 def test_each_broken_promise_has_its_line(seen: Any, words: str) -> None:
@@ -216,6 +230,52 @@
     assert not _find_violations([refused])
 
 
+@pytest.mark.parametrize(
+    ('kind', 'name', 'error'),
+    [
+        ('kill', 'edge-0', 'ServerDisconnectedError'),
+        ('freeze', 'edge-0', 'TimeoutError'),
+        ('link cut', 'callers edge-0', 'ServerDisconnectedError'),
+        ('link reset', 'callers edge-0', 'ClientOSError'),
+        ('link back', 'callers edge-0', 'TimeoutError'),
+    ],
+)
+def test_a_cut_connection_excuses_a_lost_answer(
+    kind: str, name: str, error: str
+) -> None:
+    """The fault must have been there while the call was under way."""
+    lost = LOST_RESPONSE._replace(error=error)
+    during = InjectedFault(kind, name, 10.1, 11)
+    before = InjectedFault(kind, name, 9, 9.7)
+    assert not _find_violations([lost], [PASSED_ON], [during])
+    assert any(
+        'was passed on' in line
+        for line in _find_violations([lost], [PASSED_ON], [before])
+    )
+
+
+@pytest.mark.parametrize(
+    ('kind', 'name'),
+    [
+        ('stop', 'edge-0'),
+        ('signals', 'edge-0'),
+        ('freeze', 'edge-0'),
+        ('kill', 'edge-1'),
+        ('link cut', 'store edge-0'),
+        ('link cut', 'i-1'),
+        ('link delay', 'callers edge-0'),
+        ('store down', 'store'),
+        ('replace', 'i-1'),
+    ],
+)
+def test_other_faults_excuse_no_lost_answer(kind: str, name: str) -> None:
+    """Neither a planned stop nor a fault behind the instance does."""
+    fault = InjectedFault(kind, name, 9, 11)
+    stop = PlannedStop('edge-0', 9, 10.1, 0)
+    lines = _find_violations([LOST_RESPONSE], [PASSED_ON], [fault], [stop])
+    assert any('was passed on' in line for line in lines)
+
+
 def test_a_sound_run_has_no_line() -> None:
     """Answers, refusals without a run and upstream errors are no violations."""
     results = [
