Measure the memory of the processes in the soak

Cause of the check: answers that fill the memory of a process were one explanation of the lost answers in the last incident, and the soak did not look at it.

Change: the resident memory and its peak are read twice a second from each process, also from those that are killed or stopped, and at the end. Each has a line in the report. More than four fifths of the smallest machine of the users (152 MB), 121.6 MB, at the peak is a violation.

What it does not show: the answers in the soak are small, so it does not drive the memory up by itself. The last half second before a kill is not read.

--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -16,6 +16,7 @@
 from bench.soak.crashes import CrashInjector
 from bench.soak.faults import FaultInjector
 from bench.soak.load_generator import LoadGenerator, make_call
+from bench.soak.memory import MemoryMonitor
 from bench.soak.observations import Observations
 from bench.soak.testbed import Testbed
 
@@ -43,6 +44,7 @@
         self.crash_injector = CrashInjector(
             testbed, self.load_generator, random.Random(f'crashes {seed}')
         )
+        self.memory_monitor = MemoryMonitor(testbed)
         self._testbed = testbed
         self._versions: dict[tuple[str, float], int] = {}
         self._violations: list[str] = []
@@ -57,6 +59,7 @@
         calling = asyncio.create_task(self.load_generator.run(callers))
         crashing = asyncio.create_task(self.crash_injector.run(seconds))
         watching = asyncio.create_task(self._poll_versions())
+        measuring = asyncio.create_task(self.memory_monitor.run())
         await self.fault_injector.run(seconds)
         await asyncio.sleep(SETTLE_SECONDS)
         self.load_generator.stop()
@@ -64,6 +67,8 @@
         await crashing
         watching.cancel()
         await self._probe_instances()
+        measuring.cancel()
+        self.memory_monitor.read()
         observations = Observations(
             self.load_generator.results,
             self._testbed.upstreams,
@@ -74,6 +79,7 @@
                 for name in self._testbed.instances
             },
             self._testbed.crashing_path,
+            self.memory_monitor.uses,
         )
         return [
             *self._violations,
@@ -98,6 +104,9 @@
             ', '.join(f'{k}: {n}' for k, n in outcomes.most_common()),
         )
 
+        for use in self.memory_monitor.uses:
+            print(f'memory: {use}')
+
     def _count_crashing_runs(self) -> int:
         return sum(
             len(each.arrivals_at(self._testbed.crashing_path))
--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -7,6 +7,7 @@
 from bench.soak.echo_upstream import EchoUpstream
 from bench.soak.load_generator import REFUSALS, CallResult
 from bench.soak.lost_answers import find_lost_answers
+from bench.soak.memory import find_excess_memory
 from bench.soak.observations import Observations
 from bench.soak.testbed import (
     COLD_PER_S,
@@ -42,6 +43,7 @@
     yield from _find_excess_retries(observations)
     yield from find_crash_violations(observations)
     yield from find_lost_answers(observations)
+    yield from find_excess_memory(observations.memory)
     for stop in observations.stops:
         if stop.exit_status:
             yield (
--- a/bench/soak/observations.py
+++ b/bench/soak/observations.py
@@ -6,6 +6,7 @@
 from bench.soak.echo_upstream import EchoUpstream
 from bench.soak.faults import InjectedFault, PlannedStop
 from bench.soak.load_generator import CallResult
+from bench.soak.memory import MemoryUse
 
 # A fault may affect requests for this long after it has ended.
 FAULT_EFFECT_SECONDS = 2.0
@@ -31,6 +32,7 @@
         failed_connects: times at which connecting to the caller port of an
             instance failed, by instance.
         crashing_path: the path of the request that crashes upstreams.
+        memory: the memory of each process.
     """
 
     results: Sequence[CallResult]
@@ -39,6 +41,7 @@
     stops: Sequence[PlannedStop]
     failed_connects: Mapping[str, Sequence[float]]
     crashing_path: str
+    memory: Sequence[MemoryUse]
 
     def overlaps_fault(
         self,
--- a/tests/unit/test_soak_checks.py
+++ b/tests/unit/test_soak_checks.py
@@ -1,5 +1,6 @@
 """The checks of the soak test report each violated guarantee."""
 
+import os
 from collections.abc import Sequence
 from typing import Any
 
@@ -9,6 +10,7 @@
 from bench.soak.echo_upstream import EchoUpstream
 from bench.soak.faults import InjectedFault, PlannedStop
 from bench.soak.load_generator import CallResult
+from bench.soak.memory import MAX_PROCESS_BYTES, MemoryUse, read_memory
 from bench.soak.observations import Observations
 from standins.scripted_upstream import Arrival
 
@@ -69,12 +71,19 @@
     upstreams: Sequence[EchoUpstream] = (),
     injected: Sequence[InjectedFault] = (),
     stops: Sequence[PlannedStop] = (),
+    memory: Sequence[MemoryUse] = (),
 ) -> list[str]:
     refused: dict[str, list[float]] = {'edge-0': []}
     return list(
         find_violations(
             Observations(
-                results, upstreams, injected, stops, refused, CRASHING_PATH
+                results,
+                upstreams,
+                injected,
+                stops,
+                refused,
+                CRASHING_PATH,
+                memory,
             )
         )
     )
@@ -157,6 +166,10 @@
             'a to /read/a was quarantined',
         ),
         (([LOST_RESPONSE], [PASSED_ON]), 'was passed on by edge-0'),
+        (
+            ([], [], [], [], [MemoryUse('edge-0', 7, 1, 122_000_000)]),
+            'edge-0 (pid 7) 0.0 MB at the end, 122.0 MB at its peak',
+        ),
     ],
 )
 def test_each_broken_promise_has_its_line(seen: Any, words: str) -> None:
@@ -276,6 +289,16 @@
     assert any('was passed on' in line for line in lines)
 
 
+def test_a_process_may_need_four_fifths_of_the_smallest_machine() -> None:
+    """Of 152 MB; its peak is read while it runs."""
+    assert MAX_PROCESS_BYTES == 121_600_000
+    most = MemoryUse('edge-0', 7, MAX_PROCESS_BYTES, MAX_PROCESS_BYTES)
+    assert not _find_violations(memory=[most])
+    own = read_memory('edge-0', os.getpid())
+    assert own is not None
+    assert 0 < own.end_bytes <= own.peak_bytes
+
+
 def test_a_sound_run_has_no_line() -> None:
     """Answers, refusals without a run and upstream errors are no violations."""
     results = [
