Tell peers which crashes were dismissed, and pass corrections on

What callers saw: a look-up refused everywhere for the rest of the run. It had been in flight at a crash beside four others, at 33.23 s, was answered at 33.31 s and was in flight at one more crash at 39.26 s.

Cause: an instance that had dismissed the first crash as the failure of a zone told both crashes to its peers without saying so; they lacked the others and counted two. The instance that knew of the answer corrected the one that asked, which did not pass it on, as both crashes were known from peers.

Change: reports name the dismissed crashes, and evidence with an answer is sent to all when it changes.

Evidence: test_a_dismissed_crash_stays_dismissed_at_peers and test_a_correction_is_passed_on, red before.

--- a/packages/lycheedyke/src/lycheedyke/state/_crash_evidence.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_crash_evidence.py
@@ -128,6 +128,12 @@
         """Returns the evidence with crashes that a failing zone explains."""
         return self._replace(dismissed=self.dismissed.union(crashes))
 
+    def dismiss_of(self, upstream: str) -> Self:
+        """Returns the evidence without the crashes of one upstream."""
+        return self.dismiss(
+            crash for crash in self.crashes if crash.upstream == upstream
+        )
+
     def answer(self, time: timedelta) -> Self:
         """Returns the evidence after an answer: only later crashes count."""
         if self.answered is not None and self.answered >= time:
--- a/packages/lycheedyke/src/lycheedyke/state/_suspect_reports.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_suspect_reports.py
@@ -20,6 +20,8 @@
             earlier versions have none.
         answered_ms: how long ago an upstream answered it, in ms; None if that
             is not known.
+        dismissed: those of the crashed upstreams whose crash was attributed to
+            the failure of a zone or region.
     """
 
     fingerprint: str
@@ -27,6 +29,7 @@
     remaining_ms: int
     ages_ms: tuple[int, ...] = ()
     answered_ms: int | None = None
+    dismissed: tuple[str, ...] = ()
 
     @property
     def has_times(self) -> bool:
--- a/packages/lycheedyke/src/lycheedyke/state/_suspects.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_suspects.py
@@ -178,7 +178,10 @@
             self._describe(fingerprint, evidence, evidence.crashes)
             for fingerprint, evidence in self._current()
             if len(evidence.crashes) >= CONFIRMATIONS
-            or (evidence.is_first_hand and self._changed[fingerprint] > after)
+            or (
+                self._changed[fingerprint] > after
+                and (evidence.is_first_hand or evidence.answered is not None)
+            )
         )
 
     def corrections(self, reported: Iterable[Suspect]) -> tuple[Suspect, ...]:
@@ -236,6 +239,8 @@
         for upstream, age in zip(suspect.crashed, suspect.ages_ms, strict=True):
             crash = Crash(now - max(0, age) * MILLISECOND, upstream)
             after = after.add(crash)
+            if upstream in suspect.dismissed:
+                after = after.dismiss_of(upstream)
             if crash.time > now - SETTLING_TIME:
                 self._crashes.setdefault(upstream, crash.time)
         if after == before:
@@ -275,10 +280,7 @@
         *,
         source: str,
     ) -> None:
-        if (
-            before.crashes == after.crashes
-            and before.answered == after.answered
-        ):
+        if before._replace(expiry=after.expiry) == after:
             return
         if after.is_confirmed and not before.is_confirmed:
             self._log_quarantine(fingerprint, after, source=source)
@@ -350,6 +352,7 @@
             None
             if evidence.answered is None
             else (now - evidence.answered) // MILLISECOND,
+            tuple(crash.upstream for crash in evidence.dismissed),
         )
 
     def _log_quarantine(
--- a/tests/unit/test_quarantine.py
+++ b/tests/unit/test_quarantine.py
@@ -138,6 +138,40 @@
     assert not observer.settled()
 
 
+# Guards against a victim that is refused everywhere, as a peer that knows a
+# crash as the failure of a zone tells of it to others.
+def test_a_dismissed_crash_stays_dismissed_at_peers() -> None:
+    """A later crash is then the first that counts."""
+    clock = ManualClock()
+    teller, peer = Suspects(clock), Suspects(clock)
+    for number in range(6):
+        teller.record_crash([f'victim {number}'], f'u{number}')
+    clock.advance(20)
+    teller.record_crash(['victim 0'], 'u9')
+    assert teller.judge('victim 0') is Verdict.suspect
+    peer.merge(teller.report_changes(0))
+    assert peer.judge('victim 0') is Verdict.suspect
+
+
+# Guards against a correction that reaches only the instance that relayed a
+# crash of another one.
+def test_a_correction_is_passed_on() -> None:
+    """It is sent to all, whoever observed the crashes."""
+    clock = ManualClock()
+    answered, relay, peer = (Suspects(clock) for _ in range(3))
+    for known in (answered, relay, peer):
+        known.merge([Suspect('popular', ('u1',), TEN_MINUTES_MS, (0,))])
+    clock.advance(1)
+    answered.record_success('popular')
+    clock.advance(5)
+    for known in (relay, peer):
+        known.merge([Suspect('popular', ('u2',), TEN_MINUTES_MS, (0,))])
+    sent = relay.revision
+    assert relay.merge(answered.corrections(relay.report()))
+    peer.merge(relay.report_changes(sent))
+    assert peer.judge('popular') is Verdict.suspect
+
+
 # Guards against a crashing request that is forgotten because many others were
 # in flight at crashes.
 def test_fresh_victims_do_not_displace_a_repeated_crasher() -> None:
