Order what is known of a registry by its generation, then its revision

What callers would see: in a drill the store goes away and comes back from a copy some seconds old. Revisions go back and are given out again for other keys, but the replica compared revisions alone. So whatever the operator and the upstreams wrote after the drill was taken for old news until the revisions had passed the known one: a new configuration was not applied, an evacuation that nobody wrote again held on, and each poll of the store got 410 and read everything.

Cause: a revision orders writes within one life of the store only. The store says so by a header that rises each time it comes back, which nothing read. Entry leases may be given to others in the new life, so an announcement of the old one can be renewed and yet belong to another.

Ruled out: taking a lower revision of a full read for a sign. A store that wrote much since the copy has a higher one, and a late answer has a lower one.

The change: batches and peers' polls carry the generation beside the revision, as an added last field and an added parameter. Earlier ones change nothing, the first batch of a later one has all items and starts the replica anew. What was in effect is compared with the copy once, and held where the copy lacks it, has an older run of it, or has it back though it was removed. All announce themselves again within a second, and do not end leases of the generation before. One line and one counter for each instance tell of it.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
@@ -11,7 +11,7 @@
 
 from lycheedyke.clock import Clock
 from lycheedyke.coordination import Presence, RegistryFollower, Replica
-from lycheedyke.protocol import EntryRecord, Registry
+from lycheedyke.protocol import EntryRecord, Position, Registry
 from lycheedyke.state import (
     Counters,
     Distances,
@@ -108,7 +108,10 @@
         own = _describe(settings)
         self._own = own
         self._replica = Replica(
-            clock, settings.reappearance, self._registry_view.apply
+            clock,
+            settings.reappearance,
+            self._registry_view.apply,
+            self._handle_restore,
         )
         suspects = Suspects(clock)
         self._peer_updates = PeerUpdates(
@@ -259,6 +262,10 @@
         if name == self._own.name:
             self._presence.mark_removed()
 
+    def _handle_restore(self, position: Position) -> None:
+        self._counters.count('registry.restored')
+        self._presence.mark_restored(position.generation)
+
     def _caller_app(self) -> web.Application:
         settings = self._settings
         times = RunTimeStats()
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_peer_updates.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_peer_updates.py
@@ -12,7 +12,7 @@
 from lycheedyke.clock import Clock
 from lycheedyke.coordination import Replica, watchers_of
 from lycheedyke.exceptions import TransportError
-from lycheedyke.protocol import EntryRecord, RegistryUpdate
+from lycheedyke.protocol import EntryRecord, Position, RegistryUpdate
 from lycheedyke.state import Counters, Suspect, Suspects
 from lycheedyke.transport import HttpClient
 from lycheedyke_daemon.gateway._registry_view import RegistryView
@@ -83,7 +83,7 @@
         watcher = self._watcher()
         return watcher is None or watcher.name == self._own.name
 
-    async def poll_source(self, after: int) -> RegistryUpdate | None:
+    async def poll_source(self, after: Position) -> RegistryUpdate | None:
         """Returns the updates of the zone's watcher, or of the head.
 
         Returns:
@@ -98,7 +98,7 @@
         self._record_source(source.name, answered=update is not None)
         return update
 
-    async def poll_sample(self, after: int) -> list[RegistryUpdate]:
+    async def poll_sample(self, after: Position) -> list[RegistryUpdate]:
         """Returns the updates of some instances of any zone.
 
         An instance that knows no other instance polls its seeds.
@@ -132,7 +132,7 @@
 
     async def _answer(self, request: web.Request) -> web.Response:
         try:
-            after = int(request.query.get('after', '0'))
+            after = self._requested_position(request)
         except ValueError:
             raise web.HTTPBadRequest(text='after is a revision') from None
         update = RegistryUpdate(
@@ -140,6 +140,17 @@
         )
         return web.Response(body=msgspec.msgpack.encode(update))
 
+    def _requested_position(self, request: web.Request) -> Position:
+        """Returns the position after which a peer asks for changes.
+
+        Peers of earlier releases do not tell their generation.
+        """
+        known = self._replica.position.generation
+        return Position(
+            int(request.query.get('generation', known)),
+            int(request.query.get('after', '0')),
+        )
+
     async def _handle_suspects(self, request: web.Request) -> web.Response:
         try:
             self._suspects.merge(_SUSPECTS.decode(await request.read()))
@@ -193,11 +204,14 @@
             if peer.name != self._own.name
         ]
 
-    async def _poll(self, address: str, after: int) -> RegistryUpdate | None:
+    async def _poll(
+        self, address: str, after: Position
+    ) -> RegistryUpdate | None:
+        query = f'after={after.revision}&generation={after.generation}'
         try:
             answer = await self._http.send(
                 'GET',
-                f'http://{address}{UPDATES_PATH}?after={after}',
+                f'http://{address}{UPDATES_PATH}?{query}',
                 timeout=POLL_TIMEOUT,
             )
             return _UPDATE.decode(answer.body)
--- /dev/null
+++ b/packages/lycheedyke/src/lycheedyke/coordination/_holds.py
@@ -0,0 +1,147 @@
+"""Decides which records outlast the return of a registry from a copy.
+
+The copy lacks what was written after it was taken, and holds what was removed
+since. The writers repeat what was lost, though not at once. Until then a
+record that is known to be newer than the copy stays in effect.
+"""
+
+from collections import Counter
+from collections.abc import Mapping
+from enum import Enum
+from typing import NamedTuple
+
+from lycheedyke.protocol import (
+    EntryRecord,
+    RegistryItem,
+    RegistryRecord,
+    RoutingRecord,
+    UpstreamRecord,
+)
+
+
+class HoldReason(Enum):
+    """Why a known item stays in effect in place of the registry's item."""
+
+    lapsed = 'the registry no longer has it'
+    outdated = 'the registry has an older one'
+    removed = 'the registry has it back'
+
+
+class Hold(NamedTuple):
+    """A known item that stays in effect in place of the registry's item.
+
+    Attributes:
+        item: the known item; its revision is of the generation in which it
+            was read.
+        reason: why it stays in effect.
+    """
+
+    item: RegistryItem
+    reason: HoldReason
+
+
+def compare_with_copy(
+    known: RegistryItem,
+    present: RegistryItem,
+) -> HoldReason | None:
+    """Returns why a known item stays in effect, or None if it does not.
+
+    A configuration needs no hold: the numbers in force only rise.
+
+    Args:
+        known: the item in effect, under a revision of an earlier generation.
+        present: the registry's item; without a record if it has none.
+    """
+    if known.record is None:
+        returned = present.record is None or present.revision <= known.revision
+        return HoldReason.removed if returned else None
+    if isinstance(known.record, RoutingRecord):
+        return None
+    if present.record is None:
+        return HoldReason.lapsed
+    if _is_newer_run(known.record, present.record):
+        return HoldReason.outdated
+    if _is_other_incarnation(known.record, present.record):
+        is_newer = known.revision > present.revision
+        return HoldReason.outdated if is_newer else None
+    return None
+
+
+def is_leaving_revoked(
+    known: RegistryRecord | None,
+    written: RegistryRecord | None,
+) -> bool:
+    """Returns whether an upstream that leaves is written as if it stayed."""
+    return (
+        isinstance(known, UpstreamRecord)
+        and known.leaving
+        and written is not None
+        and _is_newer_run(known, written)
+    )
+
+
+def count_kept(
+    before: Mapping[str, RegistryItem],
+    items: Mapping[str, RegistryItem],
+    holds: Mapping[str, Hold],
+) -> dict[str, int]:
+    """Counts by kind the records in effect that a copy lacks or has older."""
+    kept = Counter(
+        _kind(hold.item.record)
+        for hold in holds.values()
+        if hold.item.record is not None
+    )
+    kept.update(
+        _kind(known.record)
+        for key, known in before.items()
+        if _is_newer_configuration(known.record, items[key].record)
+    )
+    return dict(kept)
+
+
+def count_dropped(
+    items: Mapping[str, RegistryItem],
+    holds: Mapping[str, Hold],
+) -> dict[str, int]:
+    """Counts by kind the records of a copy that were removed since."""
+    return dict(
+        Counter(
+            _kind(items[key].record)
+            for key, hold in holds.items()
+            if hold.item.record is None and items[key].record is not None
+        ),
+    )
+
+
+def _kind(record: RegistryRecord | None) -> str:
+    return str(type(record).__struct_config__.tag) if record else ''
+
+
+def _is_newer_configuration(
+    known: RegistryRecord | None,
+    present: RegistryRecord | None,
+) -> bool:
+    if not isinstance(known, RoutingRecord):
+        return False
+    number = present.number if isinstance(present, RoutingRecord) else 0
+    return known.number > number
+
+
+def _is_newer_run(known: RegistryRecord, other: RegistryRecord) -> bool:
+    """Returns whether an upstream was started, or leaves, later."""
+    return (
+        isinstance(known, UpstreamRecord)
+        and isinstance(other, UpstreamRecord)
+        and (known.born, known.leaving) > (other.born, other.leaving)
+    )
+
+
+def _is_other_incarnation(
+    known: RegistryRecord,
+    other: RegistryRecord,
+) -> bool:
+    return (
+        isinstance(known, EntryRecord)
+        and isinstance(other, EntryRecord)
+        and known.incarnation != other.incarnation
+    )
--- a/packages/lycheedyke/src/lycheedyke/coordination/_presence.py
+++ b/packages/lycheedyke/src/lycheedyke/coordination/_presence.py
@@ -16,6 +16,9 @@
 # Many instances may lose their announcements at the same moment; the random
 # delay spreads the new announcements.
 MAX_REANNOUNCE_DELAY = timedelta(milliseconds=300)
+# All instances lose theirs when the registry comes back from an older copy,
+# and the registry's other writers write then too.
+MAX_RESTORE_DELAY = timedelta(seconds=1)
 
 _logger = logging.getLogger(__name__)
 
@@ -44,7 +47,9 @@
         self._ttl = ttl
         self._announcement: Announcement | None = None
         self._is_wanted = True
+        self._generation = 0
         self._removed = asyncio.Event()
+        self._max_delay = MAX_REANNOUNCE_DELAY
 
     def __repr__(self) -> str:
         """Returns the instance's name."""
@@ -72,14 +77,23 @@
         """
         if self._announcement is not None and self._is_wanted:
             _logger.warning('announcement lost')
-            self._announcement = None
-            self._removed.set()
+            self._announce_again(MAX_REANNOUNCE_DELAY)
+
+    def mark_restored(self, generation: int) -> None:
+        """Marks the registry as restored from an older copy.
+
+        The announcement is made again, also if the copy holds it: its lease
+        may have been given to another instance.
+        """
+        self._generation = max(self._generation, generation)
+        if self._is_outdated(self._announcement) and self._is_wanted:
+            self._announce_again(MAX_RESTORE_DELAY)
 
     async def withdraw(self) -> None:
         """Removes the announcement; it is not made again."""
         self._is_wanted = False
         announcement = self._announcement
-        if announcement is None:
+        if announcement is None or self._is_outdated(announcement):
             return
         try:
             await self._registry.withdraw(announcement)
@@ -93,11 +107,21 @@
         await wait_for_event(self._removed, self._clock, pause)
         if self._removed.is_set():
             self._removed.clear()
-            await self._clock.sleep(MAX_REANNOUNCE_DELAY * random.random())
+            await self._clock.sleep(self._max_delay * random.random())
+
+    def _announce_again(self, max_delay: timedelta) -> None:
+        self._announcement = None
+        self._max_delay = max_delay
+        self._removed.set()
+
+    def _is_outdated(self, announcement: Announcement | None) -> bool:
+        if announcement is None:
+            return False
+        return announcement.generation < self._generation
 
     async def _renew(self) -> None:
         announcement = self._announcement
-        if announcement is not None:
+        if announcement is not None and not self._is_outdated(announcement):
             try:
                 await self._registry.renew(announcement)
             except LeaseExpired:
--- a/packages/lycheedyke/src/lycheedyke/coordination/_registry_follower.py
+++ b/packages/lycheedyke/src/lycheedyke/coordination/_registry_follower.py
@@ -17,8 +17,14 @@
 from lycheedyke.exceptions import (
     HistoryLost,
     PlatformError,
+    PlatformStale,
+)
+from lycheedyke.protocol import (
+    ItemBatch,
+    Position,
+    Registry,
+    RegistryUpdate,
 )
-from lycheedyke.protocol import Registry, RegistryUpdate
 
 _logger = logging.getLogger(__name__)
 
@@ -33,14 +39,14 @@
     def is_watcher(self) -> bool:
         """Whether this instance serves the updates to its zone."""
 
-    async def poll_source(self, after: int) -> RegistryUpdate | None:
+    async def poll_source(self, after: Position) -> RegistryUpdate | None:
         """Returns the updates of the zone's watcher, or of the head.
 
         Returns:
             None if this instance is the head, or its source did not answer.
         """
 
-    async def poll_sample(self, after: int) -> list[RegistryUpdate]:
+    async def poll_sample(self, after: Position) -> list[RegistryUpdate]:
         """Returns the updates of some instances of any zone."""
 
 
@@ -136,12 +142,12 @@
                 continue
             # Records may lapse because they could not be renewed.
             self._replica.record_outage()
-            for update in await self._peers.poll_sample(self._replica.revision):
+            for update in await self._peers.poll_sample(self._replica.position):
                 self._merge(update)
 
     async def _poll(self) -> timedelta:
         """Polls once; returns the delay until the next poll."""
-        update = await self._peers.poll_source(self._replica.revision)
+        update = await self._peers.poll_source(self._replica.position)
         if update is not None and self._merge(update):
             self._record_recovery()
             return self._poll_interval * random.uniform(0.9, 1.1)
@@ -166,7 +172,12 @@
         return self._intervals.watcher
 
     def _merge(self, update: RegistryUpdate) -> bool:
-        """Merges a peer's update; returns whether it is recent."""
+        """Merges a peer's update; returns whether it is recent.
+
+        What a peer knows of an earlier generation is out of date.
+        """
+        if update.batch.generation < self._replica.position.generation:
+            return False
         as_of = self._clock.elapsed() - update.age_ms * MILLISECOND
         self._replica.merge(update.batch)
         self._updated = max(self._updated, as_of)
@@ -179,24 +190,38 @@
         return self._clock.elapsed() - as_of < self._intervals.silence
 
     async def _read_registry(self) -> None:
-        if not self._has_full_state:
-            self._replica.merge_full_state(await self._registry.read_all())
-            self._has_full_state = True
+        changes = await self._watch() if self._has_full_state else None
+        if changes is not None:
+            self._replica.merge(changes)
             return
+        self._has_full_state = False
+        batch = await self._registry.read_all()
+        self._check_generation(batch)
+        self._replica.merge_full_state(batch)
+        self._has_full_state = True
+
+    async def _watch(self) -> ItemBatch | None:
+        """Returns the next changes, or None if the full state is needed."""
+        after = self._replica.position
         try:
             batch = await self._registry.watch(
-                self._replica.revision,
+                after.revision,
                 self._intervals.wait,
             )
         except HistoryLost:
-            self._has_full_state = False
-            _logger.info(
-                'history lost',
-                extra={'revision': self._replica.revision},
+            _logger.info('history lost', extra={'revision': after.revision})
+            return None
+        self._check_generation(batch)
+        return batch if batch.generation == after.generation else None
+
+    def _check_generation(self, batch: ItemBatch) -> None:
+        """Rejects a late answer from before the registry was restored."""
+        known = self._replica.position.generation
+        if batch.generation < known:
+            raise PlatformStale(
+                f'registry answered from generation {batch.generation}, '
+                f'and {known} is known',
             )
-            await self._read_registry()
-            return
-        self._replica.merge(batch)
 
     def _record_answer(self) -> None:
         self._updated = self._clock.elapsed()
--- a/packages/lycheedyke/src/lycheedyke/coordination/_replica.py
+++ b/packages/lycheedyke/src/lycheedyke/coordination/_replica.py
@@ -2,15 +2,27 @@
 
 Each item carries the registry's revision of its last change. So items from
 the registry and from peers can be merged in any order to the same state.
+Revisions compare within one generation of the registry only; the first batch
+of a later generation holds all its items and takes the place of all others.
 """
 
-from collections.abc import Callable, Iterable
+import logging
+from collections.abc import Callable, Iterable, Mapping
 from datetime import timedelta
 
 from lycheedyke.clock import Clock
+from lycheedyke.coordination._holds import (
+    Hold,
+    HoldReason,
+    compare_with_copy,
+    count_dropped,
+    count_kept,
+    is_leaving_revoked,
+)
 from lycheedyke.protocol import (
     EntryRecord,
     ItemBatch,
+    Position,
     RegistryItem,
     RegistryRecord,
     UpstreamRecord,
@@ -18,22 +30,31 @@
 
 # Removed items are kept as tombstones, so that peers get the removal too.
 MAX_TOMBSTONES = 2_048
+# A record that is back with a copy although its owner has ended lapses in the
+# registry within this many times the time to write a record again.
+RETURNED_PERIODS = 3
 
 OnChange = Callable[[RegistryItem, RegistryRecord | None], None]
+OnRestore = Callable[[Position], None]
+
+_logger = logging.getLogger(__name__)
 
 
 class Replica:
-    """Items by key; records that lapse in an outage stay for a while.
+    """Items by key; records that the registry has lost stay for a while.
 
     A record lapses if it is not renewed, and the reason may be that the
     registry was unreachable. So a record that is removed during an outage or
     shortly after it stays in effect until its owner has had the time to
-    write it again.
+    write it again. The same holds for records that are missing or older in a
+    copy from which the registry came back. A record that was removed since
+    the copy does not take effect again unless the registry keeps it.
 
     Args:
         clock: measures the time since an outage.
         reappearance: how long after an outage a record may be written again.
         on_change: called with each effective change and the previous record.
+        on_restore: called when the registry has come back from a copy.
     """
 
     def __init__(
@@ -41,19 +62,27 @@
         clock: Clock,
         reappearance: timedelta,
         on_change: OnChange,
+        on_restore: OnRestore | None = None,
     ) -> None:
         """Initializes the replica without items."""
-        self.revision = 0
+        self.position = Position(0, 0)
         self._clock = clock
         self._reappearance = reappearance
         self._on_change = on_change
+        self._on_restore = on_restore
         self._items: dict[str, RegistryItem] = {}
-        self._lapsed: dict[str, RegistryItem] = {}
+        self._held: dict[str, Hold] = {}
         self._removals_deferred_until = timedelta()
+        self._returns_ignored_until = timedelta()
 
     def __repr__(self) -> str:
-        """Returns the revision and the number of items."""
-        return f'<Replica {self.revision} with {len(self._items)} items>'
+        """Returns the position and the number of items."""
+        return f'<Replica {self.position} with {len(self._items)} items>'
+
+    @property
+    def revision(self) -> int:
+        """The registry's revision up to which the items are complete."""
+        return self.position.revision
 
     def record_outage(self) -> None:
         """Records that the registry is unreachable or has just recovered."""
@@ -65,10 +94,16 @@
         """Merges changes; returns how many were new.
 
         Args:
-            batch: the changes, which are complete up to its revision.
+            batch: the changes, which are complete up to its revision; all
+                items if its generation is later than the one known here.
         """
+        if batch.generation < self.position.generation:
+            return 0
+        if batch.generation > self.position.generation:
+            self._restore(batch)
+            return len(batch.items)
         count = sum(self._merge(item) for item in batch.items)
-        self.revision = max(self.revision, batch.revision)
+        self.position = max(self.position, batch.position)
         self._drop_old_tombstones()
         return count
 
@@ -79,6 +114,9 @@
             batch: all items; they are complete at its revision, and may
                 include later changes.
         """
+        if batch.generation != self.position.generation:
+            self.merge(batch)
+            return
         present = {item.key for item in batch.items}
         missing = [
             RegistryItem(key, batch.revision)
@@ -87,58 +125,130 @@
             and item.record is not None
             and item.revision <= batch.revision
         ]
-        self.merge(ItemBatch(batch.revision, (*batch.items, *missing)))
+        items = (*batch.items, *missing)
+        self.merge(ItemBatch(batch.revision, items, batch.generation))
+
+    def changes_after(self, position: Position) -> ItemBatch:
+        """Returns the items that changed after a position.
 
-    def changes_after(self, revision: int) -> ItemBatch:
-        """Returns the items that changed after a revision."""
-        return ItemBatch(
-            self.revision,
-            tuple(
+        These are all items if the position is of an earlier generation, and
+        none if it is of a later one.
+        """
+        if position.generation < self.position.generation:
+            found = tuple(self._items.values())
+        elif position.generation > self.position.generation:
+            found = ()
+        else:
+            found = tuple(
                 item
                 for item in self._items.values()
-                if item.revision > revision
-            ),
-        )
+                if item.revision > position.revision
+            )
+        return ItemBatch(self.revision, found, self.position.generation)
 
     def remove_lapsed(self) -> None:
-        """Removes records that lapsed in an outage and were not renewed."""
-        if self._clock.elapsed() < self._removals_deferred_until:
-            return
-        lapsed = self._lapsed
-        self._lapsed = {}
-        for key, last in lapsed.items():
-            self._on_change(self._items[key], last.record)
+        """Ends the holds whose time is over; the registry's items count."""
+        now = self._clock.elapsed()
+        ended = {
+            key: hold
+            for key, hold in self._held.items()
+            if now >= self._held_until(hold.reason)
+        }
+        for key, hold in ended.items():
+            self._held.pop(key)
+            item = self._items[key]
+            if item.record != hold.item.record:
+                self._on_change(item, hold.item.record)
 
     def records(self) -> Iterable[RegistryRecord]:
         """Yields all records in effect."""
-        for key, item in self._items.items():
-            kept = self._lapsed.get(key, item)
-            if kept.record is not None:
-                yield kept.record
+        for item in self._effective_items().values():
+            if item.record is not None:
+                yield item.record
 
     def _merge(self, item: RegistryItem) -> bool:
         known = self._items.get(item.key)
         if known is not None and known.revision >= item.revision:
             return False
         self._items[item.key] = item
-        last = self._lapsed.pop(item.key, known)
-        record = last.record if last is not None else None
-        if (
-            item.record is None
-            and last is not None
-            and self._is_removal_deferred(record)
-        ):
-            self._lapsed[item.key] = last
-            return True
-        self._on_change(item, record)
+        hold = self._held.pop(item.key, None)
+        if hold is not None:
+            known = hold.item
+        before = known.record if known is not None else None
+        if hold is not None and is_leaving_revoked(before, item.record):
+            self._held[item.key] = hold
+        elif known is not None and self._is_removal_deferred(item, before):
+            self._held[item.key] = Hold(known, HoldReason.lapsed)
+        else:
+            self._on_change(item, before)
         return True
 
+    def _restore(self, batch: ItemBatch) -> None:
+        """Takes over a later generation with all its items."""
+        before = self._effective_items()
+        left = self.position
+        self.position = batch.position
+        missing = {key: RegistryItem(key, batch.revision) for key in before}
+        self._items = missing | {item.key: item for item in batch.items}
+        self._held = self._find_holds(before)
+        self.record_outage()
+        self._returns_ignored_until = self._clock.elapsed() + (
+            RETURNED_PERIODS * self._reappearance
+        )
+        for key, item in self._items.items():
+            record = before[key].record if key in before else None
+            if key not in self._held and item.record != record:
+                self._on_change(item, record)
+        self._drop_old_tombstones()
+        if before:
+            self._report_restore(left, before)
+
+    def _find_holds(
+        self, before: Mapping[str, RegistryItem]
+    ) -> dict[str, Hold]:
+        holds = {}
+        for key, known in before.items():
+            reason = compare_with_copy(known, self._items[key])
+            if reason is not None:
+                holds[key] = Hold(known, reason)
+        return holds
+
+    def _report_restore(
+        self,
+        left: Position,
+        before: Mapping[str, RegistryItem],
+    ) -> None:
+        kept = count_kept(before, self._items, self._held)
+        dropped = count_dropped(self._items, self._held)
+        _logger.warning(
+            'registry restored',
+            extra={
+                'generation': self.position.generation,
+                'generation_before': left.generation,
+                'revision': self.revision,
+                'revision_before': left.revision,
+                'kept': kept,
+                'dropped': dropped,
+            },
+        )
+        if self._on_restore is not None:
+            self._on_restore(self.position)
+
+    def _effective_items(self) -> dict[str, RegistryItem]:
+        held = {key: hold.item for key, hold in self._held.items()}
+        return self._items | held
+
+    def _held_until(self, reason: HoldReason) -> timedelta:
+        if reason is HoldReason.lapsed:
+            return self._removals_deferred_until
+        return self._returns_ignored_until
+
     def _drop_old_tombstones(self) -> None:
         """Drops the older half of the tombstones once there are too many."""
         tombstones = sorted(
             item.revision
             for key, item in self._items.items()
-            if item.record is None and key not in self._lapsed
+            if item.record is None and key not in self._held
         )
         if len(tombstones) <= MAX_TOMBSTONES:
             return
@@ -148,10 +258,16 @@
             for key, item in self._items.items()
             if item.record is not None
             or item.revision >= oldest
-            or key in self._lapsed
+            or key in self._held
         }
 
-    def _is_removal_deferred(self, record: RegistryRecord | None) -> bool:
+    def _is_removal_deferred(
+        self,
+        item: RegistryItem,
+        record: RegistryRecord | None,
+    ) -> bool:
+        if item.record is not None:
+            return False
         if not isinstance(record, UpstreamRecord | EntryRecord):
             return False
         return self._clock.elapsed() < self._removals_deferred_until
--- a/packages/lycheedyke/src/lycheedyke/exceptions.py
+++ b/packages/lycheedyke/src/lycheedyke/exceptions.py
@@ -75,7 +75,7 @@
 
 
 class PlatformStale(PlatformError):
-    """The platform's response lacks tickets that were accepted."""
+    """The platform's response lacks what was known before."""
 
 
 class HistoryLost(PlatformError):
--- a/packages/lycheedyke/src/lycheedyke/protocol/_registry.py
+++ b/packages/lycheedyke/src/lycheedyke/protocol/_registry.py
@@ -3,7 +3,8 @@
 A registry is a store outside the system that operators and upstreams write
 to. The key of a record consists of its kind and its name. Each record has the
 revision of its last write, so of two copies the one with the higher revision
-is newer.
+is newer. A registry that comes back from an older copy has lost writes and
+gives revisions out again; it says so by a higher generation.
 """
 
 from datetime import timedelta
@@ -157,11 +158,36 @@
     record: RegistryRecord | None = None
 
 
+class Position(NamedTuple):
+    """A point in the history of a registry; later ones are greater.
+
+    Attributes:
+        generation: how often the registry came back from an older copy.
+        revision: the revision within the generation.
+    """
+
+    generation: int
+    revision: int
+
+
 class ItemBatch(msgspec.Struct, frozen=True, array_like=True):
-    """Items, and the registry revision up to which they are complete."""
+    """Items, and the registry revision up to which they are complete.
+
+    Attributes:
+        revision: the revision.
+        items: the items; all of them where the receiver knows an earlier
+            generation.
+        generation: the generation of all these revisions.
+    """
 
     revision: int
     items: tuple[RegistryItem, ...]
+    generation: int = 0
+
+    @property
+    def position(self) -> Position:
+        """The generation and the revision."""
+        return Position(self.generation, self.revision)
 
 
 class RegistryUpdate(msgspec.Struct, frozen=True, array_like=True):
@@ -178,10 +204,17 @@
 
 
 class Announcement(NamedTuple):
-    """The key and the lease of an announced entry instance."""
+    """The key and the lease of an announced entry instance.
+
+    Attributes:
+        key: the key of the entry's record.
+        lease: the lease, which may belong to others in a later generation.
+        generation: the registry's generation at the announcement.
+    """
 
     key: str
     lease: int
+    generation: int = 0
 
 
 class Registry(Protocol):
@@ -189,7 +222,8 @@
 
     All calls raise `PlatformError` if they fail. `watch` raises
     `HistoryLost` if the registry no longer has the changes after the
-    requested revision.
+    requested revision. Batches state the registry's generation; those of
+    `watch` are not complete if that differs from the one of `after`.
     """
 
     async def read_all(self) -> ItemBatch:
@@ -214,7 +248,8 @@
         """Renews an announcement.
 
         Raises:
-            LeaseExpired: the announcement has expired.
+            LeaseExpired: the announcement has expired, or is of an earlier
+                generation.
         """
 
     async def withdraw(self, announcement: Announcement) -> None:
--- a/tests/standins/registry_store.py
+++ b/tests/standins/registry_store.py
@@ -5,7 +5,8 @@
 `lose_writes` (so many writes are applied, but their responses are lost),
 `write_delay_s` (writes are applied after this delay and get no response) and
 `compacted_revision` (the history up to this revision is dropped, and watches
-after an earlier revision get 410).
+after an earlier revision get 410). `come_back_from_copy` replaces its content with an
+older copy.
 """
 
 import asyncio
@@ -13,12 +14,16 @@
 import contextlib
 import json
 import time
+from collections import deque
+from collections.abc import Mapping
 from typing import Any, NamedTuple
 
 from aiohttp import web
 
 PAGE_ITEMS = 3
 POLL_SECONDS = 0.01
+ERA_HEADER = 'Store-Era'
+MAX_COPIES = 1_000
 
 
 class _Item(NamedTuple):
@@ -27,8 +32,23 @@
     lease: int
 
 
+class _Copy(NamedTuple):
+    """The content of the store at one time."""
+
+    taken: float
+    revision: int
+    items: dict[str, _Item]
+    leases: frozenset[int]
+    next_lease: int
+
+
 class FakeRegistryStore:
-    """Keys with revisions, held in memory."""
+    """Keys with revisions, held in memory.
+
+    Attributes:
+        era: how often the store came back from an older copy; None if its
+            responses do not tell it.
+    """
 
     def __init__(self) -> None:
         """Initializes an empty store at revision 1."""
@@ -37,6 +57,7 @@
         self.lose_writes = 0
         self.write_delay_s = 0.0
         self.compacted_revision = 0
+        self.era: int | None = 0
         self.calls: list[str] = []
         self._revision = 1
         self._items: dict[str, _Item] = {}
@@ -44,10 +65,12 @@
         self._next_lease = 100
         self._renewed: dict[int, tuple[float, float]] = {}
         self._delayed_writes: set[asyncio.Task[None]] = set()
+        self._copies: deque[_Copy] = deque(maxlen=MAX_COPIES)
+        self._keep_copy()
 
     def app(self) -> web.Application:
         """Returns the HTTP application."""
-        app = web.Application(middlewares=[self._fail])
+        app = web.Application(middlewares=[self._tell_era, self._fail])
         app.add_routes(
             [
                 web.get('/kv-range', self._range),
@@ -70,12 +93,14 @@
             value if isinstance(value, bytes) else json.dumps(value).encode()
         )
         self._items[key] = _Item(content, self._revision, lease)
+        self._keep_copy()
         return self._revision
 
     def remove(self, key: str) -> int:
         """Removes a key, leaves a tombstone and returns its revision."""
         self._revision += 1
         self._items[key] = _Item(None, self._revision, 0)
+        self._keep_copy()
         return self._revision
 
     def end_lease(self, lease: int) -> None:
@@ -99,6 +124,10 @@
         assert content is not None, key
         return content
 
+    def lease(self, key: str) -> int:
+        """Returns the lease of an existing key."""
+        return self._items[key].lease
+
     def compact(self) -> None:
         """Drops the history of all changes up to the current revision."""
         self.compacted_revision = self._revision
@@ -107,6 +136,90 @@
         """Returns the existing keys."""
         return {key for key, item in self._items.items() if item.value}
 
+    @property
+    def revision(self) -> int:
+        """The revision of the last change."""
+        return self._revision
+
+    async def come_back_from_copy(
+        self,
+        age_s: float,
+        *,
+        away_s: float = 0,
+        written_again: Mapping[str, float] | None = None,
+    ) -> None:
+        """Goes away, comes back from a copy, and gets lost writes again.
+
+        Args:
+            age_s: the age of the copy when the store goes away.
+            away_s: how long the store is away.
+            written_again: keys whose last state is written again, with the
+                time of the write after the store's return.
+        """
+        copy = self._find_copy(time.monotonic() - age_s)
+        last = self._items
+        self.down = True
+        await asyncio.sleep(away_s)
+        self._restore(copy)
+        self.down = False
+        await self._write_again(last, written_again or {})
+
+    async def _write_again(
+        self,
+        last: Mapping[str, _Item],
+        times: Mapping[str, float],
+    ) -> None:
+        started = time.monotonic()
+        for key in sorted(times, key=times.__getitem__):
+            await asyncio.sleep(times[key] - (time.monotonic() - started))
+            item = last.get(key)
+            if item is None or item.value is None:
+                self.remove(key)
+            else:
+                self.put(key, item.value)
+
+    def _keep_copy(self) -> None:
+        copy = _Copy(
+            time.monotonic(),
+            self._revision,
+            dict(self._items),
+            frozenset(self._leases),
+            self._next_lease,
+        )
+        self._copies.append(copy)
+
+    def _find_copy(self, time_s: float) -> _Copy:
+        older = [copy for copy in self._copies if copy.taken <= time_s]
+        return older[-1] if older else self._copies[0]
+
+    def _restore(self, copy: _Copy) -> None:
+        """Replaces the content; revisions and leases are given out again."""
+        now = time.monotonic()
+        self._revision = copy.revision
+        self._items = dict(copy.items)
+        self._leases = set(copy.leases)
+        self._next_lease = copy.next_lease
+        self._renewed = {
+            lease: (now, self._renewed[lease][1]) for lease in copy.leases
+        }
+        self.era = (self.era or 0) + 1
+        while self._copies[-1] is not copy:
+            self._copies.pop()
+
+    @web.middleware
+    async def _tell_era(self, request: web.Request, handler: Any) -> Any:
+        try:
+            response = await handler(request)
+        except web.HTTPException as error:
+            self._add_era(error)
+            raise
+        self._add_era(response)
+        return response
+
+    def _add_era(self, response: web.StreamResponse) -> None:
+        if self.era is not None and not response.prepared:
+            response.headers[ERA_HEADER] = str(self.era)
+
     @web.middleware
     async def _fail(self, request: web.Request, handler: Any) -> Any:
         self.calls.append(request.path)
@@ -150,12 +263,15 @@
 
     async def _watch(self, request: web.Request) -> web.Response:
         after = int(request.query['after'])
-        if after < self.compacted_revision:
+        if not self.compacted_revision <= after <= self._revision:
             raise web.HTTPGone
+        era = self.era
         polls = int(request.query['waitMs']) / 1000 / POLL_SECONDS
         while self._revision <= after and polls > 0:
             polls -= 1
             await asyncio.sleep(POLL_SECONDS)
+            if self.era != era:
+                raise web.HTTPServiceUnavailable
         changed = sorted(
             (item.revision, key)
             for key, item in self._items.items()
@@ -183,6 +299,7 @@
         self._leases.add(self._next_lease)
         ttl_s = int(body['ttl_time'].removesuffix('ms')) / 1000
         self._renewed[self._next_lease] = (time.monotonic(), ttl_s)
+        self._keep_copy()
         return web.json_response(
             {'lease': self._next_lease, 'ttl_time': body['ttl_time']},
         )
--- a/tests/unit/gateway/test_life.py
+++ b/tests/unit/gateway/test_life.py
@@ -396,5 +396,5 @@
     run_scenario(tmp_path, _scene, limit_s=LIMIT_SECONDS, instances=2)
 
 
-async def _return_none(after: int) -> None:
+async def _return_none(after: object) -> None:
     return None
--- a/tests/unit/gateway/test_log_lines.py
+++ b/tests/unit/gateway/test_log_lines.py
@@ -17,6 +17,7 @@
     DAEMON / 'service.py',
     LIBRARY / 'state/_upstreams.py',
     LIBRARY / 'coordination/_registry_follower.py',
+    LIBRARY / 'coordination/_replica.py',
     LIBRARY / 'coordination/_presence.py',
     ROOT / 'platform/store.py',
 )
--- a/tests/unit/gateway/test_replica.py
+++ b/tests/unit/gateway/test_replica.py
@@ -12,6 +12,7 @@
 from lycheedyke.protocol import (
     EvacuationRecord,
     ItemBatch,
+    Position,
     RegistryItem,
     RegistryRecord,
     RegistryUpdate,
@@ -50,7 +51,7 @@
     replica, _, _ = _make()
     for item in (*items, *items):
         replica.merge(ItemBatch(item.revision, (item,)))
-    assert replica.changes_after(0).items == (_present('a', 5),)
+    assert replica.changes_after(Position(0, 0)).items == (_present('a', 5),)
 
 
 def test_whole_state_removes_what_it_lacks() -> None:
@@ -154,12 +155,12 @@
     def is_watcher(self) -> bool:
         return True
 
-    async def poll_source(self, after: int) -> RegistryUpdate | None:
+    async def poll_source(self, after: Position) -> RegistryUpdate | None:
         self.requests += 1
         await asyncio.sleep(0)
         return self._watcher
 
-    async def poll_sample(self, after: int) -> list[RegistryUpdate]:
+    async def poll_sample(self, after: Position) -> list[RegistryUpdate]:
         await asyncio.sleep(0)
         return [self._some] if self._some else []
 
@@ -261,6 +262,42 @@
     asyncio.run(_check())
 
 
+def test_a_later_generation_leads_to_one_read_of_everything() -> None:
+    """Also where the registry has the revision that was known before."""
+    replica, _, _ = _make()
+    registry = _Registry(
+        ItemBatch(9, (_present('a', 3),)),
+        ItemBatch(11, (_present('b', 11),), 1),
+        ItemBatch(12, (_present('b', 11), _present('c', 5)), 1),
+        HistoryLost('the registry has only 7'),
+        ItemBatch(7, (_present('c', 5),), 2),
+    )
+    asyncio.run(_follow(registry, replica))
+    assert registry.requests == [None, 9, None, 12, None, 7]
+    assert replica.position == Position(2, 7)
+
+
+def test_a_late_answer_of_an_earlier_generation_is_a_failure() -> None:
+    """Peers told of the later generation already."""
+    replica, _, log = _make()
+    replica.merge(ItemBatch(7, (), 1))
+    registry = _Registry(ItemBatch(9, (_present('a', 3),)), ItemBatch(8, (), 1))
+    asyncio.run(_follow(registry, replica))
+    assert registry.requests == [None, None, 8]
+    assert not log.lines
+
+
+def test_news_of_an_earlier_generation_do_not_spare_the_registry() -> None:
+    """A watcher that has not heard yet, or tells no generation."""
+    replica, _, _ = _make()
+    replica.merge(ItemBatch(7, (), 1))
+    registry = _Registry(ItemBatch(8, (), 1))
+    late = RegistryUpdate(0, ItemBatch(9, (_present('a', 3),)))
+    asyncio.run(_follow(registry, replica, _Peers(watcher=late)))
+    assert registry.requests == [None, 8]
+    assert replica.position == Position(1, 8)
+
+
 def test_tombstones_of_removed_items_are_bounded() -> None:
     """Upstreams are added and removed for months."""
     replica, _, _ = _make()
@@ -272,5 +309,5 @@
         )
         removed = RegistryItem(f'u{number}', 2 * number + 2)
         replica.merge(ItemBatch(2 * number + 2, (removed,)))
-    assert 1_000 < len(replica.changes_after(0).items) <= 2_049
-    assert removed in replica.changes_after(0).items
+    assert 1_000 < len(replica.changes_after(Position(0, 0)).items) <= 2_049
+    assert removed in replica.changes_after(Position(0, 0)).items
