Tell peers of a configuration that the registry has lost

What callers would see: after the store came back from a copy, an instance that had just started read the copy's older configuration and served by it, while all others held the newer one that had been in force. A route added since answered 404 there until the operator wrote it again, however long that took.

Cause: the number in force was held by each instance for itself, and a peer's update has only what the registry has.

Ruled out: to give the held configuration a revision of the new generation, so that it travels as an item. Two items of one key and one revision could then differ, and an instance that had read the registry later would not ask for it.

The change: a configuration that the copy lacks is held like other records, without an end, until its number or a higher one is written; lower ones that are written again meanwhile do not count. Updates carry it in an added last field, which the last release ignores; so each answer to a peer is larger by it while it is held.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_peer_updates.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_peer_updates.py
@@ -136,7 +136,9 @@
         except ValueError:
             raise web.HTTPBadRequest(text='after is a revision') from None
         update = RegistryUpdate(
-            self.age() // MILLISECOND, self._replica.changes_after(after)
+            self.age() // MILLISECOND,
+            self._replica.changes_after(after),
+            self._replica.held_configurations(),
         )
         return web.Response(body=msgspec.msgpack.encode(update))
 
--- a/packages/lycheedyke/src/lycheedyke/coordination/_holds.py
+++ b/packages/lycheedyke/src/lycheedyke/coordination/_holds.py
@@ -25,6 +25,7 @@
     lapsed = 'the registry no longer has it'
     outdated = 'the registry has an older one'
     removed = 'the registry has it back'
+    unwritten = 'the registry has a configuration of a lower number'
 
 
 class Hold(NamedTuple):
@@ -46,8 +47,6 @@
 ) -> HoldReason | None:
     """Returns why a known item stays in effect, or None if it does not.
 
-    A configuration needs no hold: the numbers in force only rise.
-
     Args:
         known: the item in effect, under a revision of an earlier generation.
         present: the registry's item; without a record if it has none.
@@ -56,7 +55,8 @@
         returned = present.record is None or present.revision <= known.revision
         return HoldReason.removed if returned else None
     if isinstance(known.record, RoutingRecord):
-        return None
+        is_newer = _is_newer_configuration(known.record, present.record)
+        return HoldReason.unwritten if is_newer else None
     if present.record is None:
         return HoldReason.lapsed
     if _is_newer_run(known.record, present.record):
@@ -67,36 +67,44 @@
     return None
 
 
-def is_leaving_revoked(
-    known: RegistryRecord | None,
+def is_written_late(
+    held: RegistryRecord | None,
     written: RegistryRecord | None,
 ) -> bool:
-    """Returns whether an upstream that leaves is written as if it stayed."""
+    """Returns whether a record that is written again is not the last one.
+
+    What was lost is not written again in its old order.
+    """
+    if isinstance(held, RoutingRecord):
+        return _is_newer_configuration(held, written)
     return (
-        isinstance(known, UpstreamRecord)
-        and known.leaving
+        isinstance(held, UpstreamRecord)
+        and held.leaving
         and written is not None
-        and _is_newer_run(known, written)
+        and _is_newer_run(held, written)
     )
 
 
-def count_kept(
-    before: Mapping[str, RegistryItem],
-    items: Mapping[str, RegistryItem],
-    holds: Mapping[str, Hold],
-) -> dict[str, int]:
-    """Counts by kind the records in effect that a copy lacks or has older."""
-    kept = Counter(
-        _kind(hold.item.record)
-        for hold in holds.values()
-        if hold.item.record is not None
+def replaces_configuration(
+    offered: RegistryItem,
+    known: RegistryItem | None,
+) -> bool:
+    """Returns whether a configuration that a peer holds is newer."""
+    return _is_newer_configuration(
+        offered.record,
+        known.record if known is not None else None,
     )
-    kept.update(
-        _kind(known.record)
-        for key, known in before.items()
-        if _is_newer_configuration(known.record, items[key].record)
+
+
+def count_kept(holds: Mapping[str, Hold]) -> dict[str, int]:
+    """Counts by kind the records in effect that a copy lacks or has older."""
+    return dict(
+        Counter(
+            _kind(hold.item.record)
+            for hold in holds.values()
+            if hold.item.record is not None
+        ),
     )
-    return dict(kept)
 
 
 def count_dropped(
--- a/packages/lycheedyke/src/lycheedyke/coordination/_registry_follower.py
+++ b/packages/lycheedyke/src/lycheedyke/coordination/_registry_follower.py
@@ -180,6 +180,7 @@
             return False
         as_of = self._clock.elapsed() - update.age_ms * MILLISECOND
         self._replica.merge(update.batch)
+        self._replica.adopt_configurations(update.held)
         self._updated = max(self._updated, as_of)
         self._has_full_state = (
             self._has_full_state or self._replica.revision > 0
--- a/packages/lycheedyke/src/lycheedyke/coordination/_replica.py
+++ b/packages/lycheedyke/src/lycheedyke/coordination/_replica.py
@@ -17,7 +17,8 @@
     compare_with_copy,
     count_dropped,
     count_kept,
-    is_leaving_revoked,
+    is_written_late,
+    replaces_configuration,
 )
 from lycheedyke.protocol import (
     EntryRecord,
@@ -146,6 +147,24 @@
             )
         return ItemBatch(self.revision, found, self.position.generation)
 
+    def held_configurations(self) -> tuple[RegistryItem, ...]:
+        """Returns the configuration in force if the registry has lost it."""
+        return tuple(
+            hold.item
+            for hold in self._held.values()
+            if hold.reason is HoldReason.unwritten
+        )
+
+    def adopt_configurations(self, held: Iterable[RegistryItem]) -> None:
+        """Adopts a newer configuration that a peer holds."""
+        for item in held:
+            known = self._effective_items().get(item.key)
+            if not replaces_configuration(item, known):
+                continue
+            self._items.setdefault(item.key, RegistryItem(item.key, 0))
+            self._held[item.key] = Hold(item, HoldReason.unwritten)
+            self._on_change(item, known.record if known is not None else None)
+
     def remove_lapsed(self) -> None:
         """Ends the holds whose time is over; the registry's items count."""
         now = self._clock.elapsed()
@@ -175,7 +194,7 @@
         if hold is not None:
             known = hold.item
         before = known.record if known is not None else None
-        if hold is not None and is_leaving_revoked(before, item.record):
+        if hold is not None and is_written_late(before, item.record):
             self._held[item.key] = hold
         elif known is not None and self._is_removal_deferred(item, before):
             self._held[item.key] = Hold(known, HoldReason.lapsed)
@@ -201,7 +220,7 @@
                 self._on_change(item, record)
         self._drop_old_tombstones()
         if before:
-            self._report_restore(left, before)
+            self._report_restore(left)
 
     def _find_holds(
         self, before: Mapping[str, RegistryItem]
@@ -213,12 +232,8 @@
                 holds[key] = Hold(known, reason)
         return holds
 
-    def _report_restore(
-        self,
-        left: Position,
-        before: Mapping[str, RegistryItem],
-    ) -> None:
-        kept = count_kept(before, self._items, self._held)
+    def _report_restore(self, left: Position) -> None:
+        kept = count_kept(self._held)
         dropped = count_dropped(self._items, self._held)
         _logger.warning(
             'registry restored',
@@ -239,8 +254,11 @@
         return self._items | held
 
     def _held_until(self, reason: HoldReason) -> timedelta:
-        if reason is HoldReason.lapsed:
-            return self._removals_deferred_until
+        match reason:
+            case HoldReason.lapsed:
+                return self._removals_deferred_until
+            case HoldReason.unwritten:
+                return timedelta.max
         return self._returns_ignored_until
 
     def _drop_old_tombstones(self) -> None:
--- a/packages/lycheedyke/src/lycheedyke/protocol/_registry.py
+++ b/packages/lycheedyke/src/lycheedyke/protocol/_registry.py
@@ -197,10 +197,12 @@
         age_ms: the time since the items were received from the registry, in
             milliseconds.
         batch: the items that changed after the requested revision.
+        held: the configuration in force, while the registry has lost it.
     """
 
     age_ms: int
     batch: ItemBatch
+    held: tuple[RegistryItem, ...] = ()
 
 
 class Announcement(NamedTuple):
--- a/tests/unit/gateway/test_generations.py
+++ b/tests/unit/gateway/test_generations.py
@@ -191,18 +191,49 @@
     assert not view.records
 
 
+def _routing(revision: int, number: int) -> RegistryItem:
+    return RegistryItem('routing', revision, make_routing(number))
+
+
+def test_a_configuration_stays_until_a_higher_number_is_written() -> None:
+    """Lower numbers may be written again before it, and never apply."""
+    view = _View()
+    view.merge(900, _routing(890, 7))
+    view.merge(805, _routing(600, 5), at=1)
+    view.merge(806, _routing(806, 6), at=1)
+    view.merge(807, RegistryItem('routing', 807), at=1)
+    view.pass_time(1000)
+    assert view.records == {'routing': make_routing(7)}
+    assert view.replica.held_configurations() == (_routing(890, 7),)
+    view.merge(808, _routing(808, 8), at=1)
+    assert view.records == {'routing': make_routing(8)}
+    assert not view.replica.held_configurations()
+
+
+def test_a_configuration_that_a_peer_holds_is_adopted() -> None:
+    """An instance that never saw it reads only the copy's."""
+    view = _View()
+    view.merge(805, _routing(600, 5), at=1)
+    view.replica.adopt_configurations((_routing(890, 7), _routing(880, 6)))
+    assert view.records == {'routing': make_routing(7)}
+    view.merge(806, _routing(806, 7), at=1)
+    view.replica.adopt_configurations((_routing(880, 6),))
+    assert view.records == {'routing': make_routing(7)}
+    assert not view.replica.held_configurations()
+
+
 def test_the_line_on_a_restore_has_both_positions_and_counts(
     caplog: pytest.LogCaptureFixture,
 ) -> None:
     """One line tells what was kept and what of the copy was dropped."""
     view = _View()
     gone = _evacuation(ZONE_B, 700)
-    routing = RegistryItem('routing', 890, make_routing(7))
-    view.merge(890, _evacuation(ZONE_A, 880), _upstream(881), gone, routing)
+    view.merge(
+        890, _evacuation(ZONE_A, 880), _upstream(881), gone, _routing(890, 7)
+    )
     view.merge(900, RegistryItem(ZONE_B, 900))
-    older = RegistryItem('routing', 600, make_routing(5))
     with caplog.at_level(logging.WARNING):
-        view.merge(805, gone, older, at=1)
+        view.merge(805, gone, _routing(600, 5), at=1)
     line = vars(caplog.records[-1])
     assert line['msg'] == 'registry restored'
     assert (line['generation_before'], line['revision_before']) == (0, 900)
@@ -235,7 +266,9 @@
     """The generation is an added field that either side may lack."""
     items = (_upstream(7),)
     old = msgspec.msgpack.encode(_OldUpdate(5, _OldBatch(7, items)))
-    new = msgspec.msgpack.encode(RegistryUpdate(5, ItemBatch(7, items, 3)))
+    held = (_routing(6, 1),)
+    update = RegistryUpdate(5, ItemBatch(7, items, 3), held)
+    new = msgspec.msgpack.encode(update)
     read = msgspec.msgpack.decode(old, type=RegistryUpdate)
     assert read == RegistryUpdate(5, ItemBatch(7, items))
     assert msgspec.msgpack.decode(new, type=_OldUpdate).batch.items == items
--- a/tests/unit/gateway/test_restores.py
+++ b/tests/unit/gateway/test_restores.py
@@ -264,6 +264,23 @@
     run_scenario(tmp_path, _scene, limit_s=LIMIT_SECONDS, instances=2)
 
 
+def test_an_instance_that_never_saw_the_old_generation_hears_of_it(
+    tmp_path: Path,
+) -> None:
+    """It serves the newest configuration, which the copy lacks."""
+
+    async def _scene(testbed: GatewayTestbed) -> None:
+        mark = await _mark(testbed)
+        _configure(testbed)
+        assert await _until(_serves_new(testbed))
+        await mark.come_back()
+        assert await _holds(_serves_new(testbed), KEPT_SECONDS)
+        await testbed.start('edge-new')
+        assert await _until(_serves_new(testbed, 2))
+
+    run_scenario(tmp_path, _scene, limit_s=LIMIT_SECONDS, instances=2)
+
+
 def test_an_instance_that_stopped_since_the_copy_is_not_named(
     tmp_path: Path,
 ) -> None:
