Test the store's client across a return from a copy

No test met a return of the store between two calls that belong together: the pages of a full read, the lease and the record of an announcement, or a lease that was given to another since.

--- a/tests/standins/gateway_testbed.py
+++ b/tests/standins/gateway_testbed.py
@@ -7,6 +7,7 @@
 import asyncio
 import sys
 from collections.abc import Awaitable, Callable
+from datetime import timedelta
 from pathlib import Path
 from types import TracebackType
 from typing import Any, NamedTuple, Self
@@ -16,6 +17,7 @@
 from aiohttp import web
 
 from lycheedyke.clock import SystemClock
+from lycheedyke.protocol import Registry
 from lycheedyke_daemon.gateway import GatewayInstance, read_gateway_settings
 from standins.deployment import free_ports
 from standins.registry_store import (
@@ -30,6 +32,7 @@
     sys.path.insert(0, str(PLATFORM_DIR))
 
 from deployment import deploy
+from store import StoreRegistry
 
 HOST = 'shop.example'
 ROUTES = (
@@ -78,6 +81,11 @@
 )
 
 
+def connect_store(address: str, timeout: timedelta) -> Registry:
+    """Returns the platform's client of a registry store."""
+    return StoreRegistry(address, timeout)
+
+
 class Reply(NamedTuple):
     """A response as the caller received it."""
 
--- a/tests/standins/registry_store.py
+++ b/tests/standins/registry_store.py
@@ -14,32 +14,16 @@
 import contextlib
 import json
 import time
-from collections import deque
 from collections.abc import Mapping
-from typing import Any, NamedTuple
+from typing import Any
 
 from aiohttp import web
 
+from standins.store_copies import StoreCopies, StoreCopy, StoreItem
+
 PAGE_ITEMS = 3
 POLL_SECONDS = 0.01
 ERA_HEADER = 'Store-Era'
-MAX_COPIES = 1_000
-
-
-class _Item(NamedTuple):
-    value: bytes | None
-    revision: int
-    lease: int
-
-
-class _Copy(NamedTuple):
-    """The content of the store at one time."""
-
-    taken: float
-    revision: int
-    items: dict[str, _Item]
-    leases: frozenset[int]
-    next_lease: int
 
 
 class FakeRegistryStore:
@@ -60,12 +44,12 @@
         self.era: int | None = 0
         self.calls: list[str] = []
         self._revision = 1
-        self._items: dict[str, _Item] = {}
+        self._items: dict[str, StoreItem] = {}
         self._leases: set[int] = set()
         self._next_lease = 100
         self._renewed: dict[int, tuple[float, float]] = {}
         self._delayed_writes: set[asyncio.Task[None]] = set()
-        self._copies: deque[_Copy] = deque(maxlen=MAX_COPIES)
+        self._copies = StoreCopies()
         self._keep_copy()
 
     def app(self) -> web.Application:
@@ -92,14 +76,14 @@
         content = (
             value if isinstance(value, bytes) else json.dumps(value).encode()
         )
-        self._items[key] = _Item(content, self._revision, lease)
+        self._items[key] = StoreItem(content, self._revision, lease)
         self._keep_copy()
         return self._revision
 
     def remove(self, key: str) -> int:
         """Removes a key, leaves a tombstone and returns its revision."""
         self._revision += 1
-        self._items[key] = _Item(None, self._revision, 0)
+        self._items[key] = StoreItem(None, self._revision, 0)
         self._keep_copy()
         return self._revision
 
@@ -156,7 +140,7 @@
             written_again: keys whose last state is written again, with the
                 time of the write after the store's return.
         """
-        copy = self._find_copy(time.monotonic() - age_s)
+        copy = self._copies.find(age_s)
         last = self._items
         self.down = True
         await asyncio.sleep(away_s)
@@ -164,9 +148,13 @@
         self.down = False
         await self._write_again(last, written_again or {})
 
+    def restore(self, age_s: float) -> None:
+        """Comes back from a copy at once."""
+        self._restore(self._copies.find(age_s))
+
     async def _write_again(
         self,
-        last: Mapping[str, _Item],
+        last: Mapping[str, StoreItem],
         times: Mapping[str, float],
     ) -> None:
         started = time.monotonic()
@@ -179,20 +167,16 @@
                 self.put(key, item.value)
 
     def _keep_copy(self) -> None:
-        copy = _Copy(
+        copy = StoreCopy(
             time.monotonic(),
             self._revision,
             dict(self._items),
             frozenset(self._leases),
             self._next_lease,
         )
-        self._copies.append(copy)
-
-    def _find_copy(self, time_s: float) -> _Copy:
-        older = [copy for copy in self._copies if copy.taken <= time_s]
-        return older[-1] if older else self._copies[0]
+        self._copies.keep(copy)
 
-    def _restore(self, copy: _Copy) -> None:
+    def _restore(self, copy: StoreCopy) -> None:
         """Replaces the content; revisions and leases are given out again."""
         now = time.monotonic()
         self._revision = copy.revision
@@ -203,8 +187,7 @@
             lease: (now, self._renewed[lease][1]) for lease in copy.leases
         }
         self.era = (self.era or 0) + 1
-        while self._copies[-1] is not copy:
-            self._copies.pop()
+        self._copies.drop_after(copy)
 
     @web.middleware
     async def _tell_era(self, request: web.Request, handler: Any) -> Any:
