Learn of a restore from any answer of the registry

What callers would see, beside processes of the last release: a new process whose source of updates is one of them kept to the generation before, as that one goes on telling its old revisions as fresh and states no generation. It would have served by what the store held before the drill for as long as the old process ran.

Cause: only reads of the registry told the generation, and an instance with a fresh source does not read it.

Ruled out: to take updates without a generation for out of date at once. Beside a store that has never come back they are as good as any.

--- a/packages/lycheedyke/src/lycheedyke/coordination/_registry_follower.py
+++ b/packages/lycheedyke/src/lycheedyke/coordination/_registry_follower.py
@@ -174,9 +174,11 @@
     def _merge(self, update: RegistryUpdate) -> bool:
         """Merges a peer's update; returns whether it is recent.
 
-        What a peer knows of an earlier generation is out of date.
+        What a peer knows of an earlier generation is out of date. The
+        registry may have stated a later one when the announcement was renewed.
         """
-        if update.batch.generation < self._replica.position.generation:
+        known = self._replica.position.generation
+        if update.batch.generation < max(known, self._registry.generation):
             return False
         as_of = self._clock.elapsed() - update.age_ms * MILLISECOND
         self._replica.merge(update.batch)
--- a/packages/lycheedyke/src/lycheedyke/protocol/_registry.py
+++ b/packages/lycheedyke/src/lycheedyke/protocol/_registry.py
@@ -228,6 +228,10 @@
     `watch` are not complete if that differs from the one of `after`.
     """
 
+    @property
+    def generation(self) -> int:
+        """The latest generation that any answer stated."""
+
     async def read_all(self) -> ItemBatch:
         """Returns all items."""
 
--- a/tests/unit/gateway/test_replica.py
+++ b/tests/unit/gateway/test_replica.py
@@ -120,6 +120,7 @@
     """A registry that gives scripted answers, then waits forever."""
 
     def __init__(self, *answers: ItemBatch | Exception) -> None:
+        self.generation = 0
         self.requests: list[int | None] = []
         self._answers = list(answers)
 
@@ -298,6 +299,17 @@
     assert replica.position == Position(1, 8)
 
 
+def test_what_a_peer_of_the_last_release_tells_is_checked() -> None:
+    """It tells no generation; the registry's other answers do."""
+    replica, _, _ = _make()
+    registry = _Registry(ItemBatch(7, (), 1))
+    registry.generation = 1
+    untold = RegistryUpdate(0, ItemBatch(9, (_present('a', 3),)))
+    asyncio.run(_follow(registry, replica, _Peers(watcher=untold)))
+    assert registry.requests == [None, 7]
+    assert replica.position == Position(1, 7)
+
+
 def test_tombstones_of_removed_items_are_bounded() -> None:
     """Upstreams are added and removed for months."""
     replica, _, _ = _make()
--- a/tests/unit/gateway/test_store_registry.py
+++ b/tests/unit/gateway/test_store_registry.py
@@ -70,6 +70,7 @@
         batch = await registry.read_all()
         assert batch.position == (1, store.revision)
         assert (await registry.watch(batch.revision, WAIT)).generation == 1
+        assert registry.generation == 1
         store.era = None
         assert (await registry.read_all()).generation == 0
 
@@ -121,6 +122,7 @@
         store.restore(LONG_AGO)
         other = await registry.announce(ENTRY, TTL)
         assert other.lease == old.lease
+        assert registry.generation == 1
         with pytest.raises(LeaseExpired):
             await registry.renew(old)
         await registry.renew(other)
