Let the soak's store come back from older copies

The stand-in now repeats what was written while it was away too, and leaves a key alone that was written otherwise since.

--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -39,19 +39,33 @@
         self.load_generator = LoadGenerator(testbed, random.Random(seed))
         self.fault_injector = FaultInjector(testbed, random.Random(seed))
         self._testbed = testbed
+        self._seed = seed
         self._versions: dict[tuple[str, float], int] = {}
         self._violations: list[str] = []
 
-    async def run(self, seconds: float, callers: int) -> list[str]:
+    async def run(
+        self,
+        seconds: float,
+        callers: int,
+        *,
+        restores: bool,
+    ) -> list[str]:
         """Runs the test; returns a line for each violated guarantee.
 
         Args:
             seconds: how long faults are injected.
             callers: the number of callers.
+            restores: whether the store comes back from older copies.
         """
         calling = asyncio.create_task(self.load_generator.run(callers))
         watching = asyncio.create_task(self._poll_versions())
+        restoring = asyncio.create_task(
+            self.fault_injector.restore_store(
+                seconds if restores else 0, random.Random(self._seed)
+            ),
+        )
         await self.fault_injector.run(seconds)
+        await restoring
         await asyncio.sleep(SETTLE_SECONDS)
         self.load_generator.stop()
         await calling
@@ -152,26 +166,37 @@
     seed: int,
     seconds: float,
     callers: int,
+    *,
+    restores: bool,
 ) -> list[str]:
     async with Testbed(folder, random.Random(seed)) as testbed:
         soak = SoakTest(testbed, seed)
-        violations = await soak.run(seconds, callers)
+        violations = await soak.run(seconds, callers, restores=restores)
         soak.report()
     return violations
 
 
-def run(*, seed: int = 1, seconds: float = 20, callers: int = 9) -> int:
+def run(
+    *,
+    seed: int = 1,
+    seconds: float = 20,
+    callers: int = 9,
+    restores: bool = False,
+) -> int:
     """Run gateway processes under load while faults are injected.
 
     Args:
         seed: Seed of all random choices.
         seconds: How long faults are injected.
         callers: Number of callers in all zones together.
+        restores: Bring the store back from older copies, too.
     """
     folder = Path(tempfile.mkdtemp(prefix='lycheedyke-soak-'))
     print(f'soak test, seed {seed}, {seconds:g} s, logs in {folder}')
     started = time.monotonic()
-    violations = asyncio.run(_soak(folder, seed, seconds, callers))
+    violations = asyncio.run(
+        _soak(folder, seed, seconds, callers, restores=restores)
+    )
     for line in violations:
         print('VIOLATION:', line)
     elapsed = time.monotonic() - started
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -27,6 +27,11 @@
 ADDED_ROUTE = {'name': 'more', 'prefix': '/more/', 'service': 'desk'}
 MAX_UPSTREAMS = 9
 MIN_UPSTREAMS = 4
+# The age of a copy, the time away, and until a write is repeated.
+COPY_SECONDS = (0.5, 6.0)
+AWAY_SECONDS = (0, 1.5)
+REPEATED_SECONDS = (0.1, 1.8)
+RESTORE_PAUSE_SECONDS = (1.0, 6.0)
 
 
 class InjectedFault(NamedTuple):
@@ -103,6 +108,28 @@
             await asyncio.sleep(self._rng.uniform(*PAUSE_SECONDS))
         await asyncio.gather(*self._pending)
 
+    async def restore_store(self, seconds: float, rng: random.Random) -> None:
+        """Brings the store back from copies for a time, one after another.
+
+        Args:
+            seconds: the time.
+            rng: makes the random choices of these faults alone.
+        """
+        end = time.monotonic() + seconds
+        store = self._testbed.store
+        while time.monotonic() < end:
+            await asyncio.sleep(rng.uniform(*RESTORE_PAUSE_SECONDS))
+            started = time.monotonic()
+            await store.come_back_from_copy(
+                rng.uniform(*COPY_SECONDS),
+                away_s=rng.uniform(*AWAY_SECONDS),
+                written_again={
+                    key: rng.uniform(*REPEATED_SECONDS)
+                    for key in store.written_keys()
+                },
+            )
+            self._record('store restore', 'store', started)
+
     def _claim_instance(self) -> str | None:
         """Claims an instance for a fault, unless half of them have one."""
         free = sorted(set(self._testbed.instances) - self._claimed)
--- a/tests/standins/registry_store.py
+++ b/tests/standins/registry_store.py
@@ -116,6 +116,12 @@
         """Drops the history of all changes up to the current revision."""
         self.compacted_revision = self._revision
 
+    def written_keys(self) -> list[str]:
+        """Returns the keys of others' records, also of removed ones."""
+        return sorted(
+            key for key in self._items if key.startswith(('op/', 'servers/'))
+        )
+
     def keys(self) -> set[str]:
         """Returns the existing keys."""
         return {key for key, item in self._items.items() if item.value}
@@ -138,12 +144,13 @@
             age_s: the age of the copy when the store goes away.
             away_s: how long the store is away.
             written_again: keys whose last state is written again, with the
-                time of the write after the store's return.
+                time of the write after the store's return. A key that was
+                written otherwise since is left so.
         """
         copy = self._copies.find(age_s)
-        last = self._items
         self.down = True
         await asyncio.sleep(away_s)
+        last = self._items
         self._restore(copy)
         self.down = False
         await self._write_again(last, written_again or {})
@@ -158,8 +165,11 @@
         times: Mapping[str, float],
     ) -> None:
         started = time.monotonic()
+        restored = self._revision
         for key in sorted(times, key=times.__getitem__):
             await asyncio.sleep(times[key] - (time.monotonic() - started))
+            if key in self._items and self._items[key].revision > restored:
+                continue
             item = last.get(key)
             if item is None or item.value is None:
                 self.remove(key)
