--- a/tests/unit/gateway/test_log_lines.py
+++ b/tests/unit/gateway/test_log_lines.py
@@ -39,6 +39,15 @@
         yield from pair
 
 
+def _counters(path: Path) -> Iterator[str]:
+    for node in ast.walk(ast.parse(path.read_text())):
+        if not isinstance(node, ast.Call) or not node.args:
+            continue
+        called = node.func
+        if isinstance(called, ast.Attribute) and called.attr == 'count':
+            yield from _texts(node.args[0])
+
+
 def _texts(node: ast.expr) -> Iterator[str]:
     if isinstance(node, ast.Constant) and isinstance(node.value, str):
         yield node.value
@@ -50,6 +59,19 @@
     assert written == set(listed_events())
 
 
+def test_the_page_lists_every_counter() -> None:
+    """The page lists the counters that the gateway's own code counts."""
+    page = (ROOT / 'docs/OPERATIONS.md').read_text()
+    part = page.split('### Metrics', 1)[1].split('\n### ', 1)[0]
+    counted = {
+        name
+        for path in (DAEMON / 'gateway').glob('*.py')
+        for name in _counters(path)
+    }
+    assert 'registry.restored' in counted
+    assert not {name for name in counted if f'`{name}`' not in part}
+
+
 @pytest.mark.parametrize('event', ['request ended', 'request refused'])
 def test_lines_on_requests_name_their_inputs(event: str) -> None:
     """Each line has the request, its outcome and the reason."""
