--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
@@ -15,7 +15,7 @@
     RegistryFollower,
     Replica,
 )
-from lycheedyke.protocol import EntryRecord
+from lycheedyke.protocol import EntryRecord, Position
 from lycheedyke.state import (
     Counters,
     Distances,
@@ -92,7 +92,10 @@
         own = _describe(settings)
         self._own = own
         self._replica = Replica(
-            clock, settings.reappearance, self._registry_view.apply
+            clock,
+            settings.reappearance,
+            self._registry_view.apply,
+            self._handle_restore,
         )
         self._peer_updates = PeerUpdates(
             own,
@@ -251,6 +254,10 @@
         if name == self._own.name:
             self._presence.mark_removed()
 
+    def _handle_restore(self, position: Position) -> None:
+        self._counters.count('registry.restored')
+        self._presence.mark_restored(position.generation)
+
     def _caller_app(self) -> web.Application:
         settings = self._settings
         times = RunTimeStats()
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_peer_updates.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_peer_updates.py
@@ -15,6 +15,7 @@
 from lycheedyke.protocol import (
     EntryRecord,
     ItemBatch,
+    Position,
     QuarantineRecord,
     RegistryUpdate,
 )
@@ -96,7 +97,7 @@
         watcher = self._watcher()
         return watcher is None or watcher.name == self._own.name
 
-    async def poll_source(self, after: int) -> RegistryUpdate | None:
+    async def poll_source(self, after: Position) -> RegistryUpdate | None:
         """Returns the updates of the zone's watcher, or of the head.
 
         Returns:
@@ -111,7 +112,7 @@
         self._record_source(source.name, answered=update is not None)
         return update
 
-    async def poll_sample(self, after: int) -> list[RegistryUpdate]:
+    async def poll_sample(self, after: Position) -> list[RegistryUpdate]:
         """Returns the updates of some instances of any zone.
 
         An instance that knows no other instance polls its seeds.
@@ -155,15 +156,30 @@
 
     async def _answer(self, request: web.Request) -> web.Response:
         try:
-            after = int(request.query.get('after', '0'))
+            after = self._requested_position(request)
         except ValueError:
             raise web.HTTPBadRequest(text='after is a revision') from None
         batch = self._replica.changes_after(after)
         if QUARANTINES not in request.query:
             batch = _without_quarantines(batch)
-        update = RegistryUpdate(self.age() // MILLISECOND, batch)
+        update = RegistryUpdate(
+            self.age() // MILLISECOND,
+            batch,
+            self._replica.held_configurations(),
+        )
         return web.Response(body=msgspec.msgpack.encode(update))
 
+    def _requested_position(self, request: web.Request) -> Position:
+        """Returns the position after which a peer asks for changes.
+
+        Peers of earlier releases do not tell their generation.
+        """
+        known = self._replica.position.generation
+        return Position(
+            int(request.query.get('generation', known)),
+            int(request.query.get('after', '0')),
+        )
+
     async def _handle_suspects(self, request: web.Request) -> web.Response:
         try:
             reported = _SUSPECTS.decode(await request.read())
@@ -234,11 +250,17 @@
             if peer.name != self._own.name
         ]
 
-    async def _poll(self, address: str, after: int) -> RegistryUpdate | None:
+    async def _poll(
+        self, address: str, after: Position
+    ) -> RegistryUpdate | None:
+        query = (
+            f'after={after.revision}&generation={after.generation}'
+            f'&{QUARANTINES}=1'
+        )
         try:
             answer = await self._http.send(
                 'GET',
-                f'http://{address}{UPDATES_PATH}?after={after}&{QUARANTINES}=1',
+                f'http://{address}{UPDATES_PATH}?{query}',
                 timeout=POLL_TIMEOUT,
             )
             return _UPDATE.decode(answer.body)
@@ -272,4 +294,4 @@
         for item in batch.items
         if not isinstance(item.record, QuarantineRecord)
     )
-    return ItemBatch(batch.revision, items)
+    return ItemBatch(batch.revision, items, batch.generation)
--- a/tests/processes/test_news_memory.py
+++ b/tests/processes/test_news_memory.py
@@ -11,7 +11,7 @@
 
 from lycheedyke.clock import SystemClock
 from lycheedyke.exceptions import PlatformError
-from lycheedyke.protocol import EntryRecord
+from lycheedyke.protocol import EntryRecord, Position
 from lycheedyke.state import Counters, Suspects
 from lycheedyke_daemon.gateway._peer_updates import PeerUpdates
 from standins.deployment import TESTS
@@ -45,7 +45,7 @@
         Counters(),
         clock,
     )
-    return [updates._poll(address, 1) for _ in range(AT_ONCE)]
+    return [updates._poll(address, Position(0, 1)) for _ in range(AT_ONCE)]
 
 
 async def _call(reader: str, address: str) -> int:
--- a/tests/standins/registry_store.py
+++ b/tests/standins/registry_store.py
@@ -5,7 +5,8 @@
 `lose_writes` (so many writes are applied, but their responses are lost),
 `write_delay_s` (writes are applied after this delay and get no response) and
 `compacted_revision` (the history up to this revision is dropped, and watches
-after an earlier revision get 410).
+after an earlier revision get 410). `come_back_from_copy` replaces its content with an
+older copy.
 """
 
 import asyncio
@@ -13,22 +14,25 @@
 import contextlib
 import json
 import time
-from typing import Any, NamedTuple
+from collections.abc import Mapping
+from typing import Any
 
 from aiohttp import web
 
+from standins.store_copies import StoreCopies, StoreCopy, StoreItem
+
 PAGE_ITEMS = 3
 POLL_SECONDS = 0.01
-
-
-class _Item(NamedTuple):
-    value: bytes | None
-    revision: int
-    lease: int
+ERA_HEADER = 'Store-Era'
 
 
 class FakeRegistryStore:
-    """Keys with revisions, held in memory."""
+    """Keys with revisions, held in memory.
+
+    Attributes:
+        era: how often the store came back from an older copy; None if its
+            responses do not tell it.
+    """
 
     def __init__(self) -> None:
         """Initializes an empty store at revision 1."""
@@ -37,17 +41,20 @@
         self.lose_writes = 0
         self.write_delay_s = 0.0
         self.compacted_revision = 0
+        self.era: int | None = 0
         self.calls: list[str] = []
         self._revision = 1
-        self._items: dict[str, _Item] = {}
+        self._items: dict[str, StoreItem] = {}
         self._leases: set[int] = set()
         self._next_lease = 100
         self._renewed: dict[int, tuple[float, float]] = {}
         self._delayed_writes: set[asyncio.Task[None]] = set()
+        self._copies = StoreCopies()
+        self._keep_copy()
 
     def app(self) -> web.Application:
         """Returns the HTTP application."""
-        app = web.Application(middlewares=[self._fail])
+        app = web.Application(middlewares=[self._tell_era, self._fail])
         app.add_routes(
             [
                 web.get('/kv-range', self._range),
@@ -69,13 +76,15 @@
         content = (
             value if isinstance(value, bytes) else json.dumps(value).encode()
         )
-        self._items[key] = _Item(content, self._revision, lease)
+        self._items[key] = StoreItem(content, self._revision, lease)
+        self._keep_copy()
         return self._revision
 
     def remove(self, key: str) -> int:
         """Removes a key, leaves a tombstone and returns its revision."""
         self._revision += 1
-        self._items[key] = _Item(None, self._revision, 0)
+        self._items[key] = StoreItem(None, self._revision, 0)
+        self._keep_copy()
         return self._revision
 
     def end_lease(self, lease: int) -> None:
@@ -99,14 +108,111 @@
         assert content is not None, key
         return content
 
+    def lease(self, key: str) -> int:
+        """Returns the lease of an existing key."""
+        return self._items[key].lease
+
     def compact(self) -> None:
         """Drops the history of all changes up to the current revision."""
         self.compacted_revision = self._revision
 
+    def written_keys(self) -> list[str]:
+        """Returns the keys of others' records, also of removed ones."""
+        return sorted(
+            key for key in self._items if key.startswith(('op/', 'servers/'))
+        )
+
     def keys(self) -> set[str]:
         """Returns the existing keys."""
         return {key for key, item in self._items.items() if item.value}
 
+    @property
+    def revision(self) -> int:
+        """The revision of the last change."""
+        return self._revision
+
+    async def come_back_from_copy(
+        self,
+        age_s: float,
+        *,
+        away_s: float = 0,
+        written_again: Mapping[str, float] | None = None,
+    ) -> None:
+        """Goes away, comes back from a copy, and gets lost writes again.
+
+        Args:
+            age_s: the age of the copy when the store goes away.
+            away_s: how long the store is away.
+            written_again: keys whose last state is written again, with the
+                time of the write after the store's return. A key that was
+                written otherwise since is left so.
+        """
+        copy = self._copies.find(age_s)
+        self.down = True
+        await asyncio.sleep(away_s)
+        last = self._items
+        self._restore(copy)
+        self.down = False
+        await self._write_again(last, written_again or {})
+
+    def restore(self, age_s: float) -> None:
+        """Comes back from a copy at once."""
+        self._restore(self._copies.find(age_s))
+
+    async def _write_again(
+        self,
+        last: Mapping[str, StoreItem],
+        times: Mapping[str, float],
+    ) -> None:
+        started = time.monotonic()
+        restored = self._revision
+        for key in sorted(times, key=times.__getitem__):
+            await asyncio.sleep(times[key] - (time.monotonic() - started))
+            if key in self._items and self._items[key].revision > restored:
+                continue
+            item = last.get(key)
+            if item is None or item.value is None:
+                self.remove(key)
+            else:
+                self.put(key, item.value)
+
+    def _keep_copy(self) -> None:
+        copy = StoreCopy(
+            time.monotonic(),
+            self._revision,
+            dict(self._items),
+            frozenset(self._leases),
+            self._next_lease,
+        )
+        self._copies.keep(copy)
+
+    def _restore(self, copy: StoreCopy) -> None:
+        """Replaces the content; revisions and leases are given out again."""
+        now = time.monotonic()
+        self._revision = copy.revision
+        self._items = dict(copy.items)
+        self._leases = set(copy.leases)
+        self._next_lease = copy.next_lease
+        self._renewed = {
+            lease: (now, self._renewed[lease][1]) for lease in copy.leases
+        }
+        self.era = (self.era or 0) + 1
+        self._copies.drop_after(copy)
+
+    @web.middleware
+    async def _tell_era(self, request: web.Request, handler: Any) -> Any:
+        try:
+            response = await handler(request)
+        except web.HTTPException as error:
+            self._add_era(error)
+            raise
+        self._add_era(response)
+        return response
+
+    def _add_era(self, response: web.StreamResponse) -> None:
+        if self.era is not None and not response.prepared:
+            response.headers[ERA_HEADER] = str(self.era)
+
     @web.middleware
     async def _fail(self, request: web.Request, handler: Any) -> Any:
         self.calls.append(request.path)
@@ -150,12 +256,15 @@
 
     async def _watch(self, request: web.Request) -> web.Response:
         after = int(request.query['after'])
-        if after < self.compacted_revision:
+        if not self.compacted_revision <= after <= self._revision:
             raise web.HTTPGone
+        era = self.era
         polls = int(request.query['waitMs']) / 1000 / POLL_SECONDS
         while self._revision <= after and polls > 0:
             polls -= 1
             await asyncio.sleep(POLL_SECONDS)
+            if self.era != era:
+                raise web.HTTPServiceUnavailable
         changed = sorted(
             (item.revision, key)
             for key, item in self._items.items()
@@ -183,6 +292,7 @@
         self._leases.add(self._next_lease)
         ttl_s = int(body['ttl_time'].removesuffix('ms')) / 1000
         self._renewed[self._next_lease] = (time.monotonic(), ttl_s)
+        self._keep_copy()
         return web.json_response(
             {'lease': self._next_lease, 'ttl_time': body['ttl_time']},
         )
