Bound what an upstream sends besides the body of its answer

Callers whose requests were at upstreams in trouble waited up to a second beyond their deadline, and all others of the instance waited as long, as the event loop was kept busy.

Cause: aiohttp parses a read of 256 KB at once, 9,000 heads of `103` of them, loops over informational heads without giving others a turn, and bounds neither their number nor the sum of all heads, nor the framing of chunks. On a pooled connection it goes on parsing answers to no request and keeps them.

While the reader of a body is behind, the rest is held and not parsed, and others get a turn between two reads. Errors quote at most 500 characters.

--- a/packages/lycheedyke/src/lycheedyke/exceptions.py
+++ b/packages/lycheedyke/src/lycheedyke/exceptions.py
@@ -30,7 +30,7 @@
 
 
 class ResponseTooLarge(ExchangeBroken):
-    """The response is larger than the limit for response bodies."""
+    """The response exceeds a limit for its body, its heads or its framing."""
 
 
 class ProtocolError(LycheedykeError):
--- a/packages/lycheedyke/src/lycheedyke/transport/_http.py
+++ b/packages/lycheedyke/src/lycheedyke/transport/_http.py
@@ -5,13 +5,12 @@
 from contextvars import ContextVar
 from datetime import timedelta
 from types import TracebackType
-from typing import Any, NamedTuple, Self
+from typing import NamedTuple, Self
 
 import aiohttp
 import multidict
 import yarl
 from aiohttp.abc import AbstractStreamWriter
-from aiohttp.client_proto import ResponseHandler
 from aiohttp.connector import Connection
 
 from lycheedyke.exceptions import (
@@ -21,13 +20,18 @@
     ExchangeTimeout,
     ResponseTooLarge,
 )
+from lycheedyke.transport._connector import Connector
 from lycheedyke.transport._sockets import open_socket
 
 DEFAULT_IDLE_TIMEOUT = timedelta(seconds=15)
 DEFAULT_MAX_BODY_BYTES = 1_048_576
 # The largest status line, and the largest header field, of a response.
 MAX_HEAD_BYTES = 32_768
+# The received bytes of one body that wait to be read, twice this at most
+# before the connection is read no further.
+READ_BUFFER_BYTES = 16_384
 DEFAULT_CONNECT_TIMEOUT = timedelta(seconds=1)
+MAX_DETAIL_CHARACTERS = 500
 # The share of the timeout of an exchange that connecting may take.
 CONNECT_SHARE = 0.8
 _NOT_CONNECTED = (
@@ -48,37 +52,6 @@
     body: bytes
 
 
-class _Connector(aiohttp.TCPConnector):
-    """A connection pool that never reuses a connection with unread bytes."""
-
-    async def connect(
-        self,
-        req: aiohttp.ClientRequest,
-        traces: list[Any],
-        timeout: aiohttp.ClientTimeout,
-    ) -> Any:
-        while True:
-            connection = await super().connect(req, traces, timeout)
-            protocol = connection.protocol
-            if protocol is None or not protocol.should_close:
-                return connection
-            connection.close()
-
-    async def _create_connection(
-        self,
-        req: aiohttp.ClientRequest,
-        traces: list[Any],
-        timeout: aiohttp.ClientTimeout,
-    ) -> ResponseHandler:
-        protocol = await super()._create_connection(req, traces, timeout)
-        # aiohttp records how a connection ends only if `closed` was read
-        # before the end.
-        closed = protocol.closed
-        if closed is not None:
-            closed.add_done_callback(_retrieve_exception)
-        return protocol
-
-
 class HttpClient:
     """An HTTP client with a connection pool, usable with `async with`.
 
@@ -188,7 +161,7 @@
             )
         except _NOT_CONNECTED as error:
             if gate.is_open:
-                raise ExchangeBroken(f'{method} {url}: {error!r}') from error
+                raise _to_broken(method, url, error) from error
             raise _to_connect_error(url, error) from error
         except TimeoutError as error:
             raise ExchangeTimeout(
@@ -197,7 +170,7 @@
         except (aiohttp.ClientError, OSError, ValueError) as error:
             if gate.refusal is not None:
                 raise gate.refusal from error
-            raise ExchangeBroken(f'{method} {url}: {error!r}') from error
+            raise _to_broken(method, url, error) from error
 
     async def _send_and_read(
         self,
@@ -261,6 +234,9 @@
         body = bytearray()
         async for chunk in response.content.iter_any():
             body += chunk
+            if not response.content.at_eof():
+                # The next read may return at once; others get their turn.
+                await asyncio.sleep(0)
             if len(body) > self._max_body_bytes:
                 response.close()
                 raise ResponseTooLarge(
@@ -276,7 +252,7 @@
     def _open_pooled(self) -> aiohttp.ClientSession:
         if self._pooled is None:
             self._pooled = _open_session(
-                _Connector(
+                Connector(
                     limit=0,
                     limit_per_host=self._max_connections,
                     socket_factory=open_socket,
@@ -288,7 +264,7 @@
     def _open_unpooled(self) -> aiohttp.ClientSession:
         if self._unpooled is None:
             self._unpooled = _open_session(
-                _Connector(
+                Connector(
                     limit=0,
                     limit_per_host=self._max_connections,
                     socket_factory=open_socket,
@@ -298,11 +274,6 @@
         return self._unpooled
 
 
-def _retrieve_exception(closed: asyncio.Future[None]) -> None:
-    if not closed.cancelled():
-        closed.exception()
-
-
 def _open_session(connector: aiohttp.TCPConnector) -> aiohttp.ClientSession:
     session = aiohttp.ClientSession(
         connector=connector,
@@ -312,6 +283,7 @@
         skip_auto_headers=('User-Agent', 'Accept-Encoding'),
         max_line_size=MAX_HEAD_BYTES,
         max_field_size=MAX_HEAD_BYTES,
+        read_bufsize=READ_BUFFER_BYTES,
     )
     # A request is written at most once, so aiohttp need not open a second
     # connection on which the request would not be written.
@@ -381,6 +353,12 @@
         await super().write_bytes(writer, conn, content_length)
 
 
+def _to_broken(method: str, url: str, error: Exception) -> ExchangeBroken:
+    # Errors of the parser quote what was received.
+    detail = repr(error)[:MAX_DETAIL_CHARACTERS]
+    return ExchangeBroken(f'{method} {url}: {detail}')
+
+
 def _to_connect_error(
     url: str,
     error: aiohttp.ClientError,
