Bound the memory of all answers together

Callers at every upstream of an instance lost their requests without an answer when its process was killed for its memory.

Cause: each answer may take 64 MiB and nothing bounded all together.

Ruled out: a smaller limit for each answer (fifty of them still have no common bound), and leaving it to the upstream's ejection, which comes after three failures, when all are under way.

Change: BodyMemory accounts for all answers until they are written to their callers. At the bound it breaks off the largest incomplete one, so an answer below the bound over their number is safe. The bound follows from limits.memory_mb of the settings (a sixteenth, at most 64 MiB, or answer_memory_bytes); without it from the memory that the system reports, so old files stay valid. body_memory_bytes has the same default in place of 64 MiB.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
@@ -24,6 +24,7 @@
     UpstreamTable,
     WarmupLimiter,
 )
+from lycheedyke.transport import BodyMemory
 from lycheedyke_daemon.crashes import CrashGuard
 from lycheedyke_daemon.gateway._caller_api import GatewayCallerApi
 from lycheedyke_daemon.gateway._decision_log import DecisionLog, Telemetry
@@ -126,7 +127,12 @@
         self._peer_updates.age = lambda: self._follower.age
         self._presence = Presence(deployment.registry, own, clock)
         self._registry_view.on_entry_removed = self._handle_entry_removed
-        self._client = UpstreamClient(deployment.headers, clock)
+        self._telemetry = self._make_telemetry()
+        self._client = UpstreamClient(
+            deployment.headers,
+            self._telemetry,
+            BodyMemory(settings.answer_memory_bytes),
+        )
         self._guard = CrashGuard(
             suspects, self._peer_updates.send_suspects, self._counters
         )
@@ -263,7 +269,6 @@
         settings = self._settings
         times = RunTimeStats()
         self._registry_view.on_routes_changed = times.retain
-        telemetry = self._make_telemetry()
         choice = UpstreamSelector(
             self._upstream_table,
             times,
@@ -288,7 +293,7 @@
                 settings.repeat_window,
                 settings.repeat_extra,
             ),
-            telemetry,
+            self._telemetry,
             max_instances=self._max_instances,
         )
         api = GatewayCallerApi(
@@ -297,10 +302,10 @@
             self._deployment.headers,
             MemoryBudget(settings.body_memory_bytes),
             self._tracker,
-            telemetry,
+            self._telemetry,
             is_closing=self._is_closing,
         )
-        app = web.Application()
+        app = web.Application(middlewares=[self._client.hold_answers])
         app.add_routes(api.routes(self._idle))
         return app
 
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_settings.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_settings.py
@@ -1,5 +1,6 @@
 """Settings of an entry instance that replicates a registry."""
 
+import os
 from collections.abc import Mapping
 from datetime import timedelta
 from pathlib import Path
@@ -26,9 +27,16 @@
     read_label,
     read_level,
     read_number,
+    read_optional_count,
 )
 
 ZONES_SECTION = 'zones'
+MEGABYTE = 1_000_000
+# One part of so many is for the bodies of all requests, another for those of
+# all answers. A body that is written out exists twice, and the process itself
+# takes a third of the smallest machines.
+BODIES_SHARE = 16
+MAX_BODIES_BYTES = 67_108_864
 
 
 class GatewaySettings(NamedTuple):
@@ -60,7 +68,10 @@
         region_trip: the round trip to another region.
         zone_charge: the cost of traffic between zones, as time.
         region_charge: the cost of traffic between regions, as time.
-        body_memory_bytes: the memory limit of all bodies together.
+        memory_mb: the memory of the process, in millions of bytes.
+        body_memory_bytes: the memory limit of all request bodies together.
+        answer_memory_bytes: the memory limit of all answers of upstreams
+            together.
         log_level: the minimum level that is logged.
         log_sampled_of: one of this many successful requests is logged.
         log_lines_per_s: the maximum number of log lines on requests per
@@ -90,7 +101,9 @@
     region_trip: timedelta
     zone_charge: timedelta
     region_charge: timedelta
+    memory_mb: int
     body_memory_bytes: int
+    answer_memory_bytes: int
     log_level: str
     log_sampled_of: int
     log_lines_per_s: int
@@ -153,8 +166,14 @@
         'region_charge': Field(
             'distances', 'region_charge', read_duration, DURATION_RULE, '40ms'
         ),
+        'memory_mb': Field(
+            'limits', 'memory_mb', read_optional_count, COUNT_RULE, ''
+        ),
         'body_memory_bytes': Field(
-            'limits', 'body_memory_bytes', read_count, COUNT_RULE, '67108864'
+            'limits', 'body_memory_bytes', read_optional_count, COUNT_RULE, ''
+        ),
+        'answer_memory_bytes': Field(
+            'limits', 'answer_memory_bytes', read_optional_count, COUNT_RULE, ''
         ),
         'log_sampled_of': Field(
             'logs', 'sampled_of', read_count, COUNT_RULE, '32'
@@ -196,4 +215,20 @@
         )
     if faults:
         raise SettingsInvalid(faults)
-    return GatewaySettings(**found, zones=MappingProxyType(zones))
+    settings = GatewaySettings(**found, zones=MappingProxyType(zones))
+    return _derive_memory(settings)
+
+
+def _derive_memory(settings: GatewaySettings) -> GatewaySettings:
+    """Returns the settings with memory limits that follow from the memory."""
+    memory_mb = settings.memory_mb or _machine_memory() // MEGABYTE
+    share = min(memory_mb * MEGABYTE // BODIES_SHARE, MAX_BODIES_BYTES)
+    return settings._replace(
+        memory_mb=memory_mb,
+        body_memory_bytes=settings.body_memory_bytes or share,
+        answer_memory_bytes=settings.answer_memory_bytes or share,
+    )
+
+
+def _machine_memory() -> int:
+    return os.sysconf('SC_PAGE_SIZE') * os.sysconf('SC_PHYS_PAGES')
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_upstream_client.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_upstream_client.py
@@ -3,11 +3,14 @@
 from datetime import timedelta
 from typing import NamedTuple
 
-from lycheedyke.clock import Clock
+from aiohttp import web
+
 from lycheedyke.exceptions import (
     ConnectError,
     ConnectionRefusedByHost,
     ExchangeBroken,
+    ResponseMemoryFull,
+    ResponseTooLarge,
 )
 from lycheedyke.protocol import (
     Answered,
@@ -17,8 +20,10 @@
     Unknown,
 )
 from lycheedyke.state import UpstreamState
-from lycheedyke.transport import HttpClient, HttpResponse
+from lycheedyke.transport import BodyMemory, HttpClient, HttpResponse
 from lycheedyke_daemon.failures import outcome_of_error
+from lycheedyke_daemon.gateway._decision_log import Telemetry
+from lycheedyke_daemon.stopping import Handler
 from lycheedyke_daemon.work import Work, end_to_end_headers
 
 MILLISECOND = timedelta(milliseconds=1)
@@ -30,6 +35,10 @@
 CONNECT_TIMEOUT = timedelta(milliseconds=500)
 MAX_ANSWER_BYTES = 67_108_864
 LOAD_FIELDS = 3
+# Answers that were broken off since all answers filled the memory, or since
+# one exceeded a limit of its own.
+MEMORY_FULL_COUNTER = 'answer.memory-full'
+LARGE_COUNTER = 'answer.too-large'
 
 
 class HeaderNames(NamedTuple):
@@ -58,24 +67,39 @@
 
     Args:
         names: the header names of the deployment.
-        clock: measures deadlines.
+        telemetry: measures deadlines, counts and logs broken answers.
+        memory: bounds the memory of all answers.
     """
 
-    def __init__(self, names: HeaderNames, clock: Clock) -> None:
+    def __init__(
+        self, names: HeaderNames, telemetry: Telemetry, memory: BodyMemory
+    ) -> None:
         """Initializes the HTTP client."""
         self._names = names
-        self._clock = clock
+        self._clock = telemetry.clock
+        self._counters = telemetry.counters
+        self._decision_log = telemetry.decision_log
+        self._memory = memory
         self._http = HttpClient(
             max_body_bytes=MAX_ANSWER_BYTES,
             idle_timeout=UPSTREAM_IDLE_TIMEOUT,
             connect_timeout=CONNECT_TIMEOUT,
             allow_close_delimited=True,
+            memory=memory,
         )
 
     def __repr__(self) -> str:
         """Returns the HTTP client."""
         return f'<UpstreamClient over {self._http!r}>'
 
+    @web.middleware
+    async def hold_answers(
+        self, request: web.Request, handler: Handler
+    ) -> web.StreamResponse:
+        """Accounts for answers until they are written to their caller."""
+        with self._memory.hold():
+            return await handler(request)
+
     async def close(self) -> None:
         """Closes the connections."""
         await self._http.close()
@@ -108,7 +132,10 @@
             return outcome_of_error(error)
         except ExchangeBroken as error:
             state.record_failure()
-            return outcome_of_error(error)
+            outcome = outcome_of_error(error)
+            if isinstance(error, ResponseTooLarge):
+                self._tell_too_large(state, work, outcome, error)
+            return outcome
         return self._read_outcome(state, work, answer)
 
     def _mark_unreachable(
@@ -121,6 +148,24 @@
         else:
             state.record_failure(is_unreachable=True)
 
+    def _tell_too_large(
+        self,
+        state: UpstreamState,
+        work: Work,
+        outcome: Outcome,
+        error: ResponseTooLarge,
+    ) -> None:
+        is_full = isinstance(error, ResponseMemoryFull)
+        self._counters.count(MEMORY_FULL_COUNTER if is_full else LARGE_COUNTER)
+        self._decision_log.write(
+            'answer broken off',
+            work.request_id,
+            outcome,
+            sent_to=state.record.name,
+            error=str(error),
+            memory_used=self._memory.used,
+        )
+
     def _read_outcome(
         self,
         state: UpstreamState,
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/ini.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/ini.py
@@ -73,6 +73,11 @@
     return count
 
 
+def read_optional_count(text: str) -> int:
+    """Reads a whole number above 0; none is read as 0."""
+    return read_count(text) if text else 0
+
+
 def read_milliseconds(text: str) -> timedelta:
     """Reads a duration given in milliseconds."""
     return timedelta(milliseconds=read_count(text))
--- a/packages/lycheedyke/src/lycheedyke/exceptions.py
+++ b/packages/lycheedyke/src/lycheedyke/exceptions.py
@@ -33,6 +33,18 @@
     """The response exceeds a limit for its body, its heads or its framing."""
 
 
+class ResponseMemoryFull(ResponseTooLarge):
+    """The response was the largest one when the memory for them was full."""
+
+
+class BodyTooLarge(TransportError):
+    """A body is larger than the limit for its size."""
+
+
+class BodyMemoryFull(BodyTooLarge):
+    """A body was the largest one when the memory for bodies was full."""
+
+
 class ProtocolError(LycheedykeError):
     """A message or a document does not have the documented form."""
 
--- a/packages/lycheedyke/src/lycheedyke/transport/__init__.py
+++ b/packages/lycheedyke/src/lycheedyke/transport/__init__.py
@@ -1,5 +1,6 @@
 """HTTP exchanges, and request-reply links between instances."""
 
+from lycheedyke.transport._body_memory import BodyMemory, IncomingBody
 from lycheedyke.transport._http import (
     MAX_HEAD_BYTES,
     HttpClient,
@@ -10,8 +11,10 @@
 
 __all__ = (
     'MAX_HEAD_BYTES',
+    'BodyMemory',
     'HttpResponse',
     'HttpClient',
+    'IncomingBody',
     'Link',
     'PeerLink',
     'PeerListener',
--- a/packages/lycheedyke/src/lycheedyke/transport/_http.py
+++ b/packages/lycheedyke/src/lycheedyke/transport/_http.py
@@ -1,6 +1,7 @@
 """An HTTP client that reports whether a request may have been sent."""
 
 import asyncio
+import functools
 from collections.abc import Callable, Iterable, Mapping
 from contextvars import ContextVar
 from datetime import timedelta
@@ -14,17 +15,22 @@
 from aiohttp.connector import Connection
 
 from lycheedyke.exceptions import (
+    BodyMemoryFull,
+    BodyTooLarge,
     ConnectError,
     ConnectionRefusedByHost,
     ExchangeBroken,
     ExchangeTimeout,
+    ResponseMemoryFull,
     ResponseTooLarge,
 )
+from lycheedyke.transport._body_memory import BodyMemory, IncomingBody
 from lycheedyke.transport._connector import Connector
 from lycheedyke.transport._sockets import open_socket
 
 DEFAULT_IDLE_TIMEOUT = timedelta(seconds=15)
 DEFAULT_MAX_BODY_BYTES = 1_048_576
+DEFAULT_BODY_MEMORY_BYTES = 67_108_864
 # The largest status line, and the largest header field, of a response.
 MAX_HEAD_BYTES = 32_768
 # The received bytes of one body that wait to be read, twice this at most
@@ -63,6 +69,7 @@
         connect_timeout: the longest time for connecting.
         allow_close_delimited: whether a response without a length is
             accepted, whose body ends where the connection is closed.
+        memory: bounds the memory of all bodies; may be shared by clients.
     """
 
     def __init__(
@@ -73,6 +80,7 @@
         idle_timeout: timedelta = DEFAULT_IDLE_TIMEOUT,
         connect_timeout: timedelta = DEFAULT_CONNECT_TIMEOUT,
         allow_close_delimited: bool = False,
+        memory: BodyMemory | None = None,
     ) -> None:
         """Initializes the client without opening a connection."""
         self._max_connections = max_connections
@@ -80,6 +88,7 @@
         self._idle_timeout = idle_timeout
         self._connect_timeout = connect_timeout
         self._allow_close_delimited = allow_close_delimited
+        self._memory = memory or BodyMemory(DEFAULT_BODY_MEMORY_BYTES)
         self._pooled: aiohttp.ClientSession | None = None
         self._unpooled: aiohttp.ClientSession | None = None
 
@@ -143,7 +152,9 @@
                 listens at the address.
             ExchangeTimeout: no complete response within `timeout`.
             ExchangeBroken: the exchange failed after the connection was made.
-            ResponseTooLarge: the response exceeds the size limit.
+            ResponseTooLarge: the response exceeds a size limit.
+            ResponseMemoryFull: the response was the largest one when the
+                memory of all bodies was full.
         """
         gate = _WriteGate(before_write)
         _gate.set(gate)
@@ -225,25 +236,14 @@
             raise ExchangeBroken(
                 f'{response.url}: response without a length may be truncated',
             )
-        if (response.content_length or 0) > self._max_body_bytes:
-            response.close()
-            raise ResponseTooLarge(
-                f'{response.url}: response of {response.content_length} bytes; '
-                f'at most {self._max_body_bytes} are allowed',
-            )
-        body = bytearray()
-        async for chunk in response.content.iter_any():
-            body += chunk
-            if not response.content.at_eof():
-                # The next read may return at once; others get their turn.
-                await asyncio.sleep(0)
-            if len(body) > self._max_body_bytes:
+        with self._memory.receive(
+            self._max_body_bytes, functools.partial(_break_off, response)
+        ) as body:
+            try:
+                return await _receive(response, body)
+            except BodyTooLarge as error:
                 response.close()
-                raise ResponseTooLarge(
-                    f'{response.url}: response of at least {len(body)} bytes; '
-                    f'at most {self._max_body_bytes} are allowed',
-                )
-        return bytes(body)
+                raise _to_too_large(response, error) from error
 
     def _make_timeout(self, timeout: timedelta) -> aiohttp.ClientTimeout:
         connect_timeout = min(self._connect_timeout, timeout * CONNECT_SHARE)
@@ -353,6 +353,35 @@
         await super().write_bytes(writer, conn, content_length)
 
 
+async def _receive(
+    response: aiohttp.ClientResponse, body: IncomingBody
+) -> bytes:
+    body.check_length(response.content_length or 0)
+    async for chunk in response.content.iter_any():
+        body.append(chunk)
+        if not response.content.at_eof():
+            # The next read may return at once; others get their turn.
+            await asyncio.sleep(0)
+    return body.complete()
+
+
+def _break_off(response: aiohttp.ClientResponse) -> None:
+    """Ends an exchange whose body was broken off for another one."""
+    response.content.set_exception(
+        ResponseMemoryFull(f'{response.url}: broken off as the largest body')
+    )
+    response.close()
+
+
+def _to_too_large(
+    response: aiohttp.ClientResponse, error: BodyTooLarge
+) -> ResponseTooLarge:
+    detail = f'{response.url}: response of at least {error}'
+    if isinstance(error, BodyMemoryFull):
+        return ResponseMemoryFull(detail)
+    return ResponseTooLarge(detail)
+
+
 def _to_broken(method: str, url: str, error: Exception) -> ExchangeBroken:
     # Errors of the parser quote what was received.
     detail = repr(error)[:MAX_DETAIL_CHARACTERS]
--- a/packages/lycheedyke/src/lycheedyke/transport/_response_protocol.py
+++ b/packages/lycheedyke/src/lycheedyke/transport/_response_protocol.py
@@ -61,6 +61,11 @@
                 return
             self._receive(received[start : start + SLICE_BYTES])
 
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Ends the exchange, and drops bytes that were held unparsed."""
+        self._held = b''
+        super().connection_lost(exc)
+
     def feed_data(self, data: Any, size: int = 0) -> None:
         """Accepts a parsed head, and the content of its body to come."""
         message, _ = data
--- a/tests/standins/gateway_testbed.py
+++ b/tests/standins/gateway_testbed.py
@@ -66,6 +66,7 @@
     LOCATION_SETTINGS
     + """
 [limits]
+memory_mb = 152
 stop_grace = 2s
 
 [repeats]
@@ -178,6 +179,17 @@
                 answer.status, dict(answer.headers), await answer.read()
             )
 
+    async def send_to(
+        self, address: str, path: str, headers: dict[str, str]
+    ) -> Reply:
+        """Sends a GET request with the given headers to any address."""
+        async with self._http.get(
+            yarl.URL(f'http://{address}{path}', encoded=True), headers=headers
+        ) as answer:
+            return Reply(
+                answer.status, dict(answer.headers), await answer.read()
+            )
+
     async def get(self, address: str, path: str) -> Reply:
         """Sends a GET request to any address of an instance."""
         async with self._http.get(f'http://{address}{path}') as answer:
--- a/tests/unit/gateway/test_gateway_settings.py
+++ b/tests/unit/gateway/test_gateway_settings.py
@@ -50,10 +50,34 @@
     assert settings.zone_charge == timedelta()
 
 
+def test_memory_limits_follow_from_the_memory(tmp_path: Path) -> None:
+    """Bodies and answers take a part of small machines, with a most."""
+    text = _text().replace('memory_mb = 152', 'memory_mb = 160')
+    settings = read_gateway_settings(_write(tmp_path, text))
+    assert settings.answer_memory_bytes == 10_000_000
+    assert settings.body_memory_bytes == 10_000_000
+    text = text.replace('160', '64000\nbody_memory_bytes = 5')
+    settings = read_gateway_settings(_write(tmp_path, text))
+    assert settings.answer_memory_bytes == 67_108_864
+    assert settings.body_memory_bytes == 5
+
+
+def test_old_settings_without_a_memory_use_what_the_system_has(
+    tmp_path: Path,
+) -> None:
+    """A file of an older version is valid, also with its limit of bodies."""
+    text = _text().replace('[limits]', '[limits]\nbody_memory_bytes = 67108864')
+    settings = read_gateway_settings(_write(tmp_path, text))
+    assert settings.body_memory_bytes == 67_108_864
+    assert settings.memory_mb > 0
+    assert 0 < settings.answer_memory_bytes <= 67_108_864
+
+
 @pytest.mark.parametrize(
     ('old', 'new', 'fault'),
     [
         ('stop_grace = 2s', 'stop_grace = 2', 'stop_grace'),
+        ('memory_mb = 152', 'memory_mb = 0', "memory_mb = '0'"),
         ('zone = pnw-a', 'zone = mars', '[zones] mars'),
         ('extra = 100', 'extra = many', "extra = 'many'"),
         ('[zones]', '[shifts]\nmost = 2\n[zones]', "most = '2'"),
