--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_peer_updates.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_peer_updates.py
@@ -14,7 +14,7 @@
 from lycheedyke.exceptions import TransportError
 from lycheedyke.protocol import EntryRecord, RegistryUpdate
 from lycheedyke.state import Counters, Suspect, Suspects
-from lycheedyke.transport import HttpClient
+from lycheedyke.transport import BodyMemory, HttpClient
 from lycheedyke_daemon.gateway._registry_view import RegistryView
 
 UPDATES_PATH = '/v1/news'
@@ -27,6 +27,7 @@
 # how often that happens.
 SILENT_PAUSE = timedelta(seconds=2)
 MILLISECOND = timedelta(milliseconds=1)
+# Of one update, and of all that are received at once.
 MAX_UPDATE_BYTES = 8_388_608
 _logger = logging.getLogger(__name__)
 _UPDATE = msgspec.msgpack.Decoder(RegistryUpdate)
@@ -67,7 +68,10 @@
         self._counters = counters
         self._clock = clock
         self._silent_until: dict[str, timedelta] = {}
-        self._http = HttpClient(max_body_bytes=MAX_UPDATE_BYTES)
+        self._http = HttpClient(
+            max_body_bytes=MAX_UPDATE_BYTES,
+            memory=BodyMemory(MAX_UPDATE_BYTES),
+        )
 
     def __repr__(self) -> str:
         """Returns the instance's name."""
--- a/tests/standins/endless_upstream.py
+++ b/tests/standins/endless_upstream.py
@@ -25,6 +25,7 @@
 GATHER_SECONDS = 1
 HEAD = b'HTTP/1.1 200 OK\r\nLycheedyke-Request-Id: %s\r\n'
 CHUNKED = HEAD + b'Transfer-Encoding: chunked\r\n\r\n'
+CHUNK = b'400\r\n' + b'x' * 1024 + b'\r\n'
 WHOLE = HEAD + b'Content-Length: 4\r\n\r\nmine'
 
 
@@ -58,7 +59,7 @@
             b'x',
         ),
         'open-body': Flood(HEAD + b'\r\n', b'x'),
-        'chunks': Flood(CHUNKED, b'400\r\n' + b'x' * 1024 + b'\r\n'),
+        'chunks': Flood(CHUNKED, CHUNK),
         'small-chunks': Flood(CHUNKED, b'1\r\nx\r\n'),
         'surplus': Flood(WHOLE, b'x'),
         'surplus-answers': Flood(WHOLE, WHOLE),
@@ -66,6 +67,10 @@
 )
 
 
+# What any other path gets.
+OTHERWISE = FLOODS['chunks']
+
+
 class EndlessUpstream:
     """Serves each connection in a thread of its own."""
 
@@ -103,7 +108,8 @@
                 return
             path, _, at_once = target.partition('?at-once=')
             with self._counted(int(at_once or 0)):
-                _flood(connection, FLOODS[path.rpartition('/')[2]], head)
+                flood = FLOODS.get(path.rpartition('/')[2], OTHERWISE)
+                _flood(connection, flood, head)
 
     @contextlib.contextmanager
     def _counted(self, at_once: int) -> Iterator[None]:
