Break the largest body of callers when their memory is full

A caller with a small body was refused with 503 `memory-full` while a large one, or one without end, of another caller filled the memory of bodies.

Cause: MemoryBudget refused whoever asked next. A body was also held twice while its request ran, as BodyReader kept what it had collected.

Ruled out: a smaller limit of one body, which the configuration of the deployment sets and which sound callers may use.

Change: BodyReader uses BodyMemory, as answers do: at the bound the largest incomplete body is refused, with the same reason as before. MemoryBudget is gone, as nothing else used it. A block of BodyMemory.hold may now stand within one of another memory, since answers complete while the request's body is held. Reading a body gives others a turn between two reads.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/bodies.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/bodies.py
@@ -7,9 +7,9 @@
 
 from aiohttp import web
 
-from lycheedyke.exceptions import StateError
+from lycheedyke.exceptions import BodyMemoryFull, BodyTooLarge, StateError
 from lycheedyke.protocol import Reason
-from lycheedyke.state import MemoryBudget, MemoryFull
+from lycheedyke.transport import BodyMemory, IncomingBody
 
 READ_LIMIT = timedelta(seconds=10)
 
@@ -31,18 +31,18 @@
     """Reads bodies, and accounts for their memory until the request ends.
 
     Args:
-        budget: bounds the memory of all bodies together.
+        memory: bounds the memory of all bodies together.
         max_bytes: the maximum size of one body.
     """
 
-    def __init__(self, budget: MemoryBudget, max_bytes: int) -> None:
+    def __init__(self, memory: BodyMemory, max_bytes: int) -> None:
         """Initializes the reader."""
-        self._budget = budget
+        self._memory = memory
         self._max_bytes = max_bytes
 
     def __repr__(self) -> str:
-        """Returns the budget and the maximum size of a body."""
-        return f'<BodyReader {self._budget!r}, {self._max_bytes} bytes>'
+        """Returns the memory and the maximum size of a body."""
+        return f'<BodyReader {self._memory!r}, {self._max_bytes} bytes>'
 
     @contextlib.asynccontextmanager
     async def read(
@@ -53,36 +53,30 @@
         """Yields the whole body; its memory is released after the block.
 
         Raises:
-            BodyRefused: the body is too large or too slow, or the memory
-                budget is exhausted.
+            BodyRefused: the body is too large or too slow, or it was the
+                largest when the memory was full.
         """
-        body = bytearray()
-        try:
-            await self._fill(body, request, min(limit, READ_LIMIT))
-            yield bytes(body)
-        finally:
-            self._budget.release(len(body))
+        with self._memory.hold():
+            yield await self._receive(request, min(limit, READ_LIMIT))
 
-    async def _fill(
-        self,
-        body: bytearray,
-        request: web.Request,
-        limit: timedelta,
-    ) -> None:
-        if (request.content_length or 0) > self._max_bytes:
-            raise BodyRefused(Reason.body_too_large)
+    async def _receive(self, request: web.Request, limit: timedelta) -> bytes:
         try:
-            async with asyncio.timeout(limit.total_seconds()):
-                async for chunk in request.content.iter_any():
-                    self._append(body, chunk)
+            with self._memory.receive(self._max_bytes) as body:
+                async with asyncio.timeout(limit.total_seconds()):
+                    await _fill(body, request)
+                return body.complete()
         except TimeoutError:
             raise BodyRefused(Reason.body_too_slow) from None
-
-    def _append(self, body: bytearray, chunk: bytes) -> None:
-        if len(body) + len(chunk) > self._max_bytes:
-            raise BodyRefused(Reason.body_too_large)
-        try:
-            self._budget.acquire(len(chunk))
-        except MemoryFull as full:
-            raise BodyRefused(full.reason) from full
-        body += chunk
+        except BodyMemoryFull as full:
+            raise BodyRefused(Reason.memory_full) from full
+        except BodyTooLarge as large:
+            raise BodyRefused(Reason.body_too_large) from large
+
+
+async def _fill(body: IncomingBody, request: web.Request) -> None:
+    body.check_length(request.content_length or 0)
+    async for chunk in request.content.iter_any():
+        body.append(chunk)
+        if not request.content.at_eof():
+            # The next read may return at once; others get their turn.
+            await asyncio.sleep(0)
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_caller_api.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_caller_api.py
@@ -16,12 +16,12 @@
     Unknown,
 )
 from lycheedyke.state import (
-    MemoryBudget,
     Request,
     RouteTable,
     WeightedRoundRobin,
     wait_share_of,
 )
+from lycheedyke.transport import BodyMemory
 from lycheedyke_daemon.bodies import BodyReader, BodyRefused
 from lycheedyke_daemon.gateway._decision_log import Telemetry
 from lycheedyke_daemon.gateway._registry_view import RegistryView
@@ -77,7 +77,7 @@
         registry_view: RegistryView,
         router: GatewayRouter,
         names: HeaderNames,
-        memory: MemoryBudget,
+        memory: BodyMemory,
         tracker: RequestTracker,
         telemetry: Telemetry,
         *,
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/instance.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/instance.py
@@ -21,11 +21,10 @@
     Configuration,
     Counters,
     KeyStore,
-    MemoryBudget,
     RegionBudgets,
     Suspects,
 )
-from lycheedyke.transport import PeerListener
+from lycheedyke.transport import BodyMemory, PeerListener
 from lycheedyke_daemon.admin import AdminApi
 from lycheedyke_daemon.bodies import BodyReader
 from lycheedyke_daemon.callers import CallerApi
@@ -183,7 +182,7 @@
             self._peers,
             clock,
         )
-        self._body_memory = MemoryBudget(settings.body_memory_bytes)
+        self._body_memory = BodyMemory(settings.body_memory_bytes)
         self._listener = PeerListener(
             settings.control_address,
             ControlApi(
--- a/packages/lycheedyke/src/lycheedyke/state/__init__.py
+++ b/packages/lycheedyke/src/lycheedyke/state/__init__.py
@@ -41,7 +41,6 @@
     KeyStoreSealed,
     TransferredRecord,
 )
-from lycheedyke.state._memory import MemoryBudget, MemoryFull
 from lycheedyke.state._outages import keep_in_use
 from lycheedyke.state._plans import Plan, make_plan
 from lycheedyke.state._pools import Location, Pools
@@ -118,8 +117,6 @@
     'KeyStoreSealed',
     'KeyRecord',
     'KeyRefused',
-    'MemoryBudget',
-    'MemoryFull',
     'Suspect',
     'Suspects',
     'Verdict',
--- a/packages/lycheedyke/src/lycheedyke/transport/_body_memory.py
+++ b/packages/lycheedyke/src/lycheedyke/transport/_body_memory.py
@@ -41,7 +41,7 @@
 
         Without such a block, a body is not accounted for once it is complete.
         """
-        hold = _Hold(self)
+        hold = _Hold(self, _hold.get())
         token = _hold.set(hold)
         try:
             yield
@@ -87,12 +87,18 @@
     def release(self, body: 'IncomingBody', *, is_complete: bool) -> None:
         """Releases a body, or lets the block of `hold` release it."""
         self._incomplete.discard(body)
-        hold = _hold.get()
-        if is_complete and hold is not None and hold.covers(self):
+        hold = self._find_hold() if is_complete else None
+        if hold is not None:
             hold.size += body.size
         else:
             self.used -= body.size
 
+    def _find_hold(self) -> '_Hold | None':
+        hold = _hold.get()
+        while hold is not None and hold.memory is not self:
+            hold = hold.outer
+        return hold
+
 
 class IncomingBody:
     """A body that is being received.
@@ -170,24 +176,25 @@
 
 
 class _Hold:
-    """The complete bodies of a block of `BodyMemory.hold`."""
-
-    def __init__(self, memory: BodyMemory) -> None:
-        self.size = 0
-        self._memory: BodyMemory | None = memory
+    """The complete bodies of a block of `BodyMemory.hold`.
 
-    def covers(self, memory: BodyMemory) -> bool:
-        """Returns whether the block has not ended and is of that memory.
+    Attributes:
+        size: the bytes of the bodies.
+        memory: the memory; None once the block has ended, as tasks that were
+            started in it may outlive it.
+        outer: the block around this one, which may be of another memory.
+    """
 
-        Tasks that were started in the block may outlive it.
-        """
-        return self._memory is memory
+    def __init__(self, memory: BodyMemory, outer: '_Hold | None') -> None:
+        self.size = 0
+        self.memory: BodyMemory | None = memory
+        self.outer = outer
 
     def end(self) -> None:
         """Releases all bodies."""
-        if self._memory is not None:
-            self._memory.used -= self.size
-        self._memory = None
+        if self.memory is not None:
+            self.memory.used -= self.size
+        self.memory = None
 
 
 def _size(body: IncomingBody) -> int:
--- a/tests/unit/test_body_memory.py
+++ b/tests/unit/test_body_memory.py
@@ -97,9 +97,13 @@
         with memory.receive(BOUND) as body:
             body.append(b'x' * 10)
             body.complete()
-        with BodyMemory(BOUND).receive(BOUND) as foreign:
+        other = BodyMemory(BOUND)
+        with other.hold(), other.receive(BOUND) as foreign:
             foreign.append(b'y' * 20)
             foreign.complete()
+            with memory.receive(BOUND) as inner:
+                inner.append(b'x' * 5)
+                inner.complete()
         found.append(memory.used)
         late = asyncio.create_task(_outlive())
         await asyncio.sleep(0)
@@ -112,8 +116,8 @@
 def test_complete_bodies_count_until_their_block_ends() -> None:
     """Guards against answers that callers read slowly and nobody counts.
 
-    Bodies of another memory, or of a task that outlives the block, are not
-    released with it.
+    Bodies of another memory, in a block of its own or not, or of a task that
+    outlives the block, are not released with it.
     """
     found = asyncio.run(_hold_and_outlive(BodyMemory(BOUND)))
-    assert found == [10, 30, 0]
+    assert found == [15, 30, 0]
