Bound the heads of requests at all servers

A connection could hold 4 MB of a request's head, and 768 KB of a body that nobody had read yet, outside of any account.

Cause: aiohttp bounds each field of a head (32 KB) and their number (128), not the sum, and buffers 256 KB twice for each body before it stops reading.

Ruled out: a smaller limit for each field, which sound callers may use.

Change: the servers' connections are of a subclass that refuses a head of more than 128 KB with 400, as malformed bytes, after the requests before it are answered. What waits to be read of a body is bounded by the 16 KB (and one read) that the client has too.

Heads of 100 KB and bodies of 3 MB pass as before. tests/processes/test_bad_bytes.py and the tests of gateway requests and stops pass (24).

Not bounded: 32 requests that are sent ahead on one connection, each with such a head.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/servers.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/servers.py
@@ -9,7 +9,8 @@
 from aiohttp.web_protocol import RequestHandler
 
 from lycheedyke.state import Counters
-from lycheedyke.transport import MAX_HEAD_BYTES
+from lycheedyke.transport import MAX_HEAD_BYTES, READ_BUFFER_BYTES
+from lycheedyke_daemon.request_protocol import BoundedRunner
 
 # Equals the stop timeout of the process.
 CLOSE_LIMIT = timedelta(seconds=60)
@@ -50,7 +51,7 @@
             A function that returns the server's current connections.
         """
         host, _, port = address.rpartition(':')
-        runner = web.AppRunner(
+        runner = BoundedRunner(
             app,
             access_log=None,
             handle_signals=False,
@@ -58,6 +59,7 @@
             auto_decompress=False,
             max_line_size=MAX_HEAD_BYTES,
             max_field_size=MAX_HEAD_BYTES,
+            read_bufsize=READ_BUFFER_BYTES,
             logger=_logger,
             shutdown_timeout=self._close_limit.total_seconds(),
         )
--- a/packages/lycheedyke/src/lycheedyke/transport/__init__.py
+++ b/packages/lycheedyke/src/lycheedyke/transport/__init__.py
@@ -3,6 +3,7 @@
 from lycheedyke.transport._body_memory import BodyMemory, IncomingBody
 from lycheedyke.transport._http import (
     MAX_HEAD_BYTES,
+    READ_BUFFER_BYTES,
     HttpClient,
     HttpResponse,
 )
@@ -11,6 +12,7 @@
 
 __all__ = (
     'MAX_HEAD_BYTES',
+    'READ_BUFFER_BYTES',
     'BodyMemory',
     'HttpResponse',
     'HttpClient',
