--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_settings.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_settings.py
@@ -26,6 +26,7 @@
     read_fraction,
     read_label,
     read_level,
+    read_megabytes,
     read_number,
     read_optional_count,
 )
@@ -167,7 +168,7 @@
             'distances', 'region_charge', read_duration, DURATION_RULE, '40ms'
         ),
         'memory_mb': Field(
-            'limits', 'memory_mb', read_optional_count, COUNT_RULE, ''
+            'limits', 'memory_mb', read_megabytes, COUNT_RULE, ''
         ),
         'body_memory_bytes': Field(
             'limits', 'body_memory_bytes', read_optional_count, COUNT_RULE, ''
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/ini.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/ini.py
@@ -78,6 +78,11 @@
     return read_count(text) if text else 0
 
 
+def read_megabytes(text: str) -> int:
+    """Reads a size that another system may write with decimals; none is 0."""
+    return read_optional_count(text.partition('.')[0])
+
+
 def read_milliseconds(text: str) -> timedelta:
     """Reads a duration given in milliseconds."""
     return timedelta(milliseconds=read_count(text))
