Tell all instances of an answer that corrects what a peer had told them

Callers' view: a read that crashes nothing was refused with 503 `quarantined` at all instances, for ten minutes.

Cause, from its logs: the request was in flight at a crash at 12:33.234 that was dismissed as one of a failing zone, and was answered at the same instance at 12:33.306. At 12:39.261 it was in flight at an unrelated crash at an instance that had started in between. A third instance knew both crashes from peers and told all of them, with its next report. The instance with the answer corrected the third one, which is to tell all; but it left the request out, as it then knew one crash and had seen none itself. Those that had started in between, and could neither dismiss the first crash nor outweigh it, kept the quarantine, and one of them wrote it to the registry.

Change: reports hold each request whose answer is known and that has changed since the last report.

Left: reports do not say which crashes were dismissed, so an instance that starts after a zone failed counts such a crash until an answer or its expiry.

Evidence: test_an_answer_reaches_those_whom_a_third_instance_told, `quarantined is suspect` before; the tests of suspects and quarantine beside it unchanged.

--- a/packages/lycheedyke/src/lycheedyke/state/_suspects.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_suspects.py
@@ -169,7 +169,8 @@
     def report_changes(self, after: int) -> tuple[Suspect, ...]:
         """Returns the evidence that peers may not have.
 
-        It leaves out single crashes that this instance knows from peers.
+        It leaves out single crashes that this instance knows from peers,
+        unless an answer outweighs others that it may have sent.
 
         Args:
             after: the revision of the last report.
@@ -178,7 +179,10 @@
             self._describe(fingerprint, evidence, evidence.crashes)
             for fingerprint, evidence in self._current()
             if len(evidence.crashes) >= CONFIRMATIONS
-            or (evidence.is_first_hand and self._changed[fingerprint] > after)
+            or (
+                (evidence.is_first_hand or evidence.answered is not None)
+                and self._changed[fingerprint] > after
+            )
         )
 
     def corrections(self, reported: Iterable[Suspect]) -> tuple[Suspect, ...]:
--- a/tests/unit/test_quarantine.py
+++ b/tests/unit/test_quarantine.py
@@ -138,6 +138,30 @@
     assert not observer.settled()
 
 
+# Guards against a victim that stays refused because the instance that was
+# corrected knows both crashes from peers.
+def test_an_answer_reaches_those_whom_a_third_instance_told() -> None:
+    """Instances that started after the answer were told of both crashes."""
+    clock = ManualClock()
+    answered, teller, started = (Suspects(clock) for _ in range(3))
+    answered.record_crash(['popular'], 'kassa-1')
+    teller.merge(answered.report())
+    clock.advance(1)
+    answered.record_success('popular')
+    clock.advance(5)
+    started.record_crash(['popular'], 'kassa-2')
+    teller.merge(started.report_changes(0))
+    first = teller.report_changes(0)
+    sent = teller.revision
+    started.merge(first)
+    assert started.judge('popular') is Verdict.quarantined
+    answered.merge(first)
+    assert teller.merge(answered.corrections(first))
+    started.merge(teller.report_changes(sent))
+    for known in (answered, teller, started):
+        assert known.judge('popular') is Verdict.suspect
+
+
 # Guards against a crashing request that is forgotten because many others were
 # in flight at crashes.
 def test_fresh_victims_do_not_displace_a_repeated_crasher() -> None:
