Keep the soak's own event loop free while processes start and end

Callers, upstreams, links and the store of the soak share one event loop.

Change: a kill and a start wait in a thread, and the report has the longest stall of the loop. No check excuses anything for a stall.

--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -18,6 +18,7 @@
 from bench.soak.load_generator import LoadGenerator, make_call
 from bench.soak.memory import MemoryMonitor
 from bench.soak.observations import Observations
+from bench.soak.stalls import StallMonitor
 from bench.soak.testbed import Testbed
 
 POLL_SECONDS = 0.5
@@ -45,6 +46,7 @@
             testbed, self.load_generator, random.Random(f'crashes {seed}')
         )
         self.memory_monitor = MemoryMonitor(testbed)
+        self.stall_monitor = StallMonitor()
         self._testbed = testbed
         self._versions: dict[tuple[str, float], int] = {}
         self._violations: list[str] = []
@@ -59,7 +61,9 @@
         calling = asyncio.create_task(self.load_generator.run(callers))
         crashing = asyncio.create_task(self.crash_injector.run(seconds))
         watching = asyncio.create_task(self._poll_versions())
-        measuring = asyncio.create_task(self.memory_monitor.run())
+        measuring = asyncio.gather(
+            self.memory_monitor.run(), self.stall_monitor.run()
+        )
         await self.fault_injector.run(seconds)
         await asyncio.sleep(SETTLE_SECONDS)
         self.load_generator.stop()
@@ -104,6 +108,8 @@
             ', '.join(f'{k}: {n}' for k, n in outcomes.most_common()),
         )
 
+        longest = self.stall_monitor.longest_seconds
+        print(f'longest stall of the test itself: {longest:.2f} s')
         for use in self.memory_monitor.uses:
             print(f'memory: {use}')
 
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -127,7 +127,7 @@
             return
         started = time.monotonic()
         self._testbed.processes[name].kill()
-        self._testbed.processes[name].wait()
+        await asyncio.to_thread(self._testbed.processes[name].wait)
         await self._wait_fault_time()
         await self._restart(name)
         self._record('kill', name, started)
@@ -172,7 +172,7 @@
         self._record('stop', name, started)
 
     async def _restart(self, name: str) -> None:
-        self._testbed.start(name)
+        await asyncio.to_thread(self._testbed.start, name)
         await self._testbed.wait_ready(name)
         self._claimed.discard(name)
 
