--- a/packages/lycheedyke/src/lycheedyke/state/_suspects.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_suspects.py
@@ -169,7 +169,8 @@
     def report_changes(self, after: int) -> tuple[Suspect, ...]:
         """Returns the evidence that peers may not have.
 
-        It leaves out single crashes that this instance knows from peers.
+        It leaves out single crashes that this instance knows from peers,
+        unless an answer outweighs others that it may have sent.
 
         Args:
             after: the revision of the last report.
@@ -179,8 +180,8 @@
             for fingerprint, evidence in self._current()
             if len(evidence.crashes) >= CONFIRMATIONS
             or (
-                self._changed[fingerprint] > after
-                and (evidence.is_first_hand or evidence.answered is not None)
+                (evidence.is_first_hand or evidence.answered is not None)
+                and self._changed[fingerprint] > after
             )
         )
 
