--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_stop_schedule.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_stop_schedule.py
@@ -25,7 +25,7 @@
 
     Args:
         clock: the time source.
-        grace: returns the grace period.
+        grace: returns the grace period; read once, at the begin of the stop.
 
     Attributes:
         is_over: whether all connections are closed now.
@@ -34,7 +34,8 @@
     def __init__(self, clock: Clock, grace: Callable[[], timedelta]) -> None:
         """Initializes the schedule of a stop that has not begun."""
         self._clock = clock
-        self._grace = grace
+        self._read_grace = grace
+        self._grace = timedelta()
         self._begun_at: timedelta | None = None
         self.is_over = False
 
@@ -50,17 +51,18 @@
     @property
     def is_refusing(self) -> bool:
         """Whether new requests are refused."""
-        return self._passed() > self._grace() * ACCEPTING_SHARE
+        return self._passed() > self._grace * ACCEPTING_SHARE
 
     def begin(self) -> None:
         """Begins the stop."""
         self._begun_at = self._clock.elapsed()
+        self._grace = self._read_grace()
 
     def bound_deadline(self, deadline: timedelta) -> timedelta:
         """Returns the deadline of a new request, which a stop may shorten."""
         if self._begun_at is None:
             return deadline
-        limit = self._grace() * FINISHING_SHARE - DEADLINE_MARGIN
+        limit = self._grace * FINISHING_SHARE - DEADLINE_MARGIN
         return min(deadline, self._begun_at + limit)
 
     async def drain(self, is_busy: Callable[[], bool]) -> None:
@@ -74,7 +76,7 @@
         self.is_over = True
 
     async def _wait(self, is_busy: Callable[[], bool], share: float) -> None:
-        limit = self._grace() * share
+        limit = self._grace * share
         passed = self._passed()
         while is_busy() and passed < limit:
             await asyncio.sleep(POLL_SECONDS)
--- a/tests/unit/gateway/test_unanswered.py
+++ b/tests/unit/gateway/test_unanswered.py
@@ -13,8 +13,11 @@
 
 import pytest
 
-from lycheedyke.protocol import Outcome
+from lycheedyke.protocol import Answered, Outcome
+from lycheedyke.state import UpstreamState
+from lycheedyke_daemon.gateway._router import GatewayRouter
 from lycheedyke_daemon.stopping import RequestTracker
+from lycheedyke_daemon.work import Work
 from standins.gateway_testbed import GatewayTestbed, run_scenario
 from standins.registry_store import config_value
 
@@ -200,6 +203,51 @@
     run_scenario(tmp_path, _scene, limit_s=LIMIT_SECONDS)
 
 
+# Guards against a second send that nothing interrupts, so that the stop closes
+# the connection without an answer.
+def test_an_interruption_that_meets_a_failure_ends_the_request(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """`asyncio.wait_for` drops a cancellation as its exchange ends."""
+    monkeypatch.setattr(GatewayRouter, '_silence_limit', lambda *_: None)
+
+    async def _scene(platform: GatewayTestbed) -> None:
+        await _prepare(platform, 'wait')
+        instance = platform.instances[0]
+        failed: asyncio.Future[None] = (
+            asyncio.get_running_loop().create_future()
+        )
+        sends: list[str] = []
+        begun = asyncio.Event()
+
+        async def _fail() -> Outcome:
+            await failed
+            return Answered(500, (), b'', 'i-0')
+
+        async def _run(state: UpstreamState, work: Work) -> Outcome:
+            sends.append(state.record.name)
+            begun.set()
+            first = _fail() if len(sends) == 1 else asyncio.Event().wait()
+            return await asyncio.wait_for(first, LIMIT_SECONDS)  # type: ignore[arg-type]
+
+        instance._client.run = _run  # type: ignore[method-assign]
+        interrupt = instance._tracker.interrupt
+
+        def _interrupt() -> None:
+            failed.set_result(None)
+            interrupt()
+
+        instance._tracker.interrupt = _interrupt  # type: ignore[method-assign]
+        reader, writer = await _connect(platform)
+        writer.write(REQUEST)
+        await begun.wait()
+        await platform.instances.pop().stop()
+        assert (await reader.read()).startswith(b'HTTP/1.1 50')
+        assert len(sends) == 1
+
+    run_scenario(tmp_path, _scene, limit_s=LIMIT_SECONDS)
+
+
 def _find_lines(caplog: pytest.LogCaptureFixture) -> list[logging.LogRecord]:
     return [
         record
