Give up no silent upstream for a request that may not be repeated

Callers' view: 504 in place of the answer of an upstream at work, for a request that was in flight at two crashes.

Cause: at the limit of a silent upstream another one was found and a repeat was paid, the attempt ended, and only then the crash guard refused the repeat.

Change: the guard is asked first.

Evidence: test_a_run_that_may_not_be_repeated_is_not_given_up: 504 before, 200 now.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_router.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_router.py
@@ -256,7 +256,7 @@
 
         A planned stop may leave too little time for a second run.
         """
-        if self._is_stopping():
+        if self._is_stopping() or not self._guard.may_repeat(work):
             return False
         progress.tried.add(silent)
         progress.next_candidate = self._next(request, work, progress)
--- a/tests/unit/gateway/test_silent_upstreams.py
+++ b/tests/unit/gateway/test_silent_upstreams.py
@@ -28,6 +28,25 @@
     run_scenario(tmp_path, _scene)
 
 
+# Guards against a run that is given up, and a repeat that is paid, for a
+# request that is then not sent again.
+def test_a_run_that_may_not_be_repeated_is_not_given_up(tmp_path: Path) -> None:
+    """The guard refuses a second run after two crashes."""
+
+    async def _scene(platform: GatewayTestbed) -> None:
+        await platform.send('/read/1')
+        home, other = platform.upstreams
+        if not home.arrivals:
+            home, other = other, home
+        home.run_s = 1.0
+        guard = platform.instances[0]._guard
+        guard.may_repeat = lambda work: False  # type: ignore[method-assign]
+        assert (await platform.send('/read/1')).status == 200
+        assert not other.arrivals
+
+    run_scenario(tmp_path, _scene)
+
+
 # Guards against a planned stop in which a request is given up, though its
 # upstream is at work, for a second run that does not end in time.
 def test_a_stop_keeps_the_run_of_a_silent_upstream(tmp_path: Path) -> None:
