Ask in one place whether the current task is cancelled

The router and the callers' API had the same function, one for an interruption that was dropped and one for a cancellation from within. Both call it now; what it does is unchanged.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_caller_api.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_caller_api.py
@@ -24,6 +24,7 @@
 )
 from lycheedyke.transport import BodyMemory
 from lycheedyke_daemon.bodies import BodyReader, BodyRefused
+from lycheedyke_daemon.cancellation import is_cancelled
 from lycheedyke_daemon.gateway._decision_log import Telemetry
 from lycheedyke_daemon.gateway._registry_view import RegistryView
 from lycheedyke_daemon.gateway._router import GatewayRouter
@@ -169,7 +170,7 @@
         except TimeoutError:
             return interrupted
         except asyncio.CancelledError:
-            if _is_cancelled():
+            if is_cancelled():
                 raise
             # The server would close the connection without an answer.
             _logger.exception('exchange cancelled')
@@ -258,11 +259,5 @@
         return response
 
 
-def _is_cancelled() -> bool:
-    """Whether the current task, not only what it awaited, is cancelled."""
-    task = asyncio.current_task()
-    return task is not None and task.cancelling() > 0
-
-
 def _refuse(reason: Reason, status: HTTPStatus) -> web.Response:
     return web.Response(status=_STATUSES.get(reason, status), text=reason.value)
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_router.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_router.py
@@ -27,6 +27,7 @@
     record_run_time,
     response_timeout,
 )
+from lycheedyke_daemon.cancellation import is_cancelled
 from lycheedyke_daemon.crashes import CrashGuard
 from lycheedyke_daemon.gateway._decision_log import Telemetry
 from lycheedyke_daemon.gateway._silence_watch import SilenceWatch
@@ -142,7 +143,7 @@
             sent_to.append(candidate.state.record.name)
             outcome = await self._attempt(request, candidate, work, progress)
             progress.add(candidate.state.record.name, outcome)
-            if _is_cancelled() or not self._may_repeat(work, outcome):
+            if is_cancelled() or not self._may_repeat(work, outcome):
                 break
         if progress.outcome is None or isinstance(progress.outcome, NotRun):
             # Without a send, the last candidate was chosen from all upstreams.
@@ -346,16 +347,6 @@
         return refusal
 
 
-def _is_cancelled() -> bool:
-    """Returns whether the request was cancelled, though its attempt ended.
-
-    `asyncio.wait_for` drops a cancellation that meets the end of what it
-    waits for.
-    """
-    task = asyncio.current_task()
-    return task is not None and task.cancelling() > 0
-
-
 def _is_not_sent(outcome: Outcome) -> bool:
     return isinstance(outcome, NotRun) and outcome.reason in _NOT_SENT
 
