Play gateway scenarios in virtual time

Seen: test_a_silent_upstream_is_given_up_while_there_is_time got 504 and test_calls_to_a_quiet_store_do_not_grow_with_instances saw 31 watches, both once, at load 12 to 25.

Cause: a scenario runs the store, the upstreams, all instances and the caller on one event loop and in real time. On a machine that gives that loop no processor time, all of them look silent to each other, and the limits of 500 ms (peers), 700 ms (store) and 1.2 s (caller) pass.

Change: run_scenario uses an event loop whose time passes only while no socket is ready, and the instances get a clock that reads it. The stand-ins read the time of their loop. Bounds and expectations of the tests stay as they are; they now hold in the time of the loop and do not depend on the machine's load. The store of test_store_registry is made inside its loop.

--- a/tests/standins/gateway_testbed.py
+++ b/tests/standins/gateway_testbed.py
@@ -16,7 +16,6 @@
 import yarl
 from aiohttp import web
 
-from lycheedyke.clock import SystemClock
 from lycheedyke.protocol import Registry
 from lycheedyke_daemon.gateway import GatewayInstance, read_gateway_settings
 from standins.deployment import free_ports
@@ -26,6 +25,7 @@
     upstream_value,
 )
 from standins.scripted_upstream import ScriptedUpstream
+from standins.virtual_time import LoopClock, run_in_virtual_time
 
 PLATFORM_DIR = Path(__file__).resolve().parents[2] / 'platform'
 if str(PLATFORM_DIR) not in sys.path:
@@ -237,7 +237,7 @@
             ),
         )
         settings = read_gateway_settings(path)
-        instance = GatewayInstance(settings, deploy(settings), SystemClock())
+        instance = GatewayInstance(settings, deploy(settings), LoopClock())
         await instance.start()
         await instance.wait_ready()
         self.instances.append(instance)
@@ -267,4 +267,4 @@
         async with GatewayTestbed(folder, **parts) as testbed:
             await scenario(testbed)
 
-    asyncio.run(asyncio.wait_for(_run(), limit_s))
+    run_in_virtual_time(asyncio.wait_for(_run(), limit_s))
--- a/tests/standins/registry_store.py
+++ b/tests/standins/registry_store.py
@@ -13,7 +13,6 @@
 import base64
 import contextlib
 import json
-import time
 from collections.abc import Mapping
 from typing import Any
 
@@ -96,7 +95,7 @@
 
     def end_expired_leases(self) -> None:
         """Ends the leases that were not renewed within their time to live."""
-        now = time.monotonic()
+        now = asyncio.get_running_loop().time()
         for lease in list(self._leases):
             kept, ttl_s = self._renewed[lease]
             if now - kept > ttl_s:
@@ -164,10 +163,12 @@
         last: Mapping[str, StoreItem],
         times: Mapping[str, float],
     ) -> None:
-        started = time.monotonic()
+        started = asyncio.get_running_loop().time()
         restored = self._revision
         for key in sorted(times, key=times.__getitem__):
-            await asyncio.sleep(times[key] - (time.monotonic() - started))
+            await asyncio.sleep(
+                times[key] - (asyncio.get_running_loop().time() - started)
+            )
             if key in self._items and self._items[key].revision > restored:
                 continue
             item = last.get(key)
@@ -178,7 +179,7 @@
 
     def _keep_copy(self) -> None:
         copy = StoreCopy(
-            time.monotonic(),
+            asyncio.get_running_loop().time(),
             self._revision,
             dict(self._items),
             frozenset(self._leases),
@@ -188,7 +189,7 @@
 
     def _restore(self, copy: StoreCopy) -> None:
         """Replaces the content; revisions and leases are given out again."""
-        now = time.monotonic()
+        now = asyncio.get_running_loop().time()
         self._revision = copy.revision
         self._items = dict(copy.items)
         self._leases = set(copy.leases)
@@ -291,7 +292,10 @@
         self._next_lease += 1
         self._leases.add(self._next_lease)
         ttl_s = int(body['ttl_time'].removesuffix('ms')) / 1000
-        self._renewed[self._next_lease] = (time.monotonic(), ttl_s)
+        self._renewed[self._next_lease] = (
+            asyncio.get_running_loop().time(),
+            ttl_s,
+        )
         self._keep_copy()
         return web.json_response(
             {'lease': self._next_lease, 'ttl_time': body['ttl_time']},
@@ -301,7 +305,10 @@
         lease = int(request.match_info['lease'])
         if lease not in self._leases:
             raise web.HTTPNotFound
-        self._renewed[lease] = (time.monotonic(), self._renewed[lease][1])
+        self._renewed[lease] = (
+            asyncio.get_running_loop().time(),
+            self._renewed[lease][1],
+        )
         return web.json_response({'ttl_time': '3000ms'})
 
     async def _end(self, request: web.Request) -> web.Response:
--- a/tests/standins/scripted_upstream.py
+++ b/tests/standins/scripted_upstream.py
@@ -7,7 +7,6 @@
 
 import asyncio
 import contextlib
-import time
 from collections import deque
 from typing import NamedTuple
 
@@ -114,7 +113,9 @@
         if 'chunked' in headers.get('Transfer-Encoding', ''):
             body = await _read_chunks(reader)
         self.arrivals.append(
-            Arrival(method, target, headers, body, time.monotonic())
+            Arrival(
+                method, target, headers, body, asyncio.get_running_loop().time()
+            )
         )
         if headers.get('Lycheedyke-Expect-Instance') != self.name:
             await self._send(writer, headers, '421 Misdirected', '', b'')
--- a/tests/standins/store_copies.py
+++ b/tests/standins/store_copies.py
@@ -1,6 +1,6 @@
 """Copies of the registry store, from which it can come back."""
 
-import time
+import asyncio
 from collections import deque
 from typing import NamedTuple
 
@@ -38,7 +38,7 @@
 
     def find(self, age_s: float) -> StoreCopy:
         """Returns the copy of a time ago, or the first one."""
-        end = time.monotonic() - age_s
+        end = asyncio.get_running_loop().time() - age_s
         older = [copy for copy in self._copies if copy.taken <= end]
         return older[-1] if older else self._copies[0]
 
--- a/tests/unit/gateway/test_restores.py
+++ b/tests/unit/gateway/test_restores.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import json
-import time
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any
@@ -30,14 +29,14 @@
 
     def __init__(self, testbed: GatewayTestbed) -> None:
         self._testbed = testbed
-        self._taken = time.monotonic()
+        self._taken = asyncio.get_running_loop().time()
 
     async def come_back(
         self, away_s: float = AWAY_SECONDS, **written_again: float
     ) -> None:
         """Brings the copy back; keys are written again at these times."""
         await self._testbed.store.come_back_from_copy(
-            time.monotonic() - self._taken,
+            asyncio.get_running_loop().time() - self._taken,
             away_s=away_s,
             written_again={
                 key.replace('__', '/').replace('_', '-'): at
--- a/tests/unit/gateway/test_store_registry.py
+++ b/tests/unit/gateway/test_store_registry.py
@@ -29,20 +29,20 @@
 
     def __init__(self, check: Check) -> None:
         self._check = check
-        self._store = FakeRegistryStore()
 
     def run(self) -> None:
         """Runs the check."""
         asyncio.run(asyncio.wait_for(self._run(), 20))
 
     async def _run(self) -> None:
-        runner = web.AppRunner(self._store.app(), access_log=None)
+        store = FakeRegistryStore()
+        runner = web.AppRunner(store.app(), access_log=None)
         await runner.setup()
         port = free_ports(1)[0]
         await web.TCPSite(runner, '127.0.0.1', port).start()
         registry = connect_store(f'127.0.0.1:{port}', TIMEOUT)
         try:
-            await self._check(self._store, registry)
+            await self._check(store, registry)
         finally:
             await registry.close()
             await runner.cleanup()
