Conclude nothing from timers that a pause made late

Seen by callers: after an entry instance was frozen (SIGSTOP) for 1 to 3 s, 504 for requests whose answers lay ready in its sockets, and a second run of requests whose upstream had answered (upstream-silent). The instance logged 'registry lost' and 'news source lost' of others that had never been away.

Cause: after a pause, uvloop calls the timers that are due before it reads what arrived meanwhile. The timeouts of exchanges, the limit for connecting and the watch of silent upstreams took effect at once.

Ruled out: the tasks of the process itself (a loop blocked by its own code reads first; HttpClient passed with a blocked loop before this change).

Change: lycheedyke.timers has a timer that notices that it is called over 50 ms late and waits 100 ms, in which the loop reads. HttpClient, the router and the silence watch use it; connecting is bounded by the write gate, which moved to a module of its own, in place of aiohttp's own timer. The longest pause of the last 10 s stands in 'registry lost' and 'news source lost' (paused_ms), and a pause over 500 ms has a line, 'process paused'.

test_no_write_is_resent_on_a_stale_connection sent at once after the answer that ended the connection; whether the end had been read depended on the loop turns that asyncio.wait_for took. It now waits until the end has arrived, and still requires that the write is received exactly once.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
@@ -3,7 +3,6 @@
 import asyncio
 import logging
 import secrets
-from collections.abc import Coroutine
 from datetime import timedelta
 
 from aiohttp import web
@@ -27,7 +26,9 @@
     UpstreamTable,
     WarmupLimiter,
 )
+from lycheedyke.timers import PauseMonitor
 from lycheedyke.transport import BodyMemory
+from lycheedyke_daemon.background import BackgroundTasks
 from lycheedyke_daemon.crashes import CrashGuard
 from lycheedyke_daemon.gateway._caller_api import GatewayCallerApi
 from lycheedyke_daemon.gateway._decision_log import DecisionLog, Telemetry
@@ -48,9 +49,6 @@
 
 INCARNATION_BYTES = 8
 READY_PATH = '/ready'
-# A task ends within one loop iteration; all cancels take less than 0.5 s.
-CANCEL_SECONDS = 0.1
-MAX_CANCELS = 4
 # Requests in flight have ended; a refused caller may still be sending a body.
 CLOSE_LIMIT = timedelta(milliseconds=100)
 _RELOADABLE = frozenset(('stop_grace', 'log_level'))
@@ -74,7 +72,7 @@
         self._settings = settings
         self._deployment = deployment
         self._clock = clock
-        self._tasks: list[asyncio.Task[None]] = []
+        self._tasks = BackgroundTasks()
         self._settings_file: SettingsFile | None = None
         self._counters = Counters()
         self._servers = HttpServers(self._counters, CLOSE_LIMIT)
@@ -106,10 +104,16 @@
             self._counters,
             clock,
         )
+        self._pauses = PauseMonitor()
         self._follower = RegistryFollower(
-            deployment.registry, self._replica, self._peer_updates, clock
+            deployment.registry,
+            self._replica,
+            self._peer_updates,
+            clock,
+            longest_pause=self._pauses.longest,
         )
         self._peer_updates.age = lambda: self._follower.age
+        self._peer_updates.longest_pause = self._pauses.longest
         self._presence = Presence(deployment.registry, own, clock)
         self._quarantines = QuarantinePublisher(
             deployment.registry, suspects, clock
@@ -125,32 +129,36 @@
             suspects, self._peer_updates.send_suspects, self._counters
         )
 
-    def __repr__(self) -> str:
-        """Returns the instance's name."""
-        return f'<GatewayInstance {self._settings.name}>'
-
     @property
     def ready(self) -> bool:
         """Whether look-ups may direct callers to this instance."""
         return self._registry_view.number > 0 and not self._schedule.has_begun
 
+    def __repr__(self) -> str:
+        """Returns the instance's name."""
+        return f'<GatewayInstance {self._settings.name}>'
+
     async def start(self) -> None:
         """Starts all tasks and listens on all ports."""
         settings = self._settings
-        self._start_task('registry', self._follower.follow())
-        self._start_task('peers', self._follower.follow_peers())
-        self._start_task('presence', self._announce())
-        self._start_task('quarantines', self._quarantines.run())
+        for name, work in (
+            ('pauses', self._pauses.run()),
+            ('registry', self._follower.follow()),
+            ('peers', self._follower.follow_peers()),
+            ('presence', self._announce()),
+            ('quarantines', self._quarantines.run()),
+        ):
+            self._tasks.start(name, work)
         if self._settings_file is not None:
             watching = self._settings_file.watch(self._apply, self._clock)
-            self._start_task('settings', watching)
+            self._tasks.start('settings', watching)
         await self._servers.open(self._peer_app(), settings.peer_address)
         await self._servers.open(self._lookup_app(), settings.lookup_address)
         await self._servers.open(self._ready_app(), settings.ready_address)
         self._list_callers = await self._servers.open(
             self._caller_app(), settings.caller_address
         )
-        self._start_task('idle', self._idle.run(self._list_callers))
+        self._tasks.start('idle', self._idle.run(self._list_callers))
         await self._open_metrics()
         _logger.info('started', extra={'settings': settings._asdict()})
 
@@ -172,7 +180,7 @@
         )
         await self._finish_requests()
         _logger.info('stopped', extra={'in_flight': self._tracker.in_flight})
-        await self._end_tasks()
+        await self._tasks.end()
         await self._servers.close()
         await self._client.close()
         await self._peer_updates.close()
@@ -184,32 +192,6 @@
         self._tracker.interrupt()
         await self._schedule.flush(self._is_busy)
 
-    def _start_task(
-        self, name: str, work: Coroutine[object, object, None]
-    ) -> None:
-        """Starts a task that runs until the stop."""
-        task = asyncio.create_task(work, name=name)
-        task.add_done_callback(_log_failure)
-        self._tasks.append(task)
-
-    async def _end_tasks(self) -> None:
-        """Cancels all tasks, repeatedly if a cancellation was swallowed.
-
-        Code that a task awaits may swallow the cancellation and return as if
-        its call had ended.
-        """
-        pending = set(self._tasks)
-        for _ in range(MAX_CANCELS):
-            if not pending:
-                return
-            for task in pending:
-                task.cancel()
-            _, pending = await asyncio.wait(pending, timeout=CANCEL_SECONDS)
-            for task in pending:
-                _logger.warning(
-                    'task not ended', extra={'task': task.get_name()}
-                )
-
     async def _open_metrics(self) -> None:
         """Serves metrics; without them the instance still serves callers."""
         address = self._settings.metrics_address
@@ -372,15 +354,6 @@
         return app
 
 
-def _log_failure(task: asyncio.Task[None]) -> None:
-    error = None if task.cancelled() else task.exception()
-    if error is not None:
-        _logger.error(
-            'task failed',
-            extra={'task': task.get_name(), 'error': repr(error)},
-        )
-
-
 def _describe(settings: GatewaySettings) -> EntryRecord:
     return EntryRecord(
         name=settings.name,
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_peer_updates.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_peer_updates.py
@@ -55,6 +55,11 @@
         suspects: the requests suspected of crashing upstreams.
         counters: counts failed requests to peers.
         clock: the time source.
+
+    Attributes:
+        age: returns the age of the last update from the registry.
+        longest_pause: returns the longest recent pause of this process, for
+            the log.
     """
 
     def __init__(
@@ -67,8 +72,9 @@
         counters: Counters,
         clock: Clock,
     ) -> None:
-        """Initializes the client; `age` is set later."""
+        """Initializes the client; the attributes are set later."""
         self.age: Callable[[], timedelta] = timedelta
+        self.longest_pause: Callable[[], timedelta] = timedelta
         self._own = own
         self._registry_view = registry_view
         self._seeds = tuple(seeds)
@@ -241,7 +247,8 @@
             self._silent_until = {name: until}
         if was_silent == answered:
             event = 'news source regained' if answered else 'news source lost'
-            _logger.info(event, extra={'peer': name})
+            paused_ms = self.longest_pause() // MILLISECOND
+            _logger.info(event, extra={'peer': name, 'paused_ms': paused_ms})
 
     def _peer_addresses(self) -> list[str]:
         return [
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_router.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_router.py
@@ -1,6 +1,5 @@
 """Sends a request to upstreams, and repeats it where that is safe."""
 
-import asyncio
 import functools
 from collections import defaultdict
 from collections.abc import Callable
@@ -27,6 +26,7 @@
     record_run_time,
     response_timeout,
 )
+from lycheedyke.timers import pause_tolerant_timeout
 from lycheedyke_daemon.cancellation import is_cancelled
 from lycheedyke_daemon.crashes import CrashGuard
 from lycheedyke_daemon.gateway._decision_log import Telemetry
@@ -280,7 +280,7 @@
         left = work.deadline - started + GUARD_MARGIN
         reason = Reason.upstream_timeout
         try:
-            async with asyncio.timeout(left.total_seconds()) as timer:
+            async with pause_tolerant_timeout(left) as timer:
                 silence.watch(timer)
                 return await self._guard.run(
                     state.record.incarnation,
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_silence_watch.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_silence_watch.py
@@ -1,10 +1,12 @@
 """Ends attempts at upstreams that do not answer, if others can run them."""
 
 import asyncio
+import functools
 from collections.abc import Callable
 from datetime import timedelta
 
 from lycheedyke.state import UpstreamState
+from lycheedyke.timers import PauseTolerantTimer, expire
 
 # How often a request at a silent upstream looks for another upstream.
 SILENCE_RECHECK = timedelta(milliseconds=500)
@@ -32,7 +34,7 @@
         self._since = since
         self._limit = limit
         self._find_other = find_other
-        self._check: asyncio.TimerHandle | None = None
+        self._check: PauseTolerantTimer | None = None
 
     def __repr__(self) -> str:
         """Returns the upstream."""
@@ -61,7 +63,7 @@
         if self._state.answered_at >= self._since or timer.expired():
             return
         if self._find_other(self._state.record.name):
-            timer.reschedule(asyncio.get_running_loop().time())
+            expire(timer)
         else:
             self._schedule(SILENCE_RECHECK, self._end_if_other, timer)
 
@@ -71,6 +73,4 @@
         check: Callable[[asyncio.Timeout], None],
         timer: asyncio.Timeout,
     ) -> None:
-        self._check = asyncio.get_running_loop().call_later(
-            delay.total_seconds(), check, timer
-        )
+        self._check = PauseTolerantTimer(delay, functools.partial(check, timer))
--- a/packages/lycheedyke/src/lycheedyke/coordination/_registry_follower.py
+++ b/packages/lycheedyke/src/lycheedyke/coordination/_registry_follower.py
@@ -9,6 +9,7 @@
 
 import logging
 import random
+from collections.abc import Callable
 from datetime import timedelta
 from typing import NamedTuple, Protocol
 
@@ -89,6 +90,8 @@
         peers: the other entry instances.
         clock: measures time and waits.
         intervals: how often to poll.
+        longest_pause: returns the longest recent pause of this process, for
+            the log.
     """
 
     def __init__(
@@ -98,6 +101,7 @@
         peers: UpdateSources,
         clock: Clock,
         intervals: FollowIntervals = DEFAULT_INTERVALS,
+        longest_pause: Callable[[], timedelta] = timedelta,
     ) -> None:
         """Initializes the follower; its first poll reads everything."""
         self._registry = registry
@@ -105,6 +109,7 @@
         self._peers = peers
         self._clock = clock
         self._intervals = intervals
+        self._longest_pause = longest_pause
         self._updated = clock.elapsed()
         self._has_full_state = False
         self._failed_since: timedelta | None = None
@@ -255,4 +260,10 @@
         if self._failed_since is not None:
             return
         self._failed_since = self._clock.elapsed()
-        _logger.warning('registry lost', extra={'error': str(error)})
+        _logger.warning(
+            'registry lost',
+            extra={
+                'error': str(error),
+                'paused_ms': self._longest_pause() // MILLISECOND,
+            },
+        )
--- a/packages/lycheedyke/src/lycheedyke/transport/_http.py
+++ b/packages/lycheedyke/src/lycheedyke/transport/_http.py
@@ -2,8 +2,7 @@
 
 import asyncio
 import functools
-from collections.abc import Callable, Iterable, Mapping
-from contextvars import ContextVar
+from collections.abc import Iterable, Mapping
 from datetime import timedelta
 from types import TracebackType
 from typing import NamedTuple, Self
@@ -11,8 +10,6 @@
 import aiohttp
 import multidict
 import yarl
-from aiohttp.abc import AbstractStreamWriter
-from aiohttp.connector import Connection
 
 from lycheedyke.exceptions import (
     BodyMemoryFull,
@@ -23,10 +20,18 @@
     ExchangeTimeout,
     ResponseMemoryFull,
     ResponseTooLarge,
+    TransportError,
 )
+from lycheedyke.timers import pause_tolerant_timeout
 from lycheedyke.transport._body_memory import BodyMemory, IncomingBody
 from lycheedyke.transport._connector import Connector
 from lycheedyke.transport._sockets import open_socket
+from lycheedyke.transport._write_gate import (
+    BeforeWrite,
+    GatedRequest,
+    WriteGate,
+    gate_of_task,
+)
 
 DEFAULT_IDLE_TIMEOUT = timedelta(seconds=15)
 DEFAULT_MAX_BODY_BYTES = 1_048_576
@@ -40,15 +45,8 @@
 MAX_DETAIL_CHARACTERS = 500
 # The share of the timeout of an exchange that connecting may take.
 CONNECT_SHARE = 0.8
-_NOT_CONNECTED = (
-    aiohttp.ClientConnectorError,
-    aiohttp.ConnectionTimeoutError,
-)
 _NO_BODY_STATUSES = frozenset((204, 304))
 
-BeforeWrite = Callable[[], None]
-_gate: ContextVar['_WriteGate | None'] = ContextVar('gate', default=None)
-
 
 class HttpResponse(NamedTuple):
     """A complete HTTP response."""
@@ -156,32 +154,20 @@
             ResponseMemoryFull: the response was the largest one when the
                 memory of all bodies was full.
         """
-        gate = _WriteGate(before_write)
-        _gate.set(gate)
+        gate = WriteGate(before_write)
+        gate_of_task.set(gate)
         try:
-            return await asyncio.wait_for(
-                self._send_and_read(
-                    method,
-                    yarl.URL(url, encoded=True),
-                    multidict.CIMultiDict(headers),
-                    body,
-                    self._make_timeout(timeout),
-                    reuse=reuse,
-                ),
-                timeout.total_seconds(),
-            )
-        except _NOT_CONNECTED as error:
-            if gate.is_open:
-                raise _to_broken(method, url, error) from error
-            raise _to_connect_error(url, error) from error
-        except TimeoutError as error:
-            raise ExchangeTimeout(
-                f'{method} {url}: no complete response in time',
-            ) from error
+            async with pause_tolerant_timeout(timeout) as timer:
+                with gate.bounded(self._limit_connecting(timeout), timer):
+                    return await self._send_and_read(
+                        method,
+                        yarl.URL(url, encoded=True),
+                        multidict.CIMultiDict(headers),
+                        body,
+                        reuse=reuse,
+                    )
         except (aiohttp.ClientError, OSError, ValueError) as error:
-            if gate.refusal is not None:
-                raise gate.refusal from error
-            raise _to_broken(method, url, error) from error
+            raise gate.refusal or _to_error(gate, method, url, error) from error
 
     async def _send_and_read(
         self,
@@ -189,7 +175,6 @@
         url: yarl.URL,
         headers: multidict.CIMultiDict[str],
         body: bytes | None,
-        timeout: aiohttp.ClientTimeout,
         *,
         reuse: bool,
     ) -> HttpResponse:
@@ -200,7 +185,6 @@
             headers=headers,
             data=body,
             allow_redirects=False,
-            timeout=timeout,
         ) as response:
             if self._allow_close_delimited and not _has_length(response):
                 return await self._read_until_close(response)
@@ -245,9 +229,8 @@
                 response.close()
                 raise _to_too_large(response, error) from error
 
-    def _make_timeout(self, timeout: timedelta) -> aiohttp.ClientTimeout:
-        connect_timeout = min(self._connect_timeout, timeout * CONNECT_SHARE)
-        return aiohttp.ClientTimeout(connect=connect_timeout.total_seconds())
+    def _limit_connecting(self, timeout: timedelta) -> timedelta:
+        return min(self._connect_timeout, timeout * CONNECT_SHARE)
 
     def _open_pooled(self) -> aiohttp.ClientSession:
         if self._pooled is None:
@@ -278,7 +261,9 @@
     session = aiohttp.ClientSession(
         connector=connector,
         cookie_jar=aiohttp.DummyCookieJar(),
-        request_class=_GatedRequest,
+        request_class=GatedRequest,
+        # The limits of an exchange are set by `HttpClient.send`.
+        timeout=aiohttp.ClientTimeout(),
         auto_decompress=False,
         skip_auto_headers=('User-Agent', 'Accept-Encoding'),
         max_line_size=MAX_HEAD_BYTES,
@@ -296,63 +281,6 @@
     return 'Content-Length' in response.headers or 'chunked' in coding.lower()
 
 
-class _WriteGate:
-    """Allows one request to be written at most once, if its check passes."""
-
-    def __init__(self, check: BeforeWrite | None) -> None:
-        self.refusal: Exception | None = None
-        self._check = check
-        self.is_open = False
-
-    def open(self) -> None:
-        """Allows the write the first time, and raises an error afterwards."""
-        if self.is_open:
-            raise aiohttp.ClientError('the request was already written once')
-        self.check()
-        self.is_open = True
-
-    def check(self) -> None:
-        """Runs the check, and stores the error that it raises."""
-        if self._check is None:
-            return
-        try:
-            self._check()
-        except Exception as error:
-            self.refusal = error
-            raise
-
-
-class _GatedRequest(aiohttp.ClientRequest):
-    """A request that is written only if the gate of its task allows it.
-
-    aiohttp sends some requests again on a new connection. A request with a
-    gate is never sent a second time.
-    """
-
-    async def send(self, conn: Connection) -> aiohttp.ClientResponse:
-        """Writes a request without a body; otherwise starts its body writer."""
-        gate = _gate.get()
-        if gate is not None:
-            gate.open()
-        return await super().send(conn)
-
-    async def write_bytes(
-        self,
-        writer: AbstractStreamWriter,
-        conn: Connection,
-        content_length: int | None = None,
-    ) -> None:
-        """Writes the buffered headers and the body."""
-        gate = _gate.get()
-        if gate is not None:
-            try:
-                gate.check()
-            except Exception:
-                conn.close()
-                return
-        await super().write_bytes(writer, conn, content_length)
-
-
 async def _receive(
     response: aiohttp.ClientResponse, body: IncomingBody
 ) -> bytes:
@@ -382,7 +310,15 @@
     return ResponseTooLarge(detail)
 
 
-def _to_broken(method: str, url: str, error: Exception) -> ExchangeBroken:
+def _to_error(
+    gate: WriteGate, method: str, url: str, error: Exception
+) -> TransportError:
+    if isinstance(error, TimeoutError):
+        if gate.has_timed_out:
+            return ConnectError(f'{url}: not connected in time')
+        return ExchangeTimeout(f'{method} {url}: no complete response in time')
+    if isinstance(error, aiohttp.ClientConnectorError) and not gate.is_open:
+        return _to_connect_error(url, error)
     # Errors of the parser quote what was received.
     detail = repr(error)[:MAX_DETAIL_CHARACTERS]
     return ExchangeBroken(f'{method} {url}: {detail}')
--- a/tests/unit/gateway/test_log_lines.py
+++ b/tests/unit/gateway/test_log_lines.py
@@ -15,7 +15,9 @@
 SOURCES = (
     *sorted((DAEMON / 'gateway').glob('*.py')),
     DAEMON / 'service.py',
+    DAEMON / 'background.py',
     DAEMON / 'crashes.py',
+    LIBRARY / 'timers.py',
     LIBRARY / 'state/_upstreams.py',
     LIBRARY / 'state/_suspects.py',
     LIBRARY / 'coordination/_registry_follower.py',
--- a/tests/unit/test_whole_answers.py
+++ b/tests/unit/test_whole_answers.py
@@ -174,6 +174,8 @@
         async with serving(WHOLE, b'', close=True) as fake_server:
             async with HttpClient() as client:
                 await client.send('GET', fake_server.url, timeout=LIMIT)
+                # The end of the connection arrives after the answer.
+                await asyncio.sleep(0.05)
                 with pytest.raises(ExchangeBroken):
                     await client.send(method, fake_server.url, timeout=LIMIT)
             sent = b''.join(fake_server.connections)
