Read settings and records whose numbers have decimals

Cause: numbers of the settings and of the platform's records were read as whole numbers, memory alone excepted. A configuration or an upstream with a decimal number, 9.0 too, was 'record not understood'.

Weights and priorities keep their decimals, as rounding would change shares and ranks. A setting that is rounded down to 0 is still refused where 0 was.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_settings.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_settings.py
@@ -10,6 +10,7 @@
 from lycheedyke.exceptions import SettingsInvalid
 from lycheedyke_daemon.ini import (
     ADDRESS_RULE,
+    BOUND_RULE,
     COUNT_RULE,
     DURATION_RULE,
     FRACTION_RULE,
@@ -21,13 +22,13 @@
     parse_ini,
     read_address,
     read_addresses,
+    read_bound,
     read_count,
     read_duration,
     read_fields,
     read_fraction,
     read_label,
     read_level,
-    read_megabytes,
     read_number,
     read_optional_count,
     read_window,
@@ -153,7 +154,7 @@
         'repeat_window': Field(
             'repeats', 'window', read_window, WINDOW_RULE, '10s'
         ),
-        'repeat_extra': Field('repeats', 'extra', int, COUNT_RULE, '0'),
+        'repeat_extra': Field('repeats', 'extra', read_bound, BOUND_RULE, '0'),
         'shift_most': Field(
             'shifts', 'most', read_fraction, FRACTION_RULE, '0.15'
         ),
@@ -170,7 +171,7 @@
             'distances', 'region_charge', read_duration, DURATION_RULE, '40ms'
         ),
         'memory_mb': Field(
-            'limits', 'memory_mb', read_megabytes, COUNT_RULE, ''
+            'limits', 'memory_mb', read_optional_count, COUNT_RULE, ''
         ),
         'body_memory_bytes': Field(
             'limits', 'body_memory_bytes', read_optional_count, COUNT_RULE, ''
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/ini.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/ini.py
@@ -1,7 +1,13 @@
-"""Reads and checks the fields of INI files."""
+"""Reads and checks the fields of INI files.
+
+Another system that fills in a file may write any number with decimals. Whole
+numbers are limits of memory, rates and counts, so decimals are rounded down:
+the limit that is kept never exceeds the one that was written.
+"""
 
 import configparser
 import ipaddress
+import math
 import re
 from collections.abc import Callable, Collection, Iterator, Mapping
 from datetime import timedelta
@@ -14,6 +20,7 @@
 MAX_PORT = 65535
 _NAME = re.compile('[a-z0-9][a-z0-9-]{0,62}')
 _LABEL = re.compile('[A-Za-z0-9][A-Za-z0-9._-]{0,62}')
+_DIGITS = re.compile('[0-9]{1,18}')
 _DURATION = re.compile(r'(\d+(?:\.\d+)?)(ms|s)')
 _UNITS = MappingProxyType(
     {'ms': timedelta(milliseconds=1), 's': timedelta(seconds=1)},
@@ -66,23 +73,25 @@
 
 
 def read_count(text: str) -> int:
-    """Reads a whole number above 0."""
-    count = int(text)
+    """Reads a whole number above 0; decimals are rounded down."""
+    count = read_bound(text)
     if count <= 0:
         raise ValueError
     return count
 
 
+def read_bound(text: str) -> int:
+    """Reads a whole number of at least 0; decimals are rounded down."""
+    if _DIGITS.fullmatch(text):
+        return int(text)
+    return math.floor(read_number(text))
+
+
 def read_optional_count(text: str) -> int:
     """Reads a whole number above 0; none is read as 0."""
     return read_count(text) if text else 0
 
 
-def read_megabytes(text: str) -> int:
-    """Reads a size that another system may write with decimals; none is 0."""
-    return read_optional_count(text.partition('.')[0])
-
-
 def read_milliseconds(text: str) -> timedelta:
     """Reads a duration given in milliseconds."""
     return timedelta(milliseconds=read_count(text))
@@ -104,6 +113,7 @@
 LABEL_RULE = 'letters, digits, ., _ and -, at most 63 characters'
 ADDRESS_RULE = 'an IP address and a port, for example 192.0.2.1:8080'
 COUNT_RULE = 'a whole number above 0'
+BOUND_RULE = 'a whole number of at least 0'
 
 DURATION_RULE = 'a number with its unit, for example 250ms or 2.5s'
 WINDOW_RULE = 'a duration of at least 1ms, for example 250ms or 2.5s'
--- a/packages/lycheedyke/src/lycheedyke/protocol/_registry.py
+++ b/packages/lycheedyke/src/lycheedyke/protocol/_registry.py
@@ -25,7 +25,7 @@
     """A service of a route, and its weight relative to the other services."""
 
     service: str
-    weight: int
+    weight: int | float
 
 
 class Route(msgspec.Struct, frozen=True, array_like=True):
@@ -54,7 +54,7 @@
     timeout: timedelta
     goal: timedelta
     attempts: int = 1
-    priority: int = 0
+    priority: int | float = 0
     sticky: bool = False
     homes: frozenset[str] = frozenset()
 
--- a/packages/lycheedyke/src/lycheedyke/state/_routes.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_routes.py
@@ -85,7 +85,7 @@
 
     def __init__(self) -> None:
         """Initializes all credits at zero."""
-        self._credits: dict[tuple[str, tuple[str, ...]], list[int]] = {}
+        self._credits: dict[tuple[str, tuple[str, ...]], list[float]] = {}
 
     def __repr__(self) -> str:
         """Returns the number of routes with credits."""
@@ -98,7 +98,7 @@
             return parts[0].service
         key = (route.name, tuple(part.service for part in parts))
         credit = self._credits.setdefault(key, [0] * len(parts))
-        total = 0
+        total: float = 0
         for index, part in enumerate(parts):
             credit[index] += part.weight
             total += part.weight
@@ -114,8 +114,8 @@
     return dict(found)
 
 
-def _priorities(routes: Iterable[Route]) -> dict[str, frozenset[int]]:
-    found: defaultdict[str, set[int]] = defaultdict(set)
+def _priorities(routes: Iterable[Route]) -> dict[str, frozenset[float]]:
+    found: defaultdict[str, set[float]] = defaultdict(set)
     for route in routes:
         for part in route.parts:
             found[part.service].add(route.priority)
--- a/tests/standins/gateway_testbed.py
+++ b/tests/standins/gateway_testbed.py
@@ -16,7 +16,7 @@
 import yarl
 from aiohttp import web
 
-from lycheedyke.protocol import Registry
+from lycheedyke.protocol import Registry, RegistryRecord
 from lycheedyke_daemon.gateway import GatewayInstance, read_gateway_settings
 from standins.deployment import free_ports
 from standins.registry_store import (
@@ -33,6 +33,7 @@
 
 from deployment import deploy
 from store import StoreRegistry
+from wire import decode
 
 HOST = 'shop.example'
 ROUTES = (
@@ -82,6 +83,11 @@
 )
 
 
+def decode_record(key: str, content: bytes) -> RegistryRecord:
+    """Decodes a record of the platform's store."""
+    return decode(key, content)
+
+
 def connect_store(address: str, timeout: timedelta) -> Registry:
     """Returns the platform's client of a registry store."""
     return StoreRegistry(address, timeout)
--- a/tests/unit/gateway/test_gateway_settings.py
+++ b/tests/unit/gateway/test_gateway_settings.py
@@ -7,6 +7,18 @@
 
 from lycheedyke.exceptions import SettingsInvalid
 from lycheedyke_daemon.gateway import read_gateway_settings
+from lycheedyke_daemon.gateway._settings import _FIELDS as GATEWAY_FIELDS
+from lycheedyke_daemon.ini import (
+    BOUND_RULE,
+    COUNT_RULE,
+    DURATION_RULE,
+    FRACTION_RULE,
+    NUMBER_RULE,
+    WINDOW_RULE,
+    Field,
+    read_count,
+)
+from lycheedyke_daemon.settings import _FIELDS as TICKET_FIELDS
 from standins.gateway_testbed import SETTINGS
 
 PORTS = [1001, 1002, 1003, 1004, 1005]
@@ -106,3 +118,45 @@
     with pytest.raises(SettingsInvalid) as caught:
         read_gateway_settings(path)
     assert any(fault in each for each in caught.value.faults)
+
+
+_UNITS = {'_ms': timedelta(milliseconds=1), '_s': timedelta(seconds=1)}
+_NUMBERS = {
+    COUNT_RULE: ('30.714285714285715', 30),
+    BOUND_RULE: ('30.714285714285715', 30),
+    NUMBER_RULE: ('30.714285714285715', 30.714285714285715),
+    FRACTION_RULE: ('0.714285714285715', 0.714285714285715),
+    DURATION_RULE: ('2.5s', timedelta(seconds=2.5)),
+    WINDOW_RULE: ('2.5s', timedelta(seconds=2.5)),
+}
+
+
+@pytest.mark.parametrize(
+    'field',
+    [
+        *(field for field in GATEWAY_FIELDS.values()),
+        *(field for field in TICKET_FIELDS.values()),
+    ],
+    ids=lambda field: f'{field.section}.{field.key}',
+)
+def test_every_number_may_have_decimals(field: Field) -> None:
+    """Guards against instances that end at start with code 2.
+
+    A limit is rounded down, so that what is kept never exceeds it.
+    """
+    if field.allowed not in _NUMBERS:
+        assert 'number' not in field.allowed
+        return
+    text, expected = _NUMBERS[field.allowed]
+    found = field.read(text)
+    for suffix, unit in _UNITS.items():
+        if field.key.endswith(suffix) and isinstance(found, timedelta):
+            found /= unit
+    assert found == expected
+
+
+@pytest.mark.parametrize('text', ['', 'x', '-1', '-0.5', 'inf', 'nan', '0.9'])
+def test_what_is_no_count_is_refused(text: str) -> None:
+    """Rounding down leaves no count of 0, and hides no other fault."""
+    with pytest.raises(ValueError):
+        read_count(text)
