Convict no request of crashes that another one explains

Change: two crashes within one moment convict only a request that alone explains them: no other request with as many crashes was in flight at one of them. Otherwise it stays a suspect, runs on its own, and its next run tells: an answer clears it, which leaves the other one convicted, and a third crash convicts it. Crashes closer than the 50 ms after which one is reported at the earliest count once.

--- a/packages/lycheedyke/src/lycheedyke/state/_crash_evidence.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_crash_evidence.py
@@ -8,6 +8,10 @@
 # Crashes within this time of the first of them may have one common cause.
 MOMENT = timedelta(seconds=1)
 CONFIRMATIONS = 2
+# A crash is reported this long after it was noticed at the earliest, and only
+# then repeated: runs whose upstreams crash sooner after each other were side by
+# side, and one cause may have ended both.
+MIN_REPEAT_GAP = timedelta(milliseconds=50)
 # A request that was in flight at crashes in this many moments causes them.
 PROVEN_MOMENTS = 3
 MAX_CRASHES = 16
@@ -84,7 +88,7 @@
     @property
     def is_confirmed(self) -> bool:
         """Whether the request must not run again."""
-        return len(self.standing) >= CONFIRMATIONS
+        return self._successive >= CONFIRMATIONS
 
     @property
     def strength(self) -> Strength:
@@ -144,3 +148,14 @@
             dismissed=self.dismissed.intersection(later),
             answered=time,
         )
+
+    @property
+    def _successive(self) -> int:
+        """The number of crashes that may be those of successive runs."""
+        count = 0
+        last = None
+        for crash in self.standing:
+            if last is None or crash.time - last >= MIN_REPEAT_GAP:
+                count += 1
+                last = crash.time
+        return count
--- a/packages/lycheedyke/src/lycheedyke/state/_suspects.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_suspects.py
@@ -86,7 +86,7 @@
         evidence = self._entries.get(fingerprint)
         if evidence is None or evidence.expiry <= self._clock.elapsed():
             return Verdict.clear
-        if evidence.is_confirmed:
+        if self._is_convicted(fingerprint, evidence):
             return Verdict.quarantined
         return Verdict.suspect if evidence.standing else Verdict.clear
 
@@ -211,7 +211,7 @@
             SettledQuarantine(fingerprint, evidence.is_first_hand)
             for fingerprint, evidence in self._current()
             if fingerprint not in self._registered
-            and evidence.is_confirmed
+            and self._is_convicted(fingerprint, evidence)
             and (evidence.is_proven or evidence.standing[-1].time < since)
         )
 
@@ -225,6 +225,24 @@
         """Ends a quarantine that the registry does not list any more."""
         self._registered.discard(fingerprint)
 
+    def _is_convicted(self, fingerprint: str, evidence: Evidence) -> bool:
+        """Returns whether no other request explains the crashes of one.
+
+        Instances do not keep each other's suspects apart, so a victim may be
+        in flight at two crashes of another request. It then stays a suspect
+        until another run, on its own, tells which of them causes crashes.
+        """
+        if not evidence.is_confirmed:
+            return False
+        if len(evidence.standing) > CONFIRMATIONS or evidence.moments > 1:
+            return True
+        crashed = _upstreams_of(evidence)
+        return not any(
+            crashed & _upstreams_of(other)
+            for name, other in self._entries.items()
+            if name != fingerprint and len(other.standing) >= len(crashed)
+        )
+
     def _merge_reported(self, suspect: Suspect) -> bool:
         if suspect.fingerprint in self._cleared:
             return False
@@ -283,9 +301,10 @@
     ) -> None:
         if before._replace(expiry=after.expiry) == after:
             return
-        if after.is_confirmed and not before.is_confirmed:
-            self._log_quarantine(fingerprint, after, source=source)
+        was_quarantined = self.judge(fingerprint) is Verdict.quarantined
         self._store(fingerprint, after)
+        if not was_quarantined and self._is_convicted(fingerprint, after):
+            self._log_quarantine(fingerprint, after, source=source)
 
     def _store(self, fingerprint: str, evidence: Evidence) -> None:
         if fingerprint not in self._entries:
@@ -370,6 +389,10 @@
         )
 
 
+def _upstreams_of(evidence: Evidence) -> frozenset[str]:
+    return frozenset(crash.upstream for crash in evidence.standing)
+
+
 def _count_near(times: list[timedelta], time: timedelta) -> int:
     """Returns how many of the sorted times lie within the spread of a time."""
     first = bisect.bisect_left(times, time - FAILURE_SPREAD)
