Serve requests behind one another on a connection side by side

Cause: aiohttp's handler runs one request of a connection at a time, and its parser drops the requests that it had parsed when later bytes of the same read are malformed.

Change: a subclass of that handler starts a task for each request as its head arrives, 32 of a connection at most; then reading pauses. Its parser stops behind each request. The silence watch took an answer of the same instant as a sign of life after the attempt had begun; it no longer does.

Not measured: a protocol of our own on httptools or h11. The parser of aiohttp is compiled too, and such a protocol would replace the request and response classes that the other ports use; DESIGN says so.

--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -18,6 +18,7 @@
 from bench.soak.load_generator import LoadGenerator, make_call
 from bench.soak.memory import MemoryMonitor
 from bench.soak.observations import Observations
+from bench.soak.pipelining_callers import PipeliningCallers
 from bench.soak.stalls import StallMonitor
 from bench.soak.testbed import Testbed
 
@@ -45,6 +46,12 @@
             testbed, random.Random(seed), self.stall_monitor
         )
         self.fault_injector = FaultInjector(testbed, random.Random(seed))
+        self.pipelining_callers = PipeliningCallers(
+            testbed,
+            self.load_generator,
+            random.Random(f'pipelining {seed}'),
+            self.stall_monitor,
+        )
         self.crash_injector = CrashInjector(
             testbed, self.load_generator, random.Random(f'crashes {seed}')
         )
@@ -68,7 +75,9 @@
             callers: the number of callers.
             restores: whether the store comes back from older copies.
         """
-        calling = asyncio.create_task(self.load_generator.run(callers))
+        calling = asyncio.gather(
+            self.load_generator.run(callers), self.pipelining_callers.run()
+        )
         crashing = asyncio.create_task(self.crash_injector.run(seconds))
         watching = asyncio.create_task(self._poll_versions())
         measuring = asyncio.gather(
--- a/bench/soak/load_generator.py
+++ b/bench/soak/load_generator.py
@@ -21,6 +21,8 @@
 ORDER_SHARE = 0.3
 PREFIXES = MappingProxyType({False: '/read/', True: '/order/'})
 REPEATED_PATHS = 5
+# Stood behind an answer that closed its connection.
+BEHIND_CLOSE = 'BehindClose'
 REFUSALS = frozenset((404, 408, 421, 429, 503))
 MAX_PAUSE_SECONDS = 0.1
 
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/callers.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/callers.py
@@ -29,6 +29,7 @@
 from lycheedyke.state import Counters
 from lycheedyke_daemon.bodies import BodyReader, BodyRefused
 from lycheedyke_daemon.dispatch import Dispatcher
+from lycheedyke_daemon.pipeline import may_pass_on
 from lycheedyke_daemon.stopping import Handler
 from lycheedyke_daemon.work import SAFE_METHODS, Work, end_to_end_headers
 
@@ -168,6 +169,13 @@
                     key=key,
                     resent=request.headers.get(ATTEMPT_HEADER, '1') != '1',
                 )
+                is_in_time = await may_pass_on(
+                    request,
+                    work.deadline - self._clock.elapsed(),
+                    is_repeatable=work.idempotent,
+                )
+                if not is_in_time:
+                    raise _Refused(Reason.deadline_passed)
                 outcome = await self._dispatcher.run(work)
         except BodyRefused as refused:
             raise _Refused(refused.reason) from refused
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_caller_api.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_caller_api.py
@@ -14,6 +14,7 @@
     Outcome,
     Reason,
     Route,
+    RouteKind,
     Unknown,
 )
 from lycheedyke.state import (
@@ -32,6 +33,7 @@
 from lycheedyke_daemon.gateway._unanswered import SENT_TO, UnansweredReport
 from lycheedyke_daemon.gateway._upstream_client import HeaderNames
 from lycheedyke_daemon.idle_connections import IdleConnectionCloser
+from lycheedyke_daemon.pipeline import TURN, may_pass_on
 from lycheedyke_daemon.stopping import RequestTracker
 from lycheedyke_daemon.work import Work, end_to_end_headers
 
@@ -117,7 +119,8 @@
         return [web.route('*', '/{path:.*}', idle.track(handler))]
 
     async def _serve(self, http: web.Request) -> web.StreamResponse:
-        started = self._clock.elapsed()
+        # The request may have waited until the bytes behind it were read.
+        started = self._clock.elapsed() - http[TURN].age
         admitted = self._admit(http, started)
         if isinstance(admitted, NotRun):
             return self._respond(http, None, admitted, started)
@@ -179,6 +182,13 @@
     async def _pass_on(
         self, admitted: _AdmittedRequest, body: bytes
     ) -> Outcome:
+        is_in_time = await may_pass_on(
+            admitted.http,
+            admitted.deadline - self._clock.elapsed(),
+            is_repeatable=admitted.route.kind is RouteKind.idempotent,
+        )
+        if not is_in_time:
+            return NotRun(Reason.deadline_passed, RETRY_AFTER_STOP)
         table = admitted.table
         request = Request(
             admitted.route,
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_silence_watch.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_silence_watch.py
@@ -51,7 +51,7 @@
             self._check.cancel()
 
     def _end_if_silent(self, timer: asyncio.Timeout) -> None:
-        if self._state.answered_at < self._since:
+        if self._state.answered_at <= self._since:
             self._state.record_failure()
             self._end_if_other(timer)
 
@@ -60,7 +60,7 @@
 
         Until then the upstream may still answer.
         """
-        if self._state.answered_at >= self._since or timer.expired():
+        if self._state.answered_at > self._since or timer.expired():
             return
         if self._find_other(self._state.record.name):
             expire(timer)
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_unanswered.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_unanswered.py
@@ -9,6 +9,7 @@
 from lycheedyke.protocol import NotRun, Reason, Unknown
 from lycheedyke_daemon.gateway._decision_log import Telemetry
 from lycheedyke_daemon.gateway._stop_schedule import StopSchedule
+from lycheedyke_daemon.pipeline import TURN
 from lycheedyke_daemon.stopping import Handler
 
 MILLISECOND = timedelta(milliseconds=1)
@@ -77,6 +78,8 @@
         )
 
     def _find_reason(self, request: web.Request) -> Reason:
+        if request[TURN].is_dropped:
+            return Reason.behind_close
         if self._schedule.is_over:
             return Reason.stopping
         transport = request.transport
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/idle_connections.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/idle_connections.py
@@ -1,6 +1,7 @@
 """Closes idle connections of callers."""
 
 import functools
+from collections import Counter
 from collections.abc import Callable, Iterable
 from datetime import timedelta
 
@@ -39,6 +40,7 @@
         self._clock = clock
         self._counters = counters
         self._idle_since: dict[RequestHandler, timedelta | None] = {}
+        self._running: Counter[RequestHandler] = Counter()
 
     def __repr__(self) -> str:
         """Returns the number of known connections."""
@@ -81,8 +83,13 @@
         handler: Handler,
         request: web.Request,
     ) -> web.StreamResponse:
-        self._idle_since[request.protocol] = None
+        connection = request.protocol
+        self._idle_since[connection] = None
+        self._running[connection] += 1
         try:
             return await handler(request)
         finally:
-            self._idle_since[request.protocol] = self._clock.elapsed()
+            self._running[connection] -= 1
+            if not self._running[connection]:
+                del self._running[connection]
+                self._idle_since[connection] = self._clock.elapsed()
--- /dev/null
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/pipeline.py
@@ -0,0 +1,198 @@
+"""The order of requests and answers on one connection.
+
+A caller may send further requests before it has the answer to the first one.
+They run side by side, and their answers are written in the order of the
+requests. A connection is closed only after the last answer that is owed: what
+stands behind the answer that closes it was not passed on to an upstream, and
+the caller may send it again.
+"""
+
+import asyncio
+from collections import deque
+from collections.abc import Iterator
+from datetime import timedelta
+
+from aiohttp import web
+
+# The requests of one connection that may be unanswered; with more of them,
+# the connection is read no further.
+MAX_UNANSWERED = 32
+# Reading goes on once so many are unanswered.
+RESUME_UNANSWERED = 16
+
+
+class Turn:
+    """The place of one request among the unanswered ones of its connection.
+
+    Args:
+        pipeline: the requests of the connection.
+        arrived: when its head arrived, in seconds of the event loop.
+
+    Attributes:
+        task: the task that serves the request.
+        is_passed_on: whether an upstream may have received the request.
+        is_dropped: whether an answer before it closed the connection.
+    """
+
+    def __init__(self, pipeline: 'Pipeline', arrived: float) -> None:
+        """Initializes a turn that is not the first."""
+        self.task: asyncio.Task[None] | None = None
+        self.is_passed_on = False
+        self.is_dropped = False
+        self._pipeline = pipeline
+        self._arrived = arrived
+        self._first = asyncio.Event()
+
+    @property
+    def is_first(self) -> bool:
+        """Whether all requests before it are answered."""
+        return self._first.is_set()
+
+    @property
+    def age(self) -> timedelta:
+        """The time since the head of the request arrived."""
+        now = asyncio.get_running_loop().time()
+        return timedelta(seconds=max(0, now - self._arrived))
+
+    def __repr__(self) -> str:
+        """Returns the state of the request."""
+        states = ('is_first', 'is_passed_on', 'is_dropped')
+        found = [state for state in states if getattr(self, state)]
+        return f'<Turn {" ".join(found)}>'
+
+    async def wait_first(self) -> None:
+        """Waits until all requests before it are answered."""
+        await self._first.wait()
+
+    def begin(self) -> None:
+        """Notes that all requests before it are answered."""
+        self._first.set()
+
+    def drop(self) -> None:
+        """Ends a request that the caller may send again."""
+        self.is_dropped = True
+        if self.task is not None:
+            self.task.cancel()
+
+    def closes(self, *, is_wanted: bool) -> bool:
+        """Returns whether the connection closes after this, the first, answer.
+
+        Args:
+            is_wanted: whether it is to close as soon as no answer to a request
+                behind is owed.
+        """
+        if not is_wanted and not self._pipeline.is_closing:
+            return False
+        return self._pipeline.close_after(self)
+
+
+class Pipeline:
+    """The unanswered requests of one connection, in their order.
+
+    Attributes:
+        is_closing: whether no further request is begun, and the connection
+            is closed after the last answer that is owed.
+    """
+
+    def __init__(self) -> None:
+        """Starts without requests."""
+        self.is_closing = False
+        self._turns: deque[Turn] = deque()
+
+    def __len__(self) -> int:
+        """Returns the number of unanswered requests."""
+        return len(self._turns)
+
+    def __iter__(self) -> Iterator[Turn]:
+        """Yields the unanswered requests."""
+        yield from tuple(self._turns)
+
+    def __repr__(self) -> str:
+        """Returns the number of unanswered requests."""
+        return f'<Pipeline: {len(self)} unanswered>'
+
+    def add(self, arrived: float) -> Turn:
+        """Adds a request behind all others.
+
+        Args:
+            arrived: when its head arrived, in seconds of the event loop.
+        """
+        turn = Turn(self, arrived)
+        self._turns.append(turn)
+        self._begin_first()
+        return turn
+
+    def end(self, turn: Turn) -> None:
+        """Removes a request that is answered or dropped."""
+        self._turns.remove(turn)
+        self._begin_first()
+
+    def close_after(self, turn: Turn) -> bool:
+        """Returns whether the connection closes after the first answer.
+
+        It does not while an answer to a request behind is owed: one that was
+        passed on to an upstream. Otherwise the requests behind are dropped.
+
+        Args:
+            turn: the first request.
+        """
+        self.is_closing = True
+        behind = [each for each in self._turns if each is not turn]
+        if any(each.is_passed_on for each in behind):
+            return False
+        for each in behind:
+            each.drop()
+        return True
+
+    def _begin_first(self) -> None:
+        if self._turns:
+            self._turns[0].begin()
+
+
+TURN = web.RequestKey('turn', Turn)
+
+
+async def may_pass_on(
+    request: web.BaseRequest, left: timedelta, *, is_repeatable: bool
+) -> bool:
+    """Waits until a request may be passed on; returns whether in time.
+
+    One that may run at most once is passed on when the answers before it are
+    written: none of them can close the connection then, after which the
+    caller could not tell whether it ran.
+
+    Args:
+        request: the request; `TURN` holds its place.
+        left: the time until its deadline.
+        is_repeatable: whether it may run more than once.
+    """
+    turn = request[TURN]
+    if not is_repeatable and not turn.is_first:
+        try:
+            async with asyncio.timeout(left.total_seconds()):
+                await turn.wait_first()
+        except TimeoutError:
+            return False
+    turn.is_passed_on = True
+    return True
+
+
+async def wait_turn(
+    request: web.BaseRequest,
+    response: web.StreamResponse,
+    *,
+    closes: bool = False,
+) -> None:
+    """Waits until the answer to a request may be written.
+
+    Args:
+        request: the request; `TURN` holds its place.
+        response: its answer, which is not prepared; it is told whether the
+            connection closes after it.
+        closes: whether the connection is to be closed.
+    """
+    turn = request[TURN]
+    await turn.wait_first()
+    is_wanted = closes or not request.keep_alive or response.keep_alive is False
+    if turn.closes(is_wanted=is_wanted):
+        response.force_close()
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/request_protocol.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/request_protocol.py
@@ -1,72 +1,338 @@
-"""Bounds the heads of requests that a connection sends."""
+"""Reads the requests of a connection, and answers them in their order."""
 
-from typing import Any
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable
+from http import HTTPStatus
+from typing import Any, cast
 
 from aiohttp import web
-from aiohttp.http_exceptions import BadHttpMessage
+from aiohttp.base_protocol import BaseProtocol
+from aiohttp.http import (
+    HttpRequestParser,
+    HttpVersion11,
+    RawRequestMessage,
+    StreamWriter,
+)
+from aiohttp.http_exceptions import BadHttpMessage, HttpProcessingError
 from aiohttp.streams import EMPTY_PAYLOAD, StreamReader
-from aiohttp.web_protocol import RequestHandler, _ErrInfo
+from aiohttp.tcp_helpers import tcp_keepalive
+from aiohttp.web_protocol import ERROR, RequestHandler, RequestPayloadError
+
+from lycheedyke_daemon.pipeline import (
+    MAX_UNANSWERED,
+    RESUME_UNANSWERED,
+    TURN,
+    Pipeline,
+    Turn,
+    wait_turn,
+)
 
 # The head of one request; each of its fields has a limit of its own.
 MAX_HEAD_BYTES_IN_ALL = 131_072
+EXPECT = 'Expect'
+_MALFORMED = ERROR._replace(version=HttpVersion11)
+
+_logger = logging.getLogger(__name__)
+
+_Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+
 
+class PipelinedRequestHandler(RequestHandler):
+    """Serves the requests of a connection side by side.
 
-class BoundedRequestHandler(RequestHandler):
-    """Answers 400 to a request whose head exceeds the limit.
+    Each request has a task of its own from the arrival of its head on. At most
+    `MAX_UNANSWERED` are unanswered; then reading pauses. Malformed bytes, or a
+    head that exceeds its limit, are answered 400 after the answers to all
+    requests before them; then the connection closes. What follows a request
+    that closes the connection is read and dropped: unread bytes would reset
+    the connection before its last answers arrive.
 
-    The requests before it on the connection are answered first, and what
-    follows is not parsed. Bytes that arrive while a body is incomplete do not
-    count.
+    Args:
+        manager: the server.
+        options: as for `aiohttp.web.RequestHandler`.
     """
 
-    __slots__ = ('_head_bytes', '_is_refused', '_payload')
+    __slots__ = (
+        '_arrived',
+        '_head_bytes',
+        '_idle_check',
+        '_is_last',
+        '_payload',
+        '_pipeline',
+        '_unparsed',
+    )
 
-    def __init__(self, *args: Any, **options: Any) -> None:
+    def __init__(self, manager: web.Server, **options: Any) -> None:
         """Initializes the handler for a connection without a request."""
-        super().__init__(*args, **options)
+        super().__init__(manager, **options)
+        # This parser stops after each request, so that malformed bytes do not
+        # discard the requests before them.
+        self._parser = HttpRequestParser(
+            self,
+            self._loop,
+            self._read_bufsize,
+            max_line_size=self.max_line_size,
+            max_field_size=self.max_field_size,
+            max_headers=self.max_headers,
+            payload_exception=RequestPayloadError,
+            auto_decompress=False,
+            max_msg_queue_size=1,
+        )
+        self._arrived = self._loop.time()
         self._head_bytes = 0
-        self._is_refused = False
-        self._payload: StreamReader | None = None
+        self._idle_check: asyncio.TimerHandle | None = None
+        self._is_last = False
+        self._unparsed = b''
+        self._payload: StreamReader = EMPTY_PAYLOAD
+        self._pipeline = Pipeline()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Starts without a task: each request starts its own."""
+        BaseProtocol.connection_made(self, transport)
+        # The transports of uvloop are no subclass of this.
+        connection = cast(asyncio.Transport, transport)
+        tcp_keepalive(connection)
+        if self._manager is not None:
+            self._manager.connection_made(self, connection)
+        self._check_idle()
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Ends all requests: nobody waits for their answers."""
+        super().connection_lost(exc)
+        if self._idle_check is not None:
+            self._idle_check.cancel()
+        for turn in self._pipeline:
+            if turn.task is not None:
+                turn.task.cancel()
 
     def data_received(self, data: bytes) -> None:
-        """Parses received bytes."""
-        if self._is_refused:
+        """Begins the requests whose heads are complete.
+
+        Args:
+            data: received bytes; none to go on with bytes received before.
+        """
+        if self._force_close or self._parser is None:
             return
-        requests = self._request_count
-        is_in_head = self._payload is None or self._payload.is_eof()
-        super().data_received(data)
-        if self._request_count != requests:
+        was_in_head = self._payload.is_eof()
+        count = self._request_count
+        if data:
+            self._arrived = self._loop.time()
+        self._parse(data)
+        if self._request_count != count:
             self._head_bytes = 0
-            if self._messages:
-                self._payload = self._messages[-1][1]
-        elif is_in_head:
+        elif was_in_head and self._reads_on and not self._buffer_paused:
             self._head_bytes += len(data)
             if self._head_bytes > MAX_HEAD_BYTES_IN_ALL:
-                self._refuse_head()
+                self._begin_malformed(
+                    BadHttpMessage('the head of the request is too large')
+                )
+
+    def close(self) -> None:
+        """Begins no further request; closes after the last answer owed."""
+        self._pipeline.is_closing = True
+        if not self._pipeline and self.transport is not None:
+            self.transport.close()
+
+    async def shutdown(self, timeout: float | None = None) -> None:
+        """Closes the connection once its requests have ended.
+
+        Args:
+            timeout: the longest wait in seconds, after which the requests are
+                cancelled.
+        """
+        self.close()
+        tasks = [turn.task for turn in self._pipeline if turn.task]
+        if tasks:
+            _, running = await asyncio.wait(tasks, timeout=timeout)
+            for task in running:
+                task.cancel()
+            if running:
+                await asyncio.wait(running, timeout=timeout)
+        self.force_close()
+
+    @property
+    def _reads_on(self) -> bool:
+        """Whether received bytes are of a request, or of a further one."""
+        is_last = self._is_last or self._pipeline.is_closing
+        return not (is_last and self._payload.is_eof())
+
+    def _parse(self, data: bytes) -> None:
+        """Begins requests until the received bytes hold no further one."""
+        self._unparsed += data
+        while self._reads_on:
+            is_in_body = not self._payload.is_eof()
+            if len(self._pipeline) >= MAX_UNANSWERED and not is_in_body:
+                self._pause_reading_for_buffer()
+                return
+            try:
+                is_done = self._feed(is_in_body=is_in_body)
+            except HttpProcessingError as error:
+                self._begin_malformed(error)
+                return
+            if is_done:
+                return
+        self._unparsed = b''
+
+    def _feed(self, *, is_in_body: bool) -> bool:
+        """Parses up to the end of one request; returns whether none ended."""
+        assert self._parser is not None
+        received = self._unparsed
+        self._unparsed = b''
+        messages, is_upgraded, rest = self._parser.feed_data(received)
+        if is_upgraded:
+            # No other protocol is served.
+            self._parser.set_upgraded(False)
+            self._unparsed = rest
+        for message, payload in messages:
+            self._parser.message_consumed()
+            self._begin(message, payload)
+        return not messages and not (is_in_body and self._payload.is_eof())
+
+    def _begin(self, message: RawRequestMessage, payload: StreamReader) -> None:
+        assert self._request_handler is not None
+        self._is_last = message.should_close
+        self._start(message, payload, self._request_handler)
+
+    def _begin_malformed(self, error: HttpProcessingError) -> None:
+        """Answers malformed bytes in their turn, and reads no further."""
+        self._is_last = True
+        self.logger.error('Error handling request', exc_info=error)
+        self._start(_MALFORMED, EMPTY_PAYLOAD, _refuse_malformed)
+
+    def _start(
+        self,
+        message: RawRequestMessage,
+        payload: StreamReader,
+        handler: _Handler,
+    ) -> None:
+        """Starts the task that answers a request."""
+        assert self._manager is not None and self._request_factory is not None
+        self._manager.requests_count += 1
+        self._request_count += 1
+        self._payload = payload
+        turn = self._pipeline.add(self._arrived)
+        turn.task = self._loop.create_task(
+            self._serve(turn, message, payload, handler)
+        )
+
+    async def _serve(
+        self,
+        turn: Turn,
+        message: RawRequestMessage,
+        payload: StreamReader,
+        handler: _Handler,
+    ) -> None:
+        """Answers one request, and closes the connection if it was the last."""
+        is_open = False
+        assert turn.task is not None and self._request_factory is not None
+        request = self._request_factory(
+            message, payload, self, StreamWriter(self, self._loop), turn.task
+        )
+        request[TURN] = turn
+        try:
+            is_open = await self._answer(request, handler)
+        except ConnectionError:
+            _logger.debug('connection lost', exc_info=True)
+        except Exception:
+            self.logger.exception('connection closed')
+        finally:
+            self._end(turn, is_open=is_open)
+
+    async def _answer(
+        self, request: web.BaseRequest, handler: _Handler
+    ) -> bool:
+        """Returns whether the connection stays open after the answer."""
+        if EXPECT in request.headers:
+            # The interim answer stands among the others.
+            await request[TURN].wait_first()
+        response = await self._run(request, handler)
+        if not response.prepared:
+            await wait_turn(request, response)
+            await response.prepare(request)
+        await response.write_eof()
+        # A caller that reads slowly holds up the answers to its requests.
+        await self._drain_helper()
+        return bool(response.keep_alive) and await self._skip_body(request)
+
+    async def _run(
+        self, request: web.BaseRequest, handler: _Handler
+    ) -> web.StreamResponse:
+        try:
+            return await handler(request)
+        except web.HTTPException as error:
+            return error
+        except RequestPayloadError:
+            return await _refuse_malformed(request)
+        except Exception:
+            if request.writer.output_size > 0:
+                # The answer is incomplete.
+                raise
+            self.logger.exception('Error handling request')
+            return web.Response(
+                status=HTTPStatus.INTERNAL_SERVER_ERROR, text='internal error'
+            )
+
+    async def _skip_body(self, request: web.BaseRequest) -> bool:
+        """Reads the rest of a body; returns whether it was complete."""
+        body = request.content
+        try:
+            async with asyncio.timeout(self._lingering_time):
+                while not body.is_eof():
+                    await body.readany()
+        except TimeoutError:
+            _logger.debug('body not complete')
+        return body.is_eof()
+
+    def _end(self, turn: Turn, *, is_open: bool) -> None:
+        """Goes on after the end of a request."""
+        self._pipeline.end(turn)
+        if turn.is_dropped:
+            return
+        if not is_open or (self._pipeline.is_closing and not self._pipeline):
+            self._pipeline.is_closing = True
+            if self.transport is not None:
+                self.transport.close()
+        elif self._buffer_paused and len(self._pipeline) <= RESUME_UNANSWERED:
+            self._buffer_paused = False
+            self._parse(b'')
+            if not self._buffer_paused:
+                self._resume_reading_for_buffer()
+
+    def _check_idle(self) -> None:
+        """Closes the connection if nothing arrived for the longest idle time."""
+        now = self._loop.time()
+        limit = self._keepalive_timeout
+        if not self._pipeline and now - self._arrived >= limit:
+            self.close()
+            return
+        due = self._arrived + limit
+        if due <= now:
+            due = now + limit
+        self._idle_check = self._loop.call_at(due, self._check_idle)
+
 
-    def _refuse_head(self) -> None:
-        """Adds an error after the parsed requests, as for malformed bytes."""
-        self._is_refused = True
-        error = BadHttpMessage('the head of the request is too large')
-        refused = _ErrInfo(status=error.code, exc=error, message=error.message)
-        self._messages.append((refused, EMPTY_PAYLOAD))
-        if self._waiter is not None and not self._waiter.done():
-            self._waiter.set_result(None)
+async def _refuse_malformed(request: web.BaseRequest) -> web.StreamResponse:
+    response = web.Response(
+        status=HTTPStatus.BAD_REQUEST, text='malformed request'
+    )
+    response.force_close()
+    return response
 
 
-class BoundedRunner(web.AppRunner):
-    """Runs an application whose connections bound the heads of requests."""
+class PipelinedRunner(web.AppRunner):
+    """Runs an application whose connections are pipelined."""
 
     __slots__ = ()
 
     async def _make_server(self) -> web.Server:
         server = await super()._make_server()
-        server.__class__ = _BoundedServer
+        server.__class__ = _PipelinedServer
         return server
 
 
-class _BoundedServer(web.Server):
+class _PipelinedServer(web.Server):
     """Makes a protocol for each connection."""
 
     def __call__(self) -> RequestHandler:
-        return BoundedRequestHandler(self, loop=self._loop, **self._kwargs)
+        return PipelinedRequestHandler(self, loop=self._loop, **self._kwargs)
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/servers.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/servers.py
@@ -10,7 +10,7 @@
 
 from lycheedyke.state import Counters
 from lycheedyke.transport import MAX_HEAD_BYTES, READ_BUFFER_BYTES
-from lycheedyke_daemon.request_protocol import BoundedRunner
+from lycheedyke_daemon.request_protocol import PipelinedRunner
 
 # Equals the stop timeout of the process.
 CLOSE_LIMIT = timedelta(seconds=60)
@@ -51,7 +51,7 @@
             A function that returns the server's current connections.
         """
         host, _, port = address.rpartition(':')
-        runner = BoundedRunner(
+        runner = PipelinedRunner(
             app,
             access_log=None,
             handle_signals=False,
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/stopping.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/stopping.py
@@ -8,6 +8,8 @@
 
 from aiohttp import web
 
+from lycheedyke_daemon.pipeline import TURN, wait_turn
+
 DRAIN_LIMIT = timedelta(seconds=40)
 POLL_INTERVAL = timedelta(milliseconds=50)
 
@@ -18,7 +20,9 @@
 class RequestTracker:
     """Counts requests in flight, and closes connections during a stop.
 
-    A request is in flight until its answer is written.
+    A request is in flight until its answer is written. During a stop, each
+    connection closes after the last answer that is owed, and a request behind
+    others is not begun before their answers are written.
     """
 
     def __init__(self) -> None:
@@ -34,8 +38,7 @@
     def track(self, handler: Handler) -> Handler:
         """Returns a handler whose requests are counted.
 
-        The handler writes the answer itself. While the instance is stopping,
-        it closes the connection after each answer.
+        The handler writes the answer itself.
         """
         return functools.partial(self._serve, handler)
 
@@ -66,9 +69,11 @@
     ) -> web.StreamResponse:
         self.in_flight += 1
         try:
-            response = await handler(request)
             if self.stopping:
-                response.force_close()
+                # The answer before it may close the connection.
+                await request[TURN].wait_first()
+            response = await handler(request)
+            await wait_turn(request, response, closes=self.stopping)
             await response.prepare(request)
             await response.write_eof()
         finally:
--- a/packages/lycheedyke/src/lycheedyke/protocol/_outcomes.py
+++ b/packages/lycheedyke/src/lycheedyke/protocol/_outcomes.py
@@ -53,6 +53,7 @@
     upstream_silent = 'upstream-silent'
     peer_broke = 'peer-broke'
     caller_left = 'caller-left'
+    behind_close = 'behind-close'
     internal_error = 'internal-error'
 
 
