Take in a planned stop only what is expected to end in it

Cause: requests were taken for half of the grace, whatever they take.

Change: a request is taken within 3 s of the signal, and only if its expected run (the mean for unknown objects of its route) ends before nine tenths of the grace; others get 503 with the time to come back at once. An idle instance lingers for half of the grace as before, 3 s at the most.

test_a_stop_refuses_a_long_run_at_once failed before (200), and the schedule's test over graces of 2 to 30 s and runs of 0.01 to 6 s is new.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_caller_api.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_caller_api.py
@@ -139,7 +139,10 @@
         route = table.find(host, http.raw_path.partition('?')[0])
         if route is None:
             return NotRun(Reason.unknown_route)
-        if self._schedule.is_refusing:
+        service = self._round_robin.choose(route)
+        if not self._schedule.may_take(
+            self._router.expected_run(route, service)
+        ):
             return NotRun(Reason.stopping, RETRY_AFTER_STOP)
         remaining = self._read_remaining(http)
         if remaining is None or not http.headers.get(self._names.request):
@@ -148,7 +151,7 @@
             http,
             table,
             route,
-            self._round_robin.choose(route),
+            service,
             started,
             self._schedule.bound_deadline(
                 started + min(remaining, route.timeout)
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_router.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_router.py
@@ -11,6 +11,7 @@
     NotRun,
     Outcome,
     Reason,
+    Route,
     Unknown,
 )
 from lycheedyke.state import (
@@ -127,6 +128,10 @@
         """Returns the selector of upstreams."""
         return f'<GatewayRouter with {self._selector!r}>'
 
+    def expected_run(self, route: Route, service: str) -> timedelta:
+        """Returns the mean run time of requests for unknown objects."""
+        return self._times.of_route(route, service).cold
+
     async def run(
         self, request: Request, work: Work, sent_to: list[str]
     ) -> Outcome:
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_stop_schedule.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_stop_schedule.py
@@ -6,8 +6,11 @@
 
 from lycheedyke.clock import Clock
 
-# Work accepted in the last half of the grace period might outlast it.
-ACCEPTING_SHARE = 0.5
+# A request that arrives later must not be given up, so none is taken then.
+TAKING_TIME = timedelta(seconds=3)
+# An idle instance stays reachable for this share of the grace period, and not
+# longer than requests are taken, so that callers learn that it stops.
+LINGER_SHARE = 0.5
 # Leaves time to answer what still runs.
 FINISHING_SHARE = 0.9
 # Leaves time to close connections before the platform kills the process.
@@ -48,10 +51,17 @@
         """Whether the instance is stopping."""
         return self._begun_at is not None
 
-    @property
-    def is_refusing(self) -> bool:
-        """Whether new requests are refused."""
-        return self._passed() > self._grace * ACCEPTING_SHARE
+    def may_take(self, expected: timedelta) -> bool:
+        """Returns whether a new request is likely to end before the stop does.
+
+        Args:
+            expected: the time that the request is expected to take.
+        """
+        if self._begun_at is None:
+            return True
+        passed = self._passed()
+        fits = passed + expected <= self._grace * FINISHING_SHARE
+        return fits and passed <= TAKING_TIME
 
     def begin(self) -> None:
         """Begins the stop."""
@@ -66,17 +76,19 @@
         return min(deadline, self._begun_at + limit)
 
     async def drain(self, is_busy: Callable[[], bool]) -> None:
-        """Waits until new requests are refused, and longer while busy."""
-        await self._wait(lambda: True, ACCEPTING_SHARE)
-        await self._wait(is_busy, FINISHING_SHARE)
+        """Waits until callers know of the stop, and longer while busy."""
+        linger = min(self._grace * LINGER_SHARE, TAKING_TIME)
+        await self._wait(lambda: True, linger)
+        await self._wait(is_busy, self._grace * FINISHING_SHARE)
 
     async def flush(self, is_busy: Callable[[], bool]) -> None:
         """Waits until the last answers are sent or it is time to close."""
-        await self._wait(is_busy, CLOSING_SHARE)
+        await self._wait(is_busy, self._grace * CLOSING_SHARE)
         self.is_over = True
 
-    async def _wait(self, is_busy: Callable[[], bool], share: float) -> None:
-        limit = self._grace * share
+    async def _wait(
+        self, is_busy: Callable[[], bool], limit: timedelta
+    ) -> None:
         passed = self._passed()
         while is_busy() and passed < limit:
             await asyncio.sleep(POLL_SECONDS)
--- a/tests/processes/test_platform.py
+++ b/tests/processes/test_platform.py
@@ -27,7 +27,7 @@
 )
 # More than the buffers of the kernel hold.
 LARGE_BYTES = 8_000_000
-# The grace period of the deployments; new requests are accepted for half.
+# The grace period of the deployments; an idle instance ends after half of it.
 GRACE = 'stop_grace = 6s'
 LATER_SECONDS = 3.4
 
--- a/tests/unit/gateway/test_stops.py
+++ b/tests/unit/gateway/test_stops.py
@@ -1,8 +1,13 @@
 """Planned stops, and connections that callers leave open."""
 
 import asyncio
+from datetime import timedelta
 from pathlib import Path
 
+import pytest
+
+from lycheedyke_daemon.gateway._stop_schedule import StopSchedule
+from standins.clock import ManualClock
 from standins.gateway_testbed import ROUTES, GatewayTestbed, run_scenario
 from standins.registry_store import config_value
 
@@ -101,3 +106,58 @@
         await stopping
 
     run_scenario(tmp_path, _scene, limit_s=LIMIT_SECONDS)
+
+
+@pytest.mark.parametrize('grace_s', [2, 6, 10, 30])
+@pytest.mark.parametrize('run_s', [0.01, 1.1, 2.5, 6.0])
+def test_a_stop_gives_up_nothing_that_it_took_late(
+    grace_s: float, run_s: float
+) -> None:
+    """Runs of 4.3 s were taken 4.6 s after the signal, and given up at 8.9 s.
+
+    What is taken more than 3 s after the signal, or is expected to outlast the
+    grace period, can only be given up.
+    """
+    clock = ManualClock()
+    schedule = StopSchedule(clock, lambda: timedelta(seconds=grace_s))
+    assert schedule.may_take(timedelta(seconds=run_s))
+    schedule.begin()
+    expected = timedelta(seconds=run_s)
+    taken = []
+    for tenth in range(int(grace_s * 10)):
+        now = clock.elapsed()
+        if schedule.may_take(expected):
+            taken.append(tenth / 10)
+            assert schedule.bound_deadline(now + expected) - now >= (
+                expected - timedelta(milliseconds=100)
+            )
+        clock.advance(0.1)
+    assert all(at <= 3 for at in taken)
+    assert all(at + run_s <= grace_s for at in taken)
+    if run_s < grace_s / 2:
+        assert 0 in taken
+
+
+def test_a_stop_refuses_a_long_run_at_once(tmp_path: Path) -> None:
+    """The caller learns at once that it did not run, and when to come back."""
+
+    async def _scene(platform: GatewayTestbed) -> None:
+        # A route without answers is expected to take its goal.
+        slow = {**ROUTES[0], 'timeout': '9000ms', 'goal': '900ms'}
+        platform.store.put('op/config', config_value(0x2F, [slow]))
+        await asyncio.sleep(APPLY_SECONDS)
+        stopped = platform.instances.pop()
+        stopping = asyncio.create_task(stopped.stop())
+        # Less is left of the grace period of 2 s.
+        await asyncio.sleep(0.95)
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        arrived = sum(len(each.arrivals) for each in platform.upstreams)
+        reply = await platform.send('/read/99', deadline_ms=5000)
+        assert (reply.status, reply.body) == (503, b'stopping')
+        assert loop.time() - started < 0.1
+        assert float(reply.headers['Retry-After']) < 1
+        assert arrived == sum(len(e.arrivals) for e in platform.upstreams)
+        await stopping
+
+    run_scenario(tmp_path, _scene, limit_s=LIMIT_SECONDS)
