Convict a request only of a crash in a run on its own

Cause: a path that is sent all the time is in flight at every upstream that crashes; copies that began before the first crash was known counted as further crashes of it.

Change: of the crashes that convict, one after the first must be that of a run on its own, as a suspect.

test_a_request_that_is_always_in_flight_is_not_convicted came with the fault; it can not run on the code before, which knows no isolated runs.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/crashes.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/crashes.py
@@ -209,14 +209,20 @@
         if in_flight.check is None or request not in in_flight.checked:
             in_flight.checked = tuple(in_flight.requests)
             in_flight.check = self._checks.start(
-                self._check_crash(upstream, address, in_flight.checked)
+                self._check_crash(
+                    upstream, address, in_flight.checked, in_flight.alone
+                )
             )
         # The caller may leave before the check ends; the crash counts all
         # the same.
         await asyncio.shield(in_flight.check)
 
     async def _check_crash(
-        self, upstream: str, address: str, requests: tuple[_Request, ...]
+        self,
+        upstream: str,
+        address: str,
+        requests: tuple[_Request, ...],
+        is_isolated: bool,
     ) -> None:
         if not await _is_dead(address):
             return
@@ -226,7 +232,9 @@
             'upstream crashed',
             extra={'upstream': upstream, 'fingerprints': fingerprints},
         )
-        self._suspects.record_crash(fingerprints, upstream)
+        self._suspects.record_crash(
+            fingerprints, upstream, is_isolated=is_isolated
+        )
         await self._report.send()
 
 
--- a/packages/lycheedyke/src/lycheedyke/state/_crash_evidence.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_crash_evidence.py
@@ -26,10 +26,12 @@
     Attributes:
         time: when it was observed, on the monotonic clock.
         upstream: the name of the upstream, or of its incarnation.
+        is_isolated: whether the request ran there on its own, as a suspect.
     """
 
     time: timedelta
     upstream: str
+    is_isolated: bool = False
 
 
 class Strength(NamedTuple):
@@ -87,8 +89,15 @@
 
     @property
     def is_confirmed(self) -> bool:
-        """Whether the request must not run again."""
-        return self._successive >= CONFIRMATIONS
+        """Whether the request must not run again.
+
+        A request that is sent often is in flight at every crash. So one of
+        the crashes must be that of a run on its own, after an earlier one.
+        """
+        if self._successive < CONFIRMATIONS:
+            return False
+        later = self.standing[1:]
+        return self.is_proven or any(crash.is_isolated for crash in later)
 
     @property
     def strength(self) -> Strength:
@@ -149,6 +158,29 @@
             answered=time,
         )
 
+    def is_convicting(self, others: Iterable[Self]) -> bool:
+        """Returns whether no other request explains the crashes of this one.
+
+        Instances do not keep each other's suspects apart, so a victim may be
+        in flight at two crashes of another request. It then stays a suspect
+        until another run, on its own, tells which of them causes crashes.
+
+        Args:
+            others: the evidence on the other requests.
+        """
+        if len(self.standing) > CONFIRMATIONS or self.moments > 1:
+            return True
+        crashed = self._upstreams
+        return not any(
+            crashed & other._upstreams
+            for other in others
+            if len(other.standing) >= len(crashed)
+        )
+
+    @property
+    def _upstreams(self) -> frozenset[str]:
+        return frozenset(crash.upstream for crash in self.standing)
+
     @property
     def _successive(self) -> int:
         """The number of crashes that may be those of successive runs."""
--- a/packages/lycheedyke/src/lycheedyke/state/_suspect_reports.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_suspect_reports.py
@@ -22,6 +22,8 @@
             is not known.
         dismissed: those of the crashed upstreams whose crash was attributed to
             the failure of a zone or region.
+        isolated: those of the crashed upstreams at which it ran on its own, as
+            a suspect. Reports of earlier versions have none.
     """
 
     fingerprint: str
@@ -30,6 +32,7 @@
     ages_ms: tuple[int, ...] = ()
     answered_ms: int | None = None
     dismissed: tuple[str, ...] = ()
+    isolated: tuple[str, ...] = ()
 
     @property
     def has_times(self) -> bool:
--- a/packages/lycheedyke/src/lycheedyke/state/_suspects.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_suspects.py
@@ -102,15 +102,27 @@
         is_expired = evidence.expiry <= self._clock.elapsed()
         return is_expired or len(evidence.crashes) < CONFIRMATIONS
 
-    def record_crash(self, fingerprints: Iterable[str], upstream: str) -> None:
+    def record_crash(
+        self,
+        fingerprints: Iterable[str],
+        upstream: str,
+        *,
+        is_isolated: bool = True,
+    ) -> None:
         """Marks all requests as suspects that were in flight at a crash.
 
         If more upstreams crash together than one request may cause, a zone
         or region is failing. Such crashes count only against requests that
         were in flight at crashes in several other moments.
+
+        Args:
+            fingerprints: the requests in flight.
+            upstream: the upstream, or its incarnation.
+            is_isolated: whether the only request ran as a suspect, kept apart
+                from others.
         """
         self._drop_expired()
-        crash = Crash(self._clock.elapsed(), upstream)
+        crash = Crash(self._clock.elapsed(), upstream, is_isolated)
         self._crashes[upstream] = crash.time
         for fingerprint in fingerprints:
             before = self._entries.get(fingerprint, Evidence())
@@ -226,22 +238,10 @@
         self._registered.discard(fingerprint)
 
     def _is_convicted(self, fingerprint: str, evidence: Evidence) -> bool:
-        """Returns whether no other request explains the crashes of one.
-
-        Instances do not keep each other's suspects apart, so a victim may be
-        in flight at two crashes of another request. It then stays a suspect
-        until another run, on its own, tells which of them causes crashes.
-        """
-        if not evidence.is_confirmed:
-            return False
-        if len(evidence.standing) > CONFIRMATIONS or evidence.moments > 1:
-            return True
-        crashed = _upstreams_of(evidence)
-        return not any(
-            crashed & _upstreams_of(other)
-            for name, other in self._entries.items()
-            if name != fingerprint and len(other.standing) >= len(crashed)
+        others = (
+            each for name, each in self._entries.items() if name != fingerprint
         )
+        return evidence.is_confirmed and evidence.is_convicting(others)
 
     def _merge_reported(self, suspect: Suspect) -> bool:
         if suspect.fingerprint in self._cleared:
@@ -256,7 +256,11 @@
             answered = now - max(0, suspect.answered_ms) * MILLISECOND
             after = after.answer(answered)
         for upstream, age in zip(suspect.crashed, suspect.ages_ms, strict=True):
-            crash = Crash(now - max(0, age) * MILLISECOND, upstream)
+            crash = Crash(
+                now - max(0, age) * MILLISECOND,
+                upstream,
+                upstream in suspect.isolated,
+            )
             after = after.add(crash)
             if upstream in suspect.dismissed:
                 after = after.dismiss_of(upstream)
@@ -373,6 +377,7 @@
             if evidence.answered is None
             else (now - evidence.answered) // MILLISECOND,
             tuple(crash.upstream for crash in evidence.dismissed),
+            tuple(crash.upstream for crash in crashes if crash.is_isolated),
         )
 
     def _log_quarantine(
@@ -389,10 +394,6 @@
         )
 
 
-def _upstreams_of(evidence: Evidence) -> frozenset[str]:
-    return frozenset(crash.upstream for crash in evidence.standing)
-
-
 def _count_near(times: list[timedelta], time: timedelta) -> int:
     """Returns how many of the sorted times lie within the spread of a time."""
     first = bisect.bisect_left(times, time - FAILURE_SPREAD)
--- a/tests/unit/test_quarantine.py
+++ b/tests/unit/test_quarantine.py
@@ -441,3 +441,23 @@
     clock.advance(0.1)
     suspects.record_crash(['victim', 'poison'], 'u-2')
     assert suspects.judge('victim') is Verdict.suspect
+
+
+def test_a_request_that_is_always_in_flight_is_not_convicted() -> None:
+    """Soak seed 118: copies of a path ran at each upstream that crashed.
+
+    Only a run on its own, after an earlier crash, tells its cause. Instances
+    learn from reports whether a run was one.
+    """
+    clock = ManualClock()
+    own, peer = Suspects(clock), Suspects(clock)
+    for at in range(2):
+        own.record_crash(['popular', f'o-{at}'], f'u-{at}', is_isolated=False)
+        clock.advance(0.2)
+    peer.record_crash(['popular'], 'v-0', is_isolated=False)
+    own.merge(peer.report())
+    assert own.judge('popular') is Verdict.suspect
+    own.record_crash(['popular'], 'u-9', is_isolated=True)
+    peer.merge(own.report())
+    assert own.judge('popular') is Verdict.quarantined
+    assert peer.judge('popular') is Verdict.quarantined
