Say in a request's line what it stood behind and what no route matched

A 404 told neither host nor path, and a refused pipelined request did not tell for how long it had stood behind which other one. 'request ended' has host and path (200 characters each) where there is no route, and behind and behind_ms. test_a_line_tells_what_a_request_stood_behind is new.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_caller_api.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_caller_api.py
@@ -40,6 +40,8 @@
 MILLISECOND = timedelta(milliseconds=1)
 DEFAULT_REMAINING = timedelta(seconds=10)
 MAX_REMAINING = timedelta(minutes=5)
+# Characters of the host and of the path of a request without a route.
+MAX_LOGGED = 200
 RETRY_AFTER_START = timedelta(milliseconds=300)
 RETRY_AFTER_STOP = timedelta(milliseconds=20)
 
@@ -121,6 +123,7 @@
     async def _serve(self, http: web.Request) -> web.StreamResponse:
         # The request may have waited until the bytes behind it were read.
         started = self._clock.elapsed() - http[TURN].age
+        http[TURN].request = http.headers.get(self._names.request, '')
         admitted = self._admit(http, started)
         if isinstance(admitted, NotRun):
             return self._respond(http, None, admitted, started)
@@ -259,10 +262,15 @@
                 response = _refuse(reason, HTTPStatus.BAD_GATEWAY)
         if admitted is not None:
             self._counters.record_latency(admitted.service, took)
+        turn = http[TURN]
         self._decision_log.write(
             'request ended',
-            http.headers.get(self._names.request, ''),
+            turn.request,
             outcome,
+            host='' if admitted else http.host[:MAX_LOGGED],
+            path='' if admitted else http.path[:MAX_LOGGED],
+            behind=turn.behind,
+            behind_ms=turn.waited // MILLISECOND,
             route=admitted.route.name if admitted else '',
             service=admitted.service if admitted else '',
             version=self._registry_view.number,
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/pipeline.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/pipeline.py
@@ -27,21 +27,39 @@
     Args:
         pipeline: the requests of the connection.
         arrived: when its head arrived, in seconds of the event loop.
+        before: the request before it, if that is not answered.
 
     Attributes:
+        request: the id of the request.
         task: the task that serves the request.
         is_passed_on: whether an upstream may have received the request.
         is_dropped: whether an answer before it closed the connection.
     """
 
-    def __init__(self, pipeline: 'Pipeline', arrived: float) -> None:
+    def __init__(
+        self, pipeline: 'Pipeline', arrived: float, before: 'Turn | None'
+    ) -> None:
         """Initializes a turn that is not the first."""
+        self.request = ''
+        self._behind = ''
+        self._before = before
         self.task: asyncio.Task[None] | None = None
         self.is_passed_on = False
         self.is_dropped = False
         self._pipeline = pipeline
         self._arrived = arrived
         self._first = asyncio.Event()
+        self._waited: timedelta | None = None
+
+    @property
+    def behind(self) -> str:
+        """The id of the request that it stands or stood behind, or ''."""
+        return self._before.request if self._before else self._behind
+
+    @property
+    def waited(self) -> timedelta:
+        """How long it has stood behind others."""
+        return self.age if self._waited is None else self._waited
 
     @property
     def is_first(self) -> bool:
@@ -66,6 +84,11 @@
 
     def begin(self) -> None:
         """Notes that all requests before it are answered."""
+        if self._waited is None:
+            self._waited = self.age if self._before else timedelta()
+            # Not the request itself, which would keep those before it.
+            self._behind = self.behind
+            self._before = None
         self._first.set()
 
     def drop(self) -> None:
@@ -117,7 +140,8 @@
         Args:
             arrived: when its head arrived, in seconds of the event loop.
         """
-        turn = Turn(self, arrived)
+        before = self._turns[-1] if self._turns else None
+        turn = Turn(self, arrived, before)
         self._turns.append(turn)
         self._begin_first()
         return turn
--- a/tests/unit/gateway/test_pipelining.py
+++ b/tests/unit/gateway/test_pipelining.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 from pathlib import Path
+from typing import Any
 
 import pytest
 from hypothesis import given, settings
@@ -436,3 +437,40 @@
 
 def _run_of_path(target: str) -> float:
     return int(target.rpartition('/')[2]) / 1000
+
+
+def _ended(caplog: pytest.LogCaptureFixture) -> dict[str, dict[str, Any]]:
+    return {
+        vars(record)['request']: vars(record)
+        for record in caplog.records
+        if record.getMessage() == 'request ended'
+    }
+
+
+def test_a_line_tells_what_a_request_stood_behind(
+    tmp_path: Path, caplog: pytest.LogCaptureFixture
+) -> None:
+    """A refused order names the request before it, a 404 what was not found."""
+
+    async def _scene(
+        platform: GatewayTestbed, caller: PipeliningCaller
+    ) -> None:
+        caller.send(
+            make_request('p-0'),
+            make_request(
+                'p-1', path='/order/1', method='POST', deadline_ms=200
+            ),
+            make_request('p-2', path=UNKNOWN),
+        )
+        assert _statuses(await caller.read_all(3)) == [200, 503, 404]
+
+    _run(tmp_path, _scene)
+    lines = _ended(caplog)
+    assert (lines['p-1']['behind'], lines['p-1']['behind_ms']) == ('p-0', 200)
+    assert lines['p-1']['path'] == ''
+    assert lines['p-2']['behind'] == 'p-1'
+    assert (lines['p-2']['host'], lines['p-2']['path']) == (
+        'shop.example',
+        UNKNOWN,
+    )
+    assert lines['p-2']['version'] == 0x11
