--- a/tests/standins/pipelining_caller.py
+++ b/tests/standins/pipelining_caller.py
@@ -131,3 +131,8 @@
             at=at,
             body=await self._reader.readexactly(length),
         )
+
+
+def run_of_path(target: str) -> float:
+    """Returns the run time in seconds that a path ends with, in ms."""
+    return int(target.rpartition('/')[2]) / 1000
