Write no request whose limit for connecting has passed

Cause: since the late timers, HttpClient itself bounds connecting. Its timer marks the exchange as not connected and then ends it, which takes effect one turn of the loop later. A connection made in between was still written to, and the exchange reported as never sent.

Change: the gate does not open any more once the limit has passed, and an exchange counts as not connected only while its gate is closed.

Ruled out: the order of pipelined requests (the order was alone on its connection in the report) and planned stops (none was near).

test_a_request_is_not_written_after_its_limit_for_connecting failed before and passes.

--- a/packages/lycheedyke/src/lycheedyke/transport/_http.py
+++ b/packages/lycheedyke/src/lycheedyke/transport/_http.py
@@ -313,9 +313,9 @@
 def _to_error(
     gate: WriteGate, method: str, url: str, error: Exception
 ) -> TransportError:
+    if gate.has_timed_out and not gate.is_open:
+        return ConnectError(f'{url}: not connected in time')
     if isinstance(error, TimeoutError):
-        if gate.has_timed_out:
-            return ConnectError(f'{url}: not connected in time')
         return ExchangeTimeout(f'{method} {url}: no complete response in time')
     if isinstance(error, aiohttp.ClientConnectorError) and not gate.is_open:
         return _to_connect_error(url, error)
--- a/packages/lycheedyke/src/lycheedyke/transport/_write_gate.py
+++ b/packages/lycheedyke/src/lycheedyke/transport/_write_gate.py
@@ -57,6 +57,9 @@
         """Allows the write the first time, and raises an error afterwards."""
         if self.is_open:
             raise aiohttp.ClientError('the request was already written once')
+        if self.has_timed_out:
+            # The end of the exchange is on its way; nothing may be written.
+            raise aiohttp.ClientError('not connected in time')
         self.check()
         self.is_open = True
 
--- a/tests/unit/test_late_timers.py
+++ b/tests/unit/test_late_timers.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable, Iterator
 from datetime import timedelta
 
+import aiohttp
 import pytest
 import uvloop
 
@@ -18,6 +19,7 @@
 from lycheedyke.exceptions import ConnectError, ExchangeTimeout
 from lycheedyke.timers import PauseMonitor
 from lycheedyke.transport import HttpClient
+from lycheedyke.transport._write_gate import WriteGate
 
 ANSWER = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
 ANSWER_AFTER_SECONDS = 0.2
@@ -173,3 +175,25 @@
         return loop.time() - started
 
     assert asyncio.run(_wait()) >= 0.48 + stalled_s
+
+
+def test_a_request_is_not_written_after_its_limit_for_connecting() -> None:
+    """REFUSED 5 on hunt-efb4-3: answered 503, and an upstream ran it.
+
+    The limit passed, and the connection was there before the exchange ended.
+    """
+
+    gate = WriteGate(None)
+
+    async def _connect_late() -> None:
+        async with asyncio.timeout(None) as timeout:
+            with gate.bounded(timedelta(), timeout):
+                # Goes on between the call of the timer and its effect.
+                while not gate.has_timed_out:  # noqa: ASYNC110
+                    await asyncio.sleep(0)
+                gate.open()
+
+    with pytest.raises((aiohttp.ClientError, TimeoutError)):
+        asyncio.run(_connect_late())
+    assert gate.has_timed_out
+    assert not gate.is_open
