Correct comments on requests that wait unread

The comment at the start of a request told of bytes behind it, where it waits behind others; two others were fragments, and the handler's doc comment left out that bytes stay unread where reading is paused as the connection closes. No behaviour changed. make check and the tests of pipelining, unanswered requests and heads pass.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_caller_api.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_caller_api.py
@@ -121,7 +121,7 @@
         return [web.route('*', '/{path:.*}', idle.track(handler))]
 
     async def _serve(self, http: web.Request) -> web.StreamResponse:
-        # The request may have waited until the bytes behind it were read.
+        # A request waits unread while too many before it are unanswered.
         started = self._clock.elapsed() - http[TURN].age
         http[TURN].request = http.headers.get(self._names.request, '')
         admitted = self._admit(http, started)
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/pipeline.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/pipeline.py
@@ -86,7 +86,7 @@
         """Notes that all requests before it are answered."""
         if self._waited is None:
             self._waited = self.age if self._before else timedelta()
-            # Not the request itself, which would keep those before it.
+            # Keeps the id alone: the object refers to all requests before it.
             self._behind = self.behind
             self._before = None
         self._first.set()
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/request_protocol.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/request_protocol.py
@@ -46,7 +46,8 @@
     head that exceeds its limit, are answered 400 after the answers to all
     requests before them; then the connection closes. What follows a request
     that closes the connection is read and dropped: unread bytes would reset
-    the connection before its last answers arrive.
+    the connection before its last answers arrive. Where reading is paused at
+    that time, they stay unread.
 
     Args:
         manager: the server.
@@ -88,7 +89,7 @@
         self._pipeline = Pipeline()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Starts without a task: each request starts its own."""
+        """Registers the connection; each request starts a task of its own."""
         BaseProtocol.connection_made(self, transport)
         # The transports of uvloop are no subclass of this.
         connection = cast(asyncio.Transport, transport)
