Say which part closed a connection whose requests are unanswered

Each close by the instance has a reason now (`idle`, `stopping`, `last-answer`, `failed`). No decision changes.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_unanswered.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_unanswered.py
@@ -68,12 +68,14 @@
     def _report(self, request: web.Request, took: timedelta) -> None:
         reason = self._find_reason(request)
         sent_to = request[SENT_TO]
+        closed_by = request[TURN].closed_by
         self._counters.count(f'unanswered.{reason.value}')
         self._decision_log.write(
             'request unanswered',
             request.headers.get(self._id_header, ''),
             Unknown(reason) if sent_to else NotRun(reason),
             sent_to=','.join(sent_to),
+            closed_by=closed_by.value if closed_by else '',
             took_ms=took // MILLISECOND,
         )
 
@@ -82,6 +84,8 @@
             return Reason.behind_close
         if self._schedule.is_over:
             return Reason.stopping
+        if request[TURN].closed_by is not None:
+            return Reason.connection_closed
         transport = request.transport
         if transport is None or transport.is_closing():
             return Reason.caller_left
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/idle_connections.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/idle_connections.py
@@ -1,19 +1,25 @@
 """Closes idle connections of callers."""
 
 import functools
+import logging
 from collections import Counter
 from collections.abc import Callable, Iterable
 from datetime import timedelta
+from typing import cast
 
 from aiohttp import web
-from aiohttp.web_protocol import RequestHandler
 
 from lycheedyke.clock import Clock
 from lycheedyke.state import Counters
+from lycheedyke_daemon.pipeline import CloseReason
+from lycheedyke_daemon.request_protocol import PipelinedRequestHandler
 from lycheedyke_daemon.stopping import Handler
 
 SWEEP_INTERVAL = timedelta(seconds=1)
 CLOSED_COUNTER = 'caller.idle-closed'
+MILLISECOND = timedelta(milliseconds=1)
+
+_logger = logging.getLogger(__name__)
 
 
 class IdleConnectionCloser:
@@ -39,8 +45,8 @@
         self._limit = limit
         self._clock = clock
         self._counters = counters
-        self._idle_since: dict[RequestHandler, timedelta | None] = {}
-        self._running: Counter[RequestHandler] = Counter()
+        self._idle_since: dict[PipelinedRequestHandler, timedelta | None] = {}
+        self._running: Counter[PipelinedRequestHandler] = Counter()
 
     def __repr__(self) -> str:
         """Returns the number of known connections."""
@@ -57,14 +63,16 @@
 
     async def run(
         self,
-        connections: Callable[[], Iterable[RequestHandler]],
+        connections: Callable[[], Iterable[PipelinedRequestHandler]],
     ) -> None:
         """Closes idle connections until cancelled."""
         while True:
             await self._clock.sleep(SWEEP_INTERVAL)
             self.close_idle(connections())
 
-    def close_idle(self, connections: Iterable[RequestHandler]) -> None:
+    def close_idle(
+        self, connections: Iterable[PipelinedRequestHandler]
+    ) -> None:
         """Closes those of the given connections that are idle for too long."""
         limit = self._limit()
         now = self._clock.elapsed()
@@ -72,18 +80,26 @@
         self._idle_since = {
             connection: known.get(connection, now) for connection in connections
         }
+        count = 0
         for connection, since in self._idle_since.items():
             if limit is None or since is None or now - since <= limit:
                 continue
-            self._counters.count(CLOSED_COUNTER)
+            count += 1
+            connection.note_close(CloseReason.idle)
             connection.force_close()
+        if limit is not None and count:
+            self._counters.count(CLOSED_COUNTER, count)
+            _logger.info(
+                'idle connections closed',
+                extra={'count': count, 'limit_ms': limit // MILLISECOND},
+            )
 
     async def _serve(
         self,
         handler: Handler,
         request: web.Request,
     ) -> web.StreamResponse:
-        connection = request.protocol
+        connection = cast(PipelinedRequestHandler, request.protocol)
         self._idle_since[connection] = None
         self._running[connection] += 1
         try:
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/pipeline.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/pipeline.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+import enum
 from collections import deque
 from collections.abc import Iterator
 from datetime import timedelta
@@ -21,6 +22,15 @@
 RESUME_UNANSWERED = 16
 
 
+class CloseReason(enum.Enum):
+    """Why an instance closes the connection of a caller."""
+
+    idle = 'idle'
+    stopping = 'stopping'
+    last_answer = 'last-answer'
+    failed = 'failed'
+
+
 class Turn:
     """The place of one request among the unanswered ones of its connection.
 
@@ -72,6 +82,11 @@
         now = asyncio.get_running_loop().time()
         return timedelta(seconds=max(0, now - self._arrived))
 
+    @property
+    def closed_by(self) -> CloseReason | None:
+        """Why the instance closed the connection; None if it did not."""
+        return self._pipeline.closed_by
+
     def __repr__(self) -> str:
         """Returns the state of the request."""
         states = ('is_first', 'is_passed_on', 'is_dropped')
@@ -115,11 +130,13 @@
     Attributes:
         is_closing: whether no further request is begun, and the connection
             is closed after the last answer that is owed.
+        closed_by: why the instance closed the connection; None if it did not.
     """
 
     def __init__(self) -> None:
         """Starts without requests."""
         self.is_closing = False
+        self.closed_by: CloseReason | None = None
         self._turns: deque[Turn] = deque()
 
     def __len__(self) -> int:
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/request_protocol.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/request_protocol.py
@@ -23,6 +23,7 @@
     MAX_UNANSWERED,
     RESUME_UNANSWERED,
     TURN,
+    CloseReason,
     Pipeline,
     Turn,
     wait_turn,
@@ -31,6 +32,7 @@
 # The head of one request; each of its fields has a limit of its own.
 MAX_HEAD_BYTES_IN_ALL = 131_072
 EXPECT = 'Expect'
+MS_PER_SECOND = 1000
 _MALFORMED = ERROR._replace(version=HttpVersion11)
 
 _logger = logging.getLogger(__name__)
@@ -59,6 +61,7 @@
         '_head_bytes',
         '_idle_check',
         '_is_last',
+        '_opened',
         '_payload',
         '_pipeline',
         '_unparsed',
@@ -80,7 +83,8 @@
             auto_decompress=False,
             max_msg_queue_size=1,
         )
-        self._arrived = self._loop.time()
+        self._opened = self._loop.time()
+        self._arrived = self._opened
         self._head_bytes = 0
         self._idle_check: asyncio.TimerHandle | None = None
         self._is_last = False
@@ -132,8 +136,19 @@
     def close(self) -> None:
         """Begins no further request; closes after the last answer owed."""
         self._pipeline.is_closing = True
-        if not self._pipeline and self.transport is not None:
-            self.transport.close()
+        if not self._pipeline:
+            self._close_transport(CloseReason.stopping)
+
+    def note_close(self, reason: CloseReason) -> None:
+        """Notes why the instance closes the connection.
+
+        A line is logged if requests are unanswered.
+        """
+        if self._pipeline.closed_by is None:
+            self._pipeline.closed_by = reason
+        unanswered = [turn for turn in self._pipeline if not turn.is_dropped]
+        if unanswered:
+            self._report_unanswered(reason, unanswered)
 
     async def shutdown(self, timeout: float | None = None) -> None:
         """Closes the connection once its requests have ended.
@@ -146,12 +161,35 @@
         tasks = [turn.task for turn in self._pipeline if turn.task]
         if tasks:
             _, running = await asyncio.wait(tasks, timeout=timeout)
+            if running:
+                self.note_close(CloseReason.stopping)
             for task in running:
                 task.cancel()
             if running:
                 await asyncio.wait(running, timeout=timeout)
         self.force_close()
 
+    def _close_transport(self, reason: CloseReason) -> None:
+        if self.transport is not None:
+            self.note_close(reason)
+            self.transport.close()
+
+    def _report_unanswered(
+        self, reason: CloseReason, unanswered: list[Turn]
+    ) -> None:
+        """Logs that the instance closes a connection that is in use."""
+        now = self._loop.time()
+        _logger.warning(
+            'connection closed in use',
+            extra={
+                'closed_by': reason.value,
+                'age_ms': round((now - self._opened) * MS_PER_SECOND),
+                'silent_ms': round((now - self._arrived) * MS_PER_SECOND),
+                'requests': [turn.request for turn in unanswered],
+                'passed_on': sum(turn.is_passed_on for turn in unanswered),
+            },
+        )
+
     @property
     def _reads_on(self) -> bool:
         """Whether received bytes are of a request, or of a further one."""
@@ -226,6 +264,7 @@
     ) -> None:
         """Answers one request, and closes the connection if it was the last."""
         is_open = False
+        reason = CloseReason.failed
         assert turn.task is not None and self._request_factory is not None
         request = self._request_factory(
             message, payload, self, StreamWriter(self, self._loop), turn.task
@@ -233,12 +272,13 @@
         request[TURN] = turn
         try:
             is_open = await self._answer(request, handler)
+            reason = CloseReason.last_answer
         except ConnectionError:
             _logger.debug('connection lost', exc_info=True)
         except Exception:
             self.logger.exception('connection closed')
         finally:
-            self._end(turn, is_open=is_open)
+            self._end(turn, None if is_open else reason)
 
     async def _answer(
         self, request: web.BaseRequest, handler: _Handler
@@ -285,15 +325,20 @@
             _logger.debug('body not complete')
         return body.is_eof()
 
-    def _end(self, turn: Turn, *, is_open: bool) -> None:
-        """Goes on after the end of a request."""
+    def _end(self, turn: Turn, reason: CloseReason | None) -> None:
+        """Goes on after the end of a request.
+
+        Args:
+            turn: the request.
+            reason: why the connection is to be closed; None to keep it open.
+        """
         self._pipeline.end(turn)
         if turn.is_dropped:
             return
-        if not is_open or (self._pipeline.is_closing and not self._pipeline):
+        is_last = self._pipeline.is_closing and not self._pipeline
+        if reason is not None or is_last:
             self._pipeline.is_closing = True
-            if self.transport is not None:
-                self.transport.close()
+            self._close_transport(reason or CloseReason.last_answer)
         elif self._buffer_paused and len(self._pipeline) <= RESUME_UNANSWERED:
             self._buffer_paused = False
             self._parse(b'')
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/servers.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/servers.py
@@ -3,20 +3,23 @@
 import logging
 from collections.abc import Callable
 from datetime import timedelta
+from typing import cast
 
 from aiohttp import web
 from aiohttp.http_exceptions import HttpProcessingError
-from aiohttp.web_protocol import RequestHandler
 
 from lycheedyke.state import Counters
 from lycheedyke.transport import MAX_HEAD_BYTES, READ_BUFFER_BYTES
-from lycheedyke_daemon.request_protocol import PipelinedRunner
+from lycheedyke_daemon.request_protocol import (
+    PipelinedRequestHandler,
+    PipelinedRunner,
+)
 
 # Equals the stop timeout of the process.
 CLOSE_LIMIT = timedelta(seconds=60)
 MALFORMED_COUNTER = 'http.malformed'
 
-Connections = Callable[[], list[RequestHandler]]
+Connections = Callable[[], list[PipelinedRequestHandler]]
 
 _logger = logging.getLogger(__name__)
 
@@ -68,7 +71,7 @@
         self._runners.append(runner)
         server = runner.server
         assert server is not None, 'AppRunner.setup() creates the server'
-        return lambda: server.connections
+        return lambda: cast(list[PipelinedRequestHandler], server.connections)
 
     async def close(self) -> None:
         """Closes all servers once their requests have ended."""
--- a/packages/lycheedyke/src/lycheedyke/protocol/_outcomes.py
+++ b/packages/lycheedyke/src/lycheedyke/protocol/_outcomes.py
@@ -54,6 +54,7 @@
     peer_broke = 'peer-broke'
     caller_left = 'caller-left'
     behind_close = 'behind-close'
+    connection_closed = 'connection-closed'
     internal_error = 'internal-error'
 
 
--- a/tests/standins/gateway_testbed.py
+++ b/tests/standins/gateway_testbed.py
@@ -36,6 +36,8 @@
 from wire import decode
 
 HOST = 'shop.example'
+# Of 10 ms each.
+ARRIVAL_POLLS = 1000
 ROUTES = (
     {'name': 'read', 'prefix': '/read/', 'service': 'desk'},
     {
@@ -217,6 +219,14 @@
         """Returns the number of requests that reached the upstreams."""
         return sum(len(each.arrivals) for each in self.upstreams)
 
+    async def wait_arrival(self) -> None:
+        """Waits until a request has reached an upstream."""
+        for _ in range(ARRIVAL_POLLS):
+            if self.count_arrivals():
+                return
+            await asyncio.sleep(0.01)
+        raise TimeoutError('no request arrived')
+
     def started(self) -> list[str]:
         """Returns the ids of all requests that ran, one entry for each run."""
         return [name for each in self.upstreams for name in each.started]
--- a/tests/unit/gateway/test_log_lines.py
+++ b/tests/unit/gateway/test_log_lines.py
@@ -17,6 +17,8 @@
     DAEMON / 'service.py',
     DAEMON / 'background.py',
     DAEMON / 'crashes.py',
+    DAEMON / 'idle_connections.py',
+    DAEMON / 'request_protocol.py',
     LIBRARY / 'timers.py',
     LIBRARY / 'state/_upstreams.py',
     LIBRARY / 'state/_suspects.py',
--- a/tests/unit/gateway/test_unanswered.py
+++ b/tests/unit/gateway/test_unanswered.py
@@ -72,14 +72,6 @@
     return await asyncio.open_connection(sock=caller)
 
 
-async def _wait_passed_on(platform: GatewayTestbed) -> None:
-    for _ in range(WAIT_SECONDS * 100):
-        if platform.count_arrivals():
-            return
-        await asyncio.sleep(0.01)
-    raise TimeoutError('no request arrived')
-
-
 # Guards against a stop that outlasts its grace period, at whose end the
 # platform kills the process, while the store does not answer.
 def test_a_store_that_is_silent_delays_no_stop(tmp_path: Path) -> None:
@@ -89,7 +81,7 @@
         await _prepare(platform, 'wait', LONG_GRACE_SECONDS)
         reader, writer = await _connect(platform)
         writer.write(REQUEST)
-        await _wait_passed_on(platform)
+        await platform.wait_arrival()
         loop = asyncio.get_running_loop()
         begun = loop.time()
         platform.store.silent = True
@@ -109,7 +101,7 @@
         await _prepare(platform, 'wait')
         reader, writer = await _connect(platform)
         writer.write(REQUEST)
-        await _wait_passed_on(platform)
+        await platform.wait_arrival()
         await platform.instances.pop().stop()
         answer = await reader.read()
         assert answer.startswith(b'HTTP/1.1 502 ')
@@ -275,7 +267,7 @@
         await _prepare(platform, 'wait')
         _, writer = await _connect(platform)
         writer.write(REQUEST)
-        await _wait_passed_on(platform)
+        await platform.wait_arrival()
         writer.close()
         await _wait_counted(platform, 'unanswered.caller-left')
         (line,) = _find_lines(caplog)
@@ -301,7 +293,7 @@
             upstream.body = bytes(LARGE_BYTES)
         _, writer = await _connect(platform)
         writer.write(REQUEST)
-        await _wait_passed_on(platform)
+        await platform.wait_arrival()
         loop = asyncio.get_running_loop()
         begun = loop.time()
         await platform.instances.pop().stop()
