Close an idle connection only by its own account of its requests

What callers saw (LOST): requests on kept connections were passed on to an upstream, and their connections were closed without an answer.

Cause: the idle closer kept its own account of which connections are in use, and learnt of a request when its handler began; what it took for idle, it closed by force. Between the read of a request and that first step the connection still counted as idle.

Class: two parts keep their own account of whether a connection is in use.

The connection itself decides now: it is idle if it has no unanswered request, from the parse of its head on, and one step decides and closes. The server's own idle limit uses the same account.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_caller_api.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_caller_api.py
@@ -32,7 +32,6 @@
 from lycheedyke_daemon.gateway._stop_schedule import StopSchedule
 from lycheedyke_daemon.gateway._unanswered import SENT_TO, UnansweredReport
 from lycheedyke_daemon.gateway._upstream_client import HeaderNames
-from lycheedyke_daemon.idle_connections import IdleConnectionCloser
 from lycheedyke_daemon.pipeline import TURN, may_pass_on
 from lycheedyke_daemon.stopping import RequestTracker
 from lycheedyke_daemon.work import Work, end_to_end_headers
@@ -111,14 +110,10 @@
         """Returns the registry view."""
         return f'<GatewayCallerApi with {self._registry_view!r}>'
 
-    def routes(self, idle: IdleConnectionCloser) -> list[web.RouteDef]:
-        """Returns the routes of the callers' port.
-
-        Args:
-            idle: tracks which connections are idle.
-        """
+    def routes(self) -> list[web.RouteDef]:
+        """Returns the routes of the callers' port."""
         handler = self._unanswered.track(self._tracker.track(self._serve))
-        return [web.route('*', '/{path:.*}', idle.track(handler))]
+        return [web.route('*', '/{path:.*}', handler)]
 
     async def _serve(self, http: web.Request) -> web.StreamResponse:
         # A request waits unread while too many before it are unanswered.
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
@@ -283,7 +283,7 @@
             schedule=self._schedule,
         )
         app = web.Application(middlewares=[self._client.hold_answers])
-        app.add_routes(api.routes(self._idle))
+        app.add_routes(api.routes())
         return app
 
     def _make_telemetry(self) -> Telemetry:
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/request_protocol.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/request_protocol.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 from collections.abc import Awaitable, Callable
+from datetime import timedelta
 from http import HTTPStatus
 from typing import Any, cast
 
@@ -60,6 +61,7 @@
         '_arrived',
         '_head_bytes',
         '_idle_check',
+        '_idle_since',
         '_is_last',
         '_opened',
         '_payload',
@@ -85,6 +87,7 @@
         )
         self._opened = self._loop.time()
         self._arrived = self._opened
+        self._idle_since = self._opened
         self._head_bytes = 0
         self._idle_check: asyncio.TimerHandle | None = None
         self._is_last = False
@@ -139,16 +142,21 @@
         if not self._pipeline:
             self._close_transport(CloseReason.stopping)
 
-    def note_close(self, reason: CloseReason) -> None:
-        """Notes why the instance closes the connection.
+    def close_if_idle(self, limit: timedelta) -> bool:
+        """Closes the connection if it is idle; returns whether it was closed.
 
-        A line is logged if requests are unanswered.
+        A connection is in use from the moment at which the head of a request
+        has been read until the request is answered.
+
+        Args:
+            limit: how long the connection may be idle.
         """
-        if self._pipeline.closed_by is None:
-            self._pipeline.closed_by = reason
-        unanswered = [turn for turn in self._pipeline if not turn.is_dropped]
-        if unanswered:
-            self._report_unanswered(reason, unanswered)
+        idle = timedelta(seconds=self._loop.time() - self._idle_since)
+        if self._pipeline or self._pipeline.is_closing or idle < limit:
+            return False
+        self._pipeline.is_closing = True
+        self._close_transport(CloseReason.idle)
+        return True
 
     async def shutdown(self, timeout: float | None = None) -> None:
         """Closes the connection once its requests have ended.
@@ -162,7 +170,7 @@
         if tasks:
             _, running = await asyncio.wait(tasks, timeout=timeout)
             if running:
-                self.note_close(CloseReason.stopping)
+                self._note_close(CloseReason.stopping)
             for task in running:
                 task.cancel()
             if running:
@@ -171,9 +179,17 @@
 
     def _close_transport(self, reason: CloseReason) -> None:
         if self.transport is not None:
-            self.note_close(reason)
+            self._note_close(reason)
             self.transport.close()
 
+    def _note_close(self, reason: CloseReason) -> None:
+        """Notes why the connection is closed; logs it if it is in use."""
+        if self._pipeline.closed_by is None:
+            self._pipeline.closed_by = reason
+        unanswered = [turn for turn in self._pipeline if not turn.is_dropped]
+        if unanswered:
+            self._report_unanswered(reason, unanswered)
+
     def _report_unanswered(
         self, reason: CloseReason, unanswered: list[Turn]
     ) -> None:
@@ -333,6 +349,7 @@
             reason: why the connection is to be closed; None to keep it open.
         """
         self._pipeline.end(turn)
+        self._idle_since = self._loop.time()
         if turn.is_dropped:
             return
         is_last = self._pipeline.is_closing and not self._pipeline
@@ -346,13 +363,12 @@
                 self._resume_reading_for_buffer()
 
     def _check_idle(self) -> None:
-        """Closes the connection if nothing arrived for the longest idle time."""
-        now = self._loop.time()
+        """Closes the connection at the server's limit for idle ones."""
         limit = self._keepalive_timeout
-        if not self._pipeline and now - self._arrived >= limit:
-            self.close()
+        if self.close_if_idle(timedelta(seconds=limit)):
             return
-        due = self._arrived + limit
+        due = self._idle_since + limit
+        now = self._loop.time()
         if due <= now:
             due = now + limit
         self._idle_check = self._loop.call_at(due, self._check_idle)
