Refuse requests that arrive after a stop's last wait

What callers saw: in a planned stop of an instance that had become idle, a request that arrived as the connections were being closed was passed on to an upstream and cut 0.1 s later, without an answer.

Cause: `drain` and `flush` end as soon as no request is counted. The instance then ends its background tasks, which takes up to 0.4 s if one of them swallows a cancellation, and closes its servers one after the other, the metrics first. All that time the callers' connections are open, and `may_take` went by the time alone: up to 3 s and nine tenths of the grace, while an idle instance has done with waiting after half the grace. `_is_busy` also does not count a request between the arrival of its head and the first step of its task.

Change: nothing is taken once the schedule is over. A request whose task was not yet begun meets that state in its first step, so the gap in the count costs a refusal (503, not run) and no request.

Ruled out: counting requests from their heads on in `_is_busy` leaves those that arrive behind the last look at it. A second drain behind the close of the connections would have no time limit left.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_stop_schedule.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_stop_schedule.py
@@ -31,7 +31,8 @@
         grace: returns the grace period; read once, at the begin of the stop.
 
     Attributes:
-        is_over: whether all connections are closed now.
+        is_over: whether all connections are closed now. No request is waited
+            for, so none is taken.
     """
 
     def __init__(self, clock: Clock, grace: Callable[[], timedelta]) -> None:
@@ -57,6 +58,8 @@
         Args:
             expected: the time that the request is expected to take.
         """
+        if self.is_over:
+            return False
         if self._begun_at is None:
             return True
         passed = self._passed()
--- /dev/null
+++ b/tests/unit/gateway/test_closing_connections.py
@@ -0,0 +1,101 @@
+"""What closes a caller's connection, and the requests that are read then.
+
+A connection is closed by a planned stop, after a failure within, or as its
+caller leaves. None of these may cut a request that was passed on, unless its
+caller has left.
+"""
+
+import asyncio
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from standins.gateway_testbed import GatewayTestbed, run_scenario
+from standins.pipelining_caller import PipeliningCaller, make_request
+
+LIMIT_SECONDS = 40
+# Longer than a stop waits for the requests that run as it closes connections.
+RUN_SECONDS = 0.6
+UNKNOWN = '/nowhere/1'
+
+
+# Guards against requests that are taken after a stop has waited for all, and
+# cut as it closes the connections.
+@pytest.mark.parametrize('step', ['tasks', 'servers'])
+def test_a_stop_passes_on_nothing_after_its_last_wait(
+    tmp_path: Path, step: str
+) -> None:
+    """A request that arrives as the connections are closed is refused."""
+
+    async def _scene(platform: GatewayTestbed) -> None:
+        for upstream in platform.upstreams:
+            upstream.run_s = RUN_SECONDS
+        instance = platform.instances.pop()
+        address = platform.settings[0].caller_address
+        async with PipeliningCaller(address) as caller:
+            caller.send(make_request('p-0'))
+            assert await caller.read()
+            part: Any = {
+                'tasks': instance._tasks,
+                'servers': instance._servers,
+            }[step]
+            name = {'tasks': 'end', 'servers': 'close'}[step]
+            end = getattr(part, name)
+
+            async def _send_and_end() -> None:
+                caller.send(make_request('p-1'))
+                await end()
+
+            setattr(part, name, _send_and_end)
+            await instance.stop()
+            answer = await caller.read()
+        assert 'p-1' not in platform.started()
+        assert answer is not None
+        assert (answer.status, answer.closes) == (503, True)
+
+    run_scenario(tmp_path, _scene, limit_s=LIMIT_SECONDS)
+
+
+def test_a_caller_that_closes_its_sending_side_has_left(
+    tmp_path: Path,
+) -> None:
+    """Its runs end: a caller that is gone is not seen in another way."""
+
+    async def _scene(platform: GatewayTestbed) -> None:
+        for upstream in platform.upstreams:
+            upstream.script.append('wait')
+        host, _, port = platform.settings[0].caller_address.rpartition(':')
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(make_request('p-0'))
+        await asyncio.sleep(0.1)
+        assert platform.started() == ['p-0']
+        writer.write_eof()
+        assert await reader.read() == b''
+        await asyncio.sleep(0.1)
+        ended = [each for up in platform.upstreams for each in up.disconnected]
+        assert ended == ['p-0']
+        writer.close()
+
+    run_scenario(tmp_path, _scene, limit_s=LIMIT_SECONDS)
+
+
+@pytest.mark.parametrize('error', [ConnectionResetError, BrokenPipeError])
+def test_an_error_of_another_connection_is_answered(
+    tmp_path: Path, error: type[Exception]
+) -> None:
+    """Only an error of the caller's own connection ends it."""
+
+    async def _fail(*args: object) -> None:
+        raise error
+
+    async def _scene(platform: GatewayTestbed) -> None:
+        client: Any = platform.instances[0]._client
+        client.run = _fail
+        address = platform.settings[0].caller_address
+        async with PipeliningCaller(address) as caller:
+            caller.send(make_request('p-0'), make_request('p-1', path=UNKNOWN))
+            answers = await caller.read_all(2)
+        assert [each.status for each in answers] == [500, 404]
+
+    run_scenario(tmp_path, _scene, limit_s=LIMIT_SECONDS)
