Answer a target whose authority fails the parser

What callers saw: a request with an absolute target such as `GET http://[::1]@/x HTTP/1.1` ended its connection at once. Requests before it on the connection that had been passed on to upstreams were never answered.

Cause: yarl raises an IndexError for such an authority, which aiohttp's parser does not turn into an HttpProcessingError. It left `data_received`, and the event loop aborts a connection whose protocol fails ("Fatal error: protocol.data_received() call failed"). The fault is aiohttp's; behind one another it cost answers to sound requests as well.

Change: what the URL's parser raises is malformed input, which is answered 400 in its turn. aiohttp's own errors are not touched: none of them is a ValueError or a LookupError.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/request_protocol.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/request_protocol.py
@@ -180,7 +180,11 @@
         assert self._parser is not None
         received = self._unparsed
         self._unparsed = b''
-        messages, is_upgraded, rest = self._parser.feed_data(received)
+        try:
+            messages, is_upgraded, rest = self._parser.feed_data(received)
+        except (ValueError, LookupError) as error:
+            # Some authorities of a target make the URL's parser fail.
+            raise BadHttpMessage('the target is malformed') from error
         if is_upgraded:
             # No other protocol is served.
             self._parser.set_upgraded(False)
--- a/tests/unit/gateway/test_closing_connections.py
+++ b/tests/unit/gateway/test_closing_connections.py
@@ -57,6 +57,30 @@
     run_scenario(tmp_path, _scene, limit_s=LIMIT_SECONDS)
 
 
+# Guards against bytes that the parser fails on, after which the event loop
+# aborted the connection and all its requests.
+@pytest.mark.parametrize('host', ['[::1]@', '[v1.x]@', 'a[::1]@'])
+def test_a_host_that_fails_the_parser_cuts_nothing(
+    tmp_path: Path, host: str
+) -> None:
+    """The request before it is answered, then comes 400 and the end."""
+
+    async def _scene(platform: GatewayTestbed) -> None:
+        for upstream in platform.upstreams:
+            upstream.run_s = RUN_SECONDS
+        address = platform.settings[0].caller_address
+        async with PipeliningCaller(address) as caller:
+            caller.send(make_request('p-0'))
+            await asyncio.sleep(RUN_SECONDS / 2)
+            assert platform.started() == ['p-0']
+            caller.send(make_request('p-1', path=f'http://{host}/read/1'))
+            answers = await caller.read_all(3)
+        assert [each.status for each in answers] == [200, 400]
+        assert answers[1].closes
+
+    run_scenario(tmp_path, _scene, limit_s=LIMIT_SECONDS)
+
+
 def test_a_caller_that_closes_its_sending_side_has_left(
     tmp_path: Path,
 ) -> None:
