Answer a target whose host cannot be decoded

What callers saw: a request with an absolute target such as `GET http://xn--/x HTTP/1.1` was never answered, and neither was any request behind it on the connection, also those that upstreams had run. The connection stayed open until its caller left; nothing was logged.

Cause: the parser accepts the target, and aiohttp's request fails with a UnicodeError as it decodes the host. In `_serve` the request was made before the `try`, so the task ended without `_end`: its turn stayed the first of the connection, and no answer behind it may be written before it.

Change: such a target is refused with 400 in its turn and counted as malformed. Its end is known, so the connection stays open. The request is made within the `try`, so that a turn ends whatever fails.

Ruled out: an answer that closes, as for malformed bytes. Requests behind it may have been passed on, and would be cut.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/request_protocol.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/request_protocol.py
@@ -18,6 +18,7 @@
 from aiohttp.streams import EMPTY_PAYLOAD, StreamReader
 from aiohttp.tcp_helpers import tcp_keepalive
 from aiohttp.web_protocol import ERROR, RequestHandler, RequestPayloadError
+from yarl import URL
 
 from lycheedyke_daemon.pipeline import (
     MAX_UNANSWERED,
@@ -32,6 +33,7 @@
 MAX_HEAD_BYTES_IN_ALL = 131_072
 EXPECT = 'Expect'
 _MALFORMED = ERROR._replace(version=HttpVersion11)
+_ROOT = URL('/')
 
 _logger = logging.getLogger(__name__)
 
@@ -197,7 +199,13 @@
     def _begin(self, message: RawRequestMessage, payload: StreamReader) -> None:
         assert self._request_handler is not None
         self._is_last = message.should_close
-        self._start(message, payload, self._request_handler)
+        handler: _Handler = self._request_handler
+        if not _is_decodable(message.url):
+            error = BadHttpMessage('the host in the target is malformed')
+            self.logger.error('Error handling request', exc_info=error)
+            message = message._replace(url=_ROOT)
+            handler = _refuse_target
+        self._start(message, payload, handler)
 
     def _begin_malformed(self, error: HttpProcessingError) -> None:
         """Answers malformed bytes in their turn, and reads no further."""
@@ -230,12 +238,8 @@
     ) -> None:
         """Answers one request, and closes the connection if it was the last."""
         is_open = False
-        assert turn.task is not None and self._request_factory is not None
-        request = self._request_factory(
-            message, payload, self, StreamWriter(self, self._loop), turn.task
-        )
-        request[TURN] = turn
         try:
+            request = self._make_request(turn, message, payload)
             is_open = await self._answer(request, handler)
         except ConnectionError:
             _logger.debug('connection lost', exc_info=True)
@@ -244,6 +248,16 @@
         finally:
             self._end(turn, is_open=is_open)
 
+    def _make_request(
+        self, turn: Turn, message: RawRequestMessage, payload: StreamReader
+    ) -> web.BaseRequest:
+        assert turn.task is not None and self._request_factory is not None
+        request = self._request_factory(
+            message, payload, self, StreamWriter(self, self._loop), turn.task
+        )
+        request[TURN] = turn
+        return request
+
     async def _answer(
         self, request: web.BaseRequest, handler: _Handler
     ) -> bool:
@@ -317,10 +331,20 @@
         self._idle_check = self._loop.call_at(due, self._check_idle)
 
 
+def _is_decodable(url: URL) -> bool:
+    """Returns whether a request can be made of its target."""
+    try:
+        return not url.absolute or url.host is not None
+    except ValueError:
+        return False
+
+
+async def _refuse_target(request: web.BaseRequest) -> web.StreamResponse:
+    return web.Response(status=HTTPStatus.BAD_REQUEST, text='malformed request')
+
+
 async def _refuse_malformed(request: web.BaseRequest) -> web.StreamResponse:
-    response = web.Response(
-        status=HTTPStatus.BAD_REQUEST, text='malformed request'
-    )
+    response = await _refuse_target(request)
     response.force_close()
     return response
 
--- a/tests/unit/gateway/test_closing_connections.py
+++ b/tests/unit/gateway/test_closing_connections.py
@@ -81,6 +81,30 @@
     run_scenario(tmp_path, _scene, limit_s=LIMIT_SECONDS)
 
 
+# Guards against a request that no task ends, behind which no answer is written.
+@pytest.mark.parametrize('host', ['xn--', 'xn--a', 'a.xn--_'])
+def test_a_host_that_cannot_be_decoded_holds_up_no_answer(
+    tmp_path: Path, host: str
+) -> None:
+    """It is refused in its turn; the requests around it are answered."""
+
+    async def _scene(platform: GatewayTestbed) -> None:
+        address = platform.settings[0].caller_address
+        path = f'http://{host}/read/1'
+        async with PipeliningCaller(address) as caller:
+            caller.send(
+                make_request('p-0'),
+                make_request('p-1', path=path, body=b'x'),
+                make_request('p-2'),
+            )
+            async with asyncio.timeout(LIMIT_SECONDS / 2):
+                answers = await caller.read_all(3)
+        assert [each.status for each in answers] == [200, 400, 200]
+        assert not any(each.closes for each in answers)
+
+    run_scenario(tmp_path, _scene, limit_s=LIMIT_SECONDS)
+
+
 def test_a_caller_that_closes_its_sending_side_has_left(
     tmp_path: Path,
 ) -> None:
