Answer a request whose handler is cancelled from within

What callers saw: if something that a handler awaits was cancelled, and not the request itself, the connection was closed without an answer to it or to those behind it. Nothing was logged.

Cause: a CancelledError is no Exception, so it passed `_run` and `_serve` and ended the task; nobody looks at the result of that task. The gateway's API catches it around its exchanges with upstreams. The API of the ticket-driven instance, the look-ups, and the steps around the gateway's exchange have no such guard.

Change: `_run` treats it as a failure of the handler unless its own task is cancelled: logged, and answered 500 as long as nothing was written.

Open: one that comes after the first byte of the answer still closes the connection without a line in the log.

A handler of a test raises the error; no run of the product has shown it.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/request_protocol.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/request_protocol.py
@@ -20,6 +20,7 @@
 from aiohttp.web_protocol import ERROR, RequestHandler, RequestPayloadError
 from yarl import URL
 
+from lycheedyke_daemon.cancellation import is_cancelled
 from lycheedyke_daemon.pipeline import (
     MAX_UNANSWERED,
     RESUME_UNANSWERED,
@@ -283,7 +284,10 @@
             return error
         except RequestPayloadError:
             return await _refuse_malformed(request)
-        except Exception:
+        except (Exception, asyncio.CancelledError) as error:
+            is_ended = isinstance(error, asyncio.CancelledError)
+            if is_ended and is_cancelled():
+                raise
             if request.writer.output_size > 0:
                 # The answer is incomplete.
                 raise
--- a/tests/unit/gateway/test_closing_connections.py
+++ b/tests/unit/gateway/test_closing_connections.py
@@ -10,9 +10,12 @@
 from typing import Any
 
 import pytest
+from aiohttp import web
 
+from lycheedyke_daemon.request_protocol import PipelinedRunner
 from standins.gateway_testbed import GatewayTestbed, run_scenario
 from standins.pipelining_caller import PipeliningCaller, make_request
+from standins.virtual_time import run_in_virtual_time
 
 LIMIT_SECONDS = 40
 # Longer than a stop waits for the requests that run as it closes connections.
@@ -105,6 +108,34 @@
     run_scenario(tmp_path, _scene, limit_s=LIMIT_SECONDS)
 
 
+# Guards against connections that close as a part of a handler is cancelled.
+def test_a_cancellation_within_a_handler_is_answered(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """The request itself is not cancelled; the one behind it is answered."""
+
+    async def _handle(request: web.Request) -> web.Response:
+        if request.path == UNKNOWN:
+            raise asyncio.CancelledError
+        return web.Response(text='whole')
+
+    async def _run() -> None:
+        app = web.Application()
+        app.add_routes([web.get('/{path:.*}', _handle)])
+        runner = PipelinedRunner(app, access_log=None, shutdown_timeout=0.1)
+        await runner.setup()
+        await web.TCPSite(runner, '127.0.0.1', 0).start()
+        host, port = runner.addresses[0][:2]
+        async with PipeliningCaller(f'{host}:{port}') as caller:
+            caller.send(make_request('p-0', path=UNKNOWN), make_request('p-1'))
+            answers = await caller.read_all(2)
+        await runner.cleanup()
+        assert [each.status for each in answers] == [500, 200]
+
+    run_in_virtual_time(_run())
+    assert 'Error handling request' in caplog.messages
+
+
 def test_a_caller_that_closes_its_sending_side_has_left(
     tmp_path: Path,
 ) -> None:
