Read an unwanted body before a connection is closed

What callers saw: a request that was refused before its body had been read (404, 413, 503 of a planned stop), with `Connection: close` from either side, was answered, and the connection closed at once. A caller that was still sending its body was reset, and could lose the answer; for a request that may run once only, that answer is the promise that it did not run.

Cause: `_answer` read the rest of a body only before a connection that stays open.

Change: the rest is read after each answer, as before for up to the lingering time of 10 s, and at a stop for the 0.1 s that `CLOSE_LIMIT` allows a refused caller. A body that turns out malformed ends this without a traceback.

Open: a request that is dropped behind an answer that closes leaves the rest of its body unread; so does a body that comes slower than these times.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/request_protocol.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/request_protocol.py
@@ -273,7 +273,9 @@
         await response.write_eof()
         # A caller that reads slowly holds up the answers to its requests.
         await self._drain_helper()
-        return bool(response.keep_alive) and await self._skip_body(request)
+        # A caller that still sends its body would be reset by a close.
+        is_whole = await self._skip_body(request)
+        return is_whole and bool(response.keep_alive)
 
     async def _run(
         self, request: web.BaseRequest, handler: _Handler
@@ -303,7 +305,7 @@
             async with asyncio.timeout(self._lingering_time):
                 while not body.is_eof():
                     await body.readany()
-        except TimeoutError:
+        except (TimeoutError, RequestPayloadError):
             _logger.debug('body not complete')
         return body.is_eof()
 
--- a/tests/unit/gateway/test_closing_connections.py
+++ b/tests/unit/gateway/test_closing_connections.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import socket
 from pathlib import Path
 from typing import Any
 
@@ -20,6 +21,8 @@
 LIMIT_SECONDS = 40
 # Longer than a stop waits for the requests that run as it closes connections.
 RUN_SECONDS = 0.6
+# More than the buffers of the kernel hold.
+LARGE_BYTES = 8_000_000
 UNKNOWN = '/nowhere/1'
 
 
@@ -136,6 +139,49 @@
     assert 'Error handling request' in caplog.messages
 
 
+async def _send_whole(address: str, request: bytes) -> bytes:
+    """Sends all of a request before it reads; returns all that is received."""
+    host, _, port = address.rpartition(':')
+    loop = asyncio.get_running_loop()
+    with socket.socket() as caller:
+        caller.setblocking(False)
+        await loop.sock_connect(caller, (host, int(port)))
+        await loop.sock_sendall(caller, request)
+        received = b''
+        while chunk := await loop.sock_recv(caller, LARGE_BYTES):
+            received += chunk
+    return received
+
+
+# Guards against a reset that reaches a caller before its answer does.
+@pytest.mark.parametrize('is_stop', [False, True])
+def test_a_body_that_is_not_wanted_is_read_before_the_close(
+    tmp_path: Path, is_stop: bool
+) -> None:
+    """A caller may send its whole body before it reads."""
+
+    async def _scene(platform: GatewayTestbed) -> None:
+        address = platform.settings[0].caller_address
+        stopping: asyncio.Task[None] | None = None
+        if is_stop:
+            stopping = asyncio.create_task(platform.instances.pop().stop())
+            await asyncio.sleep(0)
+        request = make_request(
+            'p-0',
+            path=UNKNOWN,
+            method='POST',
+            body=b'x' * LARGE_BYTES,
+            closes=not is_stop,
+        )
+        answer = await _send_whole(address, request)
+        assert answer.startswith(b'HTTP/1.1 404 ')
+        assert b'Connection: close\r\n' in answer
+        if stopping is not None:
+            await stopping
+
+    run_scenario(tmp_path, _scene, limit_s=LIMIT_SECONDS)
+
+
 def test_a_caller_that_closes_its_sending_side_has_left(
     tmp_path: Path,
 ) -> None:
