Go on with a stop if leaving the look-ups fails

What callers saw: an error in the first step of a planned stop, other than one that the registry's client foresees, ended the stop before it waited for the requests that ran. The process would have ended, and all of them with it.

Cause: `stop` awaited `announce_leaving` and `withdraw` together and raised their first error. A cancellation from within an exchange, which a request's handler takes into account, is such an error.

Change: what fails there is logged as `not left`, and the stop goes on. The announcement then lapses by itself, as when the store does not answer.

Evidence: both cases of the test failed before with the error that they raise, and pass in 20 of 20 runs.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
@@ -175,9 +175,7 @@
         self._schedule.begin()
         self._tracker.stopping = True
         _logger.info('stopping', extra={'in_flight': self._tracker.in_flight})
-        await asyncio.gather(
-            self._peer_updates.announce_leaving(), self._presence.withdraw()
-        )
+        await self._leave()
         await self._finish_requests()
         _logger.info('stopped', extra={'in_flight': self._tracker.in_flight})
         await self._tasks.end()
@@ -186,6 +184,17 @@
         await self._peer_updates.close()
         await self._deployment.registry.close()
 
+    async def _leave(self) -> None:
+        """Leaves the look-ups; no failure may keep requests from their end."""
+        results = await asyncio.gather(
+            self._peer_updates.announce_leaving(),
+            self._presence.withdraw(),
+            return_exceptions=True,
+        )
+        for error in results:
+            if error is not None:
+                _logger.error('not left', extra={'error': repr(error)})
+
     async def _finish_requests(self) -> None:
         """Waits for the requests in flight, then answers those that remain."""
         await self._schedule.drain(self._is_busy)
--- a/tests/unit/gateway/test_closing_connections.py
+++ b/tests/unit/gateway/test_closing_connections.py
@@ -63,6 +63,29 @@
     run_scenario(tmp_path, _scene, limit_s=LIMIT_SECONDS)
 
 
+# Guards against a stop that fails before it waits for the requests that run.
+@pytest.mark.parametrize('error', [RuntimeError, asyncio.CancelledError])
+def test_a_stop_that_fails_in_part_waits_for_its_requests(
+    tmp_path: Path, error: type[BaseException]
+) -> None:
+    """The announcement lapses by itself, and the request is answered."""
+
+    async def _fail() -> None:
+        raise error
+
+    async def _scene(platform: GatewayTestbed) -> None:
+        for upstream in platform.upstreams:
+            upstream.run_s = RUN_SECONDS
+        instance = platform.instances.pop()
+        instance._presence.withdraw = _fail  # type: ignore[method-assign]
+        running = asyncio.create_task(platform.send('/read/1'))
+        await asyncio.sleep(RUN_SECONDS / 2)
+        await instance.stop()
+        assert (await running).status == 200
+
+    run_scenario(tmp_path, _scene, limit_s=LIMIT_SECONDS)
+
+
 # Guards against bytes that the parser fails on, after which the event loop
 # aborted the connection and all its requests.
 @pytest.mark.parametrize('host', ['[::1]@', '[v1.x]@', 'a[::1]@'])
