--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/request_protocol.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/request_protocol.py
@@ -19,7 +19,9 @@
 from aiohttp.streams import EMPTY_PAYLOAD, StreamReader
 from aiohttp.tcp_helpers import tcp_keepalive
 from aiohttp.web_protocol import ERROR, RequestHandler, RequestPayloadError
+from yarl import URL
 
+from lycheedyke_daemon.cancellation import is_cancelled
 from lycheedyke_daemon.pipeline import (
     MAX_UNANSWERED,
     RESUME_UNANSWERED,
@@ -35,6 +37,7 @@
 EXPECT = 'Expect'
 MS_PER_SECOND = 1000
 _MALFORMED = ERROR._replace(version=HttpVersion11)
+_ROOT = URL('/')
 
 _logger = logging.getLogger(__name__)
 
@@ -234,7 +237,11 @@
         assert self._parser is not None
         received = self._unparsed
         self._unparsed = b''
-        messages, is_upgraded, rest = self._parser.feed_data(received)
+        try:
+            messages, is_upgraded, rest = self._parser.feed_data(received)
+        except (ValueError, LookupError) as error:
+            # Some authorities of a target make the URL's parser fail.
+            raise BadHttpMessage('the target is malformed') from error
         if is_upgraded:
             # No other protocol is served.
             self._parser.set_upgraded(False)
@@ -247,7 +254,13 @@
     def _begin(self, message: RawRequestMessage, payload: StreamReader) -> None:
         assert self._request_handler is not None
         self._is_last = message.should_close
-        self._start(message, payload, self._request_handler)
+        handler: _Handler = self._request_handler
+        if not _is_decodable(message.url):
+            error = BadHttpMessage('the host in the target is malformed')
+            self.logger.error('Error handling request', exc_info=error)
+            message = message._replace(url=_ROOT)
+            handler = _refuse_target
+        self._start(message, payload, handler)
 
     def _begin_malformed(self, error: HttpProcessingError) -> None:
         """Answers malformed bytes in their turn, and reads no further."""
@@ -281,12 +294,8 @@
         """Answers one request, and closes the connection if it was the last."""
         is_open = False
         reason = CloseReason.failed
-        assert turn.task is not None and self._request_factory is not None
-        request = self._request_factory(
-            message, payload, self, StreamWriter(self, self._loop), turn.task
-        )
-        request[TURN] = turn
         try:
+            request = self._make_request(turn, message, payload)
             is_open = await self._answer(request, handler)
             reason = CloseReason.last_answer
         except ConnectionError:
@@ -296,6 +305,16 @@
         finally:
             self._end(turn, None if is_open else reason)
 
+    def _make_request(
+        self, turn: Turn, message: RawRequestMessage, payload: StreamReader
+    ) -> web.BaseRequest:
+        assert turn.task is not None and self._request_factory is not None
+        request = self._request_factory(
+            message, payload, self, StreamWriter(self, self._loop), turn.task
+        )
+        request[TURN] = turn
+        return request
+
     async def _answer(
         self, request: web.BaseRequest, handler: _Handler
     ) -> bool:
@@ -310,7 +329,9 @@
         await response.write_eof()
         # A caller that reads slowly holds up the answers to its requests.
         await self._drain_helper()
-        return bool(response.keep_alive) and await self._skip_body(request)
+        # A caller that still sends its body would be reset by a close.
+        is_whole = await self._skip_body(request)
+        return is_whole and bool(response.keep_alive)
 
     async def _run(
         self, request: web.BaseRequest, handler: _Handler
@@ -321,7 +342,10 @@
             return error
         except RequestPayloadError:
             return await _refuse_malformed(request)
-        except Exception:
+        except (Exception, asyncio.CancelledError) as error:
+            is_ended = isinstance(error, asyncio.CancelledError)
+            if is_ended and is_cancelled():
+                raise
             if request.writer.output_size > 0:
                 # The answer is incomplete.
                 raise
@@ -337,7 +361,7 @@
             async with asyncio.timeout(self._lingering_time):
                 while not body.is_eof():
                     await body.readany()
-        except TimeoutError:
+        except (TimeoutError, RequestPayloadError):
             _logger.debug('body not complete')
         return body.is_eof()
 
@@ -374,10 +398,20 @@
         self._idle_check = self._loop.call_at(due, self._check_idle)
 
 
+def _is_decodable(url: URL) -> bool:
+    """Returns whether a request can be made of its target."""
+    try:
+        return not url.absolute or url.host is not None
+    except ValueError:
+        return False
+
+
+async def _refuse_target(request: web.BaseRequest) -> web.StreamResponse:
+    return web.Response(status=HTTPStatus.BAD_REQUEST, text='malformed request')
+
+
 async def _refuse_malformed(request: web.BaseRequest) -> web.StreamResponse:
-    response = web.Response(
-        status=HTTPStatus.BAD_REQUEST, text='malformed request'
-    )
+    response = await _refuse_target(request)
     response.force_close()
     return response
 
