--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/request_protocol.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/request_protocol.py
@@ -11,17 +11,22 @@
 from aiohttp.base_protocol import BaseProtocol
 from aiohttp.http import (
     HttpRequestParser,
-    HttpVersion11,
     RawRequestMessage,
     StreamWriter,
 )
 from aiohttp.http_exceptions import BadHttpMessage, HttpProcessingError
 from aiohttp.streams import EMPTY_PAYLOAD, StreamReader
 from aiohttp.tcp_helpers import tcp_keepalive
-from aiohttp.web_protocol import ERROR, RequestHandler, RequestPayloadError
-from yarl import URL
+from aiohttp.web_protocol import RequestHandler, RequestPayloadError
 
 from lycheedyke_daemon.cancellation import is_cancelled
+from lycheedyke_daemon.malformed_requests import (
+    MALFORMED,
+    ROOT,
+    is_decodable,
+    refuse_malformed,
+    refuse_target,
+)
 from lycheedyke_daemon.pipeline import (
     MAX_UNANSWERED,
     RESUME_UNANSWERED,
@@ -36,8 +41,6 @@
 MAX_HEAD_BYTES_IN_ALL = 131_072
 EXPECT = 'Expect'
 MS_PER_SECOND = 1000
-_MALFORMED = ERROR._replace(version=HttpVersion11)
-_ROOT = URL('/')
 
 _logger = logging.getLogger(__name__)
 
@@ -255,18 +258,18 @@
         assert self._request_handler is not None
         self._is_last = message.should_close
         handler: _Handler = self._request_handler
-        if not _is_decodable(message.url):
+        if not is_decodable(message.url):
             error = BadHttpMessage('the host in the target is malformed')
             self.logger.error('Error handling request', exc_info=error)
-            message = message._replace(url=_ROOT)
-            handler = _refuse_target
+            message = message._replace(url=ROOT)
+            handler = refuse_target
         self._start(message, payload, handler)
 
     def _begin_malformed(self, error: HttpProcessingError) -> None:
         """Answers malformed bytes in their turn, and reads no further."""
         self._is_last = True
         self.logger.error('Error handling request', exc_info=error)
-        self._start(_MALFORMED, EMPTY_PAYLOAD, _refuse_malformed)
+        self._start(MALFORMED, EMPTY_PAYLOAD, refuse_malformed)
 
     def _start(
         self,
@@ -341,13 +344,11 @@
         except web.HTTPException as error:
             return error
         except RequestPayloadError:
-            return await _refuse_malformed(request)
+            return await refuse_malformed(request)
         except (Exception, asyncio.CancelledError) as error:
             is_ended = isinstance(error, asyncio.CancelledError)
-            if is_ended and is_cancelled():
-                raise
-            if request.writer.output_size > 0:
-                # The answer is incomplete.
+            # Once bytes are written, the answer can only be incomplete.
+            if (is_ended and is_cancelled()) or request.writer.output_size > 0:
                 raise
             self.logger.exception('Error handling request')
             return web.Response(
@@ -396,39 +397,3 @@
         if due <= now:
             due = now + limit
         self._idle_check = self._loop.call_at(due, self._check_idle)
-
-
-def _is_decodable(url: URL) -> bool:
-    """Returns whether a request can be made of its target."""
-    try:
-        return not url.absolute or url.host is not None
-    except ValueError:
-        return False
-
-
-async def _refuse_target(request: web.BaseRequest) -> web.StreamResponse:
-    return web.Response(status=HTTPStatus.BAD_REQUEST, text='malformed request')
-
-
-async def _refuse_malformed(request: web.BaseRequest) -> web.StreamResponse:
-    response = await _refuse_target(request)
-    response.force_close()
-    return response
-
-
-class PipelinedRunner(web.AppRunner):
-    """Runs an application whose connections are pipelined."""
-
-    __slots__ = ()
-
-    async def _make_server(self) -> web.Server:
-        server = await super()._make_server()
-        server.__class__ = _PipelinedServer
-        return server
-
-
-class _PipelinedServer(web.Server):
-    """Makes a protocol for each connection."""
-
-    def __call__(self) -> RequestHandler:
-        return PipelinedRequestHandler(self, loop=self._loop, **self._kwargs)
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/servers.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/servers.py
@@ -10,10 +10,7 @@
 
 from lycheedyke.state import Counters
 from lycheedyke.transport import MAX_HEAD_BYTES, READ_BUFFER_BYTES
-from lycheedyke_daemon.request_protocol import (
-    PipelinedRequestHandler,
-    PipelinedRunner,
-)
+from lycheedyke_daemon.request_protocol import PipelinedRequestHandler
 
 # Equals the stop timeout of the process.
 CLOSE_LIMIT = timedelta(seconds=60)
@@ -84,3 +81,21 @@
             return True
         self._counters.count(MALFORMED_COUNTER)
         return False
+
+
+class PipelinedRunner(web.AppRunner):
+    """Runs an application whose connections are pipelined."""
+
+    __slots__ = ()
+
+    async def _make_server(self) -> web.Server:
+        server = await super()._make_server()
+        server.__class__ = _PipelinedServer
+        return server
+
+
+class _PipelinedServer(web.Server):
+    """Makes a protocol for each connection."""
+
+    def __call__(self) -> PipelinedRequestHandler:
+        return PipelinedRequestHandler(self, loop=self._loop, **self._kwargs)
--- a/tests/unit/gateway/test_closing_connections.py
+++ b/tests/unit/gateway/test_closing_connections.py
@@ -13,7 +13,7 @@
 import pytest
 from aiohttp import web
 
-from lycheedyke_daemon.request_protocol import PipelinedRunner
+from lycheedyke_daemon.servers import PipelinedRunner
 from standins.gateway_testbed import GatewayTestbed, run_scenario
 from standins.pipelining_caller import PipeliningCaller, make_request
 from standins.virtual_time import run_in_virtual_time
