Report no answered request as cut when its connection closes

What operators saw: `connection closed in use` with a request that had its answer, where a refused body never came and a stop ended the wait for it. The requests that are owed an answer are the pipeline's to tell: those that are neither dropped nor answered.

Test: test_an_answered_request_does_not_keep_its_connection_in_use, red with the mark left out.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/pipeline.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/pipeline.py
@@ -44,6 +44,8 @@
         task: the task that serves the request.
         is_passed_on: whether an upstream may have received the request.
         is_dropped: whether an answer before it closed the connection.
+        is_answered: whether its answer is written; the rest of its body may
+            still be read.
     """
 
     def __init__(
@@ -56,6 +58,7 @@
         self.task: asyncio.Task[None] | None = None
         self.is_passed_on = False
         self.is_dropped = False
+        self.is_answered = False
         self._pipeline = pipeline
         self._arrived = arrived
         self._first = asyncio.Event()
@@ -139,6 +142,15 @@
         self.closed_by: CloseReason | None = None
         self._turns: deque[Turn] = deque()
 
+    @property
+    def unanswered(self) -> list[Turn]:
+        """The requests that are owed an answer."""
+        return [
+            turn
+            for turn in self._turns
+            if not turn.is_dropped and not turn.is_answered
+        ]
+
     def __len__(self) -> int:
         """Returns the number of unanswered requests."""
         return len(self._turns)
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/request_protocol.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/request_protocol.py
@@ -192,14 +192,12 @@
         """Notes why the connection is closed; logs it if it is in use."""
         if self._pipeline.closed_by is None:
             self._pipeline.closed_by = reason
-        unanswered = [turn for turn in self._pipeline if not turn.is_dropped]
-        if unanswered:
-            self._report_unanswered(reason, unanswered)
+        if self._pipeline.unanswered:
+            self._report_unanswered(reason)
 
-    def _report_unanswered(
-        self, reason: CloseReason, unanswered: list[Turn]
-    ) -> None:
+    def _report_unanswered(self, reason: CloseReason) -> None:
         """Logs that the instance closes a connection that is in use."""
+        unanswered = self._pipeline.unanswered
         now = self._loop.time()
         _logger.warning(
             'connection closed in use',
@@ -332,6 +330,7 @@
         await response.write_eof()
         # A caller that reads slowly holds up the answers to its requests.
         await self._drain_helper()
+        request[TURN].is_answered = True
         # A caller that still sends its body would be reset by a close.
         is_whole = await self._skip_body(request)
         return is_whole and bool(response.keep_alive)
--- a/tests/unit/gateway/test_idle_connections.py
+++ b/tests/unit/gateway/test_idle_connections.py
@@ -49,6 +49,28 @@
     assert unanswered['closed_by'] == 'stopping'
 
 
+def test_an_answered_request_does_not_keep_its_connection_in_use(
+    tmp_path: Path, caplog: pytest.LogCaptureFixture
+) -> None:
+    """A refused body that never comes is no request without an answer."""
+
+    async def _scene(platform: GatewayTestbed) -> None:
+        address = platform.settings[0].caller_address
+        async with PipeliningCaller(address) as caller:
+            caller.send(
+                b'POST /unknown/1 HTTP/1.1\r\nHost: shop.example\r\n'
+                b'Content-Length: 9\r\n\r\n'
+            )
+            answer = await caller.read()
+            await _find_connection(platform).shutdown(0)
+        assert answer is not None
+        assert answer.status == 404
+
+    run_scenario(tmp_path, _scene)
+    events = {record.getMessage() for record in caplog.records}
+    assert 'connection closed in use' not in events
+
+
 # Guards against a sweep of idle connections that closes the connection of a
 # request that has been read and is passed on.
 @pytest.mark.parametrize('turns', range(6))
