Blame no close on the instance that its caller began

What operators saw: where an answer met a connection that was closing already, as after a reset by the caller, the requests behind it were reported as `connection-closed`, a fault of the daemon, and not as `caller-left`.

Cause: the end of that request noted its own reason for the close before the loss of the connection was known. A transport that is closing is left alone.

Found by a review. Red before: test_a_reset_by_the_caller_is_no_close_by_the_instance ({'closed_by': 'failed'}).

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/request_protocol.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/request_protocol.py
@@ -184,7 +184,7 @@
         self.force_close()
 
     def _close_transport(self, reason: CloseReason) -> None:
-        if self.transport is not None:
+        if self.transport is not None and not self.transport.is_closing():
             self._note_close(reason)
             self.transport.close()
 
