Log once that a connection is closed in use

What operators saw: one line for each unanswered request of a connection that a stop closed, four for four requests, and all but the first with the reason `failed`. Cause: the end of each cancelled request noted the close again. The first reason is kept, and only it is logged.

Red before: test_a_connection_closed_in_use_is_logged_once (3 more lines).

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/request_protocol.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/request_protocol.py
@@ -190,8 +190,9 @@
 
     def _note_close(self, reason: CloseReason) -> None:
         """Notes why the connection is closed; logs it if it is in use."""
-        if self._pipeline.closed_by is None:
-            self._pipeline.closed_by = reason
+        if self._pipeline.closed_by is not None:
+            return
+        self._pipeline.closed_by = reason
         if self._pipeline.unanswered:
             self._report_unanswered(reason)
 
