--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/idle_connections.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/idle_connections.py
@@ -60,10 +60,10 @@
         limit = self._limit()
         if limit is None:
             return
-        count = sum(each.close_if_idle(limit) for each in connections)
-        if count:
-            self._counters.count(CLOSED_COUNTER, count)
+        closed = [each for each in connections if each.close_if_idle(limit)]
+        if closed:
+            self._counters.count(CLOSED_COUNTER, len(closed))
             _logger.info(
                 'idle connections closed',
-                extra={'count': count, 'limit_ms': limit // MILLISECOND},
+                extra={'count': len(closed), 'limit_ms': limit // MILLISECOND},
             )
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/request_protocol.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/request_protocol.py
@@ -155,10 +155,11 @@
         has been read until the request is answered.
 
         Args:
-            limit: how long the connection may be idle.
+            limit: how long the connection may be idle, in time in which the
+                machine is not suspended.
         """
         idle = timedelta(seconds=self._loop.time() - self._idle_since)
-        if self._pipeline or self._pipeline.is_closing or idle < limit:
+        if self._pipeline or self._pipeline.is_closing or idle <= limit:
             return False
         self._pipeline.is_closing = True
         self._close_transport(CloseReason.idle)
