Read what arrived during a pause before closing idle connections

What callers saw: a request that was sent on a kept connection while the process was frozen got no answer, its connection was reset. It had not been read, so it was not passed on and could be repeated.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
@@ -78,9 +78,7 @@
         self._servers = HttpServers(self._counters, CLOSE_LIMIT)
         self._tracker = RequestTracker()
         self._schedule = StopSchedule(clock, lambda: self._settings.stop_grace)
-        self._idle = IdleConnectionCloser(
-            self._idle_limit, clock, self._counters
-        )
+        self._idle = IdleConnectionCloser(self._idle_limit, self._counters)
         self._list_callers: Connections = list
         self._upstream_table = UpstreamTable(clock)
         suspects = Suspects(clock)
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/idle_connections.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/idle_connections.py
@@ -4,8 +4,8 @@
 from collections.abc import Callable, Iterable
 from datetime import timedelta
 
-from lycheedyke.clock import Clock
 from lycheedyke.state import Counters
+from lycheedyke.timers import pause_tolerant_sleep
 from lycheedyke_daemon.request_protocol import PipelinedRequestHandler
 
 SWEEP_INTERVAL = timedelta(seconds=1)
@@ -25,19 +25,16 @@
 
     Args:
         limit: returns how long a connection may be idle; None for no limit.
-        clock: times the sweeps.
         counters: counts closed connections.
     """
 
     def __init__(
         self,
         limit: Callable[[], timedelta | None],
-        clock: Clock,
         counters: Counters,
     ) -> None:
         """Initializes the closer."""
         self._limit = limit
-        self._clock = clock
         self._counters = counters
 
     def __repr__(self) -> str:
@@ -50,7 +47,8 @@
     ) -> None:
         """Closes idle connections until cancelled."""
         while True:
-            await self._clock.sleep(SWEEP_INTERVAL)
+            # Requests that arrived during a pause are read before the sweep.
+            await pause_tolerant_sleep(SWEEP_INTERVAL)
             self.close_idle(connections())
 
     def close_idle(
--- a/packages/lycheedyke/src/lycheedyke/timers.py
+++ b/packages/lycheedyke/src/lycheedyke/timers.py
@@ -57,6 +57,16 @@
             self._callback()
 
 
+async def pause_tolerant_sleep(delay: timedelta) -> None:
+    """Waits for the delay, and longer after a pause."""
+    passed = asyncio.Event()
+    timer = PauseTolerantTimer(delay, passed.set)
+    try:
+        await passed.wait()
+    finally:
+        timer.cancel()
+
+
 @contextlib.asynccontextmanager
 async def pause_tolerant_timeout(
     limit: timedelta,
--- a/tests/processes/test_frozen_gateway.py
+++ b/tests/processes/test_frozen_gateway.py
@@ -7,12 +7,18 @@
 import pytest
 
 from standins.gateway_process import GatewayProcess
-from standins.gateway_testbed import GatewayTestbed, Reply
+from standins.gateway_testbed import ROUTES, GatewayTestbed, Reply
+from standins.pipelining_caller import PipeliningCaller, make_request
+from standins.registry_store import config_value
 
 pytestmark = pytest.mark.processes
 SETTLE_SECONDS = 1.0
 # A frozen gateway is one of several, whose news it follows.
 PEERS = 2
+# Together longer than the idle limit and the interval of the sweeps.
+REST_SECONDS = 0.4
+FREEZE_SECONDS = 2.0
+SWEEPS = 3
 
 
 def _run(
@@ -66,3 +72,33 @@
     names = [event['event'] for event in events]
     assert 'registry lost' not in names
     assert 'news source lost' not in names
+
+
+# Guards against a sweep of idle connections that a pause made late and that
+# closes connections whose requests lie unread.
+def test_a_request_that_arrived_during_a_freeze_is_answered(
+    tmp_path: Path,
+) -> None:
+    """Its connection was idle for less than the limit when it was sent."""
+
+    async def _scene() -> None:
+        async with GatewayTestbed(tmp_path, instances=1) as testbed:
+            value = config_value(0x12, list(ROUTES), idleTimeout='1500ms')
+            testbed.store.put('op/config', value)
+            with GatewayProcess(testbed, tmp_path) as gateway:
+                await gateway.wait_ready()
+                async with PipeliningCaller(gateway.caller_address) as caller:
+                    for at in range(SWEEPS):
+                        caller.send(make_request(f'r-{at}'))
+                        assert await caller.read() is not None
+                        freezing = asyncio.create_task(
+                            gateway.freeze(REST_SECONDS, FREEZE_SECONDS)
+                        )
+                        await asyncio.sleep(2 * REST_SECONDS)
+                        caller.send(make_request(f'f-{at}', deadline_ms=9000))
+                        answer = await caller.read()
+                        assert answer is not None
+                        assert answer.status == 200
+                        await freezing
+
+    asyncio.run(asyncio.wait_for(_scene(), 90))
