Let the soak meet idle closes, and pauses for a moment

The soak could not meet it: its registry record had an idle limit of 15 s, a run of 10 s lasts 16 s, and its callers rested for at most 0.2 s. aiohttp also repeated GET by itself when a kept connection was closed, so a lost answer to its sequential callers' GET did not show.

The limit now changes between 0.3 and 1.2 s every 0.3 to 1.5 s. Of 36 further callers, 24 send one request at a time and 12 up to three behind one another, over rests from half the limit to 1.2 s beyond it. Processes are paused for 50 to 150 ms, up to 0.3 s apart, and half of the rests end in such a pause. Sessions of the sequential callers repeat nothing.

Checks: a request may cross the close of a connection whose idle time may have reached a limit written before, if the close is seen within 0.4 s and no upstream accepted the request. find_lost_answers is as before: what was passed on must be answered. Pauses excuse nothing. A line on a failed request now says how long its connection was idle and how far it was from an exit.

--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -18,7 +18,8 @@
 from bench.soak.load_generator import LoadGenerator, make_call
 from bench.soak.memory import MemoryMonitor
 from bench.soak.observations import Observations
-from bench.soak.pipelining_callers import PipeliningCallers
+from bench.soak.pipelining_callers import HABITS, PipeliningCallers
+from bench.soak.sessions import open_session
 from bench.soak.stalls import StallMonitor
 from bench.soak.testbed import Testbed
 
@@ -46,12 +47,16 @@
             testbed, random.Random(seed), self.stall_monitor
         )
         self.fault_injector = FaultInjector(testbed, random.Random(seed))
-        self.pipelining_callers = PipeliningCallers(
-            testbed,
-            self.load_generator,
-            random.Random(f'pipelining {seed}'),
-            self.stall_monitor,
-        )
+        self.pipelining_callers = [
+            PipeliningCallers(
+                habit,
+                testbed,
+                self.load_generator,
+                random.Random(f'{habit.name} {seed}'),
+                self.stall_monitor,
+            )
+            for habit in HABITS
+        ]
         self.crash_injector = CrashInjector(
             testbed, self.load_generator, random.Random(f'crashes {seed}')
         )
@@ -76,7 +81,8 @@
             restores: whether the store comes back from older copies.
         """
         calling = asyncio.gather(
-            self.load_generator.run(callers), self.pipelining_callers.run()
+            self.load_generator.run(callers),
+            *(each.run() for each in self.pipelining_callers),
         )
         crashing = asyncio.create_task(self.crash_injector.run(seconds))
         watching = asyncio.create_task(self._poll_versions())
@@ -88,7 +94,15 @@
                 seconds if restores else 0, random.Random(self._seed)
             ),
         )
-        await self.fault_injector.run(seconds)
+        await asyncio.gather(
+            self.fault_injector.run(seconds),
+            self.fault_injector.pause_instances(
+                seconds, random.Random(f'pauses {self._seed}')
+            ),
+            self.fault_injector.change_idle_limits(
+                seconds, random.Random(f'idle limits {self._seed}')
+            ),
+        )
         await restoring
         await asyncio.sleep(SETTLE_SECONDS)
         self.load_generator.stop()
@@ -109,6 +123,7 @@
             },
             self._testbed.crashing_path,
             self.memory_monitor.uses,
+            self._testbed.config_writes,
         )
         return [
             *self._violations,
@@ -132,7 +147,8 @@
             'results:',
             ', '.join(f'{k}: {n}' for k, n in outcomes.most_common()),
         )
-
+        closed = sum(each.idle_closes for each in self.pipelining_callers)
+        print(f'idle connections found closed: {closed}')
         longest = self.stall_monitor.longest_seconds
         print(f'longest stall of the test itself: {longest:.2f} s')
         for use in self.memory_monitor.uses:
@@ -190,7 +206,7 @@
         for upstream in self._testbed.upstreams:
             upstream.script.clear()
         rng = random.Random(0)
-        async with aiohttp.ClientSession() as http:
+        async with open_session() as http:
             for name in self._testbed.instances:
                 number = await self._poll_version(http, name)
                 if number != self._testbed.config_version:
--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -15,9 +15,21 @@
     RETRY_EXTRA,
     RETRY_RATIO,
     RETRY_WINDOW_SECONDS,
+    may_have_been_idle,
 )
 
 MAX_ATTEMPTS = 2
+# How callers see a connection that is closed before any response.
+CLOSE_ERRORS = frozenset(
+    (
+        'ConnectionClosed',
+        'ServerDisconnectedError',
+        'ClientOSError',
+        'ClientConnectionResetError',
+    )
+)
+# The longest pause for a moment, and the way there and back.
+CROSSING_SECONDS = 0.4
 DRAIN_SECONDS = 3.0
 # A cold upstream may receive COLD_RATE_FACTOR times the requests of its cold
 # rate, and COLD_EXTRA_REQUESTS more.
@@ -80,10 +92,13 @@
     A fault of the instance or its links, a failed connect to the instance or
     its planned stop explains a lost response. A refused connection of the
     caller is no violation, nor is a request behind an answer that closes its
-    connection; `find_lost_answers` checks that it was not passed on.
+    connection, nor one that crosses the close of an idle connection;
+    `find_lost_answers` checks that these were not passed on.
     """
     if result.status or result.error in {'ClientConnectorError', BEHIND_CLOSE}:
         return
+    if _has_crossed_close(observations, result):
+        return
     kinds = ('kill', 'freeze', 'link')
     if observations.overlaps_fault(
         kinds, result.instance, result.sent, result.ended
@@ -102,9 +117,26 @@
     if any(abs(end - result.sent) < CONNECTION_LOSS_SECONDS for end in ends):
         return
     took = result.ended - result.sent
+    exits = ''.join(
+        f', sent {result.sent - end:+.2f} s from its exit' for end in ends
+    )
+    kept = result.sent - result.idle_since
+    use = 'new or answered on' if kept < 0 else f'idle for {kept:.2f} s'
     yield (
         f'{result.request} to {result.instance} '
-        f'failed with {result.error} after {took:.2f} s'
+        f'failed with {result.error} after {took:.2f} s '
+        f'(connection {use}{exits})'
+    )
+
+
+def _has_crossed_close(observations: Observations, result: CallResult) -> bool:
+    """Returns whether a request may have crossed the close for idleness."""
+    return (
+        result.error in CLOSE_ERRORS
+        and result.ended - result.sent <= CROSSING_SECONDS
+        and may_have_been_idle(
+            observations.config_writes, result.idle_since, result.ended
+        )
     )
 
 
--- a/bench/soak/crashes.py
+++ b/bench/soak/crashes.py
@@ -5,10 +5,9 @@
 import random
 import time
 
-import aiohttp
-
 from bench.soak.echo_upstream import EchoUpstream
 from bench.soak.load_generator import Call, LoadGenerator
+from bench.soak.sessions import open_session
 from bench.soak.testbed import ROUTES, Testbed
 
 START_SECONDS = (0.2, 2)
@@ -74,9 +73,7 @@
             for route in ROUTES
         )
         await asyncio.sleep(self._rng.uniform(*START_SECONDS))
-        async with aiohttp.ClientSession(
-            cookie_jar=aiohttp.DummyCookieJar()
-        ) as http:
+        async with open_session() as http:
             for at in itertools.count():
                 if not self._load_generator.is_running:
                     return
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -5,6 +5,7 @@
 import signal
 import time
 from collections.abc import Callable, Coroutine
+from datetime import timedelta
 from typing import NamedTuple
 
 from bench.soak.echo_upstream import EchoUpstream
@@ -13,6 +14,11 @@
 
 PAUSE_SECONDS = (0.2, 1.2)
 FAULT_SECONDS = (0.5, 3.0)
+# A short pause, in which reads and due timers gather, and the time between two.
+SHORT_PAUSE_SECONDS = (0.05, 0.15)
+SHORT_PAUSE_INTERVAL_SECONDS = (0, 0.3)
+IDLE_LIMIT_SECONDS = (0.3, 1.2)
+IDLE_LIMIT_INTERVAL_SECONDS = (0.3, 1.5)
 MAX_DELAY_SECONDS = 0.2
 EXIT_SECONDS = 15
 UPSTREAM_FAULTS = (
@@ -82,6 +88,7 @@
         self._testbed = testbed
         self._rng = rng
         self._claimed: set[str] = set()
+        self._frozen: set[str] = set()
         self._pending: set[asyncio.Task[None]] = set()
         self._routes = list(ROUTES)
 
@@ -131,6 +138,49 @@
             )
             self._record('store restore', 'store', started)
 
+    async def pause_instances(self, seconds: float, rng: random.Random) -> None:
+        """Pauses one instance after another for moments, for a time.
+
+        The pauses excuse nothing, unless one lasts as long as a freeze because
+        the soak test itself stood still.
+
+        Args:
+            seconds: the time.
+            rng: makes the random choices of these faults alone.
+        """
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            await asyncio.sleep(rng.uniform(*SHORT_PAUSE_INTERVAL_SECONDS))
+            name = rng.choice(
+                sorted(set(self._testbed.instances) - self._claimed)
+            )
+            process = self._testbed.processes[name]
+            started = time.monotonic()
+            process.send_signal(signal.SIGSTOP)
+            self._testbed.pauses[name].set()
+            await asyncio.sleep(rng.uniform(*SHORT_PAUSE_SECONDS))
+            self._testbed.pauses[name].clear()
+            if name not in self._frozen:
+                process.send_signal(signal.SIGCONT)
+            took = time.monotonic() - started
+            kind = 'pause' if took < FAULT_SECONDS[0] else 'freeze'
+            self._record(kind, name, started)
+
+    async def change_idle_limits(
+        self, seconds: float, rng: random.Random
+    ) -> None:
+        """Lowers and raises the idle limit of callers for a time.
+
+        Args:
+            seconds: the time.
+            rng: makes the random choices of these changes alone.
+        """
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            await asyncio.sleep(rng.uniform(*IDLE_LIMIT_INTERVAL_SECONDS))
+            limit = timedelta(seconds=rng.uniform(*IDLE_LIMIT_SECONDS))
+            self._testbed.change_idle_limit(limit)
+
     def _claim_instance(self) -> str | None:
         """Claims an instance for a fault, unless half of them have one."""
         free = sorted(set(self._testbed.instances) - self._claimed)
@@ -164,9 +214,11 @@
         if name is None:
             return
         started = time.monotonic()
+        self._frozen.add(name)
         self._testbed.processes[name].send_signal(signal.SIGSTOP)
         await self._wait_fault_time()
         self._testbed.processes[name].send_signal(signal.SIGCONT)
+        self._frozen.discard(name)
         self._record('freeze', name, started)
         self._claimed.discard(name)
 
--- a/bench/soak/load_generator.py
+++ b/bench/soak/load_generator.py
@@ -10,6 +10,11 @@
 
 import aiohttp
 
+from bench.soak.sessions import (
+    ConnectionUse,
+    UnansweredError,
+    open_session,
+)
 from bench.soak.stalls import StallMonitor
 from bench.soak.testbed import Testbed
 
@@ -23,6 +28,7 @@
 REPEATED_PATHS = 5
 # Stood behind an answer that closed its connection.
 BEHIND_CLOSE = 'BehindClose'
+NEVER = float('inf')
 REFUSALS = frozenset((404, 408, 421, 429, 503))
 MAX_PAUSE_SECONDS = 0.1
 
@@ -60,6 +66,9 @@
         path: the path of the request.
         reason: the body of a response without seal.
         error: type name of the exception if there was no response.
+        idle_since: the last use of its connection before the request and
+            before all requests beside it, if the connection is kept and none
+            of them had a response; otherwise `NEVER`.
     """
 
     request: str
@@ -73,6 +82,7 @@
     path: str
     reason: str
     error: str
+    idle_since: float = NEVER
 
 
 class LoadGenerator:
@@ -93,6 +103,7 @@
         self._testbed = testbed
         self._rng = rng
         self._stalls = stalls
+        self._last_used: dict[tuple[aiohttp.ClientSession, str], float] = {}
         self.is_running = True
         self._names_by_address = {
             f'127.0.0.1:{spec.ports[0]}': spec.name
@@ -122,6 +133,9 @@
         """Sends one request to an instance; returns the result."""
         path = call.path or f'{PREFIXES[call.is_order]}{call.request}'
         sent = time.monotonic()
+        last_used = self._last_used.get((http, name), NEVER)
+        stalled = self._stalls.total()
+        connection = ConnectionUse()
         status = 0
         body = b''
         is_sealed = False
@@ -140,15 +154,20 @@
                         'Lycheedyke-Deadline-Ms': str(DEADLINE_MS),
                         'Cookie': f'Lycheedyke-Affinity-Key={call.object_key}',
                     },
+                    trace_request_ctx=connection,
                 ) as response,
             ):
                 status = response.status
                 is_sealed = 'Lycheedyke-Server-Seal' in response.headers
                 body = await response.read()
+        except UnansweredError as failure:
+            error = type(failure.__cause__).__name__
         except (aiohttp.ClientError, TimeoutError, OSError) as failure:
             error = type(failure).__name__
             status = 0
         ended = time.monotonic()
+        answered = self._stalls.earliest_answer(ended, stalled)
+        self._last_used[http, name] = max(sent, answered)
         return CallResult(
             call.request,
             name,
@@ -161,13 +180,12 @@
             path,
             '' if is_sealed else body.decode(errors='replace'),
             error,
+            NEVER if connection.is_new else last_used,
         )
 
     async def _run_caller(self, caller: int, zone: str) -> None:
         rng = random.Random(self._rng.random())
-        async with aiohttp.ClientSession(
-            cookie_jar=aiohttp.DummyCookieJar()
-        ) as http:
+        async with open_session() as http:
             names: list[str] = []
             last_lookup = -LOOKUP_INTERVAL_SECONDS
             count = 0
--- a/bench/soak/observations.py
+++ b/bench/soak/observations.py
@@ -7,6 +7,7 @@
 from bench.soak.faults import InjectedFault, PlannedStop
 from bench.soak.load_generator import CallResult
 from bench.soak.memory import MemoryUse
+from bench.soak.testbed import ConfigWrite
 
 # A fault may affect requests for this long after it has ended.
 FAULT_EFFECT_SECONDS = 2.0
@@ -33,6 +34,7 @@
             instance failed, by instance.
         crashing_path: the path of the request that crashes upstreams.
         memory: the memory of each process.
+        config_writes: all versions of the configuration.
     """
 
     results: Sequence[CallResult]
@@ -42,6 +44,7 @@
     failed_connects: Mapping[str, Sequence[float]]
     crashing_path: str
     memory: Sequence[MemoryUse]
+    config_writes: Sequence[ConfigWrite]
 
     def overlaps_fault(
         self,
--- a/bench/soak/pipelining_callers.py
+++ b/bench/soak/pipelining_callers.py
@@ -1,4 +1,4 @@
-"""Callers that send requests behind one another on one connection."""
+"""Callers that send bursts of requests on connections that they keep."""
 
 import asyncio
 import contextlib
@@ -6,34 +6,67 @@
 import random
 import time
 from datetime import timedelta
+from typing import NamedTuple
 
 from bench.soak.load_generator import (
     ANSWER_LIMIT,
     BEHIND_CLOSE,
     DEADLINE_MS,
+    NEVER,
     PREFIXES,
     REPEATED_PATHS,
+    Call,
     CallResult,
     LoadGenerator,
     make_call,
 )
 from bench.soak.stalls import StallMonitor
-from bench.soak.testbed import Testbed
+from bench.soak.testbed import Testbed, may_have_been_idle
 from standins.pipelining_caller import (
     OrderedAnswer,
     PipeliningCaller,
     make_request,
 )
 
-MOST_AHEAD = 12
 PAUSE_SECONDS = 0.2
+# Rests begin at this share of the idle limit, and last this much beyond it.
+SHORTEST_REST_SHARE = 0.5
+REST_BEYOND_LIMIT_SECONDS = 1.2
+PAUSE_ENDS_REST_SHARE = 0.5
 CLOSED = 'ConnectionClosed'
 
 
+class Habit(NamedTuple):
+    """How callers use their connections.
+
+    Attributes:
+        name: the beginning of the ids of their requests.
+        callers: the number of callers for each instance.
+        most_ahead: the most requests that are sent behind one another.
+        rests: whether they rest for about the idle limit between bursts.
+    """
+
+    name: str
+    callers: int
+    most_ahead: int
+    rests: bool
+
+
+HABITS = (
+    Habit('pipe', 1, 12, rests=False),
+    Habit('rest', 4, 1, rests=True),
+    Habit('rest-pipe', 2, 3, rests=True),
+)
+
+
 class PipeliningCallers:
     """Callers that send bursts and use a connection until it is closed.
 
+    Attributes:
+        idle_closes: how many idle connections were found closed.
+
     Args:
+        habit: how they use their connections.
         testbed: the started testbed.
         generator: takes their results.
         rng: makes all random choices.
@@ -42,12 +75,15 @@
 
     def __init__(
         self,
+        habit: Habit,
         testbed: Testbed,
         generator: LoadGenerator,
         rng: random.Random,
         stalls: StallMonitor,
     ) -> None:
         """Initializes the callers; `run` starts them."""
+        self.idle_closes = 0
+        self._habit = habit
         self._testbed = testbed
         self._generator = generator
         self._rng = rng
@@ -55,9 +91,13 @@
         self._sent = 0
 
     async def run(self) -> None:
-        """Runs one caller for each instance until the generator stops."""
+        """Runs the callers of each instance until the generator stops."""
         await asyncio.gather(
-            *(self._run_caller(name) for name in self._testbed.instances)
+            *(
+                self._run_caller(name)
+                for name in self._testbed.instances
+                for _ in range(self._habit.callers)
+            )
         )
 
     async def _run_caller(self, name: str) -> None:
@@ -68,22 +108,69 @@
             # A refused connection is no violation.
             with contextlib.suppress(OSError):
                 async with PipeliningCaller(address) as caller:
-                    while await self._send_burst(caller, name, sent):
-                        await asyncio.sleep(self._rng.random() * PAUSE_SECONDS)
-                        sent = time.monotonic()
+                    await self._use(caller, name, sent)
             await asyncio.sleep(PAUSE_SECONDS)
 
-    async def _send_burst(
+    async def _use(
         self, caller: PipeliningCaller, name: str, sent: float
-    ) -> bool:
-        """Returns whether the connection is open, and the run goes on."""
+    ) -> None:
+        """Sends bursts until the connection is closed, or the run ends."""
+        idle_since = NEVER
+        stalled = self._stalls.total()
+        while await self._send_burst(caller, name, sent, idle_since):
+            answered = self._stalls.earliest_answer(time.monotonic(), stalled)
+            idle_since = max(sent, answered)
+            await self._rest(name)
+            sent = time.monotonic()
+            if caller.is_closed and may_have_been_idle(
+                self._testbed.config_writes, idle_since, sent
+            ):
+                self.idle_closes += 1
+                return
+            stalled = self._stalls.total()
+
+    async def _rest(self, name: str) -> None:
+        """Waits between bursts.
+
+        Many rests end while the instance is paused for a moment, so that it
+        reads several requests at once.
+        """
+        if not self._habit.rests:
+            await asyncio.sleep(self._rng.random() * PAUSE_SECONDS)
+            return
+        limit = self._testbed.idle_limit.total_seconds()
+        rest = self._rng.uniform(
+            SHORTEST_REST_SHARE * limit, limit + REST_BEYOND_LIMIT_SECONDS
+        )
+        if self._rng.random() < PAUSE_ENDS_REST_SHARE:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(rest):
+                    await self._testbed.pauses[name].wait()
+        else:
+            await asyncio.sleep(rest)
+
+    def _make_calls(self, name: str) -> list[Call]:
         calls = []
-        for _ in range(self._rng.randint(1, MOST_AHEAD)):
+        for _ in range(self._rng.randint(1, self._habit.most_ahead)):
             self._sent += 1
-            call = make_call(f'pipe-{self._sent}', self._rng)
+            call = make_call(f'{self._habit.name}-{self._sent}', self._rng)
             prefix = PREFIXES[call.is_order]
-            path = f'{prefix}pipe/{name}/{self._sent % REPEATED_PATHS}'
+            path = (
+                f'{prefix}{self._habit.name}/{name}/'
+                f'{self._sent % REPEATED_PATHS}'
+            )
             calls.append(call._replace(path=path))
+        return calls
+
+    async def _send_burst(
+        self,
+        caller: PipeliningCaller,
+        name: str,
+        sent: float,
+        idle_since: float,
+    ) -> bool:
+        """Returns whether the connection is open, and the run goes on."""
+        calls = self._make_calls(name)
         caller.send(
             *(
                 make_request(
@@ -101,6 +188,8 @@
             answer = None
             if not error:
                 answer, error = await self._read(caller, sent)
+            if answer:
+                idle_since = NEVER
             self._generator.results.append(
                 CallResult(
                     call.request,
@@ -114,6 +203,7 @@
                     call.path,
                     _read_reason(answer),
                     '' if answer else error,
+                    idle_since,
                 )
             )
             if answer is not None and answer.closes:
--- a/bench/soak/stalls.py
+++ b/bench/soak/stalls.py
@@ -9,6 +9,8 @@
 from lycheedyke.timers import PauseTolerantTimer, expire
 
 POLL_SECONDS = 0.05
+# How late an answer may be read although the loop did not stand still.
+READ_SECONDS = 0.02
 # Shorter stalls do not extend a timeout again.
 MIN_EXTENSION = timedelta(milliseconds=20)
 
@@ -31,6 +33,16 @@
         overdue = asyncio.get_running_loop().time() - self._due
         return timedelta(seconds=self._total_seconds + max(0, overdue))
 
+    def earliest_answer(self, read: float, stalled_before: timedelta) -> float:
+        """Returns when an answer may have been sent at the earliest.
+
+        Args:
+            read: when it was read, in seconds of the monotonic clock.
+            stalled_before: the total when its request was sent.
+        """
+        stalled = self.total() - stalled_before
+        return read - READ_SECONDS - stalled.total_seconds()
+
     async def run(self) -> None:
         """Measures until cancelled."""
         loop = asyncio.get_running_loop()
--- a/bench/soak/testbed.py
+++ b/bench/soak/testbed.py
@@ -8,6 +8,9 @@
 import subprocess
 import sys
 import time
+from collections import defaultdict
+from collections.abc import Iterable
+from datetime import timedelta
 from pathlib import Path
 from typing import Any, NamedTuple
 
@@ -33,6 +36,7 @@
 RETRY_WINDOW_SECONDS = 10
 RETRY_EXTRA = 30
 LEASE_SWEEP_SECONDS = 0.1
+FIRST_IDLE_LIMIT = timedelta(milliseconds=1200)
 START_SECONDS = 20
 ROUTES = (
     {'name': 'read', 'prefix': '/read/', 'service': 'desk'},
@@ -95,12 +99,46 @@
         return f'127.0.0.1:{self.ports[2]}'
 
 
+class ConfigWrite(NamedTuple):
+    """A version of the configuration that the store received.
+
+    Attributes:
+        at: when, in seconds of the monotonic clock.
+        version: its number.
+        idle_limit: how long a caller's connection may be idle.
+    """
+
+    at: float
+    version: int
+    idle_limit: timedelta
+
+
+def may_have_been_idle(
+    writes: Iterable[ConfigWrite], idle_since: float, time: float
+) -> bool:
+    """Returns whether a connection may have reached an idle limit by a time.
+
+    Instances may have any version of the configuration until then.
+
+    Args:
+        writes: all versions of the configuration.
+        idle_since: the last use of the connection.
+        time: the time.
+    """
+    limits = [each.idle_limit for each in writes if each.at <= time]
+    idle = time - idle_since
+    return bool(limits) and idle > min(limits).total_seconds()
+
+
 class Testbed:
     """Store, upstreams, links and gateways; an async context manager.
 
     Args:
         folder: folder for settings files and logs.
         rng: chooses the increments of the configuration version.
+
+    Attributes:
+        pauses: set while an instance is paused for a moment, by its name.
     """
 
     def __init__(self, folder: Path, rng: random.Random) -> None:
@@ -110,10 +148,15 @@
         self.instances: dict[str, InstanceSpec] = {}
         self.links: dict[str, Relay] = {}
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
+        self.pauses: defaultdict[str, asyncio.Event] = defaultdict(
+            asyncio.Event
+        )
         self.start_times: dict[str, float] = {}
         self.config_version = 1
-        self.config_writes: list[tuple[float, int]] = []
+        self.config_writes: list[ConfigWrite] = []
+        self.idle_limit = FIRST_IDLE_LIMIT
         self._folder = folder
+        self._routes: list[dict[str, Any]] = []
         self._rng = rng
         self._servers: list[asyncio.Server] = []
         self._lease_task: asyncio.Task[None] | None = None
@@ -159,9 +202,21 @@
 
     def configure(self, routes: list[dict[str, Any]]) -> None:
         """Writes the next version of the configuration."""
+        self._routes = routes
         self.config_version += self._rng.randint(1, 3)
-        self.store.put('op/config', config_value(self.config_version, routes))
-        self.config_writes.append((time.monotonic(), self.config_version))
+        milliseconds = self.idle_limit // timedelta(milliseconds=1)
+        value = config_value(
+            self.config_version, routes, idleTimeout=f'{milliseconds}ms'
+        )
+        self.config_writes.append(
+            ConfigWrite(time.monotonic(), self.config_version, self.idle_limit)
+        )
+        self.store.put('op/config', value)
+
+    def change_idle_limit(self, limit: timedelta) -> None:
+        """Writes a version that differs in its idle limit only."""
+        self.idle_limit = limit
+        self.configure(self._routes)
 
     async def add_upstream(
         self,
--- a/tests/standins/pipelining_caller.py
+++ b/tests/standins/pipelining_caller.py
@@ -83,6 +83,11 @@
         """Closes the connection."""
         self.leave()
 
+    @property
+    def is_closed(self) -> bool:
+        """Whether the connection has ended and no answer is left to read."""
+        return self._reader.at_eof() or self._reader.exception() is not None
+
     def send(self, *requests: bytes) -> None:
         """Sends requests in one write."""
         self._writer.write(b''.join(requests))
--- a/tests/unit/test_soak_checks.py
+++ b/tests/unit/test_soak_checks.py
@@ -2,6 +2,7 @@
 
 import os
 from collections.abc import Sequence
+from datetime import timedelta
 from typing import Any
 
 import pytest
@@ -9,9 +10,10 @@
 from bench.soak.checks import find_violations
 from bench.soak.echo_upstream import EchoUpstream
 from bench.soak.faults import InjectedFault, PlannedStop
-from bench.soak.load_generator import CallResult
+from bench.soak.load_generator import NEVER, CallResult
 from bench.soak.memory import MAX_PROCESS_BYTES, MemoryUse, read_memory
 from bench.soak.observations import Observations
+from bench.soak.testbed import ConfigWrite
 from standins.scripted_upstream import Arrival
 
 CRASHING_PATH = '/read/crash'
@@ -72,6 +74,7 @@
     injected: Sequence[InjectedFault] = (),
     stops: Sequence[PlannedStop] = (),
     memory: Sequence[MemoryUse] = (),
+    config_writes: Sequence[ConfigWrite] = (),
 ) -> list[str]:
     refused: dict[str, list[float]] = {'edge-0': []}
     return list(
@@ -84,6 +87,7 @@
                 refused,
                 CRASHING_PATH,
                 memory,
+                config_writes,
             )
         )
     )
@@ -109,6 +113,12 @@
     )
 ]
 LOST_RESPONSE = _make_result(status=0, error='ServerDisconnectedError')
+# The connection may be closed from 0.3 s after its last use.
+IDLE_LIMITS = [
+    ConfigWrite(1.0, 2, timedelta(seconds=1.2)),
+    ConfigWrite(8.0, 5, timedelta(seconds=0.3)),
+    ConfigWrite(9.0, 6, timedelta(seconds=0.9)),
+]
 FIRST_ARRIVALS = [(f'r{at}', 10.0) for at in range(60)]
 RETRIES = [(request, 11.0) for request, _ in FIRST_ARRIVALS]
 
@@ -289,6 +299,67 @@
     assert any('was passed on' in line for line in lines)
 
 
+@pytest.mark.parametrize(
+    'error',
+    [
+        'ConnectionClosed',
+        'ServerDisconnectedError',
+        'ClientOSError',
+        'ClientConnectionResetError',
+    ],
+)
+def test_a_request_may_cross_the_close_of_an_idle_connection(
+    error: str,
+) -> None:
+    """Only if nothing passed it on, whatever the idle limits were."""
+    crossed = LOST_RESPONSE._replace(error=error, idle_since=9.8)
+    assert not _find_violations([crossed], config_writes=IDLE_LIMITS)
+    lines = _find_violations([crossed], [PASSED_ON], config_writes=IDLE_LIMITS)
+    assert any('was passed on' in line for line in lines)
+
+
+@pytest.mark.parametrize(
+    'changes',
+    [
+        {'idle_since': 9.95},
+        {'idle_since': NEVER},
+        {'error': 'TimeoutError'},
+        {'ended': 10.5},
+        {'error': 'ClientPayloadError'},
+    ],
+)
+def test_connections_that_are_not_idle_excuse_nothing(
+    changes: dict[str, Any],
+) -> None:
+    """Nor do limits that were written after the call."""
+    crossed = LOST_RESPONSE._replace(idle_since=9.8)
+    assert _find_violations(
+        [crossed._replace(**changes)], config_writes=IDLE_LIMITS
+    )
+    later = [each._replace(at=10.3) for each in IDLE_LIMITS[1:]]
+    assert _find_violations([crossed], config_writes=[IDLE_LIMITS[0], *later])
+
+
+@pytest.mark.parametrize('kind', ['pause', 'freeze', 'stop', 'link delay'])
+def test_no_fault_excuses_an_idle_close_of_a_request_in_flight(
+    kind: str,
+) -> None:
+    """A paused instance passes on and answers, or closes before."""
+    crossed = LOST_RESPONSE._replace(idle_since=9.0)
+    fault = InjectedFault(kind, 'edge-0', 10.0, 10.1)
+    lines = _find_violations(
+        [crossed], [PASSED_ON], [fault], config_writes=IDLE_LIMITS
+    )
+    assert any('was passed on' in line for line in lines)
+
+
+def test_short_pauses_excuse_no_lost_response() -> None:
+    """An instance answers after a pause for a moment."""
+    pause = InjectedFault('pause', 'edge-0', 10.0, 10.1)
+    lines = _find_violations([LOST_RESPONSE], injected=[pause])
+    assert any('ServerDisconnectedError' in line for line in lines)
+
+
 def test_a_process_may_need_four_fifths_of_the_smallest_machine() -> None:
     """Of 152 MB; its peak is read while it runs."""
     assert MAX_PROCESS_BYTES == 121_600_000
