Tell when the soak's failed requests were sent

Lines on failed requests named no time, so that they could not be found beside the lines of their instance. They now say it to the millisecond, on the clock that instances log. No check changes; the unit tests of the soak's checks pass.

--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -8,7 +8,7 @@
 from bench.soak.load_generator import BEHIND_CLOSE, REFUSALS, CallResult
 from bench.soak.lost_answers import find_lost_answers
 from bench.soak.memory import find_excess_memory
-from bench.soak.observations import Observations
+from bench.soak.observations import Observations, format_time
 from bench.soak.testbed import (
     COLD_PER_S,
     COLD_SECONDS,
@@ -124,7 +124,8 @@
     use = 'new or answered on' if kept < 0 else f'idle for {kept:.2f} s'
     yield (
         f'{result.request} to {result.instance} '
-        f'failed with {result.error} after {took:.2f} s '
+        f'failed with {result.error} after {took:.2f} s, '
+        f'sent at {format_time(result.sent)} '
         f'(connection {use}{exits})'
     )
 
--- a/bench/soak/lost_answers.py
+++ b/bench/soak/lost_answers.py
@@ -4,7 +4,7 @@
 
 from bench.soak.faults import InjectedFault
 from bench.soak.load_generator import CallResult
-from bench.soak.observations import Observations
+from bench.soak.observations import Observations, format_time
 
 # Bytes that a link held pass within this time after its fault has ended.
 LINK_DRAIN_SECONDS = 0.2
@@ -33,7 +33,8 @@
         took = result.ended - result.sent
         yield (
             f'{result.request} was passed on by {result.instance} and got no '
-            f'answer: {result.error} after {took:.2f} s'
+            f'answer: {result.error} after {took:.2f} s, '
+            f'sent at {format_time(result.sent)}'
         )
 
 
--- a/bench/soak/observations.py
+++ b/bench/soak/observations.py
@@ -1,6 +1,8 @@
 """Records of one run of the soak test."""
 
+import time
 from collections.abc import Mapping, Sequence
+from datetime import UTC, datetime
 from typing import NamedTuple
 
 from bench.soak.echo_upstream import EchoUpstream
@@ -20,6 +22,12 @@
 )
 
 
+def format_time(at: float) -> str:
+    """Returns a time of the monotonic clock as instances log it, to the ms."""
+    moment = datetime.fromtimestamp(time.time() - time.monotonic() + at, UTC)
+    return moment.strftime('%H:%M:%S.%f')[:-3]
+
+
 class Observations(NamedTuple):
     """Records of one run of the soak test.
 
