Count a crossed idle close without the soak's own stalls

Their rests ended in a pause; the instance's log has no line between 15:13:01.829 and 15:13:02.242, so it was paused for 0.41 s instead of 0.15 s at most: the soak itself, which ends the pause, stood still for up to 0.28 s. The time in which a close may be crossed (0.4 s) now runs on while the soak stands still, as its timeouts do; a crossing without a stall is bounded as before. Test: test_stalls_of_the_soak_itself_extend_a_crossing.

--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -124,6 +124,7 @@
             self._testbed.crashing_path,
             self.memory_monitor.uses,
             self._testbed.config_writes,
+            self.stall_monitor.stalls,
         )
         return [
             *self._violations,
--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -132,9 +132,11 @@
 
 def _has_crossed_close(observations: Observations, result: CallResult) -> bool:
     """Returns whether a request may have crossed the close for idleness."""
+    took = result.ended - result.sent
+    stalled = observations.stalled_seconds(result.sent, result.ended)
     return (
         result.error in CLOSE_ERRORS
-        and result.ended - result.sent <= CROSSING_SECONDS
+        and took - stalled <= CROSSING_SECONDS
         and may_have_been_idle(
             observations.config_writes, result.idle_since, result.ended
         )
--- a/bench/soak/observations.py
+++ b/bench/soak/observations.py
@@ -9,6 +9,7 @@
 from bench.soak.faults import InjectedFault, PlannedStop
 from bench.soak.load_generator import CallResult
 from bench.soak.memory import MemoryUse
+from bench.soak.stalls import Stall
 from bench.soak.testbed import ConfigWrite
 
 # A fault may affect requests for this long after it has ended.
@@ -43,6 +44,7 @@
         crashing_path: the path of the request that crashes upstreams.
         memory: the memory of each process.
         config_writes: all versions of the configuration.
+        stalls: the stalls of the soak test itself.
     """
 
     results: Sequence[CallResult]
@@ -53,6 +55,7 @@
     crashing_path: str
     memory: Sequence[MemoryUse]
     config_writes: Sequence[ConfigWrite]
+    stalls: Sequence[Stall]
 
     def overlaps_fault(
         self,
@@ -77,6 +80,14 @@
             for each in self.injected
         )
 
+    def stalled_seconds(self, started: float, ended: float) -> float:
+        """Returns the time of a period in which the soak test stood still."""
+        overlaps = (
+            min(each.ended, ended) - max(each.ended - each.seconds, started)
+            for each in self.stalls
+        )
+        return sum(each for each in overlaps if each > 0)
+
     def is_in_touch(self, name: str, time: float) -> bool:
         """Returns whether bounds on time hold for an instance.
 
--- a/bench/soak/stalls.py
+++ b/bench/soak/stalls.py
@@ -3,8 +3,10 @@
 import asyncio
 import contextlib
 import functools
+import time
 from collections.abc import AsyncIterator
 from datetime import timedelta
+from typing import NamedTuple
 
 from lycheedyke.timers import PauseTolerantTimer, expire
 
@@ -15,16 +17,33 @@
 MIN_EXTENSION = timedelta(milliseconds=20)
 
 
+class Stall(NamedTuple):
+    """A time for which the event loop stood still.
+
+    Attributes:
+        ended: its end, in seconds of the monotonic clock.
+        seconds: how long it lasted.
+    """
+
+    ended: float
+    seconds: float
+
+
 class StallMonitor:
     """Measures the stalls of the event loop.
 
     Callers, upstreams, links and the store share this loop, so a stall looks
     like a failure of all of them.
+
+    Attributes:
+        longest_seconds: the longest stall.
+        stalls: all stalls that extend a timeout.
     """
 
     def __init__(self) -> None:
         """Initializes the monitor; `run` starts it."""
         self.longest_seconds: float = 0
+        self.stalls: list[Stall] = []
         self._total_seconds: float = 0
         self._due = float('inf')
 
@@ -52,6 +71,8 @@
             late = loop.time() - self._due
             self._total_seconds += late
             self.longest_seconds = max(self.longest_seconds, late)
+            if late > MIN_EXTENSION.total_seconds():
+                self.stalls.append(Stall(time.monotonic(), late))
 
     @contextlib.asynccontextmanager
     async def timeout(self, limit: timedelta) -> AsyncIterator[None]:
