--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/request_protocol.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/request_protocol.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 from collections.abc import Awaitable, Callable
+from datetime import timedelta
 from http import HTTPStatus
 from typing import Any, cast
 
@@ -23,6 +24,7 @@
     MAX_UNANSWERED,
     RESUME_UNANSWERED,
     TURN,
+    CloseReason,
     Pipeline,
     Turn,
     wait_turn,
@@ -31,6 +33,7 @@
 # The head of one request; each of its fields has a limit of its own.
 MAX_HEAD_BYTES_IN_ALL = 131_072
 EXPECT = 'Expect'
+MS_PER_SECOND = 1000
 _MALFORMED = ERROR._replace(version=HttpVersion11)
 
 _logger = logging.getLogger(__name__)
@@ -58,7 +61,9 @@
         '_arrived',
         '_head_bytes',
         '_idle_check',
+        '_idle_since',
         '_is_last',
+        '_opened',
         '_payload',
         '_pipeline',
         '_unparsed',
@@ -80,7 +85,9 @@
             auto_decompress=False,
             max_msg_queue_size=1,
         )
-        self._arrived = self._loop.time()
+        self._opened = self._loop.time()
+        self._arrived = self._opened
+        self._idle_since = self._opened
         self._head_bytes = 0
         self._idle_check: asyncio.TimerHandle | None = None
         self._is_last = False
@@ -132,8 +139,24 @@
     def close(self) -> None:
         """Begins no further request; closes after the last answer owed."""
         self._pipeline.is_closing = True
-        if not self._pipeline and self.transport is not None:
-            self.transport.close()
+        if not self._pipeline:
+            self._close_transport(CloseReason.stopping)
+
+    def close_if_idle(self, limit: timedelta) -> bool:
+        """Closes the connection if it is idle; returns whether it was closed.
+
+        A connection is in use from the moment at which the head of a request
+        has been read until the request is answered.
+
+        Args:
+            limit: how long the connection may be idle.
+        """
+        idle = timedelta(seconds=self._loop.time() - self._idle_since)
+        if self._pipeline or self._pipeline.is_closing or idle < limit:
+            return False
+        self._pipeline.is_closing = True
+        self._close_transport(CloseReason.idle)
+        return True
 
     async def shutdown(self, timeout: float | None = None) -> None:
         """Closes the connection once its requests have ended.
@@ -146,12 +169,43 @@
         tasks = [turn.task for turn in self._pipeline if turn.task]
         if tasks:
             _, running = await asyncio.wait(tasks, timeout=timeout)
+            if running:
+                self._note_close(CloseReason.stopping)
             for task in running:
                 task.cancel()
             if running:
                 await asyncio.wait(running, timeout=timeout)
         self.force_close()
 
+    def _close_transport(self, reason: CloseReason) -> None:
+        if self.transport is not None:
+            self._note_close(reason)
+            self.transport.close()
+
+    def _note_close(self, reason: CloseReason) -> None:
+        """Notes why the connection is closed; logs it if it is in use."""
+        if self._pipeline.closed_by is None:
+            self._pipeline.closed_by = reason
+        unanswered = [turn for turn in self._pipeline if not turn.is_dropped]
+        if unanswered:
+            self._report_unanswered(reason, unanswered)
+
+    def _report_unanswered(
+        self, reason: CloseReason, unanswered: list[Turn]
+    ) -> None:
+        """Logs that the instance closes a connection that is in use."""
+        now = self._loop.time()
+        _logger.warning(
+            'connection closed in use',
+            extra={
+                'closed_by': reason.value,
+                'age_ms': round((now - self._opened) * MS_PER_SECOND),
+                'silent_ms': round((now - self._arrived) * MS_PER_SECOND),
+                'requests': [turn.request for turn in unanswered],
+                'passed_on': sum(turn.is_passed_on for turn in unanswered),
+            },
+        )
+
     @property
     def _reads_on(self) -> bool:
         """Whether received bytes are of a request, or of a further one."""
@@ -226,6 +280,7 @@
     ) -> None:
         """Answers one request, and closes the connection if it was the last."""
         is_open = False
+        reason = CloseReason.failed
         assert turn.task is not None and self._request_factory is not None
         request = self._request_factory(
             message, payload, self, StreamWriter(self, self._loop), turn.task
@@ -233,12 +288,13 @@
         request[TURN] = turn
         try:
             is_open = await self._answer(request, handler)
+            reason = CloseReason.last_answer
         except ConnectionError:
             _logger.debug('connection lost', exc_info=True)
         except Exception:
             self.logger.exception('connection closed')
         finally:
-            self._end(turn, is_open=is_open)
+            self._end(turn, None if is_open else reason)
 
     async def _answer(
         self, request: web.BaseRequest, handler: _Handler
@@ -285,15 +341,21 @@
             _logger.debug('body not complete')
         return body.is_eof()
 
-    def _end(self, turn: Turn, *, is_open: bool) -> None:
-        """Goes on after the end of a request."""
+    def _end(self, turn: Turn, reason: CloseReason | None) -> None:
+        """Goes on after the end of a request.
+
+        Args:
+            turn: the request.
+            reason: why the connection is to be closed; None to keep it open.
+        """
         self._pipeline.end(turn)
+        self._idle_since = self._loop.time()
         if turn.is_dropped:
             return
-        if not is_open or (self._pipeline.is_closing and not self._pipeline):
+        is_last = self._pipeline.is_closing and not self._pipeline
+        if reason is not None or is_last:
             self._pipeline.is_closing = True
-            if self.transport is not None:
-                self.transport.close()
+            self._close_transport(reason or CloseReason.last_answer)
         elif self._buffer_paused and len(self._pipeline) <= RESUME_UNANSWERED:
             self._buffer_paused = False
             self._parse(b'')
@@ -301,13 +363,12 @@
                 self._resume_reading_for_buffer()
 
     def _check_idle(self) -> None:
-        """Closes the connection if nothing arrived for the longest idle time."""
-        now = self._loop.time()
+        """Closes the connection at the server's limit for idle ones."""
         limit = self._keepalive_timeout
-        if not self._pipeline and now - self._arrived >= limit:
-            self.close()
+        if self.close_if_idle(timedelta(seconds=limit)):
             return
-        due = self._arrived + limit
+        due = self._idle_since + limit
+        now = self._loop.time()
         if due <= now:
             due = now + limit
         self._idle_check = self._loop.call_at(due, self._check_idle)
