--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -8,6 +8,7 @@
 import time
 from collections import Counter
 from pathlib import Path
+from typing import NamedTuple
 
 import aiohttp
 import defopt
@@ -21,7 +22,7 @@
 from bench.soak.pipelining_callers import HABITS, PipeliningCallers
 from bench.soak.sessions import open_session
 from bench.soak.stalls import StallMonitor
-from bench.soak.testbed import Testbed
+from bench.soak.testbed import INSTANCES_PER_ZONE, Testbed
 
 POLL_SECONDS = 0.5
 # After the last fault has ended, its effects last at most this long.
@@ -32,6 +33,20 @@
 VERSION = re.compile(r'^lycheedyke_version (\d+)', re.MULTILINE)
 
 
+class Size(NamedTuple):
+    """The size of a run.
+
+    Attributes:
+        seconds: how long faults are injected.
+        callers: the number of sequential callers.
+        instances: the number of instances in each zone.
+    """
+
+    seconds: float
+    callers: int
+    instances: int
+
+
 class SoakTest:
     """One seeded run of the soak test.
 
@@ -230,14 +245,16 @@
 async def _soak(
     folder: Path,
     seed: int,
-    seconds: float,
-    callers: int,
+    size: Size,
     *,
     restores: bool,
 ) -> list[str]:
-    async with Testbed(folder, random.Random(seed)) as testbed:
+    rng = random.Random(seed)
+    async with Testbed(folder, rng, size.instances) as testbed:
         soak = SoakTest(testbed, seed)
-        violations = await soak.run(seconds, callers, restores=restores)
+        violations = await soak.run(
+            size.seconds, size.callers, restores=restores
+        )
         soak.report()
     return violations
 
@@ -247,6 +264,7 @@
     seed: int = 1,
     seconds: float = 20,
     callers: int = 9,
+    instances: int = INSTANCES_PER_ZONE,
     restores: bool = False,
 ) -> int:
     """Run gateway processes under load while faults are injected.
@@ -255,13 +273,19 @@
         seed: Seed of all random choices.
         seconds: How long faults are injected.
         callers: Number of callers in all zones together.
+        instances: Number of instances in each of the three zones.
         restores: Bring the store back from older copies, too.
     """
     folder = Path(tempfile.mkdtemp(prefix='lycheedyke-soak-'))
     print(f'soak test, seed {seed}, {seconds:g} s, logs in {folder}')
     started = time.monotonic()
     violations = asyncio.run(
-        _soak(folder, seed, seconds, callers, restores=restores)
+        _soak(
+            folder,
+            seed,
+            Size(seconds, callers, instances),
+            restores=restores,
+        )
     )
     for line in violations:
         print('VIOLATION:', line)
--- a/bench/soak/testbed.py
+++ b/bench/soak/testbed.py
@@ -136,12 +136,18 @@
     Args:
         folder: folder for settings files and logs.
         rng: chooses the increments of the configuration version.
+        instances: the number of instances in each zone.
 
     Attributes:
         pauses: set while an instance is paused for a moment, by its name.
     """
 
-    def __init__(self, folder: Path, rng: random.Random) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        rng: random.Random,
+        instances: int = INSTANCES_PER_ZONE,
+    ) -> None:
         """Initializes the testbed; `async with` starts it."""
         self.store = FakeRegistryStore()
         self.upstreams: list[EchoUpstream] = []
@@ -156,6 +162,7 @@
         self.config_writes: list[ConfigWrite] = []
         self.idle_limit = FIRST_IDLE_LIMIT
         self._folder = folder
+        self._instances_per_zone = instances
         self._routes: list[dict[str, Any]] = []
         self._rng = rng
         self._servers: list[asyncio.Server] = []
@@ -176,7 +183,7 @@
         for at in range(UPSTREAMS):
             await self.add_upstream(list(ZONES)[at % len(ZONES)])
         for zone in ZONES:
-            for at in range(INSTANCES_PER_ZONE):
+            for at in range(self._instances_per_zone):
                 await self._add_instance(f'{zone}-{at}', zone, port)
         for name in self.instances:
             self.start(name)
