--- a/bench/soak/testbed.py
+++ b/bench/soak/testbed.py
@@ -349,7 +349,10 @@
             if b' 200 ' in status:
                 return
             await asyncio.sleep(0.1)
-        raise TimeoutError(f'{name} is not ready after {START_SECONDS} s')
+        raise TimeoutError(
+            f'{name} is not ready after {START_SECONDS} s; '
+            f'its exit status: {self.processes[name].poll()}'
+        )
 
     async def _add_instance(self, name: str, zone: str, store: int) -> None:
         ports = free_ports(5)
