--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/request_protocol.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/request_protocol.py
@@ -11,17 +11,22 @@
 from aiohttp.base_protocol import BaseProtocol
 from aiohttp.http import (
     HttpRequestParser,
-    HttpVersion11,
     RawRequestMessage,
     StreamWriter,
 )
 from aiohttp.http_exceptions import BadHttpMessage, HttpProcessingError
 from aiohttp.streams import EMPTY_PAYLOAD, StreamReader
 from aiohttp.tcp_helpers import tcp_keepalive
-from aiohttp.web_protocol import ERROR, RequestHandler, RequestPayloadError
-from yarl import URL
+from aiohttp.web_protocol import RequestHandler, RequestPayloadError
 
 from lycheedyke_daemon.cancellation import is_cancelled
+from lycheedyke_daemon.malformed_requests import (
+    MALFORMED,
+    ROOT,
+    is_decodable,
+    refuse_malformed,
+    refuse_target,
+)
 from lycheedyke_daemon.pipeline import (
     MAX_UNANSWERED,
     RESUME_UNANSWERED,
@@ -36,8 +41,6 @@
 MAX_HEAD_BYTES_IN_ALL = 131_072
 EXPECT = 'Expect'
 MS_PER_SECOND = 1000
-_MALFORMED = ERROR._replace(version=HttpVersion11)
-_ROOT = URL('/')
 
 _logger = logging.getLogger(__name__)
 
@@ -152,10 +155,11 @@
         has been read until the request is answered.
 
         Args:
-            limit: how long the connection may be idle.
+            limit: how long the connection may be idle, in time in which the
+                machine is not suspended.
         """
         idle = timedelta(seconds=self._loop.time() - self._idle_since)
-        if self._pipeline or self._pipeline.is_closing or idle < limit:
+        if self._pipeline or self._pipeline.is_closing or idle <= limit:
             return False
         self._pipeline.is_closing = True
         self._close_transport(CloseReason.idle)
@@ -181,22 +185,21 @@
         self.force_close()
 
     def _close_transport(self, reason: CloseReason) -> None:
-        if self.transport is not None:
+        if self.transport is not None and not self.transport.is_closing():
             self._note_close(reason)
             self.transport.close()
 
     def _note_close(self, reason: CloseReason) -> None:
         """Notes why the connection is closed; logs it if it is in use."""
-        if self._pipeline.closed_by is None:
-            self._pipeline.closed_by = reason
-        unanswered = [turn for turn in self._pipeline if not turn.is_dropped]
-        if unanswered:
-            self._report_unanswered(reason, unanswered)
-
-    def _report_unanswered(
-        self, reason: CloseReason, unanswered: list[Turn]
-    ) -> None:
+        if self._pipeline.closed_by is not None:
+            return
+        self._pipeline.closed_by = reason
+        if self._pipeline.unanswered:
+            self._report_unanswered(reason)
+
+    def _report_unanswered(self, reason: CloseReason) -> None:
         """Logs that the instance closes a connection that is in use."""
+        unanswered = self._pipeline.unanswered
         now = self._loop.time()
         _logger.warning(
             'connection closed in use',
@@ -255,18 +258,18 @@
         assert self._request_handler is not None
         self._is_last = message.should_close
         handler: _Handler = self._request_handler
-        if not _is_decodable(message.url):
+        if not is_decodable(message.url):
             error = BadHttpMessage('the host in the target is malformed')
             self.logger.error('Error handling request', exc_info=error)
-            message = message._replace(url=_ROOT)
-            handler = _refuse_target
+            message = message._replace(url=ROOT)
+            handler = refuse_target
         self._start(message, payload, handler)
 
     def _begin_malformed(self, error: HttpProcessingError) -> None:
         """Answers malformed bytes in their turn, and reads no further."""
         self._is_last = True
         self.logger.error('Error handling request', exc_info=error)
-        self._start(_MALFORMED, EMPTY_PAYLOAD, _refuse_malformed)
+        self._start(MALFORMED, EMPTY_PAYLOAD, refuse_malformed)
 
     def _start(
         self,
@@ -329,6 +332,7 @@
         await response.write_eof()
         # A caller that reads slowly holds up the answers to its requests.
         await self._drain_helper()
+        request[TURN].is_answered = True
         # A caller that still sends its body would be reset by a close.
         is_whole = await self._skip_body(request)
         return is_whole and bool(response.keep_alive)
@@ -341,13 +345,11 @@
         except web.HTTPException as error:
             return error
         except RequestPayloadError:
-            return await _refuse_malformed(request)
+            return await refuse_malformed(request)
         except (Exception, asyncio.CancelledError) as error:
             is_ended = isinstance(error, asyncio.CancelledError)
-            if is_ended and is_cancelled():
-                raise
-            if request.writer.output_size > 0:
-                # The answer is incomplete.
+            # Once bytes are written, the answer can only be incomplete.
+            if (is_ended and is_cancelled()) or request.writer.output_size > 0:
                 raise
             self.logger.exception('Error handling request')
             return web.Response(
@@ -396,39 +398,3 @@
         if due <= now:
             due = now + limit
         self._idle_check = self._loop.call_at(due, self._check_idle)
-
-
-def _is_decodable(url: URL) -> bool:
-    """Returns whether a request can be made of its target."""
-    try:
-        return not url.absolute or url.host is not None
-    except ValueError:
-        return False
-
-
-async def _refuse_target(request: web.BaseRequest) -> web.StreamResponse:
-    return web.Response(status=HTTPStatus.BAD_REQUEST, text='malformed request')
-
-
-async def _refuse_malformed(request: web.BaseRequest) -> web.StreamResponse:
-    response = await _refuse_target(request)
-    response.force_close()
-    return response
-
-
-class PipelinedRunner(web.AppRunner):
-    """Runs an application whose connections are pipelined."""
-
-    __slots__ = ()
-
-    async def _make_server(self) -> web.Server:
-        server = await super()._make_server()
-        server.__class__ = _PipelinedServer
-        return server
-
-
-class _PipelinedServer(web.Server):
-    """Makes a protocol for each connection."""
-
-    def __call__(self) -> RequestHandler:
-        return PipelinedRequestHandler(self, loop=self._loop, **self._kwargs)
