--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -8,6 +8,7 @@
 import time
 from collections import Counter
 from pathlib import Path
+from typing import NamedTuple
 
 import aiohttp
 import defopt
@@ -15,12 +16,14 @@
 from bench.soak.checks import find_violations
 from bench.soak.crashes import CrashInjector
 from bench.soak.faults import FaultInjector
+from bench.soak.instance_logs import find_idle_closes_in_use
 from bench.soak.load_generator import LoadGenerator, make_call
 from bench.soak.memory import MemoryMonitor
 from bench.soak.observations import Observations
-from bench.soak.pipelining_callers import PipeliningCallers
+from bench.soak.pipelining_callers import HABITS, PipeliningCallers
+from bench.soak.sessions import open_session
 from bench.soak.stalls import StallMonitor
-from bench.soak.testbed import Testbed
+from bench.soak.testbed import INSTANCES_PER_ZONE, Testbed
 
 POLL_SECONDS = 0.5
 # After the last fault has ended, its effects last at most this long.
@@ -31,6 +34,20 @@
 VERSION = re.compile(r'^lycheedyke_version (\d+)', re.MULTILINE)
 
 
+class Size(NamedTuple):
+    """The size of a run.
+
+    Attributes:
+        seconds: how long faults are injected.
+        callers: the number of sequential callers.
+        instances: the number of instances in each zone.
+    """
+
+    seconds: float
+    callers: int
+    instances: int
+
+
 class SoakTest:
     """One seeded run of the soak test.
 
@@ -46,12 +63,16 @@
             testbed, random.Random(seed), self.stall_monitor
         )
         self.fault_injector = FaultInjector(testbed, random.Random(seed))
-        self.pipelining_callers = PipeliningCallers(
-            testbed,
-            self.load_generator,
-            random.Random(f'pipelining {seed}'),
-            self.stall_monitor,
-        )
+        self.pipelining_callers = [
+            PipeliningCallers(
+                habit,
+                testbed,
+                self.load_generator,
+                random.Random(f'{habit.name} {seed}'),
+                self.stall_monitor,
+            )
+            for habit in HABITS
+        ]
         self.crash_injector = CrashInjector(
             testbed, self.load_generator, random.Random(f'crashes {seed}')
         )
@@ -76,7 +97,8 @@
             restores: whether the store comes back from older copies.
         """
         calling = asyncio.gather(
-            self.load_generator.run(callers), self.pipelining_callers.run()
+            self.load_generator.run(callers),
+            *(each.run() for each in self.pipelining_callers),
         )
         crashing = asyncio.create_task(self.crash_injector.run(seconds))
         watching = asyncio.create_task(self._poll_versions())
@@ -88,7 +110,15 @@
                 seconds if restores else 0, random.Random(self._seed)
             ),
         )
-        await self.fault_injector.run(seconds)
+        await asyncio.gather(
+            self.fault_injector.run(seconds),
+            self.fault_injector.pause_instances(
+                seconds, random.Random(f'pauses {self._seed}')
+            ),
+            self.fault_injector.change_idle_limits(
+                seconds, random.Random(f'idle limits {self._seed}')
+            ),
+        )
         await restoring
         await asyncio.sleep(SETTLE_SECONDS)
         self.load_generator.stop()
@@ -109,11 +139,14 @@
             },
             self._testbed.crashing_path,
             self.memory_monitor.uses,
+            self._testbed.config_writes,
+            self.stall_monitor.stalls,
         )
         return [
             *self._violations,
             *self.load_generator.bad_lookups,
             *find_violations(observations),
+            *find_idle_closes_in_use(self._testbed.folder),
         ]
 
     def report(self) -> None:
@@ -132,7 +165,8 @@
             'results:',
             ', '.join(f'{k}: {n}' for k, n in outcomes.most_common()),
         )
-
+        closed = sum(each.idle_closes for each in self.pipelining_callers)
+        print(f'idle connections found closed: {closed}')
         longest = self.stall_monitor.longest_seconds
         print(f'longest stall of the test itself: {longest:.2f} s')
         for use in self.memory_monitor.uses:
@@ -190,7 +224,7 @@
         for upstream in self._testbed.upstreams:
             upstream.script.clear()
         rng = random.Random(0)
-        async with aiohttp.ClientSession() as http:
+        async with open_session() as http:
             for name in self._testbed.instances:
                 number = await self._poll_version(http, name)
                 if number != self._testbed.config_version:
@@ -213,14 +247,16 @@
 async def _soak(
     folder: Path,
     seed: int,
-    seconds: float,
-    callers: int,
+    size: Size,
     *,
     restores: bool,
 ) -> list[str]:
-    async with Testbed(folder, random.Random(seed)) as testbed:
+    rng = random.Random(seed)
+    async with Testbed(folder, rng, size.instances) as testbed:
         soak = SoakTest(testbed, seed)
-        violations = await soak.run(seconds, callers, restores=restores)
+        violations = await soak.run(
+            size.seconds, size.callers, restores=restores
+        )
         soak.report()
     return violations
 
@@ -230,6 +266,7 @@
     seed: int = 1,
     seconds: float = 20,
     callers: int = 9,
+    instances: int = INSTANCES_PER_ZONE,
     restores: bool = False,
 ) -> int:
     """Run gateway processes under load while faults are injected.
@@ -238,13 +275,19 @@
         seed: Seed of all random choices.
         seconds: How long faults are injected.
         callers: Number of callers in all zones together.
+        instances: Number of instances in each of the three zones.
         restores: Bring the store back from older copies, too.
     """
     folder = Path(tempfile.mkdtemp(prefix='lycheedyke-soak-'))
     print(f'soak test, seed {seed}, {seconds:g} s, logs in {folder}')
     started = time.monotonic()
     violations = asyncio.run(
-        _soak(folder, seed, seconds, callers, restores=restores)
+        _soak(
+            folder,
+            seed,
+            Size(seconds, callers, instances),
+            restores=restores,
+        )
     )
     for line in violations:
         print('VIOLATION:', line)
--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -8,16 +8,28 @@
 from bench.soak.load_generator import BEHIND_CLOSE, REFUSALS, CallResult
 from bench.soak.lost_answers import find_lost_answers
 from bench.soak.memory import find_excess_memory
-from bench.soak.observations import Observations
+from bench.soak.observations import Observations, format_time
 from bench.soak.testbed import (
     COLD_PER_S,
     COLD_SECONDS,
     RETRY_EXTRA,
     RETRY_RATIO,
     RETRY_WINDOW_SECONDS,
+    may_have_been_idle,
 )
 
 MAX_ATTEMPTS = 2
+# How callers see a connection that is closed before any response.
+CLOSE_ERRORS = frozenset(
+    (
+        'ConnectionClosed',
+        'ServerDisconnectedError',
+        'ClientOSError',
+        'ClientConnectionResetError',
+    )
+)
+# A request may be on its way to a paused instance for this time.
+CROSSING_SECONDS = 0.4
 DRAIN_SECONDS = 3.0
 # A cold upstream may receive COLD_RATE_FACTOR times the requests of its cold
 # rate, and COLD_EXTRA_REQUESTS more.
@@ -80,10 +92,13 @@
     A fault of the instance or its links, a failed connect to the instance or
     its planned stop explains a lost response. A refused connection of the
     caller is no violation, nor is a request behind an answer that closes its
-    connection; `find_lost_answers` checks that it was not passed on.
+    connection, nor one that crosses the close of an idle connection;
+    `find_lost_answers` checks that these were not passed on.
     """
     if result.status or result.error in {'ClientConnectorError', BEHIND_CLOSE}:
         return
+    if _has_crossed_close(observations, result):
+        return
     kinds = ('kill', 'freeze', 'link')
     if observations.overlaps_fault(
         kinds, result.instance, result.sent, result.ended
@@ -102,9 +117,30 @@
     if any(abs(end - result.sent) < CONNECTION_LOSS_SECONDS for end in ends):
         return
     took = result.ended - result.sent
+    exits = ''.join(
+        f', sent {result.sent - end:+.2f} s from its exit' for end in ends
+    )
+    kept = result.sent - result.idle_since
+    use = 'new or answered on' if kept < 0 else f'idle for {kept:.2f} s'
     yield (
         f'{result.request} to {result.instance} '
-        f'failed with {result.error} after {took:.2f} s'
+        f'failed with {result.error} after {took:.2f} s, '
+        f'sent at {format_time(result.sent)} '
+        f'(connection {use}{exits})'
+    )
+
+
+def _has_crossed_close(observations: Observations, result: CallResult) -> bool:
+    """Returns whether a request may have crossed the close for idleness.
+
+    The instance must have reached the limit while the request was on its way;
+    the caller may learn of the close later. `find_idle_closes_in_use` checks
+    that the instance had not read the request.
+    """
+    stalled = observations.stalled_seconds(result.sent, result.ended)
+    arrived = min(result.ended, result.sent + CROSSING_SECONDS + stalled)
+    return result.error in CLOSE_ERRORS and may_have_been_idle(
+        observations.config_writes, result.idle_since, arrived
     )
 
 
--- a/bench/soak/observations.py
+++ b/bench/soak/observations.py
@@ -1,12 +1,16 @@
 """Records of one run of the soak test."""
 
+import time
 from collections.abc import Mapping, Sequence
+from datetime import UTC, datetime
 from typing import NamedTuple
 
 from bench.soak.echo_upstream import EchoUpstream
 from bench.soak.faults import InjectedFault, PlannedStop
 from bench.soak.load_generator import CallResult
 from bench.soak.memory import MemoryUse
+from bench.soak.stalls import Stall
+from bench.soak.testbed import ConfigWrite
 
 # A fault may affect requests for this long after it has ended.
 FAULT_EFFECT_SECONDS = 2.0
@@ -19,6 +23,12 @@
 )
 
 
+def format_time(at: float) -> str:
+    """Returns a time of the monotonic clock as instances log it, to the ms."""
+    moment = datetime.fromtimestamp(time.time() - time.monotonic() + at, UTC)
+    return moment.strftime('%H:%M:%S.%f')[:-3]
+
+
 class Observations(NamedTuple):
     """Records of one run of the soak test.
 
@@ -33,6 +43,8 @@
             instance failed, by instance.
         crashing_path: the path of the request that crashes upstreams.
         memory: the memory of each process.
+        config_writes: all versions of the configuration.
+        stalls: the stalls of the soak test itself.
     """
 
     results: Sequence[CallResult]
@@ -42,6 +54,8 @@
     failed_connects: Mapping[str, Sequence[float]]
     crashing_path: str
     memory: Sequence[MemoryUse]
+    config_writes: Sequence[ConfigWrite]
+    stalls: Sequence[Stall]
 
     def overlaps_fault(
         self,
@@ -66,6 +80,14 @@
             for each in self.injected
         )
 
+    def stalled_seconds(self, started: float, ended: float) -> float:
+        """Returns the time of a period in which the soak test stood still."""
+        overlaps = (
+            min(each.ended, ended) - max(each.ended - each.seconds, started)
+            for each in self.stalls
+        )
+        return sum(each for each in overlaps if each > 0)
+
     def is_in_touch(self, name: str, time: float) -> bool:
         """Returns whether bounds on time hold for an instance.
 
--- a/bench/soak/testbed.py
+++ b/bench/soak/testbed.py
@@ -8,6 +8,9 @@
 import subprocess
 import sys
 import time
+from collections import defaultdict
+from collections.abc import Iterable
+from datetime import timedelta
 from pathlib import Path
 from typing import Any, NamedTuple
 
@@ -33,6 +36,7 @@
 RETRY_WINDOW_SECONDS = 10
 RETRY_EXTRA = 30
 LEASE_SWEEP_SECONDS = 0.1
+FIRST_IDLE_LIMIT = timedelta(milliseconds=1200)
 START_SECONDS = 20
 ROUTES = (
     {'name': 'read', 'prefix': '/read/', 'service': 'desk'},
@@ -95,25 +99,72 @@
         return f'127.0.0.1:{self.ports[2]}'
 
 
+class ConfigWrite(NamedTuple):
+    """A version of the configuration that the store received.
+
+    Attributes:
+        at: when, in seconds of the monotonic clock.
+        version: its number.
+        idle_limit: how long a caller's connection may be idle.
+    """
+
+    at: float
+    version: int
+    idle_limit: timedelta
+
+
+def may_have_been_idle(
+    writes: Iterable[ConfigWrite], idle_since: float, time: float
+) -> bool:
+    """Returns whether a connection may have reached an idle limit by a time.
+
+    Instances may have any version of the configuration until then.
+
+    Args:
+        writes: all versions of the configuration.
+        idle_since: the last use of the connection.
+        time: the time.
+    """
+    limits = [each.idle_limit for each in writes if each.at <= time]
+    idle = time - idle_since
+    return bool(limits) and idle > min(limits).total_seconds()
+
+
 class Testbed:
     """Store, upstreams, links and gateways; an async context manager.
 
     Args:
         folder: folder for settings files and logs.
         rng: chooses the increments of the configuration version.
+        instances: the number of instances in each zone.
+
+    Attributes:
+        folder: folder for settings files and logs.
+        pauses: set while an instance is paused for a moment, by its name.
     """
 
-    def __init__(self, folder: Path, rng: random.Random) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        rng: random.Random,
+        instances: int = INSTANCES_PER_ZONE,
+    ) -> None:
         """Initializes the testbed; `async with` starts it."""
         self.store = FakeRegistryStore()
         self.upstreams: list[EchoUpstream] = []
         self.instances: dict[str, InstanceSpec] = {}
         self.links: dict[str, Relay] = {}
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
+        self.pauses: defaultdict[str, asyncio.Event] = defaultdict(
+            asyncio.Event
+        )
         self.start_times: dict[str, float] = {}
         self.config_version = 1
-        self.config_writes: list[tuple[float, int]] = []
-        self._folder = folder
+        self.config_writes: list[ConfigWrite] = []
+        self.idle_limit = FIRST_IDLE_LIMIT
+        self.folder = folder
+        self._instances_per_zone = instances
+        self._routes: list[dict[str, Any]] = []
         self._rng = rng
         self._servers: list[asyncio.Server] = []
         self._lease_task: asyncio.Task[None] | None = None
@@ -133,7 +184,7 @@
         for at in range(UPSTREAMS):
             await self.add_upstream(list(ZONES)[at % len(ZONES)])
         for zone in ZONES:
-            for at in range(INSTANCES_PER_ZONE):
+            for at in range(self._instances_per_zone):
                 await self._add_instance(f'{zone}-{at}', zone, port)
         for name in self.instances:
             self.start(name)
@@ -159,9 +210,21 @@
 
     def configure(self, routes: list[dict[str, Any]]) -> None:
         """Writes the next version of the configuration."""
+        self._routes = routes
         self.config_version += self._rng.randint(1, 3)
-        self.store.put('op/config', config_value(self.config_version, routes))
-        self.config_writes.append((time.monotonic(), self.config_version))
+        milliseconds = self.idle_limit // timedelta(milliseconds=1)
+        value = config_value(
+            self.config_version, routes, idleTimeout=f'{milliseconds}ms'
+        )
+        self.config_writes.append(
+            ConfigWrite(time.monotonic(), self.config_version, self.idle_limit)
+        )
+        self.store.put('op/config', value)
+
+    def change_idle_limit(self, limit: timedelta) -> None:
+        """Writes a version that differs in its idle limit only."""
+        self.idle_limit = limit
+        self.configure(self._routes)
 
     async def add_upstream(
         self,
@@ -229,14 +292,14 @@
     def start(self, name: str, level: str = 'info') -> None:
         """Starts the process of an instance."""
         self.write_settings(name, level)
-        with (self._folder / f'{name}.log').open('ab') as log:
+        with (self.folder / f'{name}.log').open('ab') as log:
             self.processes[name] = subprocess.Popen(
                 [sys.executable, str(PLATFORM_DIR / 'launch.py')],
                 stdout=log,
                 stderr=log,
                 env={
                     **os.environ,
-                    'LYCHEEDYKE_BOOT': str(self._folder / f'{name}.ini'),
+                    'LYCHEEDYKE_BOOT': str(self.folder / f'{name}.ini'),
                 },
             )
         self.start_times[name] = time.monotonic()
@@ -262,7 +325,7 @@
             extra=RETRY_EXTRA,
             level=level,
         )
-        (self._folder / f'{name}.ini').write_text(text)
+        (self.folder / f'{name}.ini').write_text(text)
 
     async def wait_ready(self, name: str) -> None:
         """Waits until the readiness endpoint of an instance returns 200.
@@ -286,7 +349,10 @@
             if b' 200 ' in status:
                 return
             await asyncio.sleep(0.1)
-        raise TimeoutError(f'{name} is not ready after {START_SECONDS} s')
+        raise TimeoutError(
+            f'{name} is not ready after {START_SECONDS} s; '
+            f'its exit status: {self.processes[name].poll()}'
+        )
 
     async def _add_instance(self, name: str, zone: str, store: int) -> None:
         ports = free_ports(5)
