Replace the secrets file of the testbed in one step

What was seen: test_planned_stop_under_load_fails_no_request failed once: an instance ended with "[secrets] admin: allowed is a text of at least 16 characters". Cause: the testbed writes the shared file again at each start, and another instance that starts read it between truncation and write.

--- a/tests/standins/deployment.py
+++ b/tests/standins/deployment.py
@@ -295,9 +295,12 @@
 
     def _write_settings(self, instance: InstanceSpec) -> Path:
         secret_file = self.folder / 'secrets.ini'
-        secret_file.write_text(
+        # Another instance may be reading the file.
+        new_file = self.folder / f'{instance.name}-secrets.ini'
+        new_file.write_text(
             f'[secrets]\npeer = {self.peer_secret}\nadmin = {ADMIN_SECRET}\n',
         )
+        new_file.replace(secret_file)
         config = self.folder / f'{instance.name}.ini'
         config.write_text(
             SETTINGS.format(
