Tell requests without an answer from those that have not ended

Read-through: since a request may be answered while the rest of its body is still read, the pipeline's doc comments and representation used one word for two sets.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/pipeline.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/pipeline.py
@@ -92,7 +92,7 @@
 
     def __repr__(self) -> str:
         """Returns the state of the request."""
-        states = ('is_first', 'is_passed_on', 'is_dropped')
+        states = ('is_first', 'is_passed_on', 'is_dropped', 'is_answered')
         found = [state for state in states if getattr(self, state)]
         return f'<Turn {" ".join(found)}>'
 
@@ -128,7 +128,10 @@
 
 
 class Pipeline:
-    """The unanswered requests of one connection, in their order.
+    """The requests of one connection that have not ended, in their order.
+
+    A request ends once it is answered and its body is read, or once it is
+    dropped.
 
     Attributes:
         is_closing: whether no further request is begun, and the connection
@@ -152,16 +155,16 @@
         ]
 
     def __len__(self) -> int:
-        """Returns the number of unanswered requests."""
+        """Returns the number of requests that have not ended."""
         return len(self._turns)
 
     def __iter__(self) -> Iterator[Turn]:
-        """Yields the unanswered requests."""
+        """Yields the requests that have not ended."""
         yield from tuple(self._turns)
 
     def __repr__(self) -> str:
-        """Returns the number of unanswered requests."""
-        return f'<Pipeline: {len(self)} unanswered>'
+        """Returns the number of requests that have not ended."""
+        return f'<Pipeline: {len(self)} not ended>'
 
     def add(self, arrived: float) -> Turn:
         """Adds a request behind all others.
@@ -176,7 +179,7 @@
         return turn
 
     def end(self, turn: Turn) -> None:
-        """Removes a request that is answered or dropped."""
+        """Removes a request that has ended."""
         self._turns.remove(turn)
         self._begin_first()
 
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/request_protocol.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/request_protocol.py
@@ -152,7 +152,7 @@
         """Closes the connection if it is idle; returns whether it was closed.
 
         A connection is in use from the moment at which the head of a request
-        has been read until the request is answered.
+        has been read until the request is answered and its body is read.
 
         Args:
             limit: how long the connection may be idle, in time in which the
