Say that an instance is ready only once it listens for callers

What callers saw: an instance that was just starting answered /ready with 200, and was named by the registry, while its port for requests still refused connections.

Cause: the configuration may arrive between the opening of the ready port and that of the callers' port, and the entry record is announced by a task that was started before both. Nothing tied either statement to the open port.

Ruled out: ports taken by another run (the port was refused, not answered by a stranger, and later requests of such runs were served).

Now the instance counts as ready, and is announced, after the callers' port is open; look-ups are served after it, too.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
@@ -80,6 +80,7 @@
         self._schedule = StopSchedule(clock, lambda: self._settings.stop_grace)
         self._idle = IdleConnectionCloser(self._idle_limit, self._counters)
         self._list_callers: Connections = list
+        self._is_listening = False
         self._upstream_table = UpstreamTable(clock)
         suspects = Suspects(clock)
         self._registry_view = RegistryView(
@@ -130,7 +131,9 @@
     @property
     def ready(self) -> bool:
         """Whether look-ups may direct callers to this instance."""
-        return self._registry_view.number > 0 and not self._schedule.has_begun
+        has_table = self._registry_view.number > 0
+        is_open = self._is_listening and not self._schedule.has_begun
+        return has_table and is_open
 
     def __repr__(self) -> str:
         """Returns the instance's name."""
@@ -143,7 +146,6 @@
             ('pauses', self._pauses.run()),
             ('registry', self._follower.follow()),
             ('peers', self._follower.follow_peers()),
-            ('presence', self._announce()),
             ('quarantines', self._quarantines.run()),
         ):
             self._tasks.start(name, work)
@@ -151,12 +153,14 @@
             watching = self._settings_file.watch(self._apply, self._clock)
             self._tasks.start('settings', watching)
         await self._servers.open(self._peer_app(), settings.peer_address)
-        await self._servers.open(self._lookup_app(), settings.lookup_address)
         await self._servers.open(self._ready_app(), settings.ready_address)
         self._list_callers = await self._servers.open(
             self._caller_app(), settings.caller_address
         )
+        self._is_listening = True
         self._tasks.start('idle', self._idle.run(self._list_callers))
+        self._tasks.start('presence', self._announce())
+        await self._servers.open(self._lookup_app(), settings.lookup_address)
         await self._open_metrics()
         _logger.info('started', extra={'settings': settings._asdict()})
 
