Measure no run time over a pause of the own process

What callers saw: after an instance had stood still, it refused requests with 503 (no-room) although upstreams were idle and would have run them in 150 ms, and went on refusing them: what is refused brings no new run time.

Cause: the time from sending a request to reading its answer counts as its run time, also when the process stood still in between.

Class: a process that stood still concludes something about others from its pause. Found while tracing a failed test of frozen gateways.

A run of which pauses took half of the time or more is not recorded. Less than that is recorded as before, so that a loop that is busy all the time still learns. The test, 5 pauses and then one request, failed before with 503.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
@@ -281,7 +281,9 @@
             ),
             self._telemetry,
             InstanceStatus(
-                self._max_instances, lambda: self._schedule.has_begun
+                self._max_instances,
+                lambda: self._schedule.has_begun,
+                self._pauses.within,
             ),
         )
         api = GatewayCallerApi(
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_router.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_router.py
@@ -40,6 +40,9 @@
 MILLISECOND = timedelta(milliseconds=1)
 # Also bounds sends that never reached an upstream, which are not attempts.
 MAX_SENDS = 4
+# The share of a run's time that pauses of this process may take, for the run
+# to tell how long others take.
+MAX_PAUSED_SHARE = 0.5
 # With these reasons nothing was sent, so they don't count as attempts.
 _NOT_SENT = frozenset((Reason.upstream_unreachable, Reason.quarantined))
 _FINAL = frozenset((Reason.deadline_passed, Reason.quarantined))
@@ -52,10 +55,13 @@
         max_instances: returns the maximum number of instances that share the
             repeat budget.
         is_stopping: returns whether the instance is in a planned stop.
+        paused_within: returns how long the process stood still within the
+            last time of the given length.
     """
 
     max_instances: Callable[[], int]
     is_stopping: Callable[[], bool]
+    paused_within: Callable[[timedelta], timedelta]
 
 
 class _RequestProgress:
@@ -120,6 +126,7 @@
         self._decision_log = telemetry.decision_log
         self._max_instances = status.max_instances
         self._is_stopping = status.is_stopping
+        self._paused_within = status.paused_within
         self._budgets: defaultdict[str, RepeatBudget] = defaultdict(
             lambda: RepeatBudget(repeats, telemetry.clock),
         )
@@ -229,7 +236,11 @@
             state.end_request()
         took = self._clock.elapsed() - started
         self._log_attempt(candidate, work, outcome, took)
-        if isinstance(outcome, Answered) and outcome.status < HTTP_SERVER_ERROR:
+        is_success = (
+            isinstance(outcome, Answered) and outcome.status < HTTP_SERVER_ERROR
+        )
+        # An answer that arrived in a pause took an unknown part of it.
+        if is_success and self._paused_within(took) < took * MAX_PAUSED_SHARE:
             record_run_time(self._times, request, candidate, took)
         return outcome
 
--- a/packages/lycheedyke/src/lycheedyke/timers.py
+++ b/packages/lycheedyke/src/lycheedyke/timers.py
@@ -117,6 +117,18 @@
         ended = [each.seconds for each in self._pauses if each.ended >= oldest]
         return timedelta(seconds=max(0, now - self._due, *ended))
 
+    def within(self, span: timedelta) -> timedelta:
+        """Returns how long the process stood still within the last `span`."""
+        now = asyncio.get_running_loop().time()
+        since = now - span.total_seconds()
+        pauses = [*self._pauses, _Pause(now, max(0, now - self._due))]
+        return timedelta(
+            seconds=sum(
+                max(0, pause.ended - max(since, pause.ended - pause.seconds))
+                for pause in pauses
+            )
+        )
+
     async def run(self) -> None:
         """Measures until cancelled."""
         loop = asyncio.get_running_loop()
--- /dev/null
+++ b/tests/unit/gateway/test_own_pauses.py
@@ -0,0 +1,64 @@
+"""What an instance does with a request during which it stood still itself."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import cast
+
+import pytest
+
+from standins.gateway_testbed import GatewayTestbed, Reply, run_scenario
+from standins.virtual_time import VirtualTimeLoop
+
+RUN_SECONDS = 0.15
+PAUSE_SECONDS = 1.5
+DEADLINE_SECONDS = 1.2
+PAUSES = 5
+READ = '/read/1'
+ORDER = '/order/1'
+
+
+def _loop() -> VirtualTimeLoop:
+    return cast(VirtualTimeLoop, asyncio.get_running_loop())
+
+
+async def _send(testbed: GatewayTestbed, path: str) -> Reply:
+    return await testbed.send(
+        path,
+        method='GET' if path == READ else 'POST',
+        deadline_ms=int(DEADLINE_SECONDS * 1000),
+        # Without an object, the run times of unknown objects are expected.
+        object_key='',
+    )
+
+
+def _scenario(
+    act: Callable[[GatewayTestbed], Awaitable[None]],
+) -> Callable[[GatewayTestbed], Awaitable[None]]:
+    """Returns a scenario in which an upstream takes some time."""
+
+    async def _act(testbed: GatewayTestbed) -> None:
+        await testbed.send()
+        for upstream in testbed.upstreams:
+            upstream.run_s = RUN_SECONDS
+        await act(testbed)
+
+    return _act
+
+
+# Guards against an instance that takes its own pauses for run times, and
+# refuses requests for which idle upstreams have time.
+@pytest.mark.parametrize('path', [READ, ORDER])
+def test_a_pause_does_not_count_as_run_time(tmp_path: Path, path: str) -> None:
+    """The answers arrive in the pause; the next requests are not refused."""
+
+    @_scenario
+    async def _scene(testbed: GatewayTestbed) -> None:
+        for _ in range(PAUSES):
+            sending = asyncio.create_task(_send(testbed, path))
+            await asyncio.sleep(RUN_SECONDS / 2)
+            _loop().skip(PAUSE_SECONDS)
+            assert (await sending).status == 200
+        assert (await _send(testbed, path)).status == 200
+
+    run_scenario(tmp_path, _scene)
