Write no request once its time is over

What callers saw: 504 after the deadline, and an upstream that ran the request afterwards for a caller that had left, with a remaining time in its header that had passed.

Cause: timers that a pause made late let the loop read first, which is right for answers. A connection that was being made, or a pool that was being asked, at the begin of the pause became available in that time, too, and nothing compared the time with the deadline before the write.

Now the gate before each write does, and the request ends as not run (deadline-passed) without blaming the upstream. Tests: over a real socket on both loops, and in the gateway for reads and orders; before, the server received the request, and callers got 504.

test_a_connection_that_waited_out_a_stall_is_used let a timeout pass as well as 200, since its time was over in the stall. It now has time left and demands 200; the case of a time that is over is the new test.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/failures.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/failures.py
@@ -4,6 +4,7 @@
     ConnectError,
     ExchangeBroken,
     ExchangeTimeout,
+    WriteTooLate,
 )
 from lycheedyke.protocol import NotRun, Reason, Unknown
 
@@ -11,6 +12,8 @@
 def outcome_of_error(error: ConnectError | ExchangeBroken) -> NotRun | Unknown:
     """Returns "not run" if no byte was sent, and "unknown" otherwise."""
     match error:
+        case WriteTooLate():
+            return NotRun(Reason.deadline_passed)
         case ConnectError():
             return NotRun(Reason.upstream_unreachable)
         case ExchangeTimeout():
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_upstream_client.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_upstream_client.py
@@ -11,6 +11,7 @@
     ExchangeBroken,
     ResponseMemoryFull,
     ResponseTooLarge,
+    WriteTooLate,
 )
 from lycheedyke.protocol import (
     Answered,
@@ -144,10 +145,14 @@
         state: UpstreamState,
         error: ConnectError,
     ) -> None:
-        if isinstance(error, ConnectionRefusedByHost):
-            state.mark_lost()
-        else:
-            state.record_failure(is_unreachable=True)
+        match error:
+            case ConnectionRefusedByHost():
+                state.mark_lost()
+            case WriteTooLate():
+                # Says nothing about the upstream.
+                pass
+            case _:
+                state.record_failure(is_unreachable=True)
 
     def _tell_too_large(
         self,
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/upstream_runner.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/upstream_runner.py
@@ -9,6 +9,7 @@
     ConnectError,
     ConnectionRefusedByHost,
     ExchangeBroken,
+    WriteTooLate,
 )
 from lycheedyke.protocol import (
     LEAVING_HEADER,
@@ -220,6 +221,8 @@
             )
         except AdmissionRefused as refusal:
             return NotRun(refusal.reason, refusal.retry_after)
+        except WriteTooLate as late:
+            return outcome_of_error(late)
         except (ConnectError, ExchangeBroken) as error:
             attempt.limiter.record_failure(
                 is_down=isinstance(error, ConnectionRefusedByHost),
--- a/packages/lycheedyke/src/lycheedyke/exceptions.py
+++ b/packages/lycheedyke/src/lycheedyke/exceptions.py
@@ -21,6 +21,10 @@
     """The host refused the connection: no process listens at the address."""
 
 
+class WriteTooLate(ConnectError):
+    """The time for an exchange was over before the request was written."""
+
+
 class ExchangeBroken(TransportError):
     """An exchange failed after bytes of the request may have been sent."""
 
--- a/packages/lycheedyke/src/lycheedyke/transport/_http.py
+++ b/packages/lycheedyke/src/lycheedyke/transport/_http.py
@@ -146,6 +146,8 @@
 
         Raises:
             ConnectError: no byte was sent.
+            WriteTooLate: no byte was sent, since a pause of this process
+                outlasted `timeout`.
             ConnectionRefusedByHost: no byte was sent, since no process
                 listens at the address.
             ExchangeTimeout: no complete response within `timeout`.
@@ -154,7 +156,8 @@
             ResponseMemoryFull: the response was the largest one when the
                 memory of all bodies was full.
         """
-        gate = WriteGate(before_write)
+        loop = asyncio.get_running_loop()
+        gate = WriteGate(before_write, loop.time() + timeout.total_seconds())
         gate_of_task.set(gate)
         try:
             async with pause_tolerant_timeout(timeout) as timer:
--- a/packages/lycheedyke/src/lycheedyke/transport/_write_gate.py
+++ b/packages/lycheedyke/src/lycheedyke/transport/_write_gate.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import functools
+import math
 from collections.abc import Callable, Iterator
 from contextvars import ContextVar
 from datetime import timedelta
@@ -11,6 +12,7 @@
 from aiohttp.abc import AbstractStreamWriter
 from aiohttp.connector import Connection
 
+from lycheedyke.exceptions import WriteTooLate
 from lycheedyke.timers import PauseTolerantTimer, expire
 
 BeforeWrite = Callable[[], None]
@@ -22,6 +24,9 @@
     Args:
         check: called before the request is written; raises an error to prevent
             that.
+        due: when the time for the exchange is over, in seconds of the event
+            loop. After a pause of the process, a connection may be available
+            only then.
 
     Attributes:
         refusal: the error that the check raised.
@@ -29,10 +34,13 @@
         has_timed_out: whether no connection was available in time.
     """
 
-    def __init__(self, check: BeforeWrite | None) -> None:
+    def __init__(
+        self, check: BeforeWrite | None, due: float = math.inf
+    ) -> None:
         """Initializes a closed gate."""
         self.refusal: Exception | None = None
         self._check = check
+        self._due = due
         self.is_open = False
         self.has_timed_out = False
 
@@ -64,15 +72,24 @@
         self.is_open = True
 
     def check(self) -> None:
-        """Runs the check, and stores the error that it raises."""
-        if self._check is None:
-            return
+        """Checks the time, runs the check, and stores the error it raises.
+
+        Raises:
+            WriteTooLate: the time for the exchange is over.
+        """
         try:
-            self._check()
+            self._check_time()
+            if self._check is not None:
+                self._check()
         except Exception as error:
             self.refusal = error
             raise
 
+    def _check_time(self) -> None:
+        late = asyncio.get_running_loop().time() - self._due
+        if late >= 0:
+            raise WriteTooLate(f'the time was over for {late:.3f} s')
+
     def _expire_if_closed(self, timeout: asyncio.Timeout) -> None:
         if not self.is_open:
             self.has_timed_out = True
--- a/tests/unit/gateway/test_own_pauses.py
+++ b/tests/unit/gateway/test_own_pauses.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from lycheedyke.transport._write_gate import WriteGate
 from standins.gateway_testbed import GatewayTestbed, Reply, run_scenario
 from standins.virtual_time import VirtualTimeLoop
 
@@ -46,6 +47,32 @@
     return _act
 
 
+# Guards against requests that reach an upstream after their deadline, and may
+# run there for a caller that has left.
+@pytest.mark.parametrize('path', [READ, ORDER])
+def test_no_request_is_passed_on_after_its_deadline(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, path: str
+) -> None:
+    """The instance stands still while it connects to the upstream."""
+    open_gate = WriteGate.open
+
+    def _open_late(gate: WriteGate) -> None:
+        _loop().skip(PAUSE_SECONDS)
+        open_gate(gate)
+
+    @_scenario
+    async def _scene(testbed: GatewayTestbed) -> None:
+        arrivals = testbed.count_arrivals()
+        with monkeypatch.context() as patch:
+            patch.setattr(WriteGate, 'open', _open_late)
+            late = await _send(testbed, path)
+        assert (late.status, late.body) == (503, b'deadline-passed')
+        assert testbed.count_arrivals() == arrivals
+        assert (await _send(testbed, path)).status == 200
+
+    run_scenario(tmp_path, _scene)
+
+
 # Guards against an instance that takes its own pauses for run times, and
 # refuses requests for which idle upstreams have time.
 @pytest.mark.parametrize('path', [READ, ORDER])
--- a/tests/unit/test_late_timers.py
+++ b/tests/unit/test_late_timers.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import contextlib
+import functools
 import socket
 import threading
 import time
@@ -16,7 +17,11 @@
 import uvloop
 
 from bench.soak.stalls import StallMonitor
-from lycheedyke.exceptions import ConnectError, ExchangeTimeout
+from lycheedyke.exceptions import (
+    ConnectError,
+    ExchangeTimeout,
+    WriteTooLate,
+)
 from lycheedyke.timers import PauseMonitor
 from lycheedyke.transport import HttpClient
 from lycheedyke.transport._write_gate import WriteGate
@@ -33,14 +38,18 @@
 
 
 @contextlib.contextmanager
-def _server(*, answers: bool = True) -> Iterator[str]:
+def _server(
+    *, answers: bool = True, received: list[bytes] | None = None
+) -> Iterator[str]:
     """Serves one request in a thread; yields the address."""
     with socket.create_server(('127.0.0.1', 0)) as listener:
 
         def _serve() -> None:
             connection, _ = listener.accept()
             with connection:
-                connection.recv(65_536)
+                content = connection.recv(65_536)
+                if received is not None:
+                    received.append(content)
                 time.sleep(ANSWER_AFTER_SECONDS)
                 if answers:
                     connection.sendall(ANSWER)
@@ -55,11 +64,13 @@
         thread.join(5)
 
 
-async def _send(address: str, *, stall_after_s: float = 0.1) -> int:
+async def _send(
+    address: str, *, stall_after_s: float = 0.1, timeout: timedelta = TIMEOUT
+) -> int:
     """Sends a request, and blocks the loop while it waits for the answer."""
-    async with HttpClient() as client:
+    async with HttpClient(connect_timeout=TIMEOUT) as client:
         sending = asyncio.create_task(
-            client.send('GET', f'http://{address}/', timeout=TIMEOUT)
+            client.send('GET', f'http://{address}/', timeout=timeout)
         )
         await asyncio.sleep(stall_after_s)
         time.sleep(STALL_SECONDS)  # noqa: ASYNC251
@@ -80,9 +91,28 @@
     loop_factory: LoopFactory,
 ) -> None:
     """A stall while connecting does not make a host unreachable."""
+    sending = functools.partial(
+        _send, stall_after_s=0, timeout=timedelta(seconds=9)
+    )
     with _server() as address, asyncio.Runner(loop_factory=loop_factory) as run:
-        with contextlib.suppress(ExchangeTimeout):
-            assert run.run(_send(address, stall_after_s=0)) == 200
+        assert run.run(sending(address)) == 200
+
+
+# Guards against requests that reach an upstream after their deadline, and may
+# run there for a caller that has left.
+@LOOPS
+def test_a_request_is_not_written_once_its_time_is_over(
+    loop_factory: LoopFactory,
+) -> None:
+    """The time was over in a stall; the connection was made meanwhile."""
+    received: list[bytes] = []
+    with (
+        _server(received=received) as address,
+        asyncio.Runner(loop_factory=loop_factory) as run,
+        pytest.raises(WriteTooLate),
+    ):
+        run.run(_send(address, stall_after_s=0))
+    assert received == [b'']
 
 
 @LOOPS
