Freeze gateways in the tests once an upstream runs the request

It froze the gateway 50 ms after sending, whether the request had been passed on or not; a request that had not ends in 504 by right, as no answer is ready.

Evidence: a freeze 0.5 ms after sending brings the same 504 each time (an upstream runs the request only afterwards).

The tests now wait until an upstream has the request, which is what they are about, and a failure prints the last lines of the gateway's log. No bound changes. Ruled out: a second pause while the loop reads after the first one (tried on both loops, 0 to 5 turns later: answered).

--- a/tests/processes/test_frozen_gateway.py
+++ b/tests/processes/test_frozen_gateway.py
@@ -19,12 +19,17 @@
 REST_SECONDS = 0.4
 FREEZE_SECONDS = 2.0
 SWEEPS = 3
+# The last lines of the log, shown when a request fails.
+LINES = 8
 
 
 def _run(
     folder: Path, freezes: list[float], run_s: float, deadline_ms: int
 ) -> tuple[list[Reply], list[dict[str, Any]]]:
-    """Returns the answer of each request beside a freeze, and the log."""
+    """Returns the answers and the log.
+
+    Each freeze begins while an upstream runs a request.
+    """
 
     async def _scene() -> tuple[list[Reply], list[dict[str, Any]]]:
         async with GatewayTestbed(folder, instances=PEERS) as testbed:
@@ -35,10 +40,12 @@
                 for upstream in testbed.upstreams:
                     upstream.run_s = run_s
                 for at, seconds in enumerate(freezes):
+                    arrived = testbed.count_arrivals()
                     sending = asyncio.create_task(
                         gateway.send(deadline_ms, f'r-{at}')
                     )
-                    await gateway.freeze(0.05, seconds)
+                    await testbed.wait_arrival(arrived + 1)
+                    await gateway.freeze(0, seconds)
                     replies.append(await sending)
                     await asyncio.sleep(SETTLE_SECONDS)
                 return replies, gateway.events()
@@ -51,7 +58,7 @@
 ) -> None:
     """The answer that waited is read before the upstream is given up."""
     replies, events = _run(tmp_path, [1.0, 1.5, 2.0], 0.15, 6000)
-    assert [reply.status for reply in replies] == [200] * 3
+    assert [reply.status for reply in replies] == [200] * 3, events[-LINES:]
     reasons = [event.get('reason') for event in events]
     assert 'upstream-silent' not in reasons
 
@@ -61,7 +68,7 @@
 ) -> None:
     """A deadline that passes during a freeze does not drop a ready answer."""
     replies, events = _run(tmp_path, [1.5, 2.5], 0.15, 1200)
-    assert [reply.status for reply in replies] == [200] * 2
+    assert [reply.status for reply in replies] == [200] * 2, events[-LINES:]
 
 
 def test_a_frozen_gateway_loses_neither_registry_nor_peers(
--- a/tests/standins/gateway_testbed.py
+++ b/tests/standins/gateway_testbed.py
@@ -219,10 +219,10 @@
         """Returns the number of requests that reached the upstreams."""
         return sum(len(each.arrivals) for each in self.upstreams)
 
-    async def wait_arrival(self) -> None:
-        """Waits until a request has reached an upstream."""
+    async def wait_arrival(self, count: int = 1) -> None:
+        """Waits until requests have reached the upstreams."""
         for _ in range(ARRIVAL_POLLS):
-            if self.count_arrivals():
+            if self.count_arrivals() >= count:
                 return
             await asyncio.sleep(0.01)
         raise TimeoutError('no request arrived')
