Read before a timer ends what a pause made a little late

What callers saw: 504 for an answer that lay ready, when a pause of the instance ended up to 50 ms after the deadline, or 100 to 150 ms after it. In the first case a failure was recorded against the upstream that had answered. A request that waited for its connection then got 504, too, where answers 503 (deadline-passed) for pauses that end later; it was not passed on.

Cause: timers wait until the loop has read only if they are called more than 50 ms late. A pause of any length may end less than that behind a timer: that of the exchange at the deadline, or that of the router 0.1 s later.

Class: a process that stood still concludes something about others from its pause.

Now a timer is called first 50 ms before it is due. A pause that outlasts the timer makes this call late by more than 50 ms, however little it outlasts it. A pause that begins after that call and is not noticed is shorter than 0.1 s. Without a pause timers are called when they were before; one call more for those that end, none for those that are cancelled.

Ruled out: waiting in each case (a deadline would be missed by 0.1 s without any pause). Remains: a request whose connection takes until the router's timer is called, after a pause that ends 50 to 100 ms behind the deadline, gets 504; it is not passed on.

--- a/packages/lycheedyke/src/lycheedyke/timers.py
+++ b/packages/lycheedyke/src/lycheedyke/timers.py
@@ -39,8 +39,12 @@
         """Starts the timer on the running loop."""
         self._loop = asyncio.get_running_loop()
         self._callback = callback
-        self._due = self._loop.time() + delay.total_seconds()
-        self._handle = self._loop.call_at(self._due, self._expire)
+        now = self._loop.time()
+        self._due = now + delay.total_seconds()
+        # A pause may end shortly after the timer is due. A call that is due
+        # before is late then.
+        self._early = max(now, self._due - LATE_SECONDS)
+        self._handle = self._loop.call_at(self._early, self._wait_due)
 
     def __repr__(self) -> str:
         """Returns when the timer is due."""
@@ -50,12 +54,24 @@
         """Cancels the call."""
         self._handle.cancel()
 
+    def _wait_due(self) -> None:
+        if self._is_late(self._early):
+            self._wait_read()
+        else:
+            self._handle = self._loop.call_at(self._due, self._expire)
+
     def _expire(self) -> None:
-        if self._loop.time() - self._due > LATE_SECONDS:
-            self._handle = self._loop.call_later(READ_SECONDS, self._callback)
+        if self._is_late(self._due):
+            self._wait_read()
         else:
             self._callback()
 
+    def _is_late(self, due: float) -> bool:
+        return self._loop.time() - due > LATE_SECONDS
+
+    def _wait_read(self) -> None:
+        self._handle = self._loop.call_later(READ_SECONDS, self._callback)
+
 
 async def pause_tolerant_sleep(delay: timedelta) -> None:
     """Waits for the delay, and longer after a pause."""
--- a/tests/unit/gateway/test_own_pauses.py
+++ b/tests/unit/gateway/test_own_pauses.py
@@ -73,6 +73,26 @@
     run_scenario(tmp_path, _scene)
 
 
+# Guards against an answer that is dropped, though it lies ready, where a pause
+# of the instance ends up to 50 ms after a timer of the request.
+@pytest.mark.parametrize('late_s', [0.02, 0.12])
+def test_a_pause_that_ends_at_the_deadline_drops_no_answer(
+    tmp_path: Path, late_s: float
+) -> None:
+    """The loop reads before either timer, 0 and 0.1 s behind, is called."""
+
+    @_scenario
+    async def _scene(testbed: GatewayTestbed) -> None:
+        ends = _loop().time() + DEADLINE_SECONDS + late_s
+        sending = asyncio.create_task(_send(testbed, READ))
+        await asyncio.sleep(RUN_SECONDS / 2)
+        _loop().skip(ends - _loop().time())
+        reply = await sending
+        assert (reply.status, reply.body) == (200, testbed.upstreams[0].body)
+
+    run_scenario(tmp_path, _scene)
+
+
 # Guards against an instance that takes its own pauses for run times, and
 # refuses requests for which idle upstreams have time.
 @pytest.mark.parametrize('path', [READ, ORDER])
--- a/tests/unit/test_late_timers.py
+++ b/tests/unit/test_late_timers.py
@@ -11,6 +11,7 @@
 import time
 from collections.abc import Callable, Iterator
 from datetime import timedelta
+from typing import cast
 
 import aiohttp
 import pytest
@@ -22,9 +23,10 @@
     ExchangeTimeout,
     WriteTooLate,
 )
-from lycheedyke.timers import PauseMonitor
+from lycheedyke.timers import PauseMonitor, PauseTolerantTimer
 from lycheedyke.transport import HttpClient
 from lycheedyke.transport._write_gate import WriteGate
+from standins.virtual_time import VirtualTimeLoop, run_in_virtual_time
 
 ANSWER = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
 ANSWER_AFTER_SECONDS = 0.2
@@ -161,6 +163,40 @@
         assert asyncio.run(_connect()) < 2
 
 
+# Guards against timers that are called before the loop has read what arrived
+# in a pause, and against late ones where there was none.
+@pytest.mark.parametrize(
+    ('delay_s', 'pause_s', 'called_s'),
+    [
+        (0.5, 0, 0.5),
+        (0.5, 0.44, 0.5),
+        (0.5, 0.51, 0.61),
+        (0.5, 0.7, 0.8),
+        (0, 0, 0),
+        (0.01, 0.04, 0.04),
+        (0.01, 0.08, 0.18),
+    ],
+)
+def test_a_timer_waits_for_reads_after_a_pause(
+    delay_s: float, pause_s: float, called_s: float
+) -> None:
+    """Whether it was late by much or by little."""
+    called: list[float] = []
+
+    async def _wait() -> None:
+        loop = cast(VirtualTimeLoop, asyncio.get_running_loop())
+        begun = loop.time()
+        PauseTolerantTimer(
+            timedelta(seconds=delay_s),
+            lambda: called.append(loop.time() - begun),
+        )
+        loop.skip(pause_s)
+        await asyncio.sleep(5)
+
+    run_in_virtual_time(_wait())
+    assert called == [pytest.approx(called_s, abs=0.001)]
+
+
 def test_a_pause_is_measured_and_logged(
     caplog: pytest.LogCaptureFixture,
 ) -> None:
