Answer malformed bytes in a body at once, and once

What callers saw: a request whose chunked body turns malformed in a later read was answered 408 at its deadline, 10 s at most; one that was refused without its body (404) kept its connection open for 10 s. Then the connection closed, with a line 'connection closed in use' that named a request that nobody had sent.

Cause: the parser raises an error and says nothing to the body that it was reading. The error was put behind the request as a request of its own, which waited for the answer to the first; that waited for a body that could not come.

Now the error ends the body. Its request is answered 400, or keeps the answer that it has, and the connection closes. Malformed bytes that are read together with their head still are answered as before, as the parser then drops the head.

Ruled out: a lost answer in front (it was sent in both versions), a run of the malformed request (none was passed on).

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/bodies.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/bodies.py
@@ -2,10 +2,13 @@
 
 import asyncio
 import contextlib
+import logging
 from collections.abc import AsyncIterator
 from datetime import timedelta
 
 from aiohttp import web
+from aiohttp.streams import StreamReader
+from aiohttp.web_protocol import RequestPayloadError
 
 from lycheedyke.exceptions import BodyMemoryFull, BodyTooLarge, StateError
 from lycheedyke.protocol import Reason
@@ -13,6 +16,8 @@
 
 READ_LIMIT = timedelta(seconds=10)
 
+_logger = logging.getLogger(__name__)
+
 
 class BodyRefused(StateError):
     """A request body was refused before it was read completely.
@@ -73,6 +78,22 @@
             raise BodyRefused(Reason.body_too_large) from large
 
 
+async def skip_body(body: StreamReader, limit_s: float) -> bool:
+    """Reads the rest of a body; returns whether it was complete.
+
+    Args:
+        body: the body.
+        limit_s: the longest wait in seconds.
+    """
+    try:
+        async with asyncio.timeout(limit_s):
+            while not body.is_eof():
+                await body.readany()
+    except (TimeoutError, RequestPayloadError):
+        _logger.debug('body not complete')
+    return body.is_eof()
+
+
 async def _fill(body: IncomingBody, request: web.Request) -> None:
     body.check_length(request.content_length or 0)
     async for chunk in request.content.iter_any():
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/request_protocol.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/request_protocol.py
@@ -19,6 +19,7 @@
 from aiohttp.tcp_helpers import tcp_keepalive
 from aiohttp.web_protocol import RequestHandler, RequestPayloadError
 
+from lycheedyke_daemon.bodies import skip_body
 from lycheedyke_daemon.cancellation import is_cancelled
 from lycheedyke_daemon.malformed_requests import (
     MALFORMED,
@@ -266,10 +267,17 @@
         self._start(message, payload, handler)
 
     def _begin_malformed(self, error: HttpProcessingError) -> None:
-        """Answers malformed bytes in their turn, and reads no further."""
+        """Answers malformed bytes in their turn, and reads no further.
+
+        Those of a body are answered by the request that they belong to.
+        """
         self._is_last = True
         self.logger.error('Error handling request', exc_info=error)
-        self._start(MALFORMED, EMPTY_PAYLOAD, refuse_malformed)
+        if self._payload.is_eof():
+            self._start(MALFORMED, EMPTY_PAYLOAD, refuse_malformed)
+        else:
+            self._payload.set_exception(RequestPayloadError(str(error)))
+            self._payload = EMPTY_PAYLOAD
 
     def _start(
         self,
@@ -334,7 +342,7 @@
         await self._drain_helper()
         request[TURN].is_answered = True
         # A caller that still sends its body would be reset by a close.
-        is_whole = await self._skip_body(request)
+        is_whole = await skip_body(request.content, self._lingering_time)
         return is_whole and bool(response.keep_alive)
 
     async def _run(
@@ -356,17 +364,6 @@
                 status=HTTPStatus.INTERNAL_SERVER_ERROR, text='internal error'
             )
 
-    async def _skip_body(self, request: web.BaseRequest) -> bool:
-        """Reads the rest of a body; returns whether it was complete."""
-        body = request.content
-        try:
-            async with asyncio.timeout(self._lingering_time):
-                while not body.is_eof():
-                    await body.readany()
-        except (TimeoutError, RequestPayloadError):
-            _logger.debug('body not complete')
-        return body.is_eof()
-
     def _end(self, turn: Turn, reason: CloseReason | None) -> None:
         """Goes on after the end of a request.
 
--- a/tests/unit/gateway/test_closing_connections.py
+++ b/tests/unit/gateway/test_closing_connections.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import logging
 import socket
 from pathlib import Path
 from typing import Any
@@ -24,6 +25,8 @@
 # More than the buffers of the kernel hold.
 LARGE_BYTES = 8_000_000
 UNKNOWN = '/nowhere/1'
+SHORT_SECONDS = 0.1
+LAST_CHUNK = b'0\r\n\r\n'
 
 
 # Guards against requests that are taken after a stop has waited for all, and
@@ -134,6 +137,42 @@
     run_scenario(tmp_path, _scene, limit_s=LIMIT_SECONDS)
 
 
+# Guards against a broken body that is waited for until the deadline, and is then
+# answered twice: 408 for its request and 400 for its bytes.
+@pytest.mark.parametrize(
+    ('path', 'status'), [('/order/1', 400), (UNKNOWN, 404)]
+)
+def test_malformed_bytes_in_a_body_end_its_request(
+    tmp_path: Path,
+    caplog: pytest.LogCaptureFixture,
+    path: str,
+    status: int,
+) -> None:
+    """One answer each, at once and in order, then the connection closes."""
+
+    async def _scene(platform: GatewayTestbed) -> None:
+        address = platform.settings[0].caller_address
+        async with PipeliningCaller(address) as caller:
+            request = make_request(
+                'p-1', path=path, method='POST', body=b'abc', is_chunked=True
+            )
+            caller.send(make_request('p-0'), request.removesuffix(LAST_CHUNK))
+            await asyncio.sleep(SHORT_SECONDS)
+            caller.send(b'no length\r\n')
+            await asyncio.sleep(SHORT_SECONDS)
+            caller.send(make_request('p-2'))
+            loop = asyncio.get_running_loop()
+            begun = loop.time()
+            answers = await caller.read_all(4)
+            assert loop.time() - begun <= SHORT_SECONDS
+        assert [each.status for each in answers] == [200, status]
+        assert platform.started() == ['p-0']
+
+    with caplog.at_level(logging.INFO):
+        run_scenario(tmp_path, _scene, limit_s=LIMIT_SECONDS)
+    assert 'connection closed in use' not in caplog.messages
+
+
 # Guards against connections that close as a part of a handler is cancelled.
 def test_a_cancellation_within_a_handler_is_answered(
     caplog: pytest.LogCaptureFixture,
