Refuse what a planned stop reads behind other requests

What callers saw: in a planned stop of a gateway, a connection that closed behind an answer, and no answer to further requests on it, which the instance had read. With runs of 316 ms the connection ended 0.3 s after their last byte, 0.9 s while an answer to a longer run was owed. None was passed on.

Cause: what stood behind the answer that closes was dropped by design, also where the instance had read it long before the close, and reading and dropping went on while answers to requests that were passed on were owed.

Now a request that a stop meets behind others is refused in its turn (503, stopping), an order that waits behind others as the stop begins, too, and reading goes on until the last answer to a request that was passed on. The connection closes at the same time as before, behind the refusals. The ticket-driven instance drops as before: it would have to run them.

Weighed: closing at once behind a refusal of the first (cuts what was passed on); running what is behind (a caller that sends on would hold the stop).

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_caller_api.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_caller_api.py
@@ -138,9 +138,7 @@
         if route is None:
             return NotRun(Reason.unknown_route)
         service = self._round_robin.choose(route)
-        if not self._schedule.may_take(
-            self._router.expected_run(route, service)
-        ):
+        if not self._may_take(http, route, service):
             return NotRun(Reason.stopping, RETRY_AFTER_STOP)
         remaining = self._read_remaining(http)
         if remaining is None or not http.headers.get(self._names.request):
@@ -156,6 +154,14 @@
             ),
         )
 
+    def _may_take(self, http: web.Request, route: Route, service: str) -> bool:
+        """Returns whether a request may be run, if a stop has begun."""
+        if self._schedule.has_begun and not http[TURN].is_first:
+            return False
+        return self._schedule.may_take(
+            self._router.expected_run(route, service)
+        )
+
     async def _run(self, admitted: _AdmittedRequest) -> Outcome:
         """Returns the outcome; a stop that can't wait for it interrupts it."""
         http = admitted.http
@@ -183,13 +189,16 @@
     async def _pass_on(
         self, admitted: _AdmittedRequest, body: bytes
     ) -> Outcome:
-        is_in_time = await may_pass_on(
+        is_allowed = await may_pass_on(
             admitted.http,
             admitted.deadline - self._clock.elapsed(),
             is_repeatable=admitted.route.kind is RouteKind.idempotent,
+            is_stopping=lambda: self._schedule.has_begun,
         )
-        if not is_in_time:
-            return NotRun(Reason.deadline_passed, RETRY_AFTER_STOP)
+        if not is_allowed:
+            is_late = self._clock.elapsed() >= admitted.deadline
+            reason = Reason.deadline_passed if is_late else Reason.stopping
+            return NotRun(reason, RETRY_AFTER_STOP)
         table = admitted.table
         request = Request(
             admitted.route,
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
@@ -76,7 +76,7 @@
         self._settings_file: SettingsFile | None = None
         self._counters = Counters()
         self._servers = HttpServers(self._counters, CLOSE_LIMIT)
-        self._tracker = RequestTracker()
+        self._tracker = RequestTracker(refuses_behind=True)
         self._schedule = StopSchedule(clock, lambda: self._settings.stop_grace)
         self._idle = IdleConnectionCloser(self._idle_limit, self._counters)
         self._list_callers: Connections = list
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/pipeline.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/pipeline.py
@@ -10,7 +10,7 @@
 import asyncio
 import enum
 from collections import deque
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from datetime import timedelta
 
 from aiohttp import web
@@ -115,13 +115,17 @@
         if self.task is not None:
             self.task.cancel()
 
-    def closes(self, *, is_wanted: bool) -> bool:
+    def closes(self, *, is_wanted: bool, is_rest_refused: bool = False) -> bool:
         """Returns whether the connection closes after this, the first, answer.
 
         Args:
             is_wanted: whether it is to close as soon as no answer to a request
                 behind is owed.
+            is_rest_refused: whether requests behind that were not passed on
+                are refused in their turn, and not dropped.
         """
+        if is_rest_refused:
+            return self._pipeline.close_after_refusals(self)
         if not is_wanted and not self._pipeline.is_closing:
             return False
         return self._pipeline.close_after(self)
@@ -200,6 +204,21 @@
             each.drop()
         return True
 
+    def close_after_refusals(self, turn: Turn) -> bool:
+        """Returns whether the connection closes after the first answer.
+
+        It does not while there are requests behind. Once none of them was
+        passed on, they are refused, and no further request is begun.
+
+        Args:
+            turn: the first request.
+        """
+        behind = [each for each in self._turns if each is not turn]
+        if any(each.is_passed_on for each in behind):
+            return False
+        self.is_closing = True
+        return not behind
+
     def _begin_first(self) -> None:
         if self._turns:
             self._turns[0].begin()
@@ -209,9 +228,15 @@
 
 
 async def may_pass_on(
-    request: web.BaseRequest, left: timedelta, *, is_repeatable: bool
+    request: web.BaseRequest,
+    left: timedelta,
+    *,
+    is_repeatable: bool,
+    is_stopping: Callable[[], bool] | None = None,
 ) -> bool:
-    """Waits until a request may be passed on; returns whether in time.
+    """Waits until a request may be passed on; returns whether it may be.
+
+    It may not if its time is over, or if a stop begins while it waits.
 
     One that may run at most once is passed on when the answers before it are
     written: none of them can close the connection then, after which the
@@ -221,6 +246,9 @@
         request: the request; `TURN` holds its place.
         left: the time until its deadline.
         is_repeatable: whether it may run more than once.
+        is_stopping: returns whether a stop has begun in which nothing is
+            passed on that has waited behind others; None if there is no such
+            stop.
     """
     turn = request[TURN]
     if not is_repeatable and not turn.is_first:
@@ -229,6 +257,8 @@
                 await turn.wait_first()
         except TimeoutError:
             return False
+        if is_stopping is not None and is_stopping():
+            return False
     turn.is_passed_on = True
     return True
 
@@ -238,6 +268,7 @@
     response: web.StreamResponse,
     *,
     closes: bool = False,
+    is_rest_refused: bool = False,
 ) -> None:
     """Waits until the answer to a request may be written.
 
@@ -246,9 +277,10 @@
         response: its answer, which is not prepared; it is told whether the
             connection closes after it.
         closes: whether the connection is to be closed.
+        is_rest_refused: whether requests behind are refused, see `Turn.closes`.
     """
     turn = request[TURN]
     await turn.wait_first()
     is_wanted = closes or not request.keep_alive or response.keep_alive is False
-    if turn.closes(is_wanted=is_wanted):
+    if turn.closes(is_wanted=is_wanted, is_rest_refused=is_rest_refused):
         response.force_close()
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/stopping.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/stopping.py
@@ -21,12 +21,18 @@
     """Counts requests in flight, and closes connections during a stop.
 
     A request is in flight until its answer is written. During a stop, each
-    connection closes after the last answer that is owed, and a request behind
-    others is not begun before their answers are written.
+    connection closes after the last answer that is owed. A request behind
+    others is not begun before their answers are written, so it is dropped with
+    the connection, unless handlers refuse it.
+
+    Args:
+        refuses_behind: whether handlers refuse, during a stop, each request
+            behind others.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, refuses_behind: bool = False) -> None:
         """Starts without requests in flight."""
+        self._refuses_behind = refuses_behind
         self.in_flight = 0
         self.stopping = False
         self._timers: set[asyncio.Timeout] = set()
@@ -69,11 +75,17 @@
     ) -> web.StreamResponse:
         self.in_flight += 1
         try:
-            if self.stopping:
+            if self.stopping and not self._refuses_behind:
                 # The answer before it may close the connection.
                 await request[TURN].wait_first()
             response = await handler(request)
-            await wait_turn(request, response, closes=self.stopping)
+            await request[TURN].wait_first()
+            await wait_turn(
+                request,
+                response,
+                closes=self.stopping,
+                is_rest_refused=self.stopping and self._refuses_behind,
+            )
             await response.prepare(request)
             await response.write_eof()
         finally:
--- /dev/null
+++ b/tests/unit/gateway/test_stops_behind_others.py
@@ -0,0 +1,166 @@
+"""Requests that a planned stop meets behind others on their connection."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from datetime import timedelta
+from pathlib import Path
+
+import pytest
+
+from standins.gateway_testbed import GatewayTestbed, run_scenario
+from standins.pipelining_caller import (
+    OrderedAnswer,
+    PipeliningCaller,
+    make_request,
+    run_of_path,
+)
+
+GRACE = timedelta(seconds=6)
+REFUSED = (503, b'stopping')
+READ = '/read/316'
+ORDER = '/order/316'
+
+Act = Callable[
+    [GatewayTestbed, PipeliningCaller, Callable[[], asyncio.Task[None]]],
+    Awaitable[None],
+]
+
+
+def _run(tmp_path: Path, act: Act) -> None:
+    """Runs an act with a caller whose connection has been used."""
+
+    async def _scene(platform: GatewayTestbed) -> None:
+        for upstream in platform.upstreams:
+            upstream.run_of_path = run_of_path
+        instance = platform.instances.pop()
+        instance._settings = instance._settings._replace(stop_grace=GRACE)
+        address = platform.settings[0].caller_address
+        async with PipeliningCaller(address) as caller:
+            caller.send(make_request('warm', path='/read/10'))
+            assert await caller.read() is not None
+            for upstream in platform.upstreams:
+                upstream.started.clear()
+            await act(
+                platform,
+                caller,
+                lambda: asyncio.create_task(instance.stop()),
+            )
+
+    run_scenario(tmp_path, _scene, limit_s=60)
+
+
+def _outcomes(answers: list[OrderedAnswer]) -> list[tuple[int, bytes]]:
+    return [(each.status, each.body) for each in answers]
+
+
+# Guards against requests that a stop reads and drops: their connection ends
+# later than `lossSlack` after their last byte, without answers.
+@pytest.mark.parametrize(('path', 'method'), [(READ, 'GET'), (ORDER, 'POST')])
+def test_a_stop_refuses_what_it_reads_behind_others(
+    tmp_path: Path, path: str, method: str
+) -> None:
+    """Three requests in one write, 50 ms after the begin of the stop."""
+
+    async def _act(
+        platform: GatewayTestbed,
+        caller: PipeliningCaller,
+        stop: Callable[[], asyncio.Task[None]],
+    ) -> None:
+        stopping = stop()
+        await asyncio.sleep(0.05)
+        names = [f'p-{at}' for at in range(3)]
+        caller.send(
+            *(make_request(name, path=path, method=method) for name in names)
+        )
+        answers = await caller.read_all(4)
+        await stopping
+        assert [answer.status for answer in answers] == [200, 503, 503]
+        assert _outcomes(answers)[1:] == [REFUSED] * 2
+        assert platform.started() == names[:1]
+
+    _run(tmp_path, _act)
+
+
+# Guards against requests that are read and dropped while answers are owed to
+# others that were passed on.
+def test_a_stop_refuses_what_arrives_while_answers_are_owed(
+    tmp_path: Path,
+) -> None:
+    """The first answer neither closes the connection nor ends the reading."""
+
+    async def _act(
+        platform: GatewayTestbed,
+        caller: PipeliningCaller,
+        stop: Callable[[], asyncio.Task[None]],
+    ) -> None:
+        caller.send(
+            make_request('p-0', path='/read/100'),
+            make_request('p-1', path='/read/900'),
+        )
+        await asyncio.sleep(0.05)
+        stopping = stop()
+        await asyncio.sleep(0.15)
+        caller.send(make_request('p-2'))
+        answers = await caller.read_all(4)
+        await stopping
+        assert [answer.status for answer in answers] == [200, 200, 503]
+        assert _outcomes(answers)[-1] == REFUSED
+        assert sorted(platform.started()) == ['p-0', 'p-1']
+
+    _run(tmp_path, _act)
+
+
+# Guards against requests that a stop begins late, since they waited behind
+# others as it began.
+def test_a_stop_refuses_an_order_that_waits_behind_others(
+    tmp_path: Path,
+) -> None:
+    """It runs nowhere, and its caller is told so."""
+
+    async def _act(
+        platform: GatewayTestbed,
+        caller: PipeliningCaller,
+        stop: Callable[[], asyncio.Task[None]],
+    ) -> None:
+        caller.send(
+            make_request('p-0', path=READ),
+            make_request('p-1', path=ORDER, method='POST'),
+        )
+        await asyncio.sleep(0.05)
+        stopping = stop()
+        answers = await caller.read_all(3)
+        await stopping
+        assert [answer.status for answer in answers] == [200, 503]
+        assert _outcomes(answers)[-1] == REFUSED
+        assert platform.started() == ['p-0']
+
+    _run(tmp_path, _act)
+
+
+# Guards against a caller that keeps sending and so holds a stop.
+def test_a_caller_that_sends_on_does_not_hold_a_stop(tmp_path: Path) -> None:
+    """Its connection closes once nothing passed on is owed."""
+
+    async def _act(
+        platform: GatewayTestbed,
+        caller: PipeliningCaller,
+        stop: Callable[[], asyncio.Task[None]],
+    ) -> None:
+        caller.send(make_request('p-0', path=READ))
+        await asyncio.sleep(0.05)
+        stopping = stop()
+        loop = asyncio.get_running_loop()
+        begun = loop.time()
+        while (answer := await _read_and_send(caller)) is not None:
+            assert answer.status in {200, 503}
+        assert loop.time() - begun < GRACE.total_seconds() / 4
+        assert platform.started() == ['p-0']
+        await stopping
+
+    _run(tmp_path, _act)
+
+
+async def _read_and_send(caller: PipeliningCaller) -> OrderedAnswer | None:
+    """Sends two requests for each answer, so that some are always behind."""
+    caller.send(make_request('next-0'), make_request('next-1'))
+    return await caller.read()
