Tell the caller of an order that waited out a stop that it did not run

What callers saw: 502 (stopping), "may have run", for an order that no upstream had got: it waited behind another request on its connection as the stop interrupted what still ran, at nine tenths of the grace.

Cause: the outcome of an interruption was chosen by whether the body was read, not by whether the request was passed on. The connection's own account knows.

Now it is 503 (stopping) with a time to come back. The test failed before: `(502, b'stopping') != (503, b'stopping')`.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_caller_api.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_caller_api.py
@@ -167,18 +167,18 @@
         http = admitted.http
         bodies = BodyReader(self._memory, admitted.table.limits.body_bytes)
         left = admitted.deadline - admitted.started
-        interrupted: Outcome = NotRun(Reason.stopping, RETRY_AFTER_STOP)
         try:
             async with (
                 self._tracker.interruptible(),
                 bodies.read(http, left) as body,
             ):
-                interrupted = Unknown(Reason.stopping)
                 return await self._pass_on(admitted, body)
         except BodyRefused as refused:
             return NotRun(refused.reason)
         except TimeoutError:
-            return interrupted
+            if http[TURN].is_passed_on:
+                return Unknown(Reason.stopping)
+            return NotRun(Reason.stopping, RETRY_AFTER_STOP)
         except asyncio.CancelledError:
             if is_cancelled():
                 raise
--- a/tests/unit/gateway/test_stops_behind_others.py
+++ b/tests/unit/gateway/test_stops_behind_others.py
@@ -16,6 +16,8 @@
 )
 
 GRACE = timedelta(seconds=6)
+# Below the time limits of the routes.
+SHORT_GRACE = timedelta(milliseconds=700)
 REFUSED = (503, b'stopping')
 READ = '/read/316'
 ORDER = '/order/316'
@@ -26,14 +28,14 @@
 ]
 
 
-def _run(tmp_path: Path, act: Act) -> None:
+def _run(tmp_path: Path, act: Act, grace: timedelta = GRACE) -> None:
     """Runs an act with a caller whose connection has been used."""
 
     async def _scene(platform: GatewayTestbed) -> None:
         for upstream in platform.upstreams:
             upstream.run_of_path = run_of_path
         instance = platform.instances.pop()
-        instance._settings = instance._settings._replace(stop_grace=GRACE)
+        instance._settings = instance._settings._replace(stop_grace=grace)
         address = platform.settings[0].caller_address
         async with PipeliningCaller(address) as caller:
             caller.send(make_request('warm', path='/read/10'))
@@ -164,3 +166,29 @@
     """Sends two requests for each answer, so that some are always behind."""
     caller.send(make_request('next-0'), make_request('next-1'))
     return await caller.read()
+
+
+# Guards against a caller that is told that its order may have run, though no
+# upstream got it.
+def test_an_interrupted_order_that_was_not_passed_on_did_not_run(
+    tmp_path: Path,
+) -> None:
+    """It still waited behind a run that outlasts the stop."""
+
+    async def _act(
+        platform: GatewayTestbed,
+        caller: PipeliningCaller,
+        stop: Callable[[], asyncio.Task[None]],
+    ) -> None:
+        caller.send(
+            make_request('p-0', path='/read/9000', deadline_ms=30_000),
+            make_request('p-1', path=ORDER, method='POST', deadline_ms=30_000),
+        )
+        await asyncio.sleep(0.05)
+        stopping = stop()
+        answers = await caller.read_all(3)
+        await stopping
+        assert _outcomes(answers) == [(502, b'stopping'), REFUSED]
+        assert platform.started() == ['p-0']
+
+    _run(tmp_path, _act, SHORT_GRACE)
