Sum pauses from the newest, and learn runs of no length

Now the sum ends at the first pause that ended before the run began, and the share may be met exactly. A test covers the sums; it passes with the old code, too, as no result changes.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_router.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_router.py
@@ -240,7 +240,7 @@
             isinstance(outcome, Answered) and outcome.status < HTTP_SERVER_ERROR
         )
         # An answer that arrived in a pause took an unknown part of it.
-        if is_success and self._paused_within(took) < took * MAX_PAUSED_SHARE:
+        if is_success and self._paused_within(took) <= took * MAX_PAUSED_SHARE:
             record_run_time(self._times, request, candidate, took)
         return outcome
 
--- a/packages/lycheedyke/src/lycheedyke/timers.py
+++ b/packages/lycheedyke/src/lycheedyke/timers.py
@@ -137,13 +137,12 @@
         """Returns how long the process stood still within the last `span`."""
         now = asyncio.get_running_loop().time()
         since = now - span.total_seconds()
-        pauses = [*self._pauses, _Pause(now, max(0, now - self._due))]
-        return timedelta(
-            seconds=sum(
-                max(0, pause.ended - max(since, pause.ended - pause.seconds))
-                for pause in pauses
-            )
-        )
+        paused = min(max(0, now - self._due), now - since)
+        for pause in reversed(self._pauses):
+            if pause.ended <= since:
+                break
+            paused += pause.ended - max(since, pause.ended - pause.seconds)
+        return timedelta(seconds=paused)
 
     async def run(self) -> None:
         """Measures until cancelled."""
--- a/tests/unit/test_late_timers.py
+++ b/tests/unit/test_late_timers.py
@@ -263,3 +263,31 @@
         asyncio.run(_connect_late())
     assert gate.has_timed_out
     assert not gate.is_open
+
+
+# Guards against run times that hold pauses of the own process.
+def test_pauses_within_a_time_are_summed() -> None:
+    """Those before it don't count, and those that overlap it count in part."""
+    found: list[float] = []
+
+    async def _pause() -> None:
+        loop = cast(VirtualTimeLoop, asyncio.get_running_loop())
+        monitor = PauseMonitor()
+        running = asyncio.create_task(monitor.run())
+        for seconds in (1.0, 2.0):
+            await asyncio.sleep(1)
+            loop.skip(seconds)
+        spans = [timedelta(seconds=span) for span in (0, 0.5, 1.5, 2.5, 9)]
+        before_its_line = [monitor.within(span) for span in spans]
+        await asyncio.sleep(0.001)
+        for now, later in zip(
+            before_its_line, map(monitor.within, spans), strict=True
+        ):
+            assert abs(now - later) < timedelta(milliseconds=10)
+        found.extend(each.total_seconds() for each in before_its_line)
+        running.cancel()
+
+    run_in_virtual_time(_pause())
+    assert found == [
+        pytest.approx(each, abs=0.3) for each in (0, 0.5, 1.5, 2, 3)
+    ]
