Refuse what is on its way before a stop closes connections

None was passed on, and none had a line at the instance.

Cause, traced with a caller process beside an instance on uvloop (a trial): the stop closes all connections within 1 to 4 ms of the line `stopped`; the process ends later. Up to then the instance accepts connections. So lost are - (a) on a new connection: requests sent up to 20 ms behind the line on connections that were opened before it, and those on connections that still waited to be accepted, which the close of the listening socket resets. uvloop accepts one connection in each turn of its loop; - (b) on a kept connection: what is sent in these milliseconds and unread as the connection is closed (by test_stop_endings; the trial's callers reconnect). (c) What the instance has read is refused with 503 before the close; what stands behind a refusal is dropped and did not run. No request of this kind was lost.

By the platform's rule LOST this is allowed: the requests had not been read, and their connections ended within 200 ms. A refusal is better all the same: a caller of a request that may run at most once can repeat it only after a promise.

The change: once the last wait is over, the instance accepts the connections that wait, stops listening for callers, refuses for 0.2 s what arrives on open connections, and closes them. The time ends where the grace period asks for the close, and is longer after a pause of the process, like other timers.

The ticket-driven instance closes as before.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
@@ -181,6 +181,7 @@
         await self._finish_requests()
         _logger.info('stopped', extra={'in_flight': self._tracker.in_flight})
         await self._tasks.end()
+        await self._refuse_late()
         await self._servers.close()
         await self._client.close()
         await self._peer_updates.close()
@@ -203,6 +204,11 @@
         self._tracker.interrupt()
         await self._schedule.flush(self._is_busy)
 
+    async def _refuse_late(self) -> None:
+        """Refuses requests that are on their way, and accepts no caller."""
+        await self._servers.stop_listening(self._settings.caller_address)
+        await self._schedule.refuse_late()
+
     async def _open_metrics(self) -> None:
         """Serves metrics; without them the instance still serves callers."""
         address = self._settings.metrics_address
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_stop_schedule.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_stop_schedule.py
@@ -5,6 +5,7 @@
 from datetime import timedelta
 
 from lycheedyke.clock import Clock
+from lycheedyke.timers import pause_tolerant_sleep
 
 # A request that arrives later must not be given up, so none is taken then.
 TAKING_TIME = timedelta(seconds=3)
@@ -17,6 +18,9 @@
 CLOSING_SHARE = 0.95
 # Lets exchanges end at their deadlines before the rest is interrupted.
 DEADLINE_MARGIN = timedelta(milliseconds=100)
+# Requests that are on their way when the instance accepts no further caller
+# arrive within this time.
+REFUSING_TIME = timedelta(milliseconds=200)
 POLL_SECONDS = 0.05
 
 
@@ -89,6 +93,15 @@
         await self._wait(is_busy, self._grace * CLOSING_SHARE)
         self.is_over = True
 
+    async def refuse_late(self) -> None:
+        """Waits for requests that are on their way, if the grace allows it.
+
+        After a pause of the process, what has arrived meanwhile is read first.
+        """
+        left = self._grace * CLOSING_SHARE - self._passed()
+        if left > timedelta():
+            await pause_tolerant_sleep(min(REFUSING_TIME, left))
+
     async def _wait(
         self, is_busy: Callable[[], bool], limit: timedelta
     ) -> None:
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/servers.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/servers.py
@@ -1,9 +1,10 @@
 """The HTTP servers of one instance."""
 
+import asyncio
 import logging
 from collections.abc import Callable
 from datetime import timedelta
-from typing import cast
+from typing import NamedTuple, cast
 
 from aiohttp import web
 from aiohttp.http_exceptions import HttpProcessingError
@@ -14,6 +15,8 @@
 
 # Equals the stop timeout of the process.
 CLOSE_LIMIT = timedelta(seconds=60)
+# The most connections that wait to be accepted.
+BACKLOG = 128
 MALFORMED_COUNTER = 'http.malformed'
 
 Connections = Callable[[], list[PipelinedRequestHandler]]
@@ -21,6 +24,11 @@
 _logger = logging.getLogger(__name__)
 
 
+class _OpenServer(NamedTuple):
+    address: str
+    runner: web.AppRunner
+
+
 class HttpServers:
     """HTTP servers, closed in the reverse of the order of their start.
 
@@ -36,13 +44,13 @@
     ) -> None:
         """Starts without servers."""
         self._close_limit = close_limit
-        self._runners: list[web.AppRunner] = []
+        self._open: list[_OpenServer] = []
         self._counters = counters
         _logger.addFilter(self._filter_malformed)
 
     def __repr__(self) -> str:
         """Returns the number of servers."""
-        return f'<HttpServers: {len(self._runners)}>'
+        return f'<HttpServers: {len(self._open)}>'
 
     async def open(self, app: web.Application, address: str) -> Connections:
         """Serves an application at `ip:port`.
@@ -64,16 +72,31 @@
             shutdown_timeout=self._close_limit.total_seconds(),
         )
         await runner.setup()
-        await web.TCPSite(runner, host.strip('[]'), int(port)).start()
-        self._runners.append(runner)
+        site = web.TCPSite(runner, host.strip('[]'), int(port), backlog=BACKLOG)
+        await site.start()
+        self._open.append(_OpenServer(address, runner))
         server = runner.server
         assert server is not None, 'AppRunner.setup() creates the server'
         return lambda: cast(list[PipelinedRequestHandler], server.connections)
 
+    async def stop_listening(self, address: str) -> None:
+        """Accepts no further connection at `ip:port`; the others stay open.
+
+        Connections that wait to be accepted are accepted first; the close
+        would reset them.
+        """
+        # uvloop accepts one connection in each turn of its loop.
+        for _ in range(BACKLOG):
+            await asyncio.sleep(0)
+        for server in self._open:
+            if server.address == address:
+                for site in server.runner.sites:
+                    await site.stop()
+
     async def close(self) -> None:
         """Closes all servers once their requests have ended."""
-        for runner in reversed(self._runners):
-            await runner.cleanup()
+        for server in reversed(self._open):
+            await server.runner.cleanup()
 
     def _filter_malformed(self, record: logging.LogRecord) -> bool:
         error = record.exc_info[1] if record.exc_info else None
