Excuse in the soak what crosses the end of a planned stop

Cause: it excused what was sent within 0.2 s of the exit of the process. The stop closes connections right behind `stopped`, and the process exited 0.3 s and more later.

The rule (LOST): a request that crosses the close and isn't passed on doesn't count; around a SIGTERM of its machine one that was read whole counts if it was passed on, or if the connection ends later than `lossSlack` (0.2 s) after its last byte.

The check, from outside, by that rule: the call ended by a close, within 0.2 s of its begin (connecting included, stalls of the soak itself not), by a process that had been sent SIGTERM 2 s before (callers keep a look-up for that long, so it serves on), had not exited when the call was sent, and answered nothing that was sent over 0.5 s after the close. What an upstream received is reported whatever stops, as before.

Stricter than before: near the exit, any error after any time was excused, also a time-out, and what was sent behind the exit. Wider: the time between the close and the exit, which is what was wrong. `PlannedStop.sent` is the first SIGTERM now; the third one was noted in stops with several signals.

--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -5,10 +5,16 @@
 
 from bench.soak.crash_checks import find_crash_violations
 from bench.soak.echo_upstream import EchoUpstream
-from bench.soak.load_generator import BEHIND_CLOSE, REFUSALS, CallResult
+from bench.soak.load_generator import (
+    BEHIND_CLOSE,
+    CLOSE_ERRORS,
+    REFUSALS,
+    CallResult,
+)
 from bench.soak.lost_answers import find_lost_answers
 from bench.soak.memory import find_excess_memory
 from bench.soak.observations import Observations, format_time
+from bench.soak.stop_checks import has_crossed_stop
 from bench.soak.testbed import (
     COLD_PER_S,
     COLD_SECONDS,
@@ -19,15 +25,6 @@
 )
 
 MAX_ATTEMPTS = 2
-# How callers see a connection that is closed before any response.
-CLOSE_ERRORS = frozenset(
-    (
-        'ConnectionClosed',
-        'ServerDisconnectedError',
-        'ClientOSError',
-        'ClientConnectionResetError',
-    )
-)
 # A request may be on its way to a paused instance for this time.
 CROSSING_SECONDS = 0.4
 DRAIN_SECONDS = 3.0
@@ -35,9 +32,6 @@
 # rate, and COLD_EXTRA_REQUESTS more.
 COLD_RATE_FACTOR = 1.5
 COLD_EXTRA_REQUESTS = 8
-# A request that was sent within this time of the exit of its instance may have
-# been lost with the connection.
-CONNECTION_LOSS_SECONDS = 0.2
 HTTP_OK = 200
 
 
@@ -89,16 +83,18 @@
 ) -> Iterator[str]:
     """Yields a call without a response that no fault explains.
 
-    A fault of the instance or its links, a failed connect to the instance or
-    its planned stop explains a lost response. A refused connection of the
-    caller is no violation, nor is a request behind an answer that closes its
-    connection, nor one that crosses the close of an idle connection;
-    `find_lost_answers` checks that these were not passed on.
+    A fault of the instance or its links or a failed connect to the instance
+    explains a lost response. A refused connection of the caller is no
+    violation, nor is a request behind an answer that closes its connection, nor
+    one that crosses the close of an idle connection or the end of a planned
+    stop; `find_lost_answers` checks that these were not passed on.
     """
     if result.status or result.error in {'ClientConnectorError', BEHIND_CLOSE}:
         return
     if _has_crossed_close(observations, result):
         return
+    if has_crossed_stop(observations, result):
+        return
     kinds = ('kill', 'freeze', 'link')
     if observations.overlaps_fault(
         kinds, result.instance, result.sent, result.ended
@@ -109,16 +105,12 @@
         for at in observations.failed_connects[result.instance]
     ):
         return
-    ends = [
-        stop.exited
-        for stop in observations.stops
-        if stop.name == result.instance
-    ]
-    if any(abs(end - result.sent) < CONNECTION_LOSS_SECONDS for end in ends):
-        return
     took = result.ended - result.sent
     exits = ''.join(
-        f', sent {result.sent - end:+.2f} s from its exit' for end in ends
+        f', sent {result.sent - stop.sent:+.2f} s from its SIGTERM '
+        f'and {result.sent - stop.exited:+.2f} s from its exit'
+        for stop in observations.stops
+        if stop.name == result.instance
     )
     kept = result.sent - result.idle_since
     use = 'new or answered on' if kept < 0 else f'idle for {kept:.2f} s'
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -62,7 +62,7 @@
 
     Attributes:
         name: the instance.
-        sent: when the signal was sent.
+        sent: when the first SIGTERM was sent.
         exited: when the process had exited.
         exit_status: exit status of the process.
     """
@@ -225,7 +225,7 @@
     async def _stop(self) -> None:
         name = self._claim_instance()
         if name is not None:
-            await self._stop_instance(name)
+            await self._stop_instance(name, time.monotonic())
 
     async def _stop_twice(self) -> None:
         """Sends SIGHUP and several SIGTERM, the last ones during the stop."""
@@ -234,20 +234,30 @@
             return
         process = self._testbed.processes[name]
         started = time.monotonic()
-        for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGTERM):
-            process.send_signal(number)
+        process.send_signal(signal.SIGHUP)
+        await asyncio.sleep(self._rng.uniform(0, 0.5))
+        asked = time.monotonic()
+        for _ in range(2):
+            process.send_signal(signal.SIGTERM)
             await asyncio.sleep(self._rng.uniform(0, 0.5))
         self._record('signals', name, started)
-        await self._stop_instance(name)
+        await self._stop_instance(name, asked)
 
-    async def _stop_instance(self, name: str) -> None:
+    async def _stop_instance(self, name: str, asked: float) -> None:
+        """Sends SIGTERM, waits for the exit and starts the instance again.
+
+        Args:
+            name: the instance.
+            asked: when the first SIGTERM was sent, in seconds of the monotonic
+                clock.
+        """
         started = time.monotonic()
         process = self._testbed.processes[name]
         process.send_signal(signal.SIGTERM)
         status = await asyncio.to_thread(process.wait, EXIT_SECONDS)
         exited = time.monotonic()
         await self._restart(name)
-        self.stops.append(PlannedStop(name, started, exited, status))
+        self.stops.append(PlannedStop(name, asked, exited, status))
         self._record('stop', name, started)
 
     async def _restart(self, name: str) -> None:
--- a/bench/soak/load_generator.py
+++ b/bench/soak/load_generator.py
@@ -29,6 +29,15 @@
 # Stood behind an answer that closed its connection.
 BEHIND_CLOSE = 'BehindClose'
 NEVER = float('inf')
+# How callers see a connection that is closed before any response.
+CLOSE_ERRORS = frozenset(
+    (
+        'ConnectionClosed',
+        'ServerDisconnectedError',
+        'ClientOSError',
+        'ClientConnectionResetError',
+    )
+)
 REFUSALS = frozenset((404, 408, 421, 429, 503))
 MAX_PAUSE_SECONDS = 0.1
 
