Run the processes of the tests on the code under test

What was seen: tests/processes of a second working tree passed and failed as the first tree's code did. Deployment gave its processes a PYTHONPATH of its own in place of the inherited one, so they imported the packages that the virtual environment has installed, whatever PYTHONPATH the tests ran with. `import lycheedyke_daemon` with that path named the file of the other tree.

Ruled out: the gateway's processes, as platform/launch.py puts the packages of its own tree first.

The inherited path now follows the two folders of the tests. Where the environment has the packages of the same tree installed, nothing changes.

--- a/tests/standins/deployment.py
+++ b/tests/standins/deployment.py
@@ -216,11 +216,13 @@
     def start(self, name: str, *arguments: str) -> None:
         """Starts a Python process whose output goes to a log file."""
         log = (self.folder / f'{name}.log').open('ab')
+        inherited = os.environ.get('PYTHONPATH', '')
+        path = f'{TESTS}:{TESTS.parent}:{inherited}'.rstrip(':')
         self.processes[name] = subprocess.Popen(
             [sys.executable, *arguments],
             stdout=log,
             stderr=log,
-            env={**os.environ, 'PYTHONPATH': f'{TESTS}:{TESTS.parent}'},
+            env={**os.environ, 'PYTHONPATH': path},
         )
         log.close()
 
