Keep a ticket-driven instance running at SIGHUP

What callers saw: all their requests cut, as the process ended at once with status -1 where an operator reloaded "the daemons" by SIGHUP, or its terminal went away.

Cause: the service handled SIGTERM and SIGINT alone; only the gateway had a handler, as only it can reload its file. Ruled out: the gateway, whose launcher ignores the signal until its handler is there (test_platform).

The look at what a process ignores moves from test_platform to the stand-ins, unchanged.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/main.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/main.py
@@ -1,5 +1,7 @@
 """The command line of the daemon."""
 
+import logging
+import signal
 import sys
 from pathlib import Path
 
@@ -13,6 +15,8 @@
 
 EXIT_BAD_SETTINGS = 2
 
+_logger = logging.getLogger(__name__)
+
 
 def run(*, config: Path, check: bool = False) -> int:
     """Runs one entry instance.
@@ -31,10 +35,24 @@
         sys.stdout.write(f'{describe(settings)}\n')
         return 0
     instance = Instance(settings, secrets, SystemClock())
-    serve(instance, settings.name, settings.zone, settings.log_level)
+    serve(
+        instance,
+        settings.name,
+        settings.zone,
+        settings.log_level,
+        hangup_handler=_note_hangup,
+    )
     return 0
 
 
 def main() -> None:
     """Parses the arguments, runs the command and exits with its status."""
     sys.exit(defopt.run(run, cli_options='all'))
+
+
+def _note_hangup() -> None:
+    """Says that the settings, all of which are read at the start, stay."""
+    _logger.warning(
+        'settings take effect at the next start',
+        extra={'signal': signal.SIGHUP.name},
+    )
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/service.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/service.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 import signal
+from collections.abc import Callable
 from typing import Protocol
 
 import aiomisc
@@ -30,10 +31,11 @@
 class InstanceService(aiomisc.Service):
     """Runs an instance until the process is asked to stop."""
 
-    __required__ = ('instance', 'stop_request')
+    __required__ = ('instance', 'stop_request', 'hangup_handler')
 
     instance: Instance
     stop_request: asyncio.Event
+    hangup_handler: Callable[[], None] | None
 
     async def start(self) -> None:
         """Starts the instance.
@@ -44,6 +46,8 @@
         loop = asyncio.get_running_loop()
         for number in STOP_SIGNALS:
             loop.add_signal_handler(number, self._handle_signal, number)
+        if self.hangup_handler is not None:
+            loop.add_signal_handler(signal.SIGHUP, self.hangup_handler)
         await self.instance.start()
 
     async def stop(self, exception: Exception | None = None) -> None:
@@ -55,7 +59,14 @@
         self.stop_request.set()
 
 
-def serve(instance: Instance, name: str, zone: str, log_level: str) -> None:
+def serve(
+    instance: Instance,
+    name: str,
+    zone: str,
+    log_level: str,
+    *,
+    hangup_handler: Callable[[], None] | None = None,
+) -> None:
     """Runs an instance until SIGTERM or SIGINT.
 
     Args:
@@ -63,11 +74,16 @@
         name: its name in the logs.
         zone: its zone in the logs.
         log_level: the minimum level that is logged.
+        hangup_handler: called at each SIGHUP; None if the instance handles it.
     """
     writer = configure_logging(name, zone, log_level)
     stop_request = asyncio.Event()
     with aiomisc.entrypoint(
-        InstanceService(instance=instance, stop_request=stop_request),
+        InstanceService(
+            instance=instance,
+            stop_request=stop_request,
+            hangup_handler=hangup_handler,
+        ),
         catch_signals=(),
         log_config=False,
         pool_size=THREADS,
--- a/tests/processes/test_platform.py
+++ b/tests/processes/test_platform.py
@@ -15,6 +15,7 @@
 from standins.deployment import free_ports
 from standins.gateway_testbed import PLATFORM_DIR, SETTINGS, GatewayTestbed
 from standins.log_lines import COMMON, find_unlisted
+from standins.signals import wait_ignored
 
 pytestmark = pytest.mark.processes
 START_SECONDS = 15
@@ -117,21 +118,6 @@
     assert events[-1] == 'stopped'
 
 
-def _ignores(pid: int, number: signal.Signals) -> bool:
-    status = Path(f'/proc/{pid}/status').read_text()
-    mask = status.partition('SigIgn:')[2].split()[0]
-    return bool(int(mask, 16) >> (number - 1) & 1)
-
-
-async def _wait_ignored(pid: int, number: signal.Signals) -> None:
-    """Waits until a process that is still starting ignores a signal."""
-    for _ in range(int(START_SECONDS / 0.005)):
-        if _ignores(pid, number):
-            return
-        await asyncio.sleep(0.005)
-    raise TimeoutError(f'{number.name} is not ignored')
-
-
 async def _stop_repeatedly(folder: Path) -> tuple[int, bytes]:
     """Sends each signal at a time at which it could end the process."""
     async with GatewayTestbed(folder) as testbed:
@@ -141,7 +127,7 @@
             path, testbed.settings[0].registry_address, ports, 'info'
         )
         process = _start_gateway(path)
-        await _wait_ignored(process.pid, signal.SIGHUP)
+        await wait_ignored(process.pid, signal.SIGHUP)
         process.send_signal(signal.SIGHUP)
         await _wait_ready(testbed, f'127.0.0.1:{ports[1]}')
         for upstream in testbed.upstreams:
