Wait longer for calls in a stop than a call may take

What callers saw: a call that was passed on to an upstream, and a connection that closed 60 s later without an answer.

Cause: as the ports of a ticket-driven instance close, its requests get 60 s to end, and a call may take 60 s, too, counted from the start of its handler. A call that is read as the ports close, on a connection that its caller kept, was cut in the moment in which it was due to be answered; the answer of another instance may come 0.4 s later still.

Evidence: a ticket-driven instance in virtual time, with the real limits. With calls of 60 s sent on four kept connections 1, 2 and 3 turns of the event loop before the ports closed, no caller got an answer (4 of 4, `connection closed in use` for each, at least one of them running at the upstream); all connections closed 60.0 s after the ports.

Ruled out: that the limit of 40 s for callers' requests cuts anything. Calls of 60 s that are taken 0, 2.9, 20 and 42.9 s after the stop began are answered, as the ports' own wait follows; that test passed before as well. A call 0 turns ahead is unread as its connection closes: it is reset and not passed on, as before. The limit of the service (60 s for the whole stop) has no effect.

Now the ports wait 65 s. The gateway has a limit of its own and keeps it.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/servers.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/servers.py
@@ -12,8 +12,8 @@
 from lycheedyke.transport import MAX_HEAD_BYTES, READ_BUFFER_BYTES
 from lycheedyke_daemon.request_protocol import PipelinedRequestHandler
 
-# Equals the stop timeout of the process.
-CLOSE_LIMIT = timedelta(seconds=60)
+# Longer than the longest call, and than its answer from another instance takes.
+CLOSE_LIMIT = timedelta(seconds=65)
 MALFORMED_COUNTER = 'http.malformed'
 
 Connections = Callable[[], list[PipelinedRequestHandler]]
