Remove a stop time-out that had no effect

aiomisc applies `shutdown_timeout` only in its own handlers of signals, and the service installs none of them (catch_signals is empty), so nothing ended a stop after 60 s. Its comment led one to count on that limit.

Behaviour stays the same, so there is no new test; each step of both kinds of stop has a limit of its own.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/service.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/service.py
@@ -10,8 +10,6 @@
 
 from lycheedyke_daemon.logs import configure_logging
 
-# Applies only if the stop takes longer than the instance's settings allow.
-STOP_TIMEOUT_SECONDS = 60
 THREADS = 2
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
@@ -87,7 +85,6 @@
         catch_signals=(),
         log_config=False,
         pool_size=THREADS,
-        shutdown_timeout=STOP_TIMEOUT_SECONDS,
     ) as loop:
         loop.run_until_complete(stop_request.wait())
     writer.close()
