Count no answered error of an exchange as unanswered

What operators saw: `unanswered.internal-error` and a line `request unanswered` for a request whose caller had got a 500.

Cause: the report took each ConnectionError of a handler for the loss of the caller's connection. One that an exchange with an upstream lets through reaches the server, which answers 500 as long as nothing has been written.

Now such an error is not reported where no other reason is found (the caller has not left, no part of the instance closes the connection) and the server can answer: the task is not cancelled and nothing is written. The traceback in the line `Error handling request` stays; the 500 itself has no counter.

Tests: an exchange that raises ConnectionResetError failed before (`assert not ['unanswered.internal-error']`). A request whose task is cancelled for no known reason is still counted and logged; that test passed before, too, and is new since nothing tested this reason.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_unanswered.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_unanswered.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 
 from lycheedyke.protocol import NotRun, Reason, Unknown
+from lycheedyke_daemon.cancellation import is_cancelled
 from lycheedyke_daemon.gateway._decision_log import Telemetry
 from lycheedyke_daemon.gateway._stop_schedule import StopSchedule
 from lycheedyke_daemon.pipeline import TURN
@@ -61,12 +62,17 @@
         request[SENT_TO] = []
         try:
             return await handler(request)
-        except (asyncio.CancelledError, ConnectionError):
-            self._report(request, self._clock.elapsed() - started)
+        except (asyncio.CancelledError, ConnectionError) as error:
+            reason = self._find_reason(request)
+            is_fault = reason is Reason.internal_error
+            # The error may be of an upstream's connection.
+            if not (is_fault and _is_answerable(request, error)):
+                self._report(request, reason, self._clock.elapsed() - started)
             raise
 
-    def _report(self, request: web.Request, took: timedelta) -> None:
-        reason = self._find_reason(request)
+    def _report(
+        self, request: web.Request, reason: Reason, took: timedelta
+    ) -> None:
         sent_to = request[SENT_TO]
         closed_by = request[TURN].closed_by
         self._counters.count(f'unanswered.{reason.value}')
@@ -90,3 +96,9 @@
         if transport is None or transport.is_closing():
             return Reason.caller_left
         return Reason.internal_error
+
+
+def _is_answerable(request: web.Request, error: BaseException) -> bool:
+    """Returns whether the server answers 500 on an open connection."""
+    is_ended = isinstance(error, asyncio.CancelledError) and is_cancelled()
+    return not is_ended and not request.writer.output_size
--- a/tests/unit/gateway/test_unanswered.py
+++ b/tests/unit/gateway/test_unanswered.py
@@ -195,6 +195,57 @@
     run_scenario(tmp_path, _scene, limit_s=LIMIT_SECONDS)
 
 
+async def _lose_connection(*args: object) -> Outcome:
+    raise ConnectionResetError('lost within the exchange')
+
+
+# Guards against requests that count as unanswered although they are answered.
+def test_an_answered_connection_error_is_not_unanswered(
+    tmp_path: Path, caplog: pytest.LogCaptureFixture
+) -> None:
+    """The connection that failed is not the caller's, who gets a 500."""
+
+    async def _scene(platform: GatewayTestbed) -> None:
+        await _prepare(platform, 'answer')
+        instance = platform.instances[0]
+        client: Any = instance._client
+        client.run = _lose_connection
+        reader, writer = await _connect(platform)
+        writer.write(REQUEST)
+        answer = await reader.readuntil(b'internal error')
+        assert answer.startswith(b'HTTP/1.1 500 ')
+        writer.close()
+        counts = instance._counters.counts
+        assert not [name for name in counts if name.startswith('unanswered')]
+        assert not _find_lines(caplog)
+
+    run_scenario(tmp_path, _scene, limit_s=LIMIT_SECONDS)
+
+
+# Guards against connections that a fault closes without a trace in the log.
+def test_a_request_that_is_cancelled_for_no_reason_is_logged(
+    tmp_path: Path, caplog: pytest.LogCaptureFixture
+) -> None:
+    """Neither the caller nor a known part of the instance has ended it."""
+
+    async def _scene(platform: GatewayTestbed) -> None:
+        await _prepare(platform, 'wait')
+        reader, writer = await _connect(platform)
+        writer.write(REQUEST)
+        await platform.wait_arrival()
+        (connection,) = platform.instances[0]._list_callers()
+        (turn,) = connection._pipeline
+        assert turn.task is not None
+        turn.task.cancel()
+        assert await reader.read() == b''
+        await _wait_counted(platform, 'unanswered.internal-error')
+        (line,) = _find_lines(caplog)
+        assert vars(line)['reason'] == 'internal-error'
+        writer.close()
+
+    run_scenario(tmp_path, _scene, limit_s=LIMIT_SECONDS)
+
+
 # Guards against a second send that nothing interrupts, so that the stop closes
 # the connection without an answer.
 def test_an_interruption_that_meets_a_failure_ends_the_request(
