Make an instance known to others once its ports are open

What callers saw: by look-ups of its peers, a ticket-driven instance that was just starting, and "connection refused" at its port for requests. Its own /readyz could say 200 at that time, too.

Cause: the start opened the control port, asked the seeds and began to take part in the ownership of upstreams first, and the ports for peers, operators and callers after that. Between them it was a live member, which look-ups name and to which owners forward.

Now the three ports open first, that of callers last of them, and the instance becomes a member with the next step. A port that is taken ends the start before anybody has heard of it. Until then callers are refused with `not-ready`, and peers, which don't know it, forward nothing.

Ruled out: the stop, which leaves the look-ups before it closes any port.

The test starts a second instance whose ports open half a second late each, and failed before: the first instance had it as a live peer while its port for callers refused connections.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/instance.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/instance.py
@@ -206,7 +206,14 @@
         return f'<Instance {self._settings.name}>'
 
     async def start(self) -> None:
-        """Opens all ports and starts all background tasks."""
+        """Opens all ports, then makes the instance known to others."""
+        await self._servers.open(self._peer_app(), self._settings.peer_address)
+        await self._servers.open(
+            self._admin_app(), self._settings.admin_address
+        )
+        await self._servers.open(
+            self._caller_app(), self._settings.caller_address
+        )
         self._listener.open()
         self._members.add_seeds(self._settings.seeds)
         self._tasks = [
@@ -217,13 +224,6 @@
             asyncio.create_task(self._ownership.run()),
             asyncio.create_task(self._ownership.watch()),
         ]
-        await self._servers.open(self._peer_app(), self._settings.peer_address)
-        await self._servers.open(
-            self._admin_app(), self._settings.admin_address
-        )
-        await self._servers.open(
-            self._caller_app(), self._settings.caller_address
-        )
         _logger.info('started', extra={'ticket': self._log.number})
 
     async def stop(self) -> None:
--- a/tests/standins/ticket_testbed.py
+++ b/tests/standins/ticket_testbed.py
@@ -17,6 +17,7 @@
 from standins.deployment import (
     ADMIN_SECRET,
     SETTINGS,
+    InstanceSpec,
     admin_headers,
     free_ports,
     make_instance_spec,
@@ -55,7 +56,7 @@
         self._runners: list[web.AppRunner] = []
         self._upstream_port, self._platform_port = free_ports(2)
         self.spec = make_instance_spec(f'{ZONE}-0', ZONE, REGION)
-        self.instance = self._make_instance()
+        self.instance = self.make_instance(self.spec)
         self._session: aiohttp.ClientSession | None = None
 
     async def __aenter__(self) -> Self:
@@ -95,6 +96,27 @@
         for runner in self._runners:
             await runner.cleanup()
 
+    def make_instance(self, spec: InstanceSpec, seeds: str = '') -> Instance:
+        """Returns an instance that has not started.
+
+        Args:
+            spec: its name, location and addresses.
+            seeds: the control addresses of others.
+        """
+        path = self._folder / f'{spec.name}.ini'
+        path.write_text(
+            SETTINGS.format(
+                **spec._asdict(),
+                customer='pantsaker',
+                platform=f'127.0.0.1:{self._platform_port}',
+                seeds=seeds,
+                secrets='none',
+                routes='',
+            )
+        )
+        secrets = Secrets(PEER_SECRET, ADMIN_SECRET)
+        return Instance(read_settings(path), secrets, LoopClock())
+
     async def set_faults(self, **faults: Any) -> None:
         """Sets faults of the upstream."""
         url = f'http://127.0.0.1:{self._upstream_port}/fault'
@@ -134,21 +156,6 @@
             record = await response.json()
         return sum(record['runs'].values())
 
-    def _make_instance(self) -> Instance:
-        path = self._folder / 'lycheedyked.ini'
-        path.write_text(
-            SETTINGS.format(
-                **self.spec._asdict(),
-                customer='pantsaker',
-                platform=f'127.0.0.1:{self._platform_port}',
-                seeds='',
-                secrets='none',
-                routes='',
-            )
-        )
-        secrets = Secrets(PEER_SECRET, ADMIN_SECRET)
-        return Instance(read_settings(path), secrets, LoopClock())
-
     async def _open(self, app: web.Application, port: int) -> None:
         runner = web.AppRunner(app, access_log=None, shutdown_timeout=1)
         await runner.setup()
