Ignore signals from the end of a stop to the end of the process

What operators saw: status -15, or -1 after SIGHUP, of an instance that had stopped as planned, if the signal was sent again while the process was exiting. Callers lost nothing; whoever starts the processes took it for a crash, and log lines that were not written yet were lost.

Cause: the event loop resets the signals that it handles as it closes; from then to the end of the interpreter their default action ends the process. Both kinds of instance are affected, as the service installs the handlers.

Now the service handles its signals itself, beside the loop, and ignores all of them once the stop is over. Of SIGHUP at a gateway, whose handler belongs to the loop, the default action holds between two statements; closing that would change the gateway's files.

Ruled out: the stop, as `stopped` was logged in each run.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/service.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/service.py
@@ -1,6 +1,7 @@
 """Runs one entry instance, of either kind, until a signal stops it."""
 
 import asyncio
+import functools
 import logging
 import signal
 from collections.abc import Callable
@@ -41,22 +42,41 @@
         The signal handlers stay installed to the end: a repeated signal must
         not interrupt the graceful stop that the first one has started.
         """
-        loop = asyncio.get_running_loop()
         for number in STOP_SIGNALS:
-            loop.add_signal_handler(number, self._handle_signal, number)
+            _handle(number, functools.partial(self._handle_signal, number))
         if self.hangup_handler is not None:
-            loop.add_signal_handler(signal.SIGHUP, self.hangup_handler)
+            _handle(signal.SIGHUP, self.hangup_handler)
         await self.instance.start()
 
     async def stop(self, exception: Exception | None = None) -> None:
-        """Stops the instance gracefully."""
-        await self.instance.stop()
+        """Stops the instance gracefully; then ignores all signals."""
+        try:
+            await self.instance.stop()
+        finally:
+            _ignore_signals()
 
     def _handle_signal(self, number: signal.Signals) -> None:
         _logger.info('stop requested', extra={'signal': number.name})
         self.stop_request.set()
 
 
+def _handle(number: signal.Signals, callback: Callable[[], None]) -> None:
+    """Calls a function on the running loop at each signal.
+
+    A handler of the loop itself would be reset before the signal is ignored.
+    """
+    loop = asyncio.get_running_loop()
+    signal.signal(number, lambda *_: loop.call_soon_threadsafe(callback))
+
+
+def _ignore_signals() -> None:
+    """Ignores signals that would end the process as its loop closes."""
+    # The loop would reset its own handler.
+    asyncio.get_running_loop().remove_signal_handler(signal.SIGHUP)
+    for number in (*STOP_SIGNALS, signal.SIGHUP):
+        signal.signal(number, signal.SIG_IGN)
+
+
 def serve(
     instance: Instance,
     name: str,
--- a/tests/processes/test_hangups.py
+++ b/tests/processes/test_hangups.py
@@ -1,4 +1,4 @@
-"""SIGHUP at a ticket-driven instance, and at its end."""
+"""SIGHUP at a ticket-driven instance, and signals up to its end."""
 
 import asyncio
 import json
@@ -16,7 +16,7 @@
     wait_for_port,
 )
 from standins.operators import apply_ticket, make_ticket, wait_in_force
-from standins.signals import wait_ignored
+from standins.signals import send_until_ended, wait_ignored
 
 pytestmark = pytest.mark.processes
 NAME = 'norr-a-0'
@@ -80,3 +80,16 @@
         running.signal(NAME, signal.SIGHUP)
         wait_for_port(running.instances[NAME].caller)
         assert running.processes[NAME].poll() is None
+
+
+# Guards against a status that tells of a crash, and lines that are lost, as a
+# signal arrives after the end of a stop.
+@pytest.mark.parametrize('number', [signal.SIGHUP, signal.SIGTERM])
+def test_a_stopped_instance_exits_with_status_0(
+    tmp_path: Path, number: signal.Signals
+) -> None:
+    """Signals that are sent up to its end change nothing."""
+    with Deployment(tmp_path, zones=ZONES) as running:
+        running.signal(NAME, signal.SIGTERM)
+        assert send_until_ended(running.processes[NAME], number) == 0
+        assert 'stopped' in {line['event'] for line in _read_log(running)}
--- a/tests/processes/test_platform.py
+++ b/tests/processes/test_platform.py
@@ -15,7 +15,7 @@
 from standins.deployment import free_ports
 from standins.gateway_testbed import PLATFORM_DIR, SETTINGS, GatewayTestbed
 from standins.log_lines import COMMON, find_unlisted
-from standins.signals import wait_ignored
+from standins.signals import send_until_ended, wait_ignored
 
 pytestmark = pytest.mark.processes
 START_SECONDS = 15
@@ -152,6 +152,27 @@
     assert status == 0
 
 
+async def _send_to_the_end(folder: Path) -> int:
+    async with GatewayTestbed(folder) as testbed:
+        path = folder / 'local.json'
+        ports = free_ports(5)
+        store = testbed.settings[0].registry_address
+        _write_settings(path, store, ports, 'error')
+        process = _start_gateway(path)
+        await _wait_ready(testbed, f'127.0.0.1:{ports[1]}')
+        return await asyncio.to_thread(
+            send_until_ended, process, signal.SIGTERM
+        )
+
+
+# Guards against a status that tells of a crash, as a signal arrives after the
+# end of a stop.
+def test_a_stopped_gateway_exits_with_status_0(tmp_path: Path) -> None:
+    """SIGTERM that is sent up to the end of the process changes nothing."""
+    run = _send_to_the_end(tmp_path)
+    assert asyncio.run(asyncio.wait_for(run, 60)) == 0
+
+
 async def _stop_while_sending(folder: Path) -> int:
     """Returns the size of an answer that is read late in a stop."""
     async with GatewayTestbed(folder) as testbed:
