Keep the recent crashes of upstreams in a module of their own

What tells the failure of a zone, the times of all recent crashes, moves to _recent_crashes.py. No change of what is recorded, dismissed or logged.

test_suspects, test_quarantine and test_convictions pass unchanged.

--- a/packages/lycheedyke/src/lycheedyke/state/_suspects.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_suspects.py
@@ -1,6 +1,5 @@
 """Requests that are suspected of crashing the upstreams that run them."""
 
-import bisect
 import heapq
 import logging
 from collections.abc import Iterable
@@ -15,6 +14,7 @@
     Evidence,
     Strength,
 )
+from lycheedyke.state._recent_crashes import SETTLING_TIME, RecentCrashes
 from lycheedyke.state._suspect_reports import MILLISECOND, Suspect
 
 QUARANTINE_TIME = timedelta(minutes=10)
@@ -22,12 +22,6 @@
 MAX_SUSPECTS = 256
 # The outdated pairs that are kept for each suspect, as their removal costs time.
 MAX_OUTDATED = 4
-# If more upstreams than this crash within `FAILURE_SPREAD` of each other, the
-# cause may be the failure of a zone or region, not a request.
-MAX_CRASHED_UPSTREAMS = 4
-FAILURE_SPREAD = timedelta(seconds=2)
-# After this time no report of a peer on a failing zone is on its way.
-SETTLING_TIME = timedelta(seconds=4)
 
 _logger = logging.getLogger(__name__)
 
@@ -66,7 +60,7 @@
         self._entries: dict[str, Evidence] = {}
         self._registered: set[str] = set()
         self._cleared: dict[str, timedelta] = {}
-        self._crashes: dict[str, timedelta] = {}
+        self._recent = RecentCrashes()
         self._changed: dict[str, int] = {}
         # The weakest evidence first; pairs may be outdated.
         self._weakest: list[tuple[Strength, str]] = []
@@ -123,7 +117,7 @@
         """
         self._drop_expired()
         crash = Crash(self._clock.elapsed(), upstream, is_isolated)
-        self._crashes[upstream] = crash.time
+        self._recent.record(upstream, crash.time)
         for fingerprint in fingerprints:
             before = self._entries.get(fingerprint, Evidence())
             after = before.add(crash)._replace(
@@ -264,8 +258,7 @@
             after = after.add(crash)
             if upstream in suspect.dismissed:
                 after = after.dismiss_of(upstream)
-            if crash.time > now - SETTLING_TIME:
-                self._crashes.setdefault(upstream, crash.time)
+            self._recent.record_reported(upstream, crash.time, now)
         if after == before:
             return False
         remaining = min(suspect.remaining_ms * MILLISECOND, QUARANTINE_TIME)
@@ -275,24 +268,17 @@
 
     def _dismiss_zone_failure(self) -> None:
         """Dismisses the crashes that coincide with many others."""
-        if len(self._crashes) <= MAX_CRASHED_UPSTREAMS:
-            return
-        times = sorted(self._crashes.values())
-        count = 0
-        for fingerprint, evidence in self._entries.items():
-            dismissed = evidence.dismiss(
-                crash
-                for crash in evidence.crashes
-                if _count_near(times, crash.time) > MAX_CRASHED_UPSTREAMS
-            )
-            if len(dismissed.standing) < len(evidence.standing):
-                count += 1
-                self._entries[fingerprint] = dismissed
-                heapq.heappush(self._weakest, (dismissed.strength, fingerprint))
-        if count:
+        changed = self._recent.dismiss_from(self._entries.items())
+        for fingerprint, evidence in changed.items():
+            self._entries[fingerprint] = evidence
+            heapq.heappush(self._weakest, (evidence.strength, fingerprint))
+        if changed:
             _logger.info(
                 'suspects dismissed',
-                extra={'count': count, 'crashed': sorted(self._crashes)},
+                extra={
+                    'count': len(changed),
+                    'crashed': self._recent.upstreams,
+                },
             )
 
     def _update(
@@ -353,11 +339,7 @@
             for fingerprint, revision in self._changed.items()
             if fingerprint in self._entries
         }
-        self._crashes = {
-            upstream: time
-            for upstream, time in self._crashes.items()
-            if time > now - SETTLING_TIME
-        }
+        self._recent.drop_old(now)
         self._cleared = {
             fingerprint: expiry
             for fingerprint, expiry in self._cleared.items()
@@ -392,9 +374,3 @@
                 'source': source,
             },
         )
-
-
-def _count_near(times: list[timedelta], time: timedelta) -> int:
-    """Returns how many of the sorted times lie within the spread of a time."""
-    first = bisect.bisect_left(times, time - FAILURE_SPREAD)
-    return bisect.bisect_right(times, time + FAILURE_SPREAD) - first
