Hold a verdict while reports that could change it are on their way

Cause: two crashes within one moment convict a request only if no other one explains them. The instance of a victim judged as soon as it had recorded the second crash, and its peers as soon as they were told. The other request was known to another instance only, whose report came later: it noticed the crash later, or its last report was still being sent. Until then the victim was refused, and an answer to a copy of it did not count.

Change: such a verdict is held for 500 ms after the last crash, by each instance from the crash times it knows; no message is added. A held request runs nowhere and waits before an upstream is chosen for it, no longer than its own time, and keeps no other one waiting. Three crashes, and two in separate moments, depend on no other request and are not held: a request that crashes a third upstream is refused as before. It is logged as quarantined once that is carried out; `source` says `own` where the instance observed one of the crashes.

Weighed: - Running the held request as a suspect needs no wait. A crashing request that is sent again within 500 ms would end a third upstream. - Asking all peers, who answer once their own probes have ended, gives a verdict sooner.

Left: a report over 500 ms late, of an instance that stood still, still finds a verdict carried out, and lifts it.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/crashes.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/crashes.py
@@ -1,6 +1,7 @@
 """Isolates suspect requests, and finds the requests in flight at a crash."""
 
 import asyncio
+import contextlib
 import logging
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
@@ -14,6 +15,8 @@
 HTTP_SERVER_ERROR = 500
 PROBE_DELAY = timedelta(milliseconds=50)
 PROBE_TIMEOUT = timedelta(milliseconds=500)
+# How often a request that is held looks whether a report has come.
+HOLD_RECHECK = timedelta(milliseconds=20)
 
 _logger = logging.getLogger(__name__)
 
@@ -132,7 +135,8 @@
         """Returns the outcome of an exchange with an upstream.
 
         A suspect waits until no other request is in flight at the upstream,
-        and other requests wait until the suspect has ended. `send` checks
+        and other requests wait until the suspect has ended. A request that is
+        held waits for the verdict, and keeps no other one waiting. `send` checks
         the deadline after this wait.
 
         Args:
@@ -150,6 +154,24 @@
             if not in_flight.users:
                 self._upstreams.pop(upstream)
 
+    async def wait_for_verdict(self, work: Work, timeout: timedelta) -> None:
+        """Waits while reports of peers may still speak for a request.
+
+        Called before an upstream is chosen, so that the request takes none of
+        its room meanwhile.
+
+        Args:
+            work: the request.
+            timeout: the longest wait.
+        """
+        if not self._suspects.may_hold:
+            return
+        request = _Request(work)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(timeout.total_seconds()):
+                while self._classify(request) is Verdict.held:
+                    await _pause_for_reports()
+
     def may_repeat(self, work: Work) -> bool:
         """Returns whether work may run again for the same attempt."""
         if not self._suspects:
@@ -166,7 +188,7 @@
     ) -> Outcome:
         request = _Request(work)
         while not self._may_enter(in_flight, request):
-            await in_flight.wait()
+            await self._wait(in_flight, request)
         verdict = self._classify(request)
         if verdict is Verdict.quarantined:
             return NotRun(Reason.quarantined)
@@ -180,6 +202,12 @@
             in_flight.remove(request)
         return outcome
 
+    async def _wait(self, in_flight: _InFlight, request: _Request) -> None:
+        if self._classify(request) is Verdict.held:
+            await _pause_for_reports()
+        else:
+            await in_flight.wait()
+
     def _classify(self, request: _Request) -> Verdict:
         if not self._suspects:
             return Verdict.clear
@@ -191,6 +219,8 @@
                 return True
             case Verdict.suspect:
                 return not in_flight.requests
+            case Verdict.held:
+                return False
         return not in_flight.alone
 
     async def _check_outcome(
@@ -242,6 +272,10 @@
     return isinstance(outcome, Answered) and outcome.status < HTTP_SERVER_ERROR
 
 
+async def _pause_for_reports() -> None:
+    await asyncio.sleep(HOLD_RECHECK.total_seconds())
+
+
 async def _is_dead(address: str) -> bool:
     """Returns whether nothing listens at an address.
 
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_router.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_router.py
@@ -150,6 +150,8 @@
             sent_to: the name of each upstream is added once it is tried.
         """
         self._budgets[request.service].add_request()
+        left = work.deadline - self._clock.elapsed()
+        await self._guard.wait_for_verdict(work, left)
         progress = _RequestProgress(self._clock.elapsed())
         while candidate := self._next(request, work, progress):
             sent_to.append(candidate.state.record.name)
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/upstream_runner.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/upstream_runner.py
@@ -127,6 +127,8 @@
 
         If no slot is free, the work waits for one, unless it may not wait.
         """
+        left = work.deadline - self._clock.elapsed()
+        await self._guard.wait_for_verdict(work, left)
         owned = self._owned.get(name)
         upstream = self._configuration.upstreams.get(name)
         if owned is None or upstream is None:
--- a/packages/lycheedyke/src/lycheedyke/state/_crash_evidence.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_crash_evidence.py
@@ -14,6 +14,9 @@
 MIN_REPEAT_GAP = timedelta(milliseconds=50)
 # A request that was in flight at crashes in this many moments causes them.
 PROVEN_MOMENTS = 3
+# A report of a crash reaches all peers within this time, though another one that
+# is being sent comes first.
+REPORT_TIME = timedelta(milliseconds=500)
 MAX_CRASHES = 16
 # Two observers may date one crash as differently as a process may stand still
 # before it reads a report.
@@ -99,6 +102,16 @@
         later = self.standing[1:]
         return self.is_proven or any(crash.is_isolated for crash in later)
 
+    @property
+    def reported_by(self) -> timedelta:
+        """When all peers' reports on the crashes that convict are in.
+
+        Other requests change nothing about evidence that is conclusive.
+        """
+        if self._is_conclusive:
+            return timedelta()
+        return self.standing[-1].time + REPORT_TIME
+
     @property
     def strength(self) -> Strength:
         """The order in which evidence is kept if there is too much of it."""
@@ -168,7 +181,7 @@
         Args:
             others: the evidence on the other requests.
         """
-        if len(self.standing) > CONFIRMATIONS or self.moments > 1:
+        if self._is_conclusive:
             return True
         crashed = self._upstreams
         return not any(
@@ -177,6 +190,10 @@
             if len(other.standing) >= len(crashed)
         )
 
+    @property
+    def _is_conclusive(self) -> bool:
+        return len(self.standing) > CONFIRMATIONS or self.moments > 1
+
     @property
     def _upstreams(self) -> frozenset[str]:
         return frozenset(crash.upstream for crash in self.standing)
--- a/packages/lycheedyke/src/lycheedyke/state/_suspects.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_suspects.py
@@ -31,6 +31,9 @@
 
     clear = 'clear'
     suspect = 'suspect'
+    # It is to be quarantined, unless a report of a peer that is on its way tells
+    # of another request that explains its crashes.
+    held = 'held'
     quarantined = 'quarantined'
 
 
@@ -59,6 +62,10 @@
         self._clock = clock
         self._entries: dict[str, Evidence] = {}
         self._registered: set[str] = set()
+        # The convicted requests whose quarantine the log tells.
+        self._logged: set[str] = set()
+        # Until when some verdict may be held.
+        self._held_until = timedelta()
         self._cleared: dict[str, timedelta] = {}
         self._recent = RecentCrashes()
         self._changed: dict[str, int] = {}
@@ -73,6 +80,11 @@
         """Returns the number of suspects."""
         return f'<Suspects: {len(self)}>'
 
+    @property
+    def may_hold(self) -> bool:
+        """Whether some request may be held."""
+        return self._clock.elapsed() < self._held_until
+
     def judge(self, fingerprint: str) -> Verdict:
         """Returns the current treatment of a request."""
         if fingerprint in self._registered:
@@ -80,9 +92,16 @@
         evidence = self._entries.get(fingerprint)
         if evidence is None or evidence.expiry <= self._clock.elapsed():
             return Verdict.clear
-        if self._is_convicted(fingerprint, evidence):
-            return Verdict.quarantined
-        return Verdict.suspect if evidence.standing else Verdict.clear
+        if not self._is_convicted(fingerprint, evidence):
+            self._logged.discard(fingerprint)
+            return Verdict.suspect if evidence.standing else Verdict.clear
+        if self._clock.elapsed() < evidence.reported_by:
+            return Verdict.held
+        if fingerprint not in self._logged:
+            self._logged.add(fingerprint)
+            source = 'own' if evidence.is_first_hand else 'peer'
+            self._log_quarantine(fingerprint, evidence, source=source)
+        return Verdict.quarantined
 
     def may_repeat(self, fingerprint: str) -> bool:
         """Returns whether a request may run again for the same attempt.
@@ -123,7 +142,7 @@
             after = before.add(crash)._replace(
                 expiry=crash.time + QUARANTINE_TIME, is_first_hand=True
             )
-            self._update(fingerprint, before, after, source='own')
+            self._update(fingerprint, before, after)
         self._dismiss_zone_failure()
 
     def record_success(self, fingerprint: str) -> None:
@@ -217,7 +236,7 @@
             SettledQuarantine(fingerprint, evidence.is_first_hand)
             for fingerprint, evidence in self._current()
             if fingerprint not in self._registered
-            and self._is_convicted(fingerprint, evidence)
+            and self.judge(fingerprint) is Verdict.quarantined
             and (evidence.is_proven or evidence.standing[-1].time < since)
         )
 
@@ -263,7 +282,7 @@
             return False
         remaining = min(suspect.remaining_ms * MILLISECOND, QUARANTINE_TIME)
         after = after._replace(expiry=max(before.expiry, now + remaining))
-        self._update(suspect.fingerprint, before, after, source='peer')
+        self._update(suspect.fingerprint, before, after)
         return True
 
     def _dismiss_zone_failure(self) -> None:
@@ -282,19 +301,15 @@
             )
 
     def _update(
-        self,
-        fingerprint: str,
-        before: Evidence,
-        after: Evidence,
-        *,
-        source: str,
+        self, fingerprint: str, before: Evidence, after: Evidence
     ) -> None:
         if before._replace(expiry=after.expiry) == after:
             return
-        was_quarantined = self.judge(fingerprint) is Verdict.quarantined
         self._store(fingerprint, after)
-        if not was_quarantined and self._is_convicted(fingerprint, after):
-            self._log_quarantine(fingerprint, after, source=source)
+        if after.is_confirmed:
+            self._held_until = max(self._held_until, after.reported_by)
+            # Logs a quarantine that is not held.
+            self.judge(fingerprint)
 
     def _store(self, fingerprint: str, evidence: Evidence) -> None:
         if fingerprint not in self._entries:
@@ -340,6 +355,7 @@
             if fingerprint in self._entries
         }
         self._recent.drop_old(now)
+        self._logged &= self._entries.keys()
         self._cleared = {
             fingerprint: expiry
             for fingerprint, expiry in self._cleared.items()
--- a/tests/unit/gateway/test_crashing_requests.py
+++ b/tests/unit/gateway/test_crashing_requests.py
@@ -15,6 +15,9 @@
 from standins.scripted_upstream import ScriptedUpstream
 
 POISON = '/read/poison'
+VICTIM = '/read/victim'
+# Longer than an upstream runs until it crashes.
+VICTIM_RUN_S = 0.02
 UPSTREAMS = 6
 # An upstream is back after this time, as another one.
 RESTART_S = 0.3
@@ -23,6 +26,8 @@
 MAX_RETRIES = 3
 LIMIT_S = 20.0
 POLL_S = 0.05
+# How much later the report of one of two observers comes.
+LATE_S = 0.041
 
 
 class _Service:
@@ -139,6 +144,50 @@
     return []
 
 
+# Guards against a sound request that is refused as quarantined, because the
+# report of the request that crashed its upstreams comes after its own.
+def test_a_sound_request_is_not_refused_before_all_reports_are_in(
+    tmp_path: Path,
+) -> None:
+    """Two instances send a suspect each to the same upstreams."""
+
+    async def _scene(platform: GatewayTestbed) -> None:
+        service = _Service(platform)
+        for upstream in platform.upstreams:
+            upstream.run_of_path = lambda _: VICTIM_RUN_S
+        await _wait_for(
+            lambda: all(
+                len(each._registry_view.active_entries()) == 2
+                for each in platform.instances
+            ),
+        )
+        updates = platform.instances[0]._peer_updates
+        send_to_all = updates._send_to_all
+        sent = itertools.count(1)
+
+        async def _send_late(path: str, body: bytes) -> list[bytes]:
+            if next(sent) > 1:
+                await asyncio.sleep(LATE_S)
+            return await send_to_all(path, body)
+
+        updates._send_to_all = _send_late  # type: ignore[method-assign]
+        cause = asyncio.create_task(platform.send(POISON, instance=0))
+        assert (await platform.send(VICTIM, instance=1)).status == 502
+        assert not cause.done()
+        assert len(service.crashes) == 2
+        again = asyncio.create_task(platform.send(VICTIM, instance=1))
+        await asyncio.sleep(LATE_S / 4)
+        # It takes no room at an upstream while it waits.
+        table = platform.instances[1]._upstream_table
+        assert not any(state.in_flight for state in table.all())
+        assert (await again).status == 200
+        assert (await cause).status == 502
+        assert next(sent) > 2
+        await service.close()
+
+    run_scenario(tmp_path, _scene, limit_s=60, upstreams=UPSTREAMS, instances=2)
+
+
 # Guards against a quarantine that ends because all instances start again.
 def test_a_quarantine_outlasts_all_instances(tmp_path: Path) -> None:
     """The registry keeps it until its lease ends."""
--- a/tests/unit/test_suspects.py
+++ b/tests/unit/test_suspects.py
@@ -12,18 +12,20 @@
 from lycheedyke_daemon.crashes import CrashGuard
 from lycheedyke_daemon.work import Work
 from standins.clock import ManualClock
+from standins.virtual_time import LoopClock, run_in_virtual_time
 
 ANSWER = Answered(200, (), b'', 'kassa-1')
 BROKE = Unknown(Reason.upstream_broke)
 REPORT_SECONDS = 0.02
+# So long after a crash no report of another suspect is awaited.
+REPORTED_SECONDS = 0.5
 
 
 class _Testbed:
     """A crash guard with fake upstreams, which crash on the body `poison`."""
 
     def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
-        self._clock = ManualClock()
-        self.suspects = Suspects(self._clock)
+        self.suspects = Suspects(LoopClock())
         self.guard = CrashGuard(self.suspects, self._report, Counters())
         self.down: set[str] = set()
         self.reports = 0
@@ -36,12 +38,11 @@
         """Takes some time, like a report to many peers."""
         reported = {each.fingerprint for each in self.suspects.list()}
         self.reports += 1
-        # The probe of the upstream takes as long before each report.
-        self._clock.advance(crashes.PROBE_DELAY.total_seconds())
         await asyncio.sleep(REPORT_SECONDS)
         self.reported |= reported
 
     async def _is_dead(self, address: str) -> bool:
+        await asyncio.sleep(crashes.PROBE_DELAY.total_seconds())
         return address in self.down
 
     async def run(self, name: str, body: bytes) -> Outcome:
@@ -79,7 +80,7 @@
         assert outcomes == [BROKE] * 200
         assert not testbed.suspects.list()
 
-    asyncio.run(scenario())
+    run_in_virtual_time(scenario())
     assert testbed.reports <= 2
 
 
@@ -100,7 +101,7 @@
     async def scenario() -> None:
         assert all(await asyncio.gather(*map(run, range(20))))
 
-    asyncio.run(scenario())
+    run_in_virtual_time(scenario())
     assert testbed.reports < 20
 
 
@@ -130,7 +131,7 @@
         assert third == [ANSWER, ANSWER, NotRun(Reason.quarantined)]
         assert testbed.down == {'a', 'b'}
 
-    asyncio.run(scenario())
+    run_in_virtual_time(scenario())
 
 
 def test_a_lost_answer_makes_no_suspect(
@@ -143,8 +144,12 @@
         return False
 
     monkeypatch.setattr(crashes, '_is_dead', report_running)
-    assert asyncio.run(testbed.run('a', b'poison')) == BROKE
-    assert not testbed.suspects.list()
+
+    async def scenario() -> None:
+        assert await testbed.run('a', b'poison') == BROKE
+        assert not testbed.suspects.list()
+
+    run_in_virtual_time(scenario())
 
 
 def test_a_failing_zone_condemns_nothing() -> None:
@@ -168,6 +173,7 @@
     suspects.record_crash(['crashing'], 'a')
     clock.advance(crashes.PROBE_DELAY.total_seconds())
     suspects.record_crash(['crashing'], 'b')
+    clock.advance(REPORTED_SECONDS)
     suspects.record_crash([f'other {number}' for number in range(999)], 'c')
     assert len(suspects) == 256
     assert suspects.judge('crashing') is Verdict.quarantined
