--- a/packages/lycheedyke/src/lycheedyke/state/_suspects.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_suspects.py
@@ -1,6 +1,5 @@
 """Requests that are suspected of crashing the upstreams that run them."""
 
-import bisect
 import heapq
 import logging
 from collections.abc import Iterable
@@ -15,6 +14,7 @@
     Evidence,
     Strength,
 )
+from lycheedyke.state._recent_crashes import SETTLING_TIME, RecentCrashes
 from lycheedyke.state._suspect_reports import MILLISECOND, Suspect
 
 QUARANTINE_TIME = timedelta(minutes=10)
@@ -22,12 +22,6 @@
 MAX_SUSPECTS = 256
 # The outdated pairs that are kept for each suspect, as their removal costs time.
 MAX_OUTDATED = 4
-# If more upstreams than this crash within `FAILURE_SPREAD` of each other, the
-# cause may be the failure of a zone or region, not a request.
-MAX_CRASHED_UPSTREAMS = 4
-FAILURE_SPREAD = timedelta(seconds=2)
-# After this time no report of a peer on a failing zone is on its way.
-SETTLING_TIME = timedelta(seconds=4)
 
 _logger = logging.getLogger(__name__)
 
@@ -37,6 +31,9 @@
 
     clear = 'clear'
     suspect = 'suspect'
+    # It is to be quarantined, unless a report of a peer that is on its way tells
+    # of another request that explains its crashes.
+    held = 'held'
     quarantined = 'quarantined'
 
 
@@ -65,8 +62,12 @@
         self._clock = clock
         self._entries: dict[str, Evidence] = {}
         self._registered: set[str] = set()
+        # The convicted requests whose quarantine the log tells.
+        self._logged: set[str] = set()
+        # Until when some verdict may be held.
+        self._held_until = timedelta()
         self._cleared: dict[str, timedelta] = {}
-        self._crashes: dict[str, timedelta] = {}
+        self._recent = RecentCrashes()
         self._changed: dict[str, int] = {}
         # The weakest evidence first; pairs may be outdated.
         self._weakest: list[tuple[Strength, str]] = []
@@ -79,6 +80,11 @@
         """Returns the number of suspects."""
         return f'<Suspects: {len(self)}>'
 
+    @property
+    def may_hold(self) -> bool:
+        """Whether some request may be held."""
+        return self._clock.elapsed() < self._held_until
+
     def judge(self, fingerprint: str) -> Verdict:
         """Returns the current treatment of a request."""
         if fingerprint in self._registered:
@@ -86,9 +92,16 @@
         evidence = self._entries.get(fingerprint)
         if evidence is None or evidence.expiry <= self._clock.elapsed():
             return Verdict.clear
-        if self._is_convicted(fingerprint, evidence):
-            return Verdict.quarantined
-        return Verdict.suspect if evidence.standing else Verdict.clear
+        if not self._is_convicted(fingerprint, evidence):
+            self._logged.discard(fingerprint)
+            return Verdict.suspect if evidence.standing else Verdict.clear
+        if self._clock.elapsed() < evidence.reported_by:
+            return Verdict.held
+        if fingerprint not in self._logged:
+            self._logged.add(fingerprint)
+            source = 'own' if evidence.is_first_hand else 'peer'
+            self._log_quarantine(fingerprint, evidence, source=source)
+        return Verdict.quarantined
 
     def may_repeat(self, fingerprint: str) -> bool:
         """Returns whether a request may run again for the same attempt.
@@ -123,13 +136,13 @@
         """
         self._drop_expired()
         crash = Crash(self._clock.elapsed(), upstream, is_isolated)
-        self._crashes[upstream] = crash.time
+        self._recent.record(upstream, crash.time)
         for fingerprint in fingerprints:
             before = self._entries.get(fingerprint, Evidence())
             after = before.add(crash)._replace(
                 expiry=crash.time + QUARANTINE_TIME, is_first_hand=True
             )
-            self._update(fingerprint, before, after, source='own')
+            self._update(fingerprint, before, after)
         self._dismiss_zone_failure()
 
     def record_success(self, fingerprint: str) -> None:
@@ -223,7 +236,7 @@
             SettledQuarantine(fingerprint, evidence.is_first_hand)
             for fingerprint, evidence in self._current()
             if fingerprint not in self._registered
-            and self._is_convicted(fingerprint, evidence)
+            and self.judge(fingerprint) is Verdict.quarantined
             and (evidence.is_proven or evidence.standing[-1].time < since)
         )
 
@@ -264,51 +277,39 @@
             after = after.add(crash)
             if upstream in suspect.dismissed:
                 after = after.dismiss_of(upstream)
-            if crash.time > now - SETTLING_TIME:
-                self._crashes.setdefault(upstream, crash.time)
+            self._recent.record_reported(upstream, crash.time, now)
         if after == before:
             return False
         remaining = min(suspect.remaining_ms * MILLISECOND, QUARANTINE_TIME)
         after = after._replace(expiry=max(before.expiry, now + remaining))
-        self._update(suspect.fingerprint, before, after, source='peer')
+        self._update(suspect.fingerprint, before, after)
         return True
 
     def _dismiss_zone_failure(self) -> None:
         """Dismisses the crashes that coincide with many others."""
-        if len(self._crashes) <= MAX_CRASHED_UPSTREAMS:
-            return
-        times = sorted(self._crashes.values())
-        count = 0
-        for fingerprint, evidence in self._entries.items():
-            dismissed = evidence.dismiss(
-                crash
-                for crash in evidence.crashes
-                if _count_near(times, crash.time) > MAX_CRASHED_UPSTREAMS
-            )
-            if len(dismissed.standing) < len(evidence.standing):
-                count += 1
-                self._entries[fingerprint] = dismissed
-                heapq.heappush(self._weakest, (dismissed.strength, fingerprint))
-        if count:
+        changed = self._recent.dismiss_from(self._entries.items())
+        for fingerprint, evidence in changed.items():
+            self._entries[fingerprint] = evidence
+            heapq.heappush(self._weakest, (evidence.strength, fingerprint))
+        if changed:
             _logger.info(
                 'suspects dismissed',
-                extra={'count': count, 'crashed': sorted(self._crashes)},
+                extra={
+                    'count': len(changed),
+                    'crashed': self._recent.upstreams,
+                },
             )
 
     def _update(
-        self,
-        fingerprint: str,
-        before: Evidence,
-        after: Evidence,
-        *,
-        source: str,
+        self, fingerprint: str, before: Evidence, after: Evidence
     ) -> None:
         if before._replace(expiry=after.expiry) == after:
             return
-        was_quarantined = self.judge(fingerprint) is Verdict.quarantined
         self._store(fingerprint, after)
-        if not was_quarantined and self._is_convicted(fingerprint, after):
-            self._log_quarantine(fingerprint, after, source=source)
+        if after.is_confirmed:
+            self._held_until = max(self._held_until, after.reported_by)
+            # Logs a quarantine that is not held.
+            self.judge(fingerprint)
 
     def _store(self, fingerprint: str, evidence: Evidence) -> None:
         if fingerprint not in self._entries:
@@ -353,11 +354,8 @@
             for fingerprint, revision in self._changed.items()
             if fingerprint in self._entries
         }
-        self._crashes = {
-            upstream: time
-            for upstream, time in self._crashes.items()
-            if time > now - SETTLING_TIME
-        }
+        self._recent.drop_old(now)
+        self._logged &= self._entries.keys()
         self._cleared = {
             fingerprint: expiry
             for fingerprint, expiry in self._cleared.items()
@@ -392,9 +390,3 @@
                 'source': source,
             },
         )
-
-
-def _count_near(times: list[timedelta], time: timedelta) -> int:
-    """Returns how many of the sorted times lie within the spread of a time."""
-    first = bisect.bisect_left(times, time - FAILURE_SPREAD)
-    return bisect.bisect_right(times, time + FAILURE_SPREAD) - first
