Expect a refusal for each request that is read as a stop closes connections

It now demands a refusal (503, stopping) for each request, the close at the last, and that none ran.

--- a/tests/unit/gateway/test_stop_endings.py
+++ b/tests/unit/gateway/test_stop_endings.py
@@ -23,6 +23,7 @@
 # The platform's `lossSlack`.
 LOSS_SLACK_SECONDS = 0.2
 ON_ITS_WAY_SECONDS = 0.05
+REFUSED = (503, b'stopping')
 
 
 class LateCall(NamedTuple):
@@ -79,7 +80,7 @@
 
 def _is_refusal(answer: OrderedAnswer | None) -> bool:
     assert answer is not None
-    return (answer.status, answer.body) == (503, b'stopping') and answer.closes
+    return (answer.status, answer.body) == REFUSED and answer.closes
 
 
 # Guards against a stop that closes connections as soon as it has waited for
@@ -151,7 +152,7 @@
 def test_a_request_that_is_read_as_connections_close_is_refused(
     tmp_path: Path, count: int
 ) -> None:
-    """Those behind its answer, which closes the connection, did not run."""
+    """So are those behind it; the last refusal closes the connection."""
 
     async def _scene(platform: GatewayTestbed) -> None:
         instance: Any = platform.instances.pop()
@@ -167,7 +168,9 @@
             instance._servers.close = _send_and_close
             await instance.stop()
             answers = await caller.read_all(count)
-        assert [_is_refusal(each) for each in answers] == [True]
+        assert len(answers) == count
+        assert {(each.status, each.body) for each in answers} == {REFUSED}
+        assert [each.closes for each in answers].index(True) == count - 1
         assert not platform.started()
 
     run_scenario(tmp_path, _scene, limit_s=LIMIT_SECONDS)
