Let a feature wait for a look-up that names both zones

Cause: zones learn of each other's instances by summaries, at least 0.5 s apart, which the acceptance of a ticket does not wait for.

The step now asks until both zones are named, for 6 s at most, in which a change is to be in force everywhere. What it demands stays.

--- a/tests/features/steps/caller_steps.py
+++ b/tests/features/steps/caller_steps.py
@@ -9,19 +9,27 @@
 from deployment_steps import stop_entry
 
 from lycheedyke import Client
-from standins.deployment import call
+from standins.deployment import call, poll_for
 
 HTTP_OK = 200
 STOP_INDEX = 50
+# A change is in force everywhere within this time.
+IN_FORCE_SECONDS = 6
 
 
 @then('a look-up of {service} names entry instances of both zones')
 def check_look_up(context: Any, service: str) -> None:
-    """Checks the zones of the entries that a look-up names."""
-    entries = asyncio.run(_look_up_service(context, service))
-    zones = {
-        context.running.instances[entry.instance].zone for entry in entries
-    }
+    """Waits until a look-up names entries of all zones.
+
+    Zones learn of each other by summaries, which may come after a ticket.
+    """
+    for _ in poll_for(IN_FORCE_SECONDS):
+        entries = asyncio.run(_look_up_service(context, service))
+        zones = {
+            context.running.instances[entry.instance].zone for entry in entries
+        }
+        if zones == set(context.zones):
+            break
     assert zones == set(context.zones), zones
 
 
