--- a/tests/unit/gateway/test_stops_behind_others.py
+++ b/tests/unit/gateway/test_stops_behind_others.py
@@ -4,6 +4,7 @@
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
 from pathlib import Path
+from typing import NamedTuple
 
 import pytest
 
@@ -22,14 +23,26 @@
 READ = '/read/316'
 ORDER = '/order/316'
 
-Act = Callable[
-    [GatewayTestbed, PipeliningCaller, Callable[[], asyncio.Task[None]]],
-    Awaitable[None],
-]
+
+class Parts(NamedTuple):
+    """What a test plays with.
+
+    Attributes:
+        platform: the store and the upstreams.
+        caller: has one connection, which has been used.
+        stop: begins the stop of the only instance.
+    """
+
+    platform: GatewayTestbed
+    caller: PipeliningCaller
+    stop: Callable[[], asyncio.Task[None]]
+
+
+Act = Callable[[Parts], Awaitable[None]]
 
 
 def _run(tmp_path: Path, act: Act, grace: timedelta = GRACE) -> None:
-    """Runs an act with a caller whose connection has been used."""
+    """Runs an act on a new testbed."""
 
     async def _scene(platform: GatewayTestbed) -> None:
         for upstream in platform.upstreams:
@@ -43,9 +56,11 @@
             for upstream in platform.upstreams:
                 upstream.started.clear()
             await act(
-                platform,
-                caller,
-                lambda: asyncio.create_task(instance.stop()),
+                Parts(
+                    platform,
+                    caller,
+                    lambda: asyncio.create_task(instance.stop()),
+                )
             )
 
     run_scenario(tmp_path, _scene, limit_s=60)
@@ -63,22 +78,18 @@
 ) -> None:
     """Three requests in one write, 50 ms after the begin of the stop."""
 
-    async def _act(
-        platform: GatewayTestbed,
-        caller: PipeliningCaller,
-        stop: Callable[[], asyncio.Task[None]],
-    ) -> None:
-        stopping = stop()
+    async def _act(parts: Parts) -> None:
+        stopping = parts.stop()
         await asyncio.sleep(0.05)
         names = [f'p-{at}' for at in range(3)]
-        caller.send(
+        parts.caller.send(
             *(make_request(name, path=path, method=method) for name in names)
         )
-        answers = await caller.read_all(4)
+        answers = await parts.caller.read_all(4)
         await stopping
         assert [answer.status for answer in answers] == [200, 503, 503]
         assert _outcomes(answers)[1:] == [REFUSED] * 2
-        assert platform.started() == names[:1]
+        assert parts.platform.started() == names[:1]
 
     _run(tmp_path, _act)
 
@@ -90,24 +101,20 @@
 ) -> None:
     """The first answer neither closes the connection nor ends the reading."""
 
-    async def _act(
-        platform: GatewayTestbed,
-        caller: PipeliningCaller,
-        stop: Callable[[], asyncio.Task[None]],
-    ) -> None:
-        caller.send(
+    async def _act(parts: Parts) -> None:
+        parts.caller.send(
             make_request('p-0', path='/read/100'),
             make_request('p-1', path='/read/900'),
         )
         await asyncio.sleep(0.05)
-        stopping = stop()
+        stopping = parts.stop()
         await asyncio.sleep(0.15)
-        caller.send(make_request('p-2'))
-        answers = await caller.read_all(4)
+        parts.caller.send(make_request('p-2'))
+        answers = await parts.caller.read_all(4)
         await stopping
         assert [answer.status for answer in answers] == [200, 200, 503]
         assert _outcomes(answers)[-1] == REFUSED
-        assert sorted(platform.started()) == ['p-0', 'p-1']
+        assert sorted(parts.platform.started()) == ['p-0', 'p-1']
 
     _run(tmp_path, _act)
 
@@ -119,22 +126,18 @@
 ) -> None:
     """It runs nowhere, and its caller is told so."""
 
-    async def _act(
-        platform: GatewayTestbed,
-        caller: PipeliningCaller,
-        stop: Callable[[], asyncio.Task[None]],
-    ) -> None:
-        caller.send(
+    async def _act(parts: Parts) -> None:
+        parts.caller.send(
             make_request('p-0', path=READ),
             make_request('p-1', path=ORDER, method='POST'),
         )
         await asyncio.sleep(0.05)
-        stopping = stop()
-        answers = await caller.read_all(3)
+        stopping = parts.stop()
+        answers = await parts.caller.read_all(3)
         await stopping
         assert [answer.status for answer in answers] == [200, 503]
         assert _outcomes(answers)[-1] == REFUSED
-        assert platform.started() == ['p-0']
+        assert parts.platform.started() == ['p-0']
 
     _run(tmp_path, _act)
 
@@ -143,20 +146,16 @@
 def test_a_caller_that_sends_on_does_not_hold_a_stop(tmp_path: Path) -> None:
     """Its connection closes once nothing passed on is owed."""
 
-    async def _act(
-        platform: GatewayTestbed,
-        caller: PipeliningCaller,
-        stop: Callable[[], asyncio.Task[None]],
-    ) -> None:
-        caller.send(make_request('p-0', path=READ))
+    async def _act(parts: Parts) -> None:
+        parts.caller.send(make_request('p-0', path=READ))
         await asyncio.sleep(0.05)
-        stopping = stop()
+        stopping = parts.stop()
         loop = asyncio.get_running_loop()
         begun = loop.time()
-        while (answer := await _read_and_send(caller)) is not None:
+        while (answer := await _read_and_send(parts.caller)) is not None:
             assert answer.status in {200, 503}
         assert loop.time() - begun < GRACE.total_seconds() / 4
-        assert platform.started() == ['p-0']
+        assert parts.platform.started() == ['p-0']
         await stopping
 
     _run(tmp_path, _act)
@@ -175,20 +174,16 @@
 ) -> None:
     """It still waited behind a run that outlasts the stop."""
 
-    async def _act(
-        platform: GatewayTestbed,
-        caller: PipeliningCaller,
-        stop: Callable[[], asyncio.Task[None]],
-    ) -> None:
-        caller.send(
+    async def _act(parts: Parts) -> None:
+        parts.caller.send(
             make_request('p-0', path='/read/9000', deadline_ms=30_000),
             make_request('p-1', path=ORDER, method='POST', deadline_ms=30_000),
         )
         await asyncio.sleep(0.05)
-        stopping = stop()
-        answers = await caller.read_all(3)
+        stopping = parts.stop()
+        answers = await parts.caller.read_all(3)
         await stopping
         assert _outcomes(answers) == [(502, b'stopping'), REFUSED]
-        assert platform.started() == ['p-0']
+        assert parts.platform.started() == ['p-0']
 
     _run(tmp_path, _act, SHORT_GRACE)
