Pass nothing on in a stop once its connection is closing

What callers saw: in a planned stop, no answer to a request that was read behind one whose body, or whose turn (Expect), came after the answer behind which nothing further is begun. It was dropped while the other ran, and its connection ended with that run: 0.85 s later with a run of 900 ms.

Cause: `close_after_refusals` ends the reading once nothing behind was passed on, and takes it that nothing will be. A request behind could still be: one that was admitted before the stop and lacks the rest of its body, one that begins in its turn (Expect), and one whose task had not run when the answer before it was written (by reading; no test).

Now such a request is refused (503, stopping), as all others behind, so the connection closes at once. Weighed: reading on while such requests are behind; a caller that always has one there would hold its connection open.

Without a stop, and in the ticket-driven instance, nothing changes.

Tests: 4 new cases, all failed before (TimeoutError, p-1 started).

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_caller_api.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_caller_api.py
@@ -156,7 +156,9 @@
 
     def _may_take(self, http: web.Request, route: Route, service: str) -> bool:
         """Returns whether a request may be run, if a stop has begun."""
-        if self._schedule.has_begun and not http[TURN].is_first:
+        turn = http[TURN]
+        is_behind = turn.is_closing or not turn.is_first
+        if self._schedule.has_begun and is_behind:
             return False
         return self._schedule.may_take(
             self._router.expected_run(route, service)
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/pipeline.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/pipeline.py
@@ -85,6 +85,11 @@
         now = asyncio.get_running_loop().time()
         return timedelta(seconds=max(0, now - self._arrived))
 
+    @property
+    def is_closing(self) -> bool:
+        """Whether no request behind those that have been read is begun."""
+        return self._pipeline.is_closing
+
     @property
     def closed_by(self) -> CloseReason | None:
         """Why the instance closed the connection; None if it did not."""
@@ -242,22 +247,27 @@
     written: none of them can close the connection then, after which the
     caller could not tell whether it ran.
 
+    Nor may it in a stop once its connection is closing: what is read behind it
+    is dropped, and the connection would end only after its run.
+
     Args:
         request: the request; `TURN` holds its place.
         left: the time until its deadline.
         is_repeatable: whether it may run more than once.
         is_stopping: returns whether a stop has begun in which nothing is
-            passed on that has waited behind others; None if there is no such
-            stop.
+            passed on that has waited behind others, or on a connection that
+            is closing; None if there is no such stop.
     """
     turn = request[TURN]
-    if not is_repeatable and not turn.is_first:
+    waits = not is_repeatable and not turn.is_first
+    if waits:
         try:
             async with asyncio.timeout(left.total_seconds()):
                 await turn.wait_first()
         except TimeoutError:
             return False
-        if is_stopping is not None and is_stopping():
+    if is_stopping is not None and is_stopping():
+        if waits or turn.is_closing:
             return False
     turn.is_passed_on = True
     return True
--- /dev/null
+++ b/tests/unit/gateway/test_stops_while_closing.py
@@ -0,0 +1,73 @@
+"""Requests on a connection that a planned stop closes behind refusals."""
+
+import asyncio
+from collections.abc import Callable
+from datetime import timedelta
+from http import HTTPStatus
+from pathlib import Path
+
+import pytest
+
+from standins.gateway_testbed import GatewayTestbed, run_scenario
+from standins.pipelining_caller import (
+    PipeliningCaller,
+    make_request,
+    run_of_path,
+)
+
+GRACE = timedelta(seconds=6)
+# The platform's `lossSlack`.
+LOSS_SLACK_SECONDS = 0.2
+# Longer than `lossSlack`.
+READ = '/read/600'
+ORDER = '/order/600'
+FIRST = make_request('p-0', path='/read/316')
+
+
+def _make_late(path: str, method: str) -> tuple[bytes, bytes]:
+    """Returns a request that lacks a byte of its body, and this byte."""
+    whole = make_request('p-1', path=path, method=method, body=b'ab')
+    return whole[:-1], whole[-1:]
+
+
+def _make_expecting(path: str, method: str) -> tuple[bytes, bytes]:
+    """Returns a request that is begun in its turn."""
+    whole = make_request('p-1', path=path, method=method)
+    return whole.replace(b'\r\n\r\n', b'\r\nExpect: 100-continue\r\n\r\n'), b''
+
+
+# Guards against a request that is passed on after the answer behind which no
+# further request is begun: what was read while it ran was dropped, and its
+# connection ended later than `lossSlack` after its last byte.
+@pytest.mark.parametrize('make', [_make_late, _make_expecting])
+@pytest.mark.parametrize(('path', 'method'), [(READ, 'GET'), (ORDER, 'POST')])
+def test_a_stop_passes_nothing_on_while_a_connection_closes(
+    tmp_path: Path,
+    make: Callable[[str, str], tuple[bytes, bytes]],
+    path: str,
+    method: str,
+) -> None:
+    """It is refused, and a further request is answered or the close comes."""
+    begin, rest = make(path, method)
+
+    async def _scene(platform: GatewayTestbed) -> None:
+        for upstream in platform.upstreams:
+            upstream.run_of_path = run_of_path
+        instance = platform.instances.pop()
+        instance._settings = instance._settings._replace(stop_grace=GRACE)
+        address = platform.settings[0].caller_address
+        async with PipeliningCaller(address) as caller:
+            caller.send(FIRST, begin)
+            await asyncio.sleep(0.05)
+            stopping = asyncio.create_task(instance.stop())
+            assert await caller.read()
+            caller.send(rest)
+            await asyncio.sleep(0.05)
+            caller.send(make_request('p-2'))
+            async with asyncio.timeout(LOSS_SLACK_SECONDS):
+                answers = await caller.read_all(4)
+        await stopping
+        assert answers[-1].status == HTTPStatus.SERVICE_UNAVAILABLE
+        assert platform.started() == ['p-0']
+
+    run_scenario(tmp_path, _scene, limit_s=40)
