Refuse in a stop what is behind an answer of the server itself

What callers saw: in a planned stop, no answer to requests behind `OPTIONS *`, an `Expect` of another kind, or a target whose host can't be decoded, where these were behind another request: 200, 404 and a closed connection.

Cause: these answers (404, 417, 400) are not made by the handlers that know of the stop. Once the first answer had decided to close, they closed the connection as outside a stop, and dropped what was behind.

Now the connection knows that what is behind is refused. Bytes that can't be parsed end the reading as before.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/pipeline.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/pipeline.py
@@ -127,9 +127,10 @@
             is_wanted: whether it is to close as soon as no answer to a request
                 behind is owed.
             is_rest_refused: whether requests behind that were not passed on
-                are refused in their turn, and not dropped.
+                are refused in their turn, and not dropped; holds for all
+                further answers on the connection.
         """
-        if is_rest_refused:
+        if is_rest_refused or self._pipeline.is_rest_refused:
             return self._pipeline.close_after_refusals(self)
         if not is_wanted and not self._pipeline.is_closing:
             return False
@@ -145,12 +146,15 @@
     Attributes:
         is_closing: whether no further request is begun, and the connection
             is closed after the last answer that is owed.
+        is_rest_refused: whether requests behind that were not passed on are
+            refused in their turn.
         closed_by: why the instance closed the connection; None if it did not.
     """
 
     def __init__(self) -> None:
         """Starts without requests."""
         self.is_closing = False
+        self.is_rest_refused = False
         self.closed_by: CloseReason | None = None
         self._turns: deque[Turn] = deque()
 
@@ -218,6 +222,7 @@
         Args:
             turn: the first request.
         """
+        self.is_rest_refused = True
         behind = [each for each in self._turns if each is not turn]
         if any(each.is_passed_on for each in behind):
             return False
--- a/tests/unit/gateway/test_stops_while_closing.py
+++ b/tests/unit/gateway/test_stops_while_closing.py
@@ -10,6 +10,7 @@
 
 from standins.gateway_testbed import GatewayTestbed, run_scenario
 from standins.pipelining_caller import (
+    HOST,
     PipeliningCaller,
     make_request,
     run_of_path,
@@ -71,3 +72,40 @@
         assert platform.started() == ['p-0']
 
     run_scenario(tmp_path, _scene, limit_s=40)
+
+
+# Guards against requests that are dropped behind one that the server itself
+# answers, without the handlers that refuse in a stop.
+@pytest.mark.parametrize(
+    'head',
+    [
+        'OPTIONS * HTTP/1.1',
+        'GET http://xn--a-ecp.ru/ HTTP/1.1',
+        'GET /read/1 HTTP/1.1\r\nExpect: other',
+    ],
+)
+def test_a_stop_refuses_what_is_behind_an_answer_of_the_server(
+    tmp_path: Path, head: str
+) -> None:
+    """The first answer decides to close; the second keeps those behind it."""
+
+    async def _scene(platform: GatewayTestbed) -> None:
+        for upstream in platform.upstreams:
+            upstream.run_of_path = run_of_path
+        instance = platform.instances.pop()
+        instance._settings = instance._settings._replace(stop_grace=GRACE)
+        address = platform.settings[0].caller_address
+        async with PipeliningCaller(address) as caller:
+            stopping = asyncio.create_task(instance.stop())
+            await asyncio.sleep(0.05)
+            odd = f'{head}\r\nHost: {HOST}\r\n\r\n'.encode()
+            caller.send(FIRST, odd, make_request('p-2'))
+            answers = await caller.read_all(4)
+        await stopping
+        statuses = [answer.status for answer in answers]
+        assert len(statuses) == 3
+        assert statuses[::2] == [HTTPStatus.OK, HTTPStatus.SERVICE_UNAVAILABLE]
+        assert [answer.closes for answer in answers] == [False, False, True]
+        assert platform.started() == ['p-0']
+
+    run_scenario(tmp_path, _scene, limit_s=40)
