--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/pipeline.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/pipeline.py
@@ -85,6 +85,11 @@
         now = asyncio.get_running_loop().time()
         return timedelta(seconds=max(0, now - self._arrived))
 
+    @property
+    def is_closing(self) -> bool:
+        """Whether no request behind those that have been read is begun."""
+        return self._pipeline.is_closing
+
     @property
     def closed_by(self) -> CloseReason | None:
         """Why the instance closed the connection; None if it did not."""
@@ -122,9 +127,10 @@
             is_wanted: whether it is to close as soon as no answer to a request
                 behind is owed.
             is_rest_refused: whether requests behind that were not passed on
-                are refused in their turn, and not dropped.
+                are refused in their turn, and not dropped; holds for all
+                further answers on the connection.
         """
-        if is_rest_refused:
+        if is_rest_refused or self._pipeline.is_rest_refused:
             return self._pipeline.close_after_refusals(self)
         if not is_wanted and not self._pipeline.is_closing:
             return False
@@ -140,12 +146,15 @@
     Attributes:
         is_closing: whether no further request is begun, and the connection
             is closed after the last answer that is owed.
+        is_rest_refused: whether requests behind that were not passed on are
+            refused in their turn.
         closed_by: why the instance closed the connection; None if it did not.
     """
 
     def __init__(self) -> None:
         """Starts without requests."""
         self.is_closing = False
+        self.is_rest_refused = False
         self.closed_by: CloseReason | None = None
         self._turns: deque[Turn] = deque()
 
@@ -213,6 +222,7 @@
         Args:
             turn: the first request.
         """
+        self.is_rest_refused = True
         behind = [each for each in self._turns if each is not turn]
         if any(each.is_passed_on for each in behind):
             return False
@@ -242,22 +252,27 @@
     written: none of them can close the connection then, after which the
     caller could not tell whether it ran.
 
+    Nor may it in a stop once its connection is closing: what is read behind it
+    is dropped, and the connection would end only after its run.
+
     Args:
         request: the request; `TURN` holds its place.
         left: the time until its deadline.
         is_repeatable: whether it may run more than once.
         is_stopping: returns whether a stop has begun in which nothing is
-            passed on that has waited behind others; None if there is no such
-            stop.
+            passed on that has waited behind others, or on a connection that
+            is closing; None if there is no such stop.
     """
     turn = request[TURN]
-    if not is_repeatable and not turn.is_first:
+    waits = not is_repeatable and not turn.is_first
+    if waits:
         try:
             async with asyncio.timeout(left.total_seconds()):
                 await turn.wait_first()
         except TimeoutError:
             return False
-        if is_stopping is not None and is_stopping():
+    if is_stopping is not None and is_stopping():
+        if waits or turn.is_closing:
             return False
     turn.is_passed_on = True
     return True
