Keep the decision to refuse the rest in the pipeline alone

Read-through, no change of behaviour: whether requests behind are refused in a stop was passed through three functions and kept by the pipeline as well, and two methods decided on the close by nearly the same steps. The tracker now tells the pipeline, and one method decides. A comment says why an answer waits for its turn before it is known whether a stop has begun; the doc comment of may_pass_on names its conditions in one place.

The 13 tests of requests behind others in a stop pass; with the conditions taken out on a scratch copy, the 7 that guard them fail.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/pipeline.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/pipeline.py
@@ -120,21 +120,25 @@
         if self.task is not None:
             self.task.cancel()
 
-    def closes(self, *, is_wanted: bool, is_rest_refused: bool = False) -> bool:
+    def refuse_rest(self) -> None:
+        """Lets requests behind be refused in their turn, and not dropped.
+
+        This holds for all further answers on the connection, and not for
+        requests that were passed on.
+        """
+        self._pipeline.is_rest_refused = True
+
+    def closes(self, *, is_wanted: bool) -> bool:
         """Returns whether the connection closes after this, the first, answer.
 
         Args:
             is_wanted: whether it is to close as soon as no answer to a request
                 behind is owed.
-            is_rest_refused: whether requests behind that were not passed on
-                are refused in their turn, and not dropped; holds for all
-                further answers on the connection.
         """
-        if is_rest_refused or self._pipeline.is_rest_refused:
-            return self._pipeline.close_after_refusals(self)
-        if not is_wanted and not self._pipeline.is_closing:
-            return False
-        return self._pipeline.close_after(self)
+        pipeline = self._pipeline
+        if is_wanted or pipeline.is_closing or pipeline.is_rest_refused:
+            return pipeline.close_after(self)
+        return False
 
 
 class Pipeline:
@@ -200,35 +204,25 @@
         """Returns whether the connection closes after the first answer.
 
         It does not while an answer to a request behind is owed: one that was
-        passed on to an upstream. Otherwise the requests behind are dropped.
+        passed on to an upstream. Otherwise the requests behind are dropped, or
+        refused in their turn; then it closes after the last refusal.
 
         Args:
             turn: the first request.
         """
-        self.is_closing = True
         behind = [each for each in self._turns if each is not turn]
-        if any(each.is_passed_on for each in behind):
+        is_owed = any(each.is_passed_on for each in behind)
+        if self.is_rest_refused:
+            # What arrives while answers are owed is read, to be refused.
+            self.is_closing = self.is_closing or not is_owed
+            return not behind
+        self.is_closing = True
+        if is_owed:
             return False
         for each in behind:
             each.drop()
         return True
 
-    def close_after_refusals(self, turn: Turn) -> bool:
-        """Returns whether the connection closes after the first answer.
-
-        It does not while there are requests behind. Once none of them was
-        passed on, they are refused, and no further request is begun.
-
-        Args:
-            turn: the first request.
-        """
-        self.is_rest_refused = True
-        behind = [each for each in self._turns if each is not turn]
-        if any(each.is_passed_on for each in behind):
-            return False
-        self.is_closing = True
-        return not behind
-
     def _begin_first(self) -> None:
         if self._turns:
             self._turns[0].begin()
@@ -246,14 +240,13 @@
 ) -> bool:
     """Waits until a request may be passed on; returns whether it may be.
 
-    It may not if its time is over, or if a stop begins while it waits.
-
     One that may run at most once is passed on when the answers before it are
     written: none of them can close the connection then, after which the
     caller could not tell whether it ran.
 
-    Nor may it in a stop once its connection is closing: what is read behind it
-    is dropped, and the connection would end only after its run.
+    A request may not be passed on if its time is over, if a stop begins while
+    it waits, or in a stop once its connection is closing: what is read behind
+    it is dropped, and the connection would end only after its run.
 
     Args:
         request: the request; `TURN` holds its place.
@@ -283,7 +276,6 @@
     response: web.StreamResponse,
     *,
     closes: bool = False,
-    is_rest_refused: bool = False,
 ) -> None:
     """Waits until the answer to a request may be written.
 
@@ -292,10 +284,9 @@
         response: its answer, which is not prepared; it is told whether the
             connection closes after it.
         closes: whether the connection is to be closed.
-        is_rest_refused: whether requests behind are refused, see `Turn.closes`.
     """
     turn = request[TURN]
     await turn.wait_first()
     is_wanted = closes or not request.keep_alive or response.keep_alive is False
-    if turn.closes(is_wanted=is_wanted, is_rest_refused=is_rest_refused):
+    if turn.closes(is_wanted=is_wanted):
         response.force_close()
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/stopping.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/stopping.py
@@ -79,13 +79,11 @@
                 # The answer before it may close the connection.
                 await request[TURN].wait_first()
             response = await handler(request)
+            # A stop may begin while the answer waits for its turn.
             await request[TURN].wait_first()
-            await wait_turn(
-                request,
-                response,
-                closes=self.stopping,
-                is_rest_refused=self.stopping and self._refuses_behind,
-            )
+            if self.stopping and self._refuses_behind:
+                request[TURN].refuse_rest()
+            await wait_turn(request, response, closes=self.stopping)
             await response.prepare(request)
             await response.write_eof()
         finally:
