Reword comments, and name what ended in WriteTooLate

Read-through, words only: sentences that could not be followed without the code beside them. The message of WriteTooLate says which time ended before what.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/crashes.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/crashes.py
@@ -155,7 +155,7 @@
                 self._upstreams.pop(upstream)
 
     async def wait_for_verdict(self, work: Work, timeout: timedelta) -> None:
-        """Waits while reports of peers may still speak for a request.
+        """Waits while a peer's report may still explain a request's crashes.
 
         Called before an upstream is chosen, so that the request takes none of
         its room meanwhile.
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_caller_api.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_caller_api.py
@@ -155,7 +155,7 @@
         )
 
     def _may_take(self, http: web.Request, route: Route, service: str) -> bool:
-        """Returns whether a request may be run, if a stop has begun."""
+        """Returns whether a stop, if one has begun, lets a request run."""
         turn = http[TURN]
         is_behind = turn.is_closing or not turn.is_first
         if self._schedule.has_begun and is_behind:
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_router.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_router.py
@@ -40,8 +40,8 @@
 MILLISECOND = timedelta(milliseconds=1)
 # Also bounds sends that never reached an upstream, which are not attempts.
 MAX_SENDS = 4
-# The share of a run's time that pauses of this process may take, for the run
-# to tell how long others take.
+# A run counts as a run time if pauses of this process took at most this share
+# of it.
 MAX_PAUSED_SHARE = 0.5
 # With these reasons nothing was sent, so they don't count as attempts.
 _NOT_SENT = frozenset((Reason.upstream_unreachable, Reason.quarantined))
--- a/packages/lycheedyke/src/lycheedyke/timers.py
+++ b/packages/lycheedyke/src/lycheedyke/timers.py
@@ -41,8 +41,8 @@
         self._callback = callback
         now = self._loop.time()
         self._due = now + delay.total_seconds()
-        # A pause may end shortly after the timer is due. A call that is due
-        # before is late then.
+        # A pause that ends just after the timer is due is noticed by a call
+        # that was due before it.
         self._early = max(now, self._due - LATE_SECONDS)
         self._handle = self._loop.call_at(self._early, self._wait_due)
 
--- a/packages/lycheedyke/src/lycheedyke/transport/_write_gate.py
+++ b/packages/lycheedyke/src/lycheedyke/transport/_write_gate.py
@@ -88,7 +88,9 @@
     def _check_time(self) -> None:
         late = asyncio.get_running_loop().time() - self._due
         if late >= 0:
-            raise WriteTooLate(f'the time was over for {late:.3f} s')
+            raise WriteTooLate(
+                f'the time for the exchange ended {late:.3f} s before the write'
+            )
 
     def _expire_if_closed(self, timeout: asyncio.Timeout) -> None:
         if not self.is_open:
