--- a/tests/unit/gateway/test_stops_behind_others.py
+++ b/tests/unit/gateway/test_stops_behind_others.py
@@ -1,22 +1,18 @@
 """Requests that a planned stop meets behind others on their connection."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
 from datetime import timedelta
 from pathlib import Path
-from typing import NamedTuple
 
 import pytest
 
-from standins.gateway_testbed import GatewayTestbed, run_scenario
 from standins.pipelining_caller import (
     OrderedAnswer,
     PipeliningCaller,
     make_request,
-    run_of_path,
 )
+from standins.stop_scenario import GRACE, Parts, run_stop_scenario
 
-GRACE = timedelta(seconds=6)
 # Below the time limits of the routes.
 SHORT_GRACE = timedelta(milliseconds=700)
 REFUSED = (503, b'stopping')
@@ -24,48 +20,6 @@
 ORDER = '/order/316'
 
 
-class Parts(NamedTuple):
-    """What a test plays with.
-
-    Attributes:
-        platform: the store and the upstreams.
-        caller: has one connection, which has been used.
-        stop: begins the stop of the only instance.
-    """
-
-    platform: GatewayTestbed
-    caller: PipeliningCaller
-    stop: Callable[[], asyncio.Task[None]]
-
-
-Act = Callable[[Parts], Awaitable[None]]
-
-
-def _run(tmp_path: Path, act: Act, grace: timedelta = GRACE) -> None:
-    """Runs an act on a new testbed."""
-
-    async def _scene(platform: GatewayTestbed) -> None:
-        for upstream in platform.upstreams:
-            upstream.run_of_path = run_of_path
-        instance = platform.instances.pop()
-        instance._settings = instance._settings._replace(stop_grace=grace)
-        address = platform.settings[0].caller_address
-        async with PipeliningCaller(address) as caller:
-            caller.send(make_request('warm', path='/read/10'))
-            assert await caller.read() is not None
-            for upstream in platform.upstreams:
-                upstream.started.clear()
-            await act(
-                Parts(
-                    platform,
-                    caller,
-                    lambda: asyncio.create_task(instance.stop()),
-                )
-            )
-
-    run_scenario(tmp_path, _scene, limit_s=60)
-
-
 def _outcomes(answers: list[OrderedAnswer]) -> list[tuple[int, bytes]]:
     return [(each.status, each.body) for each in answers]
 
@@ -91,7 +45,7 @@
         assert _outcomes(answers)[1:] == [REFUSED] * 2
         assert parts.platform.started() == names[:1]
 
-    _run(tmp_path, _act)
+    run_stop_scenario(tmp_path, _act)
 
 
 # Guards against requests that are read and dropped while answers are owed to
@@ -116,7 +70,7 @@
         assert _outcomes(answers)[-1] == REFUSED
         assert sorted(parts.platform.started()) == ['p-0', 'p-1']
 
-    _run(tmp_path, _act)
+    run_stop_scenario(tmp_path, _act)
 
 
 # Guards against requests that a stop begins late, since they waited behind
@@ -139,7 +93,7 @@
         assert _outcomes(answers)[-1] == REFUSED
         assert parts.platform.started() == ['p-0']
 
-    _run(tmp_path, _act)
+    run_stop_scenario(tmp_path, _act)
 
 
 # Guards against a caller that keeps sending and so holds a stop.
@@ -158,7 +112,7 @@
         assert parts.platform.started() == ['p-0']
         await stopping
 
-    _run(tmp_path, _act)
+    run_stop_scenario(tmp_path, _act)
 
 
 async def _read_and_send(caller: PipeliningCaller) -> OrderedAnswer | None:
@@ -186,4 +140,4 @@
         assert _outcomes(answers) == [(502, b'stopping'), REFUSED]
         assert parts.platform.started() == ['p-0']
 
-    _run(tmp_path, _act, SHORT_GRACE)
+    run_stop_scenario(tmp_path, _act, SHORT_GRACE)
--- a/tests/unit/gateway/test_stops_while_closing.py
+++ b/tests/unit/gateway/test_stops_while_closing.py
@@ -2,21 +2,14 @@
 
 import asyncio
 from collections.abc import Callable
-from datetime import timedelta
 from http import HTTPStatus
 from pathlib import Path
 
 import pytest
 
-from standins.gateway_testbed import GatewayTestbed, run_scenario
-from standins.pipelining_caller import (
-    HOST,
-    PipeliningCaller,
-    make_request,
-    run_of_path,
-)
+from standins.pipelining_caller import HOST, make_request
+from standins.stop_scenario import Parts, run_stop_scenario
 
-GRACE = timedelta(seconds=6)
 # The platform's `lossSlack`.
 LOSS_SLACK_SECONDS = 0.2
 # Longer than `lossSlack`.
@@ -51,27 +44,21 @@
     """It is refused, and a further request is answered or the close comes."""
     begin, rest = make(path, method)
 
-    async def _scene(platform: GatewayTestbed) -> None:
-        for upstream in platform.upstreams:
-            upstream.run_of_path = run_of_path
-        instance = platform.instances.pop()
-        instance._settings = instance._settings._replace(stop_grace=GRACE)
-        address = platform.settings[0].caller_address
-        async with PipeliningCaller(address) as caller:
-            caller.send(FIRST, begin)
-            await asyncio.sleep(0.05)
-            stopping = asyncio.create_task(instance.stop())
-            assert await caller.read()
-            caller.send(rest)
-            await asyncio.sleep(0.05)
-            caller.send(make_request('p-2'))
-            async with asyncio.timeout(LOSS_SLACK_SECONDS):
-                answers = await caller.read_all(4)
+    async def _act(parts: Parts) -> None:
+        parts.caller.send(FIRST, begin)
+        await asyncio.sleep(0.05)
+        stopping = parts.stop()
+        assert await parts.caller.read()
+        parts.caller.send(rest)
+        await asyncio.sleep(0.05)
+        parts.caller.send(make_request('p-2'))
+        async with asyncio.timeout(LOSS_SLACK_SECONDS):
+            answers = await parts.caller.read_all(4)
         await stopping
         assert answers[-1].status == HTTPStatus.SERVICE_UNAVAILABLE
-        assert platform.started() == ['p-0']
+        assert parts.platform.started() == ['p-0']
 
-    run_scenario(tmp_path, _scene, limit_s=40)
+    run_stop_scenario(tmp_path, _act)
 
 
 # Guards against requests that are dropped behind one that the server itself
@@ -89,23 +76,17 @@
 ) -> None:
     """The first answer decides to close; the second keeps those behind it."""
 
-    async def _scene(platform: GatewayTestbed) -> None:
-        for upstream in platform.upstreams:
-            upstream.run_of_path = run_of_path
-        instance = platform.instances.pop()
-        instance._settings = instance._settings._replace(stop_grace=GRACE)
-        address = platform.settings[0].caller_address
-        async with PipeliningCaller(address) as caller:
-            stopping = asyncio.create_task(instance.stop())
-            await asyncio.sleep(0.05)
-            odd = f'{head}\r\nHost: {HOST}\r\n\r\n'.encode()
-            caller.send(FIRST, odd, make_request('p-2'))
-            answers = await caller.read_all(4)
+    async def _act(parts: Parts) -> None:
+        stopping = parts.stop()
+        await asyncio.sleep(0.05)
+        odd = f'{head}\r\nHost: {HOST}\r\n\r\n'.encode()
+        parts.caller.send(FIRST, odd, make_request('p-2'))
+        answers = await parts.caller.read_all(4)
         await stopping
         statuses = [answer.status for answer in answers]
         assert len(statuses) == 3
         assert statuses[::2] == [HTTPStatus.OK, HTTPStatus.SERVICE_UNAVAILABLE]
         assert [answer.closes for answer in answers] == [False, False, True]
-        assert platform.started() == ['p-0']
+        assert parts.platform.started() == ['p-0']
 
-    run_scenario(tmp_path, _scene, limit_s=40)
+    run_stop_scenario(tmp_path, _act)
