--- /dev/null
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/admissions.py
@@ -0,0 +1,134 @@
+"""Decides whether a request may run that upstreams may have crashed on."""
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator
+from datetime import timedelta
+
+from lycheedyke.protocol import NotRun, Reason
+from lycheedyke.state import MAX_TRIAL_TIME, Suspects, TrialDecision, Verdict
+from lycheedyke_daemon.trials import Trial, TrialClient
+from lycheedyke_daemon.work import Work
+
+MILLISECOND = timedelta(milliseconds=1)
+# The longest wait for the trial of an equal request, or for the pause before one.
+MAX_TRIAL_WAIT = timedelta(seconds=2)
+# How often a request asks again while a trial of an equal one runs.
+TRIAL_RECHECK = timedelta(milliseconds=50)
+
+
+class Admission:
+    """The permission of one request to run.
+
+    Attributes:
+        refusal: the outcome if the request may not run; otherwise None.
+        trial: its trial, if it is on probation.
+        until: how long it may wait for the trial, on the clock of the suspects.
+        lasts: how long it may run.
+    """
+
+    def __init__(self, work: Work, until: timedelta, lasts: timedelta) -> None:
+        """Initializes an admission that is not decided."""
+        self.refusal: NotRun | None = None
+        self.trial = Trial()
+        self.until = until
+        self.lasts = lasts
+        self._work = work
+        self._fingerprint = ''
+
+    @property
+    def fingerprint(self) -> str:
+        """The fingerprint of the request, in hexadecimal."""
+        if not self._fingerprint:
+            self._fingerprint = self._work.repeat_fingerprint().hex()
+        return self._fingerprint
+
+    def __repr__(self) -> str:
+        """Returns the trial."""
+        return f'<Admission with {self.trial!r}>'
+
+
+class Admissions:
+    """Admits requests; one on probation once its trial is granted.
+
+    Args:
+        suspects: the suspects that this instance knows.
+        trials: asks for trials.
+    """
+
+    def __init__(self, suspects: Suspects, trials: TrialClient) -> None:
+        """Initializes the admissions."""
+        self._suspects = suspects
+        self._trials = trials
+
+    def __repr__(self) -> str:
+        """Returns the suspects."""
+        return f'<Admissions with {self._suspects!r}>'
+
+    @contextlib.asynccontextmanager
+    async def admit(
+        self, work: Work, timeout: timedelta = MAX_TRIAL_TIME
+    ) -> AsyncIterator[Admission]:
+        """Admits or refuses a request for the length of the context.
+
+        If the context is left with an error, upstreams may still run the
+        request. Its trial then ends only as its time is over.
+
+        Args:
+            work: the request.
+            timeout: the time that is left to it.
+        """
+        wait = min(timeout, MAX_TRIAL_WAIT)
+        admission = Admission(
+            work, self._suspects.clock.elapsed() + wait, timeout
+        )
+        await self.decide(admission)
+        yield admission
+        if admission.trial.is_granted:
+            self._trials.end(admission.fingerprint, admission.trial)
+
+    def classify(self, admission: Admission) -> Verdict:
+        """Returns the current treatment of a request."""
+        if not self._suspects:
+            return Verdict.clear
+        return self._suspects.judge(admission.fingerprint)
+
+    async def decide(self, admission: Admission) -> None:
+        """Waits until a request may run, or is refused."""
+        while admission.refusal is None:
+            verdict = self.classify(admission)
+            if verdict is Verdict.quarantined:
+                self._refuse(
+                    admission, self._suspects.remaining(admission.fingerprint)
+                )
+            elif verdict is Verdict.probation and (
+                not admission.trial.is_granted
+            ):
+                await self._wait_for_trial(admission)
+            else:
+                return
+
+    async def _wait_for_trial(self, admission: Admission) -> None:
+        """Asks for the trial of a request, or waits before it asks again."""
+        fingerprint = admission.fingerprint
+        wait = self._suspects.trial_pause(fingerprint)
+        if not wait:
+            reply = await self._trials.ask(
+                fingerprint, admission.trial, admission.lasts
+            )
+            match reply.decision:
+                case TrialDecision.granted:
+                    return
+                case TrialDecision.refused:
+                    wait = self._suspects.remaining(fingerprint)
+                case TrialDecision.paused:
+                    wait = reply.wait_ms * MILLISECOND
+                case TrialDecision.busy:
+                    wait = TRIAL_RECHECK
+        if self._suspects.clock.elapsed() + wait >= admission.until:
+            self._refuse(admission, wait)
+            return
+        await asyncio.sleep(wait.total_seconds())
+
+    def _refuse(self, admission: Admission, retry_after: timedelta) -> None:
+        admission.refusal = NotRun(Reason.quarantined, retry_after)
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/crashes.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/crashes.py
@@ -1,58 +1,43 @@
 """Isolates suspect requests, and finds the requests in flight at a crash."""
 
 import asyncio
-import contextlib
 import logging
 from collections.abc import Awaitable, Callable
+from contextlib import AbstractAsyncContextManager
 from datetime import timedelta
 
-from lycheedyke.protocol import Answered, NotRun, Outcome, Reason, Unknown
-from lycheedyke.state import Counters, Suspects, Verdict
+from lycheedyke.protocol import Answered, Outcome, Reason, Unknown
+from lycheedyke.state import Counters, Suspects, TrialDesk
 from lycheedyke.transport import is_connection_refused
+from lycheedyke_daemon.admissions import Admission, Admissions
 from lycheedyke_daemon.detached import DetachedTasks
+from lycheedyke_daemon.trials import NoTrialPeers, TrialClient
 from lycheedyke_daemon.work import Work
 
 HTTP_SERVER_ERROR = 500
 PROBE_DELAY = timedelta(milliseconds=50)
 PROBE_TIMEOUT = timedelta(milliseconds=500)
-# How often a request that is held looks whether a report has come.
-HOLD_RECHECK = timedelta(milliseconds=20)
 
 _logger = logging.getLogger(__name__)
 
 
-class _Request:
-    """A request whose fingerprint is computed on first use."""
-
-    def __init__(self, work: Work) -> None:
-        self._work = work
-        self._fingerprint = ''
-
-    @property
-    def fingerprint(self) -> str:
-        """The fingerprint of the request, in hexadecimal."""
-        if not self._fingerprint:
-            self._fingerprint = self._work.repeat_fingerprint().hex()
-        return self._fingerprint
-
-
 class _InFlight:
     """The requests in flight at one upstream."""
 
     def __init__(self) -> None:
-        self.requests: list[_Request] = []
+        self.requests: list[Admission] = []
         self.alone = False
         self.users = 0
         self.check: asyncio.Task[None] | None = None
-        self.checked: tuple[_Request, ...] = ()
+        self.checked: tuple[Admission, ...] = ()
         self._waiters: list[asyncio.Future[None]] = []
 
-    def add(self, request: _Request, *, alone: bool) -> None:
+    def add(self, request: Admission, *, alone: bool) -> None:
         """Adds a request; `alone` keeps other requests out until it ends."""
         self.alone = alone
         self.requests.append(request)
 
-    def remove(self, request: _Request) -> None:
+    def remove(self, request: Admission) -> None:
         """Removes a request, and wakes all waiting requests."""
         self.requests.remove(request)
         self.alone = False
@@ -106,6 +91,8 @@
             outcome of a crash is returned, so that peers know the suspects
             before a retry reaches them. Crashes at the same time share it.
         counters: counts crashes and refusals.
+        trials: asks for the trials of requests on probation; None if this
+            instance has no peers.
     """
 
     def __init__(
@@ -113,11 +100,17 @@
         suspects: Suspects,
         report: Callable[[], Awaitable[None]],
         counters: Counters,
+        trials: TrialClient | None = None,
     ) -> None:
         """Initializes the guard."""
         self._suspects = suspects
         self._report = _SharedReport(report)
         self._counters = counters
+        self._admissions = Admissions(
+            suspects,
+            trials
+            or TrialClient(suspects, TrialDesk(suspects), NoTrialPeers()),
+        )
         self._upstreams: dict[str, _InFlight] = {}
         self._checks = DetachedTasks()
 
@@ -125,53 +118,55 @@
         """Returns the class and the number of upstreams used so far."""
         return f'<CrashGuard over {len(self._upstreams)} upstreams>'
 
+    def admit(
+        self, work: Work, timeout: timedelta
+    ) -> AbstractAsyncContextManager[Admission]:
+        """Admits or refuses a request, before an upstream is chosen for it.
+
+        A request on probation waits for its trial, and takes no room of an
+        upstream meanwhile.
+
+        Args:
+            work: the request.
+            timeout: the time that is left to it.
+        """
+        return self._admissions.admit(work, timeout)
+
     async def run(
         self,
         upstream: str,
         address: str,
         work: Work,
         send: Callable[[], Awaitable[Outcome]],
+        admission: Admission | None = None,
     ) -> Outcome:
         """Returns the outcome of an exchange with an upstream.
 
         A suspect waits until no other request is in flight at the upstream,
-        and other requests wait until the suspect has ended. A request that is
-        held waits for the verdict, and keeps no other one waiting. `send` checks
-        the deadline after this wait.
+        and other requests wait until the suspect has ended. `send` checks the
+        deadline after this wait.
 
         Args:
             upstream: the name of the upstream, or of its incarnation.
             address: the address of the upstream, `ip:port`.
             work: the request.
             send: performs the exchange.
+            admission: the request's admission; None to admit it here.
         """
+        if admission is None:
+            async with self._admissions.admit(work) as admitted:
+                return await self.run(upstream, address, work, send, admitted)
         in_flight = self._upstreams.setdefault(upstream, _InFlight())
         in_flight.users += 1
         try:
-            return await self._run(upstream, address, in_flight, work, send)
+            return await self._run(
+                upstream, address, in_flight, admission, send
+            )
         finally:
             in_flight.users -= 1
             if not in_flight.users:
                 self._upstreams.pop(upstream)
 
-    async def wait_for_verdict(self, work: Work, timeout: timedelta) -> None:
-        """Waits while a peer's report may still explain a request's crashes.
-
-        Called before an upstream is chosen, so that the request takes none of
-        its room meanwhile.
-
-        Args:
-            work: the request.
-            timeout: the longest wait.
-        """
-        if not self._suspects.may_hold:
-            return
-        request = _Request(work)
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(timeout.total_seconds()):
-                while self._classify(request) is Verdict.held:
-                    await _pause_for_reports()
-
     def may_repeat(self, work: Work) -> bool:
         """Returns whether work may run again for the same attempt."""
         if not self._suspects:
@@ -183,16 +178,12 @@
         upstream: str,
         address: str,
         in_flight: _InFlight,
-        work: Work,
+        request: Admission,
         send: Callable[[], Awaitable[Outcome]],
     ) -> Outcome:
-        request = _Request(work)
-        while not self._may_enter(in_flight, request):
-            await self._wait(in_flight, request)
-        verdict = self._classify(request)
-        if verdict is Verdict.quarantined:
-            return NotRun(Reason.quarantined)
-        in_flight.add(request, alone=verdict is Verdict.suspect)
+        await self._enter(in_flight, request)
+        if request.refusal is not None:
+            return request.refusal
         try:
             outcome = await send()
             await self._check_outcome(
@@ -202,46 +193,46 @@
             in_flight.remove(request)
         return outcome
 
-    async def _wait(self, in_flight: _InFlight, request: _Request) -> None:
-        if self._classify(request) is Verdict.held:
-            await _pause_for_reports()
-        else:
+    async def _enter(self, in_flight: _InFlight, request: Admission) -> None:
+        """Waits until a request may be sent; it may be refused meanwhile."""
+        while True:
+            await self._admissions.decide(request)
+            if request.refusal is not None:
+                return
+            if self._may_enter(in_flight, request):
+                break
             await in_flight.wait()
+        in_flight.add(request, alone=self._is_isolated(request))
 
-    def _classify(self, request: _Request) -> Verdict:
-        if not self._suspects:
-            return Verdict.clear
-        return self._suspects.judge(request.fingerprint)
-
-    def _may_enter(self, in_flight: _InFlight, request: _Request) -> bool:
-        match self._classify(request):
-            case Verdict.quarantined:
-                return True
-            case Verdict.suspect:
-                return not in_flight.requests
-            case Verdict.held:
-                return False
+    def _may_enter(self, in_flight: _InFlight, request: Admission) -> bool:
+        if self._is_isolated(request):
+            return not in_flight.requests
         return not in_flight.alone
 
+    def _is_isolated(self, request: Admission) -> bool:
+        return bool(self._suspects) and self._suspects.is_isolated(
+            request.fingerprint
+        )
+
     async def _check_outcome(
         self,
         upstream: str,
         address: str,
         in_flight: _InFlight,
-        request: _Request,
+        request: Admission,
         outcome: Outcome,
     ) -> None:
         if self._suspects and _is_success(outcome):
-            self._suspects.record_success(request.fingerprint)
+            self._suspects.record_success(
+                request.fingerprint, is_trial=request.trial.is_granted
+            )
         if outcome != Unknown(Reason.upstream_broke):
             return
         # One crash breaks all exchanges, which share a check.
         if in_flight.check is None or request not in in_flight.checked:
             in_flight.checked = tuple(in_flight.requests)
             in_flight.check = self._checks.start(
-                self._check_crash(
-                    upstream, address, in_flight.checked, in_flight.alone
-                )
+                self._check_crash(upstream, address, in_flight.checked)
             )
         # The caller may leave before the check ends; the crash counts all
         # the same.
@@ -251,20 +242,26 @@
         self,
         upstream: str,
         address: str,
-        requests: tuple[_Request, ...],
-        is_isolated: bool,
+        requests: tuple[Admission, ...],
     ) -> None:
         if not await _is_dead(address):
             return
         fingerprints = tuple(request.fingerprint for request in requests)
+        trials = [
+            request.fingerprint
+            for request in requests
+            if request.trial.is_granted
+        ]
         self._counters.count('upstream.crashed')
         _logger.warning(
             'upstream crashed',
-            extra={'upstream': upstream, 'fingerprints': fingerprints},
-        )
-        self._suspects.record_crash(
-            fingerprints, upstream, is_isolated=is_isolated
+            extra={
+                'upstream': upstream,
+                'fingerprints': fingerprints,
+                'trials': trials,
+            },
         )
+        self._suspects.record_crash(fingerprints, upstream, trials=trials)
         await self._report.send()
 
 
@@ -272,10 +269,6 @@
     return isinstance(outcome, Answered) and outcome.status < HTTP_SERVER_ERROR
 
 
-async def _pause_for_reports() -> None:
-    await asyncio.sleep(HOLD_RECHECK.total_seconds())
-
-
 async def _is_dead(address: str) -> bool:
     """Returns whether nothing listens at an address.
 
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/forward.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/forward.py
@@ -9,7 +9,7 @@
     Mapping,
 )
 from datetime import timedelta
-from typing import Annotated, Any
+from typing import Annotated, Any, TypeVar
 
 import msgspec
 from aiohttp import web
@@ -65,6 +65,7 @@
     ] = ()
 
 
+_Reply = TypeVar('_Reply', bound=msgspec.Struct)
 RunOnUpstream = Callable[[str, Work], Coroutine[Any, Any, Outcome]]
 
 
@@ -194,6 +195,41 @@
         timeout: timedelta,
     ) -> bool:
         """Sends a message to a peer; returns whether the peer accepted it."""
+        answer = await self._post(peer, path, message, timeout)
+        return answer is not None
+
+    async def ask(
+        self,
+        peer: InstanceInfo,
+        path: str,
+        message: msgspec.Struct,
+        kind: type[_Reply],
+    ) -> _Reply | None:
+        """Returns a peer's reply to a message; None if there is none.
+
+        Args:
+            peer: the instance that replies.
+            path: the path of the peer port.
+            message: the message.
+            kind: the type of the reply.
+        """
+        answer = await self._post(peer, path, message, REPORT_TIMEOUT)
+        if answer is None:
+            return None
+        try:
+            return self._codec.decode(answer, kind)
+        except MessageRejected:
+            self._counters.count('message.rejected')
+            return None
+
+    async def _post(
+        self,
+        peer: InstanceInfo,
+        path: str,
+        message: msgspec.Struct,
+        timeout: timedelta,
+    ) -> bytes | None:
+        """Returns the body of a peer's answer; None if it accepted nothing."""
         address = self._routes.get(peer.peer_address, peer.peer_address)
         try:
             answer = await self._http.send(
@@ -203,8 +239,8 @@
                 body=self._codec.encode(message),
             )
         except TransportError:
-            return False
-        return answer.status == HTTP_OK
+            return None
+        return answer.body if answer.status == HTTP_OK else None
 
     def _read_reply(self, body: bytes) -> Outcome:
         reply = self._codec.decode(body, RunReply, max_bytes=MAX_RUN_BYTES)
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
@@ -41,11 +41,13 @@
 from lycheedyke_daemon.gateway._settings import GatewaySettings
 from lycheedyke_daemon.gateway._settings_file import SettingsFile
 from lycheedyke_daemon.gateway._stop_schedule import StopSchedule
+from lycheedyke_daemon.gateway._suspect_exchange import SuspectExchange
 from lycheedyke_daemon.gateway._upstream_client import UpstreamClient
 from lycheedyke_daemon.idle_connections import IdleConnectionCloser
 from lycheedyke_daemon.metric_families import METRICS_PATH, MetricsApi
 from lycheedyke_daemon.servers import Connections, HttpServers
 from lycheedyke_daemon.stopping import RequestTracker
+from lycheedyke_daemon.trials import TrialClient
 
 INCARNATION_BYTES = 8
 READY_PATH = '/ready'
@@ -99,10 +101,12 @@
             self._registry_view,
             settings.seeds,
             self._replica,
-            suspects,
             self._counters,
             clock,
         )
+        self._suspects = SuspectExchange(
+            own, suspects, self._peer_updates, self._counters, clock
+        )
         self._pauses = PauseMonitor()
         self._follower = RegistryFollower(
             deployment.registry,
@@ -125,7 +129,10 @@
             BodyMemory(settings.answer_memory_bytes),
         )
         self._guard = CrashGuard(
-            suspects, self._peer_updates.send_suspects, self._counters
+            suspects,
+            self._suspects.report,
+            self._counters,
+            TrialClient(suspects, self._suspects.desk, self._suspects),
         )
 
     @property
@@ -147,6 +154,7 @@
             ('registry', self._follower.follow()),
             ('peers', self._follower.follow_peers()),
             ('quarantines', self._quarantines.run()),
+            ('suspects', self._suspects.resend()),
         ):
             self._tasks.start(name, work)
         if self._settings_file is not None:
@@ -290,6 +298,7 @@
                 self._max_instances,
                 lambda: self._schedule.has_begun,
                 self._pauses.within,
+                lambda: self._follower.age,
             ),
         )
         api = GatewayCallerApi(
@@ -329,6 +338,7 @@
     def _peer_app(self) -> web.Application:
         app = web.Application()
         app.add_routes(self._peer_updates.routes())
+        app.add_routes(self._suspects.routes())
         return app
 
     def _lookup_app(self) -> web.Application:
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_peer_updates.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_peer_updates.py
@@ -1,4 +1,4 @@
-"""Exchanges registry updates, suspects and planned stops with peers."""
+"""Exchanges registry updates and planned stops with peers."""
 
 import asyncio
 import logging
@@ -19,12 +19,11 @@
     QuarantineRecord,
     RegistryUpdate,
 )
-from lycheedyke.state import Counters, Suspect, Suspects
+from lycheedyke.state import Counters
 from lycheedyke.transport import BodyMemory, HttpClient
 from lycheedyke_daemon.gateway._registry_view import RegistryView
 
 UPDATES_PATH = '/v1/news'
-SUSPECTS_PATH = '/v1/suspects'
 LEAVING_PATH = '/v1/leaving'
 # Earlier versions can't decode quarantine records, and do not ask for them.
 QUARANTINES = 'quarantines'
@@ -41,7 +40,6 @@
 _logger = logging.getLogger(__name__)
 _UPDATE = msgspec.msgpack.Decoder(RegistryUpdate)
 _ENTRY = msgspec.msgpack.Decoder(EntryRecord)
-_SUSPECTS = msgspec.msgpack.Decoder(tuple[Suspect, ...])
 
 
 class PeerUpdates:
@@ -52,7 +50,6 @@
         registry_view: provides the entry instances.
         seeds: addresses to poll while no other entry instance is known.
         replica: the local copy of the registry.
-        suspects: the requests suspected of crashing upstreams.
         counters: counts failed requests to peers.
         clock: the time source.
 
@@ -68,7 +65,6 @@
         registry_view: RegistryView,
         seeds: Sequence[str],
         replica: Replica,
-        suspects: Suspects,
         counters: Counters,
         clock: Clock,
     ) -> None:
@@ -79,11 +75,9 @@
         self._registry_view = registry_view
         self._seeds = tuple(seeds)
         self._replica = replica
-        self._suspects = suspects
         self._counters = counters
         self._clock = clock
         self._silent_until: dict[str, timedelta] = {}
-        self._sent_revision = 0
         self._http = HttpClient(
             max_body_bytes=MAX_UPDATE_BYTES,
             memory=BodyMemory(MAX_UPDATE_BYTES),
@@ -130,21 +124,6 @@
         )
         return [update for update in found if update is not None]
 
-    async def send_suspects(self) -> None:
-        """Sends the suspects to all peers, unless they know them already.
-
-        Peers answer with what they know to speak for a suspect, which is then
-        sent to all as well.
-        """
-        is_new = self._sent_revision < self._suspects.revision
-        while is_new:
-            reported = self._suspects.report_changes(self._sent_revision)
-            self._sent_revision = self._suspects.revision
-            answers = await self._send_to_all(
-                SUSPECTS_PATH, msgspec.msgpack.encode(reported)
-            )
-            is_new = self._merge_corrections(answers)
-
     async def announce_leaving(self) -> None:
         """Notifies all peers that this instance stops soon.
 
@@ -152,11 +131,32 @@
         """
         await self._send_to_all(LEAVING_PATH, msgspec.msgpack.encode(self._own))
 
+    def peers(self) -> list[EntryRecord]:
+        """Returns the other entry instances that are not leaving."""
+        return [
+            peer
+            for peer in self._registry_view.active_entries()
+            if peer.name != self._own.name
+        ]
+
+    async def send(self, address: str, path: str, body: bytes) -> bytes | None:
+        """Sends a message; returns the answer, or None if there was none."""
+        try:
+            answer = await self._http.send(
+                'POST',
+                f'http://{address}{path}',
+                timeout=SEND_TIMEOUT,
+                body=body,
+            )
+        except TransportError:
+            self._counters.count('news.not-told')
+            return None
+        return answer.body if answer.status == HTTP_OK else None
+
     def routes(self) -> list[web.RouteDef]:
         """Returns the routes of the peer port."""
         return [
             web.get(UPDATES_PATH, self._answer),
-            web.post(SUSPECTS_PATH, self._handle_suspects),
             web.post(LEAVING_PATH, self._handle_leaving),
         ]
 
@@ -186,17 +186,6 @@
             int(request.query.get('after', '0')),
         )
 
-    async def _handle_suspects(self, request: web.Request) -> web.Response:
-        try:
-            reported = _SUSPECTS.decode(await request.read())
-        except msgspec.MsgspecError as error:
-            raise web.HTTPBadRequest(text=str(error)) from error
-        self._suspects.merge(reported)
-        corrections = self._suspects.corrections(reported)
-        if not corrections:
-            return web.Response()
-        return web.Response(body=msgspec.msgpack.encode(corrections))
-
     async def _handle_leaving(self, request: web.Request) -> web.Response:
         try:
             entry = _ENTRY.decode(await request.read())
@@ -205,19 +194,6 @@
         self._registry_view.mark_leaving(entry)
         return web.Response()
 
-    def _merge_corrections(self, answers: list[bytes]) -> bool:
-        """Merges the answers of peers; returns whether any was new."""
-        is_new = False
-        for body in answers:
-            # Earlier versions answer without a body.
-            if not body:
-                continue
-            try:
-                is_new = self._suspects.merge(_SUSPECTS.decode(body)) or is_new
-            except msgspec.MsgspecError:
-                self._counters.count('news.not-heard')
-        return is_new
-
     def _watcher(self) -> EntryRecord | None:
         """Returns the watcher of this instance's zone."""
         zone = self._own.zone
@@ -251,11 +227,7 @@
             _logger.info(event, extra={'peer': name, 'paused_ms': paused_ms})
 
     def _peer_addresses(self) -> list[str]:
-        return [
-            peer.peer_address
-            for peer in self._registry_view.active_entries()
-            if peer.name != self._own.name
-        ]
+        return [peer.peer_address for peer in self.peers()]
 
     async def _poll(
         self, address: str, after: Position
@@ -275,25 +247,12 @@
             self._counters.count('news.not-heard')
             return None
 
-    async def _send_to_all(self, path: str, body: bytes) -> list[bytes]:
-        """Sends a message to all peers, and returns their answers."""
-        return await asyncio.gather(
-            *(self._send(peer, path, body) for peer in self._peer_addresses()),
+    async def _send_to_all(self, path: str, body: bytes) -> None:
+        """Sends a message to all peers."""
+        await asyncio.gather(
+            *(self.send(peer, path, body) for peer in self._peer_addresses()),
         )
 
-    async def _send(self, address: str, path: str, body: bytes) -> bytes:
-        try:
-            answer = await self._http.send(
-                'POST',
-                f'http://{address}{path}',
-                timeout=SEND_TIMEOUT,
-                body=body,
-            )
-        except TransportError:
-            self._counters.count('news.not-told')
-            return b''
-        return answer.body if answer.status == HTTP_OK else b''
-
 
 def _without_quarantines(batch: ItemBatch) -> ItemBatch:
     items = tuple(
--- /dev/null
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_request_progress.py
@@ -0,0 +1,65 @@
+"""The progress of one request through its attempts."""
+
+from datetime import timedelta
+
+from lycheedyke.protocol import NotRun, Outcome, Reason
+from lycheedyke.state import Candidate
+from lycheedyke_daemon.admissions import Admission
+
+# With these reasons nothing was sent, so they don't count as attempts.
+_NOT_SENT = frozenset(
+    (
+        Reason.upstream_unreachable,
+        Reason.upstream_leaving,
+        Reason.quarantined,
+    )
+)
+
+
+class RequestProgress:
+    """The progress of one request: upstreams tried, attempts and outcome.
+
+    Attributes:
+        started: when the first upstream was looked for.
+        admission: the permission to run.
+        waited: the wait at the last upstream before the request was sent.
+        news_age: the age of the last update from the registry at that time.
+        tried: the names of the upstreams.
+        attempts: the number of sends that may have reached an upstream.
+        outcome: the outcome so far.
+        candidate: the last upstream that was chosen.
+        next_candidate: the one that was found while the last was silent.
+    """
+
+    def __init__(self, started: timedelta, admission: Admission) -> None:
+        """Initializes the progress of a request that was sent nowhere."""
+        self.started = started
+        self.admission = admission
+        self.waited = timedelta()
+        self.news_age = timedelta()
+        self.tried: set[str] = set()
+        self.attempts = 0
+        self.outcome: Outcome | None = None
+        self.candidate: Candidate | None = None
+        self.next_candidate: Candidate | None = None
+
+    def add(self, upstream: str, outcome: Outcome) -> None:
+        """Records the outcome at one upstream.
+
+        The overall outcome is "not run" only if it was so at all upstreams.
+        """
+        self.tried.add(upstream)
+        if not _is_not_sent(outcome):
+            self.attempts += 1
+        if not isinstance(outcome, NotRun) or self.outcome is None:
+            self.outcome = outcome
+
+    def take_next_candidate(self) -> Candidate | None:
+        """Returns the upstream that was found while the last was silent."""
+        found = self.next_candidate
+        self.next_candidate = None
+        return found
+
+
+def _is_not_sent(outcome: Outcome) -> bool:
+    return isinstance(outcome, NotRun) and outcome.reason in _NOT_SENT
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_router.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_router.py
@@ -28,9 +28,11 @@
     response_timeout,
 )
 from lycheedyke.timers import pause_tolerant_timeout
+from lycheedyke_daemon.admissions import Admission
 from lycheedyke_daemon.cancellation import is_cancelled
 from lycheedyke_daemon.crashes import CrashGuard
 from lycheedyke_daemon.gateway._decision_log import Telemetry
+from lycheedyke_daemon.gateway._request_progress import RequestProgress
 from lycheedyke_daemon.gateway._silence_watch import SilenceWatch
 from lycheedyke_daemon.gateway._upstream_client import UpstreamClient
 from lycheedyke_daemon.work import Work
@@ -43,8 +45,6 @@
 # A run counts as a run time if pauses of this process took at most this share
 # of it.
 MAX_PAUSED_SHARE = 0.5
-# With these reasons nothing was sent, so they don't count as attempts.
-_NOT_SENT = frozenset((Reason.upstream_unreachable, Reason.quarantined))
 _FINAL = frozenset((Reason.deadline_passed, Reason.quarantined))
 
 
@@ -57,40 +57,13 @@
         is_stopping: returns whether the instance is in a planned stop.
         paused_within: returns how long the process stood still within the
             last time of the given length.
+        news_age: returns the age of the last update from the registry.
     """
 
     max_instances: Callable[[], int]
     is_stopping: Callable[[], bool]
     paused_within: Callable[[timedelta], timedelta]
-
-
-class _RequestProgress:
-    """The progress of one request: upstreams tried, attempts and outcome."""
-
-    def __init__(self, started: timedelta) -> None:
-        self.started = started
-        self.tried: set[str] = set()
-        self.attempts = 0
-        self.outcome: Outcome | None = None
-        self.candidate: Candidate | None = None
-        self.next_candidate: Candidate | None = None
-
-    def add(self, upstream: str, outcome: Outcome) -> None:
-        """Records the outcome at one upstream.
-
-        The overall outcome is "not run" only if it was so at all upstreams.
-        """
-        self.tried.add(upstream)
-        if not _is_not_sent(outcome):
-            self.attempts += 1
-        if not isinstance(outcome, NotRun) or self.outcome is None:
-            self.outcome = outcome
-
-    def take_next_candidate(self) -> Candidate | None:
-        """Returns the upstream that was found while the last was silent."""
-        found = self.next_candidate
-        self.next_candidate = None
-        return found
+    news_age: Callable[[], timedelta]
 
 
 class GatewayRouter:
@@ -127,6 +100,7 @@
         self._max_instances = status.max_instances
         self._is_stopping = status.is_stopping
         self._paused_within = status.paused_within
+        self._news_age = status.news_age
         self._budgets: defaultdict[str, RepeatBudget] = defaultdict(
             lambda: RepeatBudget(repeats, telemetry.clock),
         )
@@ -151,8 +125,19 @@
         """
         self._budgets[request.service].add_request()
         left = work.deadline - self._clock.elapsed()
-        await self._guard.wait_for_verdict(work, left)
-        progress = _RequestProgress(self._clock.elapsed())
+        async with self._guard.admit(work, left) as admission:
+            if admission.refusal is not None:
+                return admission.refusal
+            return await self._run_admitted(request, work, sent_to, admission)
+
+    async def _run_admitted(
+        self,
+        request: Request,
+        work: Work,
+        sent_to: list[str],
+        admission: Admission,
+    ) -> Outcome:
+        progress = RequestProgress(self._clock.elapsed(), admission)
         while candidate := self._next(request, work, progress):
             sent_to.append(candidate.state.record.name)
             outcome = await self._attempt(request, candidate, work, progress)
@@ -160,6 +145,8 @@
             if is_cancelled() or not self._may_repeat(work, outcome):
                 break
         if progress.outcome is None or isinstance(progress.outcome, NotRun):
+            if admission.refusal is not None:
+                return admission.refusal
             # Without a send, the last candidate was chosen from all upstreams.
             candidate = (
                 self._selector.choose(request)
@@ -173,7 +160,7 @@
         self,
         request: Request,
         work: Work,
-        progress: _RequestProgress,
+        progress: RequestProgress,
     ) -> Candidate | None:
         """Returns the next upstream, or None if there is no further send."""
         if progress.next_candidate is not None:
@@ -219,7 +206,7 @@
         request: Request,
         candidate: Candidate,
         work: Work,
-        progress: _RequestProgress,
+        progress: RequestProgress,
     ) -> Outcome:
         state = candidate.state
         self._selector.acquire_permit(state)
@@ -232,12 +219,12 @@
             functools.partial(self._find_other, request, work, progress),
         )
         try:
-            outcome = await self._run_guarded(state, work, silence)
+            outcome = await self._run_guarded(state, work, silence, progress)
         finally:
             silence.close()
             state.end_request()
         took = self._clock.elapsed() - started
-        self._log_attempt(candidate, work, outcome, took)
+        self._log_attempt(candidate, work, outcome, took, progress)
         is_success = (
             isinstance(outcome, Answered) and outcome.status < HTTP_SERVER_ERROR
         )
@@ -251,7 +238,7 @@
         request: Request,
         candidate: Candidate,
         work: Work,
-        progress: _RequestProgress,
+        progress: RequestProgress,
     ) -> timedelta | None:
         """Returns how long to wait for a silent upstream; None for no limit."""
         if (
@@ -268,7 +255,7 @@
         self,
         request: Request,
         work: Work,
-        progress: _RequestProgress,
+        progress: RequestProgress,
         silent: str,
     ) -> bool:
         """Returns whether another upstream is found to run a request now.
@@ -286,6 +273,7 @@
         state: UpstreamState,
         work: Work,
         silence: SilenceWatch,
+        progress: RequestProgress,
     ) -> Outcome:
         """Returns the outcome, even if the guard admits no request in time.
 
@@ -304,19 +292,34 @@
                     state.record.incarnation,
                     state.record.address,
                     work,
-                    lambda: self._client.run(state, work),
+                    functools.partial(
+                        self._send, state, work, progress, started
+                    ),
+                    progress.admission,
                 )
         except TimeoutError:
             if self._clock.elapsed() < work.deadline:
                 reason = Reason.upstream_silent
             return Unknown(reason)
 
+    async def _send(
+        self,
+        state: UpstreamState,
+        work: Work,
+        progress: RequestProgress,
+        chosen: timedelta,
+    ) -> Outcome:
+        progress.waited = self._clock.elapsed() - chosen
+        progress.news_age = self._news_age()
+        return await self._client.run(state, work)
+
     def _log_attempt(
         self,
         candidate: Candidate,
         work: Work,
         outcome: Outcome,
         took: timedelta,
+        progress: RequestProgress,
     ) -> None:
         record = candidate.state.record
         self._decision_log.write(
@@ -331,6 +334,8 @@
             load=round(candidate.load, 1),
             slowness=round(candidate.state.slowness, 2),
             time_left_ms=(work.deadline - self._clock.elapsed()) // MILLISECOND,
+            waited_ms=progress.waited // MILLISECOND,
+            news_ms=progress.news_age // MILLISECOND,
         )
 
     def _refuse(
@@ -365,10 +370,6 @@
         return refusal
 
 
-def _is_not_sent(outcome: Outcome) -> bool:
-    return isinstance(outcome, NotRun) and outcome.reason in _NOT_SENT
-
-
 def _is_repeatable(work: Work, outcome: Outcome) -> bool:
     match outcome:
         case Answered(status):
--- /dev/null
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_suspect_exchange.py
@@ -0,0 +1,201 @@
+"""Exchanges suspects with peers, and decisions on their trials."""
+
+import asyncio
+import logging
+from datetime import timedelta
+
+import msgspec
+from aiohttp import web
+
+from lycheedyke.clock import Clock
+from lycheedyke.protocol import EntryRecord
+from lycheedyke.state import (
+    Counters,
+    Suspect,
+    Suspects,
+    TrialDesk,
+    TrialReply,
+    TrialRequest,
+)
+from lycheedyke_daemon.gateway._peer_updates import PeerUpdates
+from lycheedyke_daemon.trials import rank_deciding
+
+SUSPECTS_PATH = '/v1/suspects'
+TRIALS_PATH = '/v1/trials'
+# How often reports are sent again to peers that did not get them.
+RESEND_INTERVAL = timedelta(milliseconds=500)
+
+_logger = logging.getLogger(__name__)
+_SUSPECTS = msgspec.msgpack.Decoder(tuple[Suspect, ...])
+_REQUEST = msgspec.msgpack.Decoder(TrialRequest)
+_REPLY = msgspec.msgpack.Decoder(TrialReply)
+
+
+class SuspectExchange:
+    """Tells peers of suspects until they know them, and asks for trials.
+
+    Args:
+        own: this instance.
+        suspects: the requests suspected of crashing upstreams.
+        peers: sends messages to the other entry instances.
+        counters: counts messages that can't be read.
+        clock: the time source.
+
+    Attributes:
+        desk: decides on the trials that peers ask for.
+    """
+
+    def __init__(
+        self,
+        own: EntryRecord,
+        suspects: Suspects,
+        peers: PeerUpdates,
+        counters: Counters,
+        clock: Clock,
+    ) -> None:
+        """Initializes the exchange; no peer knows anything yet."""
+        self.desk = TrialDesk(suspects)
+        self._own = own
+        self._suspects = suspects
+        self._peers = peers
+        self._counters = counters
+        self._clock = clock
+        # What each peer got of the suspects, by the incarnation of the peer.
+        self._sent_revisions: dict[str, int] = {}
+
+    def __repr__(self) -> str:
+        """Returns the suspects."""
+        return f'<SuspectExchange of {self._suspects!r}>'
+
+    async def report(self) -> None:
+        """Sends the suspects to all peers, unless they know them already.
+
+        Peers answer with what they know of these suspects, which is then sent
+        to all as well.
+        """
+        revision = self._suspects.observed_revision
+        while await self._send_missing(revision):
+            revision = self._suspects.revision
+
+    async def resend(self) -> None:
+        """Sends the suspects to peers that did not get them, until cancelled.
+
+        These may have been busy or cut off, or have started later.
+        """
+        while True:
+            await self._clock.sleep(RESEND_INTERVAL)
+            await self._send_missing(self._suspects.observed_revision)
+
+    def deciding(self, fingerprint: str) -> list[str]:
+        """Returns the instances that decide on a request's trials, by rank.
+
+        They are given by their peer addresses, and this instance by ''.
+        """
+        addresses = {
+            peer.name: peer.peer_address for peer in self._peers.peers()
+        }
+        addresses[self._own.name] = ''
+        return [
+            addresses[name] for name in rank_deciding(fingerprint, addresses)
+        ]
+
+    async def ask(self, peer: str, request: TrialRequest) -> TrialReply | None:
+        """Asks a peer to decide on a trial; returns None if it doesn't."""
+        body = await self._peers.send(
+            peer, TRIALS_PATH, msgspec.msgpack.encode(request)
+        )
+        if not body:
+            return None
+        try:
+            return _REPLY.decode(body)
+        except msgspec.MsgspecError:
+            self._counters.count('news.not-heard')
+            return None
+
+    def routes(self) -> list[web.RouteDef]:
+        """Returns the routes of the peer port."""
+        return [
+            web.post(SUSPECTS_PATH, self._handle_suspects),
+            web.post(TRIALS_PATH, self._handle_trial),
+        ]
+
+    async def _handle_suspects(self, request: web.Request) -> web.Response:
+        try:
+            reported = _SUSPECTS.decode(await request.read())
+        except msgspec.MsgspecError as error:
+            raise web.HTTPBadRequest(text=str(error)) from error
+        self._suspects.merge(reported)
+        corrections = self._suspects.corrections(reported)
+        if not corrections:
+            return web.Response()
+        return web.Response(body=msgspec.msgpack.encode(corrections))
+
+    async def _handle_trial(self, request: web.Request) -> web.Response:
+        try:
+            asked = _REQUEST.decode(await request.read())
+        except msgspec.MsgspecError as error:
+            raise web.HTTPBadRequest(text=str(error)) from error
+        return web.Response(
+            body=msgspec.msgpack.encode(self.desk.decide(asked))
+        )
+
+    async def _send_missing(self, revision: int) -> bool:
+        """Sends the suspects to the peers that lack them.
+
+        Args:
+            revision: the revision that each peer is to know.
+
+        Returns:
+            Whether a peer answered with anything new.
+        """
+        peers = self._peers.peers()
+        self._sent_revisions = {
+            peer.incarnation: self._sent_revisions.get(peer.incarnation, 0)
+            for peer in peers
+        }
+        missing = [
+            peer
+            for peer in peers
+            if self._sent_revisions[peer.incarnation] < revision
+        ]
+        if not missing:
+            return False
+        answers = await asyncio.gather(
+            *(self._send_to(peer) for peer in missing)
+        )
+        lost = answers.count(None)
+        _logger.info(
+            'suspects reported', extra={'peers': len(missing), 'lost': lost}
+        )
+        # Keeps no answer from being merged.
+        return any([self._merge_answer(answer or b'') for answer in answers])
+
+    async def _send_to(self, peer: EntryRecord) -> bytes | None:
+        """Sends a peer what it lacks; returns its answer, if any."""
+        revision = self._suspects.revision
+        reported = self._suspects.report_changes(
+            self._sent_revisions[peer.incarnation]
+        )
+        answer: bytes | None = b''
+        if reported:
+            answer = await self._peers.send(
+                peer.peer_address,
+                SUSPECTS_PATH,
+                msgspec.msgpack.encode(reported),
+            )
+        if answer is not None and peer.incarnation in self._sent_revisions:
+            self._sent_revisions[peer.incarnation] = max(
+                revision, self._sent_revisions[peer.incarnation]
+            )
+        return answer
+
+    def _merge_answer(self, body: bytes) -> bool:
+        """Merges the answer of a peer; returns whether anything was new."""
+        # Earlier versions answer without a body.
+        if not body:
+            return False
+        try:
+            return self._suspects.merge(_SUSPECTS.decode(body))
+        except msgspec.MsgspecError:
+            self._counters.count('news.not-heard')
+            return False
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/instance.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/instance.py
@@ -29,7 +29,6 @@
 from lycheedyke_daemon.bodies import BodyReader
 from lycheedyke_daemon.callers import CallerApi
 from lycheedyke_daemon.control import ControlApi
-from lycheedyke_daemon.crashes import CrashGuard
 from lycheedyke_daemon.dispatch import Dispatcher
 from lycheedyke_daemon.forward import PeerApi, PeerClient
 from lycheedyke_daemon.handover import HandoverApi, KeyHomes
@@ -134,7 +133,7 @@
             self._ownership.allowance,
             clock,
             self._counters,
-            CrashGuard(suspects, self._replicator.report, self._counters),
+            self._replicator.make_guard(self._counters),
         )
         self._members.loads = self._runner.loads
         self._table = RoutingTable(
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/suspect_replication.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/suspect_replication.py
@@ -1,12 +1,24 @@
 """Replicates suspects among instances."""
 
+from collections.abc import Sequence
+from typing import TypeVar
+
+import msgspec
 from aiohttp import web
 
 from lycheedyke.coordination import Members
 from lycheedyke.exceptions import MessageRejected
 from lycheedyke.protocol import MessageCodec
-from lycheedyke.state import Counters, Suspect, Suspects
+from lycheedyke.state import (
+    Counters,
+    Suspect,
+    Suspects,
+    TrialDesk,
+    TrialReply,
+    TrialRequest,
+)
 from lycheedyke_daemon.bodies import BodyReader, BodyRefused
+from lycheedyke_daemon.crashes import CrashGuard
 from lycheedyke_daemon.detached import DetachedTasks
 from lycheedyke_daemon.forward import (
     HTTP_FORBIDDEN,
@@ -14,6 +26,10 @@
     PeerClient,
     SuspectsReport,
 )
+from lycheedyke_daemon.trials import TrialClient, rank_deciding
+
+TRIALS_PATH = '/v1/trials'
+_Message = TypeVar('_Message', bound=msgspec.Struct)
 
 
 class SuspectReplicator:
@@ -32,6 +48,7 @@
         peers: PeerClient,
     ) -> None:
         """Initializes the replicator."""
+        self._desk = TrialDesk(suspects)
         self._suspects = suspects
         self._members = members
         self._peers = peers
@@ -41,6 +58,11 @@
         """Returns the class and the suspects."""
         return f'<SuspectReplicator of {self._suspects!r}>'
 
+    def make_guard(self, counters: Counters) -> CrashGuard:
+        """Returns a guard that asks peers for trials and reports to them."""
+        trials = TrialClient(self._suspects, self._desk, self)
+        return CrashGuard(self._suspects, self.report, counters, trials)
+
     def list(self) -> tuple[Suspect, ...]:
         """Returns all suspects."""
         return self._suspects.list()
@@ -80,6 +102,31 @@
         elif is_new:
             self._reports.start(self.report())
 
+    def deciding(self, fingerprint: str) -> Sequence[str]:
+        """Returns the instances that decide on a request's trials, by rank.
+
+        They are given by their names, and this instance by ''.
+        """
+        names = [peer.info.name for peer in self._members.live()]
+        own = self._members.own.name
+        return [
+            '' if name == own else name
+            for name in rank_deciding(fingerprint, [own, *names])
+        ]
+
+    async def ask(self, peer: str, request: TrialRequest) -> TrialReply | None:
+        """Asks a peer to decide on a trial; returns None if it doesn't."""
+        for live in self._members.live():
+            if live.info.name == peer:
+                return await self._peers.ask(
+                    live.info, TRIALS_PATH, request, TrialReply
+                )
+        return None
+
+    def decide(self, request: TrialRequest) -> TrialReply:
+        """Decides on a trial that a peer asks for."""
+        return self._desk.decide(request)
+
     async def close(self) -> None:
         """Waits for all reports."""
         await self._reports.close()
@@ -90,7 +137,7 @@
 
 
 class SuspectReportApi:
-    """Serves the suspect reports of peers.
+    """Serves the suspect reports of peers, and decides on their trials.
 
     Args:
         replicator: merges the reports.
@@ -118,14 +165,31 @@
 
     def routes(self) -> list[web.RouteDef]:
         """Returns the routes of the peer port."""
-        return [web.post(SUSPECTS_PATH, self._receive)]
+        return [
+            web.post(SUSPECTS_PATH, self._receive),
+            web.post(TRIALS_PATH, self._decide),
+        ]
 
     async def _receive(self, request: web.Request) -> web.Response:
+        report = await self._read(request, SuspectsReport)
+        if report is None:
+            return web.Response(status=HTTP_FORBIDDEN)
+        self._replicator.merge(report)
+        return web.Response()
+
+    async def _decide(self, request: web.Request) -> web.Response:
+        asked = await self._read(request, TrialRequest)
+        if asked is None:
+            return web.Response(status=HTTP_FORBIDDEN)
+        reply = self._replicator.decide(asked)
+        return web.Response(body=self._codec.encode(reply))
+
+    async def _read(
+        self, request: web.Request, kind: type[_Message]
+    ) -> _Message | None:
         try:
             async with self._bodies.read(request) as body:
-                report = self._codec.decode(body, SuspectsReport)
+                return self._codec.decode(body, kind)
         except (BodyRefused, MessageRejected):
             self._counters.count('message.rejected')
-            return web.Response(status=HTTP_FORBIDDEN)
-        self._replicator.merge(report)
-        return web.Response()
+            return None
--- /dev/null
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/trials.py
@@ -0,0 +1,178 @@
+"""Asks for trials of requests that may crash the upstreams that run them."""
+
+import logging
+import secrets
+from collections.abc import Iterable, Sequence
+from datetime import timedelta
+from typing import Protocol, TypeVar
+
+import xxhash
+
+from lycheedyke.state import (
+    Suspects,
+    TrialDecision,
+    TrialDesk,
+    TrialReply,
+    TrialRequest,
+    Verdict,
+)
+from lycheedyke_daemon.detached import DetachedTasks
+
+# If none of so many instances answers, each decides for itself.
+MAX_ASKED = 3
+MILLISECOND = timedelta(milliseconds=1)
+PERMIT_BYTES = 8
+
+_logger = logging.getLogger(__name__)
+_Instance = TypeVar('_Instance')
+
+
+class TrialPeers(Protocol):
+    """The instances that decide on trials."""
+
+    def deciding(self, fingerprint: str) -> Sequence[str]:
+        """Returns the names of the instances by rank, this one as ''."""
+
+    async def ask(self, peer: str, request: TrialRequest) -> TrialReply | None:
+        """Returns the decision of a peer; None if it does not answer."""
+
+
+class NoTrialPeers:
+    """An instance without peers."""
+
+    def __repr__(self) -> str:
+        """Returns the constructor call."""
+        return 'NoTrialPeers()'
+
+    def deciding(self, fingerprint: str) -> Sequence[str]:
+        """Returns this instance."""
+        return ('',)
+
+    async def ask(self, peer: str, request: TrialRequest) -> TrialReply | None:
+        """Raises an error, as there is no peer to ask."""
+        raise LookupError(f'instance {peer!r} is not known')
+
+
+class Trial:
+    """A request that is on probation, or may come to be.
+
+    Attributes:
+        permit: the id of its trial.
+        is_granted: whether it may run as a trial.
+        decided_by: the instance that granted it.
+    """
+
+    def __init__(self) -> None:
+        """Initializes a trial that is not granted."""
+        self.permit = secrets.token_hex(PERMIT_BYTES)
+        self.is_granted = False
+        self.decided_by = ''
+
+    def __repr__(self) -> str:
+        """Returns the id."""
+        return f'<Trial {self.permit}>'
+
+
+class TrialClient:
+    """Asks the instance that decides on the trials of a request.
+
+    All instances ask the same one, the first by rank that answers them, so
+    that trials of one request follow each other.
+
+    Args:
+        suspects: the suspects that this instance knows.
+        desk: decides if this instance is to, or if no other one answers.
+        peers: the instances that decide.
+    """
+
+    def __init__(
+        self, suspects: Suspects, desk: TrialDesk, peers: TrialPeers
+    ) -> None:
+        """Initializes the client."""
+        self._suspects = suspects
+        self._desk = desk
+        self._peers = peers
+        self._ends = DetachedTasks()
+
+    def __repr__(self) -> str:
+        """Returns the desk of this instance."""
+        return f'<TrialClient with {self._desk!r}>'
+
+    async def ask(
+        self, fingerprint: str, trial: Trial, lasts: timedelta
+    ) -> TrialReply:
+        """Returns the decision on a trial, and merges its evidence.
+
+        Args:
+            fingerprint: the request.
+            trial: its trial, which is granted or not.
+            lasts: how long the trial may last.
+        """
+        request = TrialRequest(
+            self._suspects.describe(fingerprint),
+            trial.permit,
+            max(0, lasts // MILLISECOND),
+        )
+        decided_by, reply = await self._ask_first(fingerprint, request)
+        self._suspects.merge((reply.evidence,))
+        trial.is_granted = reply.decision is TrialDecision.granted
+        trial.decided_by = decided_by
+        if (
+            trial.is_granted
+            and self._suspects.judge(fingerprint) is Verdict.quarantined
+        ):
+            await self._tell_end(fingerprint, trial)
+            reply = TrialReply(TrialDecision.refused, reply.evidence)
+        _logger.info(
+            'trial decided',
+            extra={
+                'fingerprint': fingerprint,
+                'decision': reply.decision.value,
+                'decided_by': decided_by,
+                'crashes': len(reply.evidence.crashed),
+                'trials': len(reply.evidence.trials),
+                'wait_ms': reply.wait_ms,
+            },
+        )
+        return reply
+
+    def end(self, fingerprint: str, trial: Trial) -> None:
+        """Tells that a granted trial has ended, without waiting for it."""
+        if trial.is_granted:
+            self._ends.start(self._tell_end(fingerprint, trial))
+
+    async def _tell_end(self, fingerprint: str, trial: Trial) -> None:
+        trial.is_granted = False
+        request = TrialRequest(
+            self._suspects.describe(fingerprint), trial.permit, is_over=True
+        )
+        if not trial.decided_by:
+            self._desk.decide(request)
+        elif await self._peers.ask(trial.decided_by, request) is None:
+            _logger.info(
+                'trial end not delivered',
+                extra={'fingerprint': fingerprint, 'peer': trial.decided_by},
+            )
+
+    async def _ask_first(
+        self, fingerprint: str, request: TrialRequest
+    ) -> tuple[str, TrialReply]:
+        """Returns the first decision, and the instance that made it."""
+        for peer in self._peers.deciding(fingerprint)[:MAX_ASKED]:
+            if not peer:
+                break
+            reply = await self._peers.ask(peer, request)
+            if reply is not None:
+                return peer, reply
+        return '', self._desk.decide(request)
+
+
+def rank_deciding(fingerprint: str, names: Iterable[str]) -> list[str]:
+    """Returns the names of instances by their rank for a request."""
+    return sorted(
+        names,
+        key=lambda name: xxhash.xxh3_64_intdigest(
+            f'trial {fingerprint} {name}'.encode()
+        ),
+        reverse=True,
+    )
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/upstream_runner.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/upstream_runner.py
@@ -28,6 +28,7 @@
     LeavingCause,
 )
 from lycheedyke.transport import HttpClient
+from lycheedyke_daemon.admissions import Admission
 from lycheedyke_daemon.answers import outcome_of_answer
 from lycheedyke_daemon.attempts import Attempt, OwnedUpstream
 from lycheedyke_daemon.crashes import CrashGuard
@@ -128,7 +129,14 @@
         If no slot is free, the work waits for one, unless it may not wait.
         """
         left = work.deadline - self._clock.elapsed()
-        await self._guard.wait_for_verdict(work, left)
+        async with self._guard.admit(work, left) as admission:
+            if admission.refusal is not None:
+                return admission.refusal
+            return await self._run_admitted(name, work, admission)
+
+    async def _run_admitted(
+        self, name: str, work: Work, admission: Admission
+    ) -> Outcome:
         owned = self._owned.get(name)
         upstream = self._configuration.upstreams.get(name)
         if owned is None or upstream is None:
@@ -157,6 +165,7 @@
                 upstream.address,
                 work,
                 functools.partial(self._send, name, upstream, work, attempt),
+                admission,
             )
         finally:
             attempt.release()
--- a/packages/lycheedyke/src/lycheedyke/state/__init__.py
+++ b/packages/lycheedyke/src/lycheedyke/state/__init__.py
@@ -69,6 +69,13 @@
     Suspects,
     Verdict,
 )
+from lycheedyke.state._trials import (
+    MAX_TRIAL_TIME,
+    TrialDecision,
+    TrialDesk,
+    TrialReply,
+    TrialRequest,
+)
 from lycheedyke.state._upstreams import UpstreamState, UpstreamTable
 from lycheedyke.state._warmup_limiter import WarmupLimiter, permit_interval
 
@@ -127,6 +134,11 @@
     'SettledQuarantine',
     'Suspect',
     'Suspects',
+    'MAX_TRIAL_TIME',
+    'TrialDecision',
+    'TrialDesk',
+    'TrialReply',
+    'TrialRequest',
     'Verdict',
     'LeavingCause',
     'RegionBudgets',
--- a/packages/lycheedyke/src/lycheedyke/state/_crash_evidence.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_crash_evidence.py
@@ -1,22 +1,17 @@
 """The crashes of upstreams at which one request was in flight."""
 
-import itertools
 from collections.abc import Iterable
 from datetime import timedelta
 from typing import NamedTuple, Self
 
-# Crashes within this time of the first of them may have one common cause.
-MOMENT = timedelta(seconds=1)
-CONFIRMATIONS = 2
-# A crash is reported this long after it was noticed at the earliest, and only
-# then repeated: runs whose upstreams crash sooner after each other were side by
-# side, and one cause may have ended both.
-MIN_REPEAT_GAP = timedelta(milliseconds=50)
-# A request that was in flight at crashes in this many moments causes them.
-PROVEN_MOMENTS = 3
-# A report of a crash reaches all peers within this time, though another one that
-# is being sent comes first.
-REPORT_TIME = timedelta(milliseconds=500)
+# From so many crashes on, all instances together run the request once at a time.
+PROBATION_CRASHES = 2
+# So many of these runs that crash their upstreams convict the request.
+CONVICTING_TRIALS = 2
+# A trial comes so long after the crashes before it that a common cause of theirs
+# is over.
+FIRST_PAUSE = timedelta(seconds=1)
+SECOND_PAUSE = timedelta(seconds=8)
 MAX_CRASHES = 16
 # Two observers may date one crash as differently as a process may stand still
 # before it reads a report.
@@ -29,122 +24,118 @@
     Attributes:
         time: when it was observed, on the monotonic clock.
         upstream: the name of the upstream, or of its incarnation.
-        is_isolated: whether the request ran there on its own, as a suspect.
+        is_trial: whether the request ran there as a trial.
     """
 
     time: timedelta
     upstream: str
-    is_isolated: bool = False
+    is_trial: bool = False
+
+
+class Answer(NamedTuple):
+    """The answer of an upstream to the request.
+
+    Attributes:
+        time: when it came, on the monotonic clock.
+        is_trial: whether the request ran as a trial.
+    """
+
+    time: timedelta
+    is_trial: bool = False
 
 
 class Strength(NamedTuple):
     """How much speaks against a request; compares by importance."""
 
-    is_confirmed: bool
-    moments: int
+    trials: int
     crashes: int
     expiry: timedelta
 
 
 class Evidence(NamedTuple):
-    """The crashes at which one request was in flight.
+    """The crashes at which one request was in flight, and its answers.
+
+    Most of the requests that are in flight at a crash have not caused it. From
+    `PROBATION_CRASHES` on a request runs only as a trial: once at a time among
+    all instances, and after a pause. A trial that is answered clears it, and
+    `CONVICTING_TRIALS` that crash their upstreams convict it.
 
     Attributes:
         crashes: the crashes by time, at most `MAX_CRASHES`.
         dismissed: those of them that were attributed to the failure of a zone
             or region.
-        answered: when an upstream last answered the request; None if that is
-            not known. Earlier crashes do not count.
+        answer: the last answer that outweighs earlier crashes; None if there
+            is none.
         expiry: when the evidence expires.
         is_first_hand: whether this instance observed one of the crashes.
     """
 
     crashes: tuple[Crash, ...] = ()
     dismissed: frozenset[Crash] = frozenset()
-    answered: timedelta | None = None
+    answer: Answer | None = None
     expiry: timedelta = timedelta()
     is_first_hand: bool = False
 
     @property
-    def moments(self) -> int:
-        """The number of separate moments of crashes."""
-        count = 0
-        ends = None
-        for crash in self.crashes:
-            if ends is None or crash.time > ends:
-                count += 1
-                ends = crash.time + MOMENT
-        return count
-
-    @property
-    def is_proven(self) -> bool:
-        """Whether the failure of a zone or region can't explain the crashes."""
-        return self.moments >= PROVEN_MOMENTS
+    def trials(self) -> int:
+        """The number of trials that crashed their upstreams."""
+        return sum(crash.is_trial for crash in self.crashes)
 
     @property
     def standing(self) -> tuple[Crash, ...]:
-        """The crashes that count against the request."""
-        if self.is_proven:
-            return self.crashes
+        """The crashes that no failure of a zone or region explains."""
         return tuple(
             crash for crash in self.crashes if crash not in self.dismissed
         )
 
     @property
-    def is_confirmed(self) -> bool:
-        """Whether the request must not run again.
+    def is_on_probation(self) -> bool:
+        """Whether the request may run only as a trial."""
+        return len(self.crashes) >= PROBATION_CRASHES or self.trials > 0
 
-        A request that is sent often is in flight at every crash. So one of
-        the crashes must be that of a run on its own, after an earlier one.
-        """
-        if self._successive < CONFIRMATIONS:
-            return False
-        later = self.standing[1:]
-        return self.is_proven or any(crash.is_isolated for crash in later)
+    @property
+    def is_convicted(self) -> bool:
+        """Whether the request must not run."""
+        return self.trials >= CONVICTING_TRIALS
 
     @property
-    def reported_by(self) -> timedelta:
-        """When all peers' reports on the crashes that convict are in.
+    def next_trial(self) -> timedelta:
+        """When the next trial may start.
 
-        Other requests change nothing about evidence that is conclusive.
+        The crashes of a failing zone delay only the requests whose own trial
+        was one of them.
         """
-        if self._is_conclusive:
-            return timedelta()
-        return self.standing[-1].time + REPORT_TIME
+        trials = [crash for crash in self.crashes if crash.is_trial]
+        if trials:
+            return trials[-1].time + SECOND_PAUSE
+        if self.standing:
+            return self.standing[-1].time + FIRST_PAUSE
+        return timedelta()
 
     @property
     def strength(self) -> Strength:
         """The order in which evidence is kept if there is too much of it."""
-        return Strength(
-            self.is_confirmed, self.moments, len(self.crashes), self.expiry
-        )
-
-    def includes(self, crash: Crash) -> bool:
-        """Returns whether a crash is known, perhaps by another observer."""
-        return any(
-            known.upstream == crash.upstream
-            and abs(known.time - crash.time) <= SAME_CRASH
-            for known in self.crashes
-        )
+        return Strength(self.trials, len(self.crashes), self.expiry)
 
     def add(self, crash: Crash) -> Self:
         """Returns the evidence with one more crash, unless it is known.
 
-        Above the limit, the crash closest to the one before it is left out,
-        so that the number of moments stays.
+        Above the limit, the earliest crash that was no trial is left out.
         """
-        is_outweighed = self.answered is not None and (
-            crash.time <= self.answered
-        )
-        if is_outweighed or self.includes(crash):
+        if self.answer is not None and crash.time <= self.answer.time:
+            return self
+        known = self._find_same(crash)
+        if known is not None:
+            if crash.is_trial and not known.is_trial:
+                return self._replace_crash(known)
             return self
         crashes = sorted((*self.crashes, crash))
         if len(crashes) > MAX_CRASHES:
-            gaps = [
-                after.time - before.time
-                for before, after in itertools.pairwise(crashes)
-            ]
-            crashes.pop(gaps.index(min(gaps)) + 1)
+            crashes.remove(
+                next(
+                    (each for each in crashes if not each.is_trial), crashes[0]
+                )
+            )
         return self._replace(
             crashes=tuple(crashes),
             dismissed=self.dismissed.intersection(crashes),
@@ -160,51 +151,41 @@
             crash for crash in self.crashes if crash.upstream == upstream
         )
 
-    def answer(self, time: timedelta) -> Self:
-        """Returns the evidence after an answer: only later crashes count."""
-        if self.answered is not None and self.answered >= time:
+    def add_answer(self, answer: Answer) -> Self:
+        """Returns the evidence after an answer.
+
+        Only later crashes count then. Any answer outweighs a single crash;
+        more of them are outweighed by the answer of a trial alone, as other
+        requests may look the same.
+        """
+        if self.answer is not None and self.answer.time >= answer.time:
+            return self
+        later = tuple(
+            crash for crash in self.crashes if crash.time > answer.time
+        )
+        outweighed = len(self.crashes) - len(later)
+        if outweighed >= PROBATION_CRASHES and not answer.is_trial:
             return self
-        later = tuple(crash for crash in self.crashes if crash.time > time)
         return self._replace(
             crashes=later,
             dismissed=self.dismissed.intersection(later),
-            answered=time,
+            answer=answer,
         )
 
-    def is_convicting(self, others: Iterable[Self]) -> bool:
-        """Returns whether no other request explains the crashes of this one.
-
-        Instances do not keep each other's suspects apart, so a victim may be
-        in flight at two crashes of another request. It then stays a suspect
-        until another run, on its own, tells which of them causes crashes.
-
-        Args:
-            others: the evidence on the other requests.
-        """
-        if self._is_conclusive:
-            return True
-        crashed = self._upstreams
-        return not any(
-            crashed & other._upstreams
-            for other in others
-            if len(other.standing) >= len(crashed)
+    def _find_same(self, crash: Crash) -> Crash | None:
+        """Returns the crash as another observer may have reported it."""
+        for known in self.crashes:
+            is_near = abs(known.time - crash.time) <= SAME_CRASH
+            if known.upstream == crash.upstream and is_near:
+                return known
+        return None
+
+    def _replace_crash(self, known: Crash) -> Self:
+        """Returns the evidence with a known crash as that of a trial."""
+        as_trial = known._replace(is_trial=True)
+        return self._replace(
+            crashes=tuple(
+                as_trial if crash == known else crash for crash in self.crashes
+            ),
+            dismissed=self.dismissed - {known},
         )
-
-    @property
-    def _is_conclusive(self) -> bool:
-        return len(self.standing) > CONFIRMATIONS or self.moments > 1
-
-    @property
-    def _upstreams(self) -> frozenset[str]:
-        return frozenset(crash.upstream for crash in self.standing)
-
-    @property
-    def _successive(self) -> int:
-        """The number of crashes that may be those of successive runs."""
-        count = 0
-        last = None
-        for crash in self.standing:
-            if last is None or crash.time - last >= MIN_REPEAT_GAP:
-                count += 1
-                last = crash.time
-        return count
--- a/packages/lycheedyke/src/lycheedyke/state/_suspect_reports.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_suspect_reports.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from lycheedyke.state._crash_evidence import CONFIRMATIONS
+from lycheedyke.state._crash_evidence import CONVICTING_TRIALS
 
 MILLISECOND = timedelta(milliseconds=1)
 
@@ -22,8 +22,10 @@
             is not known.
         dismissed: those of the crashed upstreams whose crash was attributed to
             the failure of a zone or region.
-        isolated: those of the crashed upstreams at which it ran on its own, as
-            a suspect. Reports of earlier versions have none.
+        isolated: the same as `trials`, for earlier versions.
+        trials: those of the crashed upstreams at which it ran as a trial.
+            Reports of earlier versions have none.
+        is_trial_answer: whether it ran as a trial when it was answered.
     """
 
     fingerprint: str
@@ -33,6 +35,8 @@
     answered_ms: int | None = None
     dismissed: tuple[str, ...] = ()
     isolated: tuple[str, ...] = ()
+    trials: tuple[str, ...] = ()
+    is_trial_answer: bool = False
 
     @property
     def has_times(self) -> bool:
@@ -42,8 +46,4 @@
     @property
     def quarantined(self) -> bool:
         """Whether all instances refuse the request."""
-        return len(self.crashed) >= CONFIRMATIONS
-
-    def is_outweighed(self, answered_ago: timedelta) -> bool:
-        """Returns whether one of the crashes was before an answer."""
-        return any(age * MILLISECOND > answered_ago for age in self.ages_ms)
+        return len(self.trials) >= CONVICTING_TRIALS
--- a/packages/lycheedyke/src/lycheedyke/state/_suspects.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_suspects.py
@@ -9,12 +9,13 @@
 
 from lycheedyke.clock import Clock
 from lycheedyke.state._crash_evidence import (
-    CONFIRMATIONS,
+    PROBATION_CRASHES,
+    Answer,
     Crash,
     Evidence,
     Strength,
 )
-from lycheedyke.state._recent_crashes import SETTLING_TIME, RecentCrashes
+from lycheedyke.state._recent_crashes import RecentCrashes
 from lycheedyke.state._suspect_reports import MILLISECOND, Suspect
 
 QUARANTINE_TIME = timedelta(minutes=10)
@@ -30,15 +31,15 @@
     """The treatment of a request."""
 
     clear = 'clear'
+    # It runs apart from the other requests of the instance.
     suspect = 'suspect'
-    # It is to be quarantined, unless a report of a peer that is on its way tells
-    # of another request that explains its crashes.
-    held = 'held'
+    # It runs only as a trial, once at a time among all instances.
+    probation = 'probation'
     quarantined = 'quarantined'
 
 
 class SettledQuarantine(NamedTuple):
-    """A quarantine that no later crash of other upstreams can lift.
+    """A quarantine that is to outlast the instances.
 
     Attributes:
         fingerprint: the digest of the request, in hex.
@@ -54,18 +55,23 @@
 
     Args:
         clock: the clock that measures expiry.
+
+    Attributes:
+        clock: the clock that measures expiry.
+        revision: grows with each change.
+        observed_revision: the revision of the last crash, or answer of a
+            trial, that this instance observed itself.
     """
 
     def __init__(self, clock: Clock) -> None:
         """Initializes without suspects."""
+        self.clock = clock
         self.revision = 0
-        self._clock = clock
+        self.observed_revision = 0
         self._entries: dict[str, Evidence] = {}
         self._registered: set[str] = set()
         # The convicted requests whose quarantine the log tells.
         self._logged: set[str] = set()
-        # Until when some verdict may be held.
-        self._held_until = timedelta()
         self._cleared: dict[str, timedelta] = {}
         self._recent = RecentCrashes()
         self._changed: dict[str, int] = {}
@@ -80,28 +86,36 @@
         """Returns the number of suspects."""
         return f'<Suspects: {len(self)}>'
 
-    @property
-    def may_hold(self) -> bool:
-        """Whether some request may be held."""
-        return self._clock.elapsed() < self._held_until
-
     def judge(self, fingerprint: str) -> Verdict:
         """Returns the current treatment of a request."""
         if fingerprint in self._registered:
             return Verdict.quarantined
-        evidence = self._entries.get(fingerprint)
-        if evidence is None or evidence.expiry <= self._clock.elapsed():
-            return Verdict.clear
-        if not self._is_convicted(fingerprint, evidence):
-            self._logged.discard(fingerprint)
-            return Verdict.suspect if evidence.standing else Verdict.clear
-        if self._clock.elapsed() < evidence.reported_by:
-            return Verdict.held
-        if fingerprint not in self._logged:
-            self._logged.add(fingerprint)
-            source = 'own' if evidence.is_first_hand else 'peer'
-            self._log_quarantine(fingerprint, evidence, source=source)
-        return Verdict.quarantined
+        evidence = self._find(fingerprint)
+        if evidence.is_convicted:
+            return Verdict.quarantined
+        if evidence.is_on_probation:
+            return Verdict.probation
+        return Verdict.suspect if evidence.standing else Verdict.clear
+
+    def is_isolated(self, fingerprint: str) -> bool:
+        """Returns whether a request runs apart from others.
+
+        The many requests of a failing zone do not, unless a trial of theirs
+        has crashed an upstream.
+        """
+        evidence = self._find(fingerprint)
+        return bool(evidence.standing or evidence.trials)
+
+    def trial_pause(self, fingerprint: str) -> timedelta:
+        """Returns the time until the next trial of a request may start."""
+        wait = self._find(fingerprint).next_trial - self.clock.elapsed()
+        return max(timedelta(), wait)
+
+    def remaining(self, fingerprint: str) -> timedelta:
+        """Returns the time for which a quarantine lasts, as far as known."""
+        expiry = self._find(fingerprint).expiry
+        left = expiry - self.clock.elapsed()
+        return left if left > timedelta() else QUARANTINE_TIME
 
     def may_repeat(self, fingerprint: str) -> bool:
         """Returns whether a request may run again for the same attempt.
@@ -111,56 +125,64 @@
         """
         if fingerprint in self._registered:
             return False
-        evidence = self._entries.get(fingerprint, Evidence())
-        is_expired = evidence.expiry <= self._clock.elapsed()
-        return is_expired or len(evidence.crashes) < CONFIRMATIONS
+        return len(self._find(fingerprint).crashes) < PROBATION_CRASHES
 
     def record_crash(
         self,
         fingerprints: Iterable[str],
         upstream: str,
         *,
-        is_isolated: bool = True,
+        trials: Iterable[str] = (),
     ) -> None:
         """Marks all requests as suspects that were in flight at a crash.
 
         If more upstreams crash together than one request may cause, a zone
-        or region is failing. Such crashes count only against requests that
-        were in flight at crashes in several other moments.
+        or region is failing, and the requests need not run apart.
 
         Args:
             fingerprints: the requests in flight.
             upstream: the upstream, or its incarnation.
-            is_isolated: whether the only request ran as a suspect, kept apart
-                from others.
+            trials: those of them that ran as trials.
         """
         self._drop_expired()
-        crash = Crash(self._clock.elapsed(), upstream, is_isolated)
-        self._recent.record(upstream, crash.time)
+        now = self.clock.elapsed()
+        self._recent.record(upstream, now)
+        in_trial = frozenset(trials)
         for fingerprint in fingerprints:
+            crash = Crash(now, upstream, fingerprint in in_trial)
             before = self._entries.get(fingerprint, Evidence())
             after = before.add(crash)._replace(
-                expiry=crash.time + QUARANTINE_TIME, is_first_hand=True
+                expiry=now + QUARANTINE_TIME, is_first_hand=True
             )
-            self._update(fingerprint, before, after)
+            if self._update(fingerprint, before, after):
+                self.observed_revision = self.revision
         self._dismiss_zone_failure()
 
-    def record_success(self, fingerprint: str) -> None:
-        """Clears a suspect that ran to its end.
+    def record_success(
+        self, fingerprint: str, *, is_trial: bool = False
+    ) -> None:
+        """Records that an upstream answered a request.
 
         The answer is remembered, to correct peers that do not know of it.
+
+        Args:
+            fingerprint: the request.
+            is_trial: whether it ran as a trial.
         """
         before = self._entries.get(fingerprint)
         if before is None or not before.crashes:
             return
-        if self.judge(fingerprint) is Verdict.quarantined:
+        now = self.clock.elapsed()
+        after = before.add_answer(Answer(now, is_trial))
+        if after == before:
             return
-        now = self._clock.elapsed()
-        _logger.info('suspect cleared', extra={'fingerprint': fingerprint})
-        self._store(
-            fingerprint,
-            before.answer(now)._replace(expiry=now + QUARANTINE_TIME),
+        _logger.info(
+            'suspect cleared',
+            extra={'fingerprint': fingerprint, 'is_trial': is_trial},
         )
+        self._store(fingerprint, after._replace(expiry=now + QUARANTINE_TIME))
+        if is_trial:
+            self.observed_revision = self.revision
 
     def clear(self, fingerprints: Iterable[str]) -> int:
         """Clears suspects for an operator, and returns how many were cleared.
@@ -171,17 +193,21 @@
         for fingerprint in fingerprints:
             if self._entries.pop(fingerprint, Evidence()).crashes:
                 count += 1
-                expiry = self._clock.elapsed() + CLEARED_TIME
+                expiry = self.clock.elapsed() + CLEARED_TIME
                 self._cleared[fingerprint] = expiry
         self.revision += count
         return count
 
     def list(self) -> tuple[Suspect, ...]:
-        """Returns the suspects that are isolated or in quarantine."""
+        """Returns the suspects that no failure of a zone explains."""
         return tuple(
-            self._describe(fingerprint, evidence, evidence.standing)
+            self._describe(
+                fingerprint,
+                evidence,
+                evidence.crashes if evidence.trials else evidence.standing,
+            )
             for fingerprint, evidence in self._current()
-            if evidence.standing
+            if evidence.standing or evidence.trials
         )
 
     def report(self) -> tuple[Suspect, ...]:
@@ -191,34 +217,37 @@
             for fingerprint, evidence in self._current()
         )
 
+    def describe(self, fingerprint: str) -> Suspect:
+        """Returns all evidence on one request for a peer."""
+        evidence = self._find(fingerprint)
+        return self._describe(fingerprint, evidence, evidence.crashes)
+
     def report_changes(self, after: int) -> tuple[Suspect, ...]:
-        """Returns the evidence that peers may not have.
+        """Returns the evidence that a peer may not have.
 
         It leaves out single crashes that this instance knows from peers,
         unless an answer outweighs others that it may have sent.
 
         Args:
-            after: the revision of the last report.
+            after: the revision of the last report to the peer.
         """
         return tuple(
             self._describe(fingerprint, evidence, evidence.crashes)
             for fingerprint, evidence in self._current()
-            if len(evidence.crashes) >= CONFIRMATIONS
-            or (
-                (evidence.is_first_hand or evidence.answered is not None)
-                and self._changed[fingerprint] > after
+            if self._changed[fingerprint] > after
+            and (
+                evidence.is_first_hand
+                or evidence.answer is not None
+                or evidence.is_on_probation
             )
         )
 
     def corrections(self, reported: Iterable[Suspect]) -> tuple[Suspect, ...]:
-        """Returns the answers known here that outweigh a peer's report."""
-        now = self._clock.elapsed()
+        """Returns what is known here of requests that a peer's report lacks."""
         return tuple(
-            self._describe(suspect.fingerprint, known, ())
+            self._describe(suspect.fingerprint, known, known.crashes)
             for suspect in reported
-            if (known := self._entries.get(suspect.fingerprint)) is not None
-            and known.answered is not None
-            and suspect.is_outweighed(now - known.answered)
+            if self._adds_to(known := self._find(suspect.fingerprint), suspect)
         )
 
     def merge(self, reported: Iterable[Suspect]) -> bool:
@@ -230,14 +259,11 @@
         return is_new
 
     def settled(self) -> tuple[SettledQuarantine, ...]:
-        """Returns the quarantines that are final and not registered."""
-        since = self._clock.elapsed() - SETTLING_TIME
+        """Returns the quarantines that are not registered."""
         return tuple(
             SettledQuarantine(fingerprint, evidence.is_first_hand)
             for fingerprint, evidence in self._current()
-            if fingerprint not in self._registered
-            and self.judge(fingerprint) is Verdict.quarantined
-            and (evidence.is_proven or evidence.standing[-1].time < since)
+            if evidence.is_convicted and fingerprint not in self._registered
         )
 
     def register(self, fingerprint: str) -> None:
@@ -250,11 +276,21 @@
         """Ends a quarantine that the registry does not list any more."""
         self._registered.discard(fingerprint)
 
-    def _is_convicted(self, fingerprint: str, evidence: Evidence) -> bool:
-        others = (
-            each for name, each in self._entries.items() if name != fingerprint
-        )
-        return evidence.is_confirmed and evidence.is_convicting(others)
+    def _find(self, fingerprint: str) -> Evidence:
+        """Returns the evidence on a request that has not expired."""
+        evidence = self._entries.get(fingerprint)
+        if evidence is None or evidence.expiry <= self.clock.elapsed():
+            return Evidence()
+        return evidence
+
+    def _adds_to(self, known: Evidence, reported: Suspect) -> bool:
+        told = self._add_reported(Evidence(), reported)
+        more = told
+        if known.answer is not None:
+            more = more.add_answer(known.answer)
+        for crash in known.crashes:
+            more = more.add(crash)
+        return more.crashes != told.crashes
 
     def _merge_reported(self, suspect: Suspect) -> bool:
         if suspect.fingerprint in self._cleared:
@@ -262,22 +298,12 @@
         if not suspect.has_times:
             # Earlier versions report no times, and other fingerprints.
             return False
-        now = self._clock.elapsed()
+        now = self.clock.elapsed()
         before = self._entries.get(suspect.fingerprint, Evidence())
-        after = before
-        if suspect.answered_ms is not None:
-            answered = now - max(0, suspect.answered_ms) * MILLISECOND
-            after = after.answer(answered)
+        after = self._add_reported(before, suspect)
         for upstream, age in zip(suspect.crashed, suspect.ages_ms, strict=True):
-            crash = Crash(
-                now - max(0, age) * MILLISECOND,
-                upstream,
-                upstream in suspect.isolated,
-            )
-            after = after.add(crash)
-            if upstream in suspect.dismissed:
-                after = after.dismiss_of(upstream)
-            self._recent.record_reported(upstream, crash.time, now)
+            time = now - max(0, age) * MILLISECOND
+            self._recent.record_reported(upstream, time, now)
         if after == before:
             return False
         remaining = min(suspect.remaining_ms * MILLISECOND, QUARANTINE_TIME)
@@ -285,12 +311,31 @@
         self._update(suspect.fingerprint, before, after)
         return True
 
+    def _add_reported(self, evidence: Evidence, suspect: Suspect) -> Evidence:
+        now = self.clock.elapsed()
+        if suspect.answered_ms is not None:
+            evidence = evidence.add_answer(
+                Answer(
+                    now - max(0, suspect.answered_ms) * MILLISECOND,
+                    suspect.is_trial_answer,
+                )
+            )
+        for upstream, age in zip(suspect.crashed, suspect.ages_ms, strict=True):
+            evidence = evidence.add(
+                Crash(
+                    now - max(0, age) * MILLISECOND,
+                    upstream,
+                    upstream in suspect.trials,
+                )
+            )
+            if upstream in suspect.dismissed:
+                evidence = evidence.dismiss_of(upstream)
+        return evidence
+
     def _dismiss_zone_failure(self) -> None:
         """Dismisses the crashes that coincide with many others."""
         changed = self._recent.dismiss_from(self._entries.items())
-        for fingerprint, evidence in changed.items():
-            self._entries[fingerprint] = evidence
-            heapq.heappush(self._weakest, (evidence.strength, fingerprint))
+        self._entries.update(changed)
         if changed:
             _logger.info(
                 'suspects dismissed',
@@ -302,14 +347,18 @@
 
     def _update(
         self, fingerprint: str, before: Evidence, after: Evidence
-    ) -> None:
+    ) -> bool:
+        """Stores changed evidence; returns whether it has changed."""
         if before._replace(expiry=after.expiry) == after:
-            return
+            return False
         self._store(fingerprint, after)
-        if after.is_confirmed:
-            self._held_until = max(self._held_until, after.reported_by)
-            # Logs a quarantine that is not held.
-            self.judge(fingerprint)
+        if not after.is_convicted:
+            self._logged.discard(fingerprint)
+        elif fingerprint not in self._logged:
+            self._logged.add(fingerprint)
+            source = 'own' if after.is_first_hand else 'peer'
+            self._log_quarantine(fingerprint, after, source=source)
+        return True
 
     def _store(self, fingerprint: str, evidence: Evidence) -> None:
         if fingerprint not in self._entries:
@@ -343,7 +392,7 @@
         return self._entries.items()
 
     def _drop_expired(self) -> None:
-        now = self._clock.elapsed()
+        now = self.clock.elapsed()
         self._entries = {
             fingerprint: evidence
             for fingerprint, evidence in self._entries.items()
@@ -365,17 +414,19 @@
     def _describe(
         self, fingerprint: str, evidence: Evidence, crashes: tuple[Crash, ...]
     ) -> Suspect:
-        now = self._clock.elapsed()
+        now = self.clock.elapsed()
+        answer = evidence.answer
+        trials = tuple(crash.upstream for crash in crashes if crash.is_trial)
         return Suspect(
             fingerprint,
             tuple(crash.upstream for crash in crashes),
-            (evidence.expiry - now) // MILLISECOND,
+            max(0, (evidence.expiry - now) // MILLISECOND),
             tuple((now - crash.time) // MILLISECOND for crash in crashes),
-            None
-            if evidence.answered is None
-            else (now - evidence.answered) // MILLISECOND,
+            None if answer is None else (now - answer.time) // MILLISECOND,
             tuple(crash.upstream for crash in evidence.dismissed),
-            tuple(crash.upstream for crash in crashes if crash.is_isolated),
+            isolated=trials,
+            trials=trials,
+            is_trial_answer=answer is not None and answer.is_trial,
         )
 
     def _log_quarantine(
@@ -386,7 +437,7 @@
             extra={
                 'fingerprint': fingerprint,
                 'crashed': [crash.upstream for crash in evidence.crashes],
-                'moments': evidence.moments,
+                'trials': evidence.trials,
                 'source': source,
             },
         )
--- a/tests/standins/gateway_testbed.py
+++ b/tests/standins/gateway_testbed.py
@@ -227,6 +227,17 @@
             await asyncio.sleep(0.01)
         raise TimeoutError('no request arrived')
 
+    async def wait_all_listed(self) -> None:
+        """Waits until all instances know each other."""
+        for _ in range(ARRIVAL_POLLS):
+            if all(
+                len(each._registry_view.active_entries()) == len(self.instances)
+                for each in self.instances
+            ):
+                return
+            await asyncio.sleep(0.01)
+        raise TimeoutError('the instances do not know each other')
+
     def started(self) -> list[str]:
         """Returns the ids of all requests that ran, one entry for each run."""
         return [name for each in self.upstreams for name in each.started]
--- a/tests/unit/gateway/test_log_lines.py
+++ b/tests/unit/gateway/test_log_lines.py
@@ -19,6 +19,7 @@
     DAEMON / 'crashes.py',
     DAEMON / 'idle_connections.py',
     DAEMON / 'request_protocol.py',
+    DAEMON / 'trials.py',
     LIBRARY / 'timers.py',
     LIBRARY / 'state/_upstreams.py',
     LIBRARY / 'state/_suspects.py',
