Look at an upstream's record again when a request is written

Cause: an upstream is chosen, then the request waits, as a suspect until it is alone there (up to its deadline) and for a connection; it was then written whatever had become known meanwhile. Class: decided, then waited, then carried out by what was known before.

Now the record is checked right before the bytes are written: an upstream that leaves, is gone, is another incarnation, or whose zone is evacuated gets nothing, and the request goes elsewhere; the line 'write withheld' tells of it. That covers every wait on the way, so none needs a check of its own.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/failures.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/failures.py
@@ -4,6 +4,7 @@
     ConnectError,
     ExchangeBroken,
     ExchangeTimeout,
+    UpstreamWithdrawn,
     WriteTooLate,
 )
 from lycheedyke.protocol import NotRun, Reason, Unknown
@@ -14,6 +15,8 @@
     match error:
         case WriteTooLate():
             return NotRun(Reason.deadline_passed)
+        case UpstreamWithdrawn():
+            return NotRun(Reason.upstream_leaving)
         case ConnectError():
             return NotRun(Reason.upstream_unreachable)
         case ExchangeTimeout():
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
@@ -125,6 +125,7 @@
         self._telemetry = self._make_telemetry()
         self._client = UpstreamClient(
             deployment.headers,
+            self._upstream_table,
             self._telemetry,
             BodyMemory(settings.answer_memory_bytes),
         )
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_upstream_client.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_upstream_client.py
@@ -1,5 +1,6 @@
 """Sends requests to upstreams and reads the outcomes of their answers."""
 
+import functools
 from datetime import timedelta
 from typing import NamedTuple
 
@@ -11,6 +12,7 @@
     ExchangeBroken,
     ResponseMemoryFull,
     ResponseTooLarge,
+    UpstreamWithdrawn,
     WriteTooLate,
 )
 from lycheedyke.protocol import (
@@ -19,8 +21,9 @@
     Outcome,
     Reason,
     Unknown,
+    UpstreamRecord,
 )
-from lycheedyke.state import UpstreamState
+from lycheedyke.state import UpstreamState, UpstreamTable
 from lycheedyke.transport import BodyMemory, HttpClient, HttpResponse
 from lycheedyke_daemon.failures import outcome_of_error
 from lycheedyke_daemon.gateway._decision_log import Telemetry
@@ -69,15 +72,21 @@
 
     Args:
         names: the header names of the deployment.
+        table: tells at the write whether an upstream may still get requests.
         telemetry: measures deadlines, counts and logs broken answers.
         memory: bounds the memory of all answers.
     """
 
     def __init__(
-        self, names: HeaderNames, telemetry: Telemetry, memory: BodyMemory
+        self,
+        names: HeaderNames,
+        table: UpstreamTable,
+        telemetry: Telemetry,
+        memory: BodyMemory,
     ) -> None:
         """Initializes the HTTP client."""
         self._names = names
+        self._table = table
         self._clock = telemetry.clock
         self._counters = telemetry.counters
         self._decision_log = telemetry.decision_log
@@ -128,6 +137,9 @@
                 ),
                 body=work.body or None,
                 reuse=work.idempotent,
+                before_write=functools.partial(
+                    self._check_in_use, state, record, work
+                ),
             )
         except ConnectError as error:
             self._mark_unreachable(state, error)
@@ -140,6 +152,29 @@
             return outcome
         return self._read_outcome(state, work, answer)
 
+    def _check_in_use(
+        self, state: UpstreamState, chosen: UpstreamRecord, work: Work
+    ) -> None:
+        """Checks that an upstream may still get a request.
+
+        A request may have waited since the upstream was chosen.
+
+        Raises:
+            UpstreamWithdrawn: it leaves, is gone, was replaced, or its zone
+                was evacuated.
+        """
+        is_same = state.record.incarnation == chosen.incarnation
+        if is_same and self._table.is_serving(state):
+            return
+        self._counters.count('write.withheld')
+        self._decision_log.write(
+            'write withheld',
+            work.request_id,
+            NotRun(Reason.upstream_leaving),
+            sent_to=chosen.name,
+        )
+        raise UpstreamWithdrawn(f'upstream {chosen.name!r} was withdrawn')
+
     def _mark_unreachable(
         self,
         state: UpstreamState,
@@ -148,7 +183,7 @@
         match error:
             case ConnectionRefusedByHost():
                 state.mark_lost()
-            case WriteTooLate():
+            case WriteTooLate() | UpstreamWithdrawn():
                 # Says nothing about the upstream.
                 pass
             case _:
--- a/packages/lycheedyke/src/lycheedyke/exceptions.py
+++ b/packages/lycheedyke/src/lycheedyke/exceptions.py
@@ -25,6 +25,10 @@
     """The time for an exchange was over before the request was written."""
 
 
+class UpstreamWithdrawn(ConnectError):
+    """The upstream was withdrawn before the request was written."""
+
+
 class ExchangeBroken(TransportError):
     """An exchange failed after bytes of the request may have been sent."""
 
--- a/packages/lycheedyke/src/lycheedyke/state/_upstreams.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_upstreams.py
@@ -297,7 +297,16 @@
         return [
             state
             for state in self.of_service(service)
-            if not state.record.leaving
-            and not state.is_lost
-            and state.record.zone not in self.evacuated_zones
+            if self._is_usable(state)
         ]
+
+    def is_serving(self, state: UpstreamState) -> bool:
+        """Returns whether an upstream is still registered and may be used."""
+        is_listed = self._states.get(state.record.name) is state
+        return is_listed and self._is_usable(state)
+
+    def _is_usable(self, state: UpstreamState) -> bool:
+        record = state.record
+        if record.leaving or state.is_lost:
+            return False
+        return record.zone not in self.evacuated_zones
