Don't take a pause of the own process for an outage of the registry

Cause: an instance without news for 1.2 s recorded an outage of the registry, whoever was at fault. Removals then stay without effect for two more seconds, as records may lapse in an outage. An instance that stood still for 1.5 s kept a gone upstream for 3.5 s and more; 2.5 and 3 s are allowed, and some upstreams never say that they leave. Class: its own silence taken for that of another.

Now the time in which the process stood still is left out of the silence. Ruled out: a source that was busy, as the instance asks the registry itself once a poll fails.

Evidence: test_own_pauses.py::test_a_pause_keeps_no_removed_upstream, 4 of 4 failed before (2 upstreams instead of 1 after 0.7 s), 4 of 4 pass.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
@@ -114,6 +114,7 @@
             self._peer_updates,
             clock,
             longest_pause=self._pauses.longest,
+            paused_within=self._pauses.within,
         )
         self._peer_updates.age = lambda: self._follower.age
         self._peer_updates.longest_pause = self._pauses.longest
--- a/packages/lycheedyke/src/lycheedyke/coordination/_registry_follower.py
+++ b/packages/lycheedyke/src/lycheedyke/coordination/_registry_follower.py
@@ -81,6 +81,10 @@
 DEFAULT_INTERVALS = FollowIntervals()
 
 
+def _never_paused(span: timedelta) -> timedelta:
+    return timedelta()
+
+
 class RegistryFollower:
     """Reads a registry into a replica.
 
@@ -92,6 +96,8 @@
         intervals: how often to poll.
         longest_pause: returns the longest recent pause of this process, for
             the log.
+        paused_within: returns how long this process stood still within the
+            last time of the given length.
     """
 
     def __init__(
@@ -102,6 +108,7 @@
         clock: Clock,
         intervals: FollowIntervals = DEFAULT_INTERVALS,
         longest_pause: Callable[[], timedelta] = timedelta,
+        paused_within: Callable[[timedelta], timedelta] = _never_paused,
     ) -> None:
         """Initializes the follower; its first poll reads everything."""
         self._registry = registry
@@ -110,6 +117,7 @@
         self._clock = clock
         self._intervals = intervals
         self._longest_pause = longest_pause
+        self._paused_within = paused_within
         self._updated = clock.elapsed()
         self._has_full_state = False
         self._failed_since: timedelta | None = None
@@ -145,11 +153,21 @@
             self._replica.remove_lapsed()
             if self._is_recent(self._updated):
                 continue
-            # Records may lapse because they could not be renewed.
-            self._replica.record_outage()
+            if self._may_be_outage():
+                # Records may lapse because they could not be renewed.
+                self._replica.record_outage()
             for update in await self._peers.poll_sample(self._replica.position):
                 self._merge(update)
 
+    def _may_be_outage(self) -> bool:
+        """Returns whether a pause of this process does not explain the silence.
+
+        After a pause removals take effect at once: upstreams serve for a short
+        time after theirs.
+        """
+        silent = self._clock.elapsed() - self._updated
+        return silent - self._paused_within(silent) >= self._intervals.silence
+
     async def _poll(self) -> timedelta:
         """Polls once; returns the delay until the next poll."""
         update = await self._peers.poll_source(self._replica.position)
--- a/tests/unit/gateway/test_own_pauses.py
+++ b/tests/unit/gateway/test_own_pauses.py
@@ -15,6 +15,8 @@
 PAUSE_SECONDS = 1.5
 DEADLINE_SECONDS = 1.2
 PAUSES = 5
+# After a pause the instance has read the registry by then.
+NEWS_SECONDS = 0.7
 READ = '/read/1'
 ORDER = '/order/1'
 
@@ -109,3 +111,24 @@
         assert (await _send(testbed, path)).status == 200
 
     run_scenario(tmp_path, _scene)
+
+
+# Guards against DRAIN: an instance that stood still takes its own silence for an
+# outage of the registry, and keeps upstreams that are gone for two seconds more.
+@pytest.mark.parametrize('after_s', [0.0, 0.1, 0.2, 0.3])
+def test_a_pause_keeps_no_removed_upstream(
+    tmp_path: Path, after_s: float
+) -> None:
+    """The removal takes effect with the first news after the pause."""
+
+    async def _scene(testbed: GatewayTestbed) -> None:
+        table = testbed.instances[0]._upstream_table
+        # The monitor of pauses has begun.
+        await asyncio.sleep(1 + after_s)
+        assert len(table) == len(testbed.upstreams)
+        testbed.store.remove(f'servers/{testbed.upstreams[0].name}')
+        _loop().skip(PAUSE_SECONDS)
+        await asyncio.sleep(NEWS_SECONDS)
+        assert len(table) == len(testbed.upstreams) - 1
+
+    run_scenario(tmp_path, _scene)
