Ask once for a trial from each instance, however many requests wait

Copies of a popular request on probation each asked the deciding instance every 50 ms. Now those at one instance wait for the one that asks or runs. The id of a trial is made when it is asked for, not for every request.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/admissions.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/admissions.py
@@ -60,6 +60,8 @@
         """Initializes the admissions."""
         self._suspects = suspects
         self._trials = trials
+        # The requests with a trial of this instance, asked for or granted.
+        self._asking: set[str] = set()
 
     def __repr__(self) -> str:
         """Returns the suspects."""
@@ -82,8 +84,12 @@
         admission = Admission(
             work, self._suspects.clock.elapsed() + wait, timeout
         )
-        await self.decide(admission)
-        yield admission
+        try:
+            await self.decide(admission)
+            yield admission
+        finally:
+            if admission.trial.is_granted:
+                self._asking.discard(admission.fingerprint)
         if admission.trial.is_granted:
             self._trials.end(admission.fingerprint, admission.trial)
 
@@ -113,22 +119,33 @@
         fingerprint = admission.fingerprint
         wait = self._suspects.trial_pause(fingerprint)
         if not wait:
-            reply = await self._trials.ask(
-                fingerprint, admission.trial, admission.lasts
-            )
-            match reply.decision:
-                case TrialDecision.granted:
-                    return
-                case TrialDecision.refused:
-                    wait = self._suspects.remaining(fingerprint)
-                case TrialDecision.paused:
-                    wait = reply.wait_ms * MILLISECOND
-                case TrialDecision.busy:
-                    wait = TRIAL_RECHECK
+            wait = await self._ask(admission)
+            if admission.trial.is_granted:
+                return
         if self._suspects.clock.elapsed() + wait >= admission.until:
             self._refuse(admission, wait)
             return
         await asyncio.sleep(wait.total_seconds())
 
+    async def _ask(self, admission: Admission) -> timedelta:
+        """Asks for a trial; returns how long to wait if it isn't granted."""
+        fingerprint = admission.fingerprint
+        if fingerprint in self._asking:
+            return TRIAL_RECHECK
+        self._asking.add(fingerprint)
+        try:
+            reply = await self._trials.ask(
+                fingerprint, admission.trial, admission.lasts
+            )
+        finally:
+            if not admission.trial.is_granted:
+                self._asking.discard(fingerprint)
+        match reply.decision:
+            case TrialDecision.refused:
+                return self._suspects.remaining(fingerprint)
+            case TrialDecision.paused:
+                return reply.wait_ms * MILLISECOND
+        return TRIAL_RECHECK
+
     def _refuse(self, admission: Admission, retry_after: timedelta) -> None:
         admission.refusal = NotRun(Reason.quarantined, retry_after)
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/trials.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/trials.py
@@ -57,20 +57,26 @@
     """A request that is on probation, or may come to be.
 
     Attributes:
-        permit: the id of its trial.
         is_granted: whether it may run as a trial.
         decided_by: the instance that granted it.
     """
 
     def __init__(self) -> None:
         """Initializes a trial that is not granted."""
-        self.permit = secrets.token_hex(PERMIT_BYTES)
+        self._permit = ''
         self.is_granted = False
         self.decided_by = ''
 
+    @property
+    def permit(self) -> str:
+        """The id of the trial, which few requests need."""
+        if not self._permit:
+            self._permit = secrets.token_hex(PERMIT_BYTES)
+        return self._permit
+
     def __repr__(self) -> str:
-        """Returns the id."""
-        return f'<Trial {self.permit}>'
+        """Returns whether it is granted, and by whom."""
+        return f'<Trial granted={self.is_granted} by {self.decided_by!r}>'
 
 
 class TrialClient:
