--- /dev/null
+++ b/tests/standins/guarded_instances.py
@@ -0,0 +1,67 @@
+"""Instances that guard upstreams, and tell each other of suspects."""
+
+import asyncio
+from collections.abc import Sequence
+
+from lycheedyke.state import (
+    Counters,
+    Suspects,
+    TrialDesk,
+    TrialReply,
+    TrialRequest,
+)
+from lycheedyke_daemon.crashes import CrashGuard
+from lycheedyke_daemon.trials import TrialClient
+from standins.virtual_time import LoopClock
+
+DELAY_SECONDS = 0.002
+
+
+class GuardedInstance:
+    """An instance that sends its reports to its peers after a delay.
+
+    Attributes:
+        suspects: the suspects that it knows.
+        guard: its guard.
+        peers: the other instances.
+        delay: the seconds after which reports arrive.
+        decides_at: the instance that decides on trials; None for this one.
+    """
+
+    def __init__(self) -> None:
+        """Initializes an instance without peers."""
+        self.suspects = Suspects(LoopClock())
+        self.desk = TrialDesk(self.suspects)
+        self.guard = CrashGuard(
+            self.suspects,
+            self._report,
+            Counters(),
+            TrialClient(self.suspects, self.desk, self),
+        )
+        self.peers: list[GuardedInstance] = []
+        self.delay = DELAY_SECONDS
+        self.decides_at: GuardedInstance | None = None
+
+    def deciding(self, fingerprint: str) -> list[str]:
+        """Returns the one instance that decides."""
+        return ['' if self.decides_at is None else 'first']
+
+    async def ask(self, peer: str, request: TrialRequest) -> TrialReply | None:
+        """Asks the instance that decides."""
+        assert self.decides_at is not None
+        await asyncio.sleep(DELAY_SECONDS)
+        return self.decides_at.desk.decide(request)
+
+    async def _report(self) -> None:
+        report = self.suspects.report_changes(0)
+        await asyncio.sleep(self.delay)
+        for peer in self.peers:
+            peer.suspects.merge(report)
+
+
+def connect(instances: Sequence[GuardedInstance]) -> None:
+    """Makes instances peers; the first of them decides on trials."""
+    for each in instances:
+        each.peers = [peer for peer in instances if peer is not each]
+    for each in instances[1:]:
+        each.decides_at = instances[0]
--- a/tests/unit/test_late_reports.py
+++ b/tests/unit/test_late_reports.py
@@ -6,20 +6,16 @@
 import pytest
 
 from lycheedyke.protocol import Answered, NotRun, Outcome, Reason, Unknown
-from lycheedyke.state import (
-    Counters,
-    Suspects,
-    TrialDesk,
-    TrialReply,
-    TrialRequest,
-    Verdict,
-)
+from lycheedyke.state import Verdict
 from lycheedyke_daemon import crashes
-from lycheedyke_daemon.crashes import CrashGuard
-from lycheedyke_daemon.trials import TrialClient
 from lycheedyke_daemon.work import Work
 from standins.convictions import LONG_PAUSE_S, PAUSE_S
-from standins.virtual_time import LoopClock, run_in_virtual_time
+from standins.guarded_instances import (
+    DELAY_SECONDS,
+    GuardedInstance,
+    connect,
+)
+from standins.virtual_time import run_in_virtual_time
 
 ANSWER = Answered(200, (), b'', 'kassa-1')
 BROKE = Unknown(Reason.upstream_broke)
@@ -27,7 +23,6 @@
 VICTIM = b'victim'
 CRASH_SECONDS = 0.005
 RUN_SECONDS = 0.01
-DELAY_SECONDS = 0.002
 # The reports of soak seed 17 came up to 41 ms after the verdict.
 LATE_SECONDS = 0.041
 # No request waits longer for its trial.
@@ -66,63 +61,25 @@
         return self._crashed[name].is_set()
 
 
-class _Instance:
-    """An instance that sends its reports to its peers after a delay."""
-
-    def __init__(self, upstreams: _Upstreams) -> None:
-        self.suspects = Suspects(LoopClock())
-        self.desk = TrialDesk(self.suspects)
-        self.guard = CrashGuard(
-            self.suspects,
-            self._report,
-            Counters(),
-            TrialClient(self.suspects, self.desk, self),
-        )
-        self.peers: list[_Instance] = []
-        self.decides_at: _Instance | None = None
-        self.delay = DELAY_SECONDS
-        self._upstreams = upstreams
-
-    async def send(self, name: str, body: bytes) -> Outcome:
-        """Sends a request to an upstream."""
-        work = _make_work(body)
-        return await self.guard.run(
-            name, name, work, lambda: self._upstreams.run(name, body)
-        )
-
-    def deciding(self, fingerprint: str) -> list[str]:
-        """Returns the one instance that decides."""
-        return ['' if self.decides_at is None else 'first']
-
-    async def ask(self, peer: str, request: TrialRequest) -> TrialReply | None:
-        """Asks the instance that decides."""
-        assert self.decides_at is not None
-        await asyncio.sleep(DELAY_SECONDS)
-        return self.decides_at.desk.decide(request)
-
-    async def _report(self) -> None:
-        report = self.suspects.report_changes(0)
-        await asyncio.sleep(self.delay)
-        for peer in self.peers:
-            peer.suspects.merge(report)
-
-
 class _Testbed:
     """Three instances; the second one sends the victim, the first the cause."""
 
     def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
         self.upstreams = _Upstreams()
-        self.instances = [_Instance(self.upstreams) for _ in range(3)]
-        for each in self.instances:
-            each.peers = [peer for peer in self.instances if peer is not each]
-        for each in self.instances[1:]:
-            each.decides_at = self.instances[0]
+        self.instances = [GuardedInstance() for _ in range(3)]
+        connect(self.instances)
         monkeypatch.setattr(crashes, '_is_dead', self.upstreams.is_dead)
 
+    async def send(self, at: int, name: str, body: bytes) -> Outcome:
+        """Sends a request to an upstream through one of the instances."""
+        return await self.instances[at].guard.run(
+            name, name, _make_work(body), lambda: self.upstreams.run(name, body)
+        )
+
     async def meet(self, name: str) -> None:
         """Ends an upstream; returns once the victim's instance knows it."""
-        cause = asyncio.create_task(self.instances[0].send(name, POISON))
-        assert await self.instances[1].send(name, VICTIM) == BROKE
+        cause = asyncio.create_task(self.send(0, name, POISON))
+        assert await self.send(1, name, VICTIM) == BROKE
         if self.instances[0].delay == DELAY_SECONDS:
             assert await cause == BROKE
 
@@ -141,10 +98,10 @@
         await testbed.meet('a')
         cause.delay = LATE_SECONDS
         await testbed.meet('b')
-        assert await testbed.instances[sender].send('c', VICTIM) == ANSWER
+        assert await testbed.send(sender, 'c', VICTIM) == ANSWER
         # The answer leaves the other one on probation.
-        assert await testbed.instances[sender].send('d', POISON) == BROKE
-        assert _is_refused(await testbed.instances[sender].send('e', POISON))
+        assert await testbed.send(sender, 'd', POISON) == BROKE
+        assert _is_refused(await testbed.send(sender, 'e', POISON))
         assert ('e', POISON) not in testbed.upstreams.ran
 
     run_in_virtual_time(_scene())
@@ -161,15 +118,15 @@
         testbed = _Testbed(monkeypatch)
         loop = asyncio.get_running_loop()
         for name in ('a', 'b'):
-            await testbed.instances[0].send(name, POISON)
+            await testbed.send(0, name, POISON)
         known = loop.time()
         waiting = [
-            asyncio.create_task(each.send('c', POISON))
-            for each in testbed.instances
+            asyncio.create_task(testbed.send(at, 'c', POISON))
+            for at in range(3)
         ]
         await asyncio.sleep(RUN_SECONDS)
-        for each in testbed.instances:
-            assert await each.send('c', b'other') == ANSWER
+        for at in range(3):
+            assert await testbed.send(at, 'c', b'other') == ANSWER
         assert not any(each.done() for each in waiting)
         outcomes = await asyncio.gather(*waiting)
         assert outcomes.count(BROKE) == 1
@@ -178,8 +135,8 @@
         assert testbed.upstreams.ran.count(('c', POISON)) == 1
         await asyncio.sleep(LONG_PAUSE_S)
         waiting = [
-            asyncio.create_task(each.send('d', POISON))
-            for each in testbed.instances * 2
+            asyncio.create_task(testbed.send(at % 3, 'd', POISON))
+            for at in range(6)
         ]
         outcomes = await asyncio.gather(*waiting)
         assert outcomes.count(BROKE) == 1
@@ -202,7 +159,7 @@
         loop = asyncio.get_running_loop()
         guard = testbed.instances[0].guard
         for name in ('a', 'b'):
-            await testbed.instances[0].send(name, POISON)
+            await testbed.send(0, name, POISON)
         started = loop.time()
         left = timedelta(seconds=LATE_SECONDS)
         async with guard.admit(_make_work(b'other'), left) as admission:
@@ -243,10 +200,9 @@
         with pytest.raises(ConnectionResetError):
             async with lost.admit(_make_work(VICTIM), timedelta(seconds=3)):
                 raise ConnectionResetError
-        other = testbed.instances[2]
-        assert _is_refused(await other.send('c', VICTIM))
+        assert _is_refused(await testbed.send(2, 'c', VICTIM))
         await asyncio.sleep(1)
-        assert await other.send('c', VICTIM) == ANSWER
+        assert await testbed.send(2, 'c', VICTIM) == ANSWER
 
     run_in_virtual_time(_scene())
 
