--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -74,7 +74,10 @@
             for habit in HABITS
         ]
         self.crash_injector = CrashInjector(
-            testbed, self.load_generator, random.Random(f'crashes {seed}')
+            testbed,
+            self.load_generator,
+            random.Random(f'crashes {seed}'),
+            random.Random(f'bursts {seed}'),
         )
         self.memory_monitor = MemoryMonitor(testbed)
         self._testbed = testbed
--- a/bench/soak/crashes.py
+++ b/bench/soak/crashes.py
@@ -5,6 +5,8 @@
 import random
 import time
 
+import aiohttp
+
 from bench.soak.echo_upstream import EchoUpstream
 from bench.soak.load_generator import Call, LoadGenerator
 from bench.soak.sessions import open_session
@@ -12,6 +14,10 @@
 
 START_SECONDS = (0.2, 2)
 RESEND_SECONDS = (0.1, 0.6)
+# Copies of the crashing request that are sent side by side, and the pause
+# between two such bursts.
+BURST_SIZES = (3, 8)
+BURST_SECONDS = (2, 5)
 OTHER_CRASH_SECONDS = (1, 4)
 # How many upstreams crash together for other reasons; five are more than the
 # service takes for the crashes of one request.
@@ -33,7 +39,8 @@
     Args:
         testbed: the started testbed.
         load_generator: sends the crashing request, as long as it runs.
-        rng: makes all random choices.
+        rng: makes all random choices but those of bursts.
+        burst_rng: makes the random choices of bursts.
     """
 
     def __init__(
@@ -41,12 +48,14 @@
         testbed: Testbed,
         load_generator: LoadGenerator,
         rng: random.Random,
+        burst_rng: random.Random,
     ) -> None:
         """Initializes the injector; `run` starts it."""
         self.crash_count = 0
         self._testbed = testbed
         self._load_generator = load_generator
         self._rng = rng
+        self._burst_rng = burst_rng
         self._restarts: set[asyncio.Task[None]] = set()
 
     async def run(self, seconds: float) -> None:
@@ -58,6 +67,7 @@
         watching = asyncio.create_task(self._watch())
         await asyncio.gather(
             self._send_crashing_request(),
+            self._send_bursts(),
             self._crash_others(time.monotonic() + seconds),
         )
         watching.cancel()
@@ -67,26 +77,42 @@
 
     async def _send_crashing_request(self) -> None:
         """Sends one request again and again, to any instance."""
-        path = self._testbed.crashing_path
-        is_order = any(
-            path.startswith(route['prefix']) and 'type' in route
-            for route in ROUTES
-        )
         await asyncio.sleep(self._rng.uniform(*START_SECONDS))
         async with open_session() as http:
             for at in itertools.count():
                 if not self._load_generator.is_running:
                     return
-                name = self._rng.choice(sorted(self._testbed.instances))
-                call = Call(f'crash-{at}', is_order, path, self._make_query())
-                result = await self._load_generator.send(http, name, call)
-                self._load_generator.results.append(result)
+                await self._send(http, f'crash-{at}', self._rng)
                 await asyncio.sleep(self._rng.uniform(*RESEND_SECONDS))
 
-    def _make_query(self) -> str:
-        if self._rng.random() >= QUERY_SHARE:
-            return ''
-        return f'?at={self._rng.randrange(QUERY_COUNT)}'
+    async def _send_bursts(self) -> None:
+        """Sends copies of the same request side by side, to any instances."""
+        for at in itertools.count():
+            await asyncio.sleep(self._burst_rng.uniform(*BURST_SECONDS))
+            if not self._load_generator.is_running:
+                return
+            async with open_session() as http:
+                size = self._burst_rng.randint(*BURST_SIZES)
+                await asyncio.gather(
+                    *(
+                        self._send(http, f'burst-{at}-{copy}', self._burst_rng)
+                        for copy in range(size)
+                    )
+                )
+
+    async def _send(
+        self, http: aiohttp.ClientSession, request: str, rng: random.Random
+    ) -> None:
+        path = self._testbed.crashing_path
+        is_order = any(
+            path.startswith(route['prefix']) and 'type' in route
+            for route in ROUTES
+        )
+        name = rng.choice(sorted(self._testbed.instances))
+        call = Call(request, is_order, path, _make_query(rng))
+        self._load_generator.results.append(
+            await self._load_generator.send(http, name, call)
+        )
 
     async def _crash_others(self, end: float) -> None:
         """Crashes upstreams at their next request, whatever it is."""
@@ -126,3 +152,9 @@
             name=crashed.name if keeps_name else '',
             link_port=crashed.link_port if keeps_address else 0,
         )
+
+
+def _make_query(rng: random.Random) -> str:
+    if rng.random() >= QUERY_SHARE:
+        return ''
+    return f'?at={rng.randrange(QUERY_COUNT)}'
