Keep the answers of peers whole until their body is read

test_at_most_once failed: its peers answer without a body, which a message whose acceptance alone counts does not need. The instances that the tests of suspects share pass on corrections, as the exchange does.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/forward.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/forward.py
@@ -34,7 +34,7 @@
     Unknown,
 )
 from lycheedyke.state import Counters, RegionBudgets, Suspect
-from lycheedyke.transport import HttpClient
+from lycheedyke.transport import HttpClient, HttpResponse
 from lycheedyke_daemon.bodies import BodyReader, BodyRefused
 from lycheedyke_daemon.detached import DetachedTasks
 from lycheedyke_daemon.work import Work
@@ -217,7 +217,7 @@
         if answer is None:
             return None
         try:
-            return self._codec.decode(answer, kind)
+            return self._codec.decode(answer.body, kind)
         except MessageRejected:
             self._counters.count('message.rejected')
             return None
@@ -228,8 +228,8 @@
         path: str,
         message: msgspec.Struct,
         timeout: timedelta,
-    ) -> bytes | None:
-        """Returns the body of a peer's answer; None if it accepted nothing."""
+    ) -> HttpResponse | None:
+        """Returns the answer of a peer; None if it accepted nothing."""
         address = self._routes.get(peer.peer_address, peer.peer_address)
         try:
             answer = await self._http.send(
@@ -240,7 +240,7 @@
             )
         except TransportError:
             return None
-        return answer.body if answer.status == HTTP_OK else None
+        return answer if answer.status == HTTP_OK else None
 
     def _read_reply(self, body: bytes) -> Outcome:
         reply = self._codec.decode(body, RunReply, max_bytes=MAX_RUN_BYTES)
--- a/tests/standins/guarded_instances.py
+++ b/tests/standins/guarded_instances.py
@@ -57,6 +57,7 @@
         await asyncio.sleep(self.delay)
         for peer in self.peers:
             peer.suspects.merge(report)
+            self.suspects.merge(peer.suspects.corrections(report))
 
 
 def connect(instances: Sequence[GuardedInstance]) -> None:
