Let a request run freely once its instance learns that a trial has cleared it

Each instance that had it on probation ran it once more as a trial, and a crash by chance there counted as that of a trial. A trial's request is decided on by what came with the decision.

Reports that most peers lack alike are encoded once, and a report that adds nothing is recognized without comparing each crash; a failing zone has hundreds.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/admissions.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/admissions.py
@@ -141,6 +141,8 @@
             if not admission.trial.is_granted:
                 self._asking.discard(fingerprint)
         match reply.decision:
+            case TrialDecision.granted:
+                return timedelta()
             case TrialDecision.refused:
                 return self._suspects.remaining(fingerprint)
             case TrialDecision.paused:
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_suspect_exchange.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_suspect_exchange.py
@@ -160,8 +160,19 @@
         ]
         if not missing:
             return False
+        # Most peers lack the same.
+        revisions = {self._sent_revisions[peer.incarnation] for peer in missing}
+        bodies = {after: self._encode_changes(after) for after in revisions}
+        current = self._suspects.revision
         answers = await asyncio.gather(
-            *(self._send_to(peer) for peer in missing)
+            *(
+                self._send_to(
+                    peer,
+                    bodies[self._sent_revisions[peer.incarnation]],
+                    current,
+                )
+                for peer in missing
+            )
         )
         lost = answers.count(None)
         _logger.info(
@@ -170,18 +181,19 @@
         # Keeps no answer from being merged.
         return any([self._merge_answer(answer or b'') for answer in answers])
 
-    async def _send_to(self, peer: EntryRecord) -> bytes | None:
-        """Sends a peer what it lacks; returns its answer, if any."""
-        revision = self._suspects.revision
-        reported = self._suspects.report_changes(
-            self._sent_revisions[peer.incarnation]
-        )
+    def _encode_changes(self, after: int) -> bytes:
+        """Returns the report of all changes since a revision, or b''."""
+        reported = self._suspects.report_changes(after)
+        return msgspec.msgpack.encode(reported) if reported else b''
+
+    async def _send_to(
+        self, peer: EntryRecord, body: bytes, revision: int
+    ) -> bytes | None:
+        """Sends a peer a report; returns its answer, or None without one."""
         answer: bytes | None = b''
-        if reported:
+        if body:
             answer = await self._peers.send(
-                peer.peer_address,
-                SUSPECTS_PATH,
-                msgspec.msgpack.encode(reported),
+                peer.peer_address, SUSPECTS_PATH, body
             )
         if answer is not None and peer.incarnation in self._sent_revisions:
             self._sent_revisions[peer.incarnation] = max(
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/trials.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/trials.py
@@ -109,6 +109,8 @@
     ) -> TrialReply:
         """Returns the decision on a trial, and merges its evidence.
 
+        The trial is not granted if the evidence has ended the probation.
+
         Args:
             fingerprint: the request.
             trial: its trial, which is granted or not.
@@ -123,17 +125,16 @@
         self._suspects.merge((reply.evidence,))
         trial.is_granted = reply.decision is TrialDecision.granted
         trial.decided_by = decided_by
-        if (
-            trial.is_granted
-            and self._suspects.judge(fingerprint) is Verdict.quarantined
-        ):
-            await self._tell_end(fingerprint, trial)
-            reply = TrialReply(TrialDecision.refused, reply.evidence)
+        verdict = self._suspects.judge(fingerprint)
+        if verdict is not Verdict.probation:
+            # The evidence that came with the decision has settled it.
+            self.end(fingerprint, trial)
         _logger.info(
             'trial decided',
             extra={
                 'fingerprint': fingerprint,
                 'decision': reply.decision.value,
+                'verdict': verdict.value,
                 'decided_by': decided_by,
                 'crashes': len(reply.evidence.crashed),
                 'trials': len(reply.evidence.trials),
@@ -145,10 +146,10 @@
     def end(self, fingerprint: str, trial: Trial) -> None:
         """Tells that a granted trial has ended, without waiting for it."""
         if trial.is_granted:
+            trial.is_granted = False
             self._ends.start(self._tell_end(fingerprint, trial))
 
     async def _tell_end(self, fingerprint: str, trial: Trial) -> None:
-        trial.is_granted = False
         request = TrialRequest(
             self._suspects.describe(fingerprint), trial.permit, is_over=True
         )
--- a/packages/lycheedyke/src/lycheedyke/state/_suspects.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_suspects.py
@@ -284,6 +284,11 @@
         return evidence
 
     def _adds_to(self, known: Evidence, reported: Suspect) -> bool:
+        """Returns whether more is known than a report that was merged."""
+        if known.answer is None:
+            is_same = len(known.crashes) == len(reported.crashed)
+            if is_same and known.trials == len(reported.trials):
+                return False
         told = self._add_reported(Evidence(), reported)
         more = told
         if known.answer is not None:
--- a/tests/standins/guarded_instances.py
+++ b/tests/standins/guarded_instances.py
@@ -5,6 +5,7 @@
 
 from lycheedyke.state import (
     Counters,
+    Suspect,
     Suspects,
     TrialDesk,
     TrialReply,
@@ -53,11 +54,18 @@
         return self.decides_at.desk.decide(request)
 
     async def _report(self) -> None:
-        report = self.suspects.report_changes(0)
-        await asyncio.sleep(self.delay)
-        for peer in self.peers:
-            peer.suspects.merge(report)
-            self.suspects.merge(peer.suspects.corrections(report))
+        is_new = True
+        while is_new:
+            report = self.suspects.report_changes(0)
+            await asyncio.sleep(self.delay)
+            is_new = any([self._tell(peer, report) for peer in self.peers])
+
+    def _tell(
+        self, peer: 'GuardedInstance', report: tuple[Suspect, ...]
+    ) -> bool:
+        """Tells a peer; returns whether its answer was new."""
+        peer.suspects.merge(report)
+        return self.suspects.merge(peer.suspects.corrections(report))
 
 
 def connect(instances: Sequence[GuardedInstance]) -> None:
--- a/tests/unit/test_late_reports.py
+++ b/tests/unit/test_late_reports.py
@@ -207,6 +207,33 @@
     run_in_virtual_time(_scene())
 
 
+# Guards against a sound request whose later runs all count as trials, since a
+# trial has cleared it at another instance.
+def test_a_request_that_a_trial_has_cleared_is_on_probation_nowhere(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """An instance learns of it as it asks for a trial."""
+
+    async def _scene() -> None:
+        testbed = _Testbed(monkeypatch)
+        fingerprint = _make_work(VICTIM).repeat_fingerprint().hex()
+        for at, each in enumerate(testbed.instances):
+            each.suspects.record_crash([fingerprint], f'a{at}')
+            each.suspects.record_crash([fingerprint], f'b{at}')
+        await asyncio.sleep(PAUSE_S)
+        assert await testbed.send(1, 'c', VICTIM) == ANSWER
+        await asyncio.sleep(LATE_SECONDS)
+        last = testbed.instances[2]
+        assert last.suspects.judge(fingerprint) is Verdict.probation
+        left = timedelta(seconds=1)
+        async with last.guard.admit(_make_work(VICTIM), left) as admission:
+            assert admission.refusal is None
+            assert not admission.trial.is_granted
+        assert last.suspects.judge(fingerprint) is Verdict.clear
+
+    run_in_virtual_time(_scene())
+
+
 def _is_refused(outcome: Outcome) -> bool:
     return isinstance(outcome, NotRun) and (
         outcome.reason is Reason.quarantined
