End a trial soon after its caller has left, and notice a crash that follows

Trace from the lines 'trial decided': the trial of the same path was granted at 41.995 s to a request whose caller left; all others got 'busy' until its deadline, as only its time ended a trial that was given up.

Now it ends 500 ms after that, when the upstream has dropped the request. Its upstream is probed before: a request whose callers leave early would otherwise crash upstreams unnoticed at each trial. Both have a test in test_late_reports.py.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/admissions.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/admissions.py
@@ -7,6 +7,7 @@
 
 from lycheedyke.protocol import NotRun, Reason
 from lycheedyke.state import MAX_TRIAL_TIME, Suspects, TrialDecision, Verdict
+from lycheedyke_daemon.detached import DetachedTasks
 from lycheedyke_daemon.trials import Trial, TrialClient
 from lycheedyke_daemon.work import Work
 
@@ -15,6 +16,9 @@
 MAX_TRIAL_WAIT = timedelta(seconds=2)
 # How often a request asks again while a trial of an equal one runs.
 TRIAL_RECHECK = timedelta(milliseconds=50)
+# An upstream drops a request, or has crashed on it, so long after its caller has
+# left at the latest.
+ABANDONED_TIME = timedelta(milliseconds=500)
 
 
 class Admission:
@@ -62,6 +66,7 @@
         self._trials = trials
         # The requests with a trial of this instance, asked for or granted.
         self._asking: set[str] = set()
+        self._ends = DetachedTasks()
 
     def __repr__(self) -> str:
         """Returns the suspects."""
@@ -73,8 +78,8 @@
     ) -> AsyncIterator[Admission]:
         """Admits or refuses a request for the length of the context.
 
-        If the context is left with an error, upstreams may still run the
-        request. Its trial then ends only as its time is over.
+        If the context is left with an error, an upstream may still run the
+        request. Its trial then ends after `ABANDONED_TIME`.
 
         Args:
             work: the request.
@@ -87,11 +92,11 @@
         try:
             await self.decide(admission)
             yield admission
-        finally:
+        except BaseException:
             if admission.trial.is_granted:
-                self._asking.discard(admission.fingerprint)
-        if admission.trial.is_granted:
-            self._trials.end(admission.fingerprint, admission.trial)
+                self._ends.start(self._end_abandoned(admission))
+            raise
+        self._end(admission)
 
     def classify(self, admission: Admission) -> Verdict:
         """Returns the current treatment of a request."""
@@ -114,6 +119,15 @@
             else:
                 return
 
+    def _end(self, admission: Admission) -> None:
+        if admission.trial.is_granted:
+            self._asking.discard(admission.fingerprint)
+            self._trials.end(admission.fingerprint, admission.trial)
+
+    async def _end_abandoned(self, admission: Admission) -> None:
+        await asyncio.sleep(ABANDONED_TIME.total_seconds())
+        self._end(admission)
+
     async def _wait_for_trial(self, admission: Admission) -> None:
         """Asks for the trial of a request, or waits before it asks again."""
         fingerprint = admission.fingerprint
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/crashes.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/crashes.py
@@ -17,6 +17,8 @@
 HTTP_SERVER_ERROR = 500
 PROBE_DELAY = timedelta(milliseconds=50)
 PROBE_TIMEOUT = timedelta(milliseconds=500)
+# When the upstream of a trial that was given up is probed, before others may try.
+ABANDONED_DELAY = timedelta(milliseconds=300)
 
 _logger = logging.getLogger(__name__)
 
@@ -189,6 +191,12 @@
             await self._check_outcome(
                 upstream, address, in_flight, request, outcome
             )
+        except asyncio.CancelledError:
+            if request.trial.is_granted:
+                self._checks.start(
+                    self._check_abandoned(upstream, address, request)
+                )
+            raise
         finally:
             in_flight.remove(request)
         return outcome
@@ -238,6 +246,13 @@
         # the same.
         await asyncio.shield(in_flight.check)
 
+    async def _check_abandoned(
+        self, upstream: str, address: str, request: Admission
+    ) -> None:
+        """Checks whether an upstream crashes on a trial whose caller left."""
+        await asyncio.sleep(ABANDONED_DELAY.total_seconds())
+        await self._check_crash(upstream, address, (request,))
+
     async def _check_crash(
         self,
         upstream: str,
--- a/tests/unit/test_late_reports.py
+++ b/tests/unit/test_late_reports.py
@@ -55,6 +55,10 @@
             return ANSWER
         return BROKE
 
+    def crash(self, name: str) -> None:
+        """Crashes an upstream."""
+        self._crashed.setdefault(name, asyncio.Event()).set()
+
     async def is_dead(self, name: str) -> bool:
         """Probes an upstream."""
         await asyncio.sleep(crashes.PROBE_DELAY.total_seconds())
@@ -180,6 +184,50 @@
     run_in_virtual_time(_scene())
 
 
+# Guards against sound requests that are refused because the caller of the one
+# that had the trial has left (soak seed 421).
+def test_a_trial_whose_caller_left_soon_ends(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Others wait until its upstream has dropped it, and not longer."""
+
+    async def _scene() -> None:
+        testbed = _Testbed(monkeypatch)
+        _put_on_probation(testbed, VICTIM)
+        await asyncio.sleep(PAUSE_S)
+        left = asyncio.create_task(testbed.send(1, 'c', VICTIM))
+        await asyncio.sleep(RUN_SECONDS / 2)
+        left.cancel()
+        await asyncio.wait([left])
+        assert await testbed.send(2, 'c', VICTIM) == ANSWER
+
+    run_in_virtual_time(_scene())
+
+
+# Guards against a request whose callers leave before it has crashed its upstream,
+# so that no crash of a trial is ever noticed.
+def test_the_crash_of_a_trial_counts_though_its_caller_left(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Its upstream is probed all the same."""
+
+    async def _scene() -> None:
+        testbed = _Testbed(monkeypatch)
+        _put_on_probation(testbed, POISON)
+        await asyncio.sleep(PAUSE_S)
+        left = asyncio.create_task(testbed.send(1, 'c', POISON))
+        await asyncio.sleep(CRASH_SECONDS / 2)
+        left.cancel()
+        await asyncio.wait([left])
+        testbed.upstreams.crash('c')
+        await asyncio.sleep(1)
+        fingerprint = _make_work(POISON).repeat_fingerprint().hex()
+        for each in testbed.instances:
+            assert len(each.suspects.describe(fingerprint).trials) == 1
+
+    run_in_virtual_time(_scene())
+
+
 # Guards against a request that can't run again because an instance ended while
 # it had its trial.
 def test_a_trial_whose_end_is_never_told_ends_with_its_time(
@@ -189,17 +237,14 @@
 
     async def _scene() -> None:
         testbed = _Testbed(monkeypatch)
-        fingerprint = _make_work(VICTIM).repeat_fingerprint().hex()
-        first = testbed.instances[0].suspects
-        for name in ('a', 'b'):
-            first.record_crash([fingerprint], name)
-        for each in testbed.instances:
-            each.suspects.merge(first.report())
+        _put_on_probation(testbed, VICTIM)
         await asyncio.sleep(PAUSE_S)
         lost = testbed.instances[1].guard
-        with pytest.raises(ConnectionResetError):
-            async with lost.admit(_make_work(VICTIM), timedelta(seconds=3)):
-                raise ConnectionResetError
+        left = timedelta(seconds=3)
+        async with lost.admit(_make_work(VICTIM), left) as admission:
+            assert admission.trial.is_granted
+            # The instance ends here.
+            admission.trial.is_granted = False
         assert _is_refused(await testbed.send(2, 'c', VICTIM))
         await asyncio.sleep(1)
         assert await testbed.send(2, 'c', VICTIM) == ANSWER
@@ -234,6 +279,13 @@
     run_in_virtual_time(_scene())
 
 
+def _put_on_probation(testbed: _Testbed, body: bytes) -> None:
+    fingerprint = _make_work(body).repeat_fingerprint().hex()
+    for each in testbed.instances:
+        for name in ('a', 'b'):
+            each.suspects.record_crash([fingerprint], name)
+
+
 def _is_refused(outcome: Outcome) -> bool:
     return isinstance(outcome, NotRun) and (
         outcome.reason is Reason.quarantined
