Count the crash of a trial that was given up at its deadline as that of a trial

The probe of a trial's upstream that follows its end read from the admission whether it was one, which by then had been ended: the crash counted as any other, so the request stayed on probation. Red before: test_late_reports.py, case [False], 'assert 0 == 1'.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/crashes.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/crashes.py
@@ -34,6 +34,15 @@
         self.checked: tuple[Admission, ...] = ()
         self._waiters: list[asyncio.Future[None]] = []
 
+    @property
+    def trials(self) -> tuple[str, ...]:
+        """The fingerprints of the requests that run as trials."""
+        return tuple(
+            request.fingerprint
+            for request in self.requests
+            if request.trial.is_granted
+        )
+
     def add(self, request: Admission, *, alone: bool) -> None:
         """Adds a request; `alone` keeps other requests out until it ends."""
         self.alone = alone
@@ -240,7 +249,9 @@
         if in_flight.check is None or request not in in_flight.checked:
             in_flight.checked = tuple(in_flight.requests)
             in_flight.check = self._checks.start(
-                self._check_crash(upstream, address, in_flight.checked)
+                self._check_crash(
+                    upstream, address, in_flight.checked, in_flight.trials
+                )
             )
         # The caller may leave before the check ends; the crash counts all
         # the same.
@@ -251,22 +262,21 @@
     ) -> None:
         """Checks whether an upstream crashes on a trial whose caller left."""
         await asyncio.sleep(ABANDONED_DELAY.total_seconds())
-        await self._check_crash(upstream, address, (request,))
+        # Its trial may have ended meanwhile.
+        await self._check_crash(
+            upstream, address, (request,), (request.fingerprint,)
+        )
 
     async def _check_crash(
         self,
         upstream: str,
         address: str,
         requests: tuple[Admission, ...],
+        trials: tuple[str, ...],
     ) -> None:
         if not await _is_dead(address):
             return
         fingerprints = tuple(request.fingerprint for request in requests)
-        trials = [
-            request.fingerprint
-            for request in requests
-            if request.trial.is_granted
-        ]
         self._counters.count('upstream.crashed')
         _logger.warning(
             'upstream crashed',
--- a/tests/unit/test_late_reports.py
+++ b/tests/unit/test_late_reports.py
@@ -1,6 +1,7 @@
 """Requests wait for their trial, whatever reports are on their way."""
 
 import asyncio
+import contextlib
 from datetime import timedelta
 
 import pytest
@@ -204,21 +205,37 @@
     run_in_virtual_time(_scene())
 
 
-# Guards against a request whose callers leave before it has crashed its upstream,
-# so that no crash of a trial is ever noticed.
-def test_the_crash_of_a_trial_counts_though_its_caller_left(
-    monkeypatch: pytest.MonkeyPatch,
+# Guards against a request whose callers leave, or whose time ends, before it has
+# crashed its upstream, so that no crash of a trial is ever noticed.
+@pytest.mark.parametrize('has_left', [True, False])
+def test_the_crash_of_a_trial_counts_though_it_was_given_up(
+    monkeypatch: pytest.MonkeyPatch, *, has_left: bool
 ) -> None:
     """Its upstream is probed all the same."""
 
+    async def _give_up(testbed: _Testbed) -> None:
+        guard = testbed.instances[1].guard
+        work = _make_work(POISON)
+        async with guard.admit(work, timedelta(seconds=2)) as admission:
+            run = guard.run(
+                'c',
+                'c',
+                work,
+                lambda: testbed.upstreams.run('c', POISON),
+                admission,
+            )
+            try:
+                await asyncio.wait_for(run, CRASH_SECONDS / 2)
+            except TimeoutError:
+                if has_left:
+                    raise
+
     async def _scene() -> None:
         testbed = _Testbed(monkeypatch)
         _put_on_probation(testbed, POISON)
         await asyncio.sleep(PAUSE_S)
-        left = asyncio.create_task(testbed.send(1, 'c', POISON))
-        await asyncio.sleep(CRASH_SECONDS / 2)
-        left.cancel()
-        await asyncio.wait([left])
+        with contextlib.suppress(TimeoutError):
+            await _give_up(testbed)
         testbed.upstreams.crash('c')
         await asyncio.sleep(1)
         fingerprint = _make_work(POISON).repeat_fingerprint().hex()
