--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_suspect_exchange.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_suspect_exchange.py
@@ -178,7 +178,7 @@
         _logger.info(
             'suspects reported', extra={'peers': len(missing), 'lost': lost}
         )
-        # Keeps no answer from being merged.
+        # The list merges all answers, where a generator would stop at a new one.
         return any([self._merge_answer(answer or b'') for answer in answers])
 
     def _encode_changes(self, after: int) -> bytes:
