Take out of the guard what only its tests used

A guard without peers, and a run without an admission, were never used by an instance; the tests make both from their shared instances now. Each run takes its admission in place of the request.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/admissions.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/admissions.py
@@ -1,4 +1,4 @@
-"""Decides whether a request may run that upstreams may have crashed on."""
+"""Admits requests, those on probation only as trials."""
 
 import asyncio
 import contextlib
@@ -6,7 +6,7 @@
 from datetime import timedelta
 
 from lycheedyke.protocol import NotRun, Reason
-from lycheedyke.state import MAX_TRIAL_TIME, Suspects, TrialDecision, Verdict
+from lycheedyke.state import Suspects, TrialDecision, Verdict
 from lycheedyke_daemon.detached import DetachedTasks
 from lycheedyke_daemon.trials import Trial, TrialClient
 from lycheedyke_daemon.work import Work
@@ -74,7 +74,7 @@
 
     @contextlib.asynccontextmanager
     async def admit(
-        self, work: Work, timeout: timedelta = MAX_TRIAL_TIME
+        self, work: Work, timeout: timedelta
     ) -> AsyncIterator[Admission]:
         """Admits or refuses a request for the length of the context.
 
@@ -98,16 +98,10 @@
             raise
         self._end(admission)
 
-    def classify(self, admission: Admission) -> Verdict:
-        """Returns the current treatment of a request."""
-        if not self._suspects:
-            return Verdict.clear
-        return self._suspects.judge(admission.fingerprint)
-
     async def decide(self, admission: Admission) -> None:
         """Waits until a request may run, or is refused."""
         while admission.refusal is None:
-            verdict = self.classify(admission)
+            verdict = self._judge(admission)
             if verdict is Verdict.quarantined:
                 self._refuse(
                     admission, self._suspects.remaining(admission.fingerprint)
@@ -119,6 +113,12 @@
             else:
                 return
 
+    def _judge(self, admission: Admission) -> Verdict:
+        # Most requests need no fingerprint.
+        if not self._suspects:
+            return Verdict.clear
+        return self._suspects.judge(admission.fingerprint)
+
     def _end(self, admission: Admission) -> None:
         if admission.trial.is_granted:
             self._asking.discard(admission.fingerprint)
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/crashes.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/crashes.py
@@ -7,11 +7,11 @@
 from datetime import timedelta
 
 from lycheedyke.protocol import Answered, Outcome, Reason, Unknown
-from lycheedyke.state import Counters, Suspects, TrialDesk
+from lycheedyke.state import Counters, Suspects
 from lycheedyke.transport import is_connection_refused
 from lycheedyke_daemon.admissions import Admission, Admissions
 from lycheedyke_daemon.detached import DetachedTasks
-from lycheedyke_daemon.trials import NoTrialPeers, TrialClient
+from lycheedyke_daemon.trials import TrialClient
 from lycheedyke_daemon.work import Work
 
 HTTP_SERVER_ERROR = 500
@@ -102,8 +102,7 @@
             outcome of a crash is returned, so that peers know the suspects
             before a retry reaches them. Crashes at the same time share it.
         counters: counts crashes and refusals.
-        trials: asks for the trials of requests on probation; None if this
-            instance has no peers.
+        trials: asks for the trials of requests on probation.
     """
 
     def __init__(
@@ -111,17 +110,13 @@
         suspects: Suspects,
         report: Callable[[], Awaitable[None]],
         counters: Counters,
-        trials: TrialClient | None = None,
+        trials: TrialClient,
     ) -> None:
         """Initializes the guard."""
         self._suspects = suspects
         self._report = _SharedReport(report)
         self._counters = counters
-        self._admissions = Admissions(
-            suspects,
-            trials
-            or TrialClient(suspects, TrialDesk(suspects), NoTrialPeers()),
-        )
+        self._admissions = Admissions(suspects, trials)
         self._upstreams: dict[str, _InFlight] = {}
         self._checks = DetachedTasks()
 
@@ -147,9 +142,8 @@
         self,
         upstream: str,
         address: str,
-        work: Work,
+        admission: Admission,
         send: Callable[[], Awaitable[Outcome]],
-        admission: Admission | None = None,
     ) -> Outcome:
         """Returns the outcome of an exchange with an upstream.
 
@@ -160,13 +154,9 @@
         Args:
             upstream: the name of the upstream, or of its incarnation.
             address: the address of the upstream, `ip:port`.
-            work: the request.
+            admission: the admission of the request.
             send: performs the exchange.
-            admission: the request's admission; None to admit it here.
         """
-        if admission is None:
-            async with self._admissions.admit(work) as admitted:
-                return await self.run(upstream, address, work, send, admitted)
         in_flight = self._upstreams.setdefault(upstream, _InFlight())
         in_flight.users += 1
         try:
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_router.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_router.py
@@ -291,11 +291,10 @@
                 return await self._guard.run(
                     state.record.incarnation,
                     state.record.address,
-                    work,
+                    progress.admission,
                     functools.partial(
                         self._send, state, work, progress, started
                     ),
-                    progress.admission,
                 )
         except TimeoutError:
             if self._clock.elapsed() < work.deadline:
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/trials.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/trials.py
@@ -37,22 +37,6 @@
         """Returns the decision of a peer; None if it does not answer."""
 
 
-class NoTrialPeers:
-    """An instance without peers."""
-
-    def __repr__(self) -> str:
-        """Returns the constructor call."""
-        return 'NoTrialPeers()'
-
-    def deciding(self, fingerprint: str) -> Sequence[str]:
-        """Returns this instance."""
-        return ('',)
-
-    async def ask(self, peer: str, request: TrialRequest) -> TrialReply | None:
-        """Raises an error, as there is no peer to ask."""
-        raise LookupError(f'instance {peer!r} is not known')
-
-
 class Trial:
     """A request that is on probation, or may come to be.
 
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/upstream_runner.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/upstream_runner.py
@@ -163,9 +163,8 @@
             return await self._guard.run(
                 name,
                 upstream.address,
-                work,
-                functools.partial(self._send, name, upstream, work, attempt),
                 admission,
+                functools.partial(self._send, name, upstream, work, attempt),
             )
         finally:
             attempt.release()
--- a/packages/lycheedyke/src/lycheedyke/state/__init__.py
+++ b/packages/lycheedyke/src/lycheedyke/state/__init__.py
@@ -70,7 +70,6 @@
     Verdict,
 )
 from lycheedyke.state._trials import (
-    MAX_TRIAL_TIME,
     TrialDecision,
     TrialDesk,
     TrialReply,
@@ -134,7 +133,6 @@
     'SettledQuarantine',
     'Suspect',
     'Suspects',
-    'MAX_TRIAL_TIME',
     'TrialDecision',
     'TrialDesk',
     'TrialReply',
--- a/tests/standins/guarded_instances.py
+++ b/tests/standins/guarded_instances.py
@@ -1,8 +1,10 @@
 """Instances that guard upstreams, and tell each other of suspects."""
 
 import asyncio
-from collections.abc import Sequence
+from collections.abc import Awaitable, Callable, Sequence
+from datetime import timedelta
 
+from lycheedyke.protocol import Outcome
 from lycheedyke.state import (
     Counters,
     Suspect,
@@ -13,9 +15,11 @@
 )
 from lycheedyke_daemon.crashes import CrashGuard
 from lycheedyke_daemon.trials import TrialClient
+from lycheedyke_daemon.work import Work
 from standins.virtual_time import LoopClock
 
 DELAY_SECONDS = 0.002
+TIME_LEFT = timedelta(seconds=15)
 
 
 class GuardedInstance:
@@ -74,3 +78,34 @@
         each.peers = [peer for peer in instances if peer is not each]
     for each in instances[1:]:
         each.decides_at = instances[0]
+
+
+class _NoPeers:
+    """The peers of an instance that is alone."""
+
+    def deciding(self, fingerprint: str) -> list[str]:
+        """Returns this instance."""
+        return ['']
+
+    async def ask(self, peer: str, request: TrialRequest) -> TrialReply | None:
+        """Raises an error, as there is no peer to ask."""
+        raise LookupError(f'instance {peer!r} is not known')
+
+
+def make_lone_guard(
+    suspects: Suspects, report: Callable[[], Awaitable[None]]
+) -> CrashGuard:
+    """Returns the guard of an instance that is alone."""
+    trials = TrialClient(suspects, TrialDesk(suspects), _NoPeers())
+    return CrashGuard(suspects, report, Counters(), trials)
+
+
+async def run_guarded(
+    guard: CrashGuard,
+    upstream: str,
+    work: Work,
+    send: Callable[[], Awaitable[Outcome]],
+) -> Outcome:
+    """Admits a request, and runs it at an upstream named by its address."""
+    async with guard.admit(work, TIME_LEFT) as admission:
+        return await guard.run(upstream, upstream, admission, send)
--- a/tests/unit/test_crash_odds.py
+++ b/tests/unit/test_crash_odds.py
@@ -40,7 +40,7 @@
             outcome: Outcome | None = admission.refusal
             if outcome is None:
                 name = f'kassa-{number}'
-                outcome = await guard.run(name, name, work, _run, admission)
+                outcome = await guard.run(name, name, admission, _run)
         outcomes.append(outcome)
 
     sent = []
--- a/tests/unit/test_late_reports.py
+++ b/tests/unit/test_late_reports.py
@@ -15,6 +15,7 @@
     DELAY_SECONDS,
     GuardedInstance,
     connect,
+    run_guarded,
 )
 from standins.virtual_time import run_in_virtual_time
 
@@ -77,8 +78,11 @@
 
     async def send(self, at: int, name: str, body: bytes) -> Outcome:
         """Sends a request to an upstream through one of the instances."""
-        return await self.instances[at].guard.run(
-            name, name, _make_work(body), lambda: self.upstreams.run(name, body)
+        return await run_guarded(
+            self.instances[at].guard,
+            name,
+            _make_work(body),
+            lambda: self.upstreams.run(name, body),
         )
 
     async def meet(self, name: str) -> None:
@@ -220,9 +224,8 @@
             run = guard.run(
                 'c',
                 'c',
-                work,
-                lambda: testbed.upstreams.run('c', POISON),
                 admission,
+                lambda: testbed.upstreams.run('c', POISON),
             )
             try:
                 await asyncio.wait_for(run, CRASH_SECONDS / 2)
--- a/tests/unit/test_quarantine.py
+++ b/tests/unit/test_quarantine.py
@@ -8,12 +8,12 @@
 from hypothesis import strategies as st
 
 from lycheedyke.protocol import Answered, NotRun, Outcome, Reason, Unknown
-from lycheedyke.state import Counters, Suspect, Suspects, Verdict
+from lycheedyke.state import Suspect, Suspects, Verdict
 from lycheedyke_daemon import crashes
-from lycheedyke_daemon.crashes import CrashGuard
 from lycheedyke_daemon.work import Work
 from standins.clock import ManualClock
 from standins.convictions import PAUSE_S, convict, crash_trial
+from standins.guarded_instances import make_lone_guard, run_guarded
 from standins.records import make_upstream
 
 TEN_MINUTES_MS = 600_000
@@ -347,7 +347,7 @@
         self.suspects = Suspects(ManualClock())
         self.checked = asyncio.Event()
         self.reports = 0
-        self._guard = CrashGuard(self.suspects, self._report, Counters())
+        self._guard = make_lone_guard(self.suspects, self._report)
         monkeypatch.setattr(crashes, '_is_dead', self._is_dead)
 
     async def run(self, outcome: Outcome, upstream: str = 'kassa-1') -> Outcome:
@@ -356,7 +356,7 @@
         async def send() -> Outcome:
             return outcome
 
-        return await self._guard.run(upstream, upstream, work, send)
+        return await run_guarded(self._guard, upstream, work, send)
 
     async def _report(self) -> None:
         self.reports += 1
--- a/tests/unit/test_suspects.py
+++ b/tests/unit/test_suspects.py
@@ -7,12 +7,12 @@
 import pytest
 
 from lycheedyke.protocol import Answered, NotRun, Outcome, Reason, Unknown
-from lycheedyke.state import Counters, Suspect, Suspects, Verdict
+from lycheedyke.state import Suspect, Suspects, Verdict
 from lycheedyke_daemon import crashes
-from lycheedyke_daemon.crashes import CrashGuard
 from lycheedyke_daemon.work import Work
 from standins.clock import ManualClock
 from standins.convictions import convict
+from standins.guarded_instances import make_lone_guard, run_guarded
 from standins.virtual_time import LoopClock, run_in_virtual_time
 
 ANSWER = Answered(200, (), b'', 'kassa-1')
@@ -25,7 +25,7 @@
 
     def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
         self.suspects = Suspects(LoopClock())
-        self.guard = CrashGuard(self.suspects, self._report, Counters())
+        self.guard = make_lone_guard(self.suspects, self._report)
         self.down: set[str] = set()
         self.reports = 0
         self.reported: set[str] = set()
@@ -57,7 +57,7 @@
                 self.down.add(name)
             return BROKE if name in self.down else ANSWER
 
-        return await self.guard.run(name, name, work, send)
+        return await run_guarded(self.guard, name, work, send)
 
 
 def test_a_failing_zone_sends_few_reports(
