Keep the form of reports in one module, and name the arbiter and the pauses

What turns evidence into a report and back is in _suspect_reports.py now, and one iterator dates the crashes of a report, where two loops did. TrialDesk is TrialArbiter, and FIRST_PAUSE and SECOND_PAUSE are named by what they follow; the second one read like a second. Two comments say what they left to the code beside them.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/crashes.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/crashes.py
@@ -252,7 +252,7 @@
     ) -> None:
         """Checks whether an upstream crashes on a trial whose caller left."""
         await asyncio.sleep(ABANDONED_DELAY.total_seconds())
-        # Its trial may have ended meanwhile.
+        # Named as a trial here, as its trial may have ended meanwhile.
         await self._check_crash(
             upstream, address, (request,), (request.fingerprint,)
         )
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
@@ -134,7 +134,7 @@
             suspects,
             self._suspects.report,
             self._counters,
-            TrialClient(suspects, self._suspects.desk, self._suspects),
+            TrialClient(suspects, self._suspects.arbiter, self._suspects),
         )
 
     @property
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_suspect_exchange.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_suspect_exchange.py
@@ -13,7 +13,7 @@
     Counters,
     Suspect,
     Suspects,
-    TrialDesk,
+    TrialArbiter,
     TrialReply,
     TrialRequest,
 )
@@ -42,7 +42,7 @@
         clock: the time source.
 
     Attributes:
-        desk: decides on the trials that peers ask for.
+        arbiter: decides on the trials that peers ask for.
     """
 
     def __init__(
@@ -54,7 +54,7 @@
         clock: Clock,
     ) -> None:
         """Initializes the exchange; no peer knows anything yet."""
-        self.desk = TrialDesk(suspects)
+        self.arbiter = TrialArbiter(suspects)
         self._own = own
         self._suspects = suspects
         self._peers = peers
@@ -136,7 +136,7 @@
         except msgspec.MsgspecError as error:
             raise web.HTTPBadRequest(text=str(error)) from error
         return web.Response(
-            body=msgspec.msgpack.encode(self.desk.decide(asked))
+            body=msgspec.msgpack.encode(self.arbiter.decide(asked))
         )
 
     async def _send_missing(self, revision: int) -> bool:
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/suspect_replication.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/suspect_replication.py
@@ -13,7 +13,7 @@
     Counters,
     Suspect,
     Suspects,
-    TrialDesk,
+    TrialArbiter,
     TrialReply,
     TrialRequest,
 )
@@ -48,7 +48,7 @@
         peers: PeerClient,
     ) -> None:
         """Initializes the replicator."""
-        self._desk = TrialDesk(suspects)
+        self._arbiter = TrialArbiter(suspects)
         self._suspects = suspects
         self._members = members
         self._peers = peers
@@ -60,7 +60,7 @@
 
     def make_guard(self, counters: Counters) -> CrashGuard:
         """Returns a guard that asks peers for trials and reports to them."""
-        trials = TrialClient(self._suspects, self._desk, self)
+        trials = TrialClient(self._suspects, self._arbiter, self)
         return CrashGuard(self._suspects, self.report, counters, trials)
 
     def list(self) -> tuple[Suspect, ...]:
@@ -125,7 +125,7 @@
 
     def decide(self, request: TrialRequest) -> TrialReply:
         """Decides on a trial that a peer asks for."""
-        return self._desk.decide(request)
+        return self._arbiter.decide(request)
 
     async def close(self) -> None:
         """Waits for all reports."""
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/trials.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/trials.py
@@ -10,8 +10,8 @@
 
 from lycheedyke.state import (
     Suspects,
+    TrialArbiter,
     TrialDecision,
-    TrialDesk,
     TrialReply,
     TrialRequest,
     Verdict,
@@ -71,22 +71,22 @@
 
     Args:
         suspects: the suspects that this instance knows.
-        desk: decides if this instance is to, or if no other one answers.
+        arbiter: decides if this instance is to, or if no other one answers.
         peers: the instances that decide.
     """
 
     def __init__(
-        self, suspects: Suspects, desk: TrialDesk, peers: TrialPeers
+        self, suspects: Suspects, arbiter: TrialArbiter, peers: TrialPeers
     ) -> None:
         """Initializes the client."""
         self._suspects = suspects
-        self._desk = desk
+        self._arbiter = arbiter
         self._peers = peers
         self._ends = DetachedTasks()
 
     def __repr__(self) -> str:
-        """Returns the desk of this instance."""
-        return f'<TrialClient with {self._desk!r}>'
+        """Returns the arbiter of this instance."""
+        return f'<TrialClient with {self._arbiter!r}>'
 
     async def ask(
         self, fingerprint: str, trial: Trial, lasts: timedelta
@@ -138,7 +138,7 @@
             self._suspects.describe(fingerprint), trial.permit, is_over=True
         )
         if not trial.decided_by:
-            self._desk.decide(request)
+            self._arbiter.decide(request)
         elif await self._peers.ask(trial.decided_by, request) is None:
             _logger.info(
                 'trial end not delivered',
@@ -155,7 +155,7 @@
             reply = await self._peers.ask(peer, request)
             if reply is not None:
                 return peer, reply
-        return '', self._desk.decide(request)
+        return '', self._arbiter.decide(request)
 
 
 def rank_deciding(fingerprint: str, names: Iterable[str]) -> list[str]:
--- a/packages/lycheedyke/src/lycheedyke/coordination/_registry_follower.py
+++ b/packages/lycheedyke/src/lycheedyke/coordination/_registry_follower.py
@@ -160,10 +160,10 @@
                 self._merge(update)
 
     def _may_be_outage(self) -> bool:
-        """Returns whether a pause of this process does not explain the silence.
+        """Returns whether the silence is longer than the process's own pauses.
 
-        After a pause removals take effect at once: upstreams serve for a short
-        time after theirs.
+        A pause is no sign of an outage. Removals take effect at once after it,
+        as an upstream serves only for a short time after its removal.
         """
         silent = self._clock.elapsed() - self._updated
         return silent - self._paused_within(silent) >= self._intervals.silence
--- a/packages/lycheedyke/src/lycheedyke/state/__init__.py
+++ b/packages/lycheedyke/src/lycheedyke/state/__init__.py
@@ -70,8 +70,8 @@
     Verdict,
 )
 from lycheedyke.state._trials import (
+    TrialArbiter,
     TrialDecision,
-    TrialDesk,
     TrialReply,
     TrialRequest,
 )
@@ -134,7 +134,7 @@
     'Suspect',
     'Suspects',
     'TrialDecision',
-    'TrialDesk',
+    'TrialArbiter',
     'TrialReply',
     'TrialRequest',
     'Verdict',
--- a/packages/lycheedyke/src/lycheedyke/state/_crash_evidence.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_crash_evidence.py
@@ -8,10 +8,10 @@
 PROBATION_CRASHES = 2
 # So many of these runs that crash their upstreams convict the request.
 CONVICTING_TRIALS = 2
-# A trial comes so long after the crashes before it that a common cause of theirs
-# is over.
-FIRST_PAUSE = timedelta(seconds=1)
-SECOND_PAUSE = timedelta(seconds=8)
+# A trial waits so long after the last crash, until a cause that other upstreams
+# share is over.
+PAUSE_AFTER_CRASH = timedelta(seconds=1)
+PAUSE_AFTER_TRIAL = timedelta(seconds=8)
 MAX_CRASHES = 16
 # Two observers may date one crash as differently as a process may stand still
 # before it reads a report.
@@ -107,9 +107,9 @@
         """
         trials = [crash for crash in self.crashes if crash.is_trial]
         if trials:
-            return trials[-1].time + SECOND_PAUSE
+            return trials[-1].time + PAUSE_AFTER_TRIAL
         if self.standing:
-            return self.standing[-1].time + FIRST_PAUSE
+            return self.standing[-1].time + PAUSE_AFTER_CRASH
         return timedelta()
 
     @property
@@ -151,6 +151,15 @@
             crash for crash in self.crashes if crash.upstream == upstream
         )
 
+    def without_zone_failure(self) -> Self:
+        """Returns the evidence without dismissed crashes.
+
+        All crashes stay once a trial has crashed an upstream.
+        """
+        if self.trials:
+            return self
+        return self._replace(crashes=self.standing)
+
     def add_answer(self, answer: Answer) -> Self:
         """Returns the evidence after an answer.
 
--- a/packages/lycheedyke/src/lycheedyke/state/_suspect_reports.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_suspect_reports.py
@@ -1,10 +1,16 @@
 """The form in which suspects are reported to peers and operators."""
 
+from collections.abc import Iterator
 from datetime import timedelta
 
 import msgspec
 
-from lycheedyke.state._crash_evidence import CONVICTING_TRIALS
+from lycheedyke.state._crash_evidence import (
+    CONVICTING_TRIALS,
+    Answer,
+    Crash,
+    Evidence,
+)
 
 MILLISECOND = timedelta(milliseconds=1)
 
@@ -47,3 +53,67 @@
     def quarantined(self) -> bool:
         """Whether all instances refuse the request."""
         return len(self.trials) >= CONVICTING_TRIALS
+
+    def crashes(self, now: timedelta) -> Iterator[Crash]:
+        """Yields the crashes, dated back from now on the monotonic clock."""
+        for upstream, age in zip(self.crashed, self.ages_ms, strict=True):
+            time = _date_back(now, age)
+            yield Crash(time, upstream, upstream in self.trials)
+
+
+def describe(fingerprint: str, evidence: Evidence, now: timedelta) -> Suspect:
+    """Returns the report on a request.
+
+    Args:
+        fingerprint: the digest of the request, in hex.
+        evidence: the evidence on it.
+        now: the time on the monotonic clock, from which ages count.
+    """
+    answer = evidence.answer
+    crashes = evidence.crashes
+    trials = tuple(crash.upstream for crash in crashes if crash.is_trial)
+    return Suspect(
+        fingerprint,
+        tuple(crash.upstream for crash in crashes),
+        max(0, (evidence.expiry - now) // MILLISECOND),
+        tuple((now - crash.time) // MILLISECOND for crash in crashes),
+        None if answer is None else (now - answer.time) // MILLISECOND,
+        tuple(crash.upstream for crash in evidence.dismissed),
+        isolated=trials,
+        trials=trials,
+        is_trial_answer=answer is not None and answer.is_trial,
+    )
+
+
+def add_reported(
+    evidence: Evidence, suspect: Suspect, now: timedelta
+) -> Evidence:
+    """Returns the evidence with the answer and the crashes of a report."""
+    if suspect.answered_ms is not None:
+        time = _date_back(now, suspect.answered_ms)
+        evidence = evidence.add_answer(Answer(time, suspect.is_trial_answer))
+    for crash in suspect.crashes(now):
+        evidence = evidence.add(crash)
+        if crash.upstream in suspect.dismissed:
+            evidence = evidence.dismiss_of(crash.upstream)
+    return evidence
+
+
+def adds_to_report(known: Evidence, suspect: Suspect, now: timedelta) -> bool:
+    """Returns whether more is known than a report that was merged."""
+    if known.answer is None:
+        is_same = len(known.crashes) == len(suspect.crashed)
+        if is_same and known.trials == len(suspect.trials):
+            return False
+    told = add_reported(Evidence(), suspect, now)
+    more = told
+    if known.answer is not None:
+        more = more.add_answer(known.answer)
+    for crash in known.crashes:
+        more = more.add(crash)
+    return more.crashes != told.crashes
+
+
+def _date_back(now: timedelta, age_ms: int) -> timedelta:
+    # A negative age of a peer would date its crash in the future.
+    return now - max(0, age_ms) * MILLISECOND
--- a/packages/lycheedyke/src/lycheedyke/state/_suspects.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_suspects.py
@@ -16,7 +16,13 @@
     Strength,
 )
 from lycheedyke.state._recent_crashes import RecentCrashes
-from lycheedyke.state._suspect_reports import MILLISECOND, Suspect
+from lycheedyke.state._suspect_reports import (
+    MILLISECOND,
+    Suspect,
+    add_reported,
+    adds_to_report,
+    describe,
+)
 
 QUARANTINE_TIME = timedelta(minutes=10)
 CLEARED_TIME = timedelta(seconds=30)
@@ -113,8 +119,7 @@
 
     def remaining(self, fingerprint: str) -> timedelta:
         """Returns the time for which a quarantine lasts, as far as known."""
-        expiry = self._find(fingerprint).expiry
-        left = expiry - self.clock.elapsed()
+        left = self._find(fingerprint).expiry - self.clock.elapsed()
         return left if left > timedelta() else QUARANTINE_TIME
 
     def may_repeat(self, fingerprint: str) -> bool:
@@ -200,27 +205,25 @@
 
     def list(self) -> tuple[Suspect, ...]:
         """Returns the suspects that no failure of a zone explains."""
+        now = self.clock.elapsed()
         return tuple(
-            self._describe(
-                fingerprint,
-                evidence,
-                evidence.crashes if evidence.trials else evidence.standing,
-            )
+            describe(fingerprint, evidence.without_zone_failure(), now)
             for fingerprint, evidence in self._current()
             if evidence.standing or evidence.trials
         )
 
     def report(self) -> tuple[Suspect, ...]:
         """Returns all evidence for peers, dismissed crashes included."""
+        now = self.clock.elapsed()
         return tuple(
-            self._describe(fingerprint, evidence, evidence.crashes)
+            describe(fingerprint, evidence, now)
             for fingerprint, evidence in self._current()
         )
 
     def describe(self, fingerprint: str) -> Suspect:
         """Returns all evidence on one request for a peer."""
-        evidence = self._find(fingerprint)
-        return self._describe(fingerprint, evidence, evidence.crashes)
+        now = self.clock.elapsed()
+        return describe(fingerprint, self._find(fingerprint), now)
 
     def report_changes(self, after: int) -> tuple[Suspect, ...]:
         """Returns the evidence that a peer may not have.
@@ -231,8 +234,9 @@
         Args:
             after: the revision of the last report to the peer.
         """
+        now = self.clock.elapsed()
         return tuple(
-            self._describe(fingerprint, evidence, evidence.crashes)
+            describe(fingerprint, evidence, now)
             for fingerprint, evidence in self._current()
             if self._changed[fingerprint] > after
             and (
@@ -244,10 +248,13 @@
 
     def corrections(self, reported: Iterable[Suspect]) -> tuple[Suspect, ...]:
         """Returns what is known here of requests that a peer's report lacks."""
+        now = self.clock.elapsed()
         return tuple(
-            self._describe(suspect.fingerprint, known, known.crashes)
+            describe(suspect.fingerprint, known, now)
             for suspect in reported
-            if self._adds_to(known := self._find(suspect.fingerprint), suspect)
+            if adds_to_report(
+                known := self._find(suspect.fingerprint), suspect, now
+            )
         )
 
     def merge(self, reported: Iterable[Suspect]) -> bool:
@@ -283,32 +290,15 @@
             return Evidence()
         return evidence
 
-    def _adds_to(self, known: Evidence, reported: Suspect) -> bool:
-        """Returns whether more is known than a report that was merged."""
-        if known.answer is None:
-            is_same = len(known.crashes) == len(reported.crashed)
-            if is_same and known.trials == len(reported.trials):
-                return False
-        told = self._add_reported(Evidence(), reported)
-        more = told
-        if known.answer is not None:
-            more = more.add_answer(known.answer)
-        for crash in known.crashes:
-            more = more.add(crash)
-        return more.crashes != told.crashes
-
     def _merge_reported(self, suspect: Suspect) -> bool:
-        if suspect.fingerprint in self._cleared:
-            return False
-        if not suspect.has_times:
-            # Earlier versions report no times, and other fingerprints.
+        # Earlier versions report no times, and other fingerprints.
+        if not suspect.has_times or suspect.fingerprint in self._cleared:
             return False
         now = self.clock.elapsed()
         before = self._entries.get(suspect.fingerprint, Evidence())
-        after = self._add_reported(before, suspect)
-        for upstream, age in zip(suspect.crashed, suspect.ages_ms, strict=True):
-            time = now - max(0, age) * MILLISECOND
-            self._recent.record_reported(upstream, time, now)
+        after = add_reported(before, suspect, now)
+        for crash in suspect.crashes(now):
+            self._recent.record_reported(crash.upstream, crash.time, now)
         if after == before:
             return False
         remaining = min(suspect.remaining_ms * MILLISECOND, QUARANTINE_TIME)
@@ -316,27 +306,6 @@
         self._update(suspect.fingerprint, before, after)
         return True
 
-    def _add_reported(self, evidence: Evidence, suspect: Suspect) -> Evidence:
-        now = self.clock.elapsed()
-        if suspect.answered_ms is not None:
-            evidence = evidence.add_answer(
-                Answer(
-                    now - max(0, suspect.answered_ms) * MILLISECOND,
-                    suspect.is_trial_answer,
-                )
-            )
-        for upstream, age in zip(suspect.crashed, suspect.ages_ms, strict=True):
-            evidence = evidence.add(
-                Crash(
-                    now - max(0, age) * MILLISECOND,
-                    upstream,
-                    upstream in suspect.trials,
-                )
-            )
-            if upstream in suspect.dismissed:
-                evidence = evidence.dismiss_of(upstream)
-        return evidence
-
     def _dismiss_zone_failure(self) -> None:
         """Dismisses the crashes that coincide with many others."""
         changed = self._recent.dismiss_from(self._entries.items())
@@ -416,24 +385,6 @@
             if expiry > now
         }
 
-    def _describe(
-        self, fingerprint: str, evidence: Evidence, crashes: tuple[Crash, ...]
-    ) -> Suspect:
-        now = self.clock.elapsed()
-        answer = evidence.answer
-        trials = tuple(crash.upstream for crash in crashes if crash.is_trial)
-        return Suspect(
-            fingerprint,
-            tuple(crash.upstream for crash in crashes),
-            max(0, (evidence.expiry - now) // MILLISECOND),
-            tuple((now - crash.time) // MILLISECOND for crash in crashes),
-            None if answer is None else (now - answer.time) // MILLISECOND,
-            tuple(crash.upstream for crash in evidence.dismissed),
-            isolated=trials,
-            trials=trials,
-            is_trial_answer=answer is not None and answer.is_trial,
-        )
-
     def _log_quarantine(
         self, fingerprint: str, evidence: Evidence, *, source: str
     ) -> None:
--- a/packages/lycheedyke/src/lycheedyke/state/_trials.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_trials.py
@@ -59,7 +59,7 @@
     ends: timedelta
 
 
-class TrialDesk:
+class TrialArbiter:
     """Permits one trial of each request at a time.
 
     Args:
@@ -73,7 +73,7 @@
 
     def __repr__(self) -> str:
         """Returns the number of trials."""
-        return f'<TrialDesk: {len(self._running)} running>'
+        return f'<TrialArbiter: {len(self._running)} running>'
 
     def decide(self, request: TrialRequest) -> TrialReply:
         """Merges the evidence of the sender, and decides on its trial."""
--- a/tests/standins/guarded_instances.py
+++ b/tests/standins/guarded_instances.py
@@ -9,7 +9,7 @@
     Counters,
     Suspect,
     Suspects,
-    TrialDesk,
+    TrialArbiter,
     TrialReply,
     TrialRequest,
 )
@@ -36,12 +36,12 @@
     def __init__(self) -> None:
         """Initializes an instance without peers."""
         self.suspects = Suspects(LoopClock())
-        self.desk = TrialDesk(self.suspects)
+        self.arbiter = TrialArbiter(self.suspects)
         self.guard = CrashGuard(
             self.suspects,
             self._report,
             Counters(),
-            TrialClient(self.suspects, self.desk, self),
+            TrialClient(self.suspects, self.arbiter, self),
         )
         self.peers: list[GuardedInstance] = []
         self.delay = DELAY_SECONDS
@@ -55,7 +55,7 @@
         """Asks the instance that decides."""
         assert self.decides_at is not None
         await asyncio.sleep(DELAY_SECONDS)
-        return self.decides_at.desk.decide(request)
+        return self.decides_at.arbiter.decide(request)
 
     async def _report(self) -> None:
         is_new = True
@@ -96,7 +96,7 @@
     suspects: Suspects, report: Callable[[], Awaitable[None]]
 ) -> CrashGuard:
     """Returns the guard of an instance that is alone."""
-    trials = TrialClient(suspects, TrialDesk(suspects), _NoPeers())
+    trials = TrialClient(suspects, TrialArbiter(suspects), _NoPeers())
     return CrashGuard(suspects, report, Counters(), trials)
 
 
