--- a/tests/unit/test_late_reports.py
+++ b/tests/unit/test_late_reports.py
@@ -93,16 +93,20 @@
             assert await cause == BROKE
 
 
+@pytest.fixture(name='testbed')
+def _make_testbed(monkeypatch: pytest.MonkeyPatch) -> _Testbed:
+    return _Testbed(monkeypatch)
+
+
 # Guards against a sound request that is refused as quarantined while the
 # report of the request that caused its crashes is on its way.
 @pytest.mark.parametrize('sender', [1, 2])
 def test_a_late_report_of_the_cause_refuses_no_victim(
-    monkeypatch: pytest.MonkeyPatch, sender: int
+    testbed: _Testbed, sender: int
 ) -> None:
     """Neither at the instance of the victim, nor at one without a crash."""
 
     async def _scene() -> None:
-        testbed = _Testbed(monkeypatch)
         cause, *_ = testbed.instances
         await testbed.meet('a')
         cause.delay = LATE_SECONDS
@@ -119,12 +123,11 @@
 # Guards against further upstreams that a crashing request ends, and against
 # others that wait, while its trial is awaited.
 def test_equal_requests_have_one_trial_and_block_nobody(
-    monkeypatch: pytest.MonkeyPatch,
+    testbed: _Testbed,
 ) -> None:
     """One of them runs, at one of all instances; others run meanwhile."""
 
     async def _scene() -> None:
-        testbed = _Testbed(monkeypatch)
         loop = asyncio.get_running_loop()
         for name in ('a', 'b'):
             await testbed.send(0, name, POISON)
@@ -159,12 +162,11 @@
 # Guards against a waiting request that outstays its own deadline, or that is
 # not told when to come back.
 def test_the_wait_for_a_trial_ends_with_its_time(
-    monkeypatch: pytest.MonkeyPatch,
+    testbed: _Testbed,
 ) -> None:
     """It is refused at once if its time ends before the pause."""
 
     async def _scene() -> None:
-        testbed = _Testbed(monkeypatch)
         loop = asyncio.get_running_loop()
         guard = testbed.instances[0].guard
         for name in ('a', 'b'):
@@ -192,12 +194,11 @@
 # Guards against sound requests that are refused because the caller of the one
 # that had the trial has left (soak seed 421).
 def test_a_trial_whose_caller_left_soon_ends(
-    monkeypatch: pytest.MonkeyPatch,
+    testbed: _Testbed,
 ) -> None:
     """Others wait until its upstream has dropped it, and not longer."""
 
     async def _scene() -> None:
-        testbed = _Testbed(monkeypatch)
         _put_on_probation(testbed, VICTIM)
         await asyncio.sleep(PAUSE_S)
         left = asyncio.create_task(testbed.send(1, 'c', VICTIM))
@@ -213,11 +214,11 @@
 # crashed its upstream, so that no crash of a trial is ever noticed.
 @pytest.mark.parametrize('has_left', [True, False])
 def test_the_crash_of_a_trial_counts_though_it_was_given_up(
-    monkeypatch: pytest.MonkeyPatch, *, has_left: bool
+    testbed: _Testbed, *, has_left: bool
 ) -> None:
     """Its upstream is probed all the same."""
 
-    async def _give_up(testbed: _Testbed) -> None:
+    async def _give_up() -> None:
         guard = testbed.instances[1].guard
         work = _make_work(POISON)
         async with guard.admit(work, timedelta(seconds=2)) as admission:
@@ -234,11 +235,10 @@
                     raise
 
     async def _scene() -> None:
-        testbed = _Testbed(monkeypatch)
         _put_on_probation(testbed, POISON)
         await asyncio.sleep(PAUSE_S)
         with contextlib.suppress(TimeoutError):
-            await _give_up(testbed)
+            await _give_up()
         testbed.upstreams.crash('c')
         await asyncio.sleep(1)
         fingerprint = _make_work(POISON).repeat_fingerprint().hex()
@@ -251,12 +251,11 @@
 # Guards against a request that can't run again because an instance ended while
 # it had its trial.
 def test_a_trial_whose_end_is_never_told_ends_with_its_time(
-    monkeypatch: pytest.MonkeyPatch,
+    testbed: _Testbed,
 ) -> None:
     """Another one is granted after the time that it had."""
 
     async def _scene() -> None:
-        testbed = _Testbed(monkeypatch)
         _put_on_probation(testbed, VICTIM)
         await asyncio.sleep(PAUSE_S)
         lost = testbed.instances[1].guard
@@ -275,12 +274,11 @@
 # Guards against a sound request whose later runs all count as trials, since a
 # trial has cleared it at another instance.
 def test_a_request_that_a_trial_has_cleared_is_on_probation_nowhere(
-    monkeypatch: pytest.MonkeyPatch,
+    testbed: _Testbed,
 ) -> None:
     """An instance learns of it as it asks for a trial."""
 
     async def _scene() -> None:
-        testbed = _Testbed(monkeypatch)
         fingerprint = _make_work(VICTIM).repeat_fingerprint().hex()
         for at, each in enumerate(testbed.instances):
             each.suspects.record_crash([fingerprint], f'a{at}')
