--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/admissions.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/admissions.py
@@ -51,6 +51,14 @@
         """Returns the trial."""
         return f'<Admission with {self.trial!r}>'
 
+    def describe(self) -> dict[str, object]:
+        """Returns what log lines tell of the request."""
+        return {
+            'request': self._work.request_id,
+            'fingerprint': self.fingerprint,
+            **self._work.describe(),
+        }
+
 
 class Admissions:
     """Admits requests; one on probation once its trial is granted.
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/crashes.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/crashes.py
@@ -19,6 +19,8 @@
 PROBE_TIMEOUT = timedelta(milliseconds=500)
 # When the upstream of a trial that was given up is probed, before others may try.
 ABANDONED_DELAY = timedelta(milliseconds=300)
+# The requests in flight at a crash that its log line names.
+MAX_LOGGED_REQUESTS = 16
 
 _logger = logging.getLogger(__name__)
 
@@ -274,6 +276,10 @@
                 'upstream': upstream,
                 'fingerprints': fingerprints,
                 'trials': trials,
+                'requests': [
+                    request.describe()
+                    for request in requests[:MAX_LOGGED_REQUESTS]
+                ],
             },
         )
         self._suspects.record_crash(fingerprints, upstream, trials=trials)
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_caller_api.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_caller_api.py
@@ -34,13 +34,11 @@
 from lycheedyke_daemon.gateway._upstream_client import HeaderNames
 from lycheedyke_daemon.pipeline import TURN, may_pass_on
 from lycheedyke_daemon.stopping import RequestTracker
-from lycheedyke_daemon.work import Work, end_to_end_headers
+from lycheedyke_daemon.work import MAX_LOGGED, Work, end_to_end_headers
 
 MILLISECOND = timedelta(milliseconds=1)
 DEFAULT_REMAINING = timedelta(seconds=10)
 MAX_REMAINING = timedelta(minutes=5)
-# Characters of the host and of the path of a request without a route.
-MAX_LOGGED = 200
 RETRY_AFTER_START = timedelta(milliseconds=300)
 RETRY_AFTER_STOP = timedelta(milliseconds=20)
 
@@ -273,8 +271,10 @@
             'request ended',
             turn.request,
             outcome,
-            host='' if admitted else http.host[:MAX_LOGGED],
-            path='' if admitted else http.path[:MAX_LOGGED],
+            caller=http.remote or '',
+            host=http.host[:MAX_LOGGED],
+            method=http.method,
+            path=http.path[:MAX_LOGGED],
             behind=turn.behind,
             behind_ms=turn.waited // MILLISECOND,
             route=admitted.route.name if admitted else '',
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_router.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_router.py
@@ -325,6 +325,7 @@
             'attempt ended',
             work.request_id,
             outcome,
+            **work.describe(),
             sent_to=record.name,
             upstream_zone=record.zone,
             expected_ms=candidate.expected // MILLISECOND,
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/work.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/work.py
@@ -29,6 +29,8 @@
 )
 
 MILLISECOND = timedelta(milliseconds=1)
+# Characters of a host or a path in a log line.
+MAX_LOGGED = 200
 
 
 class Work(NamedTuple):
@@ -77,6 +79,21 @@
             return self.kind is RouteKind.idempotent
         return self.method in SAFE_METHODS
 
+    @property
+    def path(self) -> str:
+        """The path of the target, without the query."""
+        return self.target.partition('?')[0]
+
+    def describe(self) -> dict[str, object]:
+        """Returns the fields by which log lines name the request."""
+        return {
+            'caller': self.client,
+            'host': (self.host or self.service)[:MAX_LOGGED],
+            'method': self.method,
+            'path': self.path[:MAX_LOGGED],
+            'body_bytes': len(self.body),
+        }
+
     def fingerprint(self) -> bytes:
         """Returns a digest that is equal for equal requests."""
         return _digest(self.body, self.service, self.method, self.target)
@@ -87,9 +104,8 @@
         A repeated request may have another query, and a route may send it to
         another service.
         """
-        path, _, _ = self.target.partition('?')
         scope = self.host or self.service
-        return _digest(self.body, self.client, scope, self.method, path)
+        return _digest(self.body, self.client, scope, self.method, self.path)
 
     def upstream_headers(
         self,
--- a/tests/unit/test_crash_checks.py
+++ b/tests/unit/test_crash_checks.py
@@ -1,6 +1,7 @@
 """Crashes of upstreams are noticed whatever becomes of the requests."""
 
 import asyncio
+import logging
 from datetime import timedelta
 
 import pytest
@@ -24,7 +25,16 @@
         monkeypatch.setattr(crashes, '_is_dead', self._is_dead)
 
     async def run(self, outcome: Outcome, upstream: str = 'kassa-1') -> Outcome:
-        work = Work('kassa', 'GET', '/', (), b'', timedelta(), '')
+        work = Work(
+            'kassa',
+            'GET',
+            '/cups/7?page=2',
+            (),
+            b'',
+            timedelta(),
+            '192.0.2.1',
+            request_id='r-1',
+        )
 
         async def send() -> Outcome:
             return outcome
@@ -102,3 +112,33 @@
         assert len(testbed.suspects.list()) == 1
 
     asyncio.run(scenario())
+
+
+# Guards against logs that can't tell whether one request, sent by many callers,
+# or many requests crashed upstreams.
+def test_the_line_of_a_crash_names_its_requests(
+    monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
+) -> None:
+    """It names what the digest of a request is made of."""
+
+    async def scenario() -> None:
+        testbed = _Crashing(monkeypatch)
+        testbed.checked.set()
+        await testbed.run(Unknown(Reason.upstream_broke))
+
+    with caplog.at_level(logging.WARNING):
+        asyncio.run(scenario())
+    (line,) = (
+        record
+        for record in caplog.records
+        if record.getMessage() == 'upstream crashed'
+    )
+    (named,) = vars(line)['requests']
+    assert named.items() >= {
+        'request': 'r-1',
+        'caller': '192.0.2.1',
+        'host': 'kassa',
+        'method': 'GET',
+        'path': '/cups/7',
+        'body_bytes': 0,
+    }.items()
