Count crashes against a request whoever sends it, until one caller explains them

Cause: the digest that recognizes a repeat had the caller's address in it, and the callers of one request have many.

Each crash counts under two digests now: of the request as its caller sends it, as before, and of the request whoever sends it. The second one knows the callers in flight at each crash. While one caller was at all of them, its query, headers or cookie may be the cause, so the path is left to the others; the answer of another caller clears the path. Trials that convict all callers must not be those of one. Earlier builds read and write the first digest as before.

Weighed: the address left out of the digest (one caller could have a popular path refused to all for ten minutes); query and cookie in the digest (a repeat may have others).

Soak and testbed have callers at several addresses now; the relay passes them on.

--- a/bench/soak/crashes.py
+++ b/bench/soak/crashes.py
@@ -1,6 +1,7 @@
 """Crashes of upstreams, by one request that is sent again and by chance."""
 
 import asyncio
+import contextlib
 import itertools
 import random
 import time
@@ -9,7 +10,11 @@
 
 from bench.soak.echo_upstream import EchoUpstream
 from bench.soak.load_generator import Call, LoadGenerator
-from bench.soak.sessions import open_session
+from bench.soak.sessions import (
+    CALLER_ADDRESSES,
+    caller_address,
+    open_session,
+)
 from bench.soak.testbed import ROUTES, Testbed
 
 START_SECONDS = (0.2, 2)
@@ -56,6 +61,7 @@
         self._load_generator = load_generator
         self._rng = rng
         self._burst_rng = burst_rng
+        self._sessions: list[aiohttp.ClientSession] = []
         self._restarts: set[asyncio.Task[None]] = set()
 
     async def run(self, seconds: float) -> None:
@@ -65,25 +71,30 @@
             seconds: how long upstreams crash for other reasons.
         """
         watching = asyncio.create_task(self._watch())
-        await asyncio.gather(
-            self._send_crashing_request(),
-            self._send_bursts(),
-            self._crash_others(time.monotonic() + seconds),
-        )
+        async with contextlib.AsyncExitStack() as sessions:
+            for number in range(CALLER_ADDRESSES):
+                session = open_session(caller_address(number))
+                self._sessions.append(
+                    await sessions.enter_async_context(session)
+                )
+            await asyncio.gather(
+                self._send_crashing_request(),
+                self._send_bursts(),
+                self._crash_others(time.monotonic() + seconds),
+            )
         watching.cancel()
         if any(not each.done() for each in self._restarts):
             await asyncio.gather(*self._restarts)
             await asyncio.sleep(NOTICE_SECONDS)
 
     async def _send_crashing_request(self) -> None:
-        """Sends one request again and again, to any instance."""
+        """Sends one request again and again, of any caller to any instance."""
         await asyncio.sleep(self._rng.uniform(*START_SECONDS))
-        async with open_session() as http:
-            for at in itertools.count():
-                if not self._load_generator.is_running:
-                    return
-                await self._send(http, f'crash-{at}', self._rng)
-                await asyncio.sleep(self._rng.uniform(*RESEND_SECONDS))
+        for at in itertools.count():
+            if not self._load_generator.is_running:
+                return
+            await self._send(at, f'crash-{at}', self._rng)
+            await asyncio.sleep(self._rng.uniform(*RESEND_SECONDS))
 
     async def _send_bursts(self) -> None:
         """Sends copies of the same request side by side, to any instances."""
@@ -91,18 +102,18 @@
             await asyncio.sleep(self._burst_rng.uniform(*BURST_SECONDS))
             if not self._load_generator.is_running:
                 return
-            async with open_session() as http:
-                size = self._burst_rng.randint(*BURST_SIZES)
-                await asyncio.gather(
-                    *(
-                        self._send(http, f'burst-{at}-{copy}', self._burst_rng)
-                        for copy in range(size)
-                    )
+            size = self._burst_rng.randint(*BURST_SIZES)
+            await asyncio.gather(
+                *(
+                    self._send(copy, f'burst-{at}-{copy}', self._burst_rng)
+                    for copy in range(size)
                 )
+            )
 
     async def _send(
-        self, http: aiohttp.ClientSession, request: str, rng: random.Random
+        self, caller: int, request: str, rng: random.Random
     ) -> None:
+        """Sends the crashing request from the address of a caller."""
         path = self._testbed.crashing_path
         is_order = any(
             path.startswith(route['prefix']) and 'type' in route
@@ -110,6 +121,7 @@
         )
         name = rng.choice(sorted(self._testbed.instances))
         call = Call(request, is_order, path, _make_query(rng))
+        http = self._sessions[caller % CALLER_ADDRESSES]
         self._load_generator.results.append(
             await self._load_generator.send(http, name, call)
         )
--- a/bench/soak/load_generator.py
+++ b/bench/soak/load_generator.py
@@ -13,6 +13,7 @@
 from bench.soak.sessions import (
     ConnectionUse,
     UnansweredError,
+    caller_address,
     open_session,
 )
 from bench.soak.stalls import StallMonitor
@@ -194,7 +195,7 @@
 
     async def _run_caller(self, caller: int, zone: str) -> None:
         rng = random.Random(self._rng.random())
-        async with open_session() as http:
+        async with open_session(caller_address(caller)) as http:
             names: list[str] = []
             last_lookup = -LOOKUP_INTERVAL_SECONDS
             count = 0
--- a/bench/soak/sessions.py
+++ b/bench/soak/sessions.py
@@ -5,6 +5,8 @@
 
 import aiohttp
 
+CALLER_ADDRESSES = 12
+
 
 class ConnectionUse:
     """The connection that a request was sent on.
@@ -22,15 +24,24 @@
     """A connection was closed before the response; its cause says how."""
 
 
-def open_session() -> aiohttp.ClientSession:
+def caller_address(number: int) -> str:
+    """Returns the loopback address of a caller."""
+    return f'127.0.0.{number % CALLER_ADDRESSES + 2}'
+
+
+def open_session(address: str = '127.0.0.1') -> aiohttp.ClientSession:
     """Returns a session that never repeats a request by itself.
 
     A repeat that the caller does not see would hide a lost answer. Requests
     may pass a `ConnectionUse` as `trace_request_ctx`.
+
+    Args:
+        address: the loopback address of the caller.
     """
     trace = aiohttp.TraceConfig()
     trace.on_connection_create_end.append(_note_new)
     return aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(local_addr=(address, 0)),
         cookie_jar=aiohttp.DummyCookieJar(),
         middlewares=[_refuse_repeat],
         trace_configs=[trace],
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/admissions.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/admissions.py
@@ -4,6 +4,7 @@
 import contextlib
 from collections.abc import AsyncIterator
 from datetime import timedelta
+from functools import cached_property
 
 from lycheedyke.protocol import NotRun, Reason
 from lycheedyke.state import Suspects, TrialDecision, Verdict
@@ -38,14 +39,33 @@
         self.until = until
         self.lasts = lasts
         self._work = work
-        self._fingerprint = ''
 
-    @property
+    @cached_property
     def fingerprint(self) -> str:
-        """The fingerprint of the request, in hexadecimal."""
-        if not self._fingerprint:
-            self._fingerprint = self._work.repeat_fingerprint().hex()
-        return self._fingerprint
+        """The digest of the request as its caller repeats it, in hex."""
+        return self._work.repeat_fingerprint().hex()
+
+    @cached_property
+    def shared_fingerprint(self) -> str:
+        """The digest of the request as any caller repeats it, in hex."""
+        return self._work.shared_fingerprint().hex()
+
+    @property
+    def fingerprints(self) -> tuple[str, str]:
+        """The digests that crashes count against, the common one first."""
+        return self.shared_fingerprint, self.fingerprint
+
+    @property
+    def tried(self) -> tuple[str, ...]:
+        """The digests for which a run is a trial; empty if it is none.
+
+        A trial among the requests of all callers is one of its caller, too.
+        """
+        if not self.trial.is_granted:
+            return ()
+        if self.trial.fingerprint == self.fingerprint:
+            return (self.fingerprint,)
+        return self.fingerprints
 
     def __repr__(self) -> str:
         """Returns the trial."""
@@ -56,6 +76,7 @@
         return {
             'request': self._work.request_id,
             'fingerprint': self.fingerprint,
+            'shared_fingerprint': self.shared_fingerprint,
             **self._work.describe(),
         }
 
@@ -109,39 +130,39 @@
     async def decide(self, admission: Admission) -> None:
         """Waits until a request may run, or is refused."""
         while admission.refusal is None:
-            verdict = self._judge(admission)
+            # Most requests need no digest.
+            if not self._suspects:
+                return
+            verdict, fingerprint = self._suspects.judge_all(
+                admission.fingerprints
+            )
             if verdict is Verdict.quarantined:
-                self._refuse(
-                    admission, self._suspects.remaining(admission.fingerprint)
-                )
+                self._refuse(admission, self._suspects.remaining(fingerprint))
             elif verdict is Verdict.probation and (
-                not admission.trial.is_granted
+                fingerprint not in admission.tried
             ):
-                await self._wait_for_trial(admission)
+                # Its trial may be one of its caller alone.
+                self._end(admission)
+                await self._wait_for_trial(admission, fingerprint)
             else:
                 return
 
-    def _judge(self, admission: Admission) -> Verdict:
-        # Most requests need no fingerprint.
-        if not self._suspects:
-            return Verdict.clear
-        return self._suspects.judge(admission.fingerprint)
-
     def _end(self, admission: Admission) -> None:
         if admission.trial.is_granted:
-            self._asking.discard(admission.fingerprint)
-            self._trials.end(admission.fingerprint, admission.trial)
+            self._asking.discard(admission.trial.fingerprint)
+            self._trials.end(admission.trial)
 
     async def _end_abandoned(self, admission: Admission) -> None:
         await asyncio.sleep(ABANDONED_TIME.total_seconds())
         self._end(admission)
 
-    async def _wait_for_trial(self, admission: Admission) -> None:
+    async def _wait_for_trial(
+        self, admission: Admission, fingerprint: str
+    ) -> None:
         """Asks for the trial of a request, or waits before it asks again."""
-        fingerprint = admission.fingerprint
         wait = self._suspects.trial_pause(fingerprint)
         if not wait:
-            wait = await self._ask(admission)
+            wait = await self._ask(admission, fingerprint)
             if admission.trial.is_granted:
                 return
         if self._suspects.clock.elapsed() + wait >= admission.until:
@@ -149,9 +170,8 @@
             return
         await asyncio.sleep(wait.total_seconds())
 
-    async def _ask(self, admission: Admission) -> timedelta:
+    async def _ask(self, admission: Admission, fingerprint: str) -> timedelta:
         """Asks for a trial; returns how long to wait if it isn't granted."""
-        fingerprint = admission.fingerprint
         if fingerprint in self._asking:
             return TRIAL_RECHECK
         self._asking.add(fingerprint)
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/crashes.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/crashes.py
@@ -2,7 +2,8 @@
 
 import asyncio
 import logging
-from collections.abc import Awaitable, Callable
+from collections import defaultdict
+from collections.abc import Awaitable, Callable, Iterable
 from contextlib import AbstractAsyncContextManager
 from datetime import timedelta
 
@@ -38,11 +39,11 @@
 
     @property
     def trials(self) -> tuple[str, ...]:
-        """The fingerprints of the requests that run as trials."""
+        """The digests of the requests that run as trials."""
         return tuple(
-            request.fingerprint
+            fingerprint
             for request in self.requests
-            if request.trial.is_granted
+            for fingerprint in request.tried
         )
 
     def add(self, request: Admission, *, alone: bool) -> None:
@@ -174,7 +175,8 @@
         """Returns whether work may run again for the same attempt."""
         if not self._suspects:
             return True
-        return self._suspects.may_repeat(work.repeat_fingerprint().hex())
+        digests = (work.shared_fingerprint(), work.repeat_fingerprint())
+        return all(self._suspects.may_repeat(each.hex()) for each in digests)
 
     async def _run(
         self,
@@ -195,7 +197,9 @@
         except asyncio.CancelledError:
             if request.trial.is_granted:
                 self._checks.start(
-                    self._check_abandoned(upstream, address, request)
+                    self._check_abandoned(
+                        upstream, address, request, request.tried
+                    )
                 )
             raise
         finally:
@@ -219,8 +223,8 @@
         return not in_flight.alone
 
     def _is_isolated(self, request: Admission) -> bool:
-        return bool(self._suspects) and self._suspects.is_isolated(
-            request.fingerprint
+        return bool(self._suspects) and any(
+            map(self._suspects.is_isolated, request.fingerprints)
         )
 
     async def _check_outcome(
@@ -232,9 +236,7 @@
         outcome: Outcome,
     ) -> None:
         if self._suspects and _is_success(outcome):
-            self._suspects.record_success(
-                request.fingerprint, is_trial=request.trial.is_granted
-            )
+            self._record_success(request)
         if outcome != Unknown(Reason.upstream_broke):
             return
         # One crash breaks all exchanges, which share a check.
@@ -249,15 +251,27 @@
         # the same.
         await asyncio.shield(in_flight.check)
 
+    def _record_success(self, request: Admission) -> None:
+        for fingerprint in request.fingerprints:
+            self._suspects.record_success(
+                fingerprint,
+                is_trial=fingerprint in request.tried,
+                caller=request.fingerprint,
+            )
+
     async def _check_abandoned(
-        self, upstream: str, address: str, request: Admission
+        self,
+        upstream: str,
+        address: str,
+        request: Admission,
+        tried: tuple[str, ...],
     ) -> None:
-        """Checks whether an upstream crashes on a trial whose caller left."""
+        """Checks whether an upstream crashes on a trial whose caller left.
+
+        The trial itself may have ended meanwhile.
+        """
         await asyncio.sleep(ABANDONED_DELAY.total_seconds())
-        # Named as a trial here, as its trial may have ended meanwhile.
-        await self._check_crash(
-            upstream, address, (request,), (request.fingerprint,)
-        )
+        await self._check_crash(upstream, address, (request,), tried)
 
     async def _check_crash(
         self,
@@ -268,7 +282,11 @@
     ) -> None:
         if not await _is_dead(address):
             return
-        fingerprints = tuple(request.fingerprint for request in requests)
+        callers = _group_callers(requests)
+        fingerprints = (
+            *callers,
+            *dict.fromkeys(each.fingerprint for each in requests),
+        )
         self._counters.count('upstream.crashed')
         _logger.warning(
             'upstream crashed',
@@ -282,10 +300,20 @@
                 ],
             },
         )
-        self._suspects.record_crash(fingerprints, upstream, trials=trials)
+        self._suspects.record_crash(
+            fingerprints, upstream, trials=trials, callers=callers
+        )
         await self._report.send()
 
 
+def _group_callers(requests: Iterable[Admission]) -> dict[str, set[str]]:
+    """Returns the digests of each request's callers, by the common digest."""
+    callers: defaultdict[str, set[str]] = defaultdict(set)
+    for request in requests:
+        callers[request.shared_fingerprint].add(request.fingerprint)
+    return dict(callers)
+
+
 def _is_success(outcome: Outcome) -> bool:
     return isinstance(outcome, Answered) and outcome.status < HTTP_SERVER_ERROR
 
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/trials.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/trials.py
@@ -41,16 +41,22 @@
     """A request that is on probation, or may come to be.
 
     Attributes:
-        is_granted: whether it may run as a trial.
+        fingerprint: the digest of the request under which it is granted; ''
+            if it is not.
         decided_by: the instance that granted it.
     """
 
     def __init__(self) -> None:
         """Initializes a trial that is not granted."""
         self._permit = ''
-        self.is_granted = False
+        self.fingerprint = ''
         self.decided_by = ''
 
+    @property
+    def is_granted(self) -> bool:
+        """Whether the request may run as a trial."""
+        return bool(self.fingerprint)
+
     @property
     def permit(self) -> str:
         """The id of the trial, which few requests need."""
@@ -59,8 +65,8 @@
         return self._permit
 
     def __repr__(self) -> str:
-        """Returns whether it is granted, and by whom."""
-        return f'<Trial granted={self.is_granted} by {self.decided_by!r}>'
+        """Returns what it is granted for, and by whom."""
+        return f'<Trial of {self.fingerprint!r} by {self.decided_by!r}>'
 
 
 class TrialClient:
@@ -107,18 +113,19 @@
         )
         decided_by, reply = await self._ask_first(fingerprint, request)
         self._suspects.merge((reply.evidence,))
-        trial.is_granted = reply.decision is TrialDecision.granted
-        trial.decided_by = decided_by
+        if reply.decision is TrialDecision.granted:
+            trial.fingerprint = fingerprint
+            trial.decided_by = decided_by
         verdict = self._suspects.judge(fingerprint)
         if verdict is not Verdict.probation:
             # The evidence that came with the decision has settled it.
-            self.end(fingerprint, trial)
+            self.end(trial)
         _logger.info(
             'trial decided',
             extra={
                 'fingerprint': fingerprint,
                 'decision': reply.decision.value,
-                'verdict': verdict.value,
+                'verdict': verdict.name,
                 'decided_by': decided_by,
                 'crashes': len(reply.evidence.crashed),
                 'trials': len(reply.evidence.trials),
@@ -127,22 +134,27 @@
         )
         return reply
 
-    def end(self, fingerprint: str, trial: Trial) -> None:
+    def end(self, trial: Trial) -> None:
         """Tells that a granted trial has ended, without waiting for it."""
         if trial.is_granted:
-            trial.is_granted = False
-            self._ends.start(self._tell_end(fingerprint, trial))
+            request = TrialRequest(
+                self._suspects.describe(trial.fingerprint),
+                trial.permit,
+                is_over=True,
+            )
+            trial.fingerprint = ''
+            self._ends.start(self._tell_end(trial.decided_by, request))
 
-    async def _tell_end(self, fingerprint: str, trial: Trial) -> None:
-        request = TrialRequest(
-            self._suspects.describe(fingerprint), trial.permit, is_over=True
-        )
-        if not trial.decided_by:
+    async def _tell_end(self, decided_by: str, request: TrialRequest) -> None:
+        if not decided_by:
             self._arbiter.decide(request)
-        elif await self._peers.ask(trial.decided_by, request) is None:
+        elif await self._peers.ask(decided_by, request) is None:
             _logger.info(
                 'trial end not delivered',
-                extra={'fingerprint': fingerprint, 'peer': trial.decided_by},
+                extra={
+                    'fingerprint': request.evidence.fingerprint,
+                    'peer': decided_by,
+                },
             )
 
     async def _ask_first(
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/work.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/work.py
@@ -107,6 +107,14 @@
         scope = self.host or self.service
         return _digest(self.body, self.client, scope, self.method, self.path)
 
+    def shared_fingerprint(self) -> bytes:
+        """Returns a digest that is equal if any caller repeats a request.
+
+        One caller may come from many addresses.
+        """
+        scope = self.host or self.service
+        return _digest(self.body, scope, self.method, self.path)
+
     def upstream_headers(
         self,
         remaining: timedelta,
--- a/packages/lycheedyke/src/lycheedyke/state/__init__.py
+++ b/packages/lycheedyke/src/lycheedyke/state/__init__.py
@@ -65,9 +65,7 @@
 from lycheedyke.state._suspect_reports import Suspect
 from lycheedyke.state._suspects import (
     QUARANTINE_TIME,
-    SettledQuarantine,
     Suspects,
-    Verdict,
 )
 from lycheedyke.state._trials import (
     TrialArbiter,
@@ -76,12 +74,14 @@
     TrialRequest,
 )
 from lycheedyke.state._upstreams import UpstreamState, UpstreamTable
+from lycheedyke.state._verdicts import Judgement, SettledQuarantine, Verdict
 from lycheedyke.state._warmup_limiter import WarmupLimiter, permit_interval
 
 __all__ = (
     'Distances',
     'UpstreamTable',
     'Candidate',
+    'Judgement',
     'Location',
     'Pools',
     'is_admissible',
--- a/packages/lycheedyke/src/lycheedyke/state/_crash_evidence.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_crash_evidence.py
@@ -25,11 +25,21 @@
         time: when it was observed, on the monotonic clock.
         upstream: the name of the upstream, or of its incarnation.
         is_trial: whether the request ran there as a trial.
+        callers: the digests of the callers whose requests were in flight; empty
+            if they are not known, or are part of the request's own digest.
     """
 
     time: timedelta
     upstream: str
     is_trial: bool = False
+    callers: frozenset[str] = frozenset()
+
+    def merge(self, other: Self) -> Self:
+        """Returns the crash as two observers of it know it together."""
+        return self._replace(
+            is_trial=self.is_trial or other.is_trial,
+            callers=self.callers | other.callers,
+        )
 
 
 class Answer(NamedTuple):
@@ -37,11 +47,12 @@
 
     Attributes:
         time: when it came, on the monotonic clock.
-        is_trial: whether the request ran as a trial.
+        is_conclusive: whether it outweighs any number of crashes: the request
+            ran as a trial, or its caller is not the one of all crashes.
     """
 
     time: timedelta
-    is_trial: bool = False
+    is_conclusive: bool = False
 
 
 class Strength(NamedTuple):
@@ -52,6 +63,12 @@
     expiry: timedelta
 
 
+def common_callers(crashes: Iterable[Crash]) -> frozenset[str]:
+    """Returns the callers whose requests were in flight at all crashes."""
+    callers = [crash.callers for crash in crashes]
+    return frozenset.intersection(*callers) if callers else frozenset()
+
+
 class Evidence(NamedTuple):
     """The crashes at which one request was in flight, and its answers.
 
@@ -60,6 +77,10 @@
     all instances, and after a pause. A trial that is answered clears it, and
     `CONVICTING_TRIALS` that crash their upstreams convict it.
 
+    Evidence on a request whoever sends it knows the callers of each crash. While
+    one caller explains all crashes, the cause may be what only that caller
+    sends, such as a query or a cookie, and others are not concerned.
+
     Attributes:
         crashes: the crashes by time, at most `MAX_CRASHES`.
         dismissed: those of them that were attributed to the failure of a zone
@@ -88,6 +109,11 @@
             crash for crash in self.crashes if crash not in self.dismissed
         )
 
+    @property
+    def suspected_callers(self) -> frozenset[str]:
+        """The callers each of which explains all crashes alone."""
+        return common_callers(self.crashes)
+
     @property
     def is_on_probation(self) -> bool:
         """Whether the request may run only as a trial."""
@@ -96,7 +122,8 @@
     @property
     def is_convicted(self) -> bool:
         """Whether the request must not run."""
-        return self.trials >= CONVICTING_TRIALS
+        trials = [crash for crash in self.crashes if crash.is_trial]
+        return len(trials) >= CONVICTING_TRIALS and not common_callers(trials)
 
     @property
     def next_trial(self) -> timedelta:
@@ -126,9 +153,7 @@
             return self
         known = self._find_same(crash)
         if known is not None:
-            if crash.is_trial and not known.is_trial:
-                return self._replace_crash(known)
-            return self
+            return self._replace_crash(known, known.merge(crash))
         crashes = sorted((*self.crashes, crash))
         if len(crashes) > MAX_CRASHES:
             crashes.remove(
@@ -164,7 +189,7 @@
         """Returns the evidence after an answer.
 
         Only later crashes count then. Any answer outweighs a single crash;
-        more of them are outweighed by the answer of a trial alone, as other
+        more of them are outweighed by a conclusive one alone, as other
         requests may look the same.
         """
         if self.answer is not None and self.answer.time >= answer.time:
@@ -173,7 +198,7 @@
             crash for crash in self.crashes if crash.time > answer.time
         )
         outweighed = len(self.crashes) - len(later)
-        if outweighed >= PROBATION_CRASHES and not answer.is_trial:
+        if outweighed >= PROBATION_CRASHES and not answer.is_conclusive:
             return self
         return self._replace(
             crashes=later,
@@ -189,12 +214,19 @@
                 return known
         return None
 
-    def _replace_crash(self, known: Crash) -> Self:
-        """Returns the evidence with a known crash as that of a trial."""
-        as_trial = known._replace(is_trial=True)
+    def _replace_crash(self, known: Crash, merged: Crash) -> Self:
+        """Returns the evidence with more known of a crash.
+
+        The crash of a trial is not dismissed.
+        """
+        if merged == known:
+            return self
+        dismissed = self.dismissed - {known}
+        if known in self.dismissed and not merged.is_trial:
+            dismissed |= {merged}
         return self._replace(
             crashes=tuple(
-                as_trial if crash == known else crash for crash in self.crashes
+                merged if crash == known else crash for crash in self.crashes
             ),
-            dismissed=self.dismissed - {known},
+            dismissed=dismissed,
         )
--- a/packages/lycheedyke/src/lycheedyke/state/_suspect_reports.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_suspect_reports.py
@@ -1,12 +1,12 @@
 """The form in which suspects are reported to peers and operators."""
 
+import itertools
 from collections.abc import Iterator
 from datetime import timedelta
 
 import msgspec
 
 from lycheedyke.state._crash_evidence import (
-    CONVICTING_TRIALS,
     Answer,
     Crash,
     Evidence,
@@ -19,7 +19,8 @@
     """A suspect as reported to peers and operators.
 
     Attributes:
-        fingerprint: the digest that equal requests of one caller share, in hex.
+        fingerprint: the digest that equal requests share, in hex; those of one
+            caller, or of all.
         crashed: the upstreams that crashed while it was in flight there.
         remaining_ms: the time until the suspect expires, in ms.
         ages_ms: how long ago each of these crashes was, in ms. Reports of
@@ -31,7 +32,9 @@
         isolated: the same as `trials`, for earlier versions.
         trials: those of the crashed upstreams at which it ran as a trial.
             Reports of earlier versions have none.
-        is_trial_answer: whether it ran as a trial when it was answered.
+        is_conclusive: whether the answer outweighs any number of crashes.
+        callers: the digests of the callers whose requests were in flight at
+            each of these crashes. Reports of earlier versions have none.
     """
 
     fingerprint: str
@@ -42,7 +45,8 @@
     dismissed: tuple[str, ...] = ()
     isolated: tuple[str, ...] = ()
     trials: tuple[str, ...] = ()
-    is_trial_answer: bool = False
+    is_conclusive: bool = False
+    callers: tuple[tuple[str, ...], ...] = ()
 
     @property
     def has_times(self) -> bool:
@@ -52,13 +56,17 @@
     @property
     def quarantined(self) -> bool:
         """Whether all instances refuse the request."""
-        return len(self.trials) >= CONVICTING_TRIALS
+        return Evidence(tuple(self.crashes(timedelta()))).is_convicted
 
     def crashes(self, now: timedelta) -> Iterator[Crash]:
         """Yields the crashes, dated back from now on the monotonic clock."""
-        for upstream, age in zip(self.crashed, self.ages_ms, strict=True):
+        callers = itertools.chain(self.callers, itertools.repeat(()))
+        for upstream, age, known in zip(
+            self.crashed, self.ages_ms, callers, strict=False
+        ):
             time = _date_back(now, age)
-            yield Crash(time, upstream, upstream in self.trials)
+            is_trial = upstream in self.trials
+            yield Crash(time, upstream, is_trial, frozenset(known))
 
 
 def describe(fingerprint: str, evidence: Evidence, now: timedelta) -> Suspect:
@@ -81,7 +89,8 @@
         tuple(crash.upstream for crash in evidence.dismissed),
         isolated=trials,
         trials=trials,
-        is_trial_answer=answer is not None and answer.is_trial,
+        is_conclusive=answer is not None and answer.is_conclusive,
+        callers=tuple(tuple(sorted(crash.callers)) for crash in crashes),
     )
 
 
@@ -91,7 +100,7 @@
     """Returns the evidence with the answer and the crashes of a report."""
     if suspect.answered_ms is not None:
         time = _date_back(now, suspect.answered_ms)
-        evidence = evidence.add_answer(Answer(time, suspect.is_trial_answer))
+        evidence = evidence.add_answer(Answer(time, suspect.is_conclusive))
     for crash in suspect.crashes(now):
         evidence = evidence.add(crash)
         if crash.upstream in suspect.dismissed:
--- a/packages/lycheedyke/src/lycheedyke/state/_suspects.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_suspects.py
@@ -1,11 +1,9 @@
 """Requests that are suspected of crashing the upstreams that run them."""
 
-import heapq
 import logging
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable, Mapping
 from datetime import timedelta
-from enum import Enum
-from typing import NamedTuple
+from types import MappingProxyType
 
 from lycheedyke.clock import Clock
 from lycheedyke.state._crash_evidence import (
@@ -13,7 +11,6 @@
     Answer,
     Crash,
     Evidence,
-    Strength,
 )
 from lycheedyke.state._recent_crashes import RecentCrashes
 from lycheedyke.state._suspect_reports import (
@@ -23,39 +20,17 @@
     adds_to_report,
     describe,
 )
+from lycheedyke.state._verdicts import Judgement, SettledQuarantine, Verdict
+from lycheedyke.state._weakest_first import WeakestFirst
 
 QUARANTINE_TIME = timedelta(minutes=10)
 CLEARED_TIME = timedelta(seconds=30)
 MAX_SUSPECTS = 256
-# The outdated pairs that are kept for each suspect, as their removal costs time.
-MAX_OUTDATED = 4
+_NO_CALLERS: Mapping[str, Collection[str]] = MappingProxyType({})
 
 _logger = logging.getLogger(__name__)
 
 
-class Verdict(Enum):
-    """The treatment of a request."""
-
-    clear = 'clear'
-    # It runs apart from the other requests of the instance.
-    suspect = 'suspect'
-    # It runs only as a trial, once at a time among all instances.
-    probation = 'probation'
-    quarantined = 'quarantined'
-
-
-class SettledQuarantine(NamedTuple):
-    """A quarantine that is to outlast the instances.
-
-    Attributes:
-        fingerprint: the digest of the request, in hex.
-        is_first_hand: whether this instance observed one of the crashes.
-    """
-
-    fingerprint: str
-    is_first_hand: bool
-
-
 class Suspects:
     """The suspects known to one instance, limited in number and lifetime.
 
@@ -81,8 +56,7 @@
         self._cleared: dict[str, timedelta] = {}
         self._recent = RecentCrashes()
         self._changed: dict[str, int] = {}
-        # The weakest evidence first; pairs may be outdated.
-        self._weakest: list[tuple[Strength, str]] = []
+        self._weakest = WeakestFirst()
 
     def __len__(self) -> int:
         """Returns the number of requests with crashes or in quarantine."""
@@ -96,20 +70,30 @@
         """Returns the current treatment of a request."""
         if fingerprint in self._registered:
             return Verdict.quarantined
-        evidence = self._find(fingerprint)
+        evidence = self._find_valid(fingerprint)
         if evidence.is_convicted:
             return Verdict.quarantined
         if evidence.is_on_probation:
             return Verdict.probation
         return Verdict.suspect if evidence.standing else Verdict.clear
 
+    def judge_all(self, fingerprints: Iterable[str]) -> Judgement:
+        """Returns the strictest treatment by any digest of one request.
+
+        Of equally strict ones, the first counts.
+        """
+        return max(
+            (Judgement(self.judge(each), each) for each in fingerprints),
+            key=lambda judgement: judgement.verdict,
+        )
+
     def is_isolated(self, fingerprint: str) -> bool:
         """Returns whether a request runs apart from others.
 
         The many requests of a failing zone do not, unless a trial of theirs
         has crashed an upstream.
         """
-        evidence = self._find(fingerprint)
+        evidence = self._find_valid(fingerprint)
         return bool(evidence.standing or evidence.trials)
 
     def trial_pause(self, fingerprint: str) -> timedelta:
@@ -130,7 +114,7 @@
         """
         if fingerprint in self._registered:
             return False
-        return len(self._find(fingerprint).crashes) < PROBATION_CRASHES
+        return len(self._find_valid(fingerprint).crashes) < PROBATION_CRASHES
 
     def record_crash(
         self,
@@ -138,6 +122,7 @@
         upstream: str,
         *,
         trials: Iterable[str] = (),
+        callers: Mapping[str, Collection[str]] = _NO_CALLERS,
     ) -> None:
         """Marks all requests as suspects that were in flight at a crash.
 
@@ -148,13 +133,20 @@
             fingerprints: the requests in flight.
             upstream: the upstream, or its incarnation.
             trials: those of them that ran as trials.
+            callers: the callers of each request that is told apart from others
+                whoever sends it.
         """
         self._drop_expired()
         now = self.clock.elapsed()
         self._recent.record(upstream, now)
         in_trial = frozenset(trials)
         for fingerprint in fingerprints:
-            crash = Crash(now, upstream, fingerprint in in_trial)
+            crash = Crash(
+                now,
+                upstream,
+                fingerprint in in_trial,
+                frozenset(callers.get(fingerprint, ())),
+            )
             before = self._entries.get(fingerprint, Evidence())
             after = before.add(crash)._replace(
                 expiry=now + QUARANTINE_TIME, is_first_hand=True
@@ -164,7 +156,7 @@
         self._dismiss_zone_failure()
 
     def record_success(
-        self, fingerprint: str, *, is_trial: bool = False
+        self, fingerprint: str, *, is_trial: bool = False, caller: str = ''
     ) -> None:
         """Records that an upstream answered a request.
 
@@ -173,12 +165,15 @@
         Args:
             fingerprint: the request.
             is_trial: whether it ran as a trial.
+            caller: its caller, if others may send the same request.
         """
         before = self._entries.get(fingerprint)
         if before is None or not before.crashes:
             return
         now = self.clock.elapsed()
-        after = before.add_answer(Answer(now, is_trial))
+        suspected = before.suspected_callers
+        is_of_another = bool(suspected) and caller not in suspected
+        after = before.add_answer(Answer(now, is_trial or is_of_another))
         if after == before:
             return
         _logger.info(
@@ -209,7 +204,8 @@
         return tuple(
             describe(fingerprint, evidence.without_zone_failure(), now)
             for fingerprint, evidence in self._current()
-            if evidence.standing or evidence.trials
+            if (evidence.standing or evidence.trials)
+            and not evidence.suspected_callers
         )
 
     def report(self) -> tuple[Suspect, ...]:
@@ -290,6 +286,14 @@
             return Evidence()
         return evidence
 
+    def _find_valid(self, fingerprint: str) -> Evidence:
+        """Returns the evidence, unless it concerns a single caller.
+
+        That caller has evidence of its own.
+        """
+        evidence = self._find(fingerprint)
+        return Evidence() if evidence.suspected_callers else evidence
+
     def _merge_reported(self, suspect: Suspect) -> bool:
         # Earlier versions report no times, and other fingerprints.
         if not suspect.has_times or suspect.fingerprint in self._cleared:
@@ -340,26 +344,12 @@
         self.revision += 1
         self._changed[fingerprint] = self.revision
         self._entries[fingerprint] = evidence
-        heapq.heappush(self._weakest, (evidence.strength, fingerprint))
-        if len(self._weakest) > MAX_OUTDATED * MAX_SUSPECTS:
-            self._sort_by_strength()
+        self._weakest.push(fingerprint, self._entries)
 
     def _make_room(self) -> None:
         """Drops the weakest evidence if there is too much of it."""
         while len(self._entries) >= MAX_SUSPECTS:
-            if not self._weakest:
-                self._sort_by_strength()
-            strength, fingerprint = heapq.heappop(self._weakest)
-            evidence = self._entries.get(fingerprint)
-            if evidence is not None and evidence.strength == strength:
-                self._entries.pop(fingerprint)
-
-    def _sort_by_strength(self) -> None:
-        self._weakest = [
-            (evidence.strength, fingerprint)
-            for fingerprint, evidence in self._entries.items()
-        ]
-        heapq.heapify(self._weakest)
+            self._entries.pop(self._weakest.pop(self._entries))
 
     def _current(self) -> Iterable[tuple[str, Evidence]]:
         self._drop_expired()
--- a/packages/lycheedyke/src/lycheedyke/state/_trials.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_trials.py
@@ -7,7 +7,8 @@
 import msgspec
 
 from lycheedyke.state._suspect_reports import MILLISECOND, Suspect
-from lycheedyke.state._suspects import Suspects, Verdict
+from lycheedyke.state._suspects import Suspects
+from lycheedyke.state._verdicts import Verdict
 
 # A trial whose instance never tells its end blocks others no longer.
 MAX_TRIAL_TIME = timedelta(seconds=15)
--- a/tests/standins/crashing_service.py
+++ b/tests/standins/crashing_service.py
@@ -17,15 +17,19 @@
         crashes: the loop times of all crashes.
 
     Args:
-        platform: the testbed, whose upstreams are used."""
+        platform: the testbed, whose upstreams are used.
+        crashes_on: the path of the request, with a query or for any query.
+    """
 
-    def __init__(self, platform: GatewayTestbed) -> None:
+    def __init__(
+        self, platform: GatewayTestbed, crashes_on: str = POISON
+    ) -> None:
         """Starts to watch the upstreams."""
         self.crashes: list[float] = []
         self._platform = platform
         self._names = itertools.count(100)
         for upstream in platform.upstreams:
-            upstream.crashes_on = POISON
+            upstream.crashes_on = crashes_on
         self._keepers = [
             asyncio.create_task(self._keep(each)) for each in platform.upstreams
         ]
--- a/tests/standins/gateway_testbed.py
+++ b/tests/standins/gateway_testbed.py
@@ -140,9 +140,8 @@
         port = free_ports(1)[0]
         self._store = f'127.0.0.1:{port}'
         await web.TCPSite(self._runner, '127.0.0.1', port).start()
-        self._http = aiohttp.ClientSession(
-            cookie_jar=aiohttp.DummyCookieJar(), auto_decompress=False
-        )
+        self._http = _open_session('127.0.0.1')
+        self._callers = {'127.0.0.1': self._http}
         self.store.put('op/config', config_value(0x11, list(ROUTES)))
         for upstream in self.upstreams:
             await upstream.open()
@@ -161,7 +160,8 @@
         await asyncio.gather(*(each.stop() for each in self.instances))
         for upstream in self.upstreams:
             await upstream.close()
-        await self._http.close()
+        for session in self._callers.values():
+            await session.close()
         await self._runner.cleanup()
 
     def register(self, upstream: ScriptedUpstream, **changes: Any) -> int:
@@ -178,11 +178,24 @@
         instance: int = 0,
         deadline_ms: int = 1200,
         object_key: str = '17',
+        caller: str = '127.0.0.1',
     ) -> Reply:
-        """Sends a request with a new request id to an entry instance."""
+        """Sends a request with a new request id to an entry instance.
+
+        Args:
+            path: the path and the query.
+            method: the HTTP method.
+            body: the body, if any.
+            instance: the number of the entry instance.
+            deadline_ms: how long the caller waits, in ms.
+            object_key: the object that the request concerns.
+            caller: the loopback address that the request comes from.
+        """
         self._sent += 1
         address = self.settings[instance].caller_address
-        async with self._http.request(
+        if caller not in self._callers:
+            self._callers[caller] = _open_session(caller)
+        async with self._callers[caller].request(
             method,
             yarl.URL(f'http://{address}{path}', encoded=True),
             data=body,
@@ -271,6 +284,15 @@
         self.settings.append(settings)
 
 
+def _open_session(address: str) -> aiohttp.ClientSession:
+    """Returns a session of a caller at a loopback address."""
+    return aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(local_addr=(address, 0)),
+        cookie_jar=aiohttp.DummyCookieJar(),
+        auto_decompress=False,
+    )
+
+
 Scenario = Callable[[GatewayTestbed], Awaitable[None]]
 
 
--- a/tests/standins/relay.py
+++ b/tests/standins/relay.py
@@ -18,7 +18,7 @@
 
 
 class Relay:
-    """One relayed link.
+    """One relayed link, whose target sees the addresses of its callers.
 
     Attributes:
         open: set while bytes pass; otherwise the relay holds the bytes of both
@@ -67,7 +67,9 @@
             reset(writer)
             return
         try:
-            far_reader, far_writer = await asyncio.open_connection(host, port)
+            far_reader, far_writer = await asyncio.open_connection(
+                host, port, local_addr=_caller_of(writer)
+            )
         except OSError:
             self.failed_connects.append(time.monotonic())
             writer.transport.abort()
@@ -99,6 +101,12 @@
         writer.close()
 
 
+def _caller_of(writer: asyncio.StreamWriter) -> tuple[str, int]:
+    """Returns the loopback address that a connection comes from."""
+    host, _ = writer.get_extra_info('peername')
+    return host, 0
+
+
 def reset(writer: asyncio.StreamWriter) -> None:
     """Closes a connection with a TCP reset instead of an orderly close."""
     sock = writer.get_extra_info('socket')
--- a/tests/standins/scripted_upstream.py
+++ b/tests/standins/scripted_upstream.py
@@ -35,8 +35,9 @@
         run_s: the run time of a request in seconds.
         run_of_path: returns the run time of a request by its target.
         body: the body of the answers.
-        crashes_on: a path that ends the upstream once a request for it begins
-            to run, as the action `crash` does.
+        crashes_on: a path, with a query or for any query, that ends the
+            upstream once a request for it begins to run, as the action `crash`
+            does.
         crashed: set when the upstream has ended.
         arrivals: all received requests, whether they ran or not.
         started: the ids of the requests that began to run.
@@ -123,7 +124,7 @@
         if headers.get('Lycheedyke-Expect-Instance') != self.name:
             await self._send(writer, headers, '421 Misdirected', '', b'')
             return True
-        is_crashing = target.partition('?')[0] == self.crashes_on
+        is_crashing = self.crashes_on in {target, target.partition('?')[0]}
         if is_crashing or action == 'crash':
             self.started.append(headers['Lycheedyke-Request-Id'])
             self._end = self._end or asyncio.create_task(self._crash())
--- a/tests/unit/gateway/test_crash_bursts.py
+++ b/tests/unit/gateway/test_crash_bursts.py
@@ -1,15 +1,14 @@
 """Requests that crash upstreams in bursts, and sound ones beside crashes."""
 
 import asyncio
-import functools
 import random
-from collections.abc import Awaitable, Callable
 from pathlib import Path
 
 import pytest
 
 from standins.crashing_service import POISON, CrashingService
 from standins.gateway_testbed import GatewayTestbed, run_scenario
+from standins.lossy_peers import lose_messages
 
 INSTANCES = 4
 UPSTREAMS = 10
@@ -18,28 +17,6 @@
 STABLE_S = 4.0
 MAX_RETRIES = 3
 DURATION_S = 32.0
-LOST_SHARE = 0.3
-
-
-def _lose_reports(platform: GatewayTestbed, rng: random.Random) -> None:
-    """Loses some of the messages that instances send to each other."""
-    for instance in platform.instances:
-        updates = instance._peer_updates
-        updates.send = functools.partial(  # type: ignore[method-assign]
-            _send_or_lose, updates.send, rng
-        )
-
-
-async def _send_or_lose(
-    send: Callable[[str, str, bytes], Awaitable[bytes | None]],
-    rng: random.Random,
-    address: str,
-    path: str,
-    body: bytes,
-) -> bytes | None:
-    if rng.random() < LOST_SHARE:
-        return None
-    return await send(address, path, body)
 
 
 async def _burst(
@@ -75,7 +52,7 @@
         service = CrashingService(platform)
         await platform.wait_all_listed()
         if is_lossy:
-            _lose_reports(platform, rng)
+            lose_messages(platform, rng)
         loop = asyncio.get_running_loop()
         end = loop.time() + DURATION_S
         while loop.time() < end:
--- a/tests/unit/test_crash_checks.py
+++ b/tests/unit/test_crash_checks.py
@@ -134,11 +134,14 @@
         if record.getMessage() == 'upstream crashed'
     )
     (named,) = vars(line)['requests']
-    assert named.items() >= {
-        'request': 'r-1',
-        'caller': '192.0.2.1',
-        'host': 'kassa',
-        'method': 'GET',
-        'path': '/cups/7',
-        'body_bytes': 0,
-    }.items()
+    assert (
+        named.items()
+        >= {
+            'request': 'r-1',
+            'caller': '192.0.2.1',
+            'host': 'kassa',
+            'method': 'GET',
+            'path': '/cups/7',
+            'body_bytes': 0,
+        }.items()
+    )
--- a/tests/unit/test_late_reports.py
+++ b/tests/unit/test_late_reports.py
@@ -263,7 +263,7 @@
         async with lost.admit(_make_work(VICTIM), left) as admission:
             assert admission.trial.is_granted
             # The instance ends here.
-            admission.trial.is_granted = False
+            admission.trial.fingerprint = ''
         assert _is_refused(await testbed.send(2, 'c', VICTIM))
         await asyncio.sleep(1)
         assert await testbed.send(2, 'c', VICTIM) == ANSWER
--- a/tests/unit/test_quarantine.py
+++ b/tests/unit/test_quarantine.py
@@ -304,23 +304,24 @@
 
 
 @pytest.mark.parametrize(
-    ('change', 'is_same'),
+    ('change', 'is_same', 'is_shared'),
     [
-        ({'service': 'vend'}, True),
-        ({'target': '/cups/7?page=2'}, True),
-        ({'request_id': 'another'}, True),
-        ({'client': '192.0.2.2'}, False),
-        ({'target': '/cups/8'}, False),
-        ({'body': b'cup 8'}, False),
-        ({'host': 'other.example'}, False),
+        ({'service': 'vend'}, True, True),
+        ({'target': '/cups/7?page=2'}, True, True),
+        ({'request_id': 'another'}, True, True),
+        ({'client': '192.0.2.2'}, False, True),
+        ({'method': 'PUT'}, False, False),
+        ({'target': '/cups/8'}, False, False),
+        ({'body': b'cup 8'}, False, False),
+        ({'host': 'other.example'}, False, False),
     ],
 )
 # Guards against a repeated request that is not recognized: it may reach
 # another service of a split route, and may have another query.
 def test_a_repeated_request_is_recognized(
-    change: dict[str, str], is_same: bool
+    change: dict[str, str], is_same: bool, is_shared: bool
 ) -> None:
-    """Caller, host, method, path and body identify a request."""
+    """Host, method, path and body identify it, and for one caller its address."""
     first = Work(
         'kassa',
         'GET',
@@ -334,3 +335,5 @@
     second = first._replace(**change)  # type: ignore[arg-type]
     is_equal = first.repeat_fingerprint() == second.repeat_fingerprint()
     assert is_equal is is_same
+    is_equal = first.shared_fingerprint() == second.shared_fingerprint()
+    assert is_equal is is_shared
