Count a request that was not written as not run, whatever the error

Cause: the client took each error but a refused or timed-out connection for a broken exchange, and OverflowError (a port above 65535) for none of its errors. What decides is whether the write was allowed: until then nothing is sent.

--- a/packages/lycheedyke/src/lycheedyke/transport/_http.py
+++ b/packages/lycheedyke/src/lycheedyke/transport/_http.py
@@ -46,6 +46,8 @@
 # The share of the timeout of an exchange that connecting may take.
 CONNECT_SHARE = 0.8
 _NO_BODY_STATUSES = frozenset((204, 304))
+# An address may be none that a socket can have.
+_EXCHANGE_ERRORS = (aiohttp.ClientError, ArithmeticError, OSError, ValueError)
 
 
 class HttpResponse(NamedTuple):
@@ -169,7 +171,7 @@
                         body,
                         reuse=reuse,
                     )
-        except (aiohttp.ClientError, OSError, ValueError) as error:
+        except _EXCHANGE_ERRORS as error:
             raise gate.refusal or _to_error(gate, method, url, error) from error
 
     async def _send_and_read(
@@ -316,22 +318,22 @@
 def _to_error(
     gate: WriteGate, method: str, url: str, error: Exception
 ) -> TransportError:
-    if gate.has_timed_out and not gate.is_open:
-        return ConnectError(f'{url}: not connected in time')
+    if not gate.is_open:
+        return _to_connect_error(gate, url, error)
     if isinstance(error, TimeoutError):
         return ExchangeTimeout(f'{method} {url}: no complete response in time')
-    if isinstance(error, aiohttp.ClientConnectorError) and not gate.is_open:
-        return _to_connect_error(url, error)
     # Errors of the parser quote what was received.
     detail = repr(error)[:MAX_DETAIL_CHARACTERS]
     return ExchangeBroken(f'{method} {url}: {detail}')
 
 
 def _to_connect_error(
-    url: str,
-    error: aiohttp.ClientError,
+    gate: WriteGate, url: str, error: Exception
 ) -> ConnectError:
+    """Returns the error of an exchange whose request was not written."""
+    if gate.has_timed_out:
+        return ConnectError(f'{url}: not connected in time')
     cause = getattr(error, 'os_error', error)
     if isinstance(cause, ConnectionRefusedError):
         return ConnectionRefusedByHost(f'{url}: connection refused')
-    return ConnectError(f'{url}: {cause!r}')
+    return ConnectError(f'{url}: {cause!r}'[:MAX_DETAIL_CHARACTERS])
