Check each field of a record at the boundary, and run tasks again that fail

The task that follows the registry ended with one log line, so from then on a new upstream got no request and one that left still got some; an instance that started beside the record was never ready. Ports of 99999, hosts with line breaks, 1e30 slots and a birth of 400 digits were accepted; the last can't be sent to peers.

A background task that fails is logged and run again after a second, so that the next such error delays news and does not end them.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/background.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/background.py
@@ -2,17 +2,20 @@
 
 import asyncio
 import logging
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 
 # A task ends within one loop iteration; all cancels take less than 0.5 s.
 CANCEL_SECONDS = 0.1
 MAX_CANCELS = 4
+RESTART_SECONDS = 1
+
+Work = Callable[[], Coroutine[object, object, None]]
 
 _logger = logging.getLogger(__name__)
 
 
 class BackgroundTasks:
-    """Starts tasks, logs those that fail, and ends all together."""
+    """Runs tasks, again those that fail, and ends all together."""
 
     def __init__(self) -> None:
         """Starts without tasks."""
@@ -23,11 +26,14 @@
         names = ', '.join(task.get_name() for task in self._tasks)
         return f'<BackgroundTasks: {names}>'
 
-    def start(self, name: str, work: Coroutine[object, object, None]) -> None:
-        """Starts a task."""
-        task = asyncio.create_task(work, name=name)
-        task.add_done_callback(_log_failure)
-        self._tasks.append(task)
+    def start(self, name: str, run: Work) -> None:
+        """Starts a task.
+
+        Args:
+            name: the name of the task.
+            run: returns what the task does; called again after each failure.
+        """
+        self._tasks.append(asyncio.create_task(_keep_running(run), name=name))
 
     async def end(self) -> None:
         """Cancels all tasks, repeatedly if a cancellation was swallowed.
@@ -48,10 +54,18 @@
                 )
 
 
-def _log_failure(task: asyncio.Task[None]) -> None:
-    error = None if task.cancelled() else task.exception()
-    if error is not None:
-        _logger.error(
-            'task failed',
-            extra={'task': task.get_name(), 'error': repr(error)},
-        )
+async def _keep_running(run: Work) -> None:
+    """Runs a task to its end, and again after each failure."""
+    while True:
+        try:
+            return await run()
+        except Exception as error:
+            task = asyncio.current_task()
+            _logger.exception(
+                'task failed',
+                extra={
+                    'task': task.get_name() if task else '',
+                    'error': repr(error),
+                },
+            )
+        await asyncio.sleep(RESTART_SECONDS)
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
@@ -152,24 +152,26 @@
         """Starts all tasks and listens on all ports."""
         settings = self._settings
         for name, work in (
-            ('pauses', self._pauses.run()),
-            ('registry', self._follower.follow()),
-            ('peers', self._follower.follow_peers()),
-            ('quarantines', self._quarantines.run()),
-            ('suspects', self._suspects.resend()),
+            ('pauses', self._pauses.run),
+            ('registry', self._follower.follow),
+            ('peers', self._follower.follow_peers),
+            ('quarantines', self._quarantines.run),
+            ('suspects', self._suspects.resend),
         ):
             self._tasks.start(name, work)
-        if self._settings_file is not None:
-            watching = self._settings_file.watch(self._apply, self._clock)
-            self._tasks.start('settings', watching)
+        file = self._settings_file
+        if file is not None:
+            self._tasks.start(
+                'settings', lambda: file.watch(self._apply, self._clock)
+            )
         await self._servers.open(self._peer_app(), settings.peer_address)
         await self._servers.open(self._ready_app(), settings.ready_address)
         self._list_callers = await self._servers.open(
             self._caller_app(), settings.caller_address
         )
         self._is_listening = True
-        self._tasks.start('idle', self._idle.run(self._list_callers))
-        self._tasks.start('presence', self._announce())
+        self._tasks.start('idle', lambda: self._idle.run(self._list_callers))
+        self._tasks.start('presence', self._announce)
         await self._servers.open(self._lookup_app(), settings.lookup_address)
         await self._open_metrics()
         _logger.info('started', extra={'settings': settings._asdict()})
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_peer_updates.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_peer_updates.py
@@ -17,7 +17,9 @@
     ItemBatch,
     Position,
     QuarantineRecord,
+    RegistryItem,
     RegistryUpdate,
+    is_valid_item,
 )
 from lycheedyke.state import Counters
 from lycheedyke.transport import BodyMemory, HttpClient
@@ -242,10 +244,11 @@
                 f'http://{address}{UPDATES_PATH}?{query}',
                 timeout=POLL_TIMEOUT,
             )
-            return _UPDATE.decode(answer.body)
+            update = _UPDATE.decode(answer.body)
         except (TransportError, msgspec.MsgspecError):
             self._counters.count('news.not-heard')
             return None
+        return _without_invalid(update)
 
     async def _send_to_all(self, path: str, body: bytes) -> None:
         """Sends a message to all peers."""
@@ -254,6 +257,23 @@
         )
 
 
+def _without_invalid(update: RegistryUpdate) -> RegistryUpdate:
+    """Returns an update in which invalid records are as good as removed.
+
+    Peers of earlier releases pass them on.
+    """
+    batch = update.batch
+    if all(map(is_valid_item, batch.items)):
+        return update
+    items = tuple(
+        item if is_valid_item(item) else RegistryItem(item.key, item.revision)
+        for item in batch.items
+    )
+    return msgspec.structs.replace(
+        update, batch=msgspec.structs.replace(batch, items=items)
+    )
+
+
 def _without_quarantines(batch: ItemBatch) -> ItemBatch:
     items = tuple(
         item
--- a/packages/lycheedyke/src/lycheedyke/protocol/__init__.py
+++ b/packages/lycheedyke/src/lycheedyke/protocol/__init__.py
@@ -46,6 +46,7 @@
 )
 from lycheedyke.protocol._platform import PlatformClient, PlatformEntry
 from lycheedyke.protocol._rate_limiter import RateLimiter
+from lycheedyke.protocol._record_checks import check_record, is_valid_item
 from lycheedyke.protocol._registry import (
     Announcement,
     CallerLimits,
@@ -95,6 +96,8 @@
 )
 
 __all__ = (
+    'check_record',
+    'is_valid_item',
     'ATTEMPT_HEADER',
     'CLIENT_HEADER',
     'LEAVING_HEADER',
--- a/tests/unit/gateway/test_connections_in_use.py
+++ b/tests/unit/gateway/test_connections_in_use.py
@@ -137,7 +137,7 @@
             stop_grace=timedelta(seconds=grace_s)
         )
         if is_delayed:
-            instance._tasks.start('swallows', _swallow_one_cancellation())
+            instance._tasks.start('swallows', _swallow_one_cancellation)
             await asyncio.sleep(0)
         async with PipeliningCaller(address) as caller:
             caller.send(make_request('r-1'))
--- a/tests/unit/gateway/test_stops.py
+++ b/tests/unit/gateway/test_stops.py
@@ -78,7 +78,7 @@
 
     async def _scene(platform: GatewayTestbed) -> None:
         stopped = platform.instances.pop()
-        stopped._tasks.start('stubborn', _swallow_one_cancellation())
+        stopped._tasks.start('stubborn', _swallow_one_cancellation)
         await asyncio.sleep(0.1)
         async with asyncio.timeout(STOP_GRACE_SECONDS):
             await stopped.stop()
