--- a/tests/unit/test_whole_answers.py
+++ b/tests/unit/test_whole_answers.py
@@ -24,6 +24,11 @@
 
 LIMIT = timedelta(seconds=5)
 WHOLE = b'HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nmine'
+OPEN_HEAD = b'HTTP/1.1 200 OK\r\nSeal: 1\r\n\r\n'
+CHUNKED = (
+    b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: Seal\r\n\r\n'
+    b'4;a=b\r\nmine\r\n0\r\nSeal: 1\r\n\r\n'
+)
 
 
 class FakeServer(NamedTuple):
@@ -86,6 +91,26 @@
     return answer
 
 
+@pytest.mark.parametrize('length', range(1, len(OPEN_HEAD)))
+@pytest.mark.parametrize('reuse', [False, True])
+def test_cut_heads_are_never_whole_answers_without_a_length(
+    length: int, reuse: bool
+) -> None:
+    """The end of a connection ends the body only after a whole head."""
+
+    async def job() -> None:
+        async with (
+            serving(OPEN_HEAD[:length], close=True) as fake_server,
+            HttpClient(allow_close_delimited=True) as client,
+        ):
+            with pytest.raises(ExchangeBroken):
+                await client.send(
+                    'GET', fake_server.url, timeout=LIMIT, reuse=reuse
+                )
+
+    run(job)
+
+
 @pytest.mark.parametrize(
     'cut',
     [
@@ -96,8 +121,12 @@
         b'HTTP/1.1 200 OK\r\n\r\nno length',
         b'HTTP/1.1 200',
         b'',
+        *(WHOLE[:length] for length in range(1, len(WHOLE))),
+        *(CHUNKED[:length] for length in range(1, len(CHUNKED))),
     ],
 )
+# Guards against an answer that is cut within its head, the size of a chunk or its
+# trailers, and reaches its caller as a whole one with an empty or a short body.
 def test_cut_answers_are_never_whole(cut: bytes) -> None:
     """A cut answer breaks the exchange, and its connection is not reused."""
 
