Read no refusal that names another request

Reported by other operators: a faulty upstream wrote an earlier refusal once more on a kept connection, and callers were told "not run" for requests that ran (REFUSED), or they ran twice. A stale 421 also marked a sound upstream as lost. Orders use a connection of their own, so none was doubled.

The client compares the id as soon as a head has come. An answer that names another request, or none, is a broken exchange, and its connection is closed, so that the answers behind it reach nobody. A refusal without an id proves nothing, on new connections as well: upstreams echo the id in all answers.

Where tickets are followed, upstreams name no request in their answers; there a repeated refusal is told from none, for reads on kept connections. That stays open.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_upstream_client.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_upstream_client.py
@@ -1,6 +1,7 @@
 """Sends requests to upstreams and reads the outcomes of their answers."""
 
 import functools
+from collections.abc import Mapping
 from datetime import timedelta
 from typing import NamedTuple
 
@@ -24,7 +25,12 @@
     UpstreamRecord,
 )
 from lycheedyke.state import UpstreamState, UpstreamTable
-from lycheedyke.transport import BodyMemory, HttpClient, HttpResponse
+from lycheedyke.transport import (
+    BodyMemory,
+    ExchangeChecks,
+    HttpClient,
+    HttpResponse,
+)
 from lycheedyke_daemon.failures import outcome_of_error
 from lycheedyke_daemon.gateway._decision_log import Telemetry
 from lycheedyke_daemon.stopping import Handler
@@ -137,8 +143,9 @@
                 ),
                 body=work.body or None,
                 reuse=work.idempotent,
-                before_write=functools.partial(
-                    self._check_in_use, state, record, work
+                checks=ExchangeChecks(
+                    functools.partial(self._check_in_use, state, record, work),
+                    functools.partial(self._is_own, work),
                 ),
             )
         except ConnectError as error:
@@ -152,6 +159,13 @@
             return outcome
         return self._read_outcome(state, work, answer)
 
+    def _is_own(self, work: Work, headers: Mapping[str, str]) -> bool:
+        """Returns whether an answer names the request that was sent.
+
+        One without an id proves nothing, and neither does its refusal.
+        """
+        return headers.get(self._names.request) == work.request_id
+
     def _check_in_use(
         self, state: UpstreamState, chosen: UpstreamRecord, work: Work
     ) -> None:
@@ -222,9 +236,7 @@
         if self._names.not_run in answer.headers:
             return NotRun(Reason.upstream_refused)
         # A caller would go on waiting after an interim answer such as 101.
-        is_interim = answer.status < HTTP_OK
-        request = answer.headers.get(self._names.request)
-        if is_interim or request != work.request_id:
+        if answer.status < HTTP_OK:
             state.record_failure()
             return Unknown(Reason.upstream_broke)
         if answer.status >= HTTP_SERVER_ERROR:
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/upstream_runner.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/upstream_runner.py
@@ -27,7 +27,7 @@
     DrainLog,
     LeavingCause,
 )
-from lycheedyke.transport import HttpClient
+from lycheedyke.transport import ExchangeChecks, HttpClient
 from lycheedyke_daemon.admissions import Admission
 from lycheedyke_daemon.answers import outcome_of_answer
 from lycheedyke_daemon.attempts import Attempt, OwnedUpstream
@@ -227,7 +227,7 @@
                 headers=work.upstream_headers(limit),
                 body=work.body or None,
                 reuse=work.idempotent,
-                before_write=attempt.before_write,
+                checks=ExchangeChecks(attempt.before_write),
             )
         except AdmissionRefused as refusal:
             return NotRun(refusal.reason, refusal.retry_after)
--- a/packages/lycheedyke/src/lycheedyke/transport/__init__.py
+++ b/packages/lycheedyke/src/lycheedyke/transport/__init__.py
@@ -4,6 +4,7 @@
 from lycheedyke.transport._http import (
     MAX_HEAD_BYTES,
     READ_BUFFER_BYTES,
+    ExchangeChecks,
     HttpClient,
     HttpResponse,
 )
@@ -15,6 +16,7 @@
     'READ_BUFFER_BYTES',
     'BodyMemory',
     'HttpResponse',
+    'ExchangeChecks',
     'HttpClient',
     'IncomingBody',
     'Link',
--- a/packages/lycheedyke/src/lycheedyke/transport/_http.py
+++ b/packages/lycheedyke/src/lycheedyke/transport/_http.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import functools
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from datetime import timedelta
 from types import TracebackType
 from typing import NamedTuple, Self
@@ -45,6 +45,7 @@
 MAX_DETAIL_CHARACTERS = 500
 # The share of the timeout of an exchange that connecting may take.
 CONNECT_SHARE = 0.8
+IsOwn = Callable[[Mapping[str, str]], bool]
 _NO_BODY_STATUSES = frozenset((204, 304))
 # An address may be none that a socket can have.
 _EXCHANGE_ERRORS = (aiohttp.ClientError, ArithmeticError, OSError, ValueError)
@@ -58,6 +59,24 @@
     body: bytes
 
 
+class ExchangeChecks(NamedTuple):
+    """What the user of a client checks during an exchange.
+
+    Attributes:
+        before_write: called once a connection is available, right before the
+            request is written. If it raises an error, nothing is sent and the
+            caller gets the error.
+        is_own: returns whether headers are those of a response to this request.
+            The other side may send an earlier response again.
+    """
+
+    before_write: BeforeWrite | None = None
+    is_own: IsOwn | None = None
+
+
+NO_CHECKS = ExchangeChecks()
+
+
 class HttpClient:
     """An HTTP client with a connection pool, usable with `async with`.
 
@@ -126,7 +145,7 @@
         headers: Mapping[str, str] | Iterable[tuple[str, str]] = (),
         body: bytes | None = None,
         reuse: bool = True,
-        before_write: BeforeWrite | None = None,
+        checks: ExchangeChecks = NO_CHECKS,
     ) -> HttpResponse:
         """Sends one request and reads the complete response.
 
@@ -142,9 +161,8 @@
             reuse: whether a pooled connection may be used. If the other side
                 closes it at that moment, it is unknown whether the request
                 ran.
-            before_write: called once a connection is available, right before
-                the request is written. If it raises an error, nothing is
-                sent and the caller gets the error.
+            checks: what is checked before the request is written and once
+                the head of its response has come.
 
         Raises:
             ConnectError: no byte was sent.
@@ -153,13 +171,16 @@
             ConnectionRefusedByHost: no byte was sent, since no process
                 listens at the address.
             ExchangeTimeout: no complete response within `timeout`.
-            ExchangeBroken: the exchange failed after the connection was made.
+            ExchangeBroken: the exchange failed after the connection was made,
+                or the response is that to another request.
             ResponseTooLarge: the response exceeds a size limit.
             ResponseMemoryFull: the response was the largest one when the
                 memory of all bodies was full.
         """
         loop = asyncio.get_running_loop()
-        gate = WriteGate(before_write, loop.time() + timeout.total_seconds())
+        gate = WriteGate(
+            checks.before_write, loop.time() + timeout.total_seconds()
+        )
         gate_of_task.set(gate)
         try:
             async with pause_tolerant_timeout(timeout) as timer:
@@ -170,6 +191,7 @@
                         multidict.CIMultiDict(headers),
                         body,
                         reuse=reuse,
+                        is_own=checks.is_own,
                     )
         except _EXCHANGE_ERRORS as error:
             raise gate.refusal or _to_error(gate, method, url, error) from error
@@ -182,6 +204,7 @@
         body: bytes | None,
         *,
         reuse: bool,
+        is_own: IsOwn | None,
     ) -> HttpResponse:
         session = self._open_pooled() if reuse else self._open_unpooled()
         async with session.request(
@@ -191,6 +214,9 @@
             data=body,
             allow_redirects=False,
         ) as response:
+            if is_own is not None and not is_own(response.headers):
+                response.close()
+                raise ExchangeBroken(f'{url}: response to another request')
             if self._allow_close_delimited and not _has_length(response):
                 return await self._read_until_close(response)
             return HttpResponse(
--- a/tests/standins/scripted_upstream.py
+++ b/tests/standins/scripted_upstream.py
@@ -9,11 +9,23 @@
 import contextlib
 from collections import deque
 from collections.abc import Callable
+from types import MappingProxyType
 from typing import NamedTuple
 
 from standins.relay import reset
 
+REQUEST_ID = 'Lycheedyke-Request-Id'
 SEAL = 'Lycheedyke-Server-Seal: seal-1\r\n'
+# Refusals that an upstream sends although it runs the request.
+STALE = MappingProxyType(
+    {
+        'stale-503': ('503 Busy', 'Lycheedyke-Not-Run: 1\r\n'),
+        'stale-429': ('429 Busy', 'Lycheedyke-Not-Run: 1\r\n'),
+        'stale-421': ('421 Misdirected', ''),
+        'stale-421-unnamed': ('421 Misdirected', ''),
+        'stale-503-unnamed': ('503 Busy', 'Lycheedyke-Not-Run: 1\r\n'),
+    }
+)
 
 
 class Arrival(NamedTuple):
@@ -126,7 +138,7 @@
             return True
         is_crashing = self.crashes_on in {target, target.partition('?')[0]}
         if is_crashing or action == 'crash':
-            self.started.append(headers['Lycheedyke-Request-Id'])
+            self.started.append(headers[REQUEST_ID])
             self._end = self._end or asyncio.create_task(self._crash())
             # Closing ends this task.
             await asyncio.Event().wait()
@@ -150,7 +162,14 @@
             extra = 'Lycheedyke-Not-Run: 1\r\n'
             await self._send(writer, headers, '503 Busy', extra, b'')
             return True
-        self.started.append(headers['Lycheedyke-Request-Id'])
+        if action in STALE:
+            # An earlier refusal comes again, and then the answer.
+            self.started.append(headers[REQUEST_ID])
+            await self._send_stale(writer, action)
+            await asyncio.sleep(self.run_of_path(target))
+            await self._answer(writer, headers, self._make_body(headers))
+            return True
+        self.started.append(headers[REQUEST_ID])
         if action == 'silent':
             await asyncio.Event().wait()
         if action == 'wait':
@@ -166,7 +185,7 @@
         if action in {'cut', 'open-cut', 'open'}:
             return await self._send_partial(action, writer, headers)
         if action == 'other':
-            headers = {**headers, 'Lycheedyke-Request-Id': 'another'}
+            headers = {**headers, REQUEST_ID: 'another'}
         await self._answer(writer, headers, self._make_body(headers))
         if action == 'extra':
             await self._answer(writer, headers, b'{"ran": "extra"}')
@@ -175,13 +194,20 @@
     def _make_body(self, headers: dict[str, str]) -> bytes:
         return self.body
 
+    async def _send_stale(
+        self, writer: asyncio.StreamWriter, action: str
+    ) -> None:
+        status, extra = STALE[action]
+        earlier = {} if 'unnamed' in action else {REQUEST_ID: 'r-0'}
+        await self._send(writer, earlier, status, extra, b'')
+
     async def _wait_disconnect(
         self,
         reader: asyncio.StreamReader,
         headers: dict[str, str],
     ) -> None:
         if await reader.read(1) == b'':
-            self.disconnected.append(headers['Lycheedyke-Request-Id'])
+            self.disconnected.append(headers[REQUEST_ID])
 
     async def _send_partial(
         self,
@@ -192,7 +218,7 @@
         length = '' if action.startswith('open') else 'Content-Length: 90\r\n'
         writer.write(
             f'HTTP/1.1 200 OK\r\n{length}{SEAL}Lycheedyke-Request-Id: '
-            f'{headers["Lycheedyke-Request-Id"]}\r\n'
+            f'{headers[REQUEST_ID]}\r\n'
             f'Connection: close\r\n\r\nhalf'.encode(),
         )
         await writer.drain()
@@ -218,10 +244,11 @@
         extra: str,
         body: bytes,
     ) -> None:
-        request = headers['Lycheedyke-Request-Id']
+        if REQUEST_ID in headers:
+            extra = f'{extra}{REQUEST_ID}: {headers[REQUEST_ID]}\r\n'
         writer.write(
-            f'HTTP/1.1 {status}\r\nContent-Length: {len(body)}\r\n{extra}'
-            f'Lycheedyke-Request-Id: {request}\r\n\r\n'.encode()
+            f'HTTP/1.1 {status}\r\nContent-Length: {len(body)}\r\n'
+            f'{extra}\r\n'.encode()
             + body,
         )
         await writer.drain()
