Heed upstreams that say in an answer that they leave, or want a pause

Server-Leaving: 1 in an answer of any status withdraws that incarnation of the upstream at this instance for good (DRAIN). Retry-After in a 503 withdraws it for so long (BUDGET); that is no failure of the upstream. Both are kept by incarnation, beside its record, which may expire and come back; the choice reads them, and the write looks at them again. If all upstreams of a service want a pause, requests are refused at once as 'upstream-paused' with the shortest one. A pause is a number of seconds above zero, with or without a fraction, ten minutes at most; anything else is counted and logged and is no wish.

Weighed: in the state of the upstream alone (lost when its record expires and comes back); telling other instances (a wish is one upstream's to one instance).

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_registry_view.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_registry_view.py
@@ -137,7 +137,9 @@
         if known is None:
             _logger.info('upstream seen', extra=fields)
         elif upstream.leaving and not known.leaving:
-            _logger.info('upstream leaving', extra=fields)
+            _logger.info(
+                'upstream leaving', extra={**fields, 'told_by': 'registry'}
+            )
         if upstream.cold and not (known is not None and known.cold):
             left = upstream.cold // MILLISECOND
             _logger.info('upstream cold', extra={**fields, 'cold_ms': left})
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_router.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_router.py
@@ -346,10 +346,15 @@
         outcome: NotRun | None,
     ) -> NotRun:
         """Returns the refusal, with a time until capacity may be available."""
+        retry_after = estimate_retry_after(request, candidate)
         reason = Reason.no_upstream if candidate is None else Reason.no_room
+        if candidate is None:
+            pause = self._selector.shortest_pause(request)
+            if pause is not None:
+                retry_after, reason = pause, Reason.upstream_paused
         if outcome is not None:
             reason = outcome.reason
-        refusal = NotRun(reason, estimate_retry_after(request, candidate))
+        refusal = NotRun(reason, retry_after)
         if candidate is not None:
             self._decision_log.write(
                 'request refused',
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_upstream_client.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_upstream_client.py
@@ -1,6 +1,7 @@
 """Sends requests to upstreams and reads the outcomes of their answers."""
 
 import functools
+import re
 from collections.abc import Mapping
 from datetime import timedelta
 from typing import NamedTuple
@@ -34,17 +35,23 @@
 from lycheedyke_daemon.failures import outcome_of_error
 from lycheedyke_daemon.gateway._decision_log import Telemetry
 from lycheedyke_daemon.stopping import Handler
-from lycheedyke_daemon.work import Work, end_to_end_headers
+from lycheedyke_daemon.work import MAX_LOGGED, Work, end_to_end_headers
 
 MILLISECOND = timedelta(milliseconds=1)
 HTTP_OK = 200
 HTTP_MISDIRECTED = 421
 HTTP_SERVER_ERROR = 500
+HTTP_UNAVAILABLE = 503
 # Below the ten seconds after which upstreams close idle connections.
 UPSTREAM_IDLE_TIMEOUT = timedelta(seconds=5)
 # Several round trips between regions.
 CONNECT_TIMEOUT = timedelta(milliseconds=500)
 MAX_ANSWER_BYTES = 67_108_864
+RETRY_AFTER = 'Retry-After'
+LEAVING = '1'
+# The longest pause that an upstream may ask for.
+MAX_PAUSE = timedelta(minutes=10)
+_SECONDS = re.compile(r'[0-9]{1,300}(?:\.[0-9]{0,300})?')
 LOAD_FIELDS = 3
 # Answers that were broken off since all answers filled the memory, or since
 # one exceeded a limit of its own.
@@ -52,6 +59,19 @@
 LARGE_COUNTER = 'answer.too-large'
 
 
+def parse_retry_after(text: str) -> timedelta | None:
+    """Returns the time that a `Retry-After` header gives, at most `MAX_PAUSE`.
+
+    Returns:
+        None if the text is no number of seconds above zero. Dates are not
+        read, as the clocks of upstreams may differ.
+    """
+    if _SECONDS.fullmatch(text.strip()) is None:
+        return None
+    seconds = min(float(text), MAX_PAUSE.total_seconds())
+    return timedelta(seconds=seconds) if seconds else None
+
+
 class HeaderNames(NamedTuple):
     """The names of the headers and the cookie that a deployment uses.
 
@@ -63,6 +83,7 @@
         not_run: present if the upstream has not run the request.
         load: the running requests, waiting requests and slots of an
             upstream.
+        leaving: `1` if the upstream leaves.
     """
 
     request: str
@@ -71,6 +92,7 @@
     expected_upstream: str
     not_run: str
     load: str
+    leaving: str
 
 
 class UpstreamClient:
@@ -157,7 +179,7 @@
             if isinstance(error, ResponseTooLarge):
                 self._tell_too_large(state, work, outcome, error)
             return outcome
-        return self._read_outcome(state, work, answer)
+        return self._read_outcome(state, record, work, answer)
 
     def _is_own(self, work: Work, headers: Mapping[str, str]) -> bool:
         """Returns whether an answer names the request that was sent.
@@ -224,6 +246,7 @@
     def _read_outcome(
         self,
         state: UpstreamState,
+        record: UpstreamRecord,
         work: Work,
         answer: HttpResponse,
     ) -> Outcome:
@@ -233,16 +256,17 @@
             state.mark_lost()
             return NotRun(Reason.upstream_replaced)
         self._record_load(state, answer)
+        is_paused = self._record_wishes(record, work, answer)
         if self._names.not_run in answer.headers:
             return NotRun(Reason.upstream_refused)
         # A caller would go on waiting after an interim answer such as 101.
         if answer.status < HTTP_OK:
             state.record_failure()
             return Unknown(Reason.upstream_broke)
-        if answer.status >= HTTP_SERVER_ERROR:
-            state.record_failure()
-        else:
+        if answer.status < HTTP_SERVER_ERROR:
             state.record_success()
+        elif not is_paused:
+            state.record_failure()
         return Answered(
             answer.status,
             tuple(end_to_end_headers(answer.headers)),
@@ -250,6 +274,29 @@
             state.record.name,
         )
 
+    def _record_wishes(
+        self, record: UpstreamRecord, work: Work, answer: HttpResponse
+    ) -> bool:
+        """Records what an upstream wants; returns whether it wants a pause."""
+        if answer.headers.get(self._names.leaving, '').strip() == LEAVING:
+            self._table.mark_leaving(record)
+        text = answer.headers.get(RETRY_AFTER)
+        if answer.status != HTTP_UNAVAILABLE or text is None:
+            return False
+        pause = parse_retry_after(text)
+        if pause is None:
+            self._counters.count('retry-after.not-understood')
+            self._decision_log.write(
+                'pause not understood',
+                work.request_id,
+                NotRun(Reason.upstream_refused),
+                sent_to=record.name,
+                retry_after=text[:MAX_LOGGED],
+            )
+            return False
+        self._table.pause(record, pause)
+        return True
+
     def _record_load(self, state: UpstreamState, answer: HttpResponse) -> None:
         fields = answer.headers.get(self._names.load, '').split(',')
         if len(fields) != LOAD_FIELDS:
--- a/packages/lycheedyke/src/lycheedyke/protocol/_outcomes.py
+++ b/packages/lycheedyke/src/lycheedyke/protocol/_outcomes.py
@@ -47,6 +47,7 @@
     upstream_unreachable = 'upstream-unreachable'
     upstream_leaving = 'upstream-leaving'
     upstream_refused = 'upstream-refused'
+    upstream_paused = 'upstream-paused'
     upstream_replaced = 'upstream-replaced'
     upstream_broke = 'upstream-broke'
     upstream_timeout = 'upstream-timeout'
--- a/packages/lycheedyke/src/lycheedyke/state/_selection.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_selection.py
@@ -172,6 +172,23 @@
         )
         return estimator.cheapest(at_home or ready)
 
+    def shortest_pause(self, request: Request) -> timedelta | None:
+        """Returns the time until the first upstream may get requests again.
+
+        Returns:
+            None if not all upstreams of the request have asked for a pause.
+        """
+        route = request.route
+        serving = self._upstreams.serving(request.service)
+        if any(self._may_run(route, state) for state in serving):
+            return None
+        ends = [
+            state.wishes.paused_until
+            for state in self._upstreams.paused(request.service)
+            if self._may_run(route, state)
+        ]
+        return min(ends) - self._upstreams.elapsed() if ends else None
+
     def acquire_permit(self, state: UpstreamState) -> None:
         """Acquires the send permit of an upstream, if it is cold."""
         if state.is_cold:
@@ -188,7 +205,8 @@
         return permit_interval(self._instances(), rate)
 
     def _may_run(self, route: Route, state: UpstreamState) -> bool:
-        return self._location.regions.get(state.record.zone, '') in route.homes
+        region = self._location.regions.get(state.record.zone, '')
+        return not route.homes or region in route.homes
 
 
 class _Estimator:
--- /dev/null
+++ b/packages/lycheedyke/src/lycheedyke/state/_upstream_wishes.py
@@ -0,0 +1,59 @@
+"""What upstreams have said in their answers that they want."""
+
+from collections import OrderedDict
+from datetime import timedelta
+from typing import NamedTuple
+
+# More than the upstreams of a deployment; the oldest wishes are dropped.
+MAX_REMEMBERED = 2048
+
+
+class Wishes(NamedTuple):
+    """What one incarnation of an upstream wants.
+
+    Attributes:
+        is_leaving: whether it gets no requests any more.
+        paused_until: until when it gets no requests, on the monotonic clock.
+    """
+
+    is_leaving: bool = False
+    paused_until: timedelta = timedelta()
+
+    def allow(self, now: timedelta) -> bool:
+        """Returns whether it may get requests at a time."""
+        return not self.is_leaving and self.paused_until <= now
+
+
+NO_WISHES = Wishes()
+
+
+class UpstreamWishes:
+    """The wishes of all upstreams by incarnation.
+
+    They outlast the record of an upstream, which may expire and come back.
+    """
+
+    def __init__(self) -> None:
+        """Initializes without wishes."""
+        self._wishes: OrderedDict[str, Wishes] = OrderedDict()
+
+    def __repr__(self) -> str:
+        """Returns the number of upstreams."""
+        return f'<UpstreamWishes of {len(self._wishes)}>'
+
+    def find(self, incarnation: str) -> Wishes:
+        """Returns the wishes of an incarnation."""
+        return self._wishes.get(incarnation, NO_WISHES)
+
+    def add(self, incarnation: str, wishes: Wishes) -> Wishes:
+        """Adds wishes; the longer pause holds, and leaving is final."""
+        known = self.find(incarnation)
+        merged = Wishes(
+            known.is_leaving or wishes.is_leaving,
+            max(known.paused_until, wishes.paused_until),
+        )
+        self._wishes[incarnation] = merged
+        self._wishes.move_to_end(incarnation)
+        if len(self._wishes) > MAX_REMEMBERED:
+            self._wishes.popitem(last=False)
+        return merged
--- a/packages/lycheedyke/src/lycheedyke/state/_upstreams.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_upstreams.py
@@ -7,6 +7,11 @@
 
 from lycheedyke.clock import Clock
 from lycheedyke.protocol import UpstreamRecord
+from lycheedyke.state._upstream_wishes import (
+    NO_WISHES,
+    UpstreamWishes,
+    Wishes,
+)
 
 _logger = logging.getLogger(__name__)
 
@@ -38,6 +43,7 @@
         record: the newest record of the upstream.
         in_flight: the requests of this instance that run there.
         answered_at: the time of the last answer on the monotonic clock.
+        wishes: what the upstream has said in its answers that it wants.
 
     Args:
         record: the first record of the upstream.
@@ -49,6 +55,7 @@
         self.record = record
         self.in_flight = 0
         self.answered_at = ZERO
+        self.wishes = NO_WISHES
         self._clock = clock
         self._other_load = 0
         self._other_load_at = ZERO
@@ -230,6 +237,7 @@
         """Initializes an empty table."""
         self.evacuated_zones: frozenset[str] = frozenset()
         self._clock = clock
+        self._wishes = UpstreamWishes()
         self._states: dict[str, UpstreamState] = {}
         self._by_service: dict[str, list[UpstreamState]] = {}
 
@@ -253,12 +261,50 @@
         """Applies a new or changed record of an upstream."""
         state = self._states.get(record.name)
         if state is None:
-            self._states[record.name] = UpstreamState(record, self._clock)
+            state = UpstreamState(record, self._clock)
+            self._states[record.name] = state
             self._by_service.clear()
-            return
-        if state.record.service != record.service:
-            self._by_service.clear()
-        state.apply(record)
+        else:
+            if state.record.service != record.service:
+                self._by_service.clear()
+            state.apply(record)
+        state.wishes = self._wishes.find(record.incarnation)
+
+    def mark_leaving(self, record: UpstreamRecord) -> None:
+        """Withdraws an upstream that has said that it leaves, for good.
+
+        Args:
+            record: the upstream as it was when the request was sent to it.
+        """
+        if not self._wishes.find(record.incarnation).is_leaving:
+            _logger.info(
+                'upstream leaving',
+                extra={
+                    'upstream': record.name,
+                    'service': record.service,
+                    'told_by': 'answer',
+                },
+            )
+        self._add_wishes(record, Wishes(is_leaving=True))
+
+    def pause(self, record: UpstreamRecord, pause: timedelta) -> None:
+        """Withdraws an upstream that wants no requests for some time.
+
+        Args:
+            record: the upstream as it was when the request was sent to it.
+            pause: how long it wants none.
+        """
+        now = self._clock.elapsed()
+        if self._wishes.find(record.incarnation).paused_until <= now:
+            _logger.info(
+                'upstream paused',
+                extra={
+                    'upstream': record.name,
+                    'service': record.service,
+                    'pause_ms': pause // MILLISECOND,
+                },
+            )
+        self._add_wishes(record, Wishes(paused_until=now + pause))
 
     def remove(self, name: str) -> None:
         """Removes an upstream."""
@@ -293,17 +339,39 @@
         return healthy or serving
 
     def serving(self, service: str) -> list[UpstreamState]:
-        """Returns the upstreams that are not lost, leaving or evacuated."""
+        """Returns the upstreams that may get requests.
+
+        They are not lost, leaving, evacuated or paused.
+        """
+        now = self._clock.elapsed()
+        return [
+            state
+            for state in self.of_service(service)
+            if self._is_usable(state) and state.wishes.allow(now)
+        ]
+
+    def paused(self, service: str) -> list[UpstreamState]:
+        """Returns the upstreams that get no requests until their pause ends."""
+        now = self._clock.elapsed()
         return [
             state
             for state in self.of_service(service)
             if self._is_usable(state)
+            and not state.wishes.is_leaving
+            and state.wishes.paused_until > now
         ]
 
     def is_serving(self, state: UpstreamState) -> bool:
         """Returns whether an upstream is still registered and may be used."""
         is_listed = self._states.get(state.record.name) is state
-        return is_listed and self._is_usable(state)
+        is_allowed = state.wishes.allow(self._clock.elapsed())
+        return is_listed and is_allowed and self._is_usable(state)
+
+    def _add_wishes(self, record: UpstreamRecord, wishes: Wishes) -> None:
+        merged = self._wishes.add(record.incarnation, wishes)
+        state = self._states.get(record.name)
+        if state is not None and state.record.incarnation == record.incarnation:
+            state.wishes = merged
 
     def _is_usable(self, state: UpstreamState) -> bool:
         record = state.record
--- a/tests/standins/scripted_upstream.py
+++ b/tests/standins/scripted_upstream.py
@@ -47,6 +47,7 @@
         run_s: the run time of a request in seconds.
         run_of_path: returns the run time of a request by its target.
         body: the body of the answers.
+        says: header lines of all its answers, each with its line break.
         crashes_on: a path, with a query or for any query, that ends the
             upstream once a request for it begins to run, as the action `crash`
             does.
@@ -64,6 +65,7 @@
         self.run_s = 0.005
         self.run_of_path: Callable[[str], float] = lambda _: self.run_s
         self.body = b'{"ran": "whole"}'
+        self.says = ''
         self.crashes_on = ''
         self.crashed = asyncio.Event()
         self.arrivals: list[Arrival] = []
@@ -162,6 +164,9 @@
             extra = 'Lycheedyke-Not-Run: 1\r\n'
             await self._send(writer, headers, '503 Busy', extra, b'')
             return True
+        if action == 'busy':
+            await self._send(writer, headers, '503 Busy', SEAL, b'')
+            return True
         if action in STALE:
             # An earlier refusal comes again, and then the answer.
             self.started.append(headers[REQUEST_ID])
@@ -244,6 +249,7 @@
         extra: str,
         body: bytes,
     ) -> None:
+        extra = f'{extra}{self.says}'
         if REQUEST_ID in headers:
             extra = f'{extra}{REQUEST_ID}: {headers[REQUEST_ID]}\r\n'
         writer.write(
