--- a/tests/unit/gateway/test_pipelining.py
+++ b/tests/unit/gateway/test_pipelining.py
@@ -346,7 +346,10 @@
     _run(tmp_path, _scene)
     lines = _ended(caplog)
     assert (lines['p-1']['behind'], lines['p-1']['behind_ms']) == ('p-0', 200)
-    assert lines['p-1']['path'] == ''
+    named = [
+        lines['p-1'][field] for field in ('caller', 'host', 'method', 'path')
+    ]
+    assert named == ['127.0.0.1', 'shop.example', 'POST', '/order/1']
     assert lines['p-2']['behind'] == 'p-1'
     assert (lines['p-2']['host'], lines['p-2']['path']) == (
         'shop.example',
