Let upstreams of the soak ask for pauses and say that they leave

Each planned leaving is told in the upstream's answers as well, and upstreams refuse a request now and then with a Retry-After of 4 s. The checks judge each wish for the instance that heard it; restarts and freezes of that instance and harm to the link excuse it.

--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -24,6 +24,7 @@
 from bench.soak.sessions import open_session
 from bench.soak.stalls import StallMonitor
 from bench.soak.testbed import INSTANCES_PER_ZONE, Testbed
+from bench.soak.wishes import ask_for_pauses
 
 POLL_SECONDS = 0.5
 # After the last fault has ended, its effects last at most this long.
@@ -121,6 +122,9 @@
             self.fault_injector.change_idle_limits(
                 seconds, random.Random(f'idle limits {self._seed}')
             ),
+            ask_for_pauses(
+                self._testbed, seconds, random.Random(f'wishes {self._seed}')
+            ),
         )
         await restoring
         await asyncio.sleep(SETTLE_SECONDS)
--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -23,6 +23,7 @@
     RETRY_WINDOW_SECONDS,
     may_have_been_idle,
 )
+from bench.soak.wishes import find_wish_violations
 
 MAX_ATTEMPTS = 2
 # A request may be on its way to a paused instance for this time.
@@ -48,6 +49,7 @@
         yield from _find_cold_overload(upstream)
     yield from _find_excess_retries(observations)
     yield from find_crash_violations(observations)
+    yield from find_wish_violations(observations)
     yield from find_lost_answers(observations)
     yield from find_excess_memory(observations.memory)
     for stop in observations.stops:
--- a/bench/soak/echo_upstream.py
+++ b/bench/soak/echo_upstream.py
@@ -3,10 +3,26 @@
 import asyncio
 import json
 import time
+from typing import NamedTuple
 
-from standins.scripted_upstream import Arrival, ScriptedUpstream
+from standins.scripted_upstream import REQUEST_ID, Arrival, ScriptedUpstream
 
 RUN_SECONDS = 0.02
+PAUSE_SECONDS = 4.0
+LEAVING = 'Server-Leaving: 1\r\n'
+PAUSE = f'Lycheedyke-Not-Run: 1\r\nRetry-After: {PAUSE_SECONDS}\r\n'
+
+
+class Wish(NamedTuple):
+    """What an upstream said in the answer to a request.
+
+    Attributes:
+        request: the request id.
+        told: when it was said, in seconds of the monotonic clock.
+    """
+
+    request: str
+    told: float
 
 
 class EchoUpstream(ScriptedUpstream):
@@ -23,6 +39,8 @@
             clock.
         cold_from: start of the cold time, in seconds of the monotonic clock.
         crashed_at: when it had crashed, in seconds of the monotonic clock.
+        farewells: the answers that said that it leaves.
+        pauses: the refusals that asked for a pause.
         link: the listener of the link to it, which ends when it crashes.
         link_port: the port of that listener.
     """
@@ -35,6 +53,8 @@
         self.left_at: float | None = None
         self.cold_from: float | None = None
         self.crashed_at: float | None = None
+        self.farewells: list[Wish] = []
+        self.pauses: list[Wish] = []
         self.link: asyncio.Server | None = None
         self.link_port = 0
 
@@ -56,6 +76,34 @@
         await super()._crash()
         self.crashed_at = time.monotonic()
 
+    async def _perform(
+        self,
+        action: str,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        headers: dict[str, str],
+        target: str,
+    ) -> bool:
+        if action != 'pause':
+            return await super()._perform(
+                action, reader, writer, headers, target
+            )
+        self.pauses.append(Wish(headers[REQUEST_ID], time.monotonic()))
+        await self._send(writer, headers, '503 Busy', PAUSE, b'')
+        return True
+
+    async def _send(
+        self,
+        writer: asyncio.StreamWriter,
+        headers: dict[str, str],
+        status: str,
+        extra: str,
+        body: bytes,
+    ) -> None:
+        if self.says:
+            self.farewells.append(Wish(headers[REQUEST_ID], time.monotonic()))
+        await super()._send(writer, headers, status, extra, body)
+
     def _make_body(self, headers: dict[str, str]) -> bytes:
         request = headers['Lycheedyke-Request-Id']
         return json.dumps({'ran': request, 'pad': 'x' * 200}).encode()
--- a/bench/soak/testbed.py
+++ b/bench/soak/testbed.py
@@ -16,7 +16,7 @@
 
 from aiohttp import web
 
-from bench.soak.echo_upstream import EchoUpstream
+from bench.soak.echo_upstream import LEAVING, EchoUpstream
 from standins.deployment import free_ports
 from standins.gateway_testbed import LOCATION_SETTINGS, PLATFORM_DIR
 from standins.registry_store import (
@@ -282,6 +282,7 @@
         """Marks an upstream as leaving in the store."""
         key = f'servers/{upstream.name}'
         value = json.loads(self.store.value(key))
+        upstream.says = LEAVING
         self.store.put(key, {**value, 'state': 'draining'})
         upstream.left_at = time.monotonic()
 
