--- a/tests/unit/gateway/test_many_callers.py
+++ b/tests/unit/gateway/test_many_callers.py
@@ -9,7 +9,12 @@
 import pytest
 
 from standins.crashing_service import POISON, CrashingService
-from standins.gateway_testbed import GatewayTestbed, Reply, run_scenario
+from standins.gateway_testbed import (
+    GatewayTestbed,
+    Reply,
+    Scenario,
+    run_scenario,
+)
 from standins.lossy_peers import lose_messages
 
 INSTANCES = 4
@@ -50,6 +55,16 @@
         await asyncio.gather(*(_send(at) for at in range(count)))
 
 
+def _play(folder: Path, scene: Scenario) -> None:
+    run_scenario(
+        folder,
+        scene,
+        limit_s=120,
+        upstreams=UPSTREAMS,
+        instances=INSTANCES,
+    )
+
+
 # Guards against a request that goes on ending upstreams because each of its
 # callers comes from another address.
 @pytest.mark.parametrize('is_lossy', [False, True])
@@ -91,13 +106,7 @@
         assert (await platform.send('/read/1')).status == 200
         await service.close()
 
-    run_scenario(
-        tmp_path,
-        _scene,
-        limit_s=120,
-        upstreams=UPSTREAMS,
-        instances=INSTANCES,
-    )
+    _play(tmp_path, _scene)
 
 
 # Guards against a path that is refused to all its callers, because one of them
@@ -138,13 +147,7 @@
         assert len(service.crashes) <= 6
         await service.close()
 
-    run_scenario(
-        tmp_path,
-        _scene,
-        limit_s=120,
-        upstreams=UPSTREAMS,
-        instances=INSTANCES,
-    )
+    _play(tmp_path, _scene)
 
 
 # Guards against a path that many callers ask for at once, and that is refused
@@ -186,10 +189,4 @@
         assert not refused, f'{len(refused)} of {len(replies)}'
         await service.close()
 
-    run_scenario(
-        tmp_path,
-        _scene,
-        limit_s=120,
-        upstreams=UPSTREAMS,
-        instances=INSTANCES,
-    )
+    _play(tmp_path, _scene)
