--- a/bench/soak/wishes.py
+++ b/bench/soak/wishes.py
@@ -33,6 +33,8 @@
     results = {each.request: each for each in observations.results}
     for upstream in observations.upstreams:
         for wish in upstream.farewells:
+            if not _is_passed_on(results, wish):
+                continue
             late = sum(
                 call.sent > wish.told + DRAIN_SECONDS
                 for call, _ in _find_later(
@@ -52,6 +54,12 @@
                 yield f'{count} requests to {upstream.name} in its pause'
 
 
+def _is_passed_on(results: Mapping[str, CallResult], wish: Wish) -> bool:
+    """Returns whether the caller got the answer that told a wish."""
+    told = results.get(wish.request)
+    return told is not None and told.is_sealed
+
+
 def _find_later(
     observations: Observations,
     results: Mapping[str, CallResult],
@@ -72,8 +80,8 @@
         The call, and when its request arrived.
     """
     told = results.get(wish.request)
-    # Without an answer it is not known whether the instance has heard it.
-    if told is None or not told.status:
+    # An instance that had given up by then has not read it.
+    if told is None or not told.status or told.ended < wish.told:
         return
     for arrival in upstream.arrivals:
         arrived = arrival.received_at
