--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/background.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/background.py
@@ -9,7 +9,7 @@
 MAX_CANCELS = 4
 RESTART_SECONDS = 1
 
-Work = Callable[[], Coroutine[object, object, None]]
+TaskFactory = Callable[[], Coroutine[object, object, None]]
 
 _logger = logging.getLogger(__name__)
 
@@ -26,7 +26,7 @@
         names = ', '.join(task.get_name() for task in self._tasks)
         return f'<BackgroundTasks: {names}>'
 
-    def start(self, name: str, run: Work) -> None:
+    def start(self, name: str, run: TaskFactory) -> None:
         """Starts a task.
 
         Args:
@@ -54,7 +54,7 @@
                 )
 
 
-async def _keep_running(run: Work) -> None:
+async def _keep_running(run: TaskFactory) -> None:
     """Runs a task to its end, and again after each failure."""
     while True:
         try:
