--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/failures.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/failures.py
@@ -4,6 +4,7 @@
     ConnectError,
     ExchangeBroken,
     ExchangeTimeout,
+    UpstreamLimited,
     UpstreamWithdrawn,
     WriteTooLate,
 )
@@ -15,6 +16,8 @@
     match error:
         case WriteTooLate():
             return NotRun(Reason.deadline_passed)
+        case UpstreamLimited():
+            return NotRun(Reason.upstream_limited)
         case UpstreamWithdrawn():
             return NotRun(Reason.upstream_leaving)
         case ConnectError():
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/__init__.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/__init__.py
@@ -1,5 +1,6 @@
 """An entry instance that replicates a registry and calls upstreams itself."""
 
+from lycheedyke_daemon.gateway._answer_headers import HeaderNames
 from lycheedyke_daemon.gateway._decision_log import DecisionLog
 from lycheedyke_daemon.gateway._deployment import Deployment
 from lycheedyke_daemon.gateway._instance import GatewayInstance
@@ -9,7 +10,6 @@
     GatewaySettings,
     read_gateway_settings,
 )
-from lycheedyke_daemon.gateway._upstream_client import HeaderNames
 
 __all__ = (
     'DecisionLog',
--- /dev/null
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_answer_headers.py
@@ -0,0 +1,70 @@
+"""The headers in which upstreams say what they want."""
+
+import re
+from collections.abc import Sequence
+from datetime import timedelta
+from typing import NamedTuple
+
+from lycheedyke.state import LimitNotUnderstood, parse_send_limit
+
+# The longest pause that an upstream may ask for.
+MAX_PAUSE = timedelta(minutes=10)
+_SECONDS = re.compile(r'[0-9]{1,300}(?:\.[0-9]{0,300})?')
+
+
+class HeaderNames(NamedTuple):
+    """The names of the headers and the cookie that a deployment uses.
+
+    Attributes:
+        request: the id of one attempt of a caller.
+        remaining: the milliseconds that the sender still waits.
+        object_key_cookie: the cookie with the object key of a request.
+        expected_upstream: the name of the upstream that the request is for.
+        not_run: present if the upstream has not run the request.
+        load: the running requests, waiting requests and slots of an
+            upstream.
+        leaving: `1` if the upstream leaves.
+        limit: the requests per second that an upstream takes from all
+            instances together.
+    """
+
+    request: str
+    remaining: str
+    object_key_cookie: str
+    expected_upstream: str
+    not_run: str
+    load: str
+    leaving: str
+    limit: str
+
+
+def parse_retry_after(text: str) -> timedelta | None:
+    """Returns the time that a `Retry-After` header gives, at most `MAX_PAUSE`.
+
+    Returns:
+        None if the text is no number of seconds above zero. Dates are not
+        read, as the clocks of upstreams may differ.
+    """
+    if _SECONDS.fullmatch(text.strip()) is None:
+        return None
+    seconds = min(float(text), MAX_PAUSE.total_seconds())
+    return timedelta(seconds=seconds) if seconds else None
+
+
+def read_send_limit(named: Sequence[str]) -> float | None:
+    """Returns the limit that the fields of an answer name, if any.
+
+    Returns:
+        The limit in requests per second; None without one, or if it is too
+        high to matter.
+
+    Raises:
+        LimitNotUnderstood: it is no decimal number, or there are several.
+    """
+    match named:
+        case []:
+            return None
+        case [text]:
+            return parse_send_limit(text)
+        case _:
+            raise LimitNotUnderstood('several limits in one answer')
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_caller_api.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_caller_api.py
@@ -26,12 +26,12 @@
 from lycheedyke.transport import BodyMemory
 from lycheedyke_daemon.bodies import BodyReader, BodyRefused
 from lycheedyke_daemon.cancellation import is_cancelled
+from lycheedyke_daemon.gateway._answer_headers import HeaderNames
 from lycheedyke_daemon.gateway._decision_log import Telemetry
 from lycheedyke_daemon.gateway._registry_view import RegistryView
 from lycheedyke_daemon.gateway._router import GatewayRouter
 from lycheedyke_daemon.gateway._stop_schedule import StopSchedule
 from lycheedyke_daemon.gateway._unanswered import SENT_TO, UnansweredReport
-from lycheedyke_daemon.gateway._upstream_client import HeaderNames
 from lycheedyke_daemon.pipeline import TURN, may_pass_on
 from lycheedyke_daemon.stopping import RequestTracker
 from lycheedyke_daemon.work import MAX_LOGGED, Work, end_to_end_headers
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_deployment.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_deployment.py
@@ -3,8 +3,8 @@
 from typing import NamedTuple
 
 from lycheedyke.protocol import Registry
+from lycheedyke_daemon.gateway._answer_headers import HeaderNames
 from lycheedyke_daemon.gateway._lookup import LookupFormat
-from lycheedyke_daemon.gateway._upstream_client import HeaderNames
 
 
 class Deployment(NamedTuple):
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
@@ -17,14 +17,10 @@
 from lycheedyke.protocol import EntryRecord, Position
 from lycheedyke.state import (
     Counters,
-    Distances,
-    Location,
-    RepeatLimit,
+    PermitBook,
     RunTimeStats,
     Suspects,
-    UpstreamSelector,
     UpstreamTable,
-    WarmupLimiter,
 )
 from lycheedyke.timers import PauseMonitor
 from lycheedyke.transport import BodyMemory
@@ -33,11 +29,16 @@
 from lycheedyke_daemon.gateway._caller_api import GatewayCallerApi
 from lycheedyke_daemon.gateway._decision_log import DecisionLog, Telemetry
 from lycheedyke_daemon.gateway._deployment import Deployment
+from lycheedyke_daemon.gateway._limit_exchange import LimitExchange
 from lycheedyke_daemon.gateway._lookup import LookupApi, LookupDirectory
 from lycheedyke_daemon.gateway._metrics import GatewayCollector
 from lycheedyke_daemon.gateway._peer_updates import PeerUpdates
 from lycheedyke_daemon.gateway._registry_view import RegistryView
-from lycheedyke_daemon.gateway._router import GatewayRouter, InstanceStatus
+from lycheedyke_daemon.gateway._router import InstanceStatus
+from lycheedyke_daemon.gateway._router_assembly import (
+    RouterParts,
+    make_router,
+)
 from lycheedyke_daemon.gateway._settings import GatewaySettings
 from lycheedyke_daemon.gateway._settings_file import SettingsFile
 from lycheedyke_daemon.gateway._stop_schedule import StopSchedule
@@ -84,6 +85,8 @@
         self._list_callers: Connections = list
         self._is_listening = False
         self._upstream_table = UpstreamTable(clock)
+        self._times = RunTimeStats()
+        self._permits = PermitBook(clock, self._counters)
         suspects = Suspects(clock)
         self._registry_view = RegistryView(
             self._upstream_table, suspects, clock
@@ -107,6 +110,16 @@
         self._suspects = SuspectExchange(
             own, suspects, self._peer_updates, self._counters, clock
         )
+        self._limits = LimitExchange(
+            own,
+            self._upstream_table,
+            self._permits,
+            self._peer_updates,
+            settings.zones,
+            self._counters,
+            clock,
+        )
+        self._limits.max_instances = self._max_instances
         self._pauses = PauseMonitor()
         self._follower = RegistryFollower(
             deployment.registry,
@@ -127,6 +140,7 @@
         self._client = UpstreamClient(
             deployment.headers,
             self._upstream_table,
+            self._permits,
             self._telemetry,
             BodyMemory(settings.answer_memory_bytes),
         )
@@ -157,6 +171,7 @@
             ('peers', self._follower.follow_peers),
             ('quarantines', self._quarantines.run),
             ('suspects', self._suspects.resend),
+            ('limits', self._limits.run),
         ):
             self._tasks.start(name, work)
         file = self._settings_file
@@ -271,39 +286,25 @@
 
     def _caller_app(self) -> web.Application:
         settings = self._settings
-        times = RunTimeStats()
-        self._registry_view.on_routes_changed = times.retain
-        choice = UpstreamSelector(
-            self._upstream_table,
-            times,
-            Location(settings.zone, settings.region, settings.zones),
-            Distances(
-                settings.zone_trip,
-                settings.region_trip,
-                settings.zone_charge,
-                settings.region_charge,
-            ),
-            WarmupLimiter(settings.name, self._clock),
-            cold_rate=self._cold_rate,
-            instances=self._max_instances,
-        )
-        router = GatewayRouter(
-            choice,
-            times,
-            self._client,
-            self._guard,
-            RepeatLimit(
-                settings.repeat_ratio,
-                settings.repeat_window,
-                settings.repeat_extra,
+        self._registry_view.on_routes_changed = self._times.retain
+        router = make_router(
+            settings,
+            RouterParts(
+                self._registry_view,
+                self._upstream_table,
+                self._times,
+                self._permits,
+                self._client,
+                self._guard,
+                self._telemetry,
             ),
-            self._telemetry,
             InstanceStatus(
                 self._max_instances,
                 lambda: self._schedule.has_begun,
                 self._pauses.within,
                 lambda: self._follower.age,
             ),
+            self._clock,
         )
         api = GatewayCallerApi(
             self._registry_view,
@@ -331,11 +332,6 @@
         table = self._registry_view.table
         return table.limits.idle_timeout if table else None
 
-    def _cold_rate(self, service: str) -> float:
-        table = self._registry_view.table
-        terms = table.services.get(service) if table else None
-        return terms.cold_per_s if terms else 0
-
     def _max_instances(self) -> int:
         return self._registry_view.max_instances
 
@@ -343,6 +339,7 @@
         app = web.Application()
         app.add_routes(self._peer_updates.routes())
         app.add_routes(self._suspects.routes())
+        app.add_routes(self._limits.routes())
         return app
 
     def _lookup_app(self) -> web.Application:
@@ -350,6 +347,7 @@
             self._own,
             self._registry_view,
             self._upstream_table,
+            self._times,
             self._settings.zones,
             self._settings.shift_most,
             self._clock,
@@ -380,6 +378,7 @@
             self._counters,
             self._registry_view,
             self._upstream_table,
+            self._permits,
             self._follower,
             self._tracker,
         )
--- /dev/null
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_limit_exchange.py
@@ -0,0 +1,311 @@
+"""Tells peers of the limits of upstreams, and asks for permits to send."""
+
+import asyncio
+import contextlib
+import functools
+import logging
+from collections.abc import Callable, Mapping
+from datetime import timedelta
+
+import msgspec
+import xxhash
+from aiohttp import web
+
+from lycheedyke.clock import Clock
+from lycheedyke.protocol import EntryRecord
+from lycheedyke.state import (
+    Counters,
+    LimitNews,
+    LimitNotUnderstood,
+    PermitBook,
+    PermitGrant,
+    PermitIssuer,
+    PermitRequest,
+    UpstreamState,
+    UpstreamTable,
+)
+from lycheedyke_daemon.detached import DetachedTasks
+from lycheedyke_daemon.gateway._peer_updates import PeerUpdates
+
+PERMITS_PATH = '/v1/permits'
+LIMITS_PATH = '/v1/limits'
+# If none of so many issuers answers, an instance uses its own share.
+MAX_ASKED = 3
+# An issuer that did not answer is not asked for so long.
+SILENT_PAUSE = timedelta(seconds=2)
+# Changes within this time are told together.
+TELL_INTERVAL = timedelta(milliseconds=100)
+
+_logger = logging.getLogger(__name__)
+
+
+class LimitReport(msgspec.Struct, frozen=True, array_like=True):
+    """News of limits.
+
+    Attributes:
+        news: the news.
+        pass_on: whether the receiver tells all its peers what is new to it.
+    """
+
+    news: tuple[LimitNews, ...]
+    pass_on: bool = False
+
+
+_REPORT = msgspec.msgpack.Decoder(LimitReport)
+_REQUEST = msgspec.msgpack.Decoder(PermitRequest)
+_GRANT = msgspec.msgpack.Decoder(PermitGrant)
+
+
+class LimitExchange:
+    """Shares the limits of upstreams with the other entry instances.
+
+    For each upstream, one instance issues the permits to send, preferably one
+    of its region. It also tells all others when the limit changes, so a change
+    costs one message from each instance that has heard of it and one to each.
+
+    Args:
+        own: this instance.
+        table: the upstreams.
+        permits: the permits of this instance.
+        peers: sends messages to the other entry instances.
+        zones: the region of each zone.
+        counters: counts messages that can't be read.
+        clock: the time source.
+
+    Attributes:
+        max_instances: returns the maximum number of instances that may run.
+    """
+
+    def __init__(
+        self,
+        own: EntryRecord,
+        table: UpstreamTable,
+        permits: PermitBook,
+        peers: PeerUpdates,
+        zones: Mapping[str, str],
+        counters: Counters,
+        clock: Clock,
+    ) -> None:
+        """Initializes the exchange; `run` tells peers of changes."""
+        self.max_instances: Callable[[], int] = _count_one
+        self._own = own
+        self._table = table
+        self._permits = permits
+        self._peers = peers
+        self._zones = zones
+        self._counters = counters
+        self._clock = clock
+        self._issuer = PermitIssuer(own.name, clock)
+        self._questions = DetachedTasks()
+        self._silent_until: dict[str, timedelta] = {}
+        # The names of upstreams whose limit has changed.
+        self._changed: set[str] = set()
+        self._told_to_all: set[str] = set()
+        self._has_changed = asyncio.Event()
+        self._is_applying_report = False
+        table.on_limit_changed = self._handle_change
+        permits.ask = self._ask
+
+    def __repr__(self) -> str:
+        """Returns the issuer of this instance."""
+        return f'<LimitExchange with {self._issuer!r}>'
+
+    async def run(self) -> None:
+        """Tells peers of changed limits, until cancelled."""
+        while True:
+            await self._has_changed.wait()
+            await self._clock.sleep(TELL_INTERVAL)
+            self._has_changed.clear()
+            await self._tell_changes()
+
+    def routes(self) -> list[web.RouteDef]:
+        """Returns the routes of the peer port."""
+        return [
+            web.post(PERMITS_PATH, self._handle_request),
+            web.post(LIMITS_PATH, self._handle_report),
+        ]
+
+    def rank_issuers(self, state: UpstreamState) -> list[EntryRecord]:
+        """Returns the instances in the order in which they issue permits."""
+        region = self._zones.get(state.record.zone, '')
+        return sorted(
+            (*self._peers.peers(), self._own),
+            key=functools.partial(_rank_issuer, state.record.name, region),
+        )
+
+    def _handle_change(self, upstream: str) -> None:
+        if not self._is_applying_report:
+            self._changed.add(upstream)
+            self._has_changed.set()
+
+    def _ask(self, state: UpstreamState, is_probe: bool) -> None:
+        if self.rank_issuers(state)[0].name == self._own.name:
+            news = self._table.describe_limit(state)
+            request = PermitRequest(news, self._own.name, 0, is_probe)
+            grant = self._issuer.issue(request, news)
+            now = self._clock.elapsed()
+            self._permits.add(state, grant, now, is_probe=is_probe)
+            return
+        self._questions.start(self._ask_issuers(state, is_probe=is_probe))
+
+    async def _ask_issuers(
+        self, state: UpstreamState, *, is_probe: bool
+    ) -> None:
+        asked_at = self._clock.elapsed()
+        grant = await self._find_grant(state, is_probe=is_probe)
+        with contextlib.suppress(LimitNotUnderstood):
+            self._table.apply_limit_news(grant.news)
+        self._permits.add(state, grant, asked_at, is_probe=is_probe)
+
+    async def _find_grant(
+        self, state: UpstreamState, *, is_probe: bool
+    ) -> PermitGrant:
+        """Returns the grant of the first issuer that answers."""
+        news = self._table.describe_limit(state)
+        for rank, issuer in enumerate(self.rank_issuers(state)[:MAX_ASKED]):
+            request = PermitRequest(news, self._own.name, rank, is_probe)
+            if issuer.name == self._own.name:
+                return self._issuer.issue(request, news)
+            grant = await self._ask_one(issuer, request)
+            if grant is not None:
+                return grant
+        self._counters.count('permits.own-share')
+        return self._issuer.issue_own_share(news, self.max_instances())
+
+    async def _ask_one(
+        self, issuer: EntryRecord, request: PermitRequest
+    ) -> PermitGrant | None:
+        if self._clock.elapsed() < self._silent_until.get(
+            issuer.incarnation, timedelta()
+        ):
+            return None
+        body = await self._peers.send(
+            issuer.peer_address, PERMITS_PATH, msgspec.msgpack.encode(request)
+        )
+        if body is None:
+            now = self._clock.elapsed()
+            self._silent_until = {
+                name: until
+                for name, until in self._silent_until.items()
+                if now < until
+            }
+            self._silent_until[issuer.incarnation] = now + SILENT_PAUSE
+            _logger.info(
+                'permits not issued',
+                extra={'upstream': request.news.upstream, 'peer': issuer.name},
+            )
+            return None
+        try:
+            return _GRANT.decode(body)
+        except msgspec.MsgspecError:
+            self._counters.count('news.not-heard')
+            return None
+
+    async def _handle_request(self, request: web.Request) -> web.Response:
+        try:
+            asked = _REQUEST.decode(await request.read())
+            self._table.apply_limit_news(asked.news)
+        except (msgspec.MsgspecError, LimitNotUnderstood) as error:
+            raise web.HTTPBadRequest(text=str(error)) from error
+        news = asked.news
+        state = self._table.find(news.upstream)
+        if state is not None and state.record.incarnation == news.incarnation:
+            news = self._table.describe_limit(state)
+        return web.Response(
+            body=msgspec.msgpack.encode(self._issuer.issue(asked, news))
+        )
+
+    async def _handle_report(self, request: web.Request) -> web.Response:
+        try:
+            report = _REPORT.decode(await request.read())
+            changed = self._apply_report(report)
+        except (msgspec.MsgspecError, LimitNotUnderstood) as error:
+            raise web.HTTPBadRequest(text=str(error)) from error
+        if report.pass_on and changed:
+            self._told_to_all |= changed
+            self._has_changed.set()
+        return web.Response()
+
+    def _apply_report(self, report: LimitReport) -> set[str]:
+        """Applies news; returns the names of upstreams that have changed."""
+        self._is_applying_report = True
+        try:
+            return {
+                news.upstream
+                for news in report.news
+                if self._table.apply_limit_news(news)
+            }
+        finally:
+            self._is_applying_report = False
+
+    async def _tell_changes(self) -> None:
+        changed = self._changed
+        to_all = self._told_to_all
+        self._changed = set()
+        self._told_to_all = set()
+        to_issuer: dict[str, UpstreamState] = {}
+        for name in changed - to_all:
+            state = self._table.find(name)
+            if state is None:
+                continue
+            if self.rank_issuers(state)[0].name == self._own.name:
+                to_all.add(name)
+            else:
+                to_issuer[name] = state
+        await asyncio.gather(
+            self._tell_all(to_all),
+            *(self._tell_issuer(state) for state in to_issuer.values()),
+        )
+
+    async def _tell_all(self, upstreams: set[str]) -> None:
+        states = [self._table.find(name) for name in sorted(upstreams)]
+        news = tuple(
+            self._table.describe_limit(state)
+            for state in states
+            if state is not None
+        )
+        if not news:
+            return
+        body = msgspec.msgpack.encode(LimitReport(news))
+        peers = self._peers.peers()
+        answers = await asyncio.gather(
+            *(
+                self._peers.send(peer.peer_address, LIMITS_PATH, body)
+                for peer in peers
+            )
+        )
+        _logger.info(
+            'limits reported',
+            extra={
+                'upstreams': len(news),
+                'peers': len(peers),
+                'lost': answers.count(None),
+            },
+        )
+
+    async def _tell_issuer(self, state: UpstreamState) -> None:
+        """Tells the first issuer that answers, which tells all others."""
+        report = LimitReport((self._table.describe_limit(state),), pass_on=True)
+        body = msgspec.msgpack.encode(report)
+        for issuer in self.rank_issuers(state)[:MAX_ASKED]:
+            if issuer.name == self._own.name:
+                await self._tell_all({state.record.name})
+                return
+            told = await self._peers.send(
+                issuer.peer_address, LIMITS_PATH, body
+            )
+            if told is not None:
+                return
+
+
+def _rank_issuer(
+    upstream: str, region: str, issuer: EntryRecord
+) -> tuple[bool, int, str]:
+    """Returns the sort key of an issuer for an upstream in a region."""
+    text = f'permits {upstream} {issuer.name}'
+    weight = xxhash.xxh3_64_intdigest(text.encode())
+    return issuer.region != region, weight, issuer.name
+
+
+def _count_one() -> int:
+    return 1
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_lookup.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_lookup.py
@@ -12,6 +12,8 @@
 from lycheedyke.protocol import EntryRecord
 from lycheedyke.state import (
     Counters,
+    RunTimeStats,
+    UpstreamState,
     UpstreamTable,
     ZoneCapacity,
     compute_zone_shares,
@@ -51,7 +53,7 @@
     """The shares of the zones in the callers of one host and zone.
 
     Changes of upstreams and instances take effect at once, those of the
-    configuration step by step.
+    configuration and of limits step by step.
 
     Attributes:
         shares: the current share of each zone.
@@ -81,6 +83,8 @@
         target: Mapping[str, float],
         capacities: Collection[ZoneCapacity],
         max_change: float,
+        *,
+        has_limits: bool,
     ) -> None:
         """Moves the shares to the target, at once or by one step.
 
@@ -90,11 +94,12 @@
             capacities: the capacity of each zone.
             max_change: the maximum fraction of the callers that may change
                 their region in a window.
+            has_limits: whether limits of upstreams change their capacity.
         """
         now = self._clock.elapsed()
         windows = min((now - self._updated_at) / SHIFT_WINDOW, 1)
         self._updated_at = now
-        if number != self._number:
+        if number != self._number or has_limits:
             self._number = number
             self._is_ramping = True
         if self._is_ramping:
@@ -135,6 +140,7 @@
         own: this instance.
         registry_view: provides the entry instances and routes.
         upstream_table: provides the upstreams.
+        times: provides the run times of the services.
         zones: the region of each zone.
         shift_most: the maximum fraction of a region's callers that may
             change their region in a window.
@@ -146,6 +152,7 @@
         own: EntryRecord,
         registry_view: RegistryView,
         upstream_table: UpstreamTable,
+        times: RunTimeStats,
         zones: Mapping[str, str],
         shift_most: float,
         clock: Clock,
@@ -154,6 +161,7 @@
         self._own = own
         self._registry_view = registry_view
         self._upstream_table = upstream_table
+        self._times = times
         self._zones = zones
         self._shift_most = shift_most
         self._clock = clock
@@ -213,7 +221,13 @@
         if shares is None:
             shares = _CallerShares(number, target, self._clock)
             self._shares[host, zone] = shares
-        shares.update(number, target, capacities, self._shift_most)
+        shares.update(
+            number,
+            target,
+            capacities,
+            self._shift_most,
+            has_limits=self._has_limits(host),
+        )
         shares.log_change(host, zone)
         return shares.shares
 
@@ -237,17 +251,33 @@
         host: str,
         entries: Mapping[str, tuple[str, ...]],
     ) -> list[ZoneCapacity]:
-        table = self._registry_view.table
-        services = table.services_of(host) if table else frozenset()
+        now = self._clock.elapsed()
         slots: defaultdict[str, float] = defaultdict(float)
-        for service in services:
-            for state in self._upstream_table.serving(service):
-                slots[state.record.zone] += state.record.slots
+        for state in self._serving(host):
+            mean = self._times.of_service(state.record.service)
+            share = state.capacity_share(mean, now)
+            slots[state.record.zone] += state.record.slots * share
         return [
             ZoneCapacity(name, region, slots[name], entries.get(name, ()))
             for name, region in self._zones.items()
         ]
 
+    def _has_limits(self, host: str) -> bool:
+        """Returns whether limits change the capacity for a host's callers."""
+        now = self._clock.elapsed()
+        return not all(
+            state.wishes.limit.is_settled(now) for state in self._serving(host)
+        )
+
+    def _serving(self, host: str) -> list[UpstreamState]:
+        table = self._registry_view.table
+        services = table.services_of(host) if table else frozenset()
+        return [
+            state
+            for service in services
+            for state in self._upstream_table.serving(service)
+        ]
+
     def _entries_by_zone(self) -> dict[str, tuple[str, ...]]:
         found: defaultdict[str, list[str]] = defaultdict(list)
         for entry in self._registry_view.active_entries():
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_metrics.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_metrics.py
@@ -6,7 +6,12 @@
 from prometheus_client.metrics_core import GaugeMetricFamily, Metric
 
 from lycheedyke.coordination import RegistryFollower
-from lycheedyke.state import Counters, UpstreamState, UpstreamTable
+from lycheedyke.state import (
+    Counters,
+    PermitBook,
+    UpstreamState,
+    UpstreamTable,
+)
 from lycheedyke_daemon.gateway._registry_view import RegistryView
 from lycheedyke_daemon.metric_families import (
     event_counters,
@@ -23,6 +28,7 @@
         counters: the counters and latencies.
         registry_view: provides the configuration and the entry instances.
         upstream_table: provides the upstreams.
+        permits: provides the shares in the limits of upstreams.
         follower: provides the age of the registry view.
         tracker: counts the requests in flight.
     """
@@ -32,6 +38,7 @@
         counters: Counters,
         registry_view: RegistryView,
         upstream_table: UpstreamTable,
+        permits: PermitBook,
         follower: RegistryFollower,
         tracker: RequestTracker,
     ) -> None:
@@ -39,6 +46,7 @@
         self._counters = counters
         self._registry_view = registry_view
         self._upstream_table = upstream_table
+        self._permits = permits
         self._follower = follower
         self._tracker = tracker
 
@@ -69,9 +77,35 @@
             self._tracker.in_flight,
         )
         yield self._upstreams()
+        yield from self._limits()
         yield event_counters(self._counters)
         yield latency_percentiles(self._counters)
 
+    def _limits(self) -> Iterator[Metric]:
+        """Yields what this instance knows of each limited upstream."""
+        labels = ('service', 'upstream')
+        limit = GaugeMetricFamily(
+            'lycheedyke_upstream_limit',
+            'Requests per second that the upstream takes from all instances.',
+            labels=labels,
+        )
+        sharing = GaugeMetricFamily(
+            'lycheedyke_limit_sharing',
+            'Instances that share the limit, as last heard from its issuer.',
+            labels=labels,
+        )
+        permits = GaugeMetricFamily(
+            'lycheedyke_limit_permits',
+            'Permits of this instance to send to the upstream.',
+            labels=labels,
+        )
+        for state in self._upstream_table.limited():
+            key = (state.record.service, state.record.name)
+            limit.add_metric(key, state.wishes.limit.rate or 0)
+            sharing.add_metric(key, self._permits.sharing(state))
+            permits.add_metric(key, self._permits.count(state))
+        yield from (limit, sharing, permits)
+
     def _upstreams(self) -> Metric:
         family = GaugeMetricFamily(
             'lycheedyke_upstreams',
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_request_progress.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_request_progress.py
@@ -2,18 +2,24 @@
 
 from datetime import timedelta
 
-from lycheedyke.protocol import NotRun, Outcome, Reason
+from lycheedyke.protocol import Answered, NotRun, Outcome, Reason, Unknown
 from lycheedyke.state import Candidate
 from lycheedyke_daemon.admissions import Admission
+from lycheedyke_daemon.gateway._upstream_client import Sending
+from lycheedyke_daemon.work import Work
 
 # With these reasons nothing was sent, so they don't count as attempts.
 _NOT_SENT = frozenset(
     (
         Reason.upstream_unreachable,
         Reason.upstream_leaving,
+        Reason.upstream_limited,
         Reason.quarantined,
     )
 )
+# With these reasons no upstream is to run the request.
+_FINAL = frozenset((Reason.deadline_passed, Reason.quarantined))
+HTTP_SERVER_ERROR = 500
 
 
 class RequestProgress:
@@ -28,6 +34,7 @@
         attempts: the number of sends that may have reached an upstream.
         outcome: the outcome so far.
         candidate: the last upstream that was chosen.
+        sending: the last send.
         next_candidate: the one that was found while the last was silent.
     """
 
@@ -41,6 +48,7 @@
         self.attempts = 0
         self.outcome: Outcome | None = None
         self.candidate: Candidate | None = None
+        self.sending = Sending()
         self.next_candidate: Candidate | None = None
 
     def add(self, upstream: str, outcome: Outcome) -> None:
@@ -63,3 +71,14 @@
 
 def _is_not_sent(outcome: Outcome) -> bool:
     return isinstance(outcome, NotRun) and outcome.reason in _NOT_SENT
+
+
+def is_repeatable(work: Work, outcome: Outcome) -> bool:
+    """Returns whether work may be sent again after an outcome."""
+    match outcome:
+        case Answered(status):
+            return work.idempotent and status >= HTTP_SERVER_ERROR
+        case NotRun(reason):
+            return reason not in _FINAL
+        case Unknown(reason):
+            return work.idempotent and reason is not Reason.upstream_timeout
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_router.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_router.py
@@ -16,6 +16,7 @@
 )
 from lycheedyke.state import (
     Candidate,
+    Hold,
     RepeatBudget,
     RepeatLimit,
     Request,
@@ -26,15 +27,19 @@
     is_admissible,
     record_run_time,
     response_timeout,
+    spread_retry_after,
 )
 from lycheedyke.timers import pause_tolerant_timeout
 from lycheedyke_daemon.admissions import Admission
 from lycheedyke_daemon.cancellation import is_cancelled
 from lycheedyke_daemon.crashes import CrashGuard
 from lycheedyke_daemon.gateway._decision_log import Telemetry
-from lycheedyke_daemon.gateway._request_progress import RequestProgress
+from lycheedyke_daemon.gateway._request_progress import (
+    RequestProgress,
+    is_repeatable,
+)
 from lycheedyke_daemon.gateway._silence_watch import SilenceWatch
-from lycheedyke_daemon.gateway._upstream_client import UpstreamClient
+from lycheedyke_daemon.gateway._upstream_client import Sending, UpstreamClient
 from lycheedyke_daemon.work import Work
 
 HTTP_SERVER_ERROR = 500
@@ -45,7 +50,6 @@
 # A run counts as a run time if pauses of this process took at most this share
 # of it.
 MAX_PAUSED_SHARE = 0.5
-_FINAL = frozenset((Reason.deadline_passed, Reason.quarantined))
 
 
 class InstanceStatus(NamedTuple):
@@ -179,7 +183,7 @@
         return candidate
 
     def _may_repeat(self, work: Work, outcome: Outcome) -> bool:
-        if not _is_repeatable(work, outcome):
+        if not is_repeatable(work, outcome):
             return False
         return isinstance(outcome, NotRun) or self._guard.may_repeat(work)
 
@@ -209,7 +213,8 @@
         progress: RequestProgress,
     ) -> Outcome:
         state = candidate.state
-        self._selector.acquire_permit(state)
+        sending = Sending(self._selector.acquire_permits(request, state))
+        progress.sending = sending
         state.begin_request(request.object_key)
         started = self._clock.elapsed()
         silence = SilenceWatch(
@@ -222,7 +227,7 @@
             outcome = await self._run_guarded(state, work, silence, progress)
         finally:
             silence.close()
-            state.end_request()
+            self._end_request(state, sending)
         took = self._clock.elapsed() - started
         self._log_attempt(candidate, work, outcome, took, progress)
         is_success = (
@@ -233,6 +238,11 @@
             record_run_time(self._times, request, candidate, took)
         return outcome
 
+    def _end_request(self, state: UpstreamState, sending: Sending) -> None:
+        state.end_request()
+        if sending.permit is not None and sending.written_at is None:
+            self._selector.give_back(sending.permit)
+
     def _silence_limit(
         self,
         request: Request,
@@ -310,7 +320,7 @@
     ) -> Outcome:
         progress.waited = self._clock.elapsed() - chosen
         progress.news_age = self._news_age()
-        return await self._client.run(state, work)
+        return await self._client.run(state, work, progress.sending)
 
     def _log_attempt(
         self,
@@ -349,9 +359,7 @@
         retry_after = estimate_retry_after(request, candidate)
         reason = Reason.no_upstream if candidate is None else Reason.no_room
         if candidate is None:
-            pause = self._selector.shortest_pause(request)
-            if pause is not None:
-                retry_after, reason = pause, Reason.upstream_paused
+            retry_after, reason = self._explain_hold(request, retry_after)
         if outcome is not None:
             reason = outcome.reason
         refusal = NotRun(reason, retry_after)
@@ -374,12 +382,19 @@
             )
         return refusal
 
+    def _explain_hold(
+        self, request: Request, retry_after: timedelta
+    ) -> tuple[timedelta, Reason]:
+        """Returns when to come back to a service without a usable upstream.
 
-def _is_repeatable(work: Work, outcome: Outcome) -> bool:
-    match outcome:
-        case Answered(status):
-            return work.idempotent and status >= HTTP_SERVER_ERROR
-        case NotRun(reason):
-            return reason not in _FINAL
-        case Unknown(reason):
-            return work.idempotent and reason is not Reason.upstream_timeout
+        Args:
+            request: the request.
+            retry_after: the time if nothing is known of the upstreams.
+        """
+        match self._selector.hold(request):
+            case Hold(wait, is_limit=True):
+                return spread_retry_after(wait), Reason.upstream_limited
+            case Hold(wait):
+                return wait, Reason.upstream_paused
+            case _:
+                return retry_after, Reason.no_upstream
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_upstream_client.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_upstream_client.py
@@ -1,10 +1,8 @@
 """Sends requests to upstreams and reads the outcomes of their answers."""
 
 import functools
-import re
 from collections.abc import Mapping
 from datetime import timedelta
-from typing import NamedTuple
 
 from aiohttp import web
 
@@ -14,6 +12,7 @@
     ExchangeBroken,
     ResponseMemoryFull,
     ResponseTooLarge,
+    UpstreamLimited,
     UpstreamWithdrawn,
     WriteTooLate,
 )
@@ -25,7 +24,13 @@
     Unknown,
     UpstreamRecord,
 )
-from lycheedyke.state import UpstreamState, UpstreamTable
+from lycheedyke.state import (
+    LimitNotUnderstood,
+    PermitBook,
+    SendPermit,
+    UpstreamState,
+    UpstreamTable,
+)
 from lycheedyke.transport import (
     BodyMemory,
     ExchangeChecks,
@@ -33,6 +38,11 @@
     HttpResponse,
 )
 from lycheedyke_daemon.failures import outcome_of_error
+from lycheedyke_daemon.gateway._answer_headers import (
+    HeaderNames,
+    parse_retry_after,
+    read_send_limit,
+)
 from lycheedyke_daemon.gateway._decision_log import Telemetry
 from lycheedyke_daemon.stopping import Handler
 from lycheedyke_daemon.work import MAX_LOGGED, Work, end_to_end_headers
@@ -49,9 +59,6 @@
 MAX_ANSWER_BYTES = 67_108_864
 RETRY_AFTER = 'Retry-After'
 LEAVING = '1'
-# The longest pause that an upstream may ask for.
-MAX_PAUSE = timedelta(minutes=10)
-_SECONDS = re.compile(r'[0-9]{1,300}(?:\.[0-9]{0,300})?')
 LOAD_FIELDS = 3
 # Answers that were broken off since all answers filled the memory, or since
 # one exceeded a limit of its own.
@@ -59,40 +66,22 @@
 LARGE_COUNTER = 'answer.too-large'
 
 
-def parse_retry_after(text: str) -> timedelta | None:
-    """Returns the time that a `Retry-After` header gives, at most `MAX_PAUSE`.
-
-    Returns:
-        None if the text is no number of seconds above zero. Dates are not
-        read, as the clocks of upstreams may differ.
-    """
-    if _SECONDS.fullmatch(text.strip()) is None:
-        return None
-    seconds = min(float(text), MAX_PAUSE.total_seconds())
-    return timedelta(seconds=seconds) if seconds else None
-
-
-class HeaderNames(NamedTuple):
-    """The names of the headers and the cookie that a deployment uses.
+class Sending:
+    """One request on its way to an upstream.
 
     Attributes:
-        request: the id of one attempt of a caller.
-        remaining: the milliseconds that the sender still waits.
-        object_key_cookie: the cookie with the object key of a request.
-        expected_upstream: the name of the upstream that the request is for.
-        not_run: present if the upstream has not run the request.
-        load: the running requests, waiting requests and slots of an
-            upstream.
-        leaving: `1` if the upstream leaves.
+        permit: the permit to send it, if the upstream has named a limit.
+        written_at: when it was written; None before.
     """
 
-    request: str
-    remaining: str
-    object_key_cookie: str
-    expected_upstream: str
-    not_run: str
-    load: str
-    leaving: str
+    def __init__(self, permit: SendPermit | None = None) -> None:
+        """Initializes a request that is not written."""
+        self.permit = permit
+        self.written_at: timedelta | None = None
+
+    def __repr__(self) -> str:
+        """Returns when it was written."""
+        return f'<Sending written at {self.written_at}>'
 
 
 class UpstreamClient:
@@ -101,6 +90,7 @@
     Args:
         names: the header names of the deployment.
         table: tells at the write whether an upstream may still get requests.
+        permits: confirms at the write the permit for a limited upstream.
         telemetry: measures deadlines, counts and logs broken answers.
         memory: bounds the memory of all answers.
     """
@@ -109,12 +99,14 @@
         self,
         names: HeaderNames,
         table: UpstreamTable,
+        permits: PermitBook,
         telemetry: Telemetry,
         memory: BodyMemory,
     ) -> None:
         """Initializes the HTTP client."""
         self._names = names
         self._table = table
+        self._permits = permits
         self._clock = telemetry.clock
         self._counters = telemetry.counters
         self._decision_log = telemetry.decision_log
@@ -143,11 +135,18 @@
         """Closes the connections."""
         await self._http.close()
 
-    async def run(self, state: UpstreamState, work: Work) -> Outcome:
+    async def run(
+        self, state: UpstreamState, work: Work, sending: Sending
+    ) -> Outcome:
         """Sends work to one upstream and returns its outcome.
 
         Non-idempotent work is sent over a new connection: if the upstream
         closes a reused one, it is unknown whether the work has run.
+
+        Args:
+            state: the upstream.
+            work: the work.
+            sending: the permit; tells afterwards when the work was written.
         """
         record = state.record
         remaining = work.deadline - self._clock.elapsed()
@@ -166,7 +165,9 @@
                 body=work.body or None,
                 reuse=work.idempotent,
                 checks=ExchangeChecks(
-                    functools.partial(self._check_in_use, state, record, work),
+                    functools.partial(
+                        self._check_write, state, record, work, sending
+                    ),
                     functools.partial(self._is_own, work),
                 ),
             )
@@ -179,7 +180,7 @@
             if isinstance(error, ResponseTooLarge):
                 self._tell_too_large(state, work, outcome, error)
             return outcome
-        return self._read_outcome(state, record, work, answer)
+        return self._read_outcome(state, record, work, sending, answer)
 
     def _is_own(self, work: Work, headers: Mapping[str, str]) -> bool:
         """Returns whether an answer names the request that was sent.
@@ -188,8 +189,12 @@
         """
         return headers.get(self._names.request) == work.request_id
 
-    def _check_in_use(
-        self, state: UpstreamState, chosen: UpstreamRecord, work: Work
+    def _check_write(
+        self,
+        state: UpstreamState,
+        chosen: UpstreamRecord,
+        work: Work,
+        sending: Sending,
     ) -> None:
         """Checks that an upstream may still get a request.
 
@@ -198,18 +203,36 @@
         Raises:
             UpstreamWithdrawn: it leaves, is gone, was replaced, or its zone
                 was evacuated.
+            UpstreamLimited: it takes no further request for now.
         """
+        try:
+            self._check_in_use(state, chosen)
+            # The check runs again before a body is written.
+            if sending.written_at is None:
+                self._check_limit(state, sending)
+                sending.written_at = self._clock.elapsed()
+        except UpstreamWithdrawn as error:
+            self._counters.count('write.withheld')
+            self._decision_log.write(
+                'write withheld',
+                work.request_id,
+                outcome_of_error(error),
+                sent_to=chosen.name,
+            )
+            raise
+
+    def _check_in_use(
+        self, state: UpstreamState, chosen: UpstreamRecord
+    ) -> None:
         is_same = state.record.incarnation == chosen.incarnation
-        if is_same and self._table.is_serving(state):
-            return
-        self._counters.count('write.withheld')
-        self._decision_log.write(
-            'write withheld',
-            work.request_id,
-            NotRun(Reason.upstream_leaving),
-            sent_to=chosen.name,
-        )
-        raise UpstreamWithdrawn(f'upstream {chosen.name!r} was withdrawn')
+        if not is_same or not self._table.is_serving(state):
+            raise UpstreamWithdrawn(f'upstream {chosen.name!r} was withdrawn')
+
+    def _check_limit(self, state: UpstreamState, sending: Sending) -> None:
+        if not self._permits.confirm(state, sending.permit):
+            raise UpstreamLimited(
+                f'upstream {state.record.name!r} takes no request for now'
+            )
 
     def _mark_unreachable(
         self,
@@ -248,6 +271,7 @@
         state: UpstreamState,
         record: UpstreamRecord,
         work: Work,
+        sending: Sending,
         answer: HttpResponse,
     ) -> Outcome:
         state.record_answer()
@@ -256,6 +280,7 @@
             state.mark_lost()
             return NotRun(Reason.upstream_replaced)
         self._record_load(state, answer)
+        self._record_limit(record, work, sending, answer)
         is_paused = self._record_wishes(record, work, answer)
         if self._names.not_run in answer.headers:
             return NotRun(Reason.upstream_refused)
@@ -297,6 +322,32 @@
         self._table.pause(record, pause)
         return True
 
+    def _record_limit(
+        self,
+        record: UpstreamRecord,
+        work: Work,
+        sending: Sending,
+        answer: HttpResponse,
+    ) -> None:
+        """Records the limit that an answer names, or that it names none.
+
+        A limit that is not understood neither sets nor ends one.
+        """
+        named = answer.headers.getall(self._names.limit, ())
+        try:
+            rate = read_send_limit(named)
+        except LimitNotUnderstood:
+            self._counters.count('limit.not-understood')
+            self._decision_log.write(
+                'limit not understood',
+                work.request_id,
+                NotRun(Reason.upstream_refused),
+                sent_to=record.name,
+                limit=', '.join(named)[:MAX_LOGGED],
+            )
+            return
+        self._table.record_limit(record, rate, sending.written_at)
+
     def _record_load(self, state: UpstreamState, answer: HttpResponse) -> None:
         fields = answer.headers.get(self._names.load, '').split(',')
         if len(fields) != LOAD_FIELDS:
--- a/packages/lycheedyke/src/lycheedyke/exceptions.py
+++ b/packages/lycheedyke/src/lycheedyke/exceptions.py
@@ -29,6 +29,10 @@
     """The upstream was withdrawn before the request was written."""
 
 
+class UpstreamLimited(UpstreamWithdrawn):
+    """The upstream takes no further request for now."""
+
+
 class ExchangeBroken(TransportError):
     """An exchange failed after bytes of the request may have been sent."""
 
--- a/packages/lycheedyke/src/lycheedyke/protocol/_outcomes.py
+++ b/packages/lycheedyke/src/lycheedyke/protocol/_outcomes.py
@@ -48,6 +48,7 @@
     upstream_leaving = 'upstream-leaving'
     upstream_refused = 'upstream-refused'
     upstream_paused = 'upstream-paused'
+    upstream_limited = 'upstream-limited'
     upstream_replaced = 'upstream-replaced'
     upstream_broke = 'upstream-broke'
     upstream_timeout = 'upstream-timeout'
--- a/packages/lycheedyke/src/lycheedyke/state/__init__.py
+++ b/packages/lycheedyke/src/lycheedyke/state/__init__.py
@@ -18,6 +18,12 @@
     list_entries,
     ramp_shares,
 )
+from lycheedyke.state._estimates import (
+    Candidate,
+    Distances,
+    Request,
+    record_run_time,
+)
 from lycheedyke.state._exports import (
     export_configuration,
     restore_configuration,
@@ -25,6 +31,7 @@
 from lycheedyke.state._goal_admission import (
     estimate_retry_after,
     is_admissible,
+    spread_retry_after,
     wait_share_of,
 )
 from lycheedyke.state._headroom import (
@@ -42,6 +49,11 @@
     TransferredRecord,
 )
 from lycheedyke.state._outages import keep_in_use
+from lycheedyke.state._permit_issuer import (
+    PermitGrant,
+    PermitIssuer,
+    PermitRequest,
+)
 from lycheedyke.state._plans import Plan, make_plan
 from lycheedyke.state._pools import Location, Pools
 from lycheedyke.state._references import find_reference_faults
@@ -49,13 +61,14 @@
 from lycheedyke.state._response_timeout import response_timeout
 from lycheedyke.state._routes import RouteTable, WeightedRoundRobin
 from lycheedyke.state._run_times import RouteRunTimes, RunTimeStats
-from lycheedyke.state._selection import (
-    Candidate,
-    Distances,
-    Request,
-    UpstreamSelector,
-    record_run_time,
+from lycheedyke.state._selection import Hold, PermitSources, UpstreamSelector
+from lycheedyke.state._send_limits import (
+    LimitNews,
+    LimitNotUnderstood,
+    SendLimit,
+    parse_send_limit,
 )
+from lycheedyke.state._send_permits import PermitBook, SendPermit
 from lycheedyke.state._shares import (
     ShiftPath,
     ShiftShares,
@@ -73,11 +86,24 @@
     TrialReply,
     TrialRequest,
 )
-from lycheedyke.state._upstreams import UpstreamState, UpstreamTable
+from lycheedyke.state._upstream_state import UpstreamState
+from lycheedyke.state._upstreams import UpstreamTable
 from lycheedyke.state._verdicts import Judgement, SettledQuarantine, Verdict
 from lycheedyke.state._warmup_limiter import WarmupLimiter, permit_interval
 
 __all__ = (
+    'LimitNews',
+    'LimitNotUnderstood',
+    'PermitBook',
+    'Hold',
+    'spread_retry_after',
+    'PermitSources',
+    'PermitGrant',
+    'PermitIssuer',
+    'PermitRequest',
+    'SendLimit',
+    'SendPermit',
+    'parse_send_limit',
     'Distances',
     'UpstreamTable',
     'Candidate',
--- /dev/null
+++ b/packages/lycheedyke/src/lycheedyke/state/_estimates.py
@@ -0,0 +1,241 @@
+"""Estimates how long a request takes at an upstream, and what that costs."""
+
+from collections.abc import Mapping, Sequence
+from datetime import timedelta
+from typing import NamedTuple
+
+from lycheedyke.protocol import Route
+from lycheedyke.state._pools import Location, rendezvous_hash
+from lycheedyke.state._run_times import RunTimeStats
+from lycheedyke.state._upstream_state import UpstreamState
+
+ZERO = timedelta()
+MICROSECOND = timedelta(microseconds=1)
+# Cold upstreams run requests at about half speed.
+COLD_FACTOR = 2
+# The probability that an upstream knows an object: at its home in the pool of
+# this instance, at an upstream to which this instance sent it recently, at its
+# home in another pool, and at any other upstream.
+KNOWN_AT_HOME = 1
+KNOWN_RECENTLY = 0.9
+KNOWN_AT_FAR_HOME = 0.5
+KNOWN_ELSEWHERE = 0.1
+# A run without a known object occupies slots that other requests need. This
+# share of its extra time is added to its cost.
+SLOT_COST_SHARE = 0.5
+
+
+class Distances(NamedTuple):
+    """The cost of sending a request to another zone, as time.
+
+    Attributes:
+        zone: the round trip to another zone of the region.
+        region: the round trip to another region.
+        zone_charge: the price of traffic between zones, as time.
+        region_charge: the price of traffic between regions, as time.
+    """
+
+    zone: timedelta = timedelta(milliseconds=1)
+    region: timedelta = timedelta(milliseconds=70)
+    zone_charge: timedelta = timedelta(milliseconds=60)
+    region_charge: timedelta = timedelta(milliseconds=40)
+
+
+class Candidate(NamedTuple):
+    """An upstream and the expected times of a request there.
+
+    Attributes:
+        state: the upstream.
+        wait: the time until the upstream has a free slot.
+        run: the run time of the request.
+        round_trip: the round trip time.
+        known: the probability that the upstream knows the object.
+        load: the estimated number of requests at the upstream.
+    """
+
+    state: UpstreamState
+    wait: timedelta
+    run: timedelta
+    round_trip: timedelta
+    known: float
+    load: float
+
+    @property
+    def expected(self) -> timedelta:
+        """The time until this instance has the answer."""
+        return self.wait + self.run + self.round_trip
+
+    @property
+    def must_wait(self) -> bool:
+        """Whether the request is expected to wait for a slot."""
+        return self.load >= self.state.record.slots
+
+
+class Request(NamedTuple):
+    """The properties of a request that determine its upstream.
+
+    Attributes:
+        route: the route of the request.
+        service: the service of the route that runs the request.
+        object_key: the object that the request concerns, or ''.
+        wait_share: the share of its spare time that the request may wait for
+            a slot.
+    """
+
+    route: Route
+    service: str
+    object_key: str
+    wait_share: float = 1
+
+    @property
+    def is_urgent(self) -> bool:
+        """Whether the service has no requests of a higher priority."""
+        return self.wait_share >= 1
+
+
+class Estimator:
+    """Estimates the times and costs of one request at upstreams.
+
+    There may be hundreds of upstreams for each choice. So what is the same
+    for all upstreams of a zone is computed once, costs are numbers, and only
+    the cheapest upstream becomes a candidate.
+
+    Args:
+        request: the request.
+        times: the run times of requests.
+        location: the location of this instance.
+        distances: the costs of other zones and regions.
+        homes: the home of the request's object in each zone.
+        now: the time of the choice.
+    """
+
+    def __init__(
+        self,
+        request: Request,
+        times: RunTimeStats,
+        location: Location,
+        distances: Distances,
+        homes: Mapping[str, str],
+        now: timedelta,
+    ) -> None:
+        run_times = times.of_route(request.route, request.service)
+        self._object_key = request.object_key
+        self._location = location
+        self._distances = distances
+        self._homes = homes
+        self._home = homes.get(location.zone)
+        self._now = now
+        self._cold = run_times.cold / MICROSECOND
+        self._warm = run_times.warm / MICROSECOND
+        self._mean = times.of_service(request.service) / MICROSECOND
+        self._zone_costs: dict[str, float] = {}
+
+    def cheapest(self, states: Sequence[UpstreamState]) -> Candidate | None:
+        """Returns the upstream with the lowest cost, or None without any.
+
+        Among upstreams of the same cost, the rendezvous hash decides.
+        """
+        if not states:
+            return None
+        costs = [self._cost(state) for state in states]
+        least = min(costs)
+        tied = [
+            state
+            for state, cost in zip(states, costs, strict=True)
+            if cost == least
+        ]
+        return self._candidate(max(tied, key=self._rank))
+
+    def _rank(self, state: UpstreamState) -> int:
+        return rendezvous_hash(self._object_key, state.record.name)
+
+    def _candidate(self, state: UpstreamState) -> Candidate:
+        known = self._known_probability(state)
+        return Candidate(
+            state,
+            self._wait(state) * MICROSECOND,
+            self._run(state, known) * MICROSECOND,
+            self._round_trip(state.record.zone),
+            known,
+            state.load_at(self._now),
+        )
+
+    def _cost(self, state: UpstreamState) -> int:
+        """Returns the cost in microseconds."""
+        zone = state.record.zone
+        cost = self._zone_costs.get(zone)
+        if cost is None:
+            cost = (self._round_trip(zone) + self._charge(zone)) / MICROSECOND
+            self._zone_costs[zone] = cost
+        run = self._run(state, self._known_probability(state))
+        cost += self._wait(state) + run
+        if self._object_key:
+            cost += (run - self._warm) * SLOT_COST_SHARE
+        return round(cost)
+
+    def _run(self, state: UpstreamState, known: float) -> float:
+        run = self._cold - (self._cold - self._warm) * known
+        if state.is_cold_at(self._now):
+            run *= COLD_FACTOR
+        return run * state.slowness_at(self._now)
+
+    def _wait(self, state: UpstreamState) -> float:
+        slots = state.record.slots
+        ahead = state.load_at(self._now) - slots + 1
+        if ahead <= 0:
+            return 0
+        return ahead / slots * self._mean * state.slowness_at(self._now)
+
+    def _known_probability(self, state: UpstreamState) -> float:
+        if not self._object_key:
+            return 0
+        record = state.record
+        if self._home == record.name:
+            return KNOWN_AT_HOME
+        if state.is_warm(self._object_key):
+            return KNOWN_RECENTLY
+        if self._homes.get(record.zone) == record.name:
+            return KNOWN_AT_FAR_HOME
+        return KNOWN_ELSEWHERE
+
+    def _round_trip(self, zone: str) -> timedelta:
+        if zone == self._location.zone:
+            return ZERO
+        if self._location.regions.get(zone) == self._location.region:
+            return self._distances.zone
+        return self._distances.region
+
+    def _charge(self, zone: str) -> timedelta:
+        if self._location.regions.get(zone) != self._location.region:
+            return self._distances.region_charge
+        if zone != self._location.zone:
+            return self._distances.zone_charge
+        return ZERO
+
+
+def record_run_time(
+    times: RunTimeStats,
+    request: Request,
+    candidate: Candidate,
+    took: timedelta,
+) -> None:
+    """Records how long an answered request ran.
+
+    Nothing is recorded if the request had to wait or the upstream is cold, as
+    its time then says nothing about the run time.
+
+    Args:
+        times: the run times to update.
+        request: the request.
+        candidate: the upstream at which it ran.
+        took: the time from sending the request to the complete answer.
+    """
+    run = max(ZERO, took - candidate.round_trip)
+    if candidate.must_wait or candidate.state.is_cold:
+        return
+    run_times = times.of_route(request.route, request.service)
+    was_known = run_times.record(run)
+    candidate.state.record_slowness(
+        run, run_times.warm if was_known else run_times.cold
+    )
+    times.record_service(request.service, run)
--- a/packages/lycheedyke/src/lycheedyke/state/_goal_admission.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_goal_admission.py
@@ -9,7 +9,7 @@
 import random
 from datetime import timedelta
 
-from lycheedyke.state._selection import Candidate, Request
+from lycheedyke.state._estimates import Candidate, Request
 
 ZERO = timedelta()
 # The share of its spare time that a request may wait: the first if its service
@@ -53,8 +53,13 @@
     if candidate is not None:
         spare = request.route.goal - candidate.run - candidate.round_trip
         wait = max(wait, candidate.wait - max(ZERO, spare * request.wait_share))
+    return spread_retry_after(wait)
+
+
+def spread_retry_after(wait: timedelta) -> timedelta:
+    """Returns a random time to come back, in proportion to a wait."""
     spread = random.uniform(*RETRY_SPREAD)
-    return min(MAX_RETRY_AFTER, wait * spread)
+    return min(MAX_RETRY_AFTER, max(MIN_RETRY_AFTER, wait) * spread)
 
 
 def wait_share_of(rank: int) -> float:
--- a/packages/lycheedyke/src/lycheedyke/state/_response_timeout.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_response_timeout.py
@@ -8,8 +8,8 @@
 
 from datetime import timedelta
 
+from lycheedyke.state._estimates import Candidate, Request
 from lycheedyke.state._run_times import RunTimeStats
-from lycheedyke.state._selection import Candidate, Request
 
 # A run that exceeds the mean run time for an unknown object by this factor is
 # not late by chance.
--- a/packages/lycheedyke/src/lycheedyke/state/_selection.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_selection.py
@@ -5,93 +5,48 @@
 and to other upstreams only if the home cannot get them.
 """
 
-from collections.abc import Callable, Collection, Mapping, Sequence
+from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
 from datetime import timedelta
 from typing import NamedTuple
 
-from lycheedyke.protocol import Route
-from lycheedyke.state._pools import Location, Pools, rendezvous_hash
+from lycheedyke.protocol import Route, RouteKind
+from lycheedyke.state._estimates import (
+    Candidate,
+    Distances,
+    Estimator,
+    Request,
+)
+from lycheedyke.state._pools import Location, Pools
 from lycheedyke.state._run_times import RunTimeStats
-from lycheedyke.state._upstreams import UpstreamState, UpstreamTable
+from lycheedyke.state._send_limits import NO_LIMIT, home_weight
+from lycheedyke.state._send_permits import PermitBook, SendPermit
+from lycheedyke.state._upstream_state import UpstreamState
+from lycheedyke.state._upstreams import UpstreamTable
 from lycheedyke.state._warmup_limiter import WarmupLimiter, permit_interval
 
-ZERO = timedelta()
-MICROSECOND = timedelta(microseconds=1)
-# Cold upstreams run requests at about half speed.
-COLD_FACTOR = 2
-# The probability that an upstream knows an object: at its home in the pool of
-# this instance, at an upstream to which this instance sent it recently, at its
-# home in another pool, and at any other upstream.
-KNOWN_AT_HOME = 1
-KNOWN_RECENTLY = 0.9
-KNOWN_AT_FAR_HOME = 0.5
-KNOWN_ELSEWHERE = 0.1
-# A run without a known object occupies slots that other requests need. This
-# share of its extra time is added to its cost.
-SLOT_COST_SHARE = 0.5
-
-
-class Distances(NamedTuple):
-    """The cost of sending a request to another zone, as time.
 
-    Attributes:
-        zone: the round trip to another zone of the region.
-        region: the round trip to another region.
-        zone_charge: the price of traffic between zones, as time.
-        region_charge: the price of traffic between regions, as time.
-    """
-
-    zone: timedelta = timedelta(milliseconds=1)
-    region: timedelta = timedelta(milliseconds=70)
-    zone_charge: timedelta = timedelta(milliseconds=60)
-    region_charge: timedelta = timedelta(milliseconds=40)
-
-
-class Candidate(NamedTuple):
-    """An upstream and the expected times of a request there.
+class Hold(NamedTuple):
+    """What keeps a request from all upstreams of its service.
 
     Attributes:
-        state: the upstream.
-        wait: the time until the upstream has a free slot.
-        run: the run time of the request.
-        round_trip: the round trip time.
-        known: the probability that the upstream knows the object.
-        load: the estimated number of requests at the upstream.
+        wait: the time until one may get the request.
+        is_limit: whether that one has named a limit; it paused otherwise.
     """
 
-    state: UpstreamState
     wait: timedelta
-    run: timedelta
-    round_trip: timedelta
-    known: float
-    load: float
-
-    @property
-    def expected(self) -> timedelta:
-        """The time until this instance has the answer."""
-        return self.wait + self.run + self.round_trip
+    is_limit: bool
 
-    @property
-    def must_wait(self) -> bool:
-        """Whether the request is expected to wait for a slot."""
-        return self.load >= self.state.record.slots
 
-
-class Request(NamedTuple):
-    """The properties of a request that determine its upstream.
+class PermitSources(NamedTuple):
+    """Where the permits to send to some upstreams come from.
 
     Attributes:
-        route: the route of the request.
-        service: the service of the route that runs the request.
-        object_key: the object that the request concerns, or ''.
-        wait_share: the share of its spare time that the request may wait for
-            a slot.
+        cold: issues those of cold upstreams.
+        limited: holds those of upstreams that have named a limit.
     """
 
-    route: Route
-    service: str
-    object_key: str
-    wait_share: float = 1
+    cold: WarmupLimiter
+    limited: PermitBook
 
 
 class UpstreamSelector:
@@ -102,7 +57,7 @@
         times: the run times of requests.
         location: the location of this instance.
         distances: the costs of other zones and regions.
-        limiter: issues the send permits of cold upstreams.
+        permits: the permits to send to cold and limited upstreams.
         cold_rate: returns the requests per second that a cold upstream of a
             service can handle from all instances together.
         instances: returns the maximum number of instances that may send.
@@ -114,7 +69,7 @@
         times: RunTimeStats,
         location: Location,
         distances: Distances,
-        limiter: WarmupLimiter,
+        permits: PermitSources,
         *,
         cold_rate: Callable[[str], float],
         instances: Callable[[], int],
@@ -125,7 +80,8 @@
         self._location = location
         self._pools = Pools(location.regions)
         self._distances = distances
-        self._limiter = limiter
+        self._limiter = permits.cold
+        self._permits = permits.limited
         self._cold_rate = cold_rate
         self._instances = instances
 
@@ -149,50 +105,162 @@
             request: the request to send.
             excluded: the names of upstreams that must not be chosen.
         """
+        candidates = self._candidates(
+            request, excluded, self._upstreams.usable(request.service)
+        )
+        chosen = self._choose_from(request, candidates)
+        if chosen is None and _limited(candidates):
+            # Failing and slow upstreams may take what limits hold back.
+            serving = self._upstreams.serving(request.service)
+            candidates = self._candidates(request, excluded, serving)
+            chosen = self._choose_from(request, candidates)
+        if chosen is None and request.is_urgent:
+            for state in self._without_permit(request, candidates):
+                self._permits.want_urgently(state)
+        return chosen
+
+    def hold(self, request: Request) -> Hold | None:
+        """Returns what keeps a request from all upstreams, and for how long.
+
+        Returns:
+            None if some upstream of the request has neither asked for a pause
+            nor named a limit.
+        """
+        route = request.route
         now = self._upstreams.elapsed()
-        candidates = [
+        limited = [
+            state
+            for state in self._upstreams.serving(request.service)
+            if self._may_run(route, state)
+        ]
+        if any(state.wishes.limit.rate is None for state in limited):
+            return None
+        holds = [
+            Hold(self._permits.wait(state), is_limit=True) for state in limited
+        ]
+        holds.extend(
+            Hold(state.wishes.paused_until - now, is_limit=False)
+            for state in self._upstreams.paused(request.service)
+            if self._may_run(route, state)
+        )
+        return min(holds, default=None)
+
+    def acquire_permits(
+        self, request: Request, state: UpstreamState
+    ) -> SendPermit | None:
+        """Acquires the permits that an upstream needs: if cold, or limited.
+
+        Returns:
+            The permit for an upstream that has named a limit, if any is left.
+        """
+        if state.is_cold:
+            self._limiter.acquire(state.record.name, self._period(state))
+        return self._permits.take(state, urgent=request.is_urgent)
+
+    def give_back(self, permit: SendPermit) -> None:
+        """Takes back the permit of a request that was not written."""
+        self._permits.give_back(permit)
+
+    def _candidates(
+        self,
+        request: Request,
+        excluded: Collection[str],
+        states: Sequence[UpstreamState],
+    ) -> list[UpstreamState]:
+        route = request.route
+        return [
             state
-            for state in self._upstreams.usable(request.service)
+            for state in states
             if state.record.name not in excluded
+            and (not route.homes or self._may_run(route, state))
         ]
-        if request.route.homes:
-            candidates = [
+
+    def _choose_from(
+        self, request: Request, candidates: Sequence[UpstreamState]
+    ) -> Candidate | None:
+        """Returns the best candidate that may get the request now."""
+        now = self._upstreams.elapsed()
+        ready = [state for state in candidates if self._may_send(state, now)]
+        probed = self._permits.find_probe(
+            _limited(ready),
+            idempotent=request.route.kind is RouteKind.idempotent,
+        )
+        if probed is not None:
+            return self._cheapest(request, [probed], {}, now)
+        held_back = self._without_permit(request, ready)
+        homes = self._homes(request, candidates, now)
+        if held_back:
+            self._want_best(request, ready, held_back, homes, now)
+            # Permits that this instance issues itself are there at once.
+            held_back = self._without_permit(request, held_back)
+            ready = [state for state in ready if state not in held_back]
+            if homes.get(self._location.zone) in _names(held_back):
+                # The objects of an upstream that takes too few requests share
+                # a second home.
+                homes = self._homes(request, ready, now)
+        return self._cheapest(request, ready, homes, now)
+
+    def _want_best(
+        self,
+        request: Request,
+        ready: Sequence[UpstreamState],
+        held_back: Sequence[UpstreamState],
+        homes: Mapping[str, str],
+        now: timedelta,
+    ) -> None:
+        """Asks for permits where the request would go if it had one."""
+        if len(ready) == len(held_back):
+            wanted = held_back
+        else:
+            best = self._cheapest(request, ready, homes, now)
+            wanted = [
                 state
-                for state in candidates
-                if self._may_run(request.route, state)
+                for state in held_back
+                if best is not None and best.state is state
             ]
-        homes: Mapping[str, str] = {}
-        if request.object_key:
-            homes = self._pools.homes(request.object_key, candidates)
-        ready = [state for state in candidates if self._may_send(state, now)]
+        for state in wanted:
+            self._permits.want(state)
+
+    def _cheapest(
+        self,
+        request: Request,
+        ready: Sequence[UpstreamState],
+        homes: Mapping[str, str],
+        now: timedelta,
+    ) -> Candidate | None:
         home = homes.get(self._location.zone)
         at_home = [state for state in ready if state.record.name == home]
-        estimator = _Estimator(
+        estimator = Estimator(
             request, self._times, self._location, self._distances, homes, now
         )
         return estimator.cheapest(at_home or ready)
 
-    def shortest_pause(self, request: Request) -> timedelta | None:
-        """Returns the time until the first upstream may get requests again.
-
-        Returns:
-            None if not all upstreams of the request have asked for a pause.
-        """
-        route = request.route
-        serving = self._upstreams.serving(request.service)
-        if any(self._may_run(route, state) for state in serving):
-            return None
-        ends = [
-            state.wishes.paused_until
-            for state in self._upstreams.paused(request.service)
-            if self._may_run(route, state)
+    def _homes(
+        self,
+        request: Request,
+        states: Sequence[UpstreamState],
+        now: timedelta,
+    ) -> Mapping[str, str]:
+        if not request.object_key:
+            return {}
+        mean = self._times.of_service(request.service)
+        weights = {
+            state.record.name: home_weight(state.capacity_share(mean, now))
+            for state in states
+            if state.wishes.limit is not NO_LIMIT
+            and not state.wishes.limit.is_settled(now)
+        }
+        return self._pools.homes(request.object_key, states, weights)
+
+    def _without_permit(
+        self, request: Request, states: Sequence[UpstreamState]
+    ) -> list[UpstreamState]:
+        """Returns the upstreams that take no further request for now."""
+        return [
+            state
+            for state in _limited(states)
+            if not self._permits.may_send(state, urgent=request.is_urgent)
         ]
-        return min(ends) - self._upstreams.elapsed() if ends else None
-
-    def acquire_permit(self, state: UpstreamState) -> None:
-        """Acquires the send permit of an upstream, if it is cold."""
-        if state.is_cold:
-            self._limiter.acquire(state.record.name, self._period(state))
 
     def _may_send(self, state: UpstreamState, now: timedelta) -> bool:
         if not state.is_cold_at(now):
@@ -209,149 +277,9 @@
         return not route.homes or region in route.homes
 
 
-class _Estimator:
-    """Estimates the times and costs of one request at upstreams.
-
-    There may be hundreds of upstreams for each choice. So what is the same
-    for all upstreams of a zone is computed once, costs are numbers, and only
-    the cheapest upstream becomes a candidate.
-
-    Args:
-        request: the request.
-        times: the run times of requests.
-        location: the location of this instance.
-        distances: the costs of other zones and regions.
-        homes: the home of the request's object in each zone.
-        now: the time of the choice.
-    """
-
-    def __init__(
-        self,
-        request: Request,
-        times: RunTimeStats,
-        location: Location,
-        distances: Distances,
-        homes: Mapping[str, str],
-        now: timedelta,
-    ) -> None:
-        run_times = times.of_route(request.route, request.service)
-        self._object_key = request.object_key
-        self._location = location
-        self._distances = distances
-        self._homes = homes
-        self._home = homes.get(location.zone)
-        self._now = now
-        self._cold = run_times.cold / MICROSECOND
-        self._warm = run_times.warm / MICROSECOND
-        self._mean = times.of_service(request.service) / MICROSECOND
-        self._zone_costs: dict[str, float] = {}
-
-    def cheapest(self, states: Sequence[UpstreamState]) -> Candidate | None:
-        """Returns the upstream with the lowest cost, or None without any.
-
-        Among upstreams of the same cost, the rendezvous hash decides.
-        """
-        if not states:
-            return None
-        costs = [self._cost(state) for state in states]
-        least = min(costs)
-        tied = [
-            state
-            for state, cost in zip(states, costs, strict=True)
-            if cost == least
-        ]
-        return self._candidate(max(tied, key=self._rank))
-
-    def _rank(self, state: UpstreamState) -> int:
-        return rendezvous_hash(self._object_key, state.record.name)
-
-    def _candidate(self, state: UpstreamState) -> Candidate:
-        known = self._known_probability(state)
-        return Candidate(
-            state,
-            self._wait(state) * MICROSECOND,
-            self._run(state, known) * MICROSECOND,
-            self._round_trip(state.record.zone),
-            known,
-            state.load_at(self._now),
-        )
+def _limited(states: Iterable[UpstreamState]) -> list[UpstreamState]:
+    return [state for state in states if state.wishes.limit.rate is not None]
 
-    def _cost(self, state: UpstreamState) -> int:
-        """Returns the cost in microseconds."""
-        zone = state.record.zone
-        cost = self._zone_costs.get(zone)
-        if cost is None:
-            cost = (self._round_trip(zone) + self._charge(zone)) / MICROSECOND
-            self._zone_costs[zone] = cost
-        run = self._run(state, self._known_probability(state))
-        cost += self._wait(state) + run
-        if self._object_key:
-            cost += (run - self._warm) * SLOT_COST_SHARE
-        return round(cost)
-
-    def _run(self, state: UpstreamState, known: float) -> float:
-        run = self._cold - (self._cold - self._warm) * known
-        if state.is_cold_at(self._now):
-            run *= COLD_FACTOR
-        return run * state.slowness_at(self._now)
-
-    def _wait(self, state: UpstreamState) -> float:
-        slots = state.record.slots
-        ahead = state.load_at(self._now) - slots + 1
-        if ahead <= 0:
-            return 0
-        return ahead / slots * self._mean * state.slowness_at(self._now)
-
-    def _known_probability(self, state: UpstreamState) -> float:
-        if not self._object_key:
-            return 0
-        record = state.record
-        if self._home == record.name:
-            return KNOWN_AT_HOME
-        if state.is_warm(self._object_key):
-            return KNOWN_RECENTLY
-        if self._homes.get(record.zone) == record.name:
-            return KNOWN_AT_FAR_HOME
-        return KNOWN_ELSEWHERE
-
-    def _round_trip(self, zone: str) -> timedelta:
-        if zone == self._location.zone:
-            return ZERO
-        if self._location.regions.get(zone) == self._location.region:
-            return self._distances.zone
-        return self._distances.region
-
-    def _charge(self, zone: str) -> timedelta:
-        if self._location.regions.get(zone) != self._location.region:
-            return self._distances.region_charge
-        if zone != self._location.zone:
-            return self._distances.zone_charge
-        return ZERO
-
-
-def record_run_time(
-    times: RunTimeStats,
-    request: Request,
-    candidate: Candidate,
-    took: timedelta,
-) -> None:
-    """Records how long an answered request ran.
-
-    Nothing is recorded if the request had to wait or the upstream is cold, as
-    its time then says nothing about the run time.
 
-    Args:
-        times: the run times to update.
-        request: the request.
-        candidate: the upstream at which it ran.
-        took: the time from sending the request to the complete answer.
-    """
-    run = max(ZERO, took - candidate.round_trip)
-    if candidate.must_wait or candidate.state.is_cold:
-        return
-    run_times = times.of_route(request.route, request.service)
-    was_known = run_times.record(run)
-    candidate.state.record_slowness(
-        run, run_times.warm if was_known else run_times.cold
-    )
-    times.record_service(request.service, run)
+def _names(states: Iterable[UpstreamState]) -> set[str]:
+    return {state.record.name for state in states}
--- /dev/null
+++ b/packages/lycheedyke/src/lycheedyke/state/_upstream_state.py
@@ -0,0 +1,235 @@
+"""The state of an upstream as one instance observes it."""
+
+import logging
+import math
+from collections import OrderedDict
+from datetime import timedelta
+
+from lycheedyke.clock import Clock
+from lycheedyke.protocol import UpstreamRecord
+from lycheedyke.state._upstream_wishes import NO_WISHES
+
+_logger = logging.getLogger(__name__)
+
+# An upstream keeps some dozens of objects warm.
+MAX_WARM_OBJECTS = 32
+# The time constant with which a reported load decays.
+LOAD_DECAY_TIME = timedelta(seconds=1)
+FAILURES_BEFORE_EJECTION = 3
+# The weight of a new sample in the moving average of the slowness.
+SLOWNESS_WEIGHT = 0.15
+MAX_SLOWNESS = 20.0
+# An upstream that runs requests this many times as long as others is excluded
+# until its slowness has decayed.
+SLOWNESS_LIMIT = 2.5
+# The time constant with which the slowness decays while no request runs there.
+SLOWNESS_DECAY_TIME = timedelta(seconds=3)
+MIN_PAUSE = timedelta(milliseconds=500)
+MAX_PAUSE = timedelta(seconds=4)
+# Compensates for the age of a record when it reaches this instance.
+COLD_MARGIN = timedelta(milliseconds=800)
+ZERO = timedelta()
+MILLISECOND = timedelta(milliseconds=1)
+
+
+class UpstreamState:
+    """The state of one upstream as observed by this instance.
+
+    Attributes:
+        record: the newest record of the upstream.
+        in_flight: the requests of this instance that run there.
+        answered_at: the time of the last answer on the monotonic clock.
+        wishes: what the upstream has said in its answers that it wants.
+        unlimited_at: when the last request was written whose answer named no
+            limit.
+        limit_logged_at: when its limit was logged last.
+
+    Args:
+        record: the first record of the upstream.
+        clock: the clock of all periods.
+    """
+
+    def __init__(self, record: UpstreamRecord, clock: Clock) -> None:
+        """Initializes the state from the first record."""
+        self.record = record
+        self.in_flight = 0
+        self.answered_at = ZERO
+        self.wishes = NO_WISHES
+        self.unlimited_at = ZERO
+        self.limit_logged_at = -MAX_PAUSE
+        self._clock = clock
+        self._other_load = 0
+        self._other_load_at = ZERO
+        self._warm: OrderedDict[str, None] = OrderedDict()
+        self._failures = 0
+        self._ejections = 0
+        self._ejected_until: timedelta | None = None
+        self._cold_until = ZERO
+        self._is_lost = False
+        self._slowness = 1.0
+        self._slowness_at = ZERO
+        self.apply(record)
+
+    def __repr__(self) -> str:
+        """Returns the name and the requests in flight from this instance."""
+        return f'<UpstreamState {self.record.name}: {self.in_flight}>'
+
+    @property
+    def is_cold(self) -> bool:
+        """Whether the upstream is cold and can handle only a low rate."""
+        return self.is_cold_at(self._clock.elapsed())
+
+    @property
+    def is_lost(self) -> bool:
+        """Whether the upstream gets no requests until its next record."""
+        return self._is_lost
+
+    @property
+    def is_ejected(self) -> bool:
+        """Whether the upstream is excluded now because of its failures."""
+        return self.is_ejected_at(self._clock.elapsed())
+
+    @property
+    def load(self) -> float:
+        """The estimated number of requests that run or wait there."""
+        return self.load_at(self._clock.elapsed())
+
+    @property
+    def slowness(self) -> float:
+        """The ratio of its run times to those of other upstreams."""
+        return self.slowness_at(self._clock.elapsed())
+
+    def is_cold_at(self, now: timedelta) -> bool:
+        """Returns whether the upstream is cold at a time of the clock."""
+        return now < self._cold_until
+
+    def is_ejected_at(self, now: timedelta) -> bool:
+        """Returns whether its failures exclude it at a time of the clock."""
+        if self._ejected_until is None:
+            return False
+        return now < self._ejected_until or self.in_flight > 0
+
+    def load_at(self, now: timedelta) -> float:
+        """Returns the load at a time of the clock."""
+        if not self._other_load:
+            return float(self.in_flight)
+        age = (now - self._other_load_at) / LOAD_DECAY_TIME
+        return self.in_flight + self._other_load * math.exp(-age)
+
+    def slowness_at(self, now: timedelta) -> float:
+        """Returns the slowness at a time of the clock."""
+        if self._slowness <= 1:
+            return 1
+        age = (now - self._slowness_at) / SLOWNESS_DECAY_TIME
+        return 1 + (self._slowness - 1) * math.exp(-age)
+
+    def capacity_share(self, run: timedelta, now: timedelta) -> float:
+        """Returns the share of its slots that its limit lets it use.
+
+        Args:
+            run: the mean run time of its requests.
+            now: the time of the clock.
+        """
+        full_rate = self.record.slots / max(run, MILLISECOND).total_seconds()
+        return self.wishes.limit.share(full_rate, now)
+
+    def record_slowness(self, took: timedelta, expected: timedelta) -> None:
+        """Records how long a request ran, and how long was expected."""
+        ratio = min(MAX_SLOWNESS, took / max(expected, MILLISECOND))
+        change = (ratio - self._slowness) * SLOWNESS_WEIGHT
+        self._slowness = max(1, self._slowness + change)
+        self._slowness_at = self._clock.elapsed()
+
+    def apply(self, record: UpstreamRecord) -> None:
+        """Applies a newer record."""
+        if record.born != self.record.born:
+            self._reset()
+        self.record = record
+        self._is_lost = False
+        if record.cold > ZERO:
+            self._cold_until = self._clock.elapsed() + (
+                record.cold + COLD_MARGIN
+            )
+
+    def is_warm(self, object_key: str) -> bool:
+        """Returns whether this instance sent it the object recently."""
+        return object_key in self._warm
+
+    def begin_request(self, object_key: str) -> None:
+        """Counts a request that is sent to the upstream."""
+        self.in_flight += 1
+        if object_key:
+            self._warm[object_key] = None
+            self._warm.move_to_end(object_key)
+            if len(self._warm) > MAX_WARM_OBJECTS:
+                self._warm.popitem(last=False)
+
+    def end_request(self) -> None:
+        """Counts the end of a request."""
+        self.in_flight -= 1
+
+    def record_answer(self) -> None:
+        """Records the time of an answer of any kind."""
+        self.answered_at = self._clock.elapsed()
+
+    def record_load(self, running: int, waiting: int) -> None:
+        """Records the load that the upstream reported with an answer."""
+        self._other_load = max(0, running + waiting - self.in_flight)
+        self._other_load_at = self._clock.elapsed()
+
+    def record_success(self) -> None:
+        """Records a complete answer."""
+        if self._ejected_until is not None:
+            self._tell('upstream back')
+        self._failures = 0
+        self._ejections = 0
+        self._ejected_until = None
+
+    def record_failure(self, *, is_unreachable: bool = False) -> None:
+        """Records a broken exchange, or a failure of the upstream.
+
+        Args:
+            is_unreachable: whether no connection could be established.
+        """
+        self._failures += 1
+        eject_now = self._ejected_until is not None or is_unreachable
+        if eject_now or self._failures >= FAILURES_BEFORE_EJECTION:
+            self._eject()
+
+    def mark_lost(self) -> None:
+        """Marks the upstream as lost, as nothing listens at its address.
+
+        The upstream gets no requests until its next record, which tells that
+        it is running and whether it is cold.
+        """
+        if not self._is_lost:
+            self._tell('upstream lost')
+        self._is_lost = True
+
+    def _eject(self) -> None:
+        now = self._clock.elapsed()
+        if self._ejected_until is not None and now < self._ejected_until:
+            return
+        pause = min(MAX_PAUSE, MIN_PAUSE * 2**self._ejections)
+        self._ejections = min(self._ejections + 1, 8)
+        self._ejected_until = now + pause
+        self._tell('upstream out', pause_ms=pause // MILLISECOND)
+
+    def _tell(self, event: str, **fields: object) -> None:
+        extra = {
+            'upstream': self.record.name,
+            'service': self.record.service,
+            'in_flight': self.in_flight,
+            'failures': self._failures,
+            **fields,
+        }
+        _logger.info(event, extra=extra)
+
+    def _reset(self) -> None:
+        self._warm.clear()
+        self._failures = 0
+        self._ejections = 0
+        self._ejected_until = None
+        self._other_load = 0
+        self._slowness = 1.0
+        self.unlimited_at = ZERO
--- a/packages/lycheedyke/src/lycheedyke/state/_upstream_wishes.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_upstream_wishes.py
@@ -4,6 +4,8 @@
 from datetime import timedelta
 from typing import NamedTuple
 
+from lycheedyke.state._send_limits import NO_LIMIT, SendLimit
+
 # More than the upstreams of a deployment; the oldest wishes are dropped.
 MAX_REMEMBERED = 2048
 
@@ -14,10 +16,12 @@
     Attributes:
         is_leaving: whether it gets no requests any more.
         paused_until: until when it gets no requests, on the monotonic clock.
+        limit: the requests per second that it takes from all instances.
     """
 
     is_leaving: bool = False
     paused_until: timedelta = timedelta()
+    limit: SendLimit = NO_LIMIT
 
     def allow(self, now: timedelta) -> bool:
         """Returns whether it may get requests at a time."""
@@ -46,11 +50,12 @@
         return self._wishes.get(incarnation, NO_WISHES)
 
     def add(self, incarnation: str, wishes: Wishes) -> Wishes:
-        """Adds wishes; the longer pause holds, and leaving is final."""
+        """Adds wishes; leaving is final, the longer pause and newer limit hold."""
         known = self.find(incarnation)
         merged = Wishes(
             known.is_leaving or wishes.is_leaving,
             max(known.paused_until, wishes.paused_until),
+            known.limit.merge(wishes.limit),
         )
         self._wishes[incarnation] = merged
         self._wishes.move_to_end(incarnation)
--- a/packages/lycheedyke/src/lycheedyke/state/_upstreams.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_upstreams.py
@@ -1,226 +1,19 @@
-"""The upstreams of the registry, and the observed state of each."""
+"""All upstreams of the registry, and what they want."""
 
 import logging
-import math
-from collections import OrderedDict
+from collections.abc import Callable
 from datetime import timedelta
 
 from lycheedyke.clock import Clock
 from lycheedyke.protocol import UpstreamRecord
-from lycheedyke.state._upstream_wishes import (
-    NO_WISHES,
-    UpstreamWishes,
-    Wishes,
-)
+from lycheedyke.state._send_limits import MILLISECOND, LimitNews, SendLimit
+from lycheedyke.state._upstream_state import SLOWNESS_LIMIT, UpstreamState
+from lycheedyke.state._upstream_wishes import UpstreamWishes, Wishes
 
-_logger = logging.getLogger(__name__)
-
-# An upstream keeps some dozens of objects warm.
-MAX_WARM_OBJECTS = 32
-# The time constant with which a reported load decays.
-LOAD_DECAY_TIME = timedelta(seconds=1)
-FAILURES_BEFORE_EJECTION = 3
-# The weight of a new sample in the moving average of the slowness.
-SLOWNESS_WEIGHT = 0.15
-MAX_SLOWNESS = 20.0
-# An upstream that runs requests this many times as long as others is excluded
-# until its slowness has decayed.
-SLOWNESS_LIMIT = 2.5
-# The time constant with which the slowness decays while no request runs there.
-SLOWNESS_DECAY_TIME = timedelta(seconds=3)
-MIN_PAUSE = timedelta(milliseconds=500)
-MAX_PAUSE = timedelta(seconds=4)
-# Compensates for the age of a record when it reaches this instance.
-COLD_MARGIN = timedelta(milliseconds=800)
-ZERO = timedelta()
-MILLISECOND = timedelta(milliseconds=1)
-
-
-class UpstreamState:
-    """The state of one upstream as observed by this instance.
-
-    Attributes:
-        record: the newest record of the upstream.
-        in_flight: the requests of this instance that run there.
-        answered_at: the time of the last answer on the monotonic clock.
-        wishes: what the upstream has said in its answers that it wants.
-
-    Args:
-        record: the first record of the upstream.
-        clock: the clock of all periods.
-    """
+# Of each upstream, one change of its limit is logged in this time.
+LIMIT_LOG_INTERVAL = timedelta(seconds=1)
 
-    def __init__(self, record: UpstreamRecord, clock: Clock) -> None:
-        """Initializes the state from the first record."""
-        self.record = record
-        self.in_flight = 0
-        self.answered_at = ZERO
-        self.wishes = NO_WISHES
-        self._clock = clock
-        self._other_load = 0
-        self._other_load_at = ZERO
-        self._warm: OrderedDict[str, None] = OrderedDict()
-        self._failures = 0
-        self._ejections = 0
-        self._ejected_until: timedelta | None = None
-        self._cold_until = ZERO
-        self._is_lost = False
-        self._slowness = 1.0
-        self._slowness_at = ZERO
-        self.apply(record)
-
-    def __repr__(self) -> str:
-        """Returns the name and the requests in flight from this instance."""
-        return f'<UpstreamState {self.record.name}: {self.in_flight}>'
-
-    @property
-    def is_cold(self) -> bool:
-        """Whether the upstream is cold and can handle only a low rate."""
-        return self.is_cold_at(self._clock.elapsed())
-
-    @property
-    def is_lost(self) -> bool:
-        """Whether the upstream gets no requests until its next record."""
-        return self._is_lost
-
-    @property
-    def is_ejected(self) -> bool:
-        """Whether the upstream is excluded now because of its failures."""
-        return self.is_ejected_at(self._clock.elapsed())
-
-    @property
-    def load(self) -> float:
-        """The estimated number of requests that run or wait there."""
-        return self.load_at(self._clock.elapsed())
-
-    @property
-    def slowness(self) -> float:
-        """The ratio of its run times to those of other upstreams."""
-        return self.slowness_at(self._clock.elapsed())
-
-    def is_cold_at(self, now: timedelta) -> bool:
-        """Returns whether the upstream is cold at a time of the clock."""
-        return now < self._cold_until
-
-    def is_ejected_at(self, now: timedelta) -> bool:
-        """Returns whether its failures exclude it at a time of the clock."""
-        if self._ejected_until is None:
-            return False
-        return now < self._ejected_until or self.in_flight > 0
-
-    def load_at(self, now: timedelta) -> float:
-        """Returns the load at a time of the clock."""
-        if not self._other_load:
-            return float(self.in_flight)
-        age = (now - self._other_load_at) / LOAD_DECAY_TIME
-        return self.in_flight + self._other_load * math.exp(-age)
-
-    def slowness_at(self, now: timedelta) -> float:
-        """Returns the slowness at a time of the clock."""
-        if self._slowness <= 1:
-            return 1
-        age = (now - self._slowness_at) / SLOWNESS_DECAY_TIME
-        return 1 + (self._slowness - 1) * math.exp(-age)
-
-    def record_slowness(self, took: timedelta, expected: timedelta) -> None:
-        """Records how long a request ran, and how long was expected."""
-        ratio = min(MAX_SLOWNESS, took / max(expected, MILLISECOND))
-        change = (ratio - self._slowness) * SLOWNESS_WEIGHT
-        self._slowness = max(1, self._slowness + change)
-        self._slowness_at = self._clock.elapsed()
-
-    def apply(self, record: UpstreamRecord) -> None:
-        """Applies a newer record."""
-        if record.born != self.record.born:
-            self._reset()
-        self.record = record
-        self._is_lost = False
-        if record.cold > ZERO:
-            self._cold_until = self._clock.elapsed() + (
-                record.cold + COLD_MARGIN
-            )
-
-    def is_warm(self, object_key: str) -> bool:
-        """Returns whether this instance sent it the object recently."""
-        return object_key in self._warm
-
-    def begin_request(self, object_key: str) -> None:
-        """Counts a request that is sent to the upstream."""
-        self.in_flight += 1
-        if object_key:
-            self._warm[object_key] = None
-            self._warm.move_to_end(object_key)
-            if len(self._warm) > MAX_WARM_OBJECTS:
-                self._warm.popitem(last=False)
-
-    def end_request(self) -> None:
-        """Counts the end of a request."""
-        self.in_flight -= 1
-
-    def record_answer(self) -> None:
-        """Records the time of an answer of any kind."""
-        self.answered_at = self._clock.elapsed()
-
-    def record_load(self, running: int, waiting: int) -> None:
-        """Records the load that the upstream reported with an answer."""
-        self._other_load = max(0, running + waiting - self.in_flight)
-        self._other_load_at = self._clock.elapsed()
-
-    def record_success(self) -> None:
-        """Records a complete answer."""
-        if self._ejected_until is not None:
-            self._tell('upstream back')
-        self._failures = 0
-        self._ejections = 0
-        self._ejected_until = None
-
-    def record_failure(self, *, is_unreachable: bool = False) -> None:
-        """Records a broken exchange, or a failure of the upstream.
-
-        Args:
-            is_unreachable: whether no connection could be established.
-        """
-        self._failures += 1
-        eject_now = self._ejected_until is not None or is_unreachable
-        if eject_now or self._failures >= FAILURES_BEFORE_EJECTION:
-            self._eject()
-
-    def mark_lost(self) -> None:
-        """Marks the upstream as lost, as nothing listens at its address.
-
-        The upstream gets no requests until its next record, which tells that
-        it is running and whether it is cold.
-        """
-        if not self._is_lost:
-            self._tell('upstream lost')
-        self._is_lost = True
-
-    def _eject(self) -> None:
-        now = self._clock.elapsed()
-        if self._ejected_until is not None and now < self._ejected_until:
-            return
-        pause = min(MAX_PAUSE, MIN_PAUSE * 2**self._ejections)
-        self._ejections = min(self._ejections + 1, 8)
-        self._ejected_until = now + pause
-        self._tell('upstream out', pause_ms=pause // MILLISECOND)
-
-    def _tell(self, event: str, **fields: object) -> None:
-        extra = {
-            'upstream': self.record.name,
-            'service': self.record.service,
-            'in_flight': self.in_flight,
-            'failures': self._failures,
-            **fields,
-        }
-        _logger.info(event, extra=extra)
-
-    def _reset(self) -> None:
-        self._warm.clear()
-        self._failures = 0
-        self._ejections = 0
-        self._ejected_until = None
-        self._other_load = 0
-        self._slowness = 1.0
+_logger = logging.getLogger(__name__)
 
 
 class UpstreamTable:
@@ -228,6 +21,8 @@
 
     Attributes:
         evacuated_zones: the zones that get no requests.
+        on_limit_changed: called with the name of an upstream whose limit has
+            changed.
 
     Args:
         clock: the clock of the states.
@@ -236,6 +31,7 @@
     def __init__(self, clock: Clock) -> None:
         """Initializes an empty table."""
         self.evacuated_zones: frozenset[str] = frozenset()
+        self.on_limit_changed: Callable[[str], None] | None = None
         self._clock = clock
         self._wishes = UpstreamWishes()
         self._states: dict[str, UpstreamState] = {}
@@ -306,6 +102,79 @@
             )
         self._add_wishes(record, Wishes(paused_until=now + pause))
 
+    def record_limit(
+        self,
+        record: UpstreamRecord,
+        rate: float | None,
+        written: timedelta | None,
+    ) -> None:
+        """Records the limit that an answer names, or that it names none.
+
+        An answer without a limit ends one only if its request was written
+        after the limit was read: answers of requests that run side by side
+        arrive in any order.
+
+        Args:
+            record: the upstream as it was when the request was sent to it.
+            rate: the limit in requests per second, or None.
+            written: when the request was written; None if that is not known.
+        """
+        if rate is not None:
+            self._apply_limit(
+                record, SendLimit(rate, self._clock.elapsed()), 'answer'
+            )
+            return
+        if written is None:
+            return
+        state = self._states.get(record.name)
+        if state is not None:
+            state.unlimited_at = max(state.unlimited_at, written)
+        if self._wishes.find(record.incarnation).limit.rate is not None:
+            self._apply_limit(record, SendLimit(None, written), 'answer')
+
+    def apply_limit_news(self, news: LimitNews) -> bool:
+        """Applies what a peer tells of a limit.
+
+        Returns:
+            Whether the limit has changed.
+
+        Raises:
+            LimitNotUnderstood: the news are out of range.
+        """
+        limit = news.read(self._clock.elapsed())
+        state = self._states.get(news.upstream)
+        if state is None or state.record.incarnation != news.incarnation:
+            return False
+        if limit.rate is not None and state.unlimited_at >= limit.as_of:
+            return False
+        return self._apply_limit(state.record, limit, 'peer')
+
+    def describe_limit(self, state: UpstreamState) -> LimitNews:
+        """Returns what this instance knows of the limit of an upstream."""
+        limit = state.wishes.limit
+        as_of = max(limit.as_of, state.unlimited_at)
+        if limit.rate is not None:
+            as_of = limit.as_of
+        age = self._clock.elapsed() - as_of
+        return LimitNews(
+            state.record.name,
+            state.record.incarnation,
+            limit.rate,
+            max(0, age // MILLISECOND),
+        )
+
+    def limited(self) -> list[UpstreamState]:
+        """Returns the upstreams that have named a limit."""
+        return [
+            state
+            for state in self._states.values()
+            if state.wishes.limit.rate is not None
+        ]
+
+    def find(self, name: str) -> UpstreamState | None:
+        """Returns an upstream by its name."""
+        return self._states.get(name)
+
     def remove(self, name: str) -> None:
         """Removes an upstream."""
         if self._states.pop(name, None) is not None:
@@ -367,6 +236,43 @@
         is_allowed = state.wishes.allow(self._clock.elapsed())
         return is_listed and is_allowed and self._is_usable(state)
 
+    def _apply_limit(
+        self, record: UpstreamRecord, limit: SendLimit, told_by: str
+    ) -> bool:
+        """Applies a limit or its end; returns whether the limit changed."""
+        before = self._wishes.find(record.incarnation).limit
+        self._add_wishes(record, Wishes(limit=limit))
+        after = self._wishes.find(record.incarnation).limit
+        if after.rate == before.rate:
+            return False
+        self._log_limit(record, before, after, told_by)
+        if self.on_limit_changed is not None:
+            self.on_limit_changed(record.name)
+        return True
+
+    def _log_limit(
+        self,
+        record: UpstreamRecord,
+        before: SendLimit,
+        after: SendLimit,
+        told_by: str,
+    ) -> None:
+        state = self._states.get(record.name)
+        now = self._clock.elapsed()
+        if state is None or now < state.limit_logged_at + LIMIT_LOG_INTERVAL:
+            return
+        state.limit_logged_at = now
+        _logger.info(
+            'upstream limited',
+            extra={
+                'upstream': record.name,
+                'service': record.service,
+                'per_s': after.rate,
+                'per_s_before': before.rate,
+                'told_by': told_by,
+            },
+        )
+
     def _add_wishes(self, record: UpstreamRecord, wishes: Wishes) -> None:
         merged = self._wishes.add(record.incarnation, wishes)
         state = self._states.get(record.name)
--- a/tests/standins/load_model.py
+++ b/tests/standins/load_model.py
@@ -17,8 +17,11 @@
 
 from lycheedyke.state import (
     Candidate,
+    Counters,
     Distances,
     Location,
+    PermitBook,
+    PermitSources,
     Request,
     RunTimeStats,
     UpstreamSelector,
@@ -256,7 +259,10 @@
             run_times,
             Location(zone, self._regions[zone], self._regions),
             Distances(),
-            WarmupLimiter(name, self._clock),
+            PermitSources(
+                WarmupLimiter(name, self._clock),
+                PermitBook(self._clock, Counters()),
+            ),
             cold_rate=lambda service: 7.0,
             instances=lambda: len(self._load.upstreams) * self._load.entries,
         )
--- a/tests/unit/gateway/test_choice.py
+++ b/tests/unit/gateway/test_choice.py
@@ -5,8 +5,11 @@
 from lycheedyke.protocol import RoutePart
 from lycheedyke.state import (
     Candidate,
+    Counters,
     Distances,
     Location,
+    PermitBook,
+    PermitSources,
     Request,
     RunTimeStats,
     UpstreamSelector,
@@ -36,7 +39,10 @@
             self.times,
             Location(zone, REGIONS[zone], REGIONS),
             Distances(),
-            WarmupLimiter('edge-1', self.clock),
+            PermitSources(
+                WarmupLimiter('edge-1', self.clock),
+                PermitBook(self.clock, Counters()),
+            ),
             cold_rate=lambda service: 7.1,
             instances=lambda: 4,
         )
@@ -233,7 +239,7 @@
     for _ in range(100):
         candidate = testbed.selector.choose(request)
         if candidate is not None:
-            testbed.selector.acquire_permit(candidate.state)
+            testbed.selector.acquire_permits(request, candidate.state)
             sent += 1
         testbed.clock.advance(0.01)
     assert sent <= 2
--- a/tests/unit/gateway/test_choice_cost.py
+++ b/tests/unit/gateway/test_choice_cost.py
@@ -9,8 +9,11 @@
 
 from lycheedyke.protocol import RoutePart
 from lycheedyke.state import (
+    Counters,
     Distances,
     Location,
+    PermitBook,
+    PermitSources,
     Request,
     RunTimeStats,
     UpstreamSelector,
@@ -47,7 +50,10 @@
             RunTimeStats(),
             Location('nc-a', 'nc', REGIONS),
             Distances(),
-            WarmupLimiter('edge-1', self.clock),
+            PermitSources(
+                WarmupLimiter('edge-1', self.clock),
+                PermitBook(self.clock, Counters()),
+            ),
             cold_rate=lambda service: 7.1,
             instances=lambda: 4,
         )
--- a/tests/unit/gateway/test_directory.py
+++ b/tests/unit/gateway/test_directory.py
@@ -14,7 +14,7 @@
     RoutingRecord,
     ServiceLimits,
 )
-from lycheedyke.state import Suspects, UpstreamTable
+from lycheedyke.state import RunTimeStats, Suspects, UpstreamTable
 from lycheedyke_daemon.gateway._lookup import LookupDirectory
 from lycheedyke_daemon.gateway._registry_view import RegistryView
 from standins.clock import ManualClock
@@ -72,6 +72,7 @@
             entries[0],
             self.registry_view,
             self.upstream_table,
+            RunTimeStats(),
             ZONES,
             SHIFT_MOST,
             self.clock,
--- a/tests/unit/gateway/test_log_lines.py
+++ b/tests/unit/gateway/test_log_lines.py
@@ -21,6 +21,7 @@
     DAEMON / 'request_protocol.py',
     DAEMON / 'trials.py',
     LIBRARY / 'timers.py',
+    LIBRARY / 'state/_upstream_state.py',
     LIBRARY / 'state/_upstreams.py',
     LIBRARY / 'state/_suspects.py',
     LIBRARY / 'coordination/_registry_follower.py',
--- a/tests/unit/gateway/test_unanswered.py
+++ b/tests/unit/gateway/test_unanswered.py
@@ -267,7 +267,9 @@
             await failed
             return Answered(500, (), b'', 'i-0')
 
-        async def _run(state: UpstreamState, work: Work) -> Outcome:
+        async def _run(
+            state: UpstreamState, work: Work, sending: object
+        ) -> Outcome:
             sends.append(state.record.name)
             begun.set()
             first = _fail() if len(sends) == 1 else asyncio.Event().wait()
--- a/tests/unit/gateway/test_upstream_limits.py
+++ b/tests/unit/gateway/test_upstream_limits.py
@@ -5,74 +5,27 @@
 
 import pytest
 
-from standins.gateway_testbed import GatewayTestbed, Reply, run_scenario
-from standins.scripted_upstream import ScriptedUpstream
-
-# The users' bound: requests in any window from STABLE_S on.
-WINDOW_S = 4.0
-STABLE_S = 4.0
-RATIO = 1.5
-EXTRA = 5
-REQUESTS_PER_S = 60
-INSTANCES = 4
-
+from lycheedyke_daemon.gateway._peer_updates import PeerUpdates
+from standins.gateway_testbed import ROUTES, GatewayTestbed, run_scenario
+from standins.limit_scenes import (
+    REQUESTS_PER_S,
+    STABLE_S,
+    allowed,
+    call,
+    count_arrivals,
+    count_served,
+    known_limits,
+    limit_header,
+    most_in_window,
+    now,
+)
+from standins.registry_store import config_value
 
-def _now() -> float:
-    return asyncio.get_running_loop().time()
-
-
-def _limit(value: object) -> str:
-    return f'Server-Limit: {value}\r\n'
-
-
-def _allowed(limit: float) -> float:
-    return RATIO * limit * WINDOW_S + EXTRA
-
-
-async def _call(
-    platform: GatewayTestbed,
-    seconds: float,
-    *,
-    instances: int = INSTANCES,
-    burst: int = 1,
-    path: str = 'read',
-) -> list[Reply]:
-    """Sends REQUESTS_PER_S for many objects to the first instances in turn."""
-    replies: list[Reply] = []
-    started = _now()
-    number = 0
-    while _now() < started + seconds:
-        replies += await asyncio.gather(
-            *(
-                platform.send(
-                    f'/{path}/{at}',
-                    object_key=str(at % 97),
-                    instance=at % instances,
-                    method='GET' if path == 'read' else 'POST',
-                )
-                for at in range(number, number + burst)
-            )
-        )
-        number += burst
-        due = started + number / REQUESTS_PER_S
-        await asyncio.sleep(max(0, due - _now()))
-    return replies
-
-
-def _most(upstream: ScriptedUpstream, since: float) -> int:
-    """Returns the most requests in one window that starts after a time."""
-    times = [
-        each.received_at
-        for each in upstream.arrivals
-        if each.received_at >= since
-    ]
-    return max(
-        (
-            sum(start <= at < start + WINDOW_S for at in times)
-            for start in times
-        ),
-        default=0,
-    )
+INSTANCES = 4
+_PRIORITIES = [
+    {**route, 'priority': priority}
+    for route, priority in zip(ROUTES, (1, 0), strict=True)
+]
 
 
 # Guards against LIMIT: more requests to an upstream than the limit that it has
@@ -87,10 +40,10 @@
     async def _scene(platform: GatewayTestbed) -> None:
         upstream = platform.upstreams[0]
         await platform.wait_all_listed()
-        upstream.says = _limit(limit)
-        named = _now()
-        replies = await _call(platform, STABLE_S + 6, burst=burst)
-        assert _most(upstream, named + STABLE_S) <= _allowed(limit)
+        upstream.says = limit_header(limit)
+        named = now()
+        replies = await call(platform, STABLE_S + 6, burst=burst)
+        assert most_in_window(upstream, named + STABLE_S) <= allowed(limit)
         assert {each.status for each in replies} == {200}
 
     run_scenario(tmp_path, _scene, limit_s=60, upstreams=4, instances=INSTANCES)
@@ -105,11 +58,11 @@
     async def _scene(platform: GatewayTestbed) -> None:
         await platform.wait_all_listed()
         for upstream in platform.upstreams:
-            upstream.says = _limit(2.2)
-        named = _now()
-        replies = await _call(platform, STABLE_S + 6)
+            upstream.says = limit_header(2.2)
+        named = now()
+        replies = await call(platform, STABLE_S + 6)
         for upstream in platform.upstreams:
-            assert _most(upstream, named + STABLE_S) <= _allowed(2.2)
+            assert most_in_window(upstream, named + STABLE_S) <= allowed(2.2)
         assert {each.status for each in replies} == {200, 503}
         assert all(
             float(each.headers['Retry-After']) > 0
@@ -127,11 +80,145 @@
     async def _scene(platform: GatewayTestbed) -> None:
         upstream = platform.upstreams[0]
         await platform.wait_all_listed()
-        upstream.says = _limit(20)
-        await _call(platform, 5)
-        upstream.says = _limit(1)
-        named = _now()
-        await _call(platform, 6)
-        assert _most(upstream, named + 0.5) <= _allowed(1)
+        upstream.says = limit_header(20)
+        await call(platform, 5)
+        upstream.says = limit_header(1)
+        named = now()
+        await call(platform, 6)
+        assert most_in_window(upstream, named + 0.5) <= allowed(1)
+
+    run_scenario(tmp_path, _scene, limit_s=60, upstreams=4, instances=INSTANCES)
+
+
+# Guards against limits of which each instance uses its part alone, whoever has the
+# requests.
+def test_one_instance_with_all_callers_uses_half_of_each_limit(
+    tmp_path: Path,
+) -> None:
+    """Seven of eight instances get no requests."""
+
+    async def _scene(platform: GatewayTestbed) -> None:
+        await platform.wait_all_listed()
+        for upstream in platform.upstreams:
+            upstream.says = limit_header(6)
+        named = now()
+        await call(platform, STABLE_S + 6, instances=1)
+        for upstream in platform.upstreams:
+            assert most_in_window(upstream, named + STABLE_S) <= allowed(6)
+            served = count_arrivals(upstream, named + STABLE_S, now())
+            assert served >= 6 * 6 / 2
+
+    run_scenario(tmp_path, _scene, limit_s=60, upstreams=4, instances=8)
+
+
+# Guards against a limit so low that nobody hears of its end.
+@pytest.mark.parametrize(('limit', 'instances'), [(0, 4), (0.3, 12), (2.2, 4)])
+def test_an_upstream_whose_limit_has_ended_is_used_again(
+    tmp_path: Path, limit: float, instances: int
+) -> None:
+    """Within seconds it gets half of its part of the requests, or more."""
+
+    async def _scene(platform: GatewayTestbed) -> None:
+        upstream = platform.upstreams[0]
+        await platform.wait_all_listed()
+        upstream.says = limit_header(limit)
+        await call(platform, 5, instances=instances)
+        upstream.says = ''
+        ended = now()
+        await call(platform, 14, instances=instances)
+        part = REQUESTS_PER_S / len(platform.upstreams)
+        assert count_arrivals(upstream, ended + 10, ended + 14) >= part * 4 / 2
+
+    run_scenario(tmp_path, _scene, limit_s=60, upstreams=4, instances=instances)
+
+
+def test_instances_that_send_nothing_learn_of_a_limit_and_of_its_end(
+    tmp_path: Path,
+) -> None:
+    """All callers are at the first instance."""
+
+    async def _scene(platform: GatewayTestbed) -> None:
+        upstream = platform.upstreams[0]
+        await platform.wait_all_listed()
+        upstream.says = limit_header(3.5)
+        await call(platform, 2, instances=1)
+        assert known_limits(platform, upstream) == [3.5] * INSTANCES
+        upstream.says = limit_header(7)
+        await call(platform, 3, instances=1)
+        assert known_limits(platform, upstream) == [7] * INSTANCES
+        upstream.says = ''
+        await call(platform, 4, instances=1)
+        assert known_limits(platform, upstream) == [None] * INSTANCES
+
+    run_scenario(tmp_path, _scene, limit_s=60, upstreams=2, instances=INSTANCES)
+
+
+# Guards against LIMIT where the instance that issues the permits is gone.
+@pytest.mark.parametrize('is_planned', [True, False])
+def test_a_limit_is_kept_and_used_without_the_issuer(
+    tmp_path: Path, is_planned: bool
+) -> None:
+    """The next instance issues the permits."""
+
+    async def _scene(platform: GatewayTestbed) -> None:
+        await platform.wait_all_listed()
+        for upstream in platform.upstreams:
+            upstream.says = limit_header(6)
+        named = now()
+        await call(platform, 3)
+        gone = platform.instances.pop()
+        platform.settings.pop()
+        if not is_planned:
+            await gone._servers.close()
+        stop = asyncio.create_task(gone.stop())
+        since = now()
+        await call(platform, 8, instances=INSTANCES - 1)
+        await stop
+        for upstream in platform.upstreams:
+            assert most_in_window(upstream, named + STABLE_S) <= allowed(6)
+            assert count_arrivals(upstream, since + 2, since + 8) >= 6 * 6 / 2
+
+    run_scenario(tmp_path, _scene, limit_s=60, upstreams=3, instances=INSTANCES)
+
+
+# Guards against LIMIT where instances reach none of each other.
+def test_instances_without_peers_keep_a_limit_together(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Each uses its part of the limit only."""
+
+    async def _lose(*_: object) -> None:
+        await asyncio.sleep(0.3)
+
+    async def _scene(platform: GatewayTestbed) -> None:
+        upstream = platform.upstreams[0]
+        await platform.wait_all_listed()
+        monkeypatch.setattr(PeerUpdates, 'send', _lose)
+        upstream.says = limit_header(2.2)
+        named = now()
+        replies = await call(platform, STABLE_S + 6)
+        assert most_in_window(upstream, named + STABLE_S) <= allowed(2.2)
+        assert {each.status for each in replies} == {200}
 
     run_scenario(tmp_path, _scene, limit_s=60, upstreams=4, instances=INSTANCES)
+
+
+# Guards against look-ups that take the sends which urgent requests are refused.
+def test_urgent_requests_get_the_sends_of_a_limited_service(
+    tmp_path: Path,
+) -> None:
+    """Orders have the higher priority; look-ups get what they leave."""
+
+    async def _scene(platform: GatewayTestbed) -> None:
+        await platform.wait_all_listed()
+        platform.store.put('op/config', config_value(0x12, _PRIORITIES))
+        await asyncio.sleep(2)
+        for upstream in platform.upstreams:
+            upstream.says = limit_header(6)
+        orders, reads = await asyncio.gather(
+            call(platform, 12, instances=2, path='order'),
+            call(platform, 12, instances=2),
+        )
+        assert count_served(orders) > 2 * count_served(reads)
+
+    run_scenario(tmp_path, _scene, limit_s=60, upstreams=4, instances=2)
--- a/tests/unit/gateway/test_upstream_wishes.py
+++ b/tests/unit/gateway/test_upstream_wishes.py
@@ -7,7 +7,7 @@
 import pytest
 
 from lycheedyke.state import Suspects
-from lycheedyke_daemon.gateway import _upstream_client
+from lycheedyke_daemon.gateway import _answer_headers
 from standins.gateway_testbed import GatewayTestbed, Reply, run_scenario
 from standins.scripted_upstream import ScriptedUpstream
 
@@ -164,7 +164,7 @@
 )
 def test_a_pause_that_is_no_number_of_seconds_is_none(text: str) -> None:
     """The upstream goes on getting requests."""
-    assert _upstream_client.parse_retry_after(text) is None
+    assert _answer_headers.parse_retry_after(text) is None
 
 
 @pytest.mark.parametrize(
@@ -175,7 +175,7 @@
     text: str, seconds: float
 ) -> None:
     """A huge one does not take an upstream out for good."""
-    pause = _upstream_client.parse_retry_after(text)
+    pause = _answer_headers.parse_retry_after(text)
     assert pause is not None
     assert pause.total_seconds() == seconds
 
