Space the permits of issuers that differ within the rule

A property test over all times at which permits may be used found three ways in which issuers that are asked side by side exceed the limit and a half: two that are each taken for the first (18 where 17 are allowed at 2 a second), a limit of 0 with three issuers (6 where 5 are), and three issuers at 5 a second (36 where 35 are). Each further issuer now issues a fourth, not half, as much, permits last 1 s at most, and a limit of 0 lets one request pass in 5 s.

--- a/packages/lycheedyke/src/lycheedyke/state/_permit_issuer.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_permit_issuer.py
@@ -10,19 +10,20 @@
 from lycheedyke.state._warmup_limiter import WarmupLimiter
 
 # The share of a limit that the first issuer of an upstream issues; each further
-# one issues half as much. So the permits of several issuers, of which each is
-# taken for the first by some instances, stay below the limit and a half.
+# one issues a fourth as much, for those that do not reach the ones before it.
 ISSUED_SHARE = 0.7
+SHARE_DIVISOR = 4
 # An upstream that takes nothing gets a request now and then, as only its answer
 # tells the end of the limit.
-MIN_RATE = 0.25
+MIN_RATE = 0.2
 # Permits are issued ahead for so long.
 HORIZON = timedelta(milliseconds=500)
 # A permit is valid for the time of MAX_UNUSED permits, within these bounds.
-MAX_UNUSED = 5
+MAX_UNUSED = 4
 MIN_LIFE = timedelta(milliseconds=500)
-MAX_LIFE = timedelta(seconds=2)
+MAX_LIFE = timedelta(seconds=1)
 MAX_BATCH = 100
+MAX_RANK = 8
 # Instances that have asked within this time share the permits.
 ASKER_RETENTION = timedelta(seconds=2)
 # Bounds the requests that an issuer gets from many instances.
@@ -146,8 +147,9 @@
         now = self._clock.elapsed()
         schedule = self._schedule(request.news.incarnation, now)
         sharing = schedule.count_askers(request, now)
-        share = ISSUED_SHARE / 2 ** max(0, min(request.rank, MAX_UNUSED))
-        interval = timedelta(seconds=1 / max(news.rate * share, MIN_RATE))
+        rate = max(news.rate * ISSUED_SHARE, MIN_RATE)
+        rate /= SHARE_DIVISOR ** max(0, min(request.rank, MAX_RANK))
+        interval = timedelta(seconds=1 / rate)
         schedule.change_interval(interval, now)
         batch = max(1, min(MAX_BATCH, HORIZON // interval // sharing))
         starts: list[int] = []
