Let upstreams of the soak name limits, change and end them

The check is the users': from four seconds on, in any four, one and a half times the limit and five requests from instances that were told half a second before; faults of an instance since then excuse it.

--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -17,6 +17,7 @@
 from bench.soak.crashes import CrashInjector
 from bench.soak.faults import FaultInjector
 from bench.soak.instance_logs import find_idle_closes_in_use
+from bench.soak.limits import name_limits
 from bench.soak.load_generator import LoadGenerator, make_call
 from bench.soak.memory import MemoryMonitor
 from bench.soak.observations import Observations
@@ -125,6 +126,9 @@
             ask_for_pauses(
                 self._testbed, seconds, random.Random(f'wishes {self._seed}')
             ),
+            name_limits(
+                self._testbed, seconds, random.Random(f'limits {self._seed}')
+            ),
         )
         await restoring
         await asyncio.sleep(SETTLE_SECONDS)
@@ -230,6 +234,7 @@
         """
         for upstream in self._testbed.upstreams:
             upstream.script.clear()
+            upstream.change_limit(None)
         rng = random.Random(0)
         async with open_session() as http:
             for name in self._testbed.instances:
--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -5,6 +5,7 @@
 
 from bench.soak.crash_checks import find_crash_violations
 from bench.soak.echo_upstream import EchoUpstream
+from bench.soak.limits import find_limit_violations
 from bench.soak.load_generator import (
     BEHIND_CLOSE,
     CLOSE_ERRORS,
@@ -50,6 +51,7 @@
     yield from _find_excess_retries(observations)
     yield from find_crash_violations(observations)
     yield from find_wish_violations(observations)
+    yield from find_limit_violations(observations)
     yield from find_lost_answers(observations)
     yield from find_excess_memory(observations.memory)
     for stop in observations.stops:
--- a/bench/soak/echo_upstream.py
+++ b/bench/soak/echo_upstream.py
@@ -41,6 +41,8 @@
         crashed_at: when it had crashed, in seconds of the monotonic clock.
         farewells: the answers that said that it leaves.
         pauses: the refusals that asked for a pause.
+        limits: the limits that it has named, each with the time from which it
+            did, in seconds of the monotonic clock; None without a limit.
         link: the listener of the link to it, which ends when it crashes.
         link_port: the port of that listener.
     """
@@ -55,9 +57,14 @@
         self.crashed_at: float | None = None
         self.farewells: list[Wish] = []
         self.pauses: list[Wish] = []
+        self.limits: list[tuple[float, float | None]] = []
         self.link: asyncio.Server | None = None
         self.link_port = 0
 
+    def change_limit(self, rate: float | None) -> None:
+        """Names a limit in all answers from now on, or none."""
+        self.limits.append((time.monotonic(), rate))
+
     def accepts(self, arrival: Arrival) -> bool:
         """Returns whether a request names this upstream, so that it may run."""
         return arrival.headers.get('Lycheedyke-Expect-Instance') == self.name
@@ -100,6 +107,8 @@
         extra: str,
         body: bytes,
     ) -> None:
+        if self.limits and self.limits[-1][1] is not None:
+            extra = f'{extra}Server-Limit: {self.limits[-1][1]}\r\n'
         if self.says:
             self.farewells.append(Wish(headers[REQUEST_ID], time.monotonic()))
         await super()._send(writer, headers, status, extra, body)
