Refuse a request whose body arrives too late in a planned stop

Cause: whether a stop leaves the time for a run was asked once, when the head of a request arrived. With its body on the way, or while it waited for a trial, a stop could begin and nearly end. It is asked again when the body is complete and when an upstream is chosen. Requests without a body were refused before.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_caller_api.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_caller_api.py
@@ -199,6 +199,11 @@
             is_late = self._clock.elapsed() >= admitted.deadline
             reason = Reason.deadline_passed if is_late else Reason.stopping
             return NotRun(reason, RETRY_AFTER_STOP)
+        # A stop may have begun while the body arrived.
+        if not self._schedule.may_take(
+            self._router.expected_run(admitted.route, admitted.service)
+        ):
+            return NotRun(Reason.stopping, RETRY_AFTER_STOP)
         table = admitted.table
         request = Request(
             admitted.route,
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
@@ -301,6 +301,7 @@
             InstanceStatus(
                 self._max_instances,
                 lambda: self._schedule.has_begun,
+                self._schedule.may_take,
                 self._pauses.within,
                 lambda: self._follower.age,
             ),
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_router.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_router.py
@@ -59,6 +59,7 @@
         max_instances: returns the maximum number of instances that share the
             repeat budget.
         is_stopping: returns whether the instance is in a planned stop.
+        may_take: returns whether a planned stop leaves the time for a run.
         paused_within: returns how long the process stood still within the
             last time of the given length.
         news_age: returns the age of the last update from the registry.
@@ -66,6 +67,7 @@
 
     max_instances: Callable[[], int]
     is_stopping: Callable[[], bool]
+    may_take: Callable[[timedelta], bool]
     paused_within: Callable[[timedelta], timedelta]
     news_age: Callable[[], timedelta]
 
@@ -103,6 +105,7 @@
         self._decision_log = telemetry.decision_log
         self._max_instances = status.max_instances
         self._is_stopping = status.is_stopping
+        self._may_take = status.may_take
         self._paused_within = status.paused_within
         self._news_age = status.news_age
         self._budgets: defaultdict[str, RepeatBudget] = defaultdict(
@@ -196,7 +199,9 @@
     ) -> bool:
         now = self._clock.elapsed()
         ends_in_time = now + candidate.expected < work.deadline
-        return ends_in_time and is_admissible(request, candidate, now - started)
+        if not ends_in_time or not self._may_take(candidate.expected):
+            return False
+        return is_admissible(request, candidate, now - started)
 
     def _acquire_repeat(self, request: Request) -> bool:
         if self._budgets[request.service].acquire(self._max_instances()):
@@ -268,10 +273,8 @@
         progress: RequestProgress,
         silent: str,
     ) -> bool:
-        """Returns whether another upstream is found to run a request now.
-
-        A planned stop may leave too little time for a second run.
-        """
+        """Returns whether another upstream is found to run a request now."""
+        # A stop may leave too little time for a second run.
         if self._is_stopping() or not self._guard.may_repeat(work):
             return False
         progress.tried.add(silent)
@@ -287,10 +290,7 @@
     ) -> Outcome:
         """Returns the outcome, even if the guard admits no request in time.
 
-        The exchange with the upstream ends by itself at the deadline. The
-        timeout here also bounds the wait before the exchange, in which a
-        suspect waits until it can run on its own, and the wait for an
-        upstream that does not answer.
+        The timeout also bounds the waits before and in the exchange.
         """
         started = self._clock.elapsed()
         left = work.deadline - started + GUARD_MARGIN
