Use any permit to probe a limit of which nothing is heard

A limit of 0 that had ended was not noticed within 16 s by twelve instances with 60 requests a second: the rare permits went to instances that wanted one for the few objects that live on the upstream, and expired there. While nothing new is known of a limit, the next request of an instance that holds a permit uses it.

The case is a test now.

--- a/packages/lycheedyke/src/lycheedyke/state/_send_permits.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_send_permits.py
@@ -170,9 +170,11 @@
         """
         now = self._clock.elapsed()
         for state in states:
-            self._probe_stale(state, now)
+            is_stale = now > state.wishes.limit.as_of + PROBE_INTERVAL
+            if is_stale:
+                self._ask_for_probe(state, now)
             permit = self._find(state, urgent=idempotent)
-            if permit is None or not permit.is_probe:
+            if permit is None or not (is_stale or permit.is_probe):
                 continue
             if now >= permit.opens_at(urgent=idempotent):
                 return state
@@ -248,14 +250,10 @@
         account.drop_void(rate, now)
         return account.find(now, urgent=urgent)
 
-    def _probe_stale(self, state: UpstreamState, now: timedelta) -> None:
+    def _ask_for_probe(self, state: UpstreamState, now: timedelta) -> None:
         account = self._account(state)
-        if now < max(
-            account.probe_at, state.wishes.limit.as_of + PROBE_INTERVAL
-        ):
-            return
-        account.probe_at = now + PROBE_INTERVAL
-        if not account.permits:
+        if now >= account.probe_at and not account.permits:
+            account.probe_at = now + PROBE_INTERVAL
             self.ask(state, True)
 
     def _request_more(self, state: UpstreamState) -> None:
--- a/tests/unit/gateway/test_upstream_limits.py
+++ b/tests/unit/gateway/test_upstream_limits.py
@@ -112,7 +112,9 @@
 
 
 # Guards against a limit so low that nobody hears of its end.
-@pytest.mark.parametrize(('limit', 'instances'), [(0, 4), (0.3, 12), (2.2, 4)])
+@pytest.mark.parametrize(
+    ('limit', 'instances'), [(0, 4), (0, 12), (0.3, 12), (2.2, 4)]
+)
 def test_an_upstream_whose_limit_has_ended_is_used_again(
     tmp_path: Path, limit: float, instances: int
 ) -> None:
