--- a/tests/unit/gateway/test_directory.py
+++ b/tests/unit/gateway/test_directory.py
@@ -114,3 +114,31 @@
     testbed.configure(2, 'there')
     testbed.clock.advance(0.3)
     assert testbed.fraction_moved() == 1
+
+
+# Guards against callers who are sent to upstreams that refuse them for their limits.
+def test_callers_leave_limited_upstreams_at_the_pace_of_the_setting() -> None:
+    """They come back at the same pace after the end of the limits."""
+    testbed = _Testbed()
+    for at in range(3):
+        record = make_upstream(f'here-far-{at}', service='here', zone='nc-a')
+        testbed.upstream_table.apply(record)
+    fractions = [testbed.fraction_moved()]
+    limited = [f'here-{at}' for at in range(3)]
+    for rate in (0, None):
+        for name in limited:
+            state = testbed.upstream_table.find(name)
+            assert state is not None
+            testbed.upstream_table.record_limit(
+                state.record, rate, testbed.clock.elapsed()
+            )
+        for _ in range(STEPS_PER_WINDOW * 15):
+            testbed.clock.advance(SHIFT_WINDOW_SECONDS / STEPS_PER_WINDOW)
+            fractions.append(testbed.fraction_moved())
+    assert fractions[0] == 0
+    assert max(fractions) > 0.8
+    assert fractions[-1] == 0
+    for before, after in zip(
+        fractions, fractions[STEPS_PER_WINDOW:], strict=False
+    ):
+        assert abs(after - before) <= SHIFT_MOST + ROUNDING
