Keep the spacing of permits when a limit or the rank of the issuer changes

Found in a read of the code: an issuer began its spacing anew each time a limit fell, or an instance asked that took it for the second, so a limit that changes with each answer (5.8, 6, 5.9) got 50 permits in 4 s where 29 are allowed at most (limits of 3 and 4 in turn). The next permit is only ever put off. Before: the new property test fails; after: it passes.

Two more of the same read: a probe goes only to an upstream that has room, and only as the first attempt, as the request was refused otherwise; and a permit is no longer asked for before a request wants it, which let the rare ones expire.

--- a/packages/lycheedyke/src/lycheedyke/state/_permit_issuer.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_permit_issuer.py
@@ -112,7 +112,7 @@
         self.free_at = max(self.free_at, now)
         if self.interval and interval > self.interval:
             # Permits of the higher rate have been used already.
-            self.free_at = now + interval
+            self.free_at = max(self.free_at, now + interval)
         self.free_at = min(self.free_at, now + interval + HORIZON)
         self.interval = interval
 
--- a/packages/lycheedyke/src/lycheedyke/state/_selection.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_selection.py
@@ -108,6 +108,10 @@
         candidates = self._candidates(
             request, excluded, self._upstreams.usable(request.service)
         )
+        if not excluded:
+            probe = self._choose_probe(request, candidates)
+            if probe is not None:
+                return probe
         chosen = self._choose_from(request, candidates)
         if chosen is None and _limited(candidates):
             # Failing and slow upstreams may take what limits hold back.
@@ -175,26 +179,37 @@
             and (not route.homes or self._may_run(route, state))
         ]
 
-    def _choose_from(
+    def _choose_probe(
         self, request: Request, candidates: Sequence[UpstreamState]
     ) -> Candidate | None:
-        """Returns the best candidate that may get the request now."""
+        """Returns an upstream whose limit is to be probed, if it has room."""
         now = self._upstreams.elapsed()
-        ready = [state for state in candidates if self._may_send(state, now)]
+        limited = _limited(candidates)
         probed = self._permits.find_probe(
-            _limited(ready),
+            [state for state in limited if self._may_send(state, now)],
             idempotent=request.route.kind is RouteKind.idempotent,
         )
-        if probed is not None:
-            return self._cheapest(request, [probed], {}, now)
+        if probed is None:
+            return None
+        candidate = self._cheapest(request, [probed], {}, now)
+        is_free = candidate is not None and not candidate.must_wait
+        return candidate if is_free else None
+
+    def _choose_from(
+        self, request: Request, candidates: Sequence[UpstreamState]
+    ) -> Candidate | None:
+        """Returns the best candidate that may get the request now."""
+        now = self._upstreams.elapsed()
+        ready = [state for state in candidates if self._may_send(state, now)]
         held_back = self._without_permit(request, ready)
         homes = self._homes(request, candidates, now)
         if held_back:
             self._want_best(request, ready, held_back, homes, now)
             # Permits that this instance issues itself are there at once.
             held_back = self._without_permit(request, held_back)
-            ready = [state for state in ready if state not in held_back]
-            if homes.get(self._location.zone) in _names(held_back):
+            names = {state.record.name for state in held_back}
+            ready = [state for state in ready if state.record.name not in names]
+            if homes.get(self._location.zone) in names:
                 # The objects of an upstream that takes too few requests share
                 # a second home.
                 homes = self._homes(request, ready, now)
@@ -279,7 +294,3 @@
 
 def _limited(states: Iterable[UpstreamState]) -> list[UpstreamState]:
     return [state for state in states if state.wishes.limit.rate is not None]
-
-
-def _names(states: Iterable[UpstreamState]) -> set[str]:
-    return {state.record.name for state in states}
--- a/packages/lycheedyke/src/lycheedyke/state/_send_permits.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_send_permits.py
@@ -13,8 +13,8 @@
 from lycheedyke.state._upstream_state import UpstreamState
 
 HELD_BACK_COUNTER = 'limit.held-back'
-# While urgent requests are refused, others get what urgent ones have left for
-# this share of the life of a permit.
+# While urgent requests are refused, a permit is kept for them for this share of
+# its life.
 URGENT_SHARE = 0.6
 URGENT_RETENTION = timedelta(seconds=2)
 MAX_ACCOUNTS = 2048
@@ -125,7 +125,6 @@
         permit = self._find(state, urgent=urgent)
         if permit is not None:
             self._account(state).permits.remove(permit)
-            self._request_more(state)
         return permit
 
     def give_back(self, permit: SendPermit) -> None:
@@ -154,7 +153,13 @@
     def want(self, state: UpstreamState) -> None:
         """Records that a request was held back from an upstream."""
         self._counters.count(HELD_BACK_COUNTER)
-        self._request_more(state)
+        account = self._account(state)
+        now = self._clock.elapsed()
+        if not account.permits and now >= account.ask_at:
+            # Until the answer.
+            account.ask_at = now + ANSWER_TIME
+            account.is_asking = True
+            self.ask(state, False)
 
     def find_probe(
         self, states: Iterable[UpstreamState], *, idempotent: bool
@@ -256,15 +261,6 @@
             account.probe_at = now + PROBE_INTERVAL
             self.ask(state, True)
 
-    def _request_more(self, state: UpstreamState) -> None:
-        account = self._account(state)
-        now = self._clock.elapsed()
-        if not account.permits and now >= account.ask_at:
-            # Until the answer.
-            account.ask_at = now + ANSWER_TIME
-            account.is_asking = True
-            self.ask(state, False)
-
     def _account(self, state: UpstreamState) -> _Account:
         incarnation = state.record.incarnation
         account = self._accounts.get(incarnation) or _Account()
--- a/tests/unit/test_permit_issuer.py
+++ b/tests/unit/test_permit_issuer.py
@@ -156,6 +156,28 @@
     assert len(issuer.issue(lower, _news(1)).starts_ms) == 1
 
 
+# Guards against LIMIT: an issuer that starts anew at each change of a limit.
+@settings(max_examples=40)
+@given(
+    st.lists(st.floats(0.1, 50), min_size=2, max_size=9),
+    st.lists(st.integers(0, 2), min_size=1, max_size=9),
+)
+def test_changing_limits_and_ranks_add_no_permits(
+    rates: list[float], ranks: list[int]
+) -> None:
+    """The permits stay within the highest of the limits."""
+    clock = ManualClock()
+    issuer = PermitIssuer('edge-0', clock)
+    permits: list[_Permit] = []
+    for tick in range(TICKS):
+        news = _news(rates[tick % len(rates)])
+        request = PermitRequest(news, 'edge-1', ranks[tick % len(ranks)])
+        permits += _read(issuer.issue(request, news), tick * TICK_S)
+        clock.advance(TICK_S)
+    allowed = RATIO * max(rates) * WINDOW_S + EXTRA
+    assert _most_in_window(permits) <= allowed
+
+
 def test_a_limit_is_probed_once_in_a_while() -> None:
     """Not while answers are known that still name it."""
     clock = ManualClock()
