Count the life of a permit from the question that its issuer answered

An instance whose first issuers do not answer waits up to 0.6 s for the next one, as long as a permit may last, so the permits of that question had ended when they came.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_limit_exchange.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_limit_exchange.py
@@ -151,26 +151,31 @@
     async def _ask_issuers(
         self, state: UpstreamState, *, is_probe: bool
     ) -> None:
-        asked_at = self._clock.elapsed()
-        grant = await self._find_grant(state, is_probe=is_probe)
+        grant, asked_at = await self._find_grant(state, is_probe=is_probe)
         with contextlib.suppress(LimitNotUnderstood):
             self._table.apply_limit_news(grant.news)
         self._permits.add(state, grant, asked_at, is_probe=is_probe)
 
     async def _find_grant(
         self, state: UpstreamState, *, is_probe: bool
-    ) -> PermitGrant:
-        """Returns the grant of the first issuer that answers."""
+    ) -> tuple[PermitGrant, timedelta]:
+        """Returns the grant of the first issuer that answers.
+
+        Returns:
+            The grant, and when that issuer was asked.
+        """
         news = self._table.describe_limit(state)
         for rank, issuer in enumerate(self.rank_issuers(state)[:MAX_ASKED]):
             request = PermitRequest(news, self._own.name, rank, is_probe)
+            asked_at = self._clock.elapsed()
             if issuer.name == self._own.name:
-                return self._issuer.issue(request, news)
+                return self._issuer.issue(request, news), asked_at
             grant = await self._ask_one(issuer, request)
             if grant is not None:
-                return grant
+                return grant, asked_at
         self._counters.count('permits.own-share')
-        return self._issuer.issue_own_share(news, self.max_instances())
+        own_share = self._issuer.issue_own_share(news, self.max_instances())
+        return own_share, self._clock.elapsed()
 
     async def _ask_one(
         self, issuer: EntryRecord, request: PermitRequest
