Wait a moment for the permit of a request's home

Where requests for the objects of a limited upstream come at many instances, each has few of them: the permit that one asked for came after it had gone elsewhere, and expired. The request now waits up to 20 ms for an issuer in its region.

The status of an instance, which the router asks, has a module of its own.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
@@ -29,12 +29,12 @@
 from lycheedyke_daemon.gateway._caller_api import GatewayCallerApi
 from lycheedyke_daemon.gateway._decision_log import DecisionLog, Telemetry
 from lycheedyke_daemon.gateway._deployment import Deployment
+from lycheedyke_daemon.gateway._instance_status import InstanceStatus
 from lycheedyke_daemon.gateway._limit_exchange import LimitExchange
 from lycheedyke_daemon.gateway._lookup import LookupApi, LookupDirectory
 from lycheedyke_daemon.gateway._metrics import GatewayCollector
 from lycheedyke_daemon.gateway._peer_updates import PeerUpdates
 from lycheedyke_daemon.gateway._registry_view import RegistryView
-from lycheedyke_daemon.gateway._router import InstanceStatus
 from lycheedyke_daemon.gateway._router_assembly import (
     RouterParts,
     make_router,
@@ -304,6 +304,7 @@
                 self._schedule.may_take,
                 self._pauses.within,
                 lambda: self._follower.age,
+                self._limits.wait_answer,
             ),
             self._clock,
         )
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_limit_exchange.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_limit_exchange.py
@@ -33,6 +33,8 @@
 MAX_ASKED = 3
 # An issuer that did not answer is not asked for so long.
 SILENT_PAUSE = timedelta(seconds=2)
+# A request waits so long for the answer of an issuer in its region.
+ANSWER_WAIT_SECONDS = 0.02
 # Changes within this time are told together.
 TELL_INTERVAL = timedelta(milliseconds=100)
 
@@ -97,6 +99,8 @@
         self._clock = clock
         self._issuer = PermitIssuer(own.name, clock)
         self._questions = DetachedTasks()
+        # The tasks that ask for permits, by the name of the upstream.
+        self._asking: dict[str, asyncio.Task[None]] = {}
         self._silent_until: dict[str, timedelta] = {}
         # The names of upstreams whose limit has changed.
         self._changed: set[str] = set()
@@ -133,6 +137,13 @@
             key=functools.partial(_rank_issuer, state.record.name, region),
         )
 
+    async def wait_answer(self, state: UpstreamState) -> None:
+        """Waits a moment for the permit of an upstream of the own region."""
+        question = self._asking.get(state.record.name)
+        region = self._zones.get(state.record.zone, '')
+        if question is not None and region == self._own.region:
+            await asyncio.wait((question,), timeout=ANSWER_WAIT_SECONDS)
+
     def _handle_change(self, upstream: str) -> None:
         if not self._is_applying_report:
             self._changed.add(upstream)
@@ -146,7 +157,20 @@
             now = self._clock.elapsed()
             self._permits.add(state, grant, now, is_probe=is_probe)
             return
-        self._questions.start(self._ask_issuers(state, is_probe=is_probe))
+        question = self._questions.start(
+            self._ask_issuers(state, is_probe=is_probe)
+        )
+        if not is_probe:
+            self._asking[state.record.name] = question
+            question.add_done_callback(
+                functools.partial(self._forget_question, state.record.name)
+            )
+
+    def _forget_question(
+        self, upstream: str, question: asyncio.Task[None]
+    ) -> None:
+        if self._asking.get(upstream) is question:
+            self._asking.pop(upstream)
 
     async def _ask_issuers(
         self, state: UpstreamState, *, is_probe: bool
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_router.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_router.py
@@ -2,9 +2,7 @@
 
 import functools
 from collections import defaultdict
-from collections.abc import Callable
 from datetime import timedelta
-from typing import NamedTuple
 
 from lycheedyke.protocol import (
     Answered,
@@ -34,6 +32,7 @@
 from lycheedyke_daemon.cancellation import is_cancelled
 from lycheedyke_daemon.crashes import CrashGuard
 from lycheedyke_daemon.gateway._decision_log import Telemetry
+from lycheedyke_daemon.gateway._instance_status import InstanceStatus
 from lycheedyke_daemon.gateway._request_progress import (
     RequestProgress,
     is_repeatable,
@@ -52,26 +51,6 @@
 MAX_PAUSED_SHARE = 0.5
 
 
-class InstanceStatus(NamedTuple):
-    """What the router asks of its instance.
-
-    Attributes:
-        max_instances: returns the maximum number of instances that share the
-            repeat budget.
-        is_stopping: returns whether the instance is in a planned stop.
-        may_take: returns whether a planned stop leaves the time for a run.
-        paused_within: returns how long the process stood still within the
-            last time of the given length.
-        news_age: returns the age of the last update from the registry.
-    """
-
-    max_instances: Callable[[], int]
-    is_stopping: Callable[[], bool]
-    may_take: Callable[[timedelta], bool]
-    paused_within: Callable[[timedelta], timedelta]
-    news_age: Callable[[], timedelta]
-
-
 class GatewayRouter:
     """Runs work at the upstream where it is expected to end first.
 
@@ -108,6 +87,7 @@
         self._may_take = status.may_take
         self._paused_within = status.paused_within
         self._news_age = status.news_age
+        self._wait_permit = status.wait_permit
         self._budgets: defaultdict[str, RepeatBudget] = defaultdict(
             lambda: RepeatBudget(repeats, telemetry.clock),
         )
@@ -145,6 +125,9 @@
         admission: Admission,
     ) -> Outcome:
         progress = RequestProgress(self._clock.elapsed(), admission)
+        limited_home = self._selector.request_permit(request)
+        if limited_home is not None:
+            await self._wait_permit(limited_home)
         while candidate := self._next(request, work, progress):
             sent_to.append(candidate.state.record.name)
             outcome = await self._attempt(request, candidate, work, progress)
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_router_assembly.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_router_assembly.py
@@ -17,8 +17,9 @@
 )
 from lycheedyke_daemon.crashes import CrashGuard
 from lycheedyke_daemon.gateway._decision_log import Telemetry
+from lycheedyke_daemon.gateway._instance_status import InstanceStatus
 from lycheedyke_daemon.gateway._registry_view import RegistryView
-from lycheedyke_daemon.gateway._router import GatewayRouter, InstanceStatus
+from lycheedyke_daemon.gateway._router import GatewayRouter
 from lycheedyke_daemon.gateway._settings import GatewaySettings
 from lycheedyke_daemon.gateway._upstream_client import UpstreamClient
 
--- a/packages/lycheedyke/src/lycheedyke/state/_selection.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_selection.py
@@ -123,6 +123,24 @@
                 self._permits.want_urgently(state)
         return chosen
 
+    def request_permit(self, request: Request) -> UpstreamState | None:
+        """Asks for a permit for the home of a request, if it needs one.
+
+        Returns:
+            The home, if the answer of its issuer is due; otherwise None.
+        """
+        if not self._upstreams.has_limits or not request.object_key:
+            return None
+        now = self._upstreams.elapsed()
+        candidates = self._candidates(
+            request, (), self._upstreams.usable(request.service)
+        )
+        home = self._homes(request, candidates, now).get(self._location.zone)
+        for state in self._without_permit(request, candidates):
+            if state.record.name == home and self._permits.request(state):
+                return state
+        return None
+
     def hold(self, request: Request) -> Hold | None:
         """Returns what keeps a request from all upstreams, and for how long.
 
--- a/packages/lycheedyke/src/lycheedyke/state/_send_permits.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_send_permits.py
@@ -153,6 +153,10 @@
     def want(self, state: UpstreamState) -> None:
         """Records that a request was held back from an upstream."""
         self._counters.count(HELD_BACK_COUNTER)
+        self.request(state)
+
+    def request(self, state: UpstreamState) -> bool:
+        """Asks for a permit if it is time; returns whether an answer is due."""
         account = self._account(state)
         now = self._clock.elapsed()
         if not account.permits and now >= account.ask_at:
@@ -160,6 +164,7 @@
             account.ask_at = now + ANSWER_TIME
             account.is_asking = True
             self.ask(state, False)
+        return account.is_asking
 
     def find_probe(
         self, states: Iterable[UpstreamState], *, idempotent: bool
--- a/packages/lycheedyke/src/lycheedyke/state/_upstreams.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_upstreams.py
@@ -35,6 +35,7 @@
         self._clock = clock
         self._wishes = UpstreamWishes()
         self._states: dict[str, UpstreamState] = {}
+        self._limited: set[str] = set()
         self._by_service: dict[str, list[UpstreamState]] = {}
 
     def __repr__(self) -> str:
@@ -45,6 +46,11 @@
         """Returns the number of upstreams."""
         return len(self._states)
 
+    @property
+    def has_limits(self) -> bool:
+        """Whether an upstream may have named a limit."""
+        return bool(self._limited)
+
     def elapsed(self) -> timedelta:
         """Returns the time of the clock of the states."""
         return self._clock.elapsed()
@@ -65,6 +71,8 @@
                 self._by_service.clear()
             state.apply(record)
         state.wishes = self._wishes.find(record.incarnation)
+        if state.wishes.limit.rate is not None:
+            self._limited.add(record.name)
 
     def mark_leaving(self, record: UpstreamRecord) -> None:
         """Withdraws an upstream that has said that it leaves, for good.
@@ -179,6 +187,7 @@
         """Removes an upstream."""
         if self._states.pop(name, None) is not None:
             self._by_service.clear()
+        self._limited.discard(name)
 
     def of_service(self, service: str) -> list[UpstreamState]:
         """Returns all upstreams of a service, whatever their state."""
@@ -245,6 +254,9 @@
         after = self._wishes.find(record.incarnation).limit
         if after.rate == before.rate:
             return False
+        self._limited.discard(record.name)
+        if after.rate is not None:
+            self._limited.add(record.name)
         self._log_limit(record, before, after, told_by)
         if self.on_limit_changed is not None:
             self.on_limit_changed(record.name)
--- a/tests/unit/gateway/test_upstream_limits.py
+++ b/tests/unit/gateway/test_upstream_limits.py
@@ -224,3 +224,31 @@
         assert count_served(orders) > 2 * count_served(reads)
 
     run_scenario(tmp_path, _scene, limit_s=60, upstreams=4, instances=2)
+
+
+# Guards against permits that expire at instances with few requests, while requests
+# that want one are sent elsewhere.
+def test_a_request_waits_a_moment_for_the_permit_of_its_home(
+    tmp_path: Path,
+) -> None:
+    """The issuer answers at once, in the region of the upstream."""
+
+    async def _scene(platform: GatewayTestbed) -> None:
+        upstream = platform.upstreams[0]
+        await platform.wait_all_listed()
+        upstream.says = limit_header(2.2)
+        for number in range(80):
+            reply = await platform.send(
+                f'/read/{number}',
+                object_key=str(number),
+                instance=number % INSTANCES,
+            )
+            assert reply.status == 200
+            await asyncio.sleep(0.7)
+        held_back = sum(
+            each._counters.counts['limit.held-back']
+            for each in platform.instances
+        )
+        assert held_back <= len(upstream.arrivals) / 4
+
+    run_scenario(tmp_path, _scene, limit_s=90, upstreams=2, instances=INSTANCES)
