--- a/packages/lycheedyke/src/lycheedyke/state/_selection.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_selection.py
@@ -108,7 +108,7 @@
         candidates = self._candidates(
             request, excluded, self._upstreams.usable(request.service)
         )
-        if not excluded:
+        if self._upstreams.has_limits and not excluded:
             probe = self._choose_probe(request, candidates)
             if probe is not None:
                 return probe
