--- a/bench/soak/limits.py
+++ b/bench/soak/limits.py
@@ -3,16 +3,14 @@
 import asyncio
 import random
 import time
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from typing import NamedTuple
 
 from bench.soak.echo_upstream import EchoUpstream
-from bench.soak.observations import (
-    PROCESS_FAULTS,
-    STABLE_SECONDS,
-    Observations,
-)
+from bench.soak.load_generator import CallResult
+from bench.soak.observations import STABLE_SECONDS, Observations
 from bench.soak.testbed import Testbed
+from standins.limit_scenes import WINDOW_S, allowed, most_in_window
 from standins.scripted_upstream import REQUEST_ID
 
 PAUSE_SECONDS = (0.2, 1.0)
@@ -21,11 +19,8 @@
 # How often all upstreams name a limit at the same time.
 ALL_SHARE = 0.4
 CHANGE_SHARE = 0.3
-# The users' bound: requests in any window from instances told for SLACK_SECONDS.
-WINDOW_SECONDS = 4.0
+# The users' bound holds for instances that were told so long ago.
 SLACK_SECONDS = 0.5
-RATIO = 1.5
-EXTRA = 5
 
 
 class _Limit(NamedTuple):
@@ -60,22 +55,17 @@
 
 def find_limit_violations(observations: Observations) -> Iterator[str]:
     """Yields upstreams that got more than the limit that they had named."""
+    results = {each.request: each for each in observations.results}
     for upstream in observations.upstreams:
         for limit in _find_limits(upstream):
-            arrivals = _find_bound(observations, upstream, limit)
-            most = max(
-                (
-                    sum(start <= at < start + WINDOW_SECONDS for at in arrivals)
-                    for start in arrivals
-                ),
-                default=0,
+            most = most_in_window(
+                _find_bound(observations, results, upstream, limit)
             )
-            allowed = RATIO * limit.rate * WINDOW_SECONDS + EXTRA
-            if most > allowed:
+            if most > allowed(limit.rate):
                 yield (
                     f'{upstream.name} named a limit of {limit.rate} a second '
-                    f'and got {most} requests in {WINDOW_SECONDS:.0f} s; '
-                    f'{allowed:.0f} are allowed'
+                    f'and got {most} requests in {WINDOW_S:.0f} s; '
+                    f'{allowed(limit.rate):.0f} are allowed'
                 )
 
 
@@ -91,13 +81,21 @@
 
 
 def _find_bound(
-    observations: Observations, upstream: EchoUpstream, limit: _Limit
+    observations: Observations,
+    results: Mapping[str, CallResult],
+    upstream: EchoUpstream,
+    limit: _Limit,
 ) -> list[float]:
     """Returns the arrivals under a limit from instances that were told of it.
 
     Faults of an instance since it was told, and of its links, excuse it.
+
+    Args:
+        observations: the records of the run.
+        results: the results of all calls by request id.
+        upstream: the upstream.
+        limit: the limit.
     """
-    results = {each.request: each for each in observations.results}
     told_at: dict[str, float] = {}
     found: list[float] = []
     for arrival in upstream.arrivals:
@@ -113,20 +111,8 @@
         is_bound = at >= max(
             limit.started + STABLE_SECONDS, told + SLACK_SECONDS
         )
-        if is_bound and not _is_excused(
-            observations, upstream.name, call.instance, told, at
+        if is_bound and not observations.is_excused(
+            upstream.name, call.instance, told, at
         ):
             found.append(at)
     return found
-
-
-def _is_excused(
-    observations: Observations,
-    upstream: str,
-    instance: str,
-    told: float,
-    at: float,
-) -> bool:
-    return observations.is_held_up(upstream, at) or observations.overlaps_fault(
-        tuple(PROCESS_FAULTS), instance, told, at
-    )
--- a/bench/soak/observations.py
+++ b/bench/soak/observations.py
@@ -107,6 +107,21 @@
             for each in self.injected
         )
 
+    def is_excused(
+        self, upstream: str, instance: str, told: float, time: float
+    ) -> bool:
+        """Returns whether faults excuse a request despite what was said.
+
+        Args:
+            upstream: the upstream that received the request.
+            instance: the instance that sent it.
+            told: when the upstream had told the instance what it wants.
+            time: when the request arrived.
+        """
+        return self.is_held_up(upstream, time) or self.overlaps_fault(
+            tuple(PROCESS_FAULTS), instance, told, time
+        )
+
     def is_held_up(self, upstream: str, time: float) -> bool:
         """Returns whether the link to an upstream was harmed of late."""
         return any(
--- a/bench/soak/wishes.py
+++ b/bench/soak/wishes.py
@@ -7,7 +7,7 @@
 
 from bench.soak.echo_upstream import PAUSE_SECONDS, EchoUpstream, Wish
 from bench.soak.load_generator import CallResult
-from bench.soak.observations import PROCESS_FAULTS, Observations
+from bench.soak.observations import Observations
 from bench.soak.testbed import Testbed
 from standins.scripted_upstream import REQUEST_ID
 
@@ -90,10 +90,7 @@
             continue
         if arrived <= wish.told or not upstream.accepts(arrival):
             continue
-        is_excused = observations.is_held_up(
-            upstream.name, arrived
-        ) or observations.overlaps_fault(
-            tuple(PROCESS_FAULTS), told.instance, wish.told, arrived
-        )
-        if not is_excused:
+        if not observations.is_excused(
+            upstream.name, told.instance, wish.told, arrived
+        ):
             yield call, arrived
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_answer_headers.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_answer_headers.py
@@ -5,11 +5,12 @@
 from datetime import timedelta
 from typing import NamedTuple
 
-from lycheedyke.state import LimitNotUnderstood, parse_send_limit
+from lycheedyke.state import MAX_RATE, LimitNotUnderstood
+from lycheedyke_daemon.work import MAX_LOGGED
 
 # The longest pause that an upstream may ask for.
 MAX_PAUSE = timedelta(minutes=10)
-_SECONDS = re.compile(r'[0-9]{1,300}(?:\.[0-9]{0,300})?')
+_DECIMAL = re.compile(r'[0-9]{1,300}(?:\.[0-9]{0,300})?')
 
 
 class HeaderNames(NamedTuple):
@@ -45,12 +46,27 @@
         None if the text is no number of seconds above zero. Dates are not
         read, as the clocks of upstreams may differ.
     """
-    if _SECONDS.fullmatch(text.strip()) is None:
-        return None
-    seconds = min(float(text), MAX_PAUSE.total_seconds())
+    seconds = min(_parse_decimal(text) or 0, MAX_PAUSE.total_seconds())
     return timedelta(seconds=seconds) if seconds else None
 
 
+def parse_send_limit(text: str) -> float | None:
+    """Returns the limit that an upstream names, in requests per second.
+
+    Returns:
+        None for a limit that is too high to matter.
+
+    Raises:
+        LimitNotUnderstood: the text is no decimal number.
+    """
+    rate = _parse_decimal(text)
+    if rate is None:
+        raise LimitNotUnderstood(
+            f'limit {text[:MAX_LOGGED]!r} is no decimal number'
+        )
+    return rate if rate < MAX_RATE else None
+
+
 def read_send_limit(named: Sequence[str]) -> float | None:
     """Returns the limit that the fields of an answer name, if any.
 
@@ -68,3 +84,10 @@
             return parse_send_limit(text)
         case _:
             raise LimitNotUnderstood('several limits in one answer')
+
+
+def _parse_decimal(text: str) -> float | None:
+    """Returns a decimal number, or None if the text is none."""
+    if _DECIMAL.fullmatch(text.strip()) is None:
+        return None
+    return float(text)
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_limit_exchange.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_limit_exchange.py
@@ -1,10 +1,10 @@
 """Tells peers of the limits of upstreams, and asks for permits to send."""
 
 import asyncio
-import contextlib
 import functools
+import heapq
 import logging
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from datetime import timedelta
 
 import msgspec
@@ -31,9 +31,9 @@
 LIMITS_PATH = '/v1/limits'
 # If none of so many issuers answers, an instance uses its own share.
 MAX_ASKED = 3
-# An issuer that did not answer is not asked for so long.
+# How long an issuer that did not answer is not asked again.
 SILENT_PAUSE = timedelta(seconds=2)
-# A request waits so long for the answer of an issuer in its region.
+# How long a request waits for the answer of an issuer in its region.
 ANSWER_WAIT_SECONDS = 0.02
 # Changes within this time are told together.
 TELL_INTERVAL = timedelta(milliseconds=100)
@@ -102,11 +102,11 @@
         # The tasks that ask for permits, by the name of the upstream.
         self._asking: dict[str, asyncio.Task[None]] = {}
         self._silent_until: dict[str, timedelta] = {}
-        # The names of upstreams whose limit has changed.
+        # The names of upstreams whose changed limit is to be told: by the
+        # issuer of each, and by this instance to all.
         self._changed: set[str] = set()
-        self._told_to_all: set[str] = set()
+        self._to_tell_all: set[str] = set()
         self._has_changed = asyncio.Event()
-        self._is_applying_report = False
         table.on_limit_changed = self._handle_change
         permits.ask = self._ask
 
@@ -129,28 +129,32 @@
             web.post(LIMITS_PATH, self._handle_report),
         ]
 
-    def rank_issuers(self, state: UpstreamState) -> list[EntryRecord]:
-        """Returns the instances in the order in which they issue permits."""
-        region = self._zones.get(state.record.zone, '')
-        return sorted(
-            (*self._peers.peers(), self._own),
-            key=functools.partial(_rank_issuer, state.record.name, region),
-        )
-
     async def wait_answer(self, state: UpstreamState) -> None:
         """Waits a moment for the permit of an upstream of the own region."""
         question = self._asking.get(state.record.name)
-        region = self._zones.get(state.record.zone, '')
-        if question is not None and region == self._own.region:
+        if question is not None and self._region(state) == self._own.region:
             await asyncio.wait((question,), timeout=ANSWER_WAIT_SECONDS)
 
     def _handle_change(self, upstream: str) -> None:
-        if not self._is_applying_report:
-            self._changed.add(upstream)
-            self._has_changed.set()
+        self._changed.add(upstream)
+        self._has_changed.set()
+
+    def _region(self, state: UpstreamState) -> str:
+        return self._zones.get(state.record.zone, '')
+
+    def _rank_issuers(self, state: UpstreamState) -> list[EntryRecord]:
+        """Returns the instances that issue permits, in the order to ask."""
+        return heapq.nsmallest(
+            MAX_ASKED,
+            (*self._peers.peers(), self._own),
+            key=functools.partial(
+                _rank_issuer, state.record.name, self._region(state)
+            ),
+        )
 
     def _ask(self, state: UpstreamState, is_probe: bool) -> None:
-        if self.rank_issuers(state)[0].name == self._own.name:
+        issuers = self._rank_issuers(state)
+        if issuers[0].name == self._own.name:
             news = self._table.describe_limit(state)
             request = PermitRequest(news, self._own.name, 0, is_probe)
             grant = self._issuer.issue(request, news)
@@ -158,7 +162,7 @@
             self._permits.add(state, grant, now, is_probe=is_probe)
             return
         question = self._questions.start(
-            self._ask_issuers(state, is_probe=is_probe)
+            self._ask_issuers(state, issuers, is_probe=is_probe)
         )
         if not is_probe:
             self._asking[state.record.name] = question
@@ -173,15 +177,27 @@
             self._asking.pop(upstream)
 
     async def _ask_issuers(
-        self, state: UpstreamState, *, is_probe: bool
+        self,
+        state: UpstreamState,
+        issuers: Sequence[EntryRecord],
+        *,
+        is_probe: bool,
     ) -> None:
-        grant, asked_at = await self._find_grant(state, is_probe=is_probe)
-        with contextlib.suppress(LimitNotUnderstood):
-            self._table.apply_limit_news(grant.news)
+        grant, asked_at = await self._find_grant(
+            state, issuers, is_probe=is_probe
+        )
+        try:
+            self._apply_news(grant.news)
+        except LimitNotUnderstood:
+            self._counters.count('news.not-heard')
         self._permits.add(state, grant, asked_at, is_probe=is_probe)
 
     async def _find_grant(
-        self, state: UpstreamState, *, is_probe: bool
+        self,
+        state: UpstreamState,
+        issuers: Sequence[EntryRecord],
+        *,
+        is_probe: bool,
     ) -> tuple[PermitGrant, timedelta]:
         """Returns the grant of the first issuer that answers.
 
@@ -189,7 +205,7 @@
             The grant, and when that issuer was asked.
         """
         news = self._table.describe_limit(state)
-        for rank, issuer in enumerate(self.rank_issuers(state)[:MAX_ASKED]):
+        for rank, issuer in enumerate(issuers):
             request = PermitRequest(news, self._own.name, rank, is_probe)
             asked_at = self._clock.elapsed()
             if issuer.name == self._own.name:
@@ -233,7 +249,7 @@
     async def _handle_request(self, request: web.Request) -> web.Response:
         try:
             asked = _REQUEST.decode(await request.read())
-            self._table.apply_limit_news(asked.news)
+            self._apply_news(asked.news)
         except (msgspec.MsgspecError, LimitNotUnderstood) as error:
             raise web.HTTPBadRequest(text=str(error)) from error
         news = asked.news
@@ -247,37 +263,38 @@
     async def _handle_report(self, request: web.Request) -> web.Response:
         try:
             report = _REPORT.decode(await request.read())
-            changed = self._apply_report(report)
+            changed = {
+                news.upstream
+                for news in report.news
+                if self._table.apply_limit_news(news)
+            }
         except (msgspec.MsgspecError, LimitNotUnderstood) as error:
             raise web.HTTPBadRequest(text=str(error)) from error
         if report.pass_on and changed:
-            self._told_to_all |= changed
+            self._to_tell_all |= changed
             self._has_changed.set()
         return web.Response()
 
-    def _apply_report(self, report: LimitReport) -> set[str]:
-        """Applies news; returns the names of upstreams that have changed."""
-        self._is_applying_report = True
-        try:
-            return {
-                news.upstream
-                for news in report.news
-                if self._table.apply_limit_news(news)
-            }
-        finally:
-            self._is_applying_report = False
+    def _apply_news(self, news: LimitNews) -> None:
+        """Applies news that came with permits, and tells them on.
+
+        Raises:
+            LimitNotUnderstood: the news are out of range.
+        """
+        if self._table.apply_limit_news(news):
+            self._handle_change(news.upstream)
 
     async def _tell_changes(self) -> None:
         changed = self._changed
-        to_all = self._told_to_all
+        to_all = self._to_tell_all
         self._changed = set()
-        self._told_to_all = set()
+        self._to_tell_all = set()
         to_issuer: dict[str, UpstreamState] = {}
         for name in changed - to_all:
             state = self._table.find(name)
             if state is None:
                 continue
-            if self.rank_issuers(state)[0].name == self._own.name:
+            if self._rank_issuers(state)[0].name == self._own.name:
                 to_all.add(name)
             else:
                 to_issuer[name] = state
@@ -316,7 +333,7 @@
         """Tells the first issuer that answers, which tells all others."""
         report = LimitReport((self._table.describe_limit(state),), pass_on=True)
         body = msgspec.msgpack.encode(report)
-        for issuer in self.rank_issuers(state)[:MAX_ASKED]:
+        for issuer in self._rank_issuers(state):
             if issuer.name == self._own.name:
                 await self._tell_all({state.record.name})
                 return
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_router.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_router.py
@@ -256,8 +256,10 @@
         progress: RequestProgress,
         silent: str,
     ) -> bool:
-        """Returns whether another upstream is found to run a request now."""
-        # A stop may leave too little time for a second run.
+        """Returns whether another upstream is found to run a request now.
+
+        A planned stop may leave too little time for a second run.
+        """
         if self._is_stopping() or not self._guard.may_repeat(work):
             return False
         progress.tried.add(silent)
@@ -273,7 +275,10 @@
     ) -> Outcome:
         """Returns the outcome, even if the guard admits no request in time.
 
-        The timeout also bounds the waits before and in the exchange.
+        The exchange with the upstream ends by itself at the deadline. The
+        timeout here also bounds the wait before the exchange, in which a
+        suspect waits until it can run on its own, and the wait for an
+        upstream that does not answer.
         """
         started = self._clock.elapsed()
         left = work.deadline - started + GUARD_MARGIN
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_upstream_client.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_upstream_client.py
@@ -311,11 +311,10 @@
         pause = parse_retry_after(text)
         if pause is None:
             self._counters.count('retry-after.not-understood')
-            self._decision_log.write(
+            self._tell(
                 'pause not understood',
-                work.request_id,
-                NotRun(Reason.upstream_refused),
-                sent_to=record.name,
+                work,
+                record,
                 retry_after=text[:MAX_LOGGED],
             )
             return False
@@ -338,16 +337,27 @@
             rate = read_send_limit(named)
         except LimitNotUnderstood:
             self._counters.count('limit.not-understood')
-            self._decision_log.write(
+            self._tell(
                 'limit not understood',
-                work.request_id,
-                NotRun(Reason.upstream_refused),
-                sent_to=record.name,
+                work,
+                record,
                 limit=', '.join(named)[:MAX_LOGGED],
             )
             return
         self._table.record_limit(record, rate, sending.written_at)
 
+    def _tell(
+        self, event: str, work: Work, record: UpstreamRecord, **fields: object
+    ) -> None:
+        """Logs an answer that says something that is not understood."""
+        self._decision_log.write(
+            event,
+            work.request_id,
+            NotRun(Reason.upstream_refused),
+            sent_to=record.name,
+            **fields,
+        )
+
     def _record_load(self, state: UpstreamState, answer: HttpResponse) -> None:
         fields = answer.headers.get(self._names.load, '').split(',')
         if len(fields) != LOAD_FIELDS:
--- a/packages/lycheedyke/src/lycheedyke/state/__init__.py
+++ b/packages/lycheedyke/src/lycheedyke/state/__init__.py
@@ -63,10 +63,10 @@
 from lycheedyke.state._run_times import RouteRunTimes, RunTimeStats
 from lycheedyke.state._selection import Hold, PermitSources, UpstreamSelector
 from lycheedyke.state._send_limits import (
+    MAX_RATE,
     LimitNews,
     LimitNotUnderstood,
     SendLimit,
-    parse_send_limit,
 )
 from lycheedyke.state._send_permits import PermitBook, SendPermit
 from lycheedyke.state._shares import (
@@ -103,7 +103,7 @@
     'PermitRequest',
     'SendLimit',
     'SendPermit',
-    'parse_send_limit',
+    'MAX_RATE',
     'Distances',
     'UpstreamTable',
     'Candidate',
--- a/packages/lycheedyke/src/lycheedyke/state/_permit_issuer.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_permit_issuer.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from lycheedyke.clock import Clock
+from lycheedyke.state._bounded import keep_recent
 from lycheedyke.state._send_limits import MILLISECOND, ZERO, LimitNews
 from lycheedyke.state._warmup_limiter import WarmupLimiter
 
@@ -77,6 +78,7 @@
 
     Attributes:
         free_at: when the next permit becomes valid.
+        interval: the time between two permits.
         askers: when each instance asked last.
         probe_at: when the limit is to be probed next.
     """
@@ -161,7 +163,7 @@
         return PermitGrant(
             news,
             tuple(starts),
-            permit_life(interval) // MILLISECOND,
+            _permit_life(interval) // MILLISECOND,
             _wait_to_ask(interval, sharing) // MILLISECOND,
             sharing,
         )
@@ -191,11 +193,9 @@
 
     def _schedule(self, incarnation: str, now: timedelta) -> _Schedule:
         schedule = self._schedules.get(incarnation) or _Schedule(now)
-        self._schedules[incarnation] = schedule
-        self._schedules.move_to_end(incarnation)
-        if len(self._schedules) > MAX_SCHEDULES:
-            self._schedules.popitem(last=False)
-        return schedule
+        return keep_recent(
+            self._schedules, incarnation, schedule, MAX_SCHEDULES
+        )
 
 
 def _wait_to_ask(interval: timedelta, sharing: int) -> timedelta:
@@ -203,10 +203,5 @@
     return min(interval * sharing, longest)
 
 
-def permit_life(interval: timedelta) -> timedelta:
-    """Returns how long a permit is valid.
-
-    Args:
-        interval: the time between two permits.
-    """
+def _permit_life(interval: timedelta) -> timedelta:
     return max(MIN_LIFE, min(MAX_LIFE, interval * MAX_UNUSED))
--- a/packages/lycheedyke/src/lycheedyke/state/_selection.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_selection.py
@@ -135,8 +135,11 @@
         candidates = self._candidates(
             request, (), self._upstreams.usable(request.service)
         )
+        held_back = self._without_permit(request, candidates)
+        if not held_back:
+            return None
         home = self._homes(request, candidates, now).get(self._location.zone)
-        for state in self._without_permit(request, candidates):
+        for state in held_back:
             if state.record.name == home and self._permits.request(state):
                 return state
         return None
@@ -150,15 +153,15 @@
         """
         route = request.route
         now = self._upstreams.elapsed()
-        limited = [
+        serving = [
             state
             for state in self._upstreams.serving(request.service)
             if self._may_run(route, state)
         ]
-        if any(state.wishes.limit.rate is None for state in limited):
+        if len(_limited(serving)) < len(serving):
             return None
         holds = [
-            Hold(self._permits.wait(state), is_limit=True) for state in limited
+            Hold(self._permits.wait(state), is_limit=True) for state in serving
         ]
         holds.extend(
             Hold(state.wishes.paused_until - now, is_limit=False)
--- a/packages/lycheedyke/src/lycheedyke/state/_send_limits.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_send_limits.py
@@ -1,7 +1,6 @@
 """The limits that upstreams name: requests per second from all instances."""
 
 import math
-import re
 from datetime import timedelta
 from typing import NamedTuple
 
@@ -11,17 +10,17 @@
 MILLISECOND = timedelta(milliseconds=1)
 # No upstream of a deployment takes so many requests per second.
 MAX_RATE = 10_000
-_DECIMAL = re.compile(r'[0-9]{1,300}(?:\.[0-9]{0,300})?')
 # The end of a limit that a peer tells may be older than it says by the time on
 # the way.
 NEWS_MARGIN = timedelta(milliseconds=100)
 # After the end of a limit, the share doubles once in this time.
 RECOVERY_STEP = timedelta(seconds=1)
 MIN_SHARE = 1 / 16
+RECOVERY_TIME = RECOVERY_STEP * math.log2(1 / MIN_SHARE)
 
 
 class LimitNotUnderstood(ValueError):
-    """A limit is no decimal number."""
+    """A limit is no decimal number, or news of one are out of range."""
 
 
 class SendLimit(NamedTuple):
@@ -69,10 +68,7 @@
         """Returns whether there is no limit, and was none of late."""
         if self.rate is not None:
             return False
-        steps = math.log2(1 / MIN_SHARE)
-        return (
-            self.ended_rate is None or now - self.as_of > RECOVERY_STEP * steps
-        )
+        return self.ended_rate is None or now - self.as_of > RECOVERY_TIME
 
 
 NO_LIMIT = SendLimit()
@@ -94,12 +90,16 @@
     age_ms: int
 
     def read(self, now: timedelta) -> SendLimit:
-        """Returns the limit as of the time that the news have.
+        """Returns the limit, with the time from which it was known to hold.
+
+        Args:
+            now: the time on the monotonic clock of this instance.
 
         Raises:
             LimitNotUnderstood: the limit or its age are out of range.
         """
-        if self.age_ms < 0 or not _is_rate(self.rate):
+        is_rate = self.rate is None or 0 <= self.rate < MAX_RATE
+        if self.age_ms < 0 or not is_rate:
             raise LimitNotUnderstood(f'limit {self.rate} of {self.upstream!r}')
         as_of = now - min(self.age_ms, now // MILLISECOND) * MILLISECOND
         if self.rate is None:
@@ -107,21 +107,6 @@
         return SendLimit(self.rate, as_of)
 
 
-def parse_send_limit(text: str) -> float | None:
-    """Returns the limit that an upstream names, in requests per second.
-
-    Returns:
-        None for a limit that is too high to matter.
-
-    Raises:
-        LimitNotUnderstood: the text is no decimal number.
-    """
-    if _DECIMAL.fullmatch(text.strip()) is None:
-        raise LimitNotUnderstood('limit is no decimal number')
-    rate = float(text)
-    return rate if rate < MAX_RATE else None
-
-
 def home_weight(share: float) -> float:
     """Returns the weight of an upstream as the home of objects.
 
@@ -133,7 +118,3 @@
         share: the share of its normal load that the upstream takes.
     """
     return min(1, 2.0 ** math.ceil(math.log2(2 * max(share, MIN_SHARE))))
-
-
-def _is_rate(rate: float | None) -> bool:
-    return rate is None or 0 <= rate < MAX_RATE
--- a/packages/lycheedyke/src/lycheedyke/state/_send_permits.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_send_permits.py
@@ -7,6 +7,7 @@
 from typing import NamedTuple
 
 from lycheedyke.clock import Clock
+from lycheedyke.state._bounded import keep_recent
 from lycheedyke.state._counters import Counters
 from lycheedyke.state._permit_issuer import PROBE_INTERVAL, PermitGrant
 from lycheedyke.state._send_limits import MILLISECOND, ZERO
@@ -45,9 +46,13 @@
         """Returns whether a request may be sent under a limit."""
         return self.rate <= rate and self.starts <= now < self.ends
 
-    def opens_at(self, *, urgent: bool) -> timedelta:
-        """Returns from when requests of an urgency may use it."""
-        if urgent:
+    def opens_at(self, *, goes_first: bool) -> timedelta:
+        """Returns from when a request may use it.
+
+        Args:
+            goes_first: whether the permit is not kept for other requests.
+        """
+        if goes_first:
             return self.starts
         return self.starts + (self.ends - self.starts) * URGENT_SHARE
 
@@ -82,9 +87,9 @@
 
     def find(self, now: timedelta, *, urgent: bool) -> SendPermit | None:
         """Returns a permit that may be used now."""
-        is_open_to_all = urgent or now >= self.urgent_until
+        goes_first = urgent or now >= self.urgent_until
         for permit in self.permits:
-            if permit.opens_at(urgent=is_open_to_all) <= now:
+            if permit.opens_at(goes_first=goes_first) <= now:
                 return permit
         return None
 
@@ -142,13 +147,12 @@
         rate = state.wishes.limit.rate
         if rate is None:
             return True
-        now = self._clock.elapsed()
-        is_own = permit is not None and (
-            permit.incarnation == state.record.incarnation
+        is_valid = (
+            permit is not None
+            and permit.incarnation == state.record.incarnation
+            and permit.is_valid(rate, self._clock.elapsed())
         )
-        if permit is not None and is_own and permit.is_valid(rate, now):
-            return True
-        return self.take(state, urgent=True) is not None
+        return is_valid or self.take(state, urgent=True) is not None
 
     def want(self, state: UpstreamState) -> None:
         """Records that a request was held back from an upstream."""
@@ -160,7 +164,7 @@
         account = self._account(state)
         now = self._clock.elapsed()
         if not account.permits and now >= account.ask_at:
-            # Until the answer.
+            # The answer sets the time anew.
             account.ask_at = now + ANSWER_TIME
             account.is_asking = True
             self.ask(state, False)
@@ -186,7 +190,7 @@
             permit = self._find(state, urgent=idempotent)
             if permit is None or not (is_stale or permit.is_probe):
                 continue
-            if now >= permit.opens_at(urgent=idempotent):
+            if now >= permit.opens_at(goes_first=idempotent):
                 return state
         return None
 
@@ -269,11 +273,7 @@
     def _account(self, state: UpstreamState) -> _Account:
         incarnation = state.record.incarnation
         account = self._accounts.get(incarnation) or _Account()
-        self._accounts[incarnation] = account
-        self._accounts.move_to_end(incarnation)
-        if len(self._accounts) > MAX_ACCOUNTS:
-            self._accounts.popitem(last=False)
-        return account
+        return keep_recent(self._accounts, incarnation, account, MAX_ACCOUNTS)
 
 
 def _ask_nobody(state: UpstreamState, is_probe: bool) -> None:
--- a/packages/lycheedyke/src/lycheedyke/state/_upstream_state.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_upstream_state.py
@@ -7,6 +7,7 @@
 
 from lycheedyke.clock import Clock
 from lycheedyke.protocol import UpstreamRecord
+from lycheedyke.state._bounded import keep_recent
 from lycheedyke.state._upstream_wishes import NO_WISHES
 
 _logger = logging.getLogger(__name__)
@@ -159,10 +160,7 @@
         """Counts a request that is sent to the upstream."""
         self.in_flight += 1
         if object_key:
-            self._warm[object_key] = None
-            self._warm.move_to_end(object_key)
-            if len(self._warm) > MAX_WARM_OBJECTS:
-                self._warm.popitem(last=False)
+            keep_recent(self._warm, object_key, None, MAX_WARM_OBJECTS)
 
     def end_request(self) -> None:
         """Counts the end of a request."""
--- a/packages/lycheedyke/src/lycheedyke/state/_upstream_wishes.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_upstream_wishes.py
@@ -4,6 +4,7 @@
 from datetime import timedelta
 from typing import NamedTuple
 
+from lycheedyke.state._bounded import keep_recent
 from lycheedyke.state._send_limits import NO_LIMIT, SendLimit
 
 # More than the upstreams of a deployment; the oldest wishes are dropped.
@@ -57,8 +58,4 @@
             max(known.paused_until, wishes.paused_until),
             known.limit.merge(wishes.limit),
         )
-        self._wishes[incarnation] = merged
-        self._wishes.move_to_end(incarnation)
-        if len(self._wishes) > MAX_REMEMBERED:
-            self._wishes.popitem(last=False)
-        return merged
+        return keep_recent(self._wishes, incarnation, merged, MAX_REMEMBERED)
--- a/packages/lycheedyke/src/lycheedyke/state/_upstreams.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_upstreams.py
@@ -21,8 +21,8 @@
 
     Attributes:
         evacuated_zones: the zones that get no requests.
-        on_limit_changed: called with the name of an upstream whose limit has
-            changed.
+        on_limit_changed: called with the name of an upstream whose limit an
+            answer has changed.
 
     Args:
         clock: the clock of the states.
@@ -48,7 +48,7 @@
 
     @property
     def has_limits(self) -> bool:
-        """Whether an upstream may have named a limit."""
+        """Whether any upstream has named a limit."""
         return bool(self._limited)
 
     def elapsed(self) -> timedelta:
@@ -70,9 +70,7 @@
             if state.record.service != record.service:
                 self._by_service.clear()
             state.apply(record)
-        state.wishes = self._wishes.find(record.incarnation)
-        if state.wishes.limit.rate is not None:
-            self._limited.add(record.name)
+        self._set_wishes(state, self._wishes.find(record.incarnation))
 
     def mark_leaving(self, record: UpstreamRecord) -> None:
         """Withdraws an upstream that has said that it leaves, for good.
@@ -128,17 +126,19 @@
             written: when the request was written; None if that is not known.
         """
         if rate is not None:
-            self._apply_limit(
-                record, SendLimit(rate, self._clock.elapsed()), 'answer'
-            )
-            return
-        if written is None:
+            limit = SendLimit(rate, self._clock.elapsed())
+        elif written is None:
             return
-        state = self._states.get(record.name)
-        if state is not None:
-            state.unlimited_at = max(state.unlimited_at, written)
-        if self._wishes.find(record.incarnation).limit.rate is not None:
-            self._apply_limit(record, SendLimit(None, written), 'answer')
+        else:
+            limit = SendLimit(None, written)
+            state = self._states.get(record.name)
+            if state is not None:
+                state.unlimited_at = max(state.unlimited_at, written)
+            if self._wishes.find(record.incarnation).limit.rate is None:
+                return
+        is_changed = self._apply_limit(record, limit, 'answer')
+        if is_changed and self.on_limit_changed is not None:
+            self.on_limit_changed(record.name)
 
     def apply_limit_news(self, news: LimitNews) -> bool:
         """Applies what a peer tells of a limit.
@@ -160,9 +160,9 @@
     def describe_limit(self, state: UpstreamState) -> LimitNews:
         """Returns what this instance knows of the limit of an upstream."""
         limit = state.wishes.limit
-        as_of = max(limit.as_of, state.unlimited_at)
-        if limit.rate is not None:
-            as_of = limit.as_of
+        as_of = limit.as_of
+        if limit.rate is None:
+            as_of = max(as_of, state.unlimited_at)
         age = self._clock.elapsed() - as_of
         return LimitNews(
             state.record.name,
@@ -173,11 +173,7 @@
 
     def limited(self) -> list[UpstreamState]:
         """Returns the upstreams that have named a limit."""
-        return [
-            state
-            for state in self._states.values()
-            if state.wishes.limit.rate is not None
-        ]
+        return [self._states[name] for name in sorted(self._limited)]
 
     def find(self, name: str) -> UpstreamState | None:
         """Returns an upstream by its name."""
@@ -254,12 +250,7 @@
         after = self._wishes.find(record.incarnation).limit
         if after.rate == before.rate:
             return False
-        self._limited.discard(record.name)
-        if after.rate is not None:
-            self._limited.add(record.name)
         self._log_limit(record, before, after, told_by)
-        if self.on_limit_changed is not None:
-            self.on_limit_changed(record.name)
         return True
 
     def _log_limit(
@@ -289,7 +280,14 @@
         merged = self._wishes.add(record.incarnation, wishes)
         state = self._states.get(record.name)
         if state is not None and state.record.incarnation == record.incarnation:
-            state.wishes = merged
+            self._set_wishes(state, merged)
+
+    def _set_wishes(self, state: UpstreamState, wishes: Wishes) -> None:
+        state.wishes = wishes
+        if wishes.limit.rate is None:
+            self._limited.discard(state.record.name)
+        else:
+            self._limited.add(state.record.name)
 
     def _is_usable(self, state: UpstreamState) -> bool:
         record = state.record
--- a/tests/standins/limit_scenes.py
+++ b/tests/standins/limit_scenes.py
@@ -1,6 +1,7 @@
 """Scenes with upstreams that name a limit in their answers."""
 
 import asyncio
+from collections.abc import Collection, Iterable
 
 from standins.gateway_testbed import GatewayTestbed, Reply
 from standins.scripted_upstream import ScriptedUpstream
@@ -58,13 +59,26 @@
     return replies
 
 
-def most_in_window(upstream: ScriptedUpstream, since: float) -> int:
+def name_limits(upstreams: Iterable[ScriptedUpstream], limit: float) -> float:
+    """Lets upstreams name a limit in all answers; returns the time."""
+    for upstream in upstreams:
+        upstream.says = limit_header(limit)
+    return now()
+
+
+def most_arrivals(upstream: ScriptedUpstream, since: float) -> int:
     """Returns the most requests in one window that starts after a time."""
-    times = [
-        each.received_at
-        for each in upstream.arrivals
-        if each.received_at >= since
-    ]
+    return most_in_window(
+        [
+            each.received_at
+            for each in upstream.arrivals
+            if each.received_at >= since
+        ]
+    )
+
+
+def most_in_window(times: Collection[float]) -> int:
+    """Returns the most times that are in one window."""
     return max(
         (
             sum(start <= at < start + WINDOW_S for at in times)
--- a/tests/unit/gateway/test_limit_answers.py
+++ b/tests/unit/gateway/test_limit_answers.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from lycheedyke.state import parse_send_limit
+from lycheedyke_daemon.gateway._answer_headers import parse_send_limit
 from standins.gateway_testbed import GatewayTestbed, run_scenario
 from standins.limit_scenes import known_limits, limit_header
 
--- a/tests/unit/gateway/test_upstream_limits.py
+++ b/tests/unit/gateway/test_upstream_limits.py
@@ -15,8 +15,8 @@
     count_arrivals,
     count_served,
     known_limits,
-    limit_header,
-    most_in_window,
+    most_arrivals,
+    name_limits,
     now,
 )
 from standins.registry_store import config_value
@@ -40,10 +40,9 @@
     async def _scene(platform: GatewayTestbed) -> None:
         upstream = platform.upstreams[0]
         await platform.wait_all_listed()
-        upstream.says = limit_header(limit)
-        named = now()
+        named = name_limits([upstream], limit)
         replies = await call(platform, STABLE_S + 6, burst=burst)
-        assert most_in_window(upstream, named + STABLE_S) <= allowed(limit)
+        assert most_arrivals(upstream, named + STABLE_S) <= allowed(limit)
         assert {each.status for each in replies} == {200}
 
     run_scenario(tmp_path, _scene, limit_s=60, upstreams=4, instances=INSTANCES)
@@ -58,11 +57,10 @@
     async def _scene(platform: GatewayTestbed) -> None:
         await platform.wait_all_listed()
         for upstream in platform.upstreams:
-            upstream.says = limit_header(2.2)
-        named = now()
+            named = name_limits([upstream], 2.2)
         replies = await call(platform, STABLE_S + 6)
         for upstream in platform.upstreams:
-            assert most_in_window(upstream, named + STABLE_S) <= allowed(2.2)
+            assert most_arrivals(upstream, named + STABLE_S) <= allowed(2.2)
         assert {each.status for each in replies} == {200, 503}
         assert all(
             float(each.headers['Retry-After']) > 0
@@ -80,12 +78,11 @@
     async def _scene(platform: GatewayTestbed) -> None:
         upstream = platform.upstreams[0]
         await platform.wait_all_listed()
-        upstream.says = limit_header(20)
+        name_limits([upstream], 20)
         await call(platform, 5)
-        upstream.says = limit_header(1)
-        named = now()
+        named = name_limits([upstream], 1)
         await call(platform, 6)
-        assert most_in_window(upstream, named + 0.5) <= allowed(1)
+        assert most_arrivals(upstream, named + 0.5) <= allowed(1)
 
     run_scenario(tmp_path, _scene, limit_s=60, upstreams=4, instances=INSTANCES)
 
@@ -100,11 +97,10 @@
     async def _scene(platform: GatewayTestbed) -> None:
         await platform.wait_all_listed()
         for upstream in platform.upstreams:
-            upstream.says = limit_header(6)
-        named = now()
+            named = name_limits([upstream], 6)
         await call(platform, STABLE_S + 6, instances=1)
         for upstream in platform.upstreams:
-            assert most_in_window(upstream, named + STABLE_S) <= allowed(6)
+            assert most_arrivals(upstream, named + STABLE_S) <= allowed(6)
             served = count_arrivals(upstream, named + STABLE_S, now())
             assert served >= 6 * 6 / 2
 
@@ -123,7 +119,7 @@
     async def _scene(platform: GatewayTestbed) -> None:
         upstream = platform.upstreams[0]
         await platform.wait_all_listed()
-        upstream.says = limit_header(limit)
+        name_limits([upstream], limit)
         await call(platform, 5, instances=instances)
         upstream.says = ''
         ended = now()
@@ -142,10 +138,10 @@
     async def _scene(platform: GatewayTestbed) -> None:
         upstream = platform.upstreams[0]
         await platform.wait_all_listed()
-        upstream.says = limit_header(3.5)
+        name_limits([upstream], 3.5)
         await call(platform, 2, instances=1)
         assert known_limits(platform, upstream) == [3.5] * INSTANCES
-        upstream.says = limit_header(7)
+        name_limits([upstream], 7)
         await call(platform, 3, instances=1)
         assert known_limits(platform, upstream) == [7] * INSTANCES
         upstream.says = ''
@@ -165,8 +161,7 @@
     async def _scene(platform: GatewayTestbed) -> None:
         await platform.wait_all_listed()
         for upstream in platform.upstreams:
-            upstream.says = limit_header(6)
-        named = now()
+            named = name_limits([upstream], 6)
         await call(platform, 3)
         gone = platform.instances.pop()
         platform.settings.pop()
@@ -177,7 +172,7 @@
         await call(platform, 8, instances=INSTANCES - 1)
         await stop
         for upstream in platform.upstreams:
-            assert most_in_window(upstream, named + STABLE_S) <= allowed(6)
+            assert most_arrivals(upstream, named + STABLE_S) <= allowed(6)
             assert count_arrivals(upstream, since + 2, since + 8) >= 6 * 6 / 2
 
     run_scenario(tmp_path, _scene, limit_s=60, upstreams=3, instances=INSTANCES)
@@ -196,10 +191,9 @@
         upstream = platform.upstreams[0]
         await platform.wait_all_listed()
         monkeypatch.setattr(PeerUpdates, 'send', _lose)
-        upstream.says = limit_header(2.2)
-        named = now()
+        named = name_limits([upstream], 2.2)
         replies = await call(platform, STABLE_S + 6)
-        assert most_in_window(upstream, named + STABLE_S) <= allowed(2.2)
+        assert most_arrivals(upstream, named + STABLE_S) <= allowed(2.2)
         assert {each.status for each in replies} == {200}
 
     run_scenario(tmp_path, _scene, limit_s=60, upstreams=4, instances=INSTANCES)
@@ -215,8 +209,7 @@
         await platform.wait_all_listed()
         platform.store.put('op/config', config_value(0x12, _PRIORITIES))
         await asyncio.sleep(2)
-        for upstream in platform.upstreams:
-            upstream.says = limit_header(6)
+        name_limits(platform.upstreams, 6)
         orders, reads = await asyncio.gather(
             call(platform, 12, instances=2, path='order'),
             call(platform, 12, instances=2),
@@ -236,7 +229,7 @@
     async def _scene(platform: GatewayTestbed) -> None:
         upstream = platform.upstreams[0]
         await platform.wait_all_listed()
-        upstream.says = limit_header(2.2)
+        name_limits([upstream], 2.2)
         for number in range(80):
             reply = await platform.send(
                 f'/read/{number}',
--- a/tests/unit/test_permit_issuer.py
+++ b/tests/unit/test_permit_issuer.py
@@ -16,13 +16,10 @@
     PermitRequest,
 )
 from standins.clock import ManualClock
+from standins.limit_scenes import WINDOW_S, allowed
 
 # How long views of who issues the permits may differ.
 VIEWS_DIFFER_S = 2.5
-# The users' bound.
-WINDOW_S = 4.0
-RATIO = 1.5
-EXTRA = 5
 TICK_S = 0.05
 TICKS = 200
 
@@ -111,7 +108,7 @@
 ) -> None:
     """All permits of a window may be used at its worst moment."""
     permits = _run(rate, [0], askers)
-    assert _most_in_window(permits) <= RATIO * rate * WINDOW_S + EXTRA
+    assert _most_in_window(permits) <= allowed(rate)
 
 
 @settings(max_examples=40)
@@ -121,7 +118,7 @@
 ) -> None:
     """Some instances reach the first issuer, others the second, third or none."""
     permits = _run(rate, [0, 1, 2], askers, static_instances)
-    assert _most_in_window(permits) <= RATIO * rate * WINDOW_S + EXTRA
+    assert _most_in_window(permits) <= allowed(rate)
 
 
 @settings(max_examples=40)
@@ -131,7 +128,7 @@
 ) -> None:
     """Views of who is first may differ while instances start and end."""
     permits = _run(rate, [0, 0], askers, overlap_s=VIEWS_DIFFER_S)
-    assert _most_in_window(permits) <= RATIO * rate * WINDOW_S + EXTRA
+    assert _most_in_window(permits) <= allowed(rate)
 
 
 @settings(max_examples=40)
@@ -174,8 +171,7 @@
         request = PermitRequest(news, 'edge-1', ranks[tick % len(ranks)])
         permits += _read(issuer.issue(request, news), tick * TICK_S)
         clock.advance(TICK_S)
-    allowed = RATIO * max(rates) * WINDOW_S + EXTRA
-    assert _most_in_window(permits) <= allowed
+    assert _most_in_window(permits) <= allowed(max(rates))
 
 
 def test_a_limit_is_probed_once_in_a_while() -> None:
--- a/tests/unit/test_send_limits.py
+++ b/tests/unit/test_send_limits.py
@@ -45,6 +45,17 @@
     return state
 
 
+def _make_book(
+    clock: ManualClock, table: UpstreamTable, permits: int
+) -> PermitBook:
+    """Returns a book with permits for the upstream that last a second."""
+    book = PermitBook(clock, Counters())
+    state = _state(table)
+    grant = PermitGrant(table.describe_limit(state), (0,) * permits, 1000)
+    book.add(state, grant, clock.elapsed())
+    return book
+
+
 @given(limits, limits)
 def test_the_newer_limit_holds(first: SendLimit, second: SendLimit) -> None:
     """Whichever is heard first."""
@@ -130,10 +141,8 @@
     """They were issued before the limit fell."""
     clock, table, record = _make_table()
     table.record_limit(record, 20, None)
-    book = PermitBook(clock, Counters())
     state = _state(table)
-    news = table.describe_limit(state)
-    book.add(state, PermitGrant(news, (0, 0), 1000), clock.elapsed())
+    book = _make_book(clock, table, permits=2)
     permit = book.take(state, urgent=True)
     assert permit is not None
     table.record_limit(record, 1, None)
@@ -145,10 +154,8 @@
     """The request may have waited; one that was given back is used again."""
     clock, table, record = _make_table()
     table.record_limit(record, 20, None)
-    book = PermitBook(clock, Counters())
     state = _state(table)
-    news = table.describe_limit(state)
-    book.add(state, PermitGrant(news, (0,), 1000), clock.elapsed())
+    book = _make_book(clock, table, permits=1)
     permit = book.take(state, urgent=True)
     assert permit is not None
     assert not book.may_send(state, urgent=True)
