--- a/review/3/case.py
+++ b/review/3/case.py
@@ -103,7 +103,8 @@
         )
         status = answer[0] if answer else 0
         sent.append((began, path, status))
-        record.write(f'{request} {path} answered {status}')
+        why = answer[2].decode() if status == 503 else ""
+        record.write(f"{request} {path} answered {status} {why}".rstrip())
         await asyncio.sleep(rng.uniform(0.1, 0.3))
         paths = ['/stock/2f', '/sizes/2f']
     client.close()
--- a/review/standins/platform_standins.py
+++ b/review/standins/platform_standins.py
@@ -177,7 +177,7 @@
 
     async def _serve(self, reader, writer):
         with contextlib.suppress(OSError, asyncio.IncompleteReadError):
-            while True:
+            while not writer.is_closing():
                 request = await read_request(reader)
                 url = urlsplit(request.target)
                 query = {k: v[0] for k, v in parse_qs(url.query).items()}
@@ -339,12 +339,14 @@
 
     async def _serve(self, reader, writer):
         self._writers.add(writer)
-        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
-            while True:
-                request = await read_request(reader)
-                await self._answer(request, writer)
-        self._writers.discard(writer)
-        writer.close()
+        try:
+            with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+                while True:
+                    request = await read_request(reader)
+                    await self._answer(request, writer)
+        finally:
+            self._writers.discard(writer)
+            writer.close()
 
     async def _answer(self, request, writer):
         seal = 'Lycheedyke-Server-Seal: 3e1b.07.5a2.600.0.c9f2a4d1\r\n'
@@ -438,15 +440,20 @@
         host, _, port = self.ports['ready'].rpartition(':')
         for _ in range(300):
             with contextlib.suppress(OSError, asyncio.IncompleteReadError):
-                reader, writer = await asyncio.open_connection(host, int(port))
-                writer.write(b'GET /ready HTTP/1.1\r\nHost: x\r\n\r\n')
-                status, _, _ = await read_response(reader)
-                writer.close()
-                if status == 200:
+                if await self._ask_ready(host, int(port)) == 200:
                     return
             await asyncio.sleep(0.1)
         raise CannotRun(f'{self.name} is not ready')
 
+    async def _ask_ready(self, host, port):
+        reader, writer = await asyncio.open_connection(host, port)
+        try:
+            writer.write(b'GET /ready HTTP/1.1\r\nHost: x\r\n\r\n')
+            status, _, _ = await read_response(reader)
+        finally:
+            writer.close()
+        return status
+
 
 class CannotRun(Exception):
     """The case cannot run here."""
@@ -593,7 +600,7 @@
     async def __aexit__(self, *_):
         self.close()
         # Closed connections end in the next turns of the loop.
-        await asyncio.sleep(0.1)
+        await asyncio.sleep(0.3)
 
     def close(self):
         for machine in self.machines:
