Show that a backend's 204 is answered 502

An answer without a length is taken for one that ends with its connection, also a 204, which has neither body nor length. Its connection has been given back by the time that its end is looked for, so the exchange fails: each order on a route whose service answers 204 runs to a good end, and its client is told 502. A version that adds such a route breaks CONFIG.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,4 +1,4 @@
-"""DRAIN: a backend that is gone gets work while waiting watches are cut."""
+"""CONFIG: what a backend answers with 204 reaches no client."""
 
 import asyncio
 import random
@@ -9,66 +9,110 @@
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / 'standins'))
 
-from platform_standins import Client, Deployment, Server, main
+from platform_standins import (
+    ORDER,
+    READ,
+    Client,
+    Deployment,
+    Server,
+    config,
+    main,
+)
 
-SEED = 11
-CLIENTS = 18
-# A watch that is waiting may be cut. Of the waiting watches, one in this time
-# is; the store answers all other calls at once, and is never down.
-CUT_EVERY_S = 1.8
-CUTS_FROM_S = 2.0
-REMOVED_AT_S = 6.0
-# The bound `drain` of the site.
-DRAIN_S = 2.5
-# The backend serves on after its removal, and a little longer than `drain`:
-# "at times many seconds". Then it exits.
-SERVES_S = 9.0
-SECONDS = REMOVED_AT_S + SERVES_S + 2
+SEED = 2
+CLIENTS = 9
+ADDED_AT_S = 2.0
+# The bound `configApply`, and `stable`.
+STEADY_AFTER_S = 2.5 + 4.0
+SECONDS = 20.0
 DEADLINE_MS = 1500
+# The route that is added: callers confirm that a pallet was picked up.
+CONFIRM = {**ORDER, 'name': 'confirm', 'prefix': '/confirm/', 'service': 'ledger'}
 
 
-async def send_on(client, rng, until, sent, record):
+class Ledger(Server):
+    """A sound server whose runs have nothing to say.
+
+    It answers 204 No Content, which has no body and no length (RFC 9110, 8.6),
+    or 200 with a length of 0. It closes the connection where the request asks
+    for that.
+    """
+
+    says_204 = False
+
+    async def _answer(self, request, writer):
+        self.arrivals.append(request)
+        if request.headers.get('lycheedyke-expect-instance') != self.name:
+            status, extra, length = '421 Misdirected Request', '', True
+        else:
+            self.runs.append(request.id)
+            await asyncio.sleep(self.run_s)
+            status, length = '200 OK', True
+            if self.says_204:
+                status, length = '204 No Content', False
+            extra = 'Lycheedyke-Server-Seal: 3e1b.07.5a2.0.0.c9f2a4d1\r\n'
+        if length:
+            extra += 'Content-Length: 0\r\n'
+        closes = request.headers.get('connection', '').lower() == 'close'
+        if closes:
+            extra += 'Connection: close\r\n'
+        writer.write(
+            f'HTTP/1.1 {status}\r\nLycheedyke-Request-Id: {request.id}\r\n'
+            f'{extra}\r\n'.encode()
+        )
+        await writer.drain()
+        if closes:
+            writer.close()
+
+
+async def send_on(client, rng, begun, until, sent, record):
     loop = asyncio.get_running_loop()
     while loop.time() < until:
-        key = rng.randrange(300)
+        targets = ['/stock/2f']
+        if loop.time() > begun + ADDED_AT_S + 2.5:
+            targets.append('/confirm/2f')
+        target = rng.choice(targets)
         began = loop.time()
-        if rng.random() < 0.5:
-            request, answer = await client.send(
-                'POST', '/order/2f', key, DEADLINE_MS, b'pallet'
-            )
-        else:
-            request, answer = await client.send(
-                'GET', '/stock/2f', key, DEADLINE_MS
-            )
-        status = answer[0] if answer else 0
-        sent[request] = (began, status)
-        record.write(f'{request} answered {status}')
-        await asyncio.sleep(rng.uniform(0.05, 0.15))
+        is_confirm = target == '/confirm/2f'
+        request, answer = await client.send(
+            'POST' if is_confirm else 'GET',
+            target,
+            rng.randrange(50),
+            DEADLINE_MS,
+            b'pallet 7 is here' if is_confirm else b'',
+        )
+        status, sealed = 0, False
+        if answer is not None:
+            status = answer[0]
+            sealed = 'lycheedyke-server-seal' in answer[1]
+        sent[request] = (began, target, status, sealed)
+        record.write(
+            f'{request} {target} answered {status}'
+            f'{" with a seal" if sealed else ""}'
+        )
+        await asyncio.sleep(rng.uniform(0.05, 0.2))
     client.close()
 
 
-async def cut_watches(store, record):
-    while True:
-        await asyncio.sleep(CUT_EVERY_S)
-        store.cut_watches()
-        record.write(f'a waiting watch is cut; {store.cuts} so far')
-
-
 async def case(record, has_trouble):
     zones = ('pnw-a', 'mountain-a', 'norcal-a')
-    servers = [
-        Server(f'i-{at}', zones[at % 3], slots=9, run_s=0.1)
-        for at in range(12)
+    desk = [Server(f'i-{at}', zones[at % 3], run_s=0.1) for at in range(6)]
+    ledger = [
+        Ledger(f'i-{at}', zones[at % 3], service='ledger', run_s=0.1)
+        for at in range(6, 9)
     ]
+    for server in ledger:
+        server.says_204 = has_trouble
     sent = {}
-    async with Deployment(servers, zones * 2) as deployment:
+    async with Deployment(desk + ledger, zones, (READ,)) as deployment:
         loop = asyncio.get_running_loop()
         begun = loop.time()
         sending = [
             asyncio.create_task(
                 send_on(
-                    Client(deployment.machines[at % 6], f'm{at % 6}-c{at}'),
+                    Client(deployment.machines[at % 3], f'c{at}'),
                     random.Random(SEED + at),
+                    begun,
                     begun + SECONDS,
                     sent,
                     record,
@@ -76,58 +120,40 @@
             )
             for at in range(CLIENTS)
         ]
-        await asyncio.sleep(CUTS_FROM_S)
-        cutting = None
-        if has_trouble:
-            cutting = asyncio.create_task(
-                cut_watches(deployment.store, record)
-            )
-        await asyncio.sleep(REMOVED_AT_S - CUTS_FROM_S)
-        # One server of each zone, a share of 0.25, leaves. They never report
-        # `draining`: their entries are removed.
-        leaving = servers[:3]
-        for gone in leaving:
-            deployment.store.remove(f'servers/{gone.name}')
-            record.write(f'the store acknowledges the removal of {gone.name}')
-        removed = loop.time()
-        await asyncio.sleep(SERVES_S)
-        exits = loop.time()
-        for gone in leaving:
-            record.write(f'{gone.name} exits; {gone.running} requests run there')
-            gone.close()
+        await asyncio.sleep(ADDED_AT_S)
+        deployment.store.put('op/config', config(0x15, [READ, CONFIRM]))
+        record.write('version 00000015 adds the route confirm')
         await asyncio.gather(*sending)
-        if cutting is not None:
-            cutting.cancel()
-    late = []
-    lost = []
-    for gone in leaving:
-        for request in gone.arrivals:
-            began, status = sent.get(request.id, (0, 0))
-            arrived = request.at - removed
-            if arrived <= 0:
-                continue
-            record.write(
-                f'{request.id} arrives at {gone.name} {arrived:.3f} s after '
-                'its removal'
-            )
-            # Counted as the rule does, and only if the client sent it so late.
-            if arrived > DRAIN_S and began - removed > DRAIN_S:
-                late.append((request.id, gone.name))
-            is_cut = exits - request.at < gone.run_s and status != 200
-            if request.method == 'POST' and is_cut:
-                lost.append(request.id)
-    for request, name in late:
-        record.write(f'DRAIN broken: {request} was sent to {name} after drain')
-    record.write(f'orders cut by the exit of a backend: {lost}')
-    machines = Counter(request.partition('-')[0] for request, _ in late)
-    statuses = dict(Counter(status for _, status in sent.values()))
+    runs = Counter(run for server in ledger for run in server.runs)
+    for run, count in runs.items():
+        record.write(f'{run} ran {count} times')
+    asked, served = Counter(), Counter()
+    unheard = 0
+    for request, (began, target, status, sealed) in sent.items():
+        if began < begun + ADDED_AT_S + STEADY_AFTER_S:
+            continue
+        asked[target] += 1
+        is_served = 200 <= status < 300 and sealed
+        served[target] += is_served
+        if runs[request] and not is_served:
+            unheard += 1
+            record.write(f'{request} ran to a good end, answered {status}')
+    shares = {
+        target: served[target] / max(1, asked[target])
+        for target in ('/stock/2f', '/confirm/2f')
+    }
+    first, added = shares.values()
+    is_broken = asked['/confirm/2f'] >= 20 and added < first / 4
+    if is_broken:
+        record.write(
+            'CONFIG broken: the added route is served less than a quarter as often'
+        )
     print(
-        f'{len(sent)} requests, answers {statuses}, {deployment.store.cuts} '
-        f'watches cut; requests sent to a removed backend later than '
-        f'{DRAIN_S} s after its removal: {len(late)} by {dict(machines)}; '
-        f'orders cut by the exit: {len(lost)}'
+        f'steady: first route served {served["/stock/2f"]} of '
+        f'{asked["/stock/2f"]}, added route {served["/confirm/2f"]} of '
+        f'{asked["/confirm/2f"]}; ran to a good end and not told: {unheard}'
     )
-    return bool(late)
+    return is_broken
 
 
 sys.exit(main(case, FOLDER))
