Tell a cut watch and a failed call from an outage of the registry

Cause: each failed call of the registry, and each first answer after one, counted as an outage and deferred all removals for two seconds from then on, so each further cut moved the moment on. The silence of a peer counted in the same way.

Change: a watch that ends without a response is followed by a call that does not wait. Peers adopt the judgement with the updates. Holds end by their own time, not while nothing is answered. The log tells watch, call and outage apart, and what is held until when.

Ruled out: to end the deferral at any answer (drops what lapsed in an outage if a watch is cut after it); to count failures alone (an instance that is turned away would still defer).

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_peer_updates.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_peer_updates.py
@@ -174,6 +174,7 @@
             self.age() // MILLISECOND,
             batch,
             self._replica.held_configurations(),
+            self._replica.deferral // MILLISECOND,
         )
         return web.Response(body=msgspec.msgpack.encode(update))
 
--- a/packages/lycheedyke/src/lycheedyke/coordination/_registry_follower.py
+++ b/packages/lycheedyke/src/lycheedyke/coordination/_registry_follower.py
@@ -19,6 +19,7 @@
     HistoryLost,
     PlatformError,
     PlatformStale,
+    WatchInterrupted,
 )
 from lycheedyke.protocol import (
     ItemBatch,
@@ -29,8 +30,13 @@
 
 _logger = logging.getLogger(__name__)
 
+ZERO = timedelta()
 MILLISECOND = timedelta(milliseconds=1)
 MAX_DOUBLINGS = 8
+# A call may fail while the registry answers others.
+FAILURES_OF_OUTAGE = 2
+# Interrupted watches are logged at most once in this time.
+INTERRUPTION_LOG_INTERVAL = timedelta(seconds=1)
 
 
 class UpdateSources(Protocol):
@@ -66,7 +72,9 @@
         retry: the delay from a failed call of the registry to the next one.
         max_retry: the maximum of this delay, which doubles with each
             failure, for an instance that is not a watcher.
-        silence: the age of the last update from which the peers are polled.
+        silence: the age of the last update from which the peers are polled,
+            and the shortest outage of the registry: records that are written
+            regularly do not lapse in less.
     """
 
     registry: timedelta = timedelta(milliseconds=250)
@@ -122,6 +130,10 @@
         self._has_full_state = False
         self._failed_since: timedelta | None = None
         self._failures = 0
+        self._failures_since_update = 0
+        self._unanswered_since = ZERO
+        self._interruptions = 0
+        self._interruption_logged_at = -INTERRUPTION_LOG_INTERVAL
         self._retry_at = timedelta()
 
     @property
@@ -150,24 +162,13 @@
         """Polls peers while updates are missing, until cancelled."""
         while True:
             await self._clock.sleep(self._intervals.retry)
-            self._replica.remove_lapsed()
-            if self._is_recent(self._updated):
+            # The owner of a record can't write it while nothing is answered.
+            self._replica.remove_lapsed(self._updated)
+            if self._failed_since is None and self._is_recent(self._updated):
                 continue
-            if self._may_be_outage():
-                # Records may lapse because they could not be renewed.
-                self._replica.record_outage()
             for update in await self._peers.poll_sample(self._replica.position):
                 self._merge(update)
 
-    def _may_be_outage(self) -> bool:
-        """Returns whether the silence is longer than the process's own pauses.
-
-        A pause is no sign of an outage. Removals take effect at once after it,
-        as an upstream serves only for a short time after its removal.
-        """
-        silent = self._clock.elapsed() - self._updated
-        return silent - self._paused_within(silent) >= self._intervals.silence
-
     async def _poll(self) -> timedelta:
         """Polls once; returns the delay until the next poll."""
         update = await self._peers.poll_source(self._replica.position)
@@ -180,11 +181,11 @@
         try:
             await self._read_registry()
         except PlatformError as error:
-            self._record_failure(error)
+            self._record_failure(error, polled)
             return min(
                 self._poll_interval, self._retry_at - self._clock.elapsed()
             )
-        self._record_answer()
+        self._record_recovery()
         took = self._clock.elapsed() - polled
         return max(self._intervals.registry - took, MILLISECOND)
 
@@ -204,9 +205,11 @@
         if update.batch.generation < max(known, self._registry.generation):
             return False
         as_of = self._clock.elapsed() - update.age_ms * MILLISECOND
+        # The peer, or its source, judges whether there was an outage.
+        self._replica.defer_removals(update.deferral_ms * MILLISECOND)
         self._replica.merge(update.batch)
         self._replica.adopt_configurations(update.held)
-        self._updated = max(self._updated, as_of)
+        self._record_update(as_of)
         self._has_full_state = (
             self._has_full_state or self._replica.revision > 0
         )
@@ -218,11 +221,13 @@
     async def _read_registry(self) -> None:
         changes = await self._watch() if self._has_full_state else None
         if changes is not None:
+            self._record_answer()
             self._replica.merge(changes)
             return
         self._has_full_state = False
         batch = await self._registry.read_all()
         self._check_generation(batch)
+        self._record_answer()
         self._replica.merge_full_state(batch)
         self._has_full_state = True
 
@@ -230,16 +235,29 @@
         """Returns the next changes, or None if the full state is needed."""
         after = self._replica.position
         try:
-            batch = await self._registry.watch(
-                after.revision,
-                self._intervals.wait,
-            )
+            batch = await self._watch_after(after.revision)
         except HistoryLost:
             _logger.info('history lost', extra={'revision': after.revision})
             return None
         self._check_generation(batch)
         return batch if batch.generation == after.generation else None
 
+    async def _watch_after(self, revision: int) -> ItemBatch:
+        """Returns the next changes; asks again if a watch was interrupted.
+
+        A call that does not wait is not cut, so it tells at once whether the
+        registry still answers.
+        """
+        polled = self._clock.elapsed()
+        try:
+            return await self._registry.watch(revision, self._intervals.wait)
+        except WatchInterrupted as error:
+            cause = error
+        self._count_failure(polled)
+        batch = await self._registry.watch(revision, ZERO)
+        self._log_interruption(revision, cause)
+        return batch
+
     def _check_generation(self, batch: ItemBatch) -> None:
         """Rejects a late answer from before the registry was restored."""
         known = self._replica.position.generation
@@ -250,8 +268,27 @@
             )
 
     def _record_answer(self) -> None:
-        self._updated = self._clock.elapsed()
-        self._record_recovery()
+        """Records an answer of the registry, before it is merged."""
+        silent = self._clock.elapsed() - self._updated
+        if self._was_away(silent):
+            self._replica.record_outage(silent)
+        self._record_update(self._clock.elapsed())
+
+    def _was_away(self, silent: timedelta) -> bool:
+        """Returns whether the registry was away until this answer.
+
+        A single call that fails is no sign of it, nor is a pause of this
+        process, nor calls that fail here while peers are answered.
+        """
+        if self._failures_since_update < FAILURES_OF_OUTAGE:
+            return False
+        return silent - self._paused_within(silent) >= self._intervals.silence
+
+    def _record_update(self, as_of: timedelta) -> None:
+        """Records that the registry answered this instance or a peer."""
+        self._updated = max(self._updated, as_of)
+        if as_of > self._unanswered_since:
+            self._failures_since_update = 0
 
     def _record_recovery(self) -> None:
         if self._failed_since is None:
@@ -259,14 +296,13 @@
         unreachable_for = self._clock.elapsed() - self._failed_since
         self._failures = 0
         self._failed_since = None
-        self._replica.record_outage()
         _logger.info(
             'registry regained',
             extra={'away_s': unreachable_for.total_seconds()},
         )
 
-    def _record_failure(self, error: PlatformError) -> None:
-        self._replica.record_outage()
+    def _record_failure(self, error: PlatformError, polled: timedelta) -> None:
+        self._count_failure(polled)
         delay = self._intervals.retry
         if not self._peers.is_watcher:
             delay *= 2 ** min(self._failures, MAX_DOUBLINGS)
@@ -285,3 +321,23 @@
                 'paused_ms': self._longest_pause() // MILLISECOND,
             },
         )
+
+    def _count_failure(self, polled: timedelta) -> None:
+        if not self._failures_since_update:
+            self._unanswered_since = polled
+        self._failures_since_update += 1
+
+    def _log_interruption(self, revision: int, error: WatchInterrupted) -> None:
+        self._interruptions += 1
+        now = self._clock.elapsed()
+        if now < self._interruption_logged_at + INTERRUPTION_LOG_INTERVAL:
+            return
+        self._interruption_logged_at = now
+        _logger.info(
+            'watch interrupted',
+            extra={
+                'revision': revision,
+                'error': str(error),
+                'count': self._interruptions,
+            },
+        )
--- a/packages/lycheedyke/src/lycheedyke/coordination/_replica.py
+++ b/packages/lycheedyke/src/lycheedyke/coordination/_replica.py
@@ -7,7 +7,7 @@
 """
 
 import logging
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 from datetime import timedelta
 
 from lycheedyke.clock import Clock
@@ -34,6 +34,10 @@
 # A record that is back with a copy although its owner has ended lapses in the
 # registry within this many times the time to write a record again.
 RETURNED_PERIODS = 3
+# The most keys that a log line names.
+MAX_LOGGED_KEYS = 10
+ZERO = timedelta()
+MILLISECOND = timedelta(milliseconds=1)
 
 OnChange = Callable[[RegistryItem, RegistryRecord | None], None]
 OnRestore = Callable[[Position], None]
@@ -85,11 +89,29 @@
         """The registry's revision up to which the items are complete."""
         return self.position.revision
 
-    def record_outage(self) -> None:
-        """Records that the registry is unreachable or has just recovered."""
-        self._removals_deferred_until = (
-            self._clock.elapsed() + self._reappearance
-        )
+    @property
+    def deferral(self) -> timedelta:
+        """How much longer removals of records that may lapse are deferred."""
+        left = self._removals_deferred_until - self._clock.elapsed()
+        return max(left, ZERO)
+
+    def record_outage(self, lasted: timedelta) -> None:
+        """Records that the registry answers again after an outage.
+
+        Args:
+            lasted: how long the registry answered nobody.
+        """
+        self._defer_removals(self._reappearance, 'own calls', lasted)
+
+    def defer_removals(self, deferral: timedelta) -> None:
+        """Adopts the deferral of a peer that has found an outage.
+
+        Args:
+            deferral: how much longer the peer defers removals.
+        """
+        deferral = min(deferral, self._reappearance)
+        if deferral > self.deferral:
+            self._defer_removals(deferral, 'peer')
 
     def merge(self, batch: ItemBatch) -> int:
         """Merges changes; returns how many were new.
@@ -103,9 +125,11 @@
         if batch.generation > self.position.generation:
             self._restore(batch)
             return len(batch.items)
+        held = set(self._held)
         count = sum(self._merge(item) for item in batch.items)
         self.position = max(self.position, batch.position)
         self._drop_old_tombstones()
+        self._report_deferred(self._held.keys() - held)
         return count
 
     def merge_full_state(self, batch: ItemBatch) -> None:
@@ -165,19 +189,25 @@
             self._held[item.key] = Hold(item, HoldReason.unwritten)
             self._on_change(item, known.record if known is not None else None)
 
-    def remove_lapsed(self) -> None:
-        """Ends the holds whose time is over; the registry's items count."""
-        now = self._clock.elapsed()
+    def remove_lapsed(self, answered: timedelta) -> None:
+        """Ends the holds whose time is over; the registry's items count.
+
+        Args:
+            answered: the time of the registry's last known answer. A hold
+                does not end while the registry is away.
+        """
         ended = {
             key: hold
             for key, hold in self._held.items()
-            if now >= self._held_until(hold.reason)
+            if answered >= self._held_until(hold.reason)
         }
         for key, hold in ended.items():
             self._held.pop(key)
             item = self._items[key]
             if item.record != hold.item.record:
                 self._on_change(item, hold.item.record)
+        if ended:
+            _logger.info('deferral ended', extra=_describe_keys(ended))
 
     def records(self) -> Iterable[RegistryRecord]:
         """Yields all records in effect."""
@@ -185,6 +215,37 @@
             if item.record is not None:
                 yield item.record
 
+    def _defer_removals(
+        self,
+        deferral: timedelta,
+        found_by: str,
+        lasted: timedelta = ZERO,
+    ) -> None:
+        self._removals_deferred_until = self._clock.elapsed() + deferral
+        _logger.warning(
+            'registry outage',
+            extra={
+                'found_by': found_by,
+                'lasted_ms': lasted // MILLISECOND,
+                'removals_deferred_until': self._deferred_until(),
+            },
+        )
+
+    def _deferred_until(self) -> str:
+        return (self._clock.now() + self.deferral).isoformat()
+
+    def _report_deferred(self, keys: Collection[str]) -> None:
+        if not keys:
+            return
+        _logger.info(
+            'removal deferred',
+            extra={
+                **_describe_keys(keys),
+                'reason': 'may have lapsed in an outage',
+                'until': self._deferred_until(),
+            },
+        )
+
     def _merge(self, item: RegistryItem) -> bool:
         known = self._items.get(item.key)
         if known is not None and known.revision >= item.revision:
@@ -210,7 +271,7 @@
         missing = {key: RegistryItem(key, batch.revision) for key in before}
         self._items = missing | {item.key: item for item in batch.items}
         self._held = self._find_holds(before)
-        self.record_outage()
+        self._defer_removals(self._reappearance, 'restored copy')
         self._returns_ignored_until = self._clock.elapsed() + (
             RETURNED_PERIODS * self._reappearance
         )
@@ -289,3 +350,8 @@
         if not isinstance(record, UpstreamRecord | EntryRecord):
             return False
         return self._clock.elapsed() < self._removals_deferred_until
+
+
+def _describe_keys(keys: Collection[str]) -> dict[str, object]:
+    """Returns the fields of a log line on records, whose number may be large."""
+    return {'count': len(keys), 'keys': sorted(keys)[:MAX_LOGGED_KEYS]}
--- a/packages/lycheedyke/src/lycheedyke/exceptions.py
+++ b/packages/lycheedyke/src/lycheedyke/exceptions.py
@@ -98,6 +98,10 @@
     """No byte of the call was sent, so nothing was written."""
 
 
+class WatchInterrupted(PlatformUnreachable):
+    """A call that waited for changes ended without a response."""
+
+
 class PlatformStale(PlatformError):
     """The platform's response lacks what was known before."""
 
--- a/packages/lycheedyke/src/lycheedyke/protocol/_registry.py
+++ b/packages/lycheedyke/src/lycheedyke/protocol/_registry.py
@@ -219,11 +219,15 @@
             milliseconds.
         batch: the items that changed after the requested revision.
         held: the configuration in force, while the registry has lost it.
+        deferral_ms: how much longer the sender defers the removal of records
+            that may have lapsed in an outage, in milliseconds; 0 also from
+            earlier releases.
     """
 
     age_ms: int
     batch: ItemBatch
     held: tuple[RegistryItem, ...] = ()
+    deferral_ms: int = 0
 
 
 class Announcement(NamedTuple):
@@ -262,6 +266,10 @@
         Args:
             after: the revision up to which the caller has all changes.
             wait: how long to wait for the first change.
+
+        Raises:
+            WatchInterrupted: the call waited and got no response. This says
+                nothing about other calls.
         """
 
     async def announce(
--- a/tests/standins/registry_store.py
+++ b/tests/standins/registry_store.py
@@ -5,7 +5,9 @@
 `lose_writes` (so many writes are applied, but their responses are lost),
 `write_delay_s` (writes are applied after this delay and get no response) and
 `compacted_revision` (the history up to this revision is dropped, and watches
-after an earlier revision get 410). `come_back_from_copy` replaces its content with an
+after an earlier revision get 410) and `refuse_calls` (so many calls get the
+status `refusal`) and `lose_watches` (so many watches get no response).
+`cut_watches` ends the watches that wait. `come_back_from_copy` replaces its content with an
 older copy.
 """
 
@@ -38,6 +40,9 @@
         self.down = False
         self.silent = False
         self.lose_writes = 0
+        self.lose_watches = 0
+        self.refuse_calls = 0
+        self.refusal = 503
         self.write_delay_s = 0.0
         self.compacted_revision = 0
         self.era: int | None = 0
@@ -48,6 +53,7 @@
         self._next_lease = 100
         self._renewed: dict[int, tuple[float, float]] = {}
         self._delayed_writes: set[asyncio.Task[None]] = set()
+        self._watches: set[asyncio.Transport] = set()
         self._copies = StoreCopies()
         self._keep_copy()
 
@@ -93,6 +99,11 @@
             if item.lease == lease and item.value is not None:
                 self.remove(key)
 
+    def cut_watches(self) -> None:
+        """Closes the connections on which a watch waits, unanswered."""
+        for transport in self._watches:
+            transport.close()
+
     def end_expired_leases(self) -> None:
         """Ends the leases that were not renewed within their time to live."""
         now = asyncio.get_running_loop().time()
@@ -221,6 +232,9 @@
             await asyncio.Event().wait()
         if self.down:
             raise web.HTTPServiceUnavailable
+        if self.refuse_calls:
+            self.refuse_calls -= 1
+            return web.Response(status=self.refusal)
         if self.write_delay_s and request.path == '/kv-txn':
             await request.read()
             delayed = asyncio.create_task(self._write_later(request, handler))
@@ -256,16 +270,25 @@
         )
 
     async def _watch(self, request: web.Request) -> web.Response:
+        if self.lose_watches:
+            self.lose_watches -= 1
+            await asyncio.Event().wait()
         after = int(request.query['after'])
         if not self.compacted_revision <= after <= self._revision:
             raise web.HTTPGone
         era = self.era
         polls = int(request.query['waitMs']) / 1000 / POLL_SECONDS
-        while self._revision <= after and polls > 0:
-            polls -= 1
-            await asyncio.sleep(POLL_SECONDS)
-            if self.era != era:
-                raise web.HTTPServiceUnavailable
+        transport = request.transport
+        assert transport is not None
+        self._watches.add(transport)
+        try:
+            while self._revision <= after and polls > 0:
+                polls -= 1
+                await asyncio.sleep(POLL_SECONDS)
+                if self.era != era:
+                    raise web.HTTPServiceUnavailable
+        finally:
+            self._watches.discard(transport)
         changed = sorted(
             (item.revision, key)
             for key, item in self._items.items()
--- a/tests/unit/gateway/test_generations.py
+++ b/tests/unit/gateway/test_generations.py
@@ -52,7 +52,7 @@
     def pass_time(self, seconds: float) -> None:
         """Lets time pass, then ends what is held no longer."""
         self.clock.advance(seconds)
-        self.replica.remove_lapsed()
+        self.replica.remove_lapsed(self.clock.elapsed())
 
     def _apply(self, item: RegistryItem, before: RegistryRecord | None) -> None:
         assert self.records.get(item.key) == before
--- a/tests/unit/gateway/test_replica.py
+++ b/tests/unit/gateway/test_replica.py
@@ -21,6 +21,7 @@
 from standins.records import make_upstream
 
 REAPPEARANCE = timedelta(seconds=2)
+OUTAGE = timedelta(seconds=5)
 
 
 class _ChangeLog:
@@ -75,13 +76,13 @@
     """A lapsed record may be written again for 2 s after the outage."""
     replica, clock, log = _make()
     replica.merge(ItemBatch(1, (_present('a', 1),)))
-    replica.record_outage()
+    replica.record_outage(OUTAGE)
     clock.advance(1)
     replica.merge(ItemBatch(2, (RegistryItem('a', 2),)))
-    replica.remove_lapsed()
+    replica.remove_lapsed(clock.elapsed())
     assert log.lines == [('a', True)]
     clock.advance(1.1)
-    replica.remove_lapsed()
+    replica.remove_lapsed(clock.elapsed())
     assert log.lines[-1] == ('a', False)
 
 
@@ -89,12 +90,12 @@
     """An upstream that writes its record again stays in use throughout."""
     replica, clock, log = _make()
     replica.merge(ItemBatch(1, (_present('a', 1),)))
-    replica.record_outage()
+    replica.record_outage(OUTAGE)
     replica.merge(ItemBatch(2, (RegistryItem('a', 2),)))
     clock.advance(1.5)
     replica.merge(ItemBatch(3, (_present('a', 3),)))
     clock.advance(5)
-    replica.remove_lapsed()
+    replica.remove_lapsed(clock.elapsed())
     assert ('a', False) not in log.lines
 
 
@@ -111,7 +112,7 @@
     replica, _, log = _make()
     zone = RegistryItem('evacuation/a', 1, EvacuationRecord('a'))
     replica.merge(ItemBatch(1, (zone,)))
-    replica.record_outage()
+    replica.record_outage(OUTAGE)
     replica.merge(ItemBatch(2, (RegistryItem('evacuation/a', 2),)))
     assert log.lines[-1] == ('evacuation/a', False)
 
