Name in look-ups only regions that suit all routes of a host

Cause: the intersection of the homes of a host's routes was empty, and an empty set meant "not restricted"; with a third route its homes alone counted. The look-up fell back to all instances where no allowed region had one.

Change: RouteTable.homes_of tells "not restricted" (None) from "no shared home". Look-ups name the homes of all restricted routes and the callers' own region, then the homes of any route, the other regions last, and log the regions. Zones that are not configured are no common region any more.

Ruled out: the homes of any route from the start (half of the requests go to a wrong region); upstreams are chosen by the homes of the route itself, so nothing is merged there.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_lookup.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_lookup.py
@@ -12,6 +12,7 @@
 from lycheedyke.protocol import EntryRecord
 from lycheedyke.state import (
     Counters,
+    HostHomes,
     RunTimeStats,
     UpstreamState,
     UpstreamTable,
@@ -168,6 +169,7 @@
         self._refreshed = timedelta()
         self._shares: dict[tuple[str, str], _CallerShares] = {}
         self._answers: dict[tuple[str, str], list[str]] = {}
+        self._regions: dict[tuple[str, str], frozenset[str]] = {}
 
     def __repr__(self) -> str:
         """Returns the instance's name."""
@@ -192,21 +194,64 @@
         return listed
 
     def _compute(self, host: str, zone: str) -> list[str]:
-        entries = self._entries_by_zone()
-        homes = self._homes(host)
-        allowed = {
-            name: addresses
-            for name, addresses in entries.items()
-            if not homes
-            or self._zones.get(name, '') in homes | {self._zones.get(zone, '')}
-        }
-        entries = allowed or entries
+        entries = self._allowed_entries(host, zone)
         shares = self._current_shares(
             host, zone, self._zone_capacities(host, entries)
         )
         listed = list_entries(zone, shares, entries)
         return listed or [self._own.caller_address]
 
+    def _allowed_entries(
+        self, host: str, zone: str
+    ) -> dict[str, tuple[str, ...]]:
+        """Returns the instances by zone that the callers of a zone may use.
+
+        A look-up does not tell the path, so these instances must suit all
+        routes of the host: those in the regions that are homes of all its
+        restricted routes, and those in the callers' own region. Only if there
+        are none, the homes of any route follow, and the other regions last.
+        """
+        entries = self._entries_by_zone()
+        homes = self._homes(host)
+        if homes is None:
+            return entries
+        own = frozenset((self._zones[zone],) if zone in self._zones else ())
+        for regions in (homes.of_all | own, homes.of_any):
+            allowed = {
+                name: addresses
+                for name, addresses in entries.items()
+                if self._zones.get(name) in regions
+            }
+            if allowed:
+                self._log_homes(host, zone, homes, regions)
+                return allowed
+        self._log_homes(host, zone, homes, frozenset())
+        return entries
+
+    def _log_homes(
+        self,
+        host: str,
+        zone: str,
+        homes: HostHomes,
+        regions: frozenset[str],
+    ) -> None:
+        """Logs the regions that callers are restricted to, if they change."""
+        is_logged = self._regions.get((host, zone)) == regions
+        if is_logged or not self._is_known(host, zone):
+            return
+        self._regions[host, zone] = regions
+        _logger.info(
+            'look-up restricted',
+            extra={
+                'host': host,
+                'callers_zone': zone,
+                'homes_of_all': sorted(homes.of_all),
+                'homes_of_any': sorted(homes.of_any),
+                'regions': sorted(regions),
+                'version': self._registry_view.number,
+            },
+        )
+
     def _current_shares(
         self,
         host: str,
@@ -241,10 +286,11 @@
         for host, zone in list(self._shares):
             if not self._is_known(host, zone):
                 self._shares.pop((host, zone))
+                self._regions.pop((host, zone), None)
 
-    def _homes(self, host: str) -> frozenset[str]:
+    def _homes(self, host: str) -> HostHomes | None:
         table = self._registry_view.table
-        return table.homes_of(host) if table else frozenset()
+        return table.homes_of(host) if table else None
 
     def _zone_capacities(
         self,
--- a/packages/lycheedyke/src/lycheedyke/state/__init__.py
+++ b/packages/lycheedyke/src/lycheedyke/state/__init__.py
@@ -59,7 +59,11 @@
 from lycheedyke.state._references import find_reference_faults
 from lycheedyke.state._repeats import RepeatBudget, RepeatLimit
 from lycheedyke.state._response_timeout import response_timeout
-from lycheedyke.state._routes import RouteTable, WeightedRoundRobin
+from lycheedyke.state._routes import (
+    HostHomes,
+    RouteTable,
+    WeightedRoundRobin,
+)
 from lycheedyke.state._run_times import RouteRunTimes, RunTimeStats
 from lycheedyke.state._selection import Hold, PermitSources, UpstreamSelector
 from lycheedyke.state._send_limits import (
@@ -151,6 +155,7 @@
     'DrainLog',
     'Headroom',
     'HeadroomReport',
+    'HostHomes',
     'KeyStore',
     'KeyStoreSealed',
     'KeyRecord',
--- a/packages/lycheedyke/src/lycheedyke/state/_routes.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_routes.py
@@ -2,10 +2,24 @@
 
 from collections import defaultdict
 from collections.abc import Iterable
+from typing import NamedTuple
 
 from lycheedyke.protocol import Route, RoutingRecord
 
 
+class HostHomes(NamedTuple):
+    """The home regions of the restricted routes of a host.
+
+    Attributes:
+        of_all: the regions in which all of these routes may run; empty if they
+            share none.
+        of_any: the regions in which at least one of them may run.
+    """
+
+    of_all: frozenset[str]
+    of_any: frozenset[str]
+
+
 class RouteTable:
     """The routes of one numbered configuration.
 
@@ -61,17 +75,22 @@
             for part in route.parts
         )
 
-    def homes_of(self, host: str) -> frozenset[str]:
-        """Returns the regions in which all routes of a host may run.
+    def homes_of(self, host: str) -> HostHomes | None:
+        """Returns the regions in which the routes of a host may run.
 
         Returns:
-            The regions; empty if the routes are not restricted.
+            None if none of the routes is restricted.
         """
-        homes: frozenset[str] = frozenset()
-        for route in self._by_host.get(host, {}).values():
-            if route.homes:
-                homes = homes & route.homes if homes else route.homes
-        return homes
+        bound = [
+            route.homes
+            for route in self._by_host.get(host, {}).values()
+            if route.homes
+        ]
+        if not bound:
+            return None
+        return HostHomes(
+            frozenset.intersection(*bound), frozenset.union(*bound)
+        )
 
 
 class WeightedRoundRobin:
