Tell from method and status whether an answer has a body

Each order ran to a good end, and its caller got 502. Reads ran at a second upstream as well, and sound upstreams counted as failing.

Cause: HttpClient took an answer without a length and without chunks for one that ends with its connection, before it looked at the status. Such an answer had ended with its head and given its connection back, so the exchange failed. 304 and all answers to HEAD without a length failed in the same way.

Change: one place, transport/_framing, tells from method and status whether a body may follow, for all readers and before any header. The gateway passes on the length that an answer to HEAD names, as the instance with tickets does.

Ruled out: the upstream's close (both fail); the parser (it ends these answers with their head).

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/answers.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/answers.py
@@ -8,10 +8,9 @@
     Outcome,
     Reason,
 )
-from lycheedyke.transport import HttpResponse
+from lycheedyke.transport import HttpResponse, length_of_absent_body
 from lycheedyke_daemon.work import Work, end_to_end_headers
 
-HTTP_NOT_MODIFIED = 304
 _OWN_HEADERS = frozenset((OUTCOME_HEADER.lower(), REASON_HEADER.lower()))
 
 
@@ -21,16 +20,20 @@
     """Returns the outcome that an upstream's answer stands for."""
     if answer.headers.get(OUTCOME_HEADER) == 'not-run':
         return NotRun(Reason.upstream_refused)
-    headers = [
+    headers = tuple(
         (name, text)
-        for name, text in end_to_end_headers(answer.headers)
+        for name, text in forwarded_headers(work, answer)
         if name.lower() not in _OWN_HEADERS
-    ]
-    length = answer.headers.get('Content-Length')
-    if length and _describes_absent_body(work, answer):
-        headers.append(('Content-Length', length))
-    return Answered(answer.status, tuple(headers), answer.body, upstream)
+    )
+    return Answered(answer.status, headers, answer.body, upstream)
 
 
-def _describes_absent_body(work: Work, answer: HttpResponse) -> bool:
-    return work.method == 'HEAD' or answer.status == HTTP_NOT_MODIFIED
+def forwarded_headers(
+    work: Work, answer: HttpResponse
+) -> tuple[tuple[str, str], ...]:
+    """Returns the headers of an answer that its caller gets."""
+    headers = tuple(end_to_end_headers(answer.headers))
+    length = length_of_absent_body(work.method, answer.status, answer.headers)
+    if length is None:
+        return headers
+    return (*headers, ('Content-Length', length))
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_upstream_client.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_upstream_client.py
@@ -37,6 +37,7 @@
     HttpClient,
     HttpResponse,
 )
+from lycheedyke_daemon.answers import forwarded_headers
 from lycheedyke_daemon.failures import outcome_of_error
 from lycheedyke_daemon.gateway._answer_headers import (
     HeaderNames,
@@ -45,7 +46,7 @@
 )
 from lycheedyke_daemon.gateway._decision_log import Telemetry
 from lycheedyke_daemon.stopping import Handler
-from lycheedyke_daemon.work import MAX_LOGGED, Work, end_to_end_headers
+from lycheedyke_daemon.work import MAX_LOGGED, Work
 
 MILLISECOND = timedelta(milliseconds=1)
 HTTP_OK = 200
@@ -294,7 +295,7 @@
             state.record_failure()
         return Answered(
             answer.status,
-            tuple(end_to_end_headers(answer.headers)),
+            forwarded_headers(work, answer),
             answer.body,
             state.record.name,
         )
--- a/packages/lycheedyke/src/lycheedyke/transport/__init__.py
+++ b/packages/lycheedyke/src/lycheedyke/transport/__init__.py
@@ -1,6 +1,7 @@
 """HTTP exchanges, and request-reply links between instances."""
 
 from lycheedyke.transport._body_memory import BodyMemory, IncomingBody
+from lycheedyke.transport._framing import length_of_absent_body
 from lycheedyke.transport._http import (
     MAX_HEAD_BYTES,
     READ_BUFFER_BYTES,
@@ -23,4 +24,5 @@
     'PeerLink',
     'PeerListener',
     'is_connection_refused',
+    'length_of_absent_body',
 )
--- a/packages/lycheedyke/src/lycheedyke/transport/_http.py
+++ b/packages/lycheedyke/src/lycheedyke/transport/_http.py
@@ -25,6 +25,7 @@
 from lycheedyke.timers import pause_tolerant_timeout
 from lycheedyke.transport._body_memory import BodyMemory, IncomingBody
 from lycheedyke.transport._connector import Connector
+from lycheedyke.transport._framing import has_body, has_length
 from lycheedyke.transport._sockets import open_socket
 from lycheedyke.transport._write_gate import (
     BeforeWrite,
@@ -46,7 +47,6 @@
 # The share of the timeout of an exchange that connecting may take.
 CONNECT_SHARE = 0.8
 IsOwn = Callable[[Mapping[str, str]], bool]
-_NO_BODY_STATUSES = frozenset((204, 304))
 # An address may be none that a socket can have.
 _EXCHANGE_ERRORS = (aiohttp.ClientError, ArithmeticError, OSError, ValueError)
 
@@ -217,22 +217,27 @@
             if is_own is not None and not is_own(response.headers):
                 response.close()
                 raise ExchangeBroken(f'{url}: response to another request')
-            if self._allow_close_delimited and not _has_length(response):
-                return await self._read_until_close(response)
-            return HttpResponse(
-                response.status,
-                response.headers,
-                await self._read(response),
-            )
+            if not has_body(method, response.status):
+                # The connection is reusable from the end of the head on.
+                return HttpResponse(response.status, response.headers, b'')
+            if has_length(response.headers):
+                content = await self._read(response)
+            else:
+                content = await self._read_until_close(response)
+            return HttpResponse(response.status, response.headers, content)
 
     async def _read_until_close(
-        self,
-        response: aiohttp.ClientResponse,
-    ) -> HttpResponse:
-        """Reads a response whose body ends where the connection is closed.
+        self, response: aiohttp.ClientResponse
+    ) -> bytes:
+        """Reads a body that ends where the connection is closed.
 
-        The response is complete only if the connection was closed, not reset.
+        It is complete only if the connection was closed, not reset.
         """
+        if not self._allow_close_delimited:
+            response.close()
+            raise ExchangeBroken(
+                f'{response.url}: response without a length may be truncated',
+            )
         connection = response.connection
         protocol = connection.protocol if connection else None
         body = await self._read(response)
@@ -241,16 +246,9 @@
                 f'{response.url}: unknown how the connection ended',
             )
         await protocol.closed
-        return HttpResponse(response.status, response.headers, body)
+        return body
 
     async def _read(self, response: aiohttp.ClientResponse) -> bytes:
-        if response.method == 'HEAD' or response.status in _NO_BODY_STATUSES:
-            return await response.read()
-        if not self._allow_close_delimited and not _has_length(response):
-            response.close()
-            raise ExchangeBroken(
-                f'{response.url}: response without a length may be truncated',
-            )
         with self._memory.receive(
             self._max_body_bytes, functools.partial(_break_off, response)
         ) as body:
@@ -307,11 +305,6 @@
     return session
 
 
-def _has_length(response: aiohttp.ClientResponse) -> bool:
-    coding = response.headers.get('Transfer-Encoding', '')
-    return 'Content-Length' in response.headers or 'chunked' in coding.lower()
-
-
 async def _receive(
     response: aiohttp.ClientResponse, body: IncomingBody
 ) -> bytes:
--- a/tests/standins/scripted_upstream.py
+++ b/tests/standins/scripted_upstream.py
@@ -52,6 +52,8 @@
             upstream once a request for it begins to run, as the action `crash`
             does.
         crashed: set when the upstream has ended.
+        bodiless: the status line and fields, each with its line end, of all
+            answers, which then have no body; '' for ordinary answers.
         arrivals: all received requests, whether they ran or not.
         started: the ids of the requests that began to run.
         disconnected: the ids of the requests whose connection was closed
@@ -66,6 +68,7 @@
         self.run_of_path: Callable[[str], float] = lambda _: self.run_s
         self.body = b'{"ran": "whole"}'
         self.says = ''
+        self.bodiless = ''
         self.crashes_on = ''
         self.crashed = asyncio.Event()
         self.arrivals: list[Arrival] = []
@@ -189,6 +192,12 @@
             return True
         if action in {'cut', 'open-cut', 'open'}:
             return await self._send_partial(action, writer, headers)
+        if self.bodiless:
+            writer.write(
+                f'HTTP/1.1 {self.bodiless}{SEAL}'
+                f'{REQUEST_ID}: {headers[REQUEST_ID]}\r\n\r\n'.encode()
+            )
+            return 'Connection: close' not in self.bodiless
         if action == 'other':
             headers = {**headers, REQUEST_ID: 'another'}
         await self._answer(writer, headers, self._make_body(headers))
--- a/tests/unit/test_whole_answers.py
+++ b/tests/unit/test_whole_answers.py
@@ -2,9 +2,9 @@
 
 import asyncio
 import contextlib
-from collections.abc import AsyncIterator, Callable, Coroutine
+from collections.abc import Callable, Coroutine
 from datetime import timedelta
-from typing import Any, NamedTuple
+from typing import Any
 
 import pytest
 from hypothesis import given, settings
@@ -21,6 +21,7 @@
 from lycheedyke_daemon.answers import outcome_of_answer
 from lycheedyke_daemon.work import Work
 from standins.deployment import free_ports
+from standins.scripted_server import FakeServer, serving
 
 LIMIT = timedelta(seconds=5)
 WHOLE = b'HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nmine'
@@ -31,41 +32,6 @@
 )
 
 
-class FakeServer(NamedTuple):
-    """The URL of a server, and the requests received by connection."""
-
-    url: str
-    connections: list[bytes]
-
-
-@contextlib.asynccontextmanager
-async def serving(*answers: bytes, close: bool) -> AsyncIterator[FakeServer]:
-    """Serves the answers in turn; the last one is repeated."""
-    pending = list(answers)
-    connections: list[bytes] = []
-
-    async def serve(
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-    ) -> None:
-        connections.append(b'')
-        own = len(connections) - 1
-        with contextlib.suppress(asyncio.IncompleteReadError, OSError):
-            while True:
-                head = await reader.readuntil(b'\r\n\r\n')
-                connections[own] += head
-                writer.write(pending.pop(0) if len(pending) > 1 else pending[0])
-                await writer.drain()
-                if close:
-                    break
-        writer.close()
-
-    server = await asyncio.start_server(serve, '127.0.0.1', 0)
-    port = server.sockets[0].getsockname()[1]
-    yield FakeServer(f'http://127.0.0.1:{port}/a%2Fb%41', connections)
-    server.close()
-
-
 def run(job: Callable[[], Coroutine[Any, Any, None]]) -> None:
     """Runs a test on a new event loop."""
     asyncio.run(job())
