Do not pass on a caller's word which upstream it expects

What callers saw: a caller that sends Lycheedyke-Expect-Instance itself had it passed on before the instance's own. An upstream that reads the first one answers 421, and each 421 took that upstream out.

Cause: of the headers that the instance sets, only the deadline was left out of what a caller sent.

Evidence: test_callers_name_no_upstream failed before, with the stand-in of upstreams reading the first of repeated headers, and passes now.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_caller_api.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_caller_api.py
@@ -216,7 +216,10 @@
 
     def _to_work(self, admitted: _AdmittedRequest, body: bytes) -> Work:
         http = admitted.http
-        replaced = {self._names.remaining.lower()}
+        replaced = {
+            self._names.remaining.lower(),
+            self._names.expected_upstream.lower(),
+        }
         headers = tuple(
             (name, text)
             for name, text in end_to_end_headers(http.headers)
--- a/tests/standins/scripted_upstream.py
+++ b/tests/standins/scripted_upstream.py
@@ -122,7 +122,10 @@
         head = (await reader.readuntil(b'\r\n\r\n')).decode()
         lines = head.split('\r\n')
         method, target, _ = lines[0].split(' ')
-        headers = dict(line.split(': ', 1) for line in lines[1:] if line)
+        # Of a repeated header, the first one counts.
+        headers = dict(
+            line.split(': ', 1) for line in reversed(lines[1:]) if line
+        )
         action = self.script.popleft() if self.script else 'answer'
         length = int(headers.get('Content-Length', '0'))
         if action == 'early':
