Try lost upstreams again, without a request and after growing pauses

Cause: one refused connection, or one 421, marked an upstream as lost until its next record, and a record does not change while only its heartbeat does.

Change: a lost upstream is tried by a connection that carries no request, after pauses that double from 1 s to 32 s, differ between instances, and are short where a service has no other upstream. Once it accepts one, it gets the pace of a cold upstream, as its new record may come later, and single requests until it has answered one. A 421 counts as no attempt, as it ran nowhere.

Ruled out: an end by time, or trials by requests (an upstream that is gone would cost requests for as long as its entry stands); health checks (they wait for a slot).

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
@@ -32,6 +32,7 @@
 from lycheedyke_daemon.gateway._instance_status import InstanceStatus
 from lycheedyke_daemon.gateway._limit_exchange import LimitExchange
 from lycheedyke_daemon.gateway._lookup import LookupApi, LookupDirectory
+from lycheedyke_daemon.gateway._lost_upstreams import LostUpstreams
 from lycheedyke_daemon.gateway._metrics import GatewayCollector
 from lycheedyke_daemon.gateway._peer_updates import PeerUpdates
 from lycheedyke_daemon.gateway._registry_view import RegistryView
@@ -81,7 +82,9 @@
         self._servers = HttpServers(self._counters, CLOSE_LIMIT)
         self._tracker = RequestTracker(refuses_behind=True)
         self._schedule = StopSchedule(clock, lambda: self._settings.stop_grace)
-        self._idle = IdleConnectionCloser(self._idle_limit, self._counters)
+        self._idle = IdleConnectionCloser(
+            lambda: self._registry_view.idle_limit, self._counters
+        )
         self._list_callers: Connections = list
         self._is_listening = False
         self._upstream_table = UpstreamTable(clock)
@@ -135,6 +138,9 @@
         self._quarantines = QuarantinePublisher(
             deployment.registry, suspects, clock
         )
+        self._lost_upstreams = LostUpstreams(
+            self._upstream_table, self._registry_view, self._counters, clock
+        )
         self._registry_view.on_entry_removed = self._handle_entry_removed
         self._telemetry = self._make_telemetry()
         self._client = UpstreamClient(
@@ -172,6 +178,7 @@
             ('quarantines', self._quarantines.run),
             ('suspects', self._suspects.resend),
             ('limits', self._limits.run),
+            ('lost upstreams', self._lost_upstreams.run),
         ):
             self._tasks.start(name, work)
         file = self._settings_file
@@ -330,18 +337,13 @@
         )
         return Telemetry(self._clock, self._counters, decision_log)
 
-    def _idle_limit(self) -> timedelta | None:
-        table = self._registry_view.table
-        return table.limits.idle_timeout if table else None
-
     def _max_instances(self) -> int:
         return self._registry_view.max_instances
 
     def _peer_app(self) -> web.Application:
         app = web.Application()
-        app.add_routes(self._peer_updates.routes())
-        app.add_routes(self._suspects.routes())
-        app.add_routes(self._limits.routes())
+        for part in (self._peer_updates, self._suspects, self._limits):
+            app.add_routes(part.routes())
         return app
 
     def _lookup_app(self) -> web.Application:
@@ -370,9 +372,8 @@
         return app
 
     async def _show_ready(self, request: web.Request) -> web.Response:
-        if self.ready:
-            return web.Response(text='ready')
-        return web.Response(status=503, text='not ready')
+        status, text = (200, 'ready') if self.ready else (503, 'not ready')
+        return web.Response(status=status, text=text)
 
     def _metrics_app(self) -> web.Application:
         app = web.Application()
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_registry_view.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_registry_view.py
@@ -59,6 +59,11 @@
         """The number of the configuration in force; 0 if there is none."""
         return self.table.number if self.table else 0
 
+    @property
+    def idle_limit(self) -> timedelta | None:
+        """How long callers' connections may be idle; None if not known."""
+        return self.table.limits.idle_timeout if self.table else None
+
     def active_entries(self) -> list[EntryRecord]:
         """Returns the entry instances that have not announced a stop."""
         return [
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_request_progress.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_request_progress.py
@@ -8,10 +8,12 @@
 from lycheedyke_daemon.gateway._upstream_client import Sending
 from lycheedyke_daemon.work import Work
 
-# With these reasons nothing was sent, so they don't count as attempts.
+# With these reasons no upstream of the service got the request, so they don't
+# count as attempts.
 _NOT_SENT = frozenset(
     (
         Reason.upstream_unreachable,
+        Reason.upstream_replaced,
         Reason.upstream_leaving,
         Reason.upstream_limited,
         Reason.quarantined,
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_upstream_client.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_upstream_client.py
@@ -26,6 +26,7 @@
 )
 from lycheedyke.state import (
     LimitNotUnderstood,
+    LossReason,
     PermitBook,
     SendPermit,
     UpstreamState,
@@ -242,7 +243,7 @@
     ) -> None:
         match error:
             case ConnectionRefusedByHost():
-                state.mark_lost()
+                state.mark_lost(LossReason.refused)
             case WriteTooLate() | UpstreamWithdrawn():
                 # Says nothing about the upstream.
                 pass
@@ -278,8 +279,9 @@
         state.record_answer()
         if answer.status == HTTP_MISDIRECTED:
             # Another upstream uses this address now.
-            state.mark_lost()
+            state.mark_lost(LossReason.replaced)
             return NotRun(Reason.upstream_replaced)
+        state.record_identity()
         self._record_load(state, answer)
         self._record_limit(record, work, sending, answer)
         is_paused = self._record_wishes(record, work, answer)
--- a/packages/lycheedyke/src/lycheedyke/protocol/_registry.py
+++ b/packages/lycheedyke/src/lycheedyke/protocol/_registry.py
@@ -66,11 +66,13 @@
         name: the service's name.
         max_connections: the maximum number of connections to one upstream.
         cold_per_s: the requests per second that a cold upstream can handle.
+        cold: how long an upstream is cold after its start.
     """
 
     name: str
     max_connections: int
     cold_per_s: float
+    cold: timedelta = timedelta()
 
 
 class CallerLimits(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/lycheedyke/src/lycheedyke/state/__init__.py
+++ b/packages/lycheedyke/src/lycheedyke/state/__init__.py
@@ -90,7 +90,7 @@
     TrialReply,
     TrialRequest,
 )
-from lycheedyke.state._upstream_state import UpstreamState
+from lycheedyke.state._upstream_state import LossReason, UpstreamState
 from lycheedyke.state._upstreams import UpstreamTable
 from lycheedyke.state._verdicts import Judgement, SettledQuarantine, Verdict
 from lycheedyke.state._warmup_limiter import WarmupLimiter, permit_interval
@@ -125,6 +125,7 @@
     'RouteRunTimes',
     'WeightedRoundRobin',
     'UpstreamSelector',
+    'LossReason',
     'UpstreamState',
     'WarmupLimiter',
     'RunTimeStats',
--- a/packages/lycheedyke/src/lycheedyke/state/_selection.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_selection.py
@@ -299,6 +299,8 @@
         ]
 
     def _may_send(self, state: UpstreamState, now: timedelta) -> bool:
+        if state.is_unproven and state.in_flight:
+            return False
         if not state.is_cold_at(now):
             self._limiter.forget(state.record.name)
             return True
--- a/packages/lycheedyke/src/lycheedyke/state/_upstream_state.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_upstream_state.py
@@ -2,8 +2,11 @@
 
 import logging
 import math
+import random
 from collections import OrderedDict
 from datetime import timedelta
+from enum import Enum
+from typing import NamedTuple
 
 from lycheedyke.clock import Clock
 from lycheedyke.protocol import UpstreamRecord
@@ -29,10 +32,37 @@
 MAX_PAUSE = timedelta(seconds=4)
 # Compensates for the age of a record when it reaches this instance.
 COLD_MARGIN = timedelta(milliseconds=800)
+# The pause before the first trial of a lost upstream, and the longest one.
+MIN_LOSS_PAUSE = timedelta(seconds=1)
+MAX_LOSS_PAUSE = timedelta(seconds=32)
+# Instances that lose an upstream at the same moment try it at different ones.
+MIN_LOSS_JITTER = 0.75
+MAX_LOSS_JITTER = 1.25
 ZERO = timedelta()
 MILLISECOND = timedelta(milliseconds=1)
 
 
+class LossReason(Enum):
+    """What told that an upstream is not at its address."""
+
+    refused = 'connection refused'
+    replaced = 'another upstream answered'
+
+
+class Loss(NamedTuple):
+    """Why and since when an upstream gets no requests.
+
+    Attributes:
+        reason: what told it.
+        tried_at: when that was, or the last trial that failed.
+        retry_at: when the next trial is due.
+    """
+
+    reason: LossReason
+    tried_at: timedelta
+    retry_at: timedelta
+
+
 class UpstreamState:
     """The state of one upstream as observed by this instance.
 
@@ -44,6 +74,10 @@
         unlimited_at: when the last request was written whose answer named no
             limit.
         limit_logged_at: when its limit was logged last.
+        loss: why it gets no requests until a trial or its next record; None
+            if it is not lost.
+        is_unproven: whether it was lost, and has answered no request since a
+            trial ended that. It gets one request at a time.
 
     Args:
         record: the first record of the upstream.
@@ -66,7 +100,9 @@
         self._ejections = 0
         self._ejected_until: timedelta | None = None
         self._cold_until = ZERO
-        self._is_lost = False
+        self.loss: Loss | None = None
+        self.is_unproven = False
+        self._losses = 0
         self._slowness = 1.0
         self._slowness_at = ZERO
         self.apply(record)
@@ -82,8 +118,8 @@
 
     @property
     def is_lost(self) -> bool:
-        """Whether the upstream gets no requests until its next record."""
-        return self._is_lost
+        """Whether the upstream gets no requests as it was not reached."""
+        return self.loss is not None
 
     @property
     def is_ejected(self) -> bool:
@@ -146,7 +182,8 @@
         if record.born != self.record.born:
             self._reset()
         self.record = record
-        self._is_lost = False
+        self.loss = None
+        self.is_unproven = False
         if record.cold > ZERO:
             self._cold_until = self._clock.elapsed() + (
                 record.cold + COLD_MARGIN
@@ -194,15 +231,60 @@
         if eject_now or self._failures >= FAILURES_BEFORE_EJECTION:
             self._eject()
 
-    def mark_lost(self) -> None:
-        """Marks the upstream as lost, as nothing listens at its address.
+    def mark_lost(self, reason: LossReason = LossReason.refused) -> None:
+        """Marks the upstream as lost, as it is not at its address.
+
+        The upstream gets no requests until its next record, or until a trial
+        reaches it. The pauses between trials grow until it answers a request.
+        """
+        if self.loss is not None:
+            return
+        pause = self._set_loss(reason)
+        self._tell(
+            'upstream lost',
+            reason=reason.value,
+            pause_ms=pause // MILLISECOND,
+        )
+
+    def extend_loss(self) -> None:
+        """Records that a trial has not reached the lost upstream."""
+        if self.loss is not None:
+            self._set_loss(self.loss.reason)
+
+    def hasten_trial(self, retry_at: timedelta) -> None:
+        """Brings the next trial forward, as another upstream is back."""
+        if self.loss is not None and retry_at < self.loss.retry_at:
+            self.loss = self.loss._replace(retry_at=retry_at)
 
-        The upstream gets no requests until its next record, which tells that
-        it is running and whether it is cold.
+    def end_loss(self, cold: timedelta) -> None:
+        """Records that the lost upstream accepts connections again.
+
+        It may have been started anew, and its record may come later, so it is
+        taken for cold.
+
+        Args:
+            cold: how long an upstream of its service is cold after its start.
         """
-        if not self._is_lost:
-            self._tell('upstream lost')
-        self._is_lost = True
+        if self.loss is None:
+            return
+        self.loss = None
+        self.is_unproven = True
+        now = self._clock.elapsed()
+        self._cold_until = max(self._cold_until, now + cold)
+        self._tell('upstream reachable', losses=self._losses)
+
+    def record_identity(self) -> None:
+        """Records an answer of this very upstream."""
+        self.is_unproven = False
+        self._losses = 0
+
+    def _set_loss(self, reason: LossReason) -> timedelta:
+        now = self._clock.elapsed()
+        pause = min(MAX_LOSS_PAUSE, MIN_LOSS_PAUSE * 2.0**self._losses)
+        pause *= random.uniform(MIN_LOSS_JITTER, MAX_LOSS_JITTER)
+        self._losses = min(self._losses + 1, 8)
+        self.loss = Loss(reason, now, now + pause)
+        return pause
 
     def _eject(self) -> None:
         now = self._clock.elapsed()
@@ -228,6 +310,7 @@
         self._failures = 0
         self._ejections = 0
         self._ejected_until = None
+        self._losses = 0
         self._other_load = 0
         self._slowness = 1.0
         self.unlimited_at = ZERO
--- a/packages/lycheedyke/src/lycheedyke/state/_upstreams.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_upstreams.py
@@ -175,6 +175,17 @@
         """Returns the upstreams that have named a limit."""
         return [self._states[name] for name in sorted(self._limited)]
 
+    def lost(self) -> list[UpstreamState]:
+        """Returns the lost upstreams that would get requests otherwise."""
+        now = self._clock.elapsed()
+        return [
+            state
+            for state in self._states.values()
+            if state.loss is not None
+            and not self._is_withdrawn(state)
+            and state.wishes.allow(now)
+        ]
+
     def find(self, name: str) -> UpstreamState | None:
         """Returns an upstream by its name."""
         return self._states.get(name)
@@ -290,7 +301,8 @@
             self._limited.add(state.record.name)
 
     def _is_usable(self, state: UpstreamState) -> bool:
+        return not state.is_lost and not self._is_withdrawn(state)
+
+    def _is_withdrawn(self, state: UpstreamState) -> bool:
         record = state.record
-        if record.leaving or state.is_lost:
-            return False
-        return record.zone not in self.evacuated_zones
+        return record.leaving or record.zone in self.evacuated_zones
--- a/packages/lycheedyke/src/lycheedyke/transport/__init__.py
+++ b/packages/lycheedyke/src/lycheedyke/transport/__init__.py
@@ -10,7 +10,7 @@
     HttpResponse,
 )
 from lycheedyke.transport._links import Link, PeerLink, PeerListener
-from lycheedyke.transport._probes import is_connection_refused
+from lycheedyke.transport._probes import is_connection_refused, probe
 
 __all__ = (
     'MAX_HEAD_BYTES',
@@ -25,4 +25,5 @@
     'PeerListener',
     'is_connection_refused',
     'length_of_absent_body',
+    'probe',
 )
