Hear an instance again whose end seemed proven

What callers would see: with tickets, a refused connection to the control address of an owner proves its end. If a cut refused the connection, the deputy used all slots of the upstreams from then on, beside the owner's, although it heard the owner again.

Change: a message of an incarnation withdraws the proof of its end. A late message only delays a take-over, as the instance is silent and probed again after it.

No run of real processes with such a cut was made.

--- a/packages/lycheedyke/src/lycheedyke/coordination/_slot_allowance.py
+++ b/packages/lycheedyke/src/lycheedyke/coordination/_slot_allowance.py
@@ -5,6 +5,7 @@
 the owner.
 """
 
+import logging
 from collections.abc import Iterable
 from datetime import timedelta
 from typing import NamedTuple
@@ -16,6 +17,8 @@
 RESPONSE_TIMEOUT = timedelta(seconds=1)
 RUN_MARGIN = timedelta(milliseconds=250)
 
+_logger = logging.getLogger(__name__)
+
 
 class Contact:
     """What the last messages of one incarnation reported, and their times."""
@@ -106,6 +109,7 @@
         """Applies a message received from a peer."""
         message = received.message
         sender = message.incarnation
+        self._withdraw_end(sender)
         contact = self._contacts.setdefault(sender, Contact())
         contact.received = self._clock.elapsed()
         contact.epoch = message.owner_epoch
@@ -121,6 +125,14 @@
         """Records that an incarnation is proven to have ended."""
         self._ended.setdefault(incarnation, self._clock.elapsed())
 
+    def _withdraw_end(self, incarnation: str) -> None:
+        """Withdraws the proof that an incarnation has ended, as it is heard.
+
+        A connection may have been refused on the way to it.
+        """
+        if self._ended.pop(incarnation, None) is not None:
+            _logger.warning('end withdrawn', extra={'incarnation': incarnation})
+
     def silence(self, incarnation: str) -> timedelta | None:
         """Returns the time since the last message; None before the first."""
         contact = self._contacts.get(incarnation)
--- a/tests/unit/test_owners.py
+++ b/tests/unit/test_owners.py
@@ -320,6 +320,22 @@
         machine.slots_are_kept()
 
 
+# Guards against an upstream that gets more than its slots for good, since one
+# connection to its owner was refused on the way.
+def test_an_owner_that_is_heard_again_has_not_ended() -> None:
+    """Its deputy keeps to its part once the owner's heartbeats arrive."""
+    machine, owner, deputy = _settled()
+    allowance = deputy.owners.allowance
+    allowance.record_end(owner.info.incarnation)
+    assert allowance.has_ended(owner.info.incarnation)
+    machine.exchange(owner, deputy)
+    assert not allowance.has_ended(owner.info.incarnation)
+    for _ in range(20):
+        machine.check([240])
+        machine.exchange(owner, deputy)
+        machine.exchange(deputy, owner)
+
+
 def test_owner_that_never_idles_leaves_to_its_deputy() -> None:
     """The owner grants each slot that becomes free to its deputy."""
     machine, owner, deputy = _settled()
