Bound what updates that are passed on add to a deferral and take from an outage

What callers would see: two instances that tell each other of a deferral, with updates that take 0.2 s, keep removed upstreams in use for ever; with updates that take longer, an outage seems shorter than it is, and what lapsed in it is removed.

Each receiver added the time of the update, as it can't know it.

Change: a told deferral counts only if it exceeds the own one by more than an update may take. Updates state a lower bound of the last answer's time beside the age, and receivers count from when they asked.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
@@ -133,6 +133,7 @@
             paused_within=self._pauses.within,
         )
         self._peer_updates.age = lambda: self._follower.age
+        self._peer_updates.silence = lambda: self._follower.silence
         self._peer_updates.longest_pause = self._pauses.longest
         self._presence = Presence(deployment.registry, own, clock)
         self._quarantines = QuarantinePublisher(
@@ -292,10 +293,9 @@
         self._presence.mark_restored(position.generation)
 
     def _caller_app(self) -> web.Application:
-        settings = self._settings
         self._registry_view.on_routes_changed = self._times.retain
         router = make_router(
-            settings,
+            self._settings,
             RouterParts(
                 self._registry_view,
                 self._upstream_table,
@@ -319,7 +319,7 @@
             self._registry_view,
             router,
             self._deployment.headers,
-            BodyMemory(settings.body_memory_bytes),
+            BodyMemory(self._settings.body_memory_bytes),
             self._tracker,
             self._telemetry,
             schedule=self._schedule,
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_peer_updates.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_peer_updates.py
@@ -57,6 +57,7 @@
 
     Attributes:
         age: returns the age of the last update from the registry.
+        silence: returns the time since the registry has answered anyone.
         longest_pause: returns the longest recent pause of this process, for
             the log.
     """
@@ -72,6 +73,7 @@
     ) -> None:
         """Initializes the client; the attributes are set later."""
         self.age: Callable[[], timedelta] = timedelta
+        self.silence: Callable[[], timedelta] = timedelta
         self.longest_pause: Callable[[], timedelta] = timedelta
         self._own = own
         self._registry_view = registry_view
@@ -175,6 +177,7 @@
             batch,
             self._replica.held_configurations(),
             self._replica.deferral // MILLISECOND,
+            self.silence() // MILLISECOND,
         )
         return web.Response(body=msgspec.msgpack.encode(update))
 
--- a/packages/lycheedyke/src/lycheedyke/coordination/_registry_follower.py
+++ b/packages/lycheedyke/src/lycheedyke/coordination/_registry_follower.py
@@ -127,10 +127,11 @@
         self._longest_pause = longest_pause
         self._paused_within = paused_within
         self._updated = clock.elapsed()
+        self._answered = self._updated
         self._has_full_state = False
         self._failed_since: timedelta | None = None
         self._failures = 0
-        self._failures_since_update = 0
+        self._failures_since_answer = 0
         self._unanswered_since = ZERO
         self._interruptions = 0
         self._interruption_logged_at = -INTERRUPTION_LOG_INTERVAL
@@ -149,6 +150,15 @@
             return age
         return max(age, self._intervals.silence)
 
+    @property
+    def silence(self) -> timedelta:
+        """The time since the registry has answered any instance, or longer.
+
+        Unlike `age`, it grows with each update that instances pass on to each
+        other in an outage.
+        """
+        return self._clock.elapsed() - self._answered
+
     def __repr__(self) -> str:
         """Returns the replica."""
         return f'<RegistryFollower of {self._replica!r}>'
@@ -163,16 +173,18 @@
         while True:
             await self._clock.sleep(self._intervals.retry)
             # The owner of a record can't write it while nothing is answered.
-            self._replica.remove_lapsed(self._updated)
+            self._replica.remove_lapsed(self._answered)
             if self._failed_since is None and self._is_recent(self._updated):
                 continue
+            asked = self._clock.elapsed()
             for update in await self._peers.poll_sample(self._replica.position):
-                self._merge(update)
+                self._merge(update, asked)
 
     async def _poll(self) -> timedelta:
         """Polls once; returns the delay until the next poll."""
+        asked = self._clock.elapsed()
         update = await self._peers.poll_source(self._replica.position)
-        if update is not None and self._merge(update):
+        if update is not None and self._merge(update, asked):
             self._record_recovery()
             return self._poll_interval * random.uniform(0.9, 1.1)
         polled = self._clock.elapsed()
@@ -195,9 +207,13 @@
             return self._intervals.head
         return self._intervals.watcher
 
-    def _merge(self, update: RegistryUpdate) -> bool:
+    def _merge(self, update: RegistryUpdate, asked: timedelta) -> bool:
         """Merges a peer's update; returns whether it is recent.
 
+        Args:
+            update: the update.
+            asked: when the peer was asked for it.
+
         What a peer knows of an earlier generation is out of date. The
         registry may have stated a later one when the announcement was renewed.
         """
@@ -209,7 +225,8 @@
         self._replica.defer_removals(update.deferral_ms * MILLISECOND)
         self._replica.merge(update.batch)
         self._replica.adopt_configurations(update.held)
-        self._record_update(as_of)
+        self._updated = max(self._updated, as_of)
+        self._record_answered(asked - _silence_of(update) - MILLISECOND)
         self._has_full_state = (
             self._has_full_state or self._replica.revision > 0
         )
@@ -269,26 +286,31 @@
 
     def _record_answer(self) -> None:
         """Records an answer of the registry, before it is merged."""
-        silent = self._clock.elapsed() - self._updated
-        if self._was_away(silent):
-            self._replica.record_outage(silent)
-        self._record_update(self._clock.elapsed())
+        if self._was_away():
+            self._replica.record_outage(self.silence)
+        self._updated = self._clock.elapsed()
+        self._record_answered(self._updated)
 
-    def _was_away(self, silent: timedelta) -> bool:
+    def _was_away(self) -> bool:
         """Returns whether the registry was away until this answer.
 
         A single call that fails is no sign of it, nor is a pause of this
         process, nor calls that fail here while peers are answered.
         """
-        if self._failures_since_update < FAILURES_OF_OUTAGE:
+        if self._failures_since_answer < FAILURES_OF_OUTAGE:
             return False
-        return silent - self._paused_within(silent) >= self._intervals.silence
+        paused = self._paused_within(self.silence)
+        return self.silence - paused >= self._intervals.silence
 
-    def _record_update(self, as_of: timedelta) -> None:
-        """Records that the registry answered this instance or a peer."""
-        self._updated = max(self._updated, as_of)
-        if as_of > self._unanswered_since:
-            self._failures_since_update = 0
+    def _record_answered(self, answered: timedelta) -> None:
+        """Records that the registry answered this instance or a peer.
+
+        Args:
+            answered: when it did, or an earlier time.
+        """
+        self._answered = max(self._answered, answered)
+        if answered > self._unanswered_since:
+            self._failures_since_answer = 0
 
     def _record_recovery(self) -> None:
         if self._failed_since is None:
@@ -323,9 +345,9 @@
         )
 
     def _count_failure(self, polled: timedelta) -> None:
-        if not self._failures_since_update:
+        if not self._failures_since_answer:
             self._unanswered_since = polled
-        self._failures_since_update += 1
+        self._failures_since_answer += 1
 
     def _log_interruption(self, revision: int, error: WatchInterrupted) -> None:
         self._interruptions += 1
@@ -341,3 +363,10 @@
                 'count': self._interruptions,
             },
         )
+
+
+def _silence_of(update: RegistryUpdate) -> timedelta:
+    silence_ms = update.silence_ms
+    if silence_ms is None:
+        silence_ms = update.age_ms
+    return silence_ms * MILLISECOND
--- a/packages/lycheedyke/src/lycheedyke/coordination/_replica.py
+++ b/packages/lycheedyke/src/lycheedyke/coordination/_replica.py
@@ -34,6 +34,8 @@
 # A record that is back with a copy although its owner has ended lapses in the
 # registry within this many times the time to write a record again.
 RETURNED_PERIODS = 3
+# An update of a peer arrives within this time, or is given up.
+MAX_UPDATE_TIME = timedelta(milliseconds=500)
 # The most keys that a log line names.
 MAX_LOGGED_KEYS = 10
 ZERO = timedelta()
@@ -107,10 +109,11 @@
         """Adopts the deferral of a peer that has found an outage.
 
         Args:
-            deferral: how much longer the peer defers removals.
+            deferral: how much longer the peer defers removals. One that is
+                known already seems longer by the time that its update took.
         """
         deferral = min(deferral, self._reappearance)
-        if deferral > self.deferral:
+        if deferral > self.deferral + MAX_UPDATE_TIME:
             self._defer_removals(deferral, 'peer')
 
     def merge(self, batch: ItemBatch) -> int:
--- a/packages/lycheedyke/src/lycheedyke/coordination/_slot_allowance.py
+++ b/packages/lycheedyke/src/lycheedyke/coordination/_slot_allowance.py
@@ -125,14 +125,6 @@
         """Records that an incarnation is proven to have ended."""
         self._ended.setdefault(incarnation, self._clock.elapsed())
 
-    def _withdraw_end(self, incarnation: str) -> None:
-        """Withdraws the proof that an incarnation has ended, as it is heard.
-
-        A connection may have been refused on the way to it.
-        """
-        if self._ended.pop(incarnation, None) is not None:
-            _logger.warning('end withdrawn', extra={'incarnation': incarnation})
-
     def silence(self, incarnation: str) -> timedelta | None:
         """Returns the time since the last message; None before the first."""
         contact = self._contacts.get(incarnation)
@@ -225,6 +217,14 @@
             return max(received, self._deputy_slots(assignment, limits))
         return 0
 
+    def _withdraw_end(self, incarnation: str) -> None:
+        """Withdraws the proof that an incarnation has ended, as it is heard.
+
+        A connection may have been refused on the way to it.
+        """
+        if self._ended.pop(incarnation, None) is not None:
+            _logger.warning('end withdrawn', extra={'incarnation': incarnation})
+
     def _owner_slots(
         self, name: str, deputy: str, limits: UpstreamLimits
     ) -> int:
--- a/packages/lycheedyke/src/lycheedyke/protocol/_registry.py
+++ b/packages/lycheedyke/src/lycheedyke/protocol/_registry.py
@@ -224,12 +224,15 @@
         deferral_ms: how much longer the sender defers the removal of records
             that may have lapsed in an outage, in milliseconds; 0 also from
             earlier releases.
+        silence_ms: the time since the registry is known to have answered any
+            instance, in milliseconds, or longer; None from earlier releases.
     """
 
     age_ms: int
     batch: ItemBatch
     held: tuple[RegistryItem, ...] = ()
     deferral_ms: int = 0
+    silence_ms: int | None = None
 
 
 class Announcement(NamedTuple):
--- a/tests/unit/gateway/test_replica.py
+++ b/tests/unit/gateway/test_replica.py
@@ -21,7 +21,11 @@
 from standins.records import make_upstream
 
 REAPPEARANCE = timedelta(seconds=2)
+MILLISECOND = timedelta(milliseconds=1)
 OUTAGE = timedelta(seconds=5)
+FAILED_CALLS = 8
+# Below the timeout of a poll of a peer.
+UPDATE_SECONDS = 0.45
 
 
 class _ChangeLog:
@@ -324,3 +328,58 @@
         replica.merge(ItemBatch(2 * number + 2, (removed,)))
     assert 1_000 < len(replica.changes_after(Position(0, 0)).items) <= 2_049
     assert removed in replica.changes_after(Position(0, 0)).items
+
+
+def test_a_deferral_that_peers_tell_each_other_ends_by_its_time() -> None:
+    """Each update takes some time, and seems to tell of a longer deferral."""
+    told, clock, _ = _make()
+    heard = Replica(clock, REAPPEARANCE, lambda item, before: None)
+    told.record_outage(OUTAGE)
+    until = clock.elapsed() + REAPPEARANCE
+    for _ in range(6):
+        for sender, receiver in ((told, heard), (heard, told)):
+            deferral = sender.deferral
+            clock.advance(0.2)
+            receiver.defer_removals(deferral)
+    assert told.deferral <= max(until - clock.elapsed(), timedelta())
+    assert heard.deferral <= timedelta(seconds=0.2)
+
+
+def test_what_peers_pass_on_in_an_outage_does_not_shorten_it() -> None:
+    """Each update takes some time, so the age that it states is too low."""
+
+    async def _check() -> None:
+        clock = ManualClock()
+        replica = Replica(clock, REAPPEARANCE, lambda item, before: None)
+        item = _present('a', 3)
+        registry = _Registry(
+            ItemBatch(4, (item,)),
+            *(PlatformUnreachable('down') for _ in range(FAILED_CALLS)),
+            ItemBatch(5, (RegistryItem('a', 5),)),
+        )
+        peers = _Peers()
+        follower = RegistryFollower(
+            registry,  # type: ignore[arg-type]
+            replica,
+            peers,
+            clock,
+        )
+
+        async def _pass_on(after: Position) -> RegistryUpdate:
+            """Returns what this instance has told, and what that peer has."""
+            age, silence = follower.age, follower.silence
+            clock.advance(UPDATE_SECONDS)
+            return RegistryUpdate(
+                age // MILLISECOND,
+                ItemBatch(4, ()),
+                silence_ms=silence // MILLISECOND,
+            )
+
+        await follower._poll()
+        peers.poll_source = _pass_on  # type: ignore[method-assign]
+        while len(registry.requests) < FAILED_CALLS + 2:
+            await follower._poll()
+            clock.advance(0.01)
+        assert list(replica.records()) == [item.record]
+
+    asyncio.run(_check())
