--- a/tests/standins/endless_upstream.py
+++ b/tests/standins/endless_upstream.py
@@ -26,6 +26,7 @@
 HEAD = b'HTTP/1.1 200 OK\r\nLycheedyke-Request-Id: %s\r\n'
 CHUNKED = HEAD + b'Transfer-Encoding: chunked\r\n\r\n'
 CHUNK = b'400\r\n' + b'x' * 1024 + b'\r\n'
+NO_CONTENT = b'HTTP/1.1 204 No Content\r\nLycheedyke-Request-Id: %s\r\n'
 WHOLE = HEAD + b'Content-Length: 4\r\n\r\nmine'
 
 
@@ -63,6 +64,14 @@
         'small-chunks': Flood(CHUNKED, b'1\r\nx\r\n'),
         'surplus': Flood(WHOLE, b'x'),
         'surplus-answers': Flood(WHOLE, WHOLE),
+        'no-content': Flood(NO_CONTENT + b'\r\n', b'x'),
+        'no-content-length': Flood(
+            NO_CONTENT + b'Content-Length: 1000\r\n\r\n', b'x'
+        ),
+        'no-content-chunks': Flood(
+            NO_CONTENT + b'Transfer-Encoding: chunked\r\n\r\n', CHUNK
+        ),
+        'no-content-answers': Flood(NO_CONTENT + b'\r\n', WHOLE),
     },
 )
 
--- a/tests/unit/test_endless_answers.py
+++ b/tests/unit/test_endless_answers.py
@@ -25,6 +25,15 @@
 WHOLE = b'HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nmine'
 # The upstream sends a whole answer first.
 WHOLE_FIRST = frozenset(('surplus', 'surplus-answers'))
+# It sends a whole answer without a body first.
+EMPTY_FIRST = frozenset(
+    (
+        'no-content',
+        'no-content-length',
+        'no-content-chunks',
+        'no-content-answers',
+    )
+)
 # It takes longer until these bytes reach a limit.
 UNTIL_DEADLINE = frozenset(('slow-head',))
 
@@ -112,6 +121,8 @@
     for outcome in found:
         if flood in WHOLE_FIRST and isinstance(outcome, HttpResponse):
             assert outcome.body == b'mine'
+        elif flood in EMPTY_FIRST and isinstance(outcome, HttpResponse):
+            assert (outcome.status, outcome.body) == (204, b'')
         else:
             assert isinstance(outcome, ExchangeBroken)
 
