--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -25,6 +25,7 @@
 from bench.soak.sessions import open_session
 from bench.soak.stalls import StallMonitor
 from bench.soak.testbed import INSTANCES_PER_ZONE, Testbed
+from bench.soak.watch_cuts import cut_watches
 from bench.soak.wishes import ask_for_pauses
 
 POLL_SECONDS = 0.5
@@ -129,6 +130,9 @@
             name_limits(
                 self._testbed, seconds, random.Random(f'limits {self._seed}')
             ),
+            cut_watches(
+                self._testbed, seconds, random.Random(f'watches {self._seed}')
+            ),
         )
         await restoring
         await asyncio.sleep(SETTLE_SECONDS)
