Read the trials of lost upstreams and the framing of answers again

A trial that passed while the passing one of another upstream brought it forward was ignored, and made again within a second: the loss was compared by identity, which that changes. It is compared by the time of its last trial.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_lost_upstreams.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_lost_upstreams.py
@@ -14,7 +14,6 @@
 
 from lycheedyke.clock import Clock
 from lycheedyke.exceptions import ConnectError
-from lycheedyke.protocol import ServiceLimits
 from lycheedyke.state import Counters, UpstreamState, UpstreamTable
 from lycheedyke.transport import probe
 from lycheedyke_daemon.gateway._registry_view import RegistryView
@@ -91,29 +90,25 @@
         ]
 
     async def _try(self, state: UpstreamState) -> None:
-        loss = state.loss
+        tried_at = _tried_at(state)
         try:
             await probe(state.record.address, timeout=CONNECT_TIMEOUT)
         except ConnectError:
             self._counters.count('upstream.trial-failed')
             # A new record may have ended the loss meanwhile.
-            if state.loss is loss:
+            if _tried_at(state) == tried_at:
                 state.extend_loss()
             return
         self._counters.count('upstream.trial-passed')
-        if state.loss is loss:
+        if _tried_at(state) == tried_at:
             state.end_loss(self._cold(state.record.service))
             self._hasten_others(state)
 
     def _cold(self, service: str) -> timedelta:
         """Returns how long an upstream of a service is cold after its start."""
         table = self._registry_view.table
-        terms: ServiceLimits | None = None
-        if table is not None:
-            terms = table.services.get(service)
-        if terms is None or not terms.cold_per_s:
-            return timedelta()
-        return terms.cold
+        terms = table.services.get(service) if table else None
+        return terms.cold if terms and terms.cold_per_s else timedelta()
 
     def _hasten_others(self, found: UpstreamState) -> None:
         """Brings forward the trials of upstreams that may be back as well."""
--- a/packages/lycheedyke/src/lycheedyke/transport/_framing.py
+++ b/packages/lycheedyke/src/lycheedyke/transport/_framing.py
@@ -41,7 +41,8 @@
     It is the length that the body would have (RFC 9110, 8.6), so it may be
     passed on. A response with the status 204 has none.
     """
-    may_name_length = method == 'HEAD' or status == HTTP_NOT_MODIFIED
-    if has_body(method, status) or not may_name_length:
+    if status == HTTP_NO_CONTENT:
         return None
-    return headers.get('Content-Length')
+    if method == 'HEAD' or status == HTTP_NOT_MODIFIED:
+        return headers.get('Content-Length')
+    return None
