Let restricted routes that nobody uses hold back no callers of free routes

Both sites have hosts with two idle routes with homes in different regions beside some nineteen free ones.

Cause: a look-up has no path, so an idle route decided for all others.

Change: restricted routes that share no region count beside free ones only while this instance gets requests on them. Where all routes of a host are restricted, or their homes share a region, nothing changes. Shares move step by step when that changes; a region that may no longer be used is left at once, as before.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_caller_api.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_caller_api.py
@@ -135,6 +135,7 @@
         route = table.find(host, http.raw_path.partition('?')[0])
         if route is None:
             return NotRun(Reason.unknown_route)
+        self._registry_view.route_use.record(route)
         service = self._round_robin.choose(route)
         if not self._may_take(http, route, service):
             return NotRun(Reason.stopping, RETRY_AFTER_STOP)
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_lookup.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_lookup.py
@@ -54,7 +54,7 @@
     """The shares of the zones in the callers of one host and zone.
 
     Changes of upstreams and instances take effect at once, those of the
-    configuration and of limits step by step.
+    configuration, of homes and of limits step by step.
 
     Attributes:
         shares: the current share of each zone.
@@ -64,6 +64,7 @@
         self,
         number: int,
         shares: Mapping[str, float],
+        homes: HostHomes | None,
         clock: Clock,
     ) -> None:
         """Starts with the shares of the configuration with this number."""
@@ -72,6 +73,7 @@
         self._updated_at = clock.elapsed()
         self._logged = self.shares
         self._number = number
+        self._homes = homes
         self._is_ramping = False
 
     def __repr__(self) -> str:
@@ -85,6 +87,7 @@
         capacities: Collection[ZoneCapacity],
         max_change: float,
         *,
+        homes: HostHomes | None,
         has_limits: bool,
     ) -> None:
         """Moves the shares to the target, at once or by one step.
@@ -95,13 +98,16 @@
             capacities: the capacity of each zone.
             max_change: the maximum fraction of the callers that may change
                 their region in a window.
+            homes: the homes of the host's routes.
             has_limits: whether limits of upstreams change their capacity.
         """
         now = self._clock.elapsed()
         windows = min((now - self._updated_at) / SHIFT_WINDOW, 1)
         self._updated_at = now
-        if number != self._number or has_limits:
+        is_changed = number != self._number or homes != self._homes
+        if is_changed or has_limits:
             self._number = number
+            self._homes = homes
             self._is_ramping = True
         if self._is_ramping:
             step = max_change * SHIFT_FRACTION * windows
@@ -212,8 +218,9 @@
         are none, the homes of any route follow, and the other regions last.
         """
         entries = self._entries_by_zone()
-        homes = self._homes(host)
+        homes = self._registry_view.homes_of(host)
         if homes is None:
+            self._regions.pop((host, zone), None)
             return entries
         own = frozenset((self._zones[zone],) if zone in self._zones else ())
         for regions in (homes.of_all | own, homes.of_any):
@@ -262,15 +269,17 @@
         if not self._is_known(host, zone):
             return target
         number = self._registry_view.number
+        homes = self._registry_view.homes_of(host)
         shares = self._shares.get((host, zone))
         if shares is None:
-            shares = _CallerShares(number, target, self._clock)
+            shares = _CallerShares(number, target, homes, self._clock)
             self._shares[host, zone] = shares
         shares.update(
             number,
             target,
             capacities,
             self._shift_most,
+            homes=homes,
             has_limits=self._has_limits(host),
         )
         shares.log_change(host, zone)
@@ -288,10 +297,6 @@
                 self._shares.pop((host, zone))
                 self._regions.pop((host, zone), None)
 
-    def _homes(self, host: str) -> HostHomes | None:
-        table = self._registry_view.table
-        return table.homes_of(host) if table else None
-
     def _zone_capacities(
         self,
         host: str,
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_registry_view.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_registry_view.py
@@ -15,7 +15,13 @@
     RoutingRecord,
     UpstreamRecord,
 )
-from lycheedyke.state import RouteTable, Suspects, UpstreamTable
+from lycheedyke.state import (
+    HostHomes,
+    RouteTable,
+    RouteUse,
+    Suspects,
+    UpstreamTable,
+)
 
 MILLISECOND = timedelta(milliseconds=1)
 # An instance whose record is missing may be disconnected and still run, so it
@@ -43,6 +49,7 @@
         self.on_entry_removed: Callable[[str], None] | None = None
         self.on_routes_changed: Callable[[frozenset[str]], None] | None = None
         self.in_force = asyncio.Event()
+        self.route_use = RouteUse(clock)
         self._upstream_table = upstream_table
         self._suspects = suspects
         self._clock = clock
@@ -59,6 +66,12 @@
         """The number of the configuration in force; 0 if there is none."""
         return self.table.number if self.table else 0
 
+    def homes_of(self, host: str) -> HostHomes | None:
+        """Returns the homes of a host's routes; None if not restricted."""
+        if self.table is None:
+            return None
+        return self.table.homes_of(host, self.route_use.is_in_use)
+
     @property
     def idle_limit(self) -> timedelta | None:
         """How long callers' connections may be idle; None if not known."""
@@ -119,6 +132,7 @@
             return
         self.table = RouteTable(routing)
         self.in_force.set()
+        self.route_use.retain(frozenset(route.name for route in routing.routes))
         if self.on_routes_changed is not None:
             self.on_routes_changed(
                 frozenset(route.name for route in routing.routes)
--- a/packages/lycheedyke/src/lycheedyke/state/__init__.py
+++ b/packages/lycheedyke/src/lycheedyke/state/__init__.py
@@ -59,6 +59,7 @@
 from lycheedyke.state._references import find_reference_faults
 from lycheedyke.state._repeats import RepeatBudget, RepeatLimit
 from lycheedyke.state._response_timeout import response_timeout
+from lycheedyke.state._route_use import RouteUse
 from lycheedyke.state._routes import (
     HostHomes,
     RouteTable,
@@ -157,6 +158,7 @@
     'Headroom',
     'HeadroomReport',
     'HostHomes',
+    'RouteUse',
     'KeyStore',
     'KeyStoreSealed',
     'KeyRecord',
--- a/packages/lycheedyke/src/lycheedyke/state/_routes.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_routes.py
@@ -1,7 +1,7 @@
 """Finds the route of a request and the service that runs it."""
 
 from collections import defaultdict
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
 from lycheedyke.protocol import Route, RoutingRecord
@@ -75,21 +75,31 @@
             for part in route.parts
         )
 
-    def homes_of(self, host: str) -> HostHomes | None:
+    def homes_of(
+        self, host: str, is_in_use: Callable[[Route], bool]
+    ) -> HostHomes | None:
         """Returns the regions in which the routes of a host may run.
 
+        Where restricted routes share no region, and others of the host are not
+        restricted, only those in use count: a route that nobody uses would
+        keep the callers of all others in their own region.
+
+        Args:
+            host: the requested host, without a port.
+            is_in_use: returns whether callers use a restricted route.
+
         Returns:
             None if none of the routes is restricted.
         """
-        bound = [
-            route.homes
-            for route in self._by_host.get(host, {}).values()
-            if route.homes
-        ]
+        routes = self._by_host.get(host, {}).values()
+        bound = [route for route in routes if route.homes]
+        if bound and len(bound) < len(routes) and not _shared_homes(bound):
+            bound = [route for route in bound if is_in_use(route)]
         if not bound:
             return None
         return HostHomes(
-            frozenset.intersection(*bound), frozenset.union(*bound)
+            _shared_homes(bound),
+            frozenset.union(*(route.homes for route in bound)),
         )
 
 
@@ -126,6 +136,10 @@
         return parts[best].service
 
 
+def _shared_homes(routes: Iterable[Route]) -> frozenset[str]:
+    return frozenset.intersection(*(route.homes for route in routes))
+
+
 def _by_host(routes: Iterable[Route]) -> dict[str, dict[str, Route]]:
     found: defaultdict[str, dict[str, Route]] = defaultdict(dict)
     for route in routes:
--- a/tests/unit/gateway/test_home_regions.py
+++ b/tests/unit/gateway/test_home_regions.py
@@ -18,6 +18,7 @@
     ServiceLimits,
 )
 from lycheedyke.state import RunTimeStats, Suspects, UpstreamTable
+from lycheedyke.state._route_use import MIN_REQUESTS, USE_PERIOD
 from lycheedyke_daemon.gateway._lookup import LookupDirectory
 from lycheedyke_daemon.gateway._registry_view import RegistryView
 from standins.clock import ManualClock
@@ -105,6 +106,14 @@
         )
         item = RegistryItem('routing', self._number, record)
         self.registry_view.apply(item, None)
+        self.use()
+
+    def use(self, requests: int = MIN_REQUESTS) -> None:
+        """Sends requests on all routes."""
+        table = self.registry_view.table
+        assert table is not None
+        for route in table.routes * requests:
+            self.registry_view.route_use.record(route)
 
     def shares(self, zone: str) -> dict[str, float]:
         """Returns the share of each region in the answer to a zone's callers."""
@@ -222,6 +231,44 @@
     assert set(shares[-1]) <= allowed
 
 
+# Guards against callers of free routes who are kept in regions without slots by
+# routes that nobody uses.
+def test_unused_routes_that_share_no_home_restrict_no_others() -> None:
+    """They do while callers use them, and for ten seconds after that."""
+    testbed = _Testbed(('pnw',), FREE, ('mt',))
+    zone = 'pnw-b'
+    restricted = testbed.regions(zone)
+    testbed.clock.advance(USE_PERIOD.total_seconds())
+    shares = [testbed.shares(zone)]
+    for _ in range(STEPS_PER_WINDOW * 16):
+        testbed.clock.advance(SHIFT_WINDOW_SECONDS / STEPS_PER_WINDOW)
+        shares.append(testbed.shares(zone))
+    testbed.use(MIN_REQUESTS - 1)
+    testbed.clock.advance(1)
+    barely_used = testbed.regions(zone)
+    testbed.use(1)
+    testbed.clock.advance(1)
+    assert restricted == {'pnw'}
+    assert shares[-1].get('nc', 0) > SHIFT_MOST
+    assert barely_used == set(shares[-1])
+    assert testbed.regions(zone) == {'pnw'}
+    for earlier, later in zip(shares, shares[STEPS_PER_WINDOW:], strict=False):
+        moved = earlier.get('pnw', 0) - later.get('pnw', 0)
+        assert moved <= SHIFT_MOST + ROUNDING
+
+
+@pytest.mark.parametrize(
+    'homes', [(('pnw',), ('mt',)), (('pnw',), FREE), (('pnw',), FREE, ('pnw',))]
+)
+def test_other_routes_restrict_whether_they_are_used_or_not(
+    homes: tuple[Collection[str], ...],
+) -> None:
+    """All routes are restricted, or a region suits all that are."""
+    testbed = _Testbed(*homes)
+    testbed.clock.advance(60)
+    assert testbed.regions('pnw-b') == {'pnw'}
+
+
 @given(
     homes=st.lists(HOMES, min_size=1, max_size=4),
     zones=st.frozensets(st.sampled_from(sorted(ZONES)), min_size=1),
