--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_lookup.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_lookup.py
@@ -200,15 +200,16 @@
         return listed
 
     def _compute(self, host: str, zone: str) -> list[str]:
-        entries = self._allowed_entries(host, zone)
+        homes = self._registry_view.homes_of(host)
+        entries = self._allowed_entries(host, zone, homes)
         shares = self._current_shares(
-            host, zone, self._zone_capacities(host, entries)
+            host, zone, homes, self._zone_capacities(host, entries)
         )
         listed = list_entries(zone, shares, entries)
         return listed or [self._own.caller_address]
 
     def _allowed_entries(
-        self, host: str, zone: str
+        self, host: str, zone: str, homes: HostHomes | None
     ) -> dict[str, tuple[str, ...]]:
         """Returns the instances by zone that the callers of a zone may use.
 
@@ -218,7 +219,6 @@
         are none, the homes of any route follow, and the other regions last.
         """
         entries = self._entries_by_zone()
-        homes = self._registry_view.homes_of(host)
         if homes is None:
             self._regions.pop((host, zone), None)
             return entries
@@ -263,13 +263,13 @@
         self,
         host: str,
         zone: str,
+        homes: HostHomes | None,
         capacities: list[ZoneCapacity],
     ) -> dict[str, float]:
         target = compute_zone_shares(capacities).get(zone, {})
         if not self._is_known(host, zone):
             return target
         number = self._registry_view.number
-        homes = self._registry_view.homes_of(host)
         shares = self._shares.get((host, zone))
         if shares is None:
             shares = _CallerShares(number, target, homes, self._clock)
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_request_progress.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_request_progress.py
@@ -10,7 +10,7 @@
 
 # With these reasons no upstream of the service got the request, so they don't
 # count as attempts.
-_NOT_SENT = frozenset(
+_NO_ATTEMPT = frozenset(
     (
         Reason.upstream_unreachable,
         Reason.upstream_replaced,
@@ -59,7 +59,7 @@
         The overall outcome is "not run" only if it was so at all upstreams.
         """
         self.tried.add(upstream)
-        if not _is_not_sent(outcome):
+        if not _is_no_attempt(outcome):
             self.attempts += 1
         if not isinstance(outcome, NotRun) or self.outcome is None:
             self.outcome = outcome
@@ -71,8 +71,8 @@
         return found
 
 
-def _is_not_sent(outcome: Outcome) -> bool:
-    return isinstance(outcome, NotRun) and outcome.reason in _NOT_SENT
+def _is_no_attempt(outcome: Outcome) -> bool:
+    return isinstance(outcome, NotRun) and outcome.reason in _NO_ATTEMPT
 
 
 def is_repeatable(work: Work, outcome: Outcome) -> bool:
--- a/packages/lycheedyke/src/lycheedyke/coordination/_registry_follower.py
+++ b/packages/lycheedyke/src/lycheedyke/coordination/_registry_follower.py
@@ -152,10 +152,10 @@
 
     @property
     def silence(self) -> timedelta:
-        """The time since the registry has answered any instance, or longer.
+        """An upper bound of the time since the registry answered any instance.
 
-        Unlike `age`, it grows with each update that instances pass on to each
-        other in an outage.
+        Unlike `age`, it does not shrink by the time that updates take which
+        instances pass on to each other in an outage.
         """
         return self._clock.elapsed() - self._answered
 
@@ -295,7 +295,9 @@
         """Returns whether the registry was away until this answer.
 
         A single call that fails is no sign of it, nor is a pause of this
-        process, nor calls that fail here while peers are answered.
+        process, nor calls that fail here while peers are answered. Removals
+        then take effect at once, as an upstream serves only for a short time
+        after its removal.
         """
         if self._failures_since_answer < FAILURES_OF_OUTAGE:
             return False
--- a/tests/unit/gateway/test_choice.py
+++ b/tests/unit/gateway/test_choice.py
@@ -188,7 +188,7 @@
 
 
 def test_a_lost_upstream_waits_for_its_record() -> None:
-    """An upstream that did not listen is used only after a new record."""
+    """Time alone brings back no upstream that did not listen; a record does."""
     testbed = _Testbed()
     testbed.add('nc-a', 2)
     lost = testbed.select().state
--- a/tests/unit/gateway/test_lost_upstreams.py
+++ b/tests/unit/gateway/test_lost_upstreams.py
@@ -1,7 +1,6 @@
 """Upstreams that were not reached for a while are used again."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
 from datetime import timedelta
 from pathlib import Path
 
@@ -14,8 +13,6 @@
 from standins.registry_store import config_value
 from standins.scripted_upstream import ScriptedUpstream
 
-Scene = Callable[[GatewayTestbed], Awaitable[None]]
-
 LIMIT_SECONDS = 200
 INTERVAL_SECONDS = 0.1
 # `stable`: the time after a disruption from which its effects count.
