Read a configuration entry by entry

Cause: one route of a type that the instance does not know, or one field out of range, made the whole configuration malformed. Callers of all routes got 503, and the registry was read again and again.

Change: an entry that cannot be read costs itself alone; a log line and a counter name it. Paths of an unreadable route are answered 503 and match no shorter prefix. Entry records tell processor and link capacity.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_answer_headers.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_answer_headers.py
@@ -23,10 +23,11 @@
         expected_upstream: the name of the upstream that the request is for.
         not_run: present if the upstream has not run the request.
         load: the running requests, waiting requests and slots of an
-            upstream.
+            upstream, and the pace of its work if it tells that.
         leaving: `1` if the upstream leaves.
         limit: the requests per second that an upstream takes from all
             instances together.
+        tenant: the name of the tenant that sent the request.
     """
 
     request: str
@@ -37,6 +38,7 @@
     load: str
     leaving: str
     limit: str
+    tenant: str
 
 
 def parse_retry_after(text: str) -> timedelta | None:
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import logging
-import secrets
 from datetime import timedelta
 
 from aiohttp import web
@@ -14,7 +13,7 @@
     RegistryFollower,
     Replica,
 )
-from lycheedyke.protocol import EntryRecord, Position
+from lycheedyke.protocol import Position
 from lycheedyke.state import (
     Counters,
     PermitBook,
@@ -26,6 +25,11 @@
 from lycheedyke.transport import BodyMemory
 from lycheedyke_daemon.background import BackgroundTasks
 from lycheedyke_daemon.crashes import CrashGuard
+from lycheedyke_daemon.gateway._apps import (
+    describe_instance,
+    make_app,
+    make_metrics_app,
+)
 from lycheedyke_daemon.gateway._caller_api import GatewayCallerApi
 from lycheedyke_daemon.gateway._decision_log import DecisionLog, Telemetry
 from lycheedyke_daemon.gateway._deployment import Deployment
@@ -46,12 +50,10 @@
 from lycheedyke_daemon.gateway._suspect_exchange import SuspectExchange
 from lycheedyke_daemon.gateway._upstream_client import UpstreamClient
 from lycheedyke_daemon.idle_connections import IdleConnectionCloser
-from lycheedyke_daemon.metric_families import METRICS_PATH, MetricsApi
 from lycheedyke_daemon.servers import Connections, HttpServers
 from lycheedyke_daemon.stopping import RequestTracker
 from lycheedyke_daemon.trials import TrialClient
 
-INCARNATION_BYTES = 8
 READY_PATH = '/ready'
 # Requests in flight have ended; a refused caller may still be sending a body.
 CLOSE_LIMIT = timedelta(milliseconds=100)
@@ -92,9 +94,9 @@
         self._permits = PermitBook(clock, self._counters)
         suspects = Suspects(clock)
         self._registry_view = RegistryView(
-            self._upstream_table, suspects, clock
+            self._upstream_table, suspects, self._counters, clock
         )
-        own = _describe(settings)
+        own = describe_instance(settings)
         self._own = own
         self._replica = Replica(
             clock,
@@ -247,8 +249,16 @@
     async def _open_metrics(self) -> None:
         """Serves metrics; without them the instance still serves callers."""
         address = self._settings.metrics_address
+        collector = GatewayCollector(
+            self._counters,
+            self._registry_view,
+            self._upstream_table,
+            self._permits,
+            self._follower,
+            self._tracker,
+        )
         try:
-            await self._servers.open(self._metrics_app(), address)
+            await self._servers.open(make_metrics_app(collector), address)
         except OSError as error:
             _logger.error(
                 'metrics not served',
@@ -341,10 +351,7 @@
         return self._registry_view.max_instances
 
     def _peer_app(self) -> web.Application:
-        app = web.Application()
-        for part in (self._peer_updates, self._suspects, self._limits):
-            app.add_routes(part.routes())
-        return app
+        return make_app(self._peer_updates, self._suspects, self._limits)
 
     def _lookup_app(self) -> web.Application:
         directory = LookupDirectory(
@@ -356,15 +363,14 @@
             self._settings.shift_most,
             self._clock,
         )
-        api = LookupApi(
-            self._deployment.lookups,
-            directory,
-            self._settings.answer_life,
-            self._counters,
+        return make_app(
+            LookupApi(
+                self._deployment.lookups,
+                directory,
+                self._settings.answer_life,
+                self._counters,
+            )
         )
-        app = web.Application()
-        app.add_routes(api.routes())
-        return app
 
     def _ready_app(self) -> web.Application:
         app = web.Application()
@@ -374,27 +380,3 @@
     async def _show_ready(self, request: web.Request) -> web.Response:
         status, text = (200, 'ready') if self.ready else (503, 'not ready')
         return web.Response(status=status, text=text)
-
-    def _metrics_app(self) -> web.Application:
-        app = web.Application()
-        collector = GatewayCollector(
-            self._counters,
-            self._registry_view,
-            self._upstream_table,
-            self._permits,
-            self._follower,
-            self._tracker,
-        )
-        app.add_routes([web.get(METRICS_PATH, MetricsApi(collector).scrape)])
-        return app
-
-
-def _describe(settings: GatewaySettings) -> EntryRecord:
-    return EntryRecord(
-        name=settings.name,
-        incarnation=secrets.token_hex(INCARNATION_BYTES),
-        zone=settings.zone,
-        region=settings.region,
-        caller_address=settings.caller_address,
-        peer_address=settings.peer_address,
-    )
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_registry_view.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_registry_view.py
@@ -2,11 +2,12 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from datetime import timedelta
 
 from lycheedyke.clock import Clock
 from lycheedyke.protocol import (
+    EntryFault,
     EntryRecord,
     EvacuationRecord,
     QuarantineRecord,
@@ -16,6 +17,7 @@
     UpstreamRecord,
 )
 from lycheedyke.state import (
+    Counters,
     HostHomes,
     RouteTable,
     RouteUse,
@@ -37,11 +39,16 @@
     Args:
         upstream_table: holds the upstreams.
         suspects: holds the requests in quarantine.
+        counters: counts entries of configurations that can't be read.
         clock: measures how long ago an entry instance was last listed.
     """
 
     def __init__(
-        self, upstream_table: UpstreamTable, suspects: Suspects, clock: Clock
+        self,
+        upstream_table: UpstreamTable,
+        suspects: Suspects,
+        counters: Counters,
+        clock: Clock,
     ) -> None:
         """Starts without a configuration, upstreams and entry instances."""
         self.table: RouteTable | None = None
@@ -52,6 +59,7 @@
         self.route_use = RouteUse(clock)
         self._upstream_table = upstream_table
         self._suspects = suspects
+        self._counters = counters
         self._clock = clock
         self._evacuated: set[str] = set()
         self._last_listed: dict[str, timedelta] = {}
@@ -137,13 +145,33 @@
             self.on_routes_changed(
                 frozenset(route.name for route in routing.routes)
             )
+        tenants = self.table.tenants
         _logger.info(
             'configuration in force',
             extra={
                 'version': routing.number,
                 'routes': len(routing.routes),
+                'tenants': 0 if tenants is None else len(tenants),
             },
         )
+        self._report_faults(
+            (*routing.faults, *(tenants.faults if tenants else ()))
+        )
+
+    def _report_faults(self, faults: Iterable[EntryFault]) -> None:
+        """Logs and counts the entries of a configuration that are not used."""
+        for fault in faults:
+            self._counters.count(f'configuration.{fault.kind.value}-unreadable')
+            _logger.warning(
+                'configuration entry not understood',
+                extra={
+                    'version': self.number,
+                    'kind': fault.kind.value,
+                    'entry': fault.name,
+                    'fault': fault.fault,
+                    'in_force': fault.in_force,
+                },
+            )
 
     def _apply_upstream(
         self,
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_settings.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_settings.py
@@ -73,6 +73,9 @@
         zone_charge: the cost of traffic between zones, as time.
         region_charge: the cost of traffic between regions, as time.
         memory_mb: the memory of the process, in millions of bytes.
+        cores: the speed of its processor, in cores; 0 if not known.
+        cpu_share: the share of the processor that it gets.
+        link_mbps: the bandwidth of its link, in Mbit/s; 0 if not known.
         body_memory_bytes: the memory limit of all request bodies together.
         answer_memory_bytes: the memory limit of all answers of upstreams
             together.
@@ -106,6 +109,9 @@
     zone_charge: timedelta
     region_charge: timedelta
     memory_mb: int
+    cores: float
+    cpu_share: float
+    link_mbps: float
     body_memory_bytes: int
     answer_memory_bytes: int
     log_level: str
@@ -173,6 +179,13 @@
         'memory_mb': Field(
             'limits', 'memory_mb', read_optional_count, COUNT_RULE, ''
         ),
+        'cores': Field('limits', 'cores', read_number, NUMBER_RULE, '0'),
+        'cpu_share': Field(
+            'limits', 'cpu_share', read_fraction, FRACTION_RULE, '1'
+        ),
+        'link_mbps': Field(
+            'limits', 'link_mbps', read_number, NUMBER_RULE, '0'
+        ),
         'body_memory_bytes': Field(
             'limits', 'body_memory_bytes', read_optional_count, COUNT_RULE, ''
         ),
--- a/packages/lycheedyke/src/lycheedyke/protocol/__init__.py
+++ b/packages/lycheedyke/src/lycheedyke/protocol/__init__.py
@@ -1,5 +1,6 @@
 """Documents, messages, idempotency keys, outcomes, and their codecs."""
 
+from lycheedyke.protocol._key_digests import digest_key
 from lycheedyke.protocol._keys import IdempotencyKey
 from lycheedyke.protocol._messages import (
     ControlMessage,
@@ -50,6 +51,8 @@
 from lycheedyke.protocol._registry import (
     Announcement,
     CallerLimits,
+    EntryFault,
+    EntryKind,
     EntryRecord,
     EvacuationRecord,
     ItemBatch,
@@ -64,6 +67,7 @@
     RoutePart,
     RoutingRecord,
     ServiceLimits,
+    Tenant,
     UpstreamRecord,
 )
 from lycheedyke.protocol._snapshots import (
@@ -139,7 +143,11 @@
     'InstanceLoads',
     'Announcement',
     'CallerLimits',
+    'EntryFault',
+    'EntryKind',
     'EntryRecord',
+    'Tenant',
+    'digest_key',
     'EvacuationRecord',
     'QuarantineRecord',
     'RegistryItem',
--- a/packages/lycheedyke/src/lycheedyke/protocol/_registry.py
+++ b/packages/lycheedyke/src/lycheedyke/protocol/_registry.py
@@ -44,6 +44,7 @@
         sticky: whether an upstream answers faster for an object that it has
             served before.
         homes: the regions in which the requests may run; all if empty.
+        public: whether callers need no key, in a configuration with tenants.
     """
 
     name: str
@@ -57,6 +58,58 @@
     priority: int | float = 0
     sticky: bool = False
     homes: frozenset[str] = frozenset()
+    public: bool = False
+
+
+class Tenant(msgspec.Struct, frozen=True, array_like=True):
+    """A group of callers that is identified by keys.
+
+    Attributes:
+        name: the tenant's name.
+        key_digests: the digests of its keys, by `digest_key`.
+        priority: the priority of its requests instead of that of their
+            route; None to use the route's.
+        rate: its quota in requests per second; 0 without a quota.
+        burst: the requests beyond the rate that it may send at once.
+        homes: the regions in which its requests may run; all if empty.
+    """
+
+    name: str
+    key_digests: tuple[bytes, ...] = ()
+    priority: int | float | None = None
+    rate: float = 0
+    burst: float = 0
+    homes: frozenset[str] = frozenset()
+
+
+class EntryKind(Enum):
+    """The kinds of entries of a configuration."""
+
+    route = 'route'
+    service = 'service'
+    tenant = 'tenant'
+    limits = 'limits'
+
+
+class EntryFault(msgspec.Struct, frozen=True, array_like=True):
+    """What is wrong with an entry of a configuration.
+
+    Attributes:
+        kind: the kind of the entry.
+        name: its name; '' if that can't be read either.
+        fault: what is wrong with it. It quotes no key of a tenant.
+        in_force: whether the entry is in force all the same, with the value
+            that the fault names.
+        host: the host of a route that is not in force, if known.
+        prefix: the path prefix of such a route, if known.
+    """
+
+    kind: EntryKind
+    name: str
+    fault: str
+    in_force: bool = False
+    host: str = ''
+    prefix: str = ''
 
 
 class ServiceLimits(msgspec.Struct, frozen=True, array_like=True):
@@ -85,12 +138,24 @@
 
 
 class RoutingRecord(msgspec.Struct, frozen=True, tag='routing'):
-    """A complete, numbered configuration."""
+    """A complete, numbered configuration.
+
+    Attributes:
+        number: its number; a higher one replaces it.
+        routes: the routes.
+        services: the limits of the services.
+        limits: the limits of callers' requests.
+        tenants: the tenants; None if callers need no key.
+        faults: the entries that can't be read, or only in part. All others
+            are in force.
+    """
 
     number: int
     routes: tuple[Route, ...]
     services: tuple[ServiceLimits, ...]
     limits: CallerLimits
+    tenants: tuple[Tenant, ...] | None = None
+    faults: tuple[EntryFault, ...] = ()
 
 
 class UpstreamRecord(msgspec.Struct, frozen=True, tag='upstream'):
@@ -138,6 +203,9 @@
         region: its region.
         caller_address: where callers send requests.
         peer_address: where other entry instances request updates.
+        capacity: the processor time that it has, in cores; 0 if not known, as
+            from earlier releases.
+        link_mbps: the bandwidth of its link; 0 if not known.
     """
 
     name: str
@@ -146,6 +214,8 @@
     region: str
     caller_address: str
     peer_address: str
+    capacity: float = 0
+    link_mbps: float = 0
 
 
 class QuarantineRecord(msgspec.Struct, frozen=True, tag='quarantine'):
--- a/packages/lycheedyke/src/lycheedyke/state/_routes.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_routes.py
@@ -4,7 +4,8 @@
 from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
-from lycheedyke.protocol import Route, RoutingRecord
+from lycheedyke.protocol import EntryKind, Route, RoutingRecord, Tenant
+from lycheedyke.state.tenants import TenantDirectory
 
 
 class HostHomes(NamedTuple):
@@ -33,8 +34,19 @@
         self.limits = record.limits
         self.services = {terms.name: terms for terms in record.services}
         self.routes = record.routes
+        self.tenants = (
+            None if record.tenants is None else TenantDirectory(record.tenants)
+        )
         self._by_host = _by_host(record.routes)
-        self._priorities = _priorities(record.routes)
+        self._unreadable = {
+            (fault.host, fault.prefix)
+            for fault in record.faults
+            if fault.kind is EntryKind.route and not fault.in_force
+        }
+        for host, prefix in self._unreadable:
+            # Its requests must not match a shorter prefix.
+            self._by_host.get(host, {}).pop(prefix, None)
+        self._priorities = _priorities(record.routes, record.tenants)
 
     def __repr__(self) -> str:
         """Returns the configuration number and the number of routes."""
@@ -52,16 +64,34 @@
             return None
         end = path.rfind('/')
         while end >= 0:
-            route = prefixes.get(path[: end + 1])
+            prefix = path[: end + 1]
+            route = prefixes.get(prefix)
             if route is not None:
                 return route
+            if self._unreadable and (host, prefix) in self._unreadable:
+                return None
             end = path.rfind('/', 0, end)
         return None
 
-    def rank(self, route: Route, service: str) -> int:
+    def is_unreadable(self, host: str, path: str) -> bool:
+        """Returns whether the route of a path exists but can't be read.
+
+        Args:
+            host: the requested host, without a port.
+            path: the path, without a query, for which `find` has no route.
+        """
+        return any(
+            host == known and path.startswith(prefix)
+            for known, prefix in self._unreadable
+        )
+
+    def rank(
+        self, route: Route, service: str, tenant: Tenant | None = None
+    ) -> int:
         """Returns the number of more urgent priorities of a service."""
+        own = priority_of(route, tenant)
         priorities = self._priorities.get(service, ())
-        return sum(1 for each in priorities if each < route.priority)
+        return sum(1 for each in priorities if each < own)
 
     def has_host(self, host: str) -> bool:
         """Returns whether any route has this host."""
@@ -147,9 +177,25 @@
     return dict(found)
 
 
-def _priorities(routes: Iterable[Route]) -> dict[str, frozenset[float]]:
+def priority_of(route: Route, tenant: Tenant | None) -> float:
+    """Returns the priority of a request; the tenant's replaces the route's."""
+    if tenant is None or tenant.priority is None:
+        return route.priority
+    return tenant.priority
+
+
+def _priorities(
+    routes: Iterable[Route], tenants: Iterable[Tenant] | None
+) -> dict[str, frozenset[float]]:
+    named = {each.priority for each in tenants or ()}
+    of_tenants = {each for each in named if each is not None}
     found: defaultdict[str, set[float]] = defaultdict(set)
     for route in routes:
+        priorities: set[float] = set()
+        if route.public or tenants is None or None in named:
+            priorities.add(route.priority)
+        if not route.public:
+            priorities |= of_tenants
         for part in route.parts:
-            found[part.service].add(route.priority)
+            found[part.service] |= priorities
     return {service: frozenset(each) for service, each in found.items()}
--- a/tests/standins/gateway_testbed.py
+++ b/tests/standins/gateway_testbed.py
@@ -6,10 +6,10 @@
 
 import asyncio
 import sys
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 from datetime import timedelta
 from pathlib import Path
-from types import TracebackType
+from types import MappingProxyType, TracebackType
 from typing import Any, NamedTuple, Self
 
 import aiohttp
@@ -36,6 +36,7 @@
 from wire import decode
 
 HOST = 'shop.example'
+NO_HEADERS: Mapping[str, str] = MappingProxyType({})
 # Of 10 ms each.
 ARRIVAL_POLLS = 1000
 ROUTES = (
@@ -179,6 +180,7 @@
         deadline_ms: int = 1200,
         object_key: str = '17',
         caller: str = '127.0.0.1',
+        headers: Mapping[str, str] = NO_HEADERS,
     ) -> Reply:
         """Sends a request with a new request id to an entry instance.
 
@@ -190,6 +192,7 @@
             deadline_ms: how long the caller waits, in ms.
             object_key: the object that the request concerns.
             caller: the loopback address that the request comes from.
+            headers: further headers.
         """
         self._sent += 1
         address = self.settings[instance].caller_address
@@ -204,6 +207,7 @@
                 'Lycheedyke-Request-Id': f'r-{self._sent}',
                 'Lycheedyke-Deadline-Ms': str(deadline_ms),
                 'Cookie': f'Lycheedyke-Affinity-Key={object_key}',
+                **headers,
             },
         ) as answer:
             return Reply(
