Identify callers by their keys

Cause: the instance knew no tenants.

Change: where the configuration has tenants, a request needs a known key unless its route is public, or gets 401 before anything else is spent on it. One digest and one dictionary look-up find the tenant. Upstreams get its name and never the key. Its homes bind beside the route's, and its priority replaces the route's.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_caller_api.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_caller_api.py
@@ -15,6 +15,7 @@
     Reason,
     Route,
     RouteKind,
+    Tenant,
     Unknown,
 )
 from lycheedyke.state import (
@@ -41,9 +42,14 @@
 MAX_REMAINING = timedelta(minutes=5)
 RETRY_AFTER_START = timedelta(milliseconds=300)
 RETRY_AFTER_STOP = timedelta(milliseconds=20)
+# Until the operators have written a configuration that can be read.
+RETRY_AFTER_UNREADABLE = timedelta(seconds=5)
+AUTHORIZATION = 'Authorization'
 
 _STATUSES = {  # noqa: WPS407
     Reason.unknown_route: HTTPStatus.NOT_FOUND,
+    Reason.unknown_key: HTTPStatus.UNAUTHORIZED,
+    Reason.quota_exceeded: HTTPStatus.TOO_MANY_REQUESTS,
     Reason.bad_request: HTTPStatus.BAD_REQUEST,
     Reason.body_too_large: HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
     Reason.body_too_slow: HTTPStatus.REQUEST_TIMEOUT,
@@ -64,6 +70,7 @@
     service: str
     started: timedelta
     deadline: timedelta
+    tenant: Tenant | None
 
 
 class GatewayCallerApi:
@@ -134,7 +141,10 @@
         host = http.host.partition(':')[0]
         route = table.find(host, http.raw_path.partition('?')[0])
         if route is None:
-            return NotRun(Reason.unknown_route)
+            return self._explain_missing(table, http)
+        tenant = _identify(http, table)
+        if tenant is None and table.tenants is not None and not route.public:
+            return NotRun(Reason.unknown_key)
         self._registry_view.route_use.record(route)
         service = self._round_robin.choose(route)
         if not self._may_take(http, route, service):
@@ -151,8 +161,16 @@
             self._schedule.bound_deadline(
                 started + min(remaining, route.timeout)
             ),
+            tenant,
         )
 
+    def _explain_missing(self, table: RouteTable, http: web.Request) -> NotRun:
+        """Returns the refusal of a request that no readable route matches."""
+        host = http.host.partition(':')[0]
+        if table.is_unreadable(host, http.raw_path.partition('?')[0]):
+            return NotRun(Reason.unreadable_route, RETRY_AFTER_UNREADABLE)
+        return NotRun(Reason.unknown_route)
+
     def _may_take(self, http: web.Request, route: Route, service: str) -> bool:
         """Returns whether a stop, if one has begun, lets a request run."""
         turn = http[TURN]
@@ -210,7 +228,10 @@
             admitted.route,
             admitted.service,
             self._read_object_key(admitted),
-            wait_share_of(table.rank(admitted.route, admitted.service)),
+            wait_share_of(
+                table.rank(admitted.route, admitted.service, admitted.tenant)
+            ),
+            admitted.tenant,
         )
         work = self._to_work(admitted, body)
         return await self._router.run(request, work, admitted.http[SENT_TO])
@@ -221,11 +242,15 @@
             self._names.remaining.lower(),
             self._names.expected_upstream.lower(),
         }
+        if admitted.table.tenants is not None:
+            replaced |= {AUTHORIZATION.lower(), self._names.tenant.lower()}
         headers = tuple(
             (name, text)
             for name, text in end_to_end_headers(http.headers)
             if name.lower() not in replaced
         )
+        if admitted.tenant is not None:
+            headers = (*headers, (self._names.tenant, admitted.tenant.name))
         return Work(
             service=admitted.service,
             method=http.method,
@@ -268,6 +293,8 @@
             case NotRun(reason, retry_after):
                 self._counters.count(f'not-run.{reason.value}')
                 response = _refuse(reason, HTTPStatus.SERVICE_UNAVAILABLE)
+                if response.status == HTTPStatus.UNAUTHORIZED:
+                    response.headers['WWW-Authenticate'] = 'Bearer'
                 seconds = retry_after.total_seconds()
                 response.headers['Retry-After'] = f'{seconds:.3f}'
             case Unknown(reason):
@@ -288,6 +315,7 @@
             behind_ms=turn.waited // MILLISECOND,
             route=admitted.route.name if admitted else '',
             service=admitted.service if admitted else '',
+            tenant=_tenant_name(admitted),
             version=self._registry_view.number,
             took_ms=took // MILLISECOND,
             retry_after=response.headers.get('Retry-After', ''),
@@ -297,3 +325,16 @@
 
 def _refuse(reason: Reason, status: HTTPStatus) -> web.Response:
     return web.Response(status=_STATUSES.get(reason, status), text=reason.value)
+
+
+def _identify(http: web.Request, table: RouteTable) -> Tenant | None:
+    """Returns the tenant whose key a request carries, if any."""
+    if table.tenants is None:
+        return None
+    return table.tenants.identify(http.headers.getall(AUTHORIZATION, ()))
+
+
+def _tenant_name(admitted: _AdmittedRequest | None) -> str:
+    if admitted is None or admitted.tenant is None:
+        return ''
+    return admitted.tenant.name
--- a/packages/lycheedyke/src/lycheedyke/state/_estimates.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_estimates.py
@@ -4,7 +4,7 @@
 from datetime import timedelta
 from typing import NamedTuple
 
-from lycheedyke.protocol import Route
+from lycheedyke.protocol import Route, Tenant
 from lycheedyke.state._pools import Location, rendezvous_hash
 from lycheedyke.state._run_times import RunTimeStats
 from lycheedyke.state._upstream_state import UpstreamState
@@ -80,18 +80,35 @@
         object_key: the object that the request concerns, or ''.
         wait_share: the share of its spare time that the request may wait for
             a slot.
+        tenant: the tenant that sent the request; None if it is not known.
     """
 
     route: Route
     service: str
     object_key: str
     wait_share: float = 1
+    tenant: Tenant | None = None
 
     @property
     def is_urgent(self) -> bool:
         """Whether the service has no requests of a higher priority."""
         return self.wait_share >= 1
 
+    @property
+    def is_restricted(self) -> bool:
+        """Whether its route or its tenant has homes."""
+        of_tenant = self.tenant is not None and bool(self.tenant.homes)
+        return of_tenant or bool(self.route.homes)
+
+    def may_run_in(self, region: str) -> bool:
+        """Returns whether a region is a home of both route and tenant."""
+        homes = self.route.homes
+        if homes and region not in homes:
+            return False
+        if self.tenant is None or not self.tenant.homes:
+            return True
+        return region in self.tenant.homes
+
 
 class Estimator:
     """Estimates the times and costs of one request at upstreams.
--- a/packages/lycheedyke/src/lycheedyke/state/_selection.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_selection.py
@@ -9,7 +9,7 @@
 from datetime import timedelta
 from typing import NamedTuple
 
-from lycheedyke.protocol import Route, RouteKind
+from lycheedyke.protocol import RouteKind
 from lycheedyke.state._estimates import (
     Candidate,
     Distances,
@@ -151,12 +151,11 @@
             None if some upstream of the request has neither asked for a pause
             nor named a limit.
         """
-        route = request.route
         now = self._upstreams.elapsed()
         serving = [
             state
             for state in self._upstreams.serving(request.service)
-            if self._may_run(route, state)
+            if self._may_run(request, state)
         ]
         if len(_limited(serving)) < len(serving):
             return None
@@ -166,7 +165,7 @@
         holds.extend(
             Hold(state.wishes.paused_until - now, is_limit=False)
             for state in self._upstreams.paused(request.service)
-            if self._may_run(route, state)
+            if self._may_run(request, state)
         )
         return min(holds, default=None)
 
@@ -192,12 +191,12 @@
         excluded: Collection[str],
         states: Sequence[UpstreamState],
     ) -> list[UpstreamState]:
-        route = request.route
+        is_restricted = request.is_restricted
         return [
             state
             for state in states
             if state.record.name not in excluded
-            and (not route.homes or self._may_run(route, state))
+            and (not is_restricted or self._may_run(request, state))
         ]
 
     def _choose_probe(
@@ -310,9 +309,9 @@
         rate = self._cold_rate(state.record.service)
         return permit_interval(self._instances(), rate)
 
-    def _may_run(self, route: Route, state: UpstreamState) -> bool:
+    def _may_run(self, request: Request, state: UpstreamState) -> bool:
         region = self._location.regions.get(state.record.zone, '')
-        return not route.homes or region in route.homes
+        return request.may_run_in(region)
 
 
 def _limited(states: Iterable[UpstreamState]) -> list[UpstreamState]:
