Move the permits and the limit exchange into packages for rates

Cause: quotas of tenants share the mechanism with the limits that upstreams name. Change: a pure move to state/rates and gateway/rates; imports only. PermitBook stays exported by lycheedyke.state alone, as it needs UpstreamState, which needs the limits.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
@@ -34,7 +34,6 @@
 from lycheedyke_daemon.gateway._decision_log import DecisionLog, Telemetry
 from lycheedyke_daemon.gateway._deployment import Deployment
 from lycheedyke_daemon.gateway._instance_status import InstanceStatus
-from lycheedyke_daemon.gateway._limit_exchange import LimitExchange
 from lycheedyke_daemon.gateway._lookup import LookupApi, LookupDirectory
 from lycheedyke_daemon.gateway._lost_upstreams import LostUpstreams
 from lycheedyke_daemon.gateway._metrics import GatewayCollector
@@ -49,6 +48,7 @@
 from lycheedyke_daemon.gateway._stop_schedule import StopSchedule
 from lycheedyke_daemon.gateway._suspect_exchange import SuspectExchange
 from lycheedyke_daemon.gateway._upstream_client import UpstreamClient
+from lycheedyke_daemon.gateway.rates import LimitExchange
 from lycheedyke_daemon.idle_connections import IdleConnectionCloser
 from lycheedyke_daemon.servers import Connections, HttpServers
 from lycheedyke_daemon.stopping import RequestTracker
--- a/packages/lycheedyke/src/lycheedyke/state/__init__.py
+++ b/packages/lycheedyke/src/lycheedyke/state/__init__.py
@@ -49,11 +49,6 @@
     TransferredRecord,
 )
 from lycheedyke.state._outages import keep_in_use
-from lycheedyke.state._permit_issuer import (
-    PermitGrant,
-    PermitIssuer,
-    PermitRequest,
-)
 from lycheedyke.state._plans import Plan, make_plan
 from lycheedyke.state._pools import Location, Pools
 from lycheedyke.state._references import find_reference_faults
@@ -67,13 +62,6 @@
 )
 from lycheedyke.state._run_times import RouteRunTimes, RunTimeStats
 from lycheedyke.state._selection import Hold, PermitSources, UpstreamSelector
-from lycheedyke.state._send_limits import (
-    MAX_RATE,
-    LimitNews,
-    LimitNotUnderstood,
-    SendLimit,
-)
-from lycheedyke.state._send_permits import PermitBook, SendPermit
 from lycheedyke.state._shares import (
     ShiftPath,
     ShiftShares,
@@ -95,6 +83,16 @@
 from lycheedyke.state._upstreams import UpstreamTable
 from lycheedyke.state._verdicts import Judgement, SettledQuarantine, Verdict
 from lycheedyke.state._warmup_limiter import WarmupLimiter, permit_interval
+from lycheedyke.state.rates import (
+    MAX_RATE,
+    LimitNews,
+    LimitNotUnderstood,
+    PermitGrant,
+    PermitIssuer,
+    PermitRequest,
+    SendLimit,
+)
+from lycheedyke.state.rates._send_permits import PermitBook, SendPermit
 
 __all__ = (
     'LimitNews',
--- a/packages/lycheedyke/src/lycheedyke/state/_upstream_wishes.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_upstream_wishes.py
@@ -5,7 +5,7 @@
 from typing import NamedTuple
 
 from lycheedyke.state._bounded import keep_recent
-from lycheedyke.state._send_limits import NO_LIMIT, SendLimit
+from lycheedyke.state.rates._send_limits import NO_LIMIT, SendLimit
 
 # More than the upstreams of a deployment; the oldest wishes are dropped.
 MAX_REMEMBERED = 2048
--- a/packages/lycheedyke/src/lycheedyke/state/_upstreams.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_upstreams.py
@@ -6,9 +6,13 @@
 
 from lycheedyke.clock import Clock
 from lycheedyke.protocol import UpstreamRecord
-from lycheedyke.state._send_limits import MILLISECOND, LimitNews, SendLimit
 from lycheedyke.state._upstream_state import SLOWNESS_LIMIT, UpstreamState
 from lycheedyke.state._upstream_wishes import UpstreamWishes, Wishes
+from lycheedyke.state.rates._send_limits import (
+    MILLISECOND,
+    LimitNews,
+    SendLimit,
+)
 
 # Of each upstream, one change of its limit is logged in this time.
 LIMIT_LOG_INTERVAL = timedelta(seconds=1)
--- a/packages/lycheedyke/src/lycheedyke/state/_permit_issuer.py
+++ b/packages/lycheedyke/src/lycheedyke/state/rates/_permit_issuer.py
@@ -7,8 +7,8 @@
 
 from lycheedyke.clock import Clock
 from lycheedyke.state._bounded import keep_recent
-from lycheedyke.state._send_limits import MILLISECOND, ZERO, LimitNews
 from lycheedyke.state._warmup_limiter import WarmupLimiter
+from lycheedyke.state.rates._send_limits import MILLISECOND, ZERO, LimitNews
 
 # The share of a limit that the first issuer of an upstream issues; each further
 # one issues a fourth as much, for those that do not reach the ones before it.
--- a/packages/lycheedyke/src/lycheedyke/state/_send_permits.py
+++ b/packages/lycheedyke/src/lycheedyke/state/rates/_send_permits.py
@@ -9,9 +9,9 @@
 from lycheedyke.clock import Clock
 from lycheedyke.state._bounded import keep_recent
 from lycheedyke.state._counters import Counters
-from lycheedyke.state._permit_issuer import PROBE_INTERVAL, PermitGrant
-from lycheedyke.state._send_limits import MILLISECOND, ZERO
 from lycheedyke.state._upstream_state import UpstreamState
+from lycheedyke.state.rates._permit_issuer import PROBE_INTERVAL, PermitGrant
+from lycheedyke.state.rates._send_limits import MILLISECOND, ZERO
 
 HELD_BACK_COUNTER = 'limit.held-back'
 # While urgent requests are refused, a permit is kept for them for this share of
