Issue the permits of tenants from one issuer for all instances

Cause: nothing bounded the requests of a tenant over all instances together. Change: the schedule of the permits takes a burst (GCRA; limits of upstreams have burst 0, unchanged); each tenant has one issuer, ranked by rendezvous among instances of at least half of the greatest capacity; instances ask in batches, ahead of need and at once where a request has no permit; the caller API takes a permit before it reads a body. A silent issuer is asked through the next one, a refused connection proves it ended, and an issuer that reaches few peers issues from the tolerance. PeerUpdates.exchange tells why a peer has not answered; send is as before. Failures are not tested yet.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_caller_api.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_caller_api.py
@@ -33,6 +33,7 @@
 from lycheedyke_daemon.gateway._router import GatewayRouter
 from lycheedyke_daemon.gateway._stop_schedule import StopSchedule
 from lycheedyke_daemon.gateway._unanswered import SENT_TO, UnansweredReport
+from lycheedyke_daemon.gateway.rates import RunWithinQuota, run_freely
 from lycheedyke_daemon.pipeline import TURN, may_pass_on
 from lycheedyke_daemon.stopping import RequestTracker
 from lycheedyke_daemon.work import MAX_LOGGED, Work, end_to_end_headers
@@ -85,6 +86,9 @@
         telemetry: counts outcomes and logs each request.
         schedule: decides which requests a planned stop refuses, and how long
             the others may run.
+
+    Attributes:
+        run_within_quota: runs a request if its tenant has a permit for it.
     """
 
     def __init__(
@@ -99,6 +103,7 @@
         schedule: StopSchedule,
     ) -> None:
         """Initializes the API."""
+        self.run_within_quota: RunWithinQuota = run_freely
         self._registry_view = registry_view
         self._router = router
         self._names = names
@@ -127,7 +132,11 @@
         admitted = self._admit(http, started)
         if isinstance(admitted, NotRun):
             return self._respond(http, None, admitted, started)
-        outcome = await self._run(admitted)
+        outcome = await self.run_within_quota(
+            admitted.tenant,
+            admitted.deadline - self._clock.elapsed(),
+            lambda: self._run(admitted),
+        )
         return self._respond(http, admitted, outcome, started)
 
     def _admit(
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
@@ -48,7 +48,11 @@
 from lycheedyke_daemon.gateway._stop_schedule import StopSchedule
 from lycheedyke_daemon.gateway._suspect_exchange import SuspectExchange
 from lycheedyke_daemon.gateway._upstream_client import UpstreamClient
-from lycheedyke_daemon.gateway.rates import LimitExchange
+from lycheedyke_daemon.gateway.rates import (
+    LimitExchange,
+    QuotaExchange,
+    QuotaGate,
+)
 from lycheedyke_daemon.idle_connections import IdleConnectionCloser
 from lycheedyke_daemon.servers import Connections, HttpServers
 from lycheedyke_daemon.stopping import RequestTracker
@@ -125,6 +129,15 @@
             clock,
         )
         self._limits.max_instances = self._max_instances
+        self._quotas = QuotaExchange(
+            own,
+            self._registry_view,
+            self._peer_updates,
+            settings.quota_bounds,
+            self._counters,
+            clock,
+        )
+        self._quotas.issuers.is_leaving = lambda: self._schedule.has_begun
         self._pauses = PauseMonitor()
         self._follower = RegistryFollower(
             deployment.registry,
@@ -181,6 +194,8 @@
             ('quarantines', self._quarantines.run),
             ('suspects', self._suspects.resend),
             ('limits', self._limits.run),
+            ('quotas', self._quotas.run),
+            ('quota issuer', self._quotas.issuers.run),
             ('lost upstreams', self._lost_upstreams.run),
         ):
             self._tasks.start(name, work)
@@ -334,6 +349,7 @@
             self._telemetry,
             schedule=self._schedule,
         )
+        api.run_within_quota = QuotaGate(self._quotas).run
         app = web.Application(middlewares=[self._client.hold_answers])
         app.add_routes(api.routes())
         return app
@@ -351,7 +367,9 @@
         return self._registry_view.max_instances
 
     def _peer_app(self) -> web.Application:
-        return make_app(self._peer_updates, self._suspects, self._limits)
+        return make_app(
+            self._peer_updates, self._suspects, self._limits, self._quotas
+        )
 
     def _lookup_app(self) -> web.Application:
         directory = LookupDirectory(
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_peer_updates.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_peer_updates.py
@@ -5,13 +5,15 @@
 import random
 from collections.abc import Callable, Sequence
 from datetime import timedelta
+from enum import Enum
+from typing import NamedTuple
 
 import msgspec
 from aiohttp import web
 
 from lycheedyke.clock import Clock
 from lycheedyke.coordination import Replica, watchers_of
-from lycheedyke.exceptions import TransportError
+from lycheedyke.exceptions import ConnectionRefusedByHost, TransportError
 from lycheedyke.protocol import (
     EntryRecord,
     ItemBatch,
@@ -44,6 +46,29 @@
 _ENTRY = msgspec.msgpack.Decoder(EntryRecord)
 
 
+class PeerFailure(Enum):
+    """Why a peer has not answered a message."""
+
+    # No process listens at the address.
+    refused = 'refused'
+    # No complete answer has come in time.
+    silent = 'silent'
+    # It answers with an error, such as one of an earlier release.
+    rejected = 'rejected'
+
+
+class PeerReply(NamedTuple):
+    """What came of a message to a peer.
+
+    Attributes:
+        body: the answer; None if there was none.
+        failure: why there was none.
+    """
+
+    body: bytes | None = None
+    failure: PeerFailure | None = None
+
+
 class PeerUpdates:
     """Polls peers for registry updates, and answers their polls.
 
@@ -145,17 +170,32 @@
 
     async def send(self, address: str, path: str, body: bytes) -> bytes | None:
         """Sends a message; returns the answer, or None if there was none."""
+        return (await self.exchange(address, path, body)).body
+
+    async def exchange(
+        self,
+        address: str,
+        path: str,
+        body: bytes,
+        timeout: timedelta = SEND_TIMEOUT,
+    ) -> PeerReply:
+        """Sends a message; returns the answer, or why there was none."""
         try:
             answer = await self._http.send(
                 'POST',
                 f'http://{address}{path}',
-                timeout=SEND_TIMEOUT,
+                timeout=timeout,
                 body=body,
             )
+        except ConnectionRefusedByHost:
+            self._counters.count('news.not-told')
+            return PeerReply(failure=PeerFailure.refused)
         except TransportError:
             self._counters.count('news.not-told')
-            return None
-        return answer.body if answer.status == HTTP_OK else None
+            return PeerReply(failure=PeerFailure.silent)
+        if answer.status == HTTP_OK:
+            return PeerReply(answer.body)
+        return PeerReply(failure=PeerFailure.rejected)
 
     def routes(self) -> list[web.RouteDef]:
         """Returns the routes of the peer port."""
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_settings.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_settings.py
@@ -8,6 +8,7 @@
 from typing import NamedTuple
 
 from lycheedyke.exceptions import SettingsInvalid
+from lycheedyke.state.rates import QuotaBounds
 from lycheedyke_daemon.ini import (
     ADDRESS_RULE,
     BOUND_RULE,
@@ -66,6 +67,10 @@
         repeat_window: the length of the window of repeat_ratio.
         repeat_extra: the repeats allowed in addition to repeat_ratio, for
             all instances together.
+        quota_window: the length of the windows in which quotas are checked.
+        quota_over: the fraction of its quota that a tenant may exceed in a
+            window.
+        quota_slack: the requests that it may exceed in addition.
         shift_most: the maximum fraction of a region's callers that may
             change the region in 2 s after a change of configuration.
         zone_trip: the round trip to another zone of the region.
@@ -103,6 +108,9 @@
     repeat_ratio: float
     repeat_window: timedelta
     repeat_extra: int
+    quota_window: timedelta
+    quota_over: float
+    quota_slack: int
     shift_most: float
     zone_trip: timedelta
     region_trip: timedelta
@@ -119,6 +127,11 @@
     log_lines_per_s: int
     zones: Mapping[str, str]
 
+    @property
+    def quota_bounds(self) -> QuotaBounds:
+        """How much a tenant may exceed its quota."""
+        return QuotaBounds(self.quota_window, self.quota_over, self.quota_slack)
+
 
 _FIELDS = MappingProxyType(
     {
@@ -161,6 +174,13 @@
             'repeats', 'window', read_window, WINDOW_RULE, '10s'
         ),
         'repeat_extra': Field('repeats', 'extra', read_bound, BOUND_RULE, '0'),
+        'quota_window': Field(
+            'quotas', 'window', read_window, WINDOW_RULE, '5s'
+        ),
+        'quota_over': Field(
+            'quotas', 'over', read_fraction, FRACTION_RULE, '0.1'
+        ),
+        'quota_slack': Field('quotas', 'slack', read_bound, BOUND_RULE, '20'),
         'shift_most': Field(
             'shifts', 'most', read_fraction, FRACTION_RULE, '0.15'
         ),
--- a/packages/lycheedyke/src/lycheedyke/state/rates/_permit_issuer.py
+++ b/packages/lycheedyke/src/lycheedyke/state/rates/_permit_issuer.py
@@ -8,6 +8,7 @@
 from lycheedyke.clock import Clock
 from lycheedyke.state._bounded import keep_recent
 from lycheedyke.state._warmup_limiter import WarmupLimiter
+from lycheedyke.state.rates._schedule import HORIZON, RateSchedule
 from lycheedyke.state.rates._send_limits import MILLISECOND, ZERO, LimitNews
 
 # The share of a limit that the first issuer of an upstream issues; each further
@@ -17,8 +18,6 @@
 # An upstream that takes nothing gets a request now and then, as only its answer
 # tells the end of the limit.
 MIN_RATE = 0.2
-# Permits are issued ahead for so long.
-HORIZON = timedelta(milliseconds=500)
 # A permit is valid for the time of MAX_UNUSED permits, within these bounds.
 MAX_UNUSED = 4
 MIN_LIFE = timedelta(milliseconds=500)
@@ -73,19 +72,16 @@
     sharing: int = 1
 
 
-class _Schedule:
+class _Schedule(RateSchedule):
     """The permits of one upstream.
 
     Attributes:
-        free_at: when the next permit becomes valid.
-        interval: the time between two permits.
         askers: when each instance asked last.
         probe_at: when the limit is to be probed next.
     """
 
     def __init__(self, now: timedelta) -> None:
-        self.free_at = now
-        self.interval = ZERO
+        super().__init__(now)
         self.askers: dict[str, timedelta] = {}
         self.probe_at = ZERO
 
@@ -109,15 +105,6 @@
             self.probe_at = now + PROBE_INTERVAL
         return is_due
 
-    def change_interval(self, interval: timedelta, now: timedelta) -> None:
-        """Applies a changed rate to the permits that are not issued yet."""
-        self.free_at = max(self.free_at, now)
-        if self.interval and interval > self.interval:
-            # Permits of the higher rate have been used already.
-            self.free_at = max(self.free_at, now + interval)
-        self.free_at = min(self.free_at, now + interval + HORIZON)
-        self.interval = interval
-
 
 class PermitIssuer:
     """Issues permits, evenly spaced, to the instances that ask for them.
@@ -152,17 +139,14 @@
         rate = max(news.rate * ISSUED_SHARE, MIN_RATE)
         rate /= SHARE_DIVISOR ** max(0, min(request.rank, MAX_RANK))
         interval = timedelta(seconds=1 / rate)
-        schedule.change_interval(interval, now)
+        schedule.change(interval, 0, now)
         batch = max(1, min(MAX_BATCH, HORIZON // interval // sharing))
-        starts: list[int] = []
         if request.is_probe:
             batch = int(schedule.start_probe(news, now))
-        while len(starts) < batch and schedule.free_at <= now + HORIZON:
-            starts.append((schedule.free_at - now) // MILLISECOND)
-            schedule.free_at += interval
+        starts = schedule.take(batch, now)
         return PermitGrant(
             news,
-            tuple(starts),
+            tuple(start // MILLISECOND for start in starts),
             _permit_life(interval) // MILLISECOND,
             _wait_to_ask(interval, sharing) // MILLISECOND,
             sharing,
