--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/rates/_issuer_service.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/rates/_issuer_service.py
@@ -186,6 +186,11 @@
             grants.extend(answer.grants)
         return QuotaAnswer(tuple(grants))
 
+    def add_claim(self, entry: EntryRecord) -> None:
+        """Adds an instance that may rank first, before it is listed here."""
+        self.ranks.announce(entry, self._clock.elapsed())
+        self.refresh()
+
     def issue_own_share(self, ask: QuotaAsk) -> QuotaGrant:
         """Returns the permits of this instance if it reaches no issuer."""
         self._counters.count('quota.own-share')
@@ -305,8 +310,7 @@
             entry = _ENTRY.decode(await request.read())
         except msgspec.MsgspecError as error:
             raise web.HTTPBadRequest(text=str(error)) from error
-        self.ranks.announce(entry, self._clock.elapsed())
-        self.refresh()
+        self.add_claim(entry)
         return web.Response()
 
     async def _check_reach(self) -> None:
--- a/tests/standins/virtual_time.py
+++ b/tests/standins/virtual_time.py
@@ -16,12 +16,17 @@
 
 
 class VirtualTimeLoop(asyncio.SelectorEventLoop):
-    """Skips to the next timer as soon as no socket is ready."""
+    """Skips to the next timer as soon as no socket is ready.
 
-    def __init__(self) -> None:
+    Args:
+        settle_seconds: the time within which sent bytes are readable; zero
+            if the tasks use no socket.
+    """
+
+    def __init__(self, settle_seconds: float = SETTLE_SECONDS) -> None:
         """Starts at time zero."""
         self._skipped = 0.0
-        super().__init__(_SkippingSelector(self))
+        super().__init__(_SkippingSelector(self, settle_seconds))
 
     def time(self) -> float:
         """Returns the virtual time in seconds."""
@@ -52,18 +57,23 @@
         await asyncio.sleep(duration.total_seconds())
 
 
-def run_in_virtual_time(work: Coroutine[Any, Any, None]) -> None:
+def run_in_virtual_time(
+    work: Coroutine[Any, Any, None], settle_seconds: float = SETTLE_SECONDS
+) -> None:
     """Runs a coroutine on a loop with virtual time."""
-    with asyncio.Runner(loop_factory=VirtualTimeLoop) as runner:
+    with asyncio.Runner(
+        loop_factory=lambda: VirtualTimeLoop(settle_seconds)
+    ) as runner:
         runner.run(work)
 
 
 class _SkippingSelector(selectors.DefaultSelector):
     """Lets the time of its loop pass instead of waiting."""
 
-    def __init__(self, loop: VirtualTimeLoop) -> None:
+    def __init__(self, loop: VirtualTimeLoop, settle_seconds: float) -> None:
         super().__init__()
         self._loop = loop
+        self._settle_seconds = settle_seconds
 
     def select(
         self, timeout: float | None = None
@@ -71,7 +81,7 @@
         """Returns the ready sockets; with none, time passes at once."""
         if timeout is None or timeout <= 0:
             return super().select(timeout)
-        ready = super().select(SETTLE_SECONDS)
+        ready = super().select(self._settle_seconds)
         if not ready:
             self._loop.skip(timeout)
         return ready
