--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/rates/_issuer_service.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/rates/_issuer_service.py
@@ -116,7 +116,8 @@
         """Checks whether peers are reached, until cancelled."""
         while True:
             await self._clock.sleep(REACH_INTERVAL)
-            if any(name in self._issuer for name, _ in self._quotas()):
+            is_first = any(self._is_first(name) for name, _ in self._quotas())
+            if is_first or self._status.is_demoted:
                 await self._check_reach()
 
     def choose(self, tenant: str) -> EntryRecord | None:
--- a/tests/unit/gateway/test_gateway_settings.py
+++ b/tests/unit/gateway/test_gateway_settings.py
@@ -72,6 +72,15 @@
     assert settings.zone_charge == timedelta()
 
 
+def test_the_bounds_of_quotas_are_settings(tmp_path: Path) -> None:
+    """They have the values of the platform by default."""
+    settings = read_gateway_settings(_write(tmp_path, _text()))
+    assert settings.quota_bounds == (timedelta(seconds=5), 0.1, 20)
+    text = _text() + '\n[quotas]\nwindow = 2s\nover = 0.2\nslack = 7.5\n'
+    settings = read_gateway_settings(_write(tmp_path, text))
+    assert settings.quota_bounds == (timedelta(seconds=2), 0.2, 7)
+
+
 def test_memory_limits_follow_from_the_memory(tmp_path: Path) -> None:
     """Bodies and answers take a part of small machines, with a most."""
     text = _text().replace('memory_mb = 152', 'memory_mb = 160.5')
@@ -103,6 +112,8 @@
         ('zone = pnw-a', 'zone = mars', '[zones] mars'),
         ('extra = 100', 'extra = many', "extra = 'many'"),
         ('[zones]', '[shifts]\nmost = 2\n[zones]', "most = '2'"),
+        ('[zones]', '[quotas]\nwindow = 0s\n[zones]', "window = '0s'"),
+        ('[zones]', '[quotas]\nover = 2\n[zones]', "over = '2'"),
         ('[peers]', '[peers]\nsaplings = 1', 'saplings'),
         ('caller = 127.0.0.1:1001', 'caller = here', "caller = 'here'"),
     ],
--- a/tests/unit/test_quota_issuers.py
+++ b/tests/unit/test_quota_issuers.py
@@ -10,7 +10,7 @@
 
 from lycheedyke.protocol import Tenant
 from lycheedyke.state.rates import IssuerRanks
-from standins.quota_scenes import allowed, most_in_window
+from standins.quota_scenes import allowed, longest_gap, most_in_window
 from standins.quota_simulation import QuotaSimulation
 from standins.virtual_time import run_in_virtual_time
 
@@ -214,7 +214,7 @@
 
     world = _simulate(1, rate, 0, 8, _work)
     _check_bound(world)
-    assert _longest_gap(world.served) < 0.5 + 0.3 + 3 / rate
+    assert longest_gap(world.served) < 0.5 + 0.3 + 3 / rate
 
 
 # Guards against a quota that is lost for longer than the registry takes.
@@ -238,7 +238,21 @@
     assert len(world.served) > len(late)
 
 
-def _longest_gap(times: list[float]) -> float:
-    return max(
-        later - before for before, later in zip(times, times[1:], strict=False)
-    )
+# Guards against an issuer that stays demoted after its links are back.
+@pytest.mark.parametrize('registry_down', [False, True])
+def test_an_issuer_that_was_cut_off_issues_again(registry_down: bool) -> None:
+    """Also if the registry has listed it all the time."""
+
+    async def _work(world: QuotaSimulation) -> None:
+        await asyncio.sleep(SETTLE_S)
+        first = _first_issuer(world)
+        world.registry_down = registry_down
+        await _cut(world, first)
+        await world.offer(40, 8, lambda: world.rng.choice([*world.nodes]))
+        await _mend(world, first)
+        await world.offer(40, 12, lambda: world.rng.choice([*world.nodes]))
+
+    world = _simulate(3, 20, 10, 8, _work)
+    _check_bound(world)
+    late = [at for at in world.served if at > SETTLE_S + 8 + 6]
+    assert len(late) >= 0.9 * 20 * 6
