Read loads of four figures and count the pace of upstreams

Cause: a load header with more than three figures was dropped. Where upstreams report their pace as a fourth figure, no instance knew any load.

Change: three figures or more are read. Expected run and wait are multiplied by it. Before a run enters the run times and the slowness, the expected mean pace of its duration is taken out, so that the pace is not counted twice. Without a fourth figure all estimates are as before.

The delay of an upstream is now computed once for each cost instead of for run and wait each. The test of the cost of a choice also runs with a reported pace; its bound is unchanged.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_answer_headers.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_answer_headers.py
@@ -10,6 +10,9 @@
 
 # The longest pause that an upstream may ask for.
 MAX_PAUSE = timedelta(minutes=10)
+LOAD_FIELDS = 3
+# Larger counts of requests are read as this one.
+MAX_LOAD = 1_000_000.0
 _DECIMAL = re.compile(r'[0-9]{1,300}(?:\.[0-9]{0,300})?')
 
 
@@ -41,6 +44,43 @@
     tenant: str
 
 
+class ReportedLoad(NamedTuple):
+    """The load that an upstream reports with an answer.
+
+    Attributes:
+        running: the requests that run.
+        waiting: the requests that wait.
+        pace_percent: the run times as a percentage of the usual ones; None if
+            the upstream does not report it.
+    """
+
+    running: int
+    waiting: int
+    pace_percent: float | None = None
+
+
+def parse_load(text: str) -> ReportedLoad | None:
+    """Returns the load that a header reports: three figures or more.
+
+    The third figure, the slots, is read from the record of the upstream. The
+    fourth is the pace. Further figures are ignored.
+
+    Returns:
+        None if the text reports no load.
+    """
+    fields = text.split(',')[: LOAD_FIELDS + 1]
+    if len(fields) < LOAD_FIELDS:
+        return None
+    running, waiting, _, *further = map(_parse_decimal, fields)
+    if running is None or waiting is None:
+        return None
+    return ReportedLoad(
+        int(min(running, MAX_LOAD)),
+        int(min(waiting, MAX_LOAD)),
+        further[0] if further else None,
+    )
+
+
 def parse_retry_after(text: str) -> timedelta | None:
     """Returns the time that a `Retry-After` header gives, at most `MAX_PAUSE`.
 
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_upstream_client.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_upstream_client.py
@@ -42,6 +42,7 @@
 from lycheedyke_daemon.failures import outcome_of_error
 from lycheedyke_daemon.gateway._answer_headers import (
     HeaderNames,
+    parse_load,
     parse_retry_after,
     read_send_limit,
 )
@@ -61,7 +62,6 @@
 MAX_ANSWER_BYTES = 67_108_864
 RETRY_AFTER = 'Retry-After'
 LEAVING = '1'
-LOAD_FIELDS = 3
 # Answers that were broken off since all answers filled the memory, or since
 # one exceeded a limit of its own.
 MEMORY_FULL_COUNTER = 'answer.memory-full'
@@ -362,9 +362,6 @@
         )
 
     def _record_load(self, state: UpstreamState, answer: HttpResponse) -> None:
-        fields = answer.headers.get(self._names.load, '').split(',')
-        if len(fields) != LOAD_FIELDS:
-            return
-        running, waiting, _ = fields
-        if running.isdecimal() and waiting.isdecimal():
-            state.record_load(int(running), int(waiting))
+        load = parse_load(answer.headers.get(self._names.load, ''))
+        if load is not None:
+            state.record_load(*load)
--- a/packages/lycheedyke/src/lycheedyke/state/_estimates.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_estimates.py
@@ -168,10 +168,11 @@
 
     def _candidate(self, state: UpstreamState) -> Candidate:
         known = self._known_probability(state)
+        delay = state.delay_at(self._now)
         return Candidate(
             state,
-            self._wait(state) * MICROSECOND,
-            self._run(state, known) * MICROSECOND,
+            self._wait(state) * delay * MICROSECOND,
+            self._run(state, known) * delay * MICROSECOND,
             self._round_trip(state.record.zone),
             known,
             state.load_at(self._now),
@@ -184,24 +185,27 @@
         if cost is None:
             cost = (self._round_trip(zone) + self._charge(zone)) / MICROSECOND
             self._zone_costs[zone] = cost
-        run = self._run(state, self._known_probability(state))
-        cost += self._wait(state) + run
+        delay = state.delay_at(self._now)
+        run = self._run(state, self._known_probability(state)) * delay
+        cost += self._wait(state) * delay + run
         if self._object_key:
             cost += (run - self._warm) * SLOT_COST_SHARE
         return round(cost)
 
     def _run(self, state: UpstreamState, known: float) -> float:
+        """Returns the run time without the delay of the upstream."""
         run = self._cold - (self._cold - self._warm) * known
         if state.is_cold_at(self._now):
             run *= COLD_FACTOR
-        return run * state.slowness_at(self._now)
+        return run
 
     def _wait(self, state: UpstreamState) -> float:
+        """Returns the wait without the delay of the upstream."""
         slots = state.record.slots
         ahead = state.load_at(self._now) - slots + 1
         if ahead <= 0:
             return 0
-        return ahead / slots * self._mean * state.slowness_at(self._now)
+        return ahead / slots * self._mean
 
     def _known_probability(self, state: UpstreamState) -> float:
         if not self._object_key:
@@ -239,7 +243,8 @@
     """Records how long an answered request ran.
 
     Nothing is recorded if the request had to wait or the upstream is cold, as
-    its time then says nothing about the run time.
+    its time then says nothing about the run time. The reported pace is taken
+    out of the run time, because estimates multiply by the pace at their time.
 
     Args:
         times: the run times to update.
@@ -250,6 +255,7 @@
     run = max(ZERO, took - candidate.round_trip)
     if candidate.must_wait or candidate.state.is_cold:
         return
+    run = candidate.state.usual_run(run)
     run_times = times.of_route(request.route, request.service)
     was_known = run_times.record(run)
     candidate.state.record_slowness(
--- a/packages/lycheedyke/src/lycheedyke/state/_upstream_state.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_upstream_state.py
@@ -11,6 +11,7 @@
 from lycheedyke.clock import Clock
 from lycheedyke.protocol import UpstreamRecord
 from lycheedyke.state._bounded import keep_recent
+from lycheedyke.state._pace import Pace
 from lycheedyke.state._upstream_wishes import NO_WISHES
 
 _logger = logging.getLogger(__name__)
@@ -78,6 +79,7 @@
             if it is not lost.
         is_unproven: whether it was lost, and has answered no request since a
             trial ended that. It gets one request at a time.
+        pace: the pace that it reported with its answers.
 
     Args:
         record: the first record of the upstream.
@@ -92,6 +94,7 @@
         self.wishes = NO_WISHES
         self.unlimited_at = ZERO
         self.limit_logged_at = -MAX_PAUSE
+        self.pace = Pace()
         self._clock = clock
         self._other_load = 0
         self._other_load_at = ZERO
@@ -136,6 +139,11 @@
         """The ratio of its run times to those of other upstreams."""
         return self.slowness_at(self._clock.elapsed())
 
+    @property
+    def delay(self) -> float:
+        """The factor of run times by its slowness and its pace."""
+        return self.delay_at(self._clock.elapsed())
+
     def is_cold_at(self, now: timedelta) -> bool:
         """Returns whether the upstream is cold at a time of the clock."""
         return now < self._cold_until
@@ -207,10 +215,32 @@
         """Records the time of an answer of any kind."""
         self.answered_at = self._clock.elapsed()
 
-    def record_load(self, running: int, waiting: int) -> None:
-        """Records the load that the upstream reported with an answer."""
+    def record_load(
+        self, running: int, waiting: int, pace_percent: float | None = None
+    ) -> None:
+        """Records the load that the upstream reported with an answer.
+
+        Args:
+            running: the requests that run.
+            waiting: the requests that wait.
+            pace_percent: the run times as a percentage of the usual ones;
+                None if the upstream did not report it.
+        """
+        now = self._clock.elapsed()
         self._other_load = max(0, running + waiting - self.in_flight)
-        self._other_load_at = self._clock.elapsed()
+        self._other_load_at = now
+        if pace_percent is not None:
+            self.pace.record(pace_percent, now)
+
+    def usual_run(self, run: timedelta) -> timedelta:
+        """Returns how long a run that has just ended takes at usual pace."""
+        return run / self.pace.mean_factor(run, self._clock.elapsed())
+
+    def delay_at(self, now: timedelta) -> float:
+        """Returns the factor of run times by its slowness and its pace."""
+        if self.pace.is_usual:
+            return self.slowness_at(now)
+        return self.slowness_at(now) * self.pace.factor_at(now)
 
     def record_success(self) -> None:
         """Records a complete answer."""
@@ -313,4 +343,5 @@
         self._losses = 0
         self._other_load = 0
         self._slowness = 1.0
+        self.pace.reset()
         self.unlimited_at = ZERO
--- a/tests/standins/scripted_upstream.py
+++ b/tests/standins/scripted_upstream.py
@@ -48,6 +48,7 @@
         run_of_path: returns the run time of a request by its target.
         body: the body of the answers.
         says: header lines of all its answers, each with its line break.
+        load: the load that complete answers report.
         crashes_on: a path, with a query or for any query, that ends the
             upstream once a request for it begins to run, as the action `crash`
             does.
@@ -68,6 +69,7 @@
         self.run_of_path: Callable[[str], float] = lambda _: self.run_s
         self.body = b'{"ran": "whole"}'
         self.says = ''
+        self.load = '1,0,3'
         self.bodiless = ''
         self.crashes_on = ''
         self.crashed = asyncio.Event()
@@ -250,7 +252,7 @@
         headers: dict[str, str],
         body: bytes,
     ) -> None:
-        load = 'Lycheedyke-Server-Load: 1,0,3\r\n'
+        load = f'Lycheedyke-Server-Load: {self.load}\r\n'
         await self._send(writer, headers, '200 OK', SEAL + load, body)
 
     async def _send(
--- a/tests/unit/gateway/test_choice_cost.py
+++ b/tests/unit/gateway/test_choice_cost.py
@@ -42,7 +42,9 @@
 class _Testbed:
     """Upstreams in four zones, all of which have answered before."""
 
-    def __init__(self, *, lost_zone: str = '') -> None:
+    def __init__(
+        self, *, lost_zone: str = '', pace_percent: int | None = None
+    ) -> None:
         self.clock = _CountingClock()
         self.upstreams = UpstreamTable(self.clock)
         self.selector = UpstreamSelector(
@@ -62,7 +64,7 @@
                 record = make_upstream(f'{zone}-{at}', zone=zone)
                 self.upstreams.apply(record)
         for state in self.upstreams.all():
-            state.record_load(2, 1)
+            state.record_load(2, 1, pace_percent)
             state.record_slowness(timedelta(seconds=2), timedelta(seconds=1))
             if state.record.zone == lost_zone:
                 state.mark_lost()
@@ -74,13 +76,16 @@
 
 
 @pytest.mark.parametrize('lost_zone', ['', 'nc-a'])
-def test_a_choice_costs_few_calls_for_each_upstream(lost_zone: str) -> None:
+@pytest.mark.parametrize('pace_percent', [None, 250])
+def test_a_choice_costs_few_calls_for_each_upstream(
+    lost_zone: str, pace_percent: int | None
+) -> None:
     """Guards against sending by old news while a lost zone keeps it busy.
 
     When a zone loses its upstreams, each request there is sent elsewhere at
     once, and nothing else happens at its instances meanwhile.
     """
-    testbed = _Testbed(lost_zone=lost_zone)
+    testbed = _Testbed(lost_zone=lost_zone, pace_percent=pace_percent)
     calls: Counter[str] = Counter()
 
     def count(_frame: FrameType, event: str, _argument: object) -> None:
