Reuse connections to upstreams for as long as they state

Cause: a pooled connection was dropped after 5 s idle, whatever the upstream states in Keep-Alive (10 s).

Change: the time that an upstream states in Keep-Alive, less 1.5 s and at most 30 s, replaces the 5 s. The margin covers rounding and the way.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_upstream_client.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_upstream_client.py
@@ -55,8 +55,10 @@
 HTTP_MISDIRECTED = 421
 HTTP_SERVER_ERROR = 500
 HTTP_UNAVAILABLE = 503
-# Below the ten seconds after which upstreams close idle connections.
+# Below the ten seconds after which upstreams close idle connections. One that
+# states its limit in its answers is believed.
 UPSTREAM_IDLE_TIMEOUT = timedelta(seconds=5)
+LONGEST_IDLE_TIMEOUT = timedelta(seconds=30)
 # Several round trips between regions.
 CONNECT_TIMEOUT = timedelta(milliseconds=500)
 MAX_ANSWER_BYTES = 67_108_864
@@ -116,6 +118,7 @@
         self._http = HttpClient(
             max_body_bytes=MAX_ANSWER_BYTES,
             idle_timeout=UPSTREAM_IDLE_TIMEOUT,
+            longest_idle_timeout=LONGEST_IDLE_TIMEOUT,
             connect_timeout=CONNECT_TIMEOUT,
             allow_close_delimited=True,
             memory=memory,
--- a/packages/lycheedyke/src/lycheedyke/transport/_http.py
+++ b/packages/lycheedyke/src/lycheedyke/transport/_http.py
@@ -24,7 +24,7 @@
 )
 from lycheedyke.timers import pause_tolerant_timeout
 from lycheedyke.transport._body_memory import BodyMemory, IncomingBody
-from lycheedyke.transport._connector import Connector
+from lycheedyke.transport._connector import Connector, IdleLimits
 from lycheedyke.transport._framing import has_body, has_length
 from lycheedyke.transport._sockets import open_socket
 from lycheedyke.transport._write_gate import (
@@ -84,7 +84,10 @@
         max_connections: the maximum number of open connections to one
             address.
         max_body_bytes: the largest accepted response body, in bytes.
-        idle_timeout: how long a pooled connection may be idle.
+        idle_timeout: how long a pooled connection may be idle if the other
+            side does not state its limit.
+        longest_idle_timeout: how long one may be idle if the other side states
+            a longer time; None for `idle_timeout`.
         connect_timeout: the longest time for connecting.
         allow_close_delimited: whether a response without a length is
             accepted, whose body ends where the connection is closed.
@@ -97,6 +100,7 @@
         max_connections: int = 100,
         max_body_bytes: int = DEFAULT_MAX_BODY_BYTES,
         idle_timeout: timedelta = DEFAULT_IDLE_TIMEOUT,
+        longest_idle_timeout: timedelta | None = None,
         connect_timeout: timedelta = DEFAULT_CONNECT_TIMEOUT,
         allow_close_delimited: bool = False,
         memory: BodyMemory | None = None,
@@ -104,7 +108,9 @@
         """Initializes the client without opening a connection."""
         self._max_connections = max_connections
         self._max_body_bytes = max_body_bytes
-        self._idle_timeout = idle_timeout
+        self._idle_limits = IdleLimits(
+            idle_timeout, longest_idle_timeout or idle_timeout
+        )
         self._connect_timeout = connect_timeout
         self._allow_close_delimited = allow_close_delimited
         self._memory = memory or BodyMemory(DEFAULT_BODY_MEMORY_BYTES)
@@ -265,10 +271,10 @@
         if self._pooled is None:
             self._pooled = _open_session(
                 Connector(
+                    self._idle_limits,
                     limit=0,
                     limit_per_host=self._max_connections,
                     socket_factory=open_socket,
-                    keepalive_timeout=self._idle_timeout.total_seconds(),
                 ),
             )
         return self._pooled
@@ -277,6 +283,7 @@
         if self._unpooled is None:
             self._unpooled = _open_session(
                 Connector(
+                    self._idle_limits,
                     limit=0,
                     limit_per_host=self._max_connections,
                     socket_factory=open_socket,
--- a/packages/lycheedyke/src/lycheedyke/transport/_response_protocol.py
+++ b/packages/lycheedyke/src/lycheedyke/transport/_response_protocol.py
@@ -36,6 +36,7 @@
         self._has_head = False
         self._is_refused = False
         self._held = b''
+        self.keep_alive: str | None = None
 
     def set_response_params(self, **params: Any) -> None:
         """Prepares for the next response on this connection."""
@@ -79,6 +80,7 @@
             return
         if message.code >= HTTP_OK:
             self._has_head = True
+            self.keep_alive = message.headers.get('Keep-Alive')
         else:
             self._informational += 1
             if self._informational > MAX_INFORMATIONAL_RESPONSES:
