Start the rounds of splits at different points

Cause: all instances began the round of a split with the same parts. Of 140 instances with one request each, a part of weight 10 of 100 got none instead of 14. Credits were also kept in the unit of the weights, so after a change of weights credit of the old ones lasted for many requests, or was lost.

Change: an instance starts the round of a route at a point that a hash of its name and the route determines. Credits are scaled when weights change, and a part whose weight became 0 gets nothing. The round robin moves to a module of its own, and its tests to test_splits.

Result: of test_splits, 12 cases fail with rounds that all start at their first request (for example 420 requests instead of 378 to a part of 0.9). The tests of exact rounds are unchanged. A part without upstreams or without free slots is not replaced by another; that was so before and is tested now.

Tests: test_splits, test_routes, test_wire_numbers, test_requests and test_log_lines passed.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_caller_api.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_caller_api.py
@@ -109,7 +109,7 @@
         self._decision_log = telemetry.decision_log
         self._schedule = schedule
         self._unanswered = UnansweredReport(names.request, telemetry, schedule)
-        self._round_robin = WeightedRoundRobin()
+        self._round_robin = WeightedRoundRobin(telemetry.instance)
 
     def __repr__(self) -> str:
         """Returns the registry view."""
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_decision_log.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_decision_log.py
@@ -93,17 +93,19 @@
 
 
 class Telemetry(NamedTuple):
-    """The clock, counters and decision log that the parts share.
+    """What all parts of an instance share to tell of themselves.
 
     Attributes:
         clock: the time source.
         counters: counts and latencies.
         decision_log: the log of decisions on requests.
+        instance: the name of the instance.
     """
 
     clock: Clock
     counters: Counters
     decision_log: DecisionLog
+    instance: str
 
 
 def _describe(outcome: Outcome) -> dict[str, object]:
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
@@ -345,7 +345,9 @@
             sampled_of=self._settings.log_sampled_of,
             lines_per_s=self._settings.log_lines_per_s,
         )
-        return Telemetry(self._clock, self._counters, decision_log)
+        return Telemetry(
+            self._clock, self._counters, decision_log, self._settings.name
+        )
 
     def _max_instances(self) -> int:
         return self._registry_view.max_instances
--- a/packages/lycheedyke/src/lycheedyke/state/__init__.py
+++ b/packages/lycheedyke/src/lycheedyke/state/__init__.py
@@ -60,11 +60,7 @@
 from lycheedyke.state._repeats import RepeatBudget, RepeatLimit
 from lycheedyke.state._response_timeout import response_timeout
 from lycheedyke.state._route_use import RouteUse
-from lycheedyke.state._routes import (
-    HostHomes,
-    RouteTable,
-    WeightedRoundRobin,
-)
+from lycheedyke.state._routes import HostHomes, RouteTable
 from lycheedyke.state._run_times import RouteRunTimes, RunTimeStats
 from lycheedyke.state._selection import Hold, PermitSources, UpstreamSelector
 from lycheedyke.state._send_limits import (
@@ -80,6 +76,7 @@
     hash_point,
     share_at,
 )
+from lycheedyke.state._splits import WeightedRoundRobin
 from lycheedyke.state._suspect_reports import Suspect
 from lycheedyke.state._suspects import (
     QUARANTINE_TIME,
--- a/packages/lycheedyke/src/lycheedyke/state/_routes.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_routes.py
@@ -1,4 +1,4 @@
-"""Finds the route of a request and the service that runs it."""
+"""Finds the route of a request."""
 
 from collections import defaultdict
 from collections.abc import Callable, Iterable
@@ -133,39 +133,6 @@
         )
 
 
-class WeightedRoundRobin:
-    """Distributes the requests of each route to its services by weight.
-
-    This is smooth weighted round robin: for each request, every part's weight
-    is added to its credit. The part with the highest credit is selected, and
-    the sum of the weights is subtracted from its credit. So the shares are
-    exact after each round, and independent for each route.
-    """
-
-    def __init__(self) -> None:
-        """Initializes all credits at zero."""
-        self._credits: dict[tuple[str, tuple[str, ...]], list[float]] = {}
-
-    def __repr__(self) -> str:
-        """Returns the number of routes with credits."""
-        return f'<WeightedRoundRobin over {len(self._credits)} routes>'
-
-    def choose(self, route: Route) -> str:
-        """Returns the service that runs the next request of a route."""
-        parts = route.parts
-        if len(parts) == 1:
-            return parts[0].service
-        key = (route.name, tuple(part.service for part in parts))
-        credit = self._credits.setdefault(key, [0] * len(parts))
-        total: float = 0
-        for index, part in enumerate(parts):
-            credit[index] += part.weight
-            total += part.weight
-        best = max(range(len(parts)), key=credit.__getitem__)
-        credit[best] -= total
-        return parts[best].service
-
-
 def _shared_homes(routes: Iterable[Route]) -> frozenset[str]:
     return frozenset.intersection(*(route.homes for route in routes))
 
--- a/tests/unit/gateway/test_routes.py
+++ b/tests/unit/gateway/test_routes.py
@@ -1,12 +1,7 @@
-"""Tests of the route table and of weighted splits."""
+"""Tests of the route table."""
 
-from collections import Counter
-
-from hypothesis import given
-from hypothesis import strategies as st
-
-from lycheedyke.protocol import Route, RoutePart
-from lycheedyke.state import RouteTable, WeightedRoundRobin
+from lycheedyke.protocol import Route
+from lycheedyke.state import RouteTable
 from standins.records import make_route, make_routing
 
 
@@ -42,21 +37,3 @@
     assert table.find('c', '/x/1') is None
     assert table.find('a', '/y/x/') is None
     assert table.find('a', '') is None
-
-
-@given(st.lists(st.integers(1, 100), min_size=2, max_size=4))
-def test_split_gives_each_part_its_weight(weights: list[int]) -> None:
-    """After a complete round the shares equal the weights."""
-    parts = [RoutePart(f's{at}', each) for at, each in enumerate(weights)]
-    route = make_route('/', *parts)
-    splitter = WeightedRoundRobin()
-    selected = Counter(splitter.choose(route) for _ in range(sum(weights)))
-    assert selected == {part.service: part.weight for part in parts}
-
-
-def test_split_follows_new_parts_of_a_route() -> None:
-    """The credit of replaced parts is not used for new parts."""
-    splitter = WeightedRoundRobin()
-    splitter.choose(make_route('/', RoutePart('a', 90), RoutePart('b', 10)))
-    only = make_route('/', RoutePart('c', 1))
-    assert splitter.choose(only) == 'c'
