--- a/packages/lycheedyke/src/lycheedyke/state/__init__.py
+++ b/packages/lycheedyke/src/lycheedyke/state/__init__.py
@@ -55,7 +55,6 @@
     PermitRequest,
 )
 from lycheedyke.state._plans import Plan, make_plan
-from lycheedyke.state._pools import Location, Pools
 from lycheedyke.state._references import find_reference_faults
 from lycheedyke.state._repeats import RepeatBudget, RepeatLimit
 from lycheedyke.state._response_timeout import response_timeout
@@ -92,6 +91,7 @@
 from lycheedyke.state._upstreams import UpstreamTable
 from lycheedyke.state._verdicts import Judgement, SettledQuarantine, Verdict
 from lycheedyke.state._warmup_limiter import WarmupLimiter, permit_interval
+from lycheedyke.state.placement import Location, Pools
 
 __all__ = (
     'LimitNews',
--- a/packages/lycheedyke/src/lycheedyke/state/_estimates.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_estimates.py
@@ -5,9 +5,9 @@
 from typing import NamedTuple
 
 from lycheedyke.protocol import Route, Tenant
-from lycheedyke.state._pools import Location, rendezvous_hash
 from lycheedyke.state._run_times import RunTimeStats
 from lycheedyke.state._upstream_state import UpstreamState
+from lycheedyke.state.placement import Location, rendezvous_hash
 
 ZERO = timedelta()
 MICROSECOND = timedelta(microseconds=1)
--- a/packages/lycheedyke/src/lycheedyke/state/_selection.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_selection.py
@@ -16,13 +16,13 @@
     Estimator,
     Request,
 )
-from lycheedyke.state._pools import Location, Pools
 from lycheedyke.state._run_times import RunTimeStats
 from lycheedyke.state._send_limits import NO_LIMIT, home_weight
 from lycheedyke.state._send_permits import PermitBook, SendPermit
 from lycheedyke.state._upstream_state import UpstreamState
 from lycheedyke.state._upstreams import UpstreamTable
 from lycheedyke.state._warmup_limiter import WarmupLimiter, permit_interval
+from lycheedyke.state.placement import Location, Pools
 
 
 class Hold(NamedTuple):
