Pass large download responses on while they arrive

A response was read whole before its caller got the first byte: a 540 kB response took its whole time at the upstream and then again that of the caller's link, and all of it was held meanwhile.

The last bytes wait for the end of the exchange. An attempt that fails before the first byte went out is repeated as before; afterwards the caller's connection is aborted. Responses that callers held up are not recorded as run times or as failures of the upstream.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_caller_api.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_caller_api.py
@@ -33,8 +33,8 @@
 from lycheedyke_daemon.gateway._router import GatewayRouter
 from lycheedyke_daemon.gateway._stop_schedule import StopSchedule
 from lycheedyke_daemon.gateway._unanswered import SENT_TO, UnansweredReport
+from lycheedyke_daemon.gateway.bodies import STREAM, ResponseStreams
 from lycheedyke_daemon.pipeline import TURN, may_pass_on
-from lycheedyke_daemon.stopping import RequestTracker
 from lycheedyke_daemon.work import MAX_LOGGED, Work, end_to_end_headers
 
 MILLISECOND = timedelta(milliseconds=1)
@@ -81,7 +81,8 @@
         router: sends the requests to upstreams.
         names: the header names of the deployment.
         memory: bounds the memory of all bodies together.
-        tracker: counts the requests in flight.
+        streams: passes large responses on while they arrive; its tracker
+            counts the requests in flight.
         telemetry: counts outcomes and logs each request.
         schedule: decides which requests a planned stop refuses, and how long
             the others may run.
@@ -93,7 +94,7 @@
         router: GatewayRouter,
         names: HeaderNames,
         memory: BodyMemory,
-        tracker: RequestTracker,
+        streams: ResponseStreams,
         telemetry: Telemetry,
         *,
         schedule: StopSchedule,
@@ -103,11 +104,12 @@
         self._router = router
         self._names = names
         self._memory = memory
-        self._tracker = tracker
+        self._tracker = streams.tracker
         self._clock = telemetry.clock
         self._counters = telemetry.counters
         self._decision_log = telemetry.decision_log
         self._schedule = schedule
+        self._streams = streams
         self._unanswered = UnansweredReport(names.request, telemetry, schedule)
         self._round_robin = WeightedRoundRobin()
 
@@ -127,8 +129,11 @@
         admitted = self._admit(http, started)
         if isinstance(admitted, NotRun):
             return self._respond(http, None, admitted, started)
-        outcome = await self._run(admitted)
-        return self._respond(http, admitted, outcome, started)
+        is_streamed = admitted.route.streamed
+        with self._streams.open(http, is_streamed=is_streamed) as stream:
+            outcome = await self._run(admitted)
+            response = self._respond(http, admitted, outcome, started)
+            return await stream.finish(outcome, response)
 
     def _admit(
         self,
@@ -262,6 +267,7 @@
             kind=admitted.route.kind,
             request_id=http.headers[self._names.request],
             host=admitted.route.host,
+            response_target=http[STREAM],
         )
 
     def _read_object_key(self, admitted: _AdmittedRequest) -> str:
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
@@ -49,6 +49,7 @@
 from lycheedyke_daemon.gateway._stop_schedule import StopSchedule
 from lycheedyke_daemon.gateway._suspect_exchange import SuspectExchange
 from lycheedyke_daemon.gateway._upstream_client import UpstreamClient
+from lycheedyke_daemon.gateway.bodies import ResponseStreams
 from lycheedyke_daemon.idle_connections import IdleConnectionCloser
 from lycheedyke_daemon.servers import Connections, HttpServers
 from lycheedyke_daemon.stopping import RequestTracker
@@ -330,7 +331,7 @@
             router,
             self._deployment.headers,
             BodyMemory(self._settings.body_memory_bytes),
-            self._tracker,
+            ResponseStreams(self._client.memory, self._tracker, self._counters),
             self._telemetry,
             schedule=self._schedule,
         )
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_request_progress.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_request_progress.py
@@ -77,6 +77,8 @@
 
 def is_repeatable(work: Work, outcome: Outcome) -> bool:
     """Returns whether work may be sent again after an outcome."""
+    if work.response_target is not None and work.response_target.has_begun:
+        return False
     match outcome:
         case Answered(status):
             return work.idempotent and status >= HTTP_SERVER_ERROR
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_router.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_router.py
@@ -39,6 +39,7 @@
 )
 from lycheedyke_daemon.gateway._silence_watch import SilenceWatch
 from lycheedyke_daemon.gateway._upstream_client import Sending, UpstreamClient
+from lycheedyke_daemon.gateway.bodies import was_held_up
 from lycheedyke_daemon.work import Work
 
 HTTP_SERVER_ERROR = 500
@@ -221,6 +222,9 @@
         is_success = (
             isinstance(outcome, Answered) and outcome.status < HTTP_SERVER_ERROR
         )
+        if was_held_up(work):
+            # The time was that of the caller.
+            return outcome
         # An answer that arrived in a pause took an unknown part of it.
         if is_success and self._paused_within(took) <= took * MAX_PAUSED_SHARE:
             record_run_time(self._times, request, candidate, took)
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_unanswered.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_unanswered.py
@@ -10,7 +10,7 @@
 from lycheedyke_daemon.cancellation import is_cancelled
 from lycheedyke_daemon.gateway._decision_log import Telemetry
 from lycheedyke_daemon.gateway._stop_schedule import StopSchedule
-from lycheedyke_daemon.pipeline import TURN
+from lycheedyke_daemon.pipeline import TURN, ResponseIncomplete
 from lycheedyke_daemon.stopping import Handler
 
 MILLISECOND = timedelta(milliseconds=1)
@@ -62,6 +62,9 @@
         request[SENT_TO] = []
         try:
             return await handler(request)
+        except ResponseIncomplete:
+            # The end of the request was reported with its outcome.
+            raise
         except (asyncio.CancelledError, ConnectionError) as error:
             reason = self._find_reason(request)
             is_fault = reason is Reason.internal_error
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_upstream_client.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_upstream_client.py
@@ -4,6 +4,7 @@
 from collections.abc import Mapping
 from datetime import timedelta
 
+import multidict
 from aiohttp import web
 
 from lycheedyke.exceptions import (
@@ -34,6 +35,7 @@
 )
 from lycheedyke.transport import (
     BodyMemory,
+    BodySink,
     ExchangeChecks,
     HttpClient,
     HttpResponse,
@@ -46,6 +48,7 @@
     read_send_limit,
 )
 from lycheedyke_daemon.gateway._decision_log import Telemetry
+from lycheedyke_daemon.gateway.bodies import open_stream, was_held_up
 from lycheedyke_daemon.stopping import Handler
 from lycheedyke_daemon.work import MAX_LOGGED, Work
 
@@ -133,6 +136,11 @@
         with self._memory.hold():
             return await handler(request)
 
+    @property
+    def memory(self) -> BodyMemory:
+        """The memory of all answers."""
+        return self._memory
+
     async def close(self) -> None:
         """Closes the connections."""
         await self._http.close()
@@ -171,13 +179,16 @@
                         self._check_write, state, record, work, sending
                     ),
                     functools.partial(self._is_own, work),
+                    functools.partial(self._accept, state, work),
                 ),
             )
         except ConnectError as error:
             self._mark_unreachable(state, error)
             return outcome_of_error(error)
         except ExchangeBroken as error:
-            state.record_failure()
+            # An upstream breaks off a response that its caller reads slowly.
+            if not was_held_up(work):
+                state.record_failure()
             outcome = outcome_of_error(error)
             if isinstance(error, ResponseTooLarge):
                 self._tell_too_large(state, work, outcome, error)
@@ -191,6 +202,20 @@
         """
         return headers.get(self._names.request) == work.request_id
 
+    def _accept(
+        self,
+        state: UpstreamState,
+        work: Work,
+        status: int,
+        headers: multidict.CIMultiDictProxy[str],
+    ) -> BodySink | None:
+        """Returns where to pass a response on while it arrives, if at all."""
+        sink = open_stream(work, status, headers, self._names.not_run)
+        if sink is not None:
+            # It is not silent, however long the rest takes.
+            state.record_answer()
+        return sink
+
     def _check_write(
         self,
         state: UpstreamState,
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/pipeline.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/pipeline.py
@@ -22,6 +22,13 @@
 RESUME_UNANSWERED = 16
 
 
+class ResponseIncomplete(ConnectionError):
+    """The rest of an answer that was begun is missing.
+
+    The connection is closed at once, so that the answer can't look complete.
+    """
+
+
 class CloseReason(enum.Enum):
     """Why an instance closes the connection of a caller."""
 
@@ -29,6 +36,7 @@
     stopping = 'stopping'
     last_answer = 'last-answer'
     failed = 'failed'
+    incomplete = 'incomplete'
 
 
 class Turn:
@@ -171,6 +179,14 @@
             if not turn.is_dropped and not turn.is_answered
         ]
 
+    def describe(self) -> dict[str, object]:
+        """Returns what log lines tell of the requests that are not answered."""
+        unanswered = self.unanswered
+        return {
+            'requests': [turn.request for turn in unanswered],
+            'passed_on': sum(turn.is_passed_on for turn in unanswered),
+        }
+
     def __len__(self) -> int:
         """Returns the number of requests that have not ended."""
         return len(self._turns)
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/request_protocol.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/request_protocol.py
@@ -9,11 +9,7 @@
 
 from aiohttp import web
 from aiohttp.base_protocol import BaseProtocol
-from aiohttp.http import (
-    HttpRequestParser,
-    RawRequestMessage,
-    StreamWriter,
-)
+from aiohttp.http import HttpRequestParser, RawRequestMessage, StreamWriter
 from aiohttp.http_exceptions import BadHttpMessage, HttpProcessingError
 from aiohttp.streams import EMPTY_PAYLOAD, StreamReader
 from aiohttp.tcp_helpers import tcp_keepalive
@@ -34,6 +30,7 @@
     TURN,
     CloseReason,
     Pipeline,
+    ResponseIncomplete,
     Turn,
     wait_turn,
 )
@@ -188,6 +185,8 @@
     def _close_transport(self, reason: CloseReason) -> None:
         if self.transport is not None and not self.transport.is_closing():
             self._note_close(reason)
+            if reason is CloseReason.incomplete:
+                self.transport.abort()
             self.transport.close()
 
     def _note_close(self, reason: CloseReason) -> None:
@@ -200,7 +199,6 @@
 
     def _report_unanswered(self, reason: CloseReason) -> None:
         """Logs that the instance closes a connection that is in use."""
-        unanswered = self._pipeline.unanswered
         now = self._loop.time()
         _logger.warning(
             'connection closed in use',
@@ -208,8 +206,7 @@
                 'closed_by': reason.value,
                 'age_ms': round((now - self._opened) * MS_PER_SECOND),
                 'silent_ms': round((now - self._arrived) * MS_PER_SECOND),
-                'requests': [turn.request for turn in unanswered],
-                'passed_on': sum(turn.is_passed_on for turn in unanswered),
+                **self._pipeline.describe(),
             },
         )
 
@@ -309,8 +306,10 @@
             request = self._make_request(turn, message, payload)
             is_open = await self._answer(request, handler)
             reason = CloseReason.last_answer
-        except ConnectionError:
+        except ConnectionError as error:
             _logger.debug('connection lost', exc_info=True)
+            if isinstance(error, ResponseIncomplete):
+                reason = CloseReason.incomplete
         except Exception:
             self.logger.exception('connection closed')
         finally:
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/stopping.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/stopping.py
@@ -68,6 +68,26 @@
         for timer in self._timers:
             timer.reschedule(now)
 
+    async def prepare(
+        self, request: web.Request, response: web.StreamResponse
+    ) -> None:
+        """Waits for the turn of an answer, and begins to write it.
+
+        Args:
+            request: the request.
+            response: its answer, which is told whether the connection closes
+                after it.
+        """
+        # A stop may begin while the answer waits for its turn.
+        await request[TURN].wait_first()
+        self._refuse_rest_if_stopping(request)
+        await wait_turn(request, response, closes=self.stopping)
+        await response.prepare(request)
+
+    def _refuse_rest_if_stopping(self, request: web.Request) -> None:
+        if self.stopping and self._refuses_behind:
+            request[TURN].refuse_rest()
+
     async def _serve(
         self,
         handler: Handler,
@@ -79,12 +99,12 @@
                 # The answer before it may close the connection.
                 await request[TURN].wait_first()
             response = await handler(request)
-            # A stop may begin while the answer waits for its turn.
-            await request[TURN].wait_first()
-            if self.stopping and self._refuses_behind:
-                request[TURN].refuse_rest()
-            await wait_turn(request, response, closes=self.stopping)
-            await response.prepare(request)
+            if response.prepared:
+                # The caller was not told that the connection closes, so it
+                # stays open for the refusal of the next request.
+                self._refuse_rest_if_stopping(request)
+            else:
+                await self.prepare(request, response)
             await response.write_eof()
         finally:
             self.in_flight -= 1
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/work.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/work.py
@@ -3,13 +3,14 @@
 import hashlib
 from collections.abc import Iterator, Mapping
 from datetime import timedelta
-from typing import NamedTuple
+from typing import NamedTuple, Protocol
 
 from lycheedyke.protocol import (
     REMAINING_HEADER,
     IdempotencyKey,
     RouteKind,
 )
+from lycheedyke.transport import BodySink
 
 SAFE_METHODS = frozenset(('GET', 'HEAD', 'OPTIONS'))
 HOP_BY_HOP_HEADERS = frozenset(
@@ -33,6 +34,27 @@
 MAX_LOGGED = 200
 
 
+class ResponseTarget(Protocol):
+    """Takes the response to one request while it arrives.
+
+    Once the caller may have received a part of it, the request must not be
+    repeated.
+    """
+
+    @property
+    def has_begun(self) -> bool:
+        """Whether the caller may have received a part of it."""
+
+    @property
+    def was_held_up(self) -> bool:
+        """Whether the caller delayed it."""
+
+    def open(
+        self, status: int, headers: tuple[tuple[str, str], ...], length: int
+    ) -> BodySink | None:
+        """Returns where to write the body; None to receive it as a whole."""
+
+
 class Work(NamedTuple):
     """One request of a caller.
 
@@ -55,6 +77,8 @@
         request_id: the id that the caller gave this attempt, or ''.
         host: the host in the request, if the target is relative to it; '' if
             it is relative to the service.
+        response_target: takes a large response while it arrives; None to
+            receive each response as a whole.
     """
 
     service: str
@@ -71,6 +95,7 @@
     kind: RouteKind | None = None
     request_id: str = ''
     host: str = ''
+    response_target: ResponseTarget | None = None
 
     @property
     def idempotent(self) -> bool:
--- a/packages/lycheedyke/src/lycheedyke/protocol/_registry.py
+++ b/packages/lycheedyke/src/lycheedyke/protocol/_registry.py
@@ -45,6 +45,7 @@
             served before.
         homes: the regions in which the requests may run; all if empty.
         public: whether callers need no key, in a configuration with tenants.
+        streamed: whether large responses are passed on while they arrive.
     """
 
     name: str
@@ -59,6 +60,7 @@
     sticky: bool = False
     homes: frozenset[str] = frozenset()
     public: bool = False
+    streamed: bool = False
 
 
 class Tenant(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/lycheedyke/src/lycheedyke/transport/__init__.py
+++ b/packages/lycheedyke/src/lycheedyke/transport/__init__.py
@@ -11,11 +11,14 @@
 )
 from lycheedyke.transport._links import Link, PeerLink, PeerListener
 from lycheedyke.transport._probes import is_connection_refused, probe
+from lycheedyke.transport._streamed_body import StreamedBody
+from lycheedyke.transport._streaming import BodySink
 
 __all__ = (
     'MAX_HEAD_BYTES',
     'READ_BUFFER_BYTES',
     'BodyMemory',
+    'BodySink',
     'HttpResponse',
     'ExchangeChecks',
     'HttpClient',
@@ -23,6 +26,7 @@
     'Link',
     'PeerLink',
     'PeerListener',
+    'StreamedBody',
     'is_connection_refused',
     'length_of_absent_body',
     'probe',
--- a/packages/lycheedyke/src/lycheedyke/transport/_body_memory.py
+++ b/packages/lycheedyke/src/lycheedyke/transport/_body_memory.py
@@ -62,19 +62,27 @@
             on_break: called when the body is broken off for another one.
         """
         body = IncomingBody(self, min(max_bytes, self.max_bytes), on_break)
-        self._incomplete.add(body)
+        self.register(body)
         try:
             yield body
         finally:
             body.release()
 
+    def register(self, body: 'IncomingBody') -> None:
+        """Accounts for an incomplete body until it is released."""
+        self._incomplete.add(body)
+
+    def has_room(self, amount: int) -> bool:
+        """Returns whether an amount is left without breaking off a body."""
+        return self.used + amount <= self.max_bytes
+
     def acquire(self, body: 'IncomingBody', amount: int) -> None:
         """Acquires memory for an incomplete body, at the cost of the largest.
 
         Raises:
             BodyMemoryFull: the body itself is the largest.
         """
-        while self.used + amount > self.max_bytes:
+        while not self.has_room(amount):
             largest = max(self._incomplete, key=_size)
             if body.size + amount >= largest.size:
                 raise BodyMemoryFull(
--- a/packages/lycheedyke/src/lycheedyke/transport/_http.py
+++ b/packages/lycheedyke/src/lycheedyke/transport/_http.py
@@ -27,6 +27,12 @@
 from lycheedyke.transport._connector import Connector
 from lycheedyke.transport._framing import has_body, has_length
 from lycheedyke.transport._sockets import open_socket
+from lycheedyke.transport._streaming import (
+    Accept,
+    BodySink,
+    find_sink,
+    pass_on,
+)
 from lycheedyke.transport._write_gate import (
     BeforeWrite,
     GatedRequest,
@@ -68,10 +74,14 @@
             caller gets the error.
         is_own: returns whether headers are those of a response to this request.
             The other side may send an earlier response again.
+        accept: returns where to write the body of a response with a length
+            while it arrives, or None to read it as a whole. The returned
+            response then has no body.
     """
 
     before_write: BeforeWrite | None = None
     is_own: IsOwn | None = None
+    accept: Accept | None = None
 
 
 NO_CHECKS = ExchangeChecks()
@@ -191,7 +201,7 @@
                         multidict.CIMultiDict(headers),
                         body,
                         reuse=reuse,
-                        is_own=checks.is_own,
+                        checks=checks,
                     )
         except _EXCHANGE_ERRORS as error:
             raise gate.refusal or _to_error(gate, method, url, error) from error
@@ -204,7 +214,7 @@
         body: bytes | None,
         *,
         reuse: bool,
-        is_own: IsOwn | None,
+        checks: ExchangeChecks,
     ) -> HttpResponse:
         session = self._open_pooled() if reuse else self._open_unpooled()
         async with session.request(
@@ -214,13 +224,17 @@
             data=body,
             allow_redirects=False,
         ) as response:
+            is_own = checks.is_own
             if is_own is not None and not is_own(response.headers):
                 response.close()
                 raise ExchangeBroken(f'{url}: response to another request')
             if not has_body(method, response.status):
                 # The connection is reusable from the end of the head on.
                 return HttpResponse(response.status, response.headers, b'')
-            if has_length(response.headers):
+            sink = find_sink(method, response, checks.accept)
+            if sink is not None:
+                content = await self._pass_on(response, sink)
+            elif has_length(response.headers):
                 content = await self._read(response)
             else:
                 content = await self._read_until_close(response)
@@ -258,6 +272,21 @@
                 response.close()
                 raise _to_too_large(response, error) from error
 
+    async def _pass_on(
+        self, response: aiohttp.ClientResponse, sink: BodySink
+    ) -> bytes:
+        try:
+            await pass_on(
+                response,
+                sink,
+                self._max_body_bytes,
+                functools.partial(_break_off, response),
+            )
+        except BodyTooLarge as error:
+            response.close()
+            raise _to_too_large(response, error) from error
+        return b''
+
     def _limit_connecting(self, timeout: timedelta) -> timedelta:
         return min(self._connect_timeout, timeout * CONNECT_SHARE)
 
--- a/tests/standins/scripted_upstream.py
+++ b/tests/standins/scripted_upstream.py
@@ -8,7 +8,7 @@
 import asyncio
 import contextlib
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from types import MappingProxyType
 from typing import NamedTuple
 
@@ -28,6 +28,9 @@
 )
 
 
+Respond = Callable[[asyncio.StreamWriter, str], Awaitable[bool]]
+
+
 class Arrival(NamedTuple):
     """A request as the upstream received it."""
 
@@ -47,6 +50,8 @@
         run_s: the run time of a request in seconds.
         run_of_path: returns the run time of a request by its target.
         body: the body of the answers.
+        respond: writes the answers to requests that run, from their ids;
+            returns whether the connection stays open. None to write `body`.
         says: header lines of all its answers, each with its line break.
         crashes_on: a path, with a query or for any query, that ends the
             upstream once a request for it begins to run, as the action `crash`
@@ -67,6 +72,7 @@
         self.run_s = 0.005
         self.run_of_path: Callable[[str], float] = lambda _: self.run_s
         self.body = b'{"ran": "whole"}'
+        self.respond: Respond | None = None
         self.says = ''
         self.bodiless = ''
         self.crashes_on = ''
@@ -195,6 +201,8 @@
             return True
         if action in {'cut', 'open-cut', 'open'}:
             return await self._send_partial(action, writer, headers)
+        if self.respond is not None:
+            return await self.respond(writer, headers[REQUEST_ID])
         if self.bodiless:
             writer.write(
                 f'HTTP/1.1 {self.bodiless}{SEAL}'
