--- a/tests/standins/streaming.py
+++ b/tests/standins/streaming.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import socket
 from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
@@ -22,6 +23,9 @@
 }
 CONFIGURATION = 0x12
 POLLS = 1000
+READ_BYTES = 65_536
+# The system's buffers would hold a whole response between the two sockets.
+SOCKET_BUFFER_BYTES = 16_384
 
 Step = Callable[[asyncio.StreamWriter], Awaitable[bool]]
 
@@ -77,29 +81,34 @@
             the connection, `extra` writes the rest and bytes after the end,
             `hang` writes nothing more.
         length: the length that the head names.
+        status: its status.
 
     Attributes:
         go_on: set to let it happen.
         written: how many responses were written completely.
-        broken: how many connections ended before.
     """
 
     def __init__(
-        self, first: int, then: str = 'rest', length: int = PACK_BYTES
+        self,
+        first: int,
+        then: str = 'rest',
+        length: int = PACK_BYTES,
+        status: str = '200 OK',
     ) -> None:
         """Initializes a response that is not written."""
         self.go_on = asyncio.Event()
         self.written = 0
-        self.broken = 0
         self._first = first
         self._then = then
         self._length = length
+        self._status = status
 
     async def __call__(
         self, writer: asyncio.StreamWriter, request: str
     ) -> bool:
         """Writes the response; returns whether the connection stays open."""
-        writer.write(make_head(request, self._length) + PACK[: self._first])
+        writer.write(make_head(request, self._length, self._status))
+        writer.write(PACK[: self._first])
         await writer.drain()
         await self.go_on.wait()
         match self._then:
@@ -112,11 +121,7 @@
                 return False
         extra = b'HTTP' if self._then == 'extra' else b''
         writer.write(PACK[self._first :] + extra)
-        try:
-            await writer.drain()
-        except ConnectionError:
-            self.broken += 1
-            raise
+        await writer.drain()
         self.written += 1
         return self._length == PACK_BYTES
 
@@ -130,22 +135,42 @@
 
     def __init__(self, platform: GatewayTestbed) -> None:
         """Initializes a caller that is not connected."""
-        self._address = platform.settings[0].caller_address
+        self._platform = platform
         self._head = b''
         self._body = b''
 
     async def __aenter__(self) -> 'PackCaller':
         """Connects."""
-        host, _, port = self._address.rpartition(':')
-        self._reader, self._writer = await asyncio.open_connection(
-            host, int(port)
+        host, _, port = self._platform.settings[0].caller_address.rpartition(
+            ':'
         )
+        own = socket.socket()
+        own.setblocking(False)
+        own.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SOCKET_BUFFER_BYTES)
+        loop = asyncio.get_running_loop()
+        await loop.sock_connect(own, (host, int(port)))
+        self._reader, self._writer = await asyncio.open_connection(sock=own)
+        await self._shrink_far_buffer(own.getsockname())
         return self
 
     async def __aexit__(self, *error: object) -> None:
         """Closes the connection."""
         self.leave()
 
+    async def _shrink_far_buffer(self, own: tuple[str, int]) -> None:
+        for _ in range(POLLS):
+            for connection in self._platform.instances[0]._list_callers():
+                transport = connection.transport
+                if transport and transport.get_extra_info('peername') == own:
+                    transport.get_extra_info('socket').setsockopt(
+                        socket.SOL_SOCKET,
+                        socket.SO_SNDBUF,
+                        SOCKET_BUFFER_BYTES,
+                    )
+                    return
+            await asyncio.sleep(0.001)
+        raise TimeoutError('not connected')
+
     def ask(
         self, request: str = 'r-1', path: str = '/pack/1', method: str = 'GET'
     ) -> None:
@@ -182,18 +207,20 @@
         with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
             if not self._head:
                 await self.read_head()
-            while len(self._body) < self._length:
-                part = await self._reader.read(65_536)
+            while len(self._body) < self.length:
+                part = await self._reader.read(
+                    min(READ_BYTES, self.length - len(self._body))
+                )
                 if not part:
                     break
                 self._body += part
         status = int(self._head.split()[1]) if self._head else 0
-        answer = PartialAnswer(status, self._length, self._body)
+        answer = PartialAnswer(status, self.length, self._body)
         self._head = b''
         return answer
 
     @property
-    def _length(self) -> int:
+    def length(self) -> int:
         for line in self._head.decode().split('\r\n'):
             name, _, text = line.partition(': ')
             if name.lower() == 'content-length':
