Move callers by the demand of zones

Cause: look-ups assume the same demand in all zones, so callers of a region in its peak stay at upstreams that are overloaded.

Change: each instance counts the requests that arrive, by service, and reports them twice a second to the first instance of its zone in rendezvous order. These exchange totals, which age out after 3 s. Look-ups estimate the demand by the callers' zone from the arrivals and from the shares that they gave, predict it 4 s ahead, and move callers of overloaded zones to spare slots, at most half of shiftMax in 2 s. Enabled by [shifts] by_demand; without it, all answers are as before.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_caller_api.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_caller_api.py
@@ -147,6 +147,7 @@
             return NotRun(Reason.unknown_key)
         self._registry_view.route_use.record(route)
         service = self._round_robin.choose(route)
+        self._registry_view.arrivals.record(service)
         if not self._may_take(http, route, service):
             return NotRun(Reason.stopping, RETRY_AFTER_STOP)
         remaining = self._read_remaining(http)
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
@@ -49,6 +49,7 @@
 from lycheedyke_daemon.gateway._stop_schedule import StopSchedule
 from lycheedyke_daemon.gateway._suspect_exchange import SuspectExchange
 from lycheedyke_daemon.gateway._upstream_client import UpstreamClient
+from lycheedyke_daemon.gateway.demand import DemandExchange, DemandSteering
 from lycheedyke_daemon.idle_connections import IdleConnectionCloser
 from lycheedyke_daemon.servers import Connections, HttpServers
 from lycheedyke_daemon.stopping import RequestTracker
@@ -125,6 +126,14 @@
             clock,
         )
         self._limits.max_instances = self._max_instances
+        self._demand = DemandExchange(
+            own,
+            self._registry_view.arrivals,
+            self._peer_updates,
+            settings.zones,
+            self._counters,
+            clock,
+        )
         self._pauses = PauseMonitor()
         self._follower = RegistryFollower(
             deployment.registry,
@@ -184,6 +193,8 @@
             ('lost upstreams', self._lost_upstreams.run),
         ):
             self._tasks.start(name, work)
+        if settings.by_demand:
+            self._tasks.start('demand', self._demand.run)
         file = self._settings_file
         if file is not None:
             self._tasks.start(
@@ -351,7 +362,9 @@
         return self._registry_view.max_instances
 
     def _peer_app(self) -> web.Application:
-        return make_app(self._peer_updates, self._suspects, self._limits)
+        return make_app(
+            self._peer_updates, self._suspects, self._limits, self._demand
+        )
 
     def _lookup_app(self) -> web.Application:
         directory = LookupDirectory(
@@ -363,6 +376,10 @@
             self._settings.shift_most,
             self._clock,
         )
+        if self._settings.by_demand:
+            directory.steering = DemandSteering(
+                self._demand.totals, self._times, self._clock
+            )
         return make_app(
             LookupApi(
                 self._deployment.lookups,
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_lookup.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_lookup.py
@@ -2,7 +2,7 @@
 
 import logging
 from collections import defaultdict
-from collections.abc import Callable, Collection, Mapping
+from collections.abc import Callable, Mapping
 from datetime import timedelta
 from typing import NamedTuple
 
@@ -19,17 +19,12 @@
     ZoneCapacity,
     compute_zone_shares,
     list_entries,
-    ramp_shares,
 )
 from lycheedyke_daemon.gateway._registry_view import RegistryView
+from lycheedyke_daemon.gateway.demand import DemandSteering
+from lycheedyke_daemon.gateway.lookups import CallerShares
 
 REFRESH_INTERVAL = timedelta(milliseconds=250)
-# Changes of callers between regions are bounded per window of this length.
-SHIFT_WINDOW = timedelta(seconds=2)
-# The other half is a margin: which callers look up in a window is random.
-SHIFT_FRACTION = 0.5
-# Smaller changes of a share are not logged.
-MIN_LOGGED_CHANGE = 0.05
 
 _logger = logging.getLogger(__name__)
 
@@ -50,96 +45,6 @@
     encode: Callable[[list[str], timedelta], bytes]
 
 
-class _CallerShares:
-    """The shares of the zones in the callers of one host and zone.
-
-    Changes of upstreams and instances take effect at once, those of the
-    configuration, of homes and of limits step by step.
-
-    Attributes:
-        shares: the current share of each zone.
-    """
-
-    def __init__(
-        self,
-        number: int,
-        shares: Mapping[str, float],
-        homes: HostHomes | None,
-        clock: Clock,
-    ) -> None:
-        """Starts with the shares of the configuration with this number."""
-        self.shares = dict(shares)
-        self._clock = clock
-        self._updated_at = clock.elapsed()
-        self._logged = self.shares
-        self._number = number
-        self._homes = homes
-        self._is_ramping = False
-
-    def __repr__(self) -> str:
-        """Returns the shares."""
-        return f'<_CallerShares {self.shares}>'
-
-    def update(
-        self,
-        number: int,
-        target: Mapping[str, float],
-        capacities: Collection[ZoneCapacity],
-        max_change: float,
-        *,
-        homes: HostHomes | None,
-        has_limits: bool,
-    ) -> None:
-        """Moves the shares to the target, at once or by one step.
-
-        Args:
-            number: the number of the configuration that the target is from.
-            target: the shares to reach.
-            capacities: the capacity of each zone.
-            max_change: the maximum fraction of the callers that may change
-                their region in a window.
-            homes: the homes of the host's routes.
-            has_limits: whether limits of upstreams change their capacity.
-        """
-        now = self._clock.elapsed()
-        windows = min((now - self._updated_at) / SHIFT_WINDOW, 1)
-        self._updated_at = now
-        is_changed = number != self._number or homes != self._homes
-        if is_changed or has_limits:
-            self._number = number
-            self._homes = homes
-            self._is_ramping = True
-        if self._is_ramping:
-            step = max_change * SHIFT_FRACTION * windows
-            self.shares = ramp_shares(self.shares, target, capacities, step)
-            self._is_ramping = self.shares != target
-        else:
-            self.shares = dict(target)
-
-    def log_change(self, host: str, zone: str) -> None:
-        """Logs the shares if they differ enough from those last logged."""
-        logged = self._logged
-        names = set(self.shares) | set(logged)
-        if all(
-            abs(self.shares.get(name, 0) - logged.get(name, 0))
-            < MIN_LOGGED_CHANGE
-            for name in names
-        ):
-            return
-        self._logged = self.shares
-        shares = {name: round(part, 2) for name, part in self.shares.items()}
-        _logger.info(
-            'share moved',
-            extra={
-                'host': host,
-                'callers_zone': zone,
-                'shares': shares,
-                'version': self._number,
-                'is_ramping': self._is_ramping,
-            },
-        )
-
-
 class LookupDirectory:
     """Computes the answers to look-ups, and caches them for a short time.
 
@@ -152,6 +57,10 @@
         shift_most: the maximum fraction of a region's callers that may
             change their region in a window.
         clock: the time source.
+
+    Attributes:
+        steering: follows the demand of the callers; None if shares do not
+            depend on it.
     """
 
     def __init__(
@@ -165,6 +74,7 @@
         clock: Clock,
     ) -> None:
         """Starts without cached answers."""
+        self.steering: DemandSteering | None = None
         self._own = own
         self._registry_view = registry_view
         self._upstream_table = upstream_table
@@ -173,7 +83,7 @@
         self._shift_most = shift_most
         self._clock = clock
         self._refreshed = timedelta()
-        self._shares: dict[tuple[str, str], _CallerShares] = {}
+        self._shares: dict[tuple[str, str], CallerShares] = {}
         self._answers: dict[tuple[str, str], list[str]] = {}
         self._regions: dict[tuple[str, str], frozenset[str]] = {}
 
@@ -193,6 +103,7 @@
             self._refreshed = now
             self._answers.clear()
             self._drop_unknown()
+            self._follow_demand()
         listed = self._answers.get((host, zone))
         if listed is None:
             listed = self._compute(host, zone)
@@ -200,13 +111,40 @@
         return listed
 
     def _compute(self, host: str, zone: str) -> list[str]:
+        entries, shares = self._find_shares(host, zone)
+        listed = list_entries(zone, shares, entries)
+        return listed or [self._own.caller_address]
+
+    def _find_shares(
+        self, host: str, zone: str
+    ) -> tuple[dict[str, tuple[str, ...]], dict[str, float]]:
+        """Returns the instances that callers may use, and the zones' shares."""
         homes = self._registry_view.homes_of(host)
         entries = self._allowed_entries(host, zone, homes)
         shares = self._current_shares(
             host, zone, homes, self._zone_capacities(host, entries)
         )
-        listed = list_entries(zone, shares, entries)
-        return listed or [self._own.caller_address]
+        return entries, shares
+
+    def _follow_demand(self) -> None:
+        """Moves the shares of all hosts that callers look up with demand."""
+        if self.steering is None:
+            return
+        hosts = {host for host, _ in self._shares}
+        self.steering.retain(hosts)
+        for host in sorted(hosts):
+            self._follow_host(self.steering, host)
+
+    def _follow_host(self, steering: DemandSteering, host: str) -> None:
+        given = {zone: self._find_shares(host, zone)[1] for zone in self._zones}
+        table = self._registry_view.table
+        steering.update(
+            host,
+            table.services_of(host) if table else frozenset(),
+            given,
+            self._zone_capacities(host, self._entries_by_zone()),
+            self._shift_most,
+        )
 
     def _allowed_entries(
         self, host: str, zone: str, homes: HostHomes | None
@@ -266,25 +204,43 @@
         homes: HostHomes | None,
         capacities: list[ZoneCapacity],
     ) -> dict[str, float]:
-        target = compute_zone_shares(capacities).get(zone, {})
+        static = compute_zone_shares(capacities).get(zone, {})
         if not self._is_known(host, zone):
-            return target
+            return static
+        steered = self._steered(host, zone, capacities)
         number = self._registry_view.number
         shares = self._shares.get((host, zone))
         if shares is None:
-            shares = _CallerShares(number, target, homes, self._clock)
+            shares = CallerShares(number, static, homes, self._clock)
             self._shares[host, zone] = shares
         shares.update(
             number,
-            target,
+            steered or static,
             capacities,
             self._shift_most,
             homes=homes,
             has_limits=self._has_limits(host),
+            is_steered=steered is not None,
         )
         shares.log_change(host, zone)
         return shares.shares
 
+    def _steered(
+        self, host: str, zone: str, capacities: list[ZoneCapacity]
+    ) -> dict[str, float] | None:
+        """Returns the shares by demand among the zones that may be used."""
+        target = self.steering.target(host, zone) if self.steering else None
+        usable = {
+            each.zone for each in capacities if each.entries and each.slots > 0
+        }
+        held = {
+            name: share
+            for name, share in (target or {}).items()
+            if name in usable
+        }
+        total = sum(held.values())
+        return {name: share / total for name, share in held.items()} or None
+
     def _is_known(self, host: str, zone: str) -> bool:
         table = self._registry_view.table
         is_routed = table is not None and table.has_host(host)
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_registry_view.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_registry_view.py
@@ -24,6 +24,7 @@
     Suspects,
     UpstreamTable,
 )
+from lycheedyke.state.demand import ArrivalCounts
 
 MILLISECOND = timedelta(milliseconds=1)
 # An instance whose record is missing may be disconnected and still run, so it
@@ -57,6 +58,7 @@
         self.on_routes_changed: Callable[[frozenset[str]], None] | None = None
         self.in_force = asyncio.Event()
         self.route_use = RouteUse(clock)
+        self.arrivals = ArrivalCounts()
         self._upstream_table = upstream_table
         self._suspects = suspects
         self._counters = counters
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_settings.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_settings.py
@@ -16,6 +16,7 @@
     FRACTION_RULE,
     LABEL_RULE,
     NUMBER_RULE,
+    SWITCH_RULE,
     WINDOW_RULE,
     Field,
     find_unknown_keys,
@@ -31,6 +32,7 @@
     read_level,
     read_number,
     read_optional_count,
+    read_switch,
     read_window,
 )
 
@@ -68,6 +70,8 @@
             all instances together.
         shift_most: the maximum fraction of a region's callers that may
             change the region in 2 s after a change of configuration.
+        by_demand: whether the demand of zones determines where their callers
+            are sent.
         zone_trip: the round trip to another zone of the region.
         region_trip: the round trip to another region.
         zone_charge: the cost of traffic between zones, as time.
@@ -104,6 +108,7 @@
     repeat_window: timedelta
     repeat_extra: int
     shift_most: float
+    by_demand: bool
     zone_trip: timedelta
     region_trip: timedelta
     zone_charge: timedelta
@@ -164,6 +169,9 @@
         'shift_most': Field(
             'shifts', 'most', read_fraction, FRACTION_RULE, '0.15'
         ),
+        'by_demand': Field(
+            'shifts', 'by_demand', read_switch, SWITCH_RULE, 'no'
+        ),
         'zone_trip': Field(
             'distances', 'zone_trip', read_duration, DURATION_RULE, '1ms'
         ),
--- /dev/null
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/lookups/__init__.py
@@ -0,0 +1,8 @@
+"""Parts of the answers to look-ups."""
+
+from lycheedyke_daemon.gateway.lookups._caller_shares import (
+    CallerShares,
+    step_after,
+)
+
+__all__ = ('CallerShares', 'step_after')
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/ini.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/ini.py
@@ -109,6 +109,13 @@
     return text
 
 
+def read_switch(text: str) -> bool:
+    """Reads whether something is enabled."""
+    if text not in {'yes', 'no'}:
+        raise ValueError
+    return text == 'yes'
+
+
 NAME_RULE = 'lower-case letters, digits and -, at most 63 characters'
 LABEL_RULE = 'letters, digits, ., _ and -, at most 63 characters'
 ADDRESS_RULE = 'an IP address and a port, for example 192.0.2.1:8080'
@@ -118,6 +125,7 @@
 DURATION_RULE = 'a number with its unit, for example 250ms or 2.5s'
 WINDOW_RULE = 'a duration of at least 1ms, for example 250ms or 2.5s'
 NUMBER_RULE = 'a number of at least 0'
+SWITCH_RULE = 'yes or no'
 FRACTION_RULE = 'a number from 0 to 1'
 
 
--- a/packages/lycheedyke/src/lycheedyke/state/_entry_lists.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_entry_lists.py
@@ -47,13 +47,13 @@
     Args:
         capacities: the capacity of each zone.
     """
-    slot_shares = _slot_shares(capacities)
+    by_slots = slot_shares(capacities)
     demand = 1 / max(1, len(capacities))
-    loads = {zone: min(demand, share) for zone, share in slot_shares.items()}
+    loads = {zone: min(demand, share) for zone, share in by_slots.items()}
     shares: dict[str, dict[str, float]] = {}
     for capacity in sorted(capacities):
-        away = max(0, 1 - slot_shares.get(capacity.zone, 0) / demand)
-        target = _least_loaded(capacity.zone, away * demand, loads, slot_shares)
+        away = max(0, 1 - by_slots.get(capacity.zone, 0) / demand)
+        target = _least_loaded(capacity.zone, away * demand, loads, by_slots)
         shares[capacity.zone] = {capacity.zone: 1}
         if target is not None and away > MIN_REMOTE_SHARE:
             loads[target] += away * demand
@@ -127,7 +127,7 @@
     return listed[:MAX_LISTED]
 
 
-def _slot_shares(capacities: Iterable[ZoneCapacity]) -> dict[str, float]:
+def slot_shares(capacities: Iterable[ZoneCapacity]) -> dict[str, float]:
     """Returns the share of all slots that each zone with instances has."""
     slots = {
         each.zone: each.slots
@@ -171,14 +171,12 @@
     zone: str,
     added: float,
     loads: Mapping[str, float],
-    slot_shares: Mapping[str, float],
+    by_slots: Mapping[str, float],
 ) -> str | None:
-    others = [name for name in sorted(slot_shares) if name != zone]
+    others = [name for name in sorted(by_slots) if name != zone]
     if not others:
         return None
-    return min(
-        others, key=lambda name: (loads[name] + added) / slot_shares[name]
-    )
+    return min(others, key=lambda name: (loads[name] + added) / by_slots[name])
 
 
 def _ranked(zone: str, addresses: Iterable[str]) -> list[str]:
--- a/tests/standins/gateway_testbed.py
+++ b/tests/standins/gateway_testbed.py
@@ -265,8 +265,17 @@
         seeds: str = '',
         metrics: str = '',
         zone: str = 'pnw-a',
+        extra: str = '',
     ) -> None:
-        """Starts an entry instance and waits until it is ready."""
+        """Starts an entry instance and waits until it is ready.
+
+        Args:
+            name: its name.
+            seeds: peer addresses of other instances.
+            metrics: where its metrics are scraped; by default at a free port.
+            zone: its zone.
+            extra: further sections of its settings.
+        """
         path = self._folder / f'{name}.ini'
         ports = free_ports(5)
         path.write_text(
@@ -278,7 +287,8 @@
                 store=self._store,
                 seeds=seeds,
                 metrics=metrics or f'127.0.0.1:{ports[4]}',
-            ),
+            )
+            + extra,
         )
         settings = read_gateway_settings(path)
         instance = GatewayInstance(settings, deploy(settings), LoopClock())
