Read the registry's content from a seed at the start

Cause: each instance read the whole registry when it started, in pages of some dozens of items: about 11 calls for 526 items.

Change: an instance that is not a seed asks the seeds for all they know, every 100 ms for 1.5 s after its start, before it reads the registry itself. A seed answers once it has read everything. What is old is brought up to date by the changes since. Instances without seeds, and seeds themselves, start as before.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_peer_updates.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_peer_updates.py
@@ -38,6 +38,7 @@
 # how often that happens.
 SILENT_PAUSE = timedelta(seconds=2)
 MILLISECOND = timedelta(milliseconds=1)
+START = Position(0, 0)
 HTTP_OK = 200
 # Of one update, and of all that are received at once.
 MAX_UPDATE_BYTES = 8_388_608
@@ -153,6 +154,19 @@
         )
         return [update for update in found if update is not None]
 
+    @property
+    def has_seeds(self) -> bool:
+        """Whether there are seeds, and this instance is none of them."""
+        return bool(self._seeds) and self._own.peer_address not in self._seeds
+
+    async def poll_seeds(self) -> RegistryUpdate | None:
+        """Returns all that a seed knows; None if none has read everything."""
+        for seed in random.sample(self._seeds, len(self._seeds)):
+            update = await self._poll(seed, START)
+            if update is not None and update.batch.revision:
+                return update
+        return None
+
     async def announce_leaving(self) -> None:
         """Notifies all peers that this instance stops soon.
 
--- a/packages/lycheedyke/src/lycheedyke/coordination/_registry_follower.py
+++ b/packages/lycheedyke/src/lycheedyke/coordination/_registry_follower.py
@@ -4,7 +4,8 @@
 its watcher, polls the head, and the others poll their watcher; so the number
 of calls to the registry grows neither with instances nor with zones. An
 instance that gets no recent updates that way polls the registry itself. An
-instance without any updates polls peers of all zones.
+instance without any updates polls peers of all zones. At its start, it reads everything
+from a seed that has it: the whole registry takes many calls.
 """
 
 import logging
@@ -56,6 +57,13 @@
     async def poll_sample(self, after: Position) -> list[RegistryUpdate]:
         """Returns the updates of some instances of any zone."""
 
+    @property
+    def has_seeds(self) -> bool:
+        """Whether there are seeds, and this instance is none of them."""
+
+    async def poll_seeds(self) -> RegistryUpdate | None:
+        """Returns all that a seed knows; None if none has read everything."""
+
 
 class FollowIntervals(NamedTuple):
     """How often the registry and the peers are polled.
@@ -75,6 +83,9 @@
         silence: the age of the last update from which the peers are polled,
             and the shortest outage of the registry: records that are written
             regularly do not lapse in less.
+        seed: the interval of polls of the seeds at the start.
+        start: how long after its start an instance polls the seeds before it
+            reads the registry itself; seeds read it in less.
     """
 
     registry: timedelta = timedelta(milliseconds=250)
@@ -84,6 +95,8 @@
     retry: timedelta = timedelta(milliseconds=300)
     max_retry: timedelta = timedelta(seconds=3)
     silence: timedelta = timedelta(milliseconds=1200)
+    seed: timedelta = timedelta(milliseconds=100)
+    start: timedelta = timedelta(milliseconds=1500)
 
 
 DEFAULT_INTERVALS = FollowIntervals()
@@ -127,6 +140,7 @@
         self._longest_pause = longest_pause
         self._paused_within = paused_within
         self._updated = clock.elapsed()
+        self._started = self._updated
         self._answered = self._updated
         self._has_full_state = False
         self._failed_since: timedelta | None = None
@@ -165,6 +179,7 @@
 
     async def follow(self) -> None:
         """Follows the registry or a peer that follows it, until cancelled."""
+        await self._read_seeds()
         while True:
             await self._clock.sleep(await self._poll())
 
@@ -180,6 +195,17 @@
             for update in await self._peers.poll_sample(self._replica.position):
                 self._merge(update, asked)
 
+    async def _read_seeds(self) -> None:
+        """Reads everything from a seed, if one has it soon enough."""
+        end = self._started + self._intervals.start
+        while self._peers.has_seeds and self._clock.elapsed() < end:
+            asked = self._clock.elapsed()
+            update = await self._peers.poll_seeds()
+            if update is not None:
+                self._merge(update, asked)
+                return
+            await self._clock.sleep(self._intervals.seed)
+
     async def _poll(self) -> timedelta:
         """Polls once; returns the delay until the next poll."""
         asked = self._clock.elapsed()
--- a/tests/unit/gateway/test_replica.py
+++ b/tests/unit/gateway/test_replica.py
@@ -3,6 +3,7 @@
 import asyncio
 from datetime import timedelta
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -152,10 +153,13 @@
         self,
         watcher: RegistryUpdate | None = None,
         some: RegistryUpdate | None = None,
+        seeds: tuple[RegistryUpdate | None, ...] = (),
     ) -> None:
         self.requests = 0
+        self.has_seeds = bool(seeds)
         self._watcher = watcher
         self._some = some
+        self._seeds = list(seeds)
 
     @property
     def is_watcher(self) -> bool:
@@ -170,6 +174,10 @@
         await asyncio.sleep(0)
         return [self._some] if self._some else []
 
+    async def poll_seeds(self) -> RegistryUpdate | None:
+        await asyncio.sleep(0)
+        return self._seeds.pop(0) if self._seeds else None
+
 
 async def _follow(
     registry: _Registry,
@@ -191,6 +199,33 @@
     task.cancel()
 
 
+# Guards against many calls to the registry for each instance that starts.
+def test_everything_is_read_from_a_seed_that_has_it() -> None:
+    """The registry is then asked for changes alone."""
+    replica, _, log = _make()
+    registry = _Registry()
+    batch = ItemBatch(7, (_present('evacuation/a', 5),))
+    peers = _Peers(seeds=(None, RegistryUpdate(20, batch)))
+    asyncio.run(_follow(registry, replica, peers))
+    assert registry.requests == [7]
+    assert log.lines == [('evacuation/a', True)]
+
+
+# Guards against an instance that never starts as its seeds are down or know
+# nothing recent.
+@pytest.mark.parametrize('age_ms', [None, 1300])
+def test_the_registry_is_read_if_seeds_do_not_help(age_ms: int | None) -> None:
+    """The wait ends 1.5 s after the start; old updates are brought up to date."""
+    replica, _, _ = _make()
+    registry = _Registry()
+    update = None
+    if age_ms is not None:
+        update = RegistryUpdate(age_ms, ItemBatch(7, ()))
+    peers = _Peers(seeds=(update,) * 30)
+    asyncio.run(_follow(registry, replica, peers))
+    assert registry.requests == ([None] if age_ms is None else [7])
+
+
 def test_lost_history_leads_to_reading_everything() -> None:
     """After the history is lost, the full state is read, then changes."""
     replica, _, _ = _make()
