--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_caller_api.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_caller_api.py
@@ -111,7 +111,7 @@
         self._schedule = schedule
         self._streams = streams
         self._unanswered = UnansweredReport(names.request, telemetry, schedule)
-        self._round_robin = WeightedRoundRobin()
+        self._round_robin = WeightedRoundRobin(telemetry.instance)
 
     def __repr__(self) -> str:
         """Returns the registry view."""
@@ -237,6 +237,7 @@
                 table.rank(admitted.route, admitted.service, admitted.tenant)
             ),
             admitted.tenant,
+            table.urgency_of(admitted.route, admitted.tenant),
         )
         work = self._to_work(admitted, body)
         return await self._router.run(request, work, admitted.http[SENT_TO])
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
@@ -34,7 +34,6 @@
 from lycheedyke_daemon.gateway._decision_log import DecisionLog, Telemetry
 from lycheedyke_daemon.gateway._deployment import Deployment
 from lycheedyke_daemon.gateway._instance_status import InstanceStatus
-from lycheedyke_daemon.gateway._limit_exchange import LimitExchange
 from lycheedyke_daemon.gateway._lookup import LookupApi, LookupDirectory
 from lycheedyke_daemon.gateway._lost_upstreams import LostUpstreams
 from lycheedyke_daemon.gateway._metrics import GatewayCollector
@@ -50,6 +49,7 @@
 from lycheedyke_daemon.gateway._suspect_exchange import SuspectExchange
 from lycheedyke_daemon.gateway._upstream_client import UpstreamClient
 from lycheedyke_daemon.gateway.bodies import ResponseStreams
+from lycheedyke_daemon.gateway.rates import LimitExchange
 from lycheedyke_daemon.idle_connections import IdleConnectionCloser
 from lycheedyke_daemon.servers import Connections, HttpServers
 from lycheedyke_daemon.stopping import RequestTracker
@@ -346,7 +346,9 @@
             sampled_of=self._settings.log_sampled_of,
             lines_per_s=self._settings.log_lines_per_s,
         )
-        return Telemetry(self._clock, self._counters, decision_log)
+        return Telemetry(
+            self._clock, self._counters, decision_log, self._settings.name
+        )
 
     def _max_instances(self) -> int:
         return self._registry_view.max_instances
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_upstream_client.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_upstream_client.py
@@ -44,6 +44,7 @@
 from lycheedyke_daemon.failures import outcome_of_error
 from lycheedyke_daemon.gateway._answer_headers import (
     HeaderNames,
+    parse_load,
     parse_retry_after,
     read_send_limit,
 )
@@ -57,14 +58,15 @@
 HTTP_MISDIRECTED = 421
 HTTP_SERVER_ERROR = 500
 HTTP_UNAVAILABLE = 503
-# Below the ten seconds after which upstreams close idle connections.
+# Below the ten seconds after which upstreams close idle connections. One that
+# states its limit in its answers is believed.
 UPSTREAM_IDLE_TIMEOUT = timedelta(seconds=5)
+LONGEST_IDLE_TIMEOUT = timedelta(seconds=30)
 # Several round trips between regions.
 CONNECT_TIMEOUT = timedelta(milliseconds=500)
 MAX_ANSWER_BYTES = 67_108_864
 RETRY_AFTER = 'Retry-After'
 LEAVING = '1'
-LOAD_FIELDS = 3
 # Answers that were broken off since all answers filled the memory, or since
 # one exceeded a limit of its own.
 MEMORY_FULL_COUNTER = 'answer.memory-full'
@@ -119,6 +121,7 @@
         self._http = HttpClient(
             max_body_bytes=MAX_ANSWER_BYTES,
             idle_timeout=UPSTREAM_IDLE_TIMEOUT,
+            longest_idle_timeout=LONGEST_IDLE_TIMEOUT,
             connect_timeout=CONNECT_TIMEOUT,
             allow_close_delimited=True,
             memory=memory,
@@ -387,9 +390,6 @@
         )
 
     def _record_load(self, state: UpstreamState, answer: HttpResponse) -> None:
-        fields = answer.headers.get(self._names.load, '').split(',')
-        if len(fields) != LOAD_FIELDS:
-            return
-        running, waiting, _ = fields
-        if running.isdecimal() and waiting.isdecimal():
-            state.record_load(int(running), int(waiting))
+        load = parse_load(answer.headers.get(self._names.load, ''))
+        if load is not None:
+            state.record_load(*load)
--- a/packages/lycheedyke/src/lycheedyke/state/_estimates.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_estimates.py
@@ -5,9 +5,9 @@
 from typing import NamedTuple
 
 from lycheedyke.protocol import Route, Tenant
-from lycheedyke.state._pools import Location, rendezvous_hash
 from lycheedyke.state._run_times import RunTimeStats
 from lycheedyke.state._upstream_state import UpstreamState
+from lycheedyke.state.placement import Location, rendezvous_hash
 
 ZERO = timedelta()
 MICROSECOND = timedelta(microseconds=1)
@@ -81,6 +81,10 @@
         wait_share: the share of its spare time that the request may wait for
             a slot.
         tenant: the tenant that sent the request; None if it is not known.
+        urgency: its priority, if slots are allocated between callers that
+            compete; None without tenants.
+        reserved_share: the share of an upstream's slots that are reserved for
+            more urgent requests.
     """
 
     route: Route
@@ -88,6 +92,8 @@
     object_key: str
     wait_share: float = 1
     tenant: Tenant | None = None
+    urgency: float | None = None
+    reserved_share: float = 0
 
     @property
     def is_urgent(self) -> bool:
@@ -100,6 +106,12 @@
         of_tenant = self.tenant is not None and bool(self.tenant.homes)
         return of_tenant or bool(self.route.homes)
 
+    def usable_slots(self, slots: int) -> int:
+        """Returns how many slots of an upstream the request may use."""
+        if not self.reserved_share:
+            return slots
+        return max(1, slots - max(1, round(slots * self.reserved_share)))
+
     def may_run_in(self, region: str) -> bool:
         """Returns whether a region is a home of both route and tenant."""
         homes = self.route.homes
@@ -136,6 +148,7 @@
         now: timedelta,
     ) -> None:
         run_times = times.of_route(request.route, request.service)
+        self._request = request
         self._object_key = request.object_key
         self._location = location
         self._distances = distances
@@ -168,10 +181,11 @@
 
     def _candidate(self, state: UpstreamState) -> Candidate:
         known = self._known_probability(state)
+        delay = state.delay_at(self._now)
         return Candidate(
             state,
-            self._wait(state) * MICROSECOND,
-            self._run(state, known) * MICROSECOND,
+            self._wait(state) * delay * MICROSECOND,
+            self._run(state, known) * delay * MICROSECOND,
             self._round_trip(state.record.zone),
             known,
             state.load_at(self._now),
@@ -184,24 +198,29 @@
         if cost is None:
             cost = (self._round_trip(zone) + self._charge(zone)) / MICROSECOND
             self._zone_costs[zone] = cost
-        run = self._run(state, self._known_probability(state))
-        cost += self._wait(state) + run
+        delay = state.delay_at(self._now)
+        run = self._run(state, self._known_probability(state)) * delay
+        cost += self._wait(state) * delay + run
         if self._object_key:
             cost += (run - self._warm) * SLOT_COST_SHARE
         return round(cost)
 
     def _run(self, state: UpstreamState, known: float) -> float:
+        """Returns the run time without the delay of the upstream."""
         run = self._cold - (self._cold - self._warm) * known
         if state.is_cold_at(self._now):
             run *= COLD_FACTOR
-        return run * state.slowness_at(self._now)
+        return run
 
     def _wait(self, state: UpstreamState) -> float:
+        """Returns the wait without the delay of the upstream."""
         slots = state.record.slots
+        if self._request.reserved_share:
+            slots = self._request.usable_slots(slots)
         ahead = state.load_at(self._now) - slots + 1
         if ahead <= 0:
             return 0
-        return ahead / slots * self._mean * state.slowness_at(self._now)
+        return ahead / slots * self._mean
 
     def _known_probability(self, state: UpstreamState) -> float:
         if not self._object_key:
@@ -239,7 +258,8 @@
     """Records how long an answered request ran.
 
     Nothing is recorded if the request had to wait or the upstream is cold, as
-    its time then says nothing about the run time.
+    its time then says nothing about the run time. The reported pace is taken
+    out of the run time, because estimates multiply by the pace at their time.
 
     Args:
         times: the run times to update.
@@ -250,6 +270,7 @@
     run = max(ZERO, took - candidate.round_trip)
     if candidate.must_wait or candidate.state.is_cold:
         return
+    run = candidate.state.usual_run(run)
     run_times = times.of_route(request.route, request.service)
     was_known = run_times.record(run)
     candidate.state.record_slowness(
--- a/tests/standins/scripted_upstream.py
+++ b/tests/standins/scripted_upstream.py
@@ -53,6 +53,7 @@
         respond: writes the answers to requests that run, from their ids;
             returns whether the connection stays open. None to write `body`.
         says: header lines of all its answers, each with its line break.
+        load: the load that complete answers report.
         crashes_on: a path, with a query or for any query, that ends the
             upstream once a request for it begins to run, as the action `crash`
             does.
@@ -74,6 +75,7 @@
         self.body = b'{"ran": "whole"}'
         self.respond: Respond | None = None
         self.says = ''
+        self.load = '1,0,3'
         self.bodiless = ''
         self.crashes_on = ''
         self.crashed = asyncio.Event()
@@ -258,7 +260,7 @@
         headers: dict[str, str],
         body: bytes,
     ) -> None:
-        load = 'Lycheedyke-Server-Load: 1,0,3\r\n'
+        load = f'Lycheedyke-Server-Load: {self.load}\r\n'
         await self._send(writer, headers, '200 OK', SEAL + load, body)
 
     async def _send(
