--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_router.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_router.py
@@ -229,11 +229,10 @@
         is_success = (
             isinstance(outcome, Answered) and outcome.status < HTTP_SERVER_ERROR
         )
-        if was_held_up(work):
-            # The time was that of the caller.
-            return outcome
-        # An answer that arrived in a pause took an unknown part of it.
-        if is_success and self._paused_within(took) <= took * MAX_PAUSED_SHARE:
+        # An answer that arrived in a pause took an unknown part of it; one that
+        # its caller held up took the time of the caller.
+        is_paused = self._paused_within(took) > took * MAX_PAUSED_SHARE
+        if is_success and not is_paused and not was_held_up(work):
             record_run_time(self._times, request, candidate, took)
         return outcome
 
