List instances to callers in proportion to their capacity

Cause: two instances of a zone have seven times the processor and twenty times the link of the others, and got as many callers. Look-ups of tenants named regions that are no homes of theirs.

Change: callers are divided into 128 classes by their address. Each class gets a stable list by weighted rendezvous hashing, of at least 3 instances, such that all lists together name each instance in proportion to the lesser of its relative processor time and bandwidth. Zones with unknown or equal capacities have the list of before. A look-up with the key of a tenant is answered with its homes.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_lookup.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_lookup.py
@@ -2,7 +2,7 @@
 
 import logging
 from collections import defaultdict
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from datetime import timedelta
 from typing import NamedTuple
 
@@ -18,12 +18,22 @@
     UpstreamTable,
     ZoneCapacity,
     compute_zone_shares,
-    list_entries,
 )
+from lycheedyke.state.demand import caller_class
 from lycheedyke_daemon.gateway._registry_view import RegistryView
 from lycheedyke_daemon.gateway.demand import DemandSteering
-from lycheedyke_daemon.gateway.lookups import CallerShares
+from lycheedyke_daemon.gateway.lookups import (
+    ANYWHERE,
+    Callers,
+    CallerShares,
+    EntryOrders,
+    ListPlan,
+    homes_of_tenant,
+    known_homes,
+    restrict_homes,
+)
 
+AUTHORIZATION = 'Authorization'
 REFRESH_INTERVAL = timedelta(milliseconds=250)
 
 _logger = logging.getLogger(__name__)
@@ -83,46 +93,70 @@
         self._shift_most = shift_most
         self._clock = clock
         self._refreshed = timedelta()
-        self._shares: dict[tuple[str, str], CallerShares] = {}
-        self._answers: dict[tuple[str, str], list[str]] = {}
-        self._regions: dict[tuple[str, str], frozenset[str]] = {}
+        self._shares: dict[Callers, CallerShares] = {}
+        self._answers: dict[tuple[Callers, int], list[str]] = {}
+        self._plans: dict[Callers, ListPlan] = {}
+        self._regions: dict[Callers, frozenset[str]] = {}
+        self._orders = EntryOrders()
 
     def __repr__(self) -> str:
         """Returns the instance's name."""
         return f'<LookupDirectory of {self._own.name}>'
 
-    def find(self, host: str, zone: str) -> list[str]:
+    def find(
+        self,
+        host: str,
+        zone: str,
+        caller: str = '',
+        authorizations: Sequence[str] = (),
+    ) -> list[str]:
         """Returns the addresses for the callers of a zone.
 
         Args:
             host: the host of the callers' requests.
             zone: the zone of the callers.
+            caller: the address of the caller.
+            authorizations: the values of its `Authorization` fields.
         """
         now = self._clock.elapsed()
         if now >= self._refreshed + REFRESH_INTERVAL:
             self._refreshed = now
-            self._answers.clear()
-            self._drop_unknown()
-            self._follow_demand()
-        listed = self._answers.get((host, zone))
+            self._refresh()
+        table = self._registry_view.table
+        callers = Callers(host, zone, homes_of_tenant(table, authorizations))
+        plan = self._plans.get(callers)
+        if plan is None:
+            plan = self._make_plan(callers)
+            self._plans[callers] = plan
+        of_class = 0 if plan.orders is None else caller_class(caller)
+        listed = self._answers.get((callers, of_class))
         if listed is None:
-            listed = self._compute(host, zone)
-            self._answers[host, zone] = listed
+            listed = plan.list_for(of_class) or [self._own.caller_address]
+            self._answers[callers, of_class] = listed
         return listed
 
-    def _compute(self, host: str, zone: str) -> list[str]:
-        entries, shares = self._find_shares(host, zone)
-        listed = list_entries(zone, shares, entries)
-        return listed or [self._own.caller_address]
+    def _refresh(self) -> None:
+        self._answers.clear()
+        self._plans.clear()
+        self._orders.update(self._registry_view.active_entries())
+        self._drop_unknown()
+        self._follow_demand()
+
+    def _make_plan(self, callers: Callers) -> ListPlan:
+        entries, shares = self._find_shares(callers)
+        orders = self._orders.for_callers(callers.zone, entries)
+        return ListPlan(callers.zone, shares, entries, orders)
 
     def _find_shares(
-        self, host: str, zone: str
+        self, callers: Callers
     ) -> tuple[dict[str, tuple[str, ...]], dict[str, float]]:
         """Returns the instances that callers may use, and the zones' shares."""
-        homes = self._registry_view.homes_of(host)
-        entries = self._allowed_entries(host, zone, homes)
+        homes = restrict_homes(
+            self._registry_view.homes_of(callers.host), callers.homes
+        )
+        entries = self._allowed_entries(callers, homes)
         shares = self._current_shares(
-            host, zone, homes, self._zone_capacities(host, entries)
+            callers, homes, self._zone_capacities(callers.host, entries)
         )
         return entries, shares
 
@@ -130,13 +164,16 @@
         """Moves the shares of all hosts that callers look up with demand."""
         if self.steering is None:
             return
-        hosts = {host for host, _ in self._shares}
+        hosts = {callers.host for callers in self._shares}
         self.steering.retain(hosts)
         for host in sorted(hosts):
             self._follow_host(self.steering, host)
 
     def _follow_host(self, steering: DemandSteering, host: str) -> None:
-        given = {zone: self._find_shares(host, zone)[1] for zone in self._zones}
+        given = {
+            zone: self._find_shares(Callers(host, zone, ANYWHERE))[1]
+            for zone in self._zones
+        }
         table = self._registry_view.table
         steering.update(
             host,
@@ -147,7 +184,7 @@
         )
 
     def _allowed_entries(
-        self, host: str, zone: str, homes: HostHomes | None
+        self, callers: Callers, homes: HostHomes | None
     ) -> dict[str, tuple[str, ...]]:
         """Returns the instances by zone that the callers of a zone may use.
 
@@ -158,8 +195,9 @@
         """
         entries = self._entries_by_zone()
         if homes is None:
-            self._regions.pop((host, zone), None)
+            self._regions.pop(callers, None)
             return entries
+        zone = callers.zone
         own = frozenset((self._zones[zone],) if zone in self._zones else ())
         for regions in (homes.of_all | own, homes.of_any):
             allowed = {
@@ -168,28 +206,27 @@
                 if self._zones.get(name) in regions
             }
             if allowed:
-                self._log_homes(host, zone, homes, regions)
+                self._log_homes(callers, homes, regions)
                 return allowed
-        self._log_homes(host, zone, homes, frozenset())
+        self._log_homes(callers, homes, frozenset())
         return entries
 
     def _log_homes(
         self,
-        host: str,
-        zone: str,
+        callers: Callers,
         homes: HostHomes,
         regions: frozenset[str],
     ) -> None:
         """Logs the regions that callers are restricted to, if they change."""
-        is_logged = self._regions.get((host, zone)) == regions
-        if is_logged or not self._is_known(host, zone):
+        is_logged = self._regions.get(callers) == regions
+        if is_logged or not self._is_known(callers):
             return
-        self._regions[host, zone] = regions
+        self._regions[callers] = regions
         _logger.info(
             'look-up restricted',
             extra={
-                'host': host,
-                'callers_zone': zone,
+                'host': callers.host,
+                'callers_zone': callers.zone,
                 'homes_of_all': sorted(homes.of_all),
                 'homes_of_any': sorted(homes.of_any),
                 'regions': sorted(regions),
@@ -199,20 +236,20 @@
 
     def _current_shares(
         self,
-        host: str,
-        zone: str,
+        callers: Callers,
         homes: HostHomes | None,
         capacities: list[ZoneCapacity],
     ) -> dict[str, float]:
+        host, zone, _ = callers
         static = compute_zone_shares(capacities).get(zone, {})
-        if not self._is_known(host, zone):
+        if not self._is_known(callers):
             return static
         steered = self._steered(host, zone, capacities)
         number = self._registry_view.number
-        shares = self._shares.get((host, zone))
+        shares = self._shares.get(callers)
         if shares is None:
             shares = CallerShares(number, static, homes, self._clock)
-            self._shares[host, zone] = shares
+            self._shares[callers] = shares
         shares.update(
             number,
             steered or static,
@@ -241,17 +278,18 @@
         total = sum(held.values())
         return {name: share / total for name, share in held.items()} or None
 
-    def _is_known(self, host: str, zone: str) -> bool:
+    def _is_known(self, callers: Callers) -> bool:
         table = self._registry_view.table
-        is_routed = table is not None and table.has_host(host)
-        return is_routed and zone in self._zones
+        is_routed = table is not None and table.has_host(callers.host)
+        return is_routed and callers.zone in self._zones
 
     def _drop_unknown(self) -> None:
-        """Drops the shares of hosts that no route names any more."""
-        for host, zone in list(self._shares):
-            if not self._is_known(host, zone):
-                self._shares.pop((host, zone))
-                self._regions.pop((host, zone), None)
+        """Drops the shares of hosts and homes that nothing names any more."""
+        homes = known_homes(self._registry_view.table)
+        for callers in list(self._shares):
+            if callers.homes not in homes or not self._is_known(callers):
+                self._shares.pop(callers)
+                self._regions.pop(callers, None)
 
     def _zone_capacities(
         self,
@@ -327,7 +365,12 @@
         self._counters.count('lookup')
         host = request.query.get(self._format.host_field, '')
         zone = request.query.get(self._format.zone_field, '')
-        listed = self._directory.find(host, zone)
+        listed = self._directory.find(
+            host,
+            zone,
+            request.remote or '',
+            request.headers.getall(AUTHORIZATION, ()),
+        )
         return web.Response(
             body=self._format.encode(listed, self._answer_life),
             content_type='application/json',
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/lookups/__init__.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/lookups/__init__.py
@@ -4,5 +4,26 @@
     CallerShares,
     step_after,
 )
+from lycheedyke_daemon.gateway.lookups._entry_orders import (
+    Callers,
+    EntryOrders,
+    ListPlan,
+)
+from lycheedyke_daemon.gateway.lookups._homes import (
+    ANYWHERE,
+    homes_of_tenant,
+    known_homes,
+    restrict_homes,
+)
 
-__all__ = ('CallerShares', 'step_after')
+__all__ = (
+    'ANYWHERE',
+    'CallerShares',
+    'Callers',
+    'EntryOrders',
+    'ListPlan',
+    'homes_of_tenant',
+    'known_homes',
+    'restrict_homes',
+    'step_after',
+)
--- a/packages/lycheedyke/src/lycheedyke/state/demand/__init__.py
+++ b/packages/lycheedyke/src/lycheedyke/state/demand/__init__.py
@@ -6,6 +6,14 @@
     TENTHS,
     ArrivalCounts,
 )
+from lycheedyke.state.demand._caller_lists import (
+    EntryStrength,
+    ZoneOrders,
+    caller_class,
+    equal_strengths,
+    list_by_strength,
+    relative_strengths,
+)
 from lycheedyke.state.demand._forecast import Forecast
 from lycheedyke.state.demand._host_demand import HostDemand, Shares, noise_of
 from lycheedyke.state.demand._totals import (
@@ -24,6 +32,7 @@
     'ArrivalCounts',
     'DemandTotals',
     'EVEN_TOLERANCE',
+    'EntryStrength',
     'Forecast',
     'HostDemand',
     'MAX_REPORTERS',
@@ -31,9 +40,14 @@
     'MEASURED_TIME',
     'Shares',
     'TENTHS',
+    'ZoneOrders',
     'ZoneReports',
     'ZoneTotal',
+    'caller_class',
     'deviation_of',
+    'equal_strengths',
+    'list_by_strength',
     'noise_of',
+    'relative_strengths',
     'steer_shares',
 )
--- a/packages/lycheedyke/src/lycheedyke/state/demand/_host_demand.py
+++ b/packages/lycheedyke/src/lycheedyke/state/demand/_host_demand.py
@@ -90,7 +90,8 @@
         seconds = (now - self._updated_at).total_seconds()
         self._updated_at = now
         delay = (FOLLOW_TIME + self._age).total_seconds() / STAGES
-        gain = 1 - math.exp(-seconds / delay)
+        # The mean delay of a stage is exact for this gain, at any interval.
+        gain = seconds / (seconds + delay)
         shares = given
         for at, before in enumerate(self._delayed):
             self._delayed[at] = _approach(before, shares, gain)
