Give popular objects as many homes as their load needs

Cause: each object has one home in a pool. A popular object overloads it, and its requests wait or are refused there while other upstreams have free slots.

Change: with [placement] max_homes above 1, each instance counts its requests for each object over 60 s. Callers select instances at random, so all instances see about the same shares. Every 5 s popular objects get homes by consistent hashing with bounded loads: the most popular one first, each fills upstreams in its rendezvous order up to 1.15 of the mean load by slots. Counts are rounded to powers of 2, so most instances agree. The less the slots are in use by the reports of upstreams, the higher the bound, so idle pools use few homes. All other objects stay at their first home. A full home leaves a request to another home of its object. max_homes = 0 gives objects no home.

Where the setting differs from 1, requests without an object go to the least loaded of the upstreams of equal cost. By the hash, all instances sent them to the same one.

The model of load gets zones with few upstreams, kept objects that differ by upstream, shared and popular objects, and changing paces.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_router_assembly.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_router_assembly.py
@@ -74,6 +74,7 @@
         cold_rate=functools.partial(_cold_rate, parts.registry_view),
         instances=status.max_instances,
     )
+    selector.set_max_homes(settings.max_homes)
     return GatewayRouter(
         selector,
         parts.times,
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_settings.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_settings.py
@@ -68,6 +68,8 @@
             all instances together.
         shift_most: the maximum fraction of a region's callers that may
             change the region in 2 s after a change of configuration.
+        max_homes: the maximum number of upstreams of a pool that are homes of
+            one object; 1 gives each object one home, 0 none.
         zone_trip: the round trip to another zone of the region.
         region_trip: the round trip to another region.
         zone_charge: the cost of traffic between zones, as time.
@@ -104,6 +106,7 @@
     repeat_window: timedelta
     repeat_extra: int
     shift_most: float
+    max_homes: int
     zone_trip: timedelta
     region_trip: timedelta
     zone_charge: timedelta
@@ -164,6 +167,9 @@
         'shift_most': Field(
             'shifts', 'most', read_fraction, FRACTION_RULE, '0.15'
         ),
+        'max_homes': Field(
+            'placement', 'max_homes', read_bound, BOUND_RULE, '1'
+        ),
         'zone_trip': Field(
             'distances', 'zone_trip', read_duration, DURATION_RULE, '1ms'
         ),
--- a/packages/lycheedyke/src/lycheedyke/state/_estimates.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_estimates.py
@@ -1,5 +1,6 @@
 """Estimates how long a request takes at an upstream, and what that costs."""
 
+import random
 from collections.abc import Mapping, Sequence
 from datetime import timedelta
 from typing import NamedTuple
@@ -136,6 +137,9 @@
         distances: the costs of other zones and regions.
         homes: the home of the request's object in each zone.
         now: the time of the choice.
+        is_spread: whether the object is of no account. The load then decides
+            among upstreams of the same cost, and chance among idle ones: by
+            the hash, all instances would choose the same one.
     """
 
     def __init__(
@@ -146,10 +150,13 @@
         distances: Distances,
         homes: Mapping[str, str],
         now: timedelta,
+        *,
+        is_spread: bool = False,
     ) -> None:
         run_times = times.of_route(request.route, request.service)
         self._request = request
-        self._object_key = request.object_key
+        self._object_key = '' if is_spread else request.object_key
+        self._is_spread = is_spread
         self._location = location
         self._distances = distances
         self._homes = homes
@@ -163,7 +170,8 @@
     def cheapest(self, states: Sequence[UpstreamState]) -> Candidate | None:
         """Returns the upstream with the lowest cost, or None without any.
 
-        Among upstreams of the same cost, the rendezvous hash decides.
+        Among upstreams of the same cost, the rendezvous hash decides, or the
+        load if requests are spread.
         """
         if not states:
             return None
@@ -174,8 +182,23 @@
             for state, cost in zip(states, costs, strict=True)
             if cost == least
         ]
+        if self._is_spread:
+            return self._candidate(self._most_idle(tied))
         return self._candidate(max(tied, key=self._rank))
 
+    def _most_idle(self, states: Sequence[UpstreamState]) -> UpstreamState:
+        loads = [
+            state.load_at(self._now) / state.record.slots for state in states
+        ]
+        least = min(loads)
+        return random.choice(
+            [
+                state
+                for state, load in zip(states, loads, strict=True)
+                if load == least
+            ]
+        )
+
     def _rank(self, state: UpstreamState) -> int:
         return rendezvous_hash(self._object_key, state.record.name)
 
--- a/packages/lycheedyke/src/lycheedyke/state/_selection.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_selection.py
@@ -22,7 +22,7 @@
 from lycheedyke.state._upstream_state import UpstreamState
 from lycheedyke.state._upstreams import UpstreamTable
 from lycheedyke.state._warmup_limiter import WarmupLimiter, permit_interval
-from lycheedyke.state.placement import Location, Pools
+from lycheedyke.state.placement import Location, Placement, Pools
 
 
 class Hold(NamedTuple):
@@ -79,6 +79,7 @@
         self._times = times
         self._location = location
         self._pools = Pools(location.regions)
+        self._placement = Placement(1, self._pools, location.zone)
         self._distances = distances
         self._limiter = permits.cold
         self._permits = permits.limited
@@ -89,6 +90,15 @@
         """Returns the zone."""
         return f'<UpstreamSelector in {self._location.zone}>'
 
+    def set_max_homes(self, max_homes: int) -> None:
+        """Sets the maximum number of homes of an object in a pool.
+
+        Args:
+            max_homes: the number; 1 leaves each object at its first home, 0
+                gives it none.
+        """
+        self._placement = Placement(max_homes, self._pools, self._location.zone)
+
     def choose(
         self,
         request: Request,
@@ -99,12 +109,17 @@
         If the object has a home in the pool of this instance, and the home
         may get the request, no other upstream is considered: there the object
         would evict several known objects, and the load information on other
-        upstreams is older.
+        upstreams is older. Popular objects have several homes, and the load
+        decides among these.
 
         Args:
             request: the request to send.
             excluded: the names of upstreams that must not be chosen.
         """
+        if not excluded:
+            self._placement.record(
+                request.service, request.object_key, self._upstreams.elapsed()
+            )
         candidates = self._candidates(
             request, excluded, self._upstreams.usable(request.service)
         )
@@ -266,7 +281,13 @@
         home = homes.get(self._location.zone)
         at_home = [state for state in ready if state.record.name == home]
         estimator = Estimator(
-            request, self._times, self._location, self._distances, homes, now
+            request,
+            self._times,
+            self._location,
+            self._distances,
+            homes,
+            now,
+            is_spread=self._placement.is_spread and not homes,
         )
         return estimator.cheapest(at_home or ready)
 
@@ -276,7 +297,7 @@
         states: Sequence[UpstreamState],
         now: timedelta,
     ) -> Mapping[str, str]:
-        if not request.object_key:
+        if not request.object_key or not self._placement.max_homes:
             return {}
         mean = self._times.of_service(request.service)
         weights = {
@@ -285,7 +306,15 @@
             if state.wishes.limit is not NO_LIMIT
             and not state.wishes.limit.is_settled(now)
         }
-        return self._pools.homes(request.object_key, states, weights)
+        homes = self._pools.homes(request.object_key, states, weights)
+        first = homes.get(self._location.zone)
+        # Which upstreams take how little by their limits is settled by their
+        # permits; popular objects return to several homes when that ends.
+        if first is not None and not weights:
+            homes[self._location.zone] = self._placement.choose(
+                request.service, request.object_key, first, states, now
+            )
+        return homes
 
     def _without_permit(
         self, request: Request, states: Sequence[UpstreamState]
--- a/packages/lycheedyke/src/lycheedyke/state/_upstream_state.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_upstream_state.py
@@ -64,6 +64,18 @@
     retry_at: timedelta
 
 
+class LoadReport(NamedTuple):
+    """The load that an upstream reported with an answer.
+
+    Attributes:
+        load: the requests that ran or waited there, of all instances.
+        at: when the answer arrived.
+    """
+
+    load: int
+    at: timedelta
+
+
 class UpstreamState:
     """The state of one upstream as observed by this instance.
 
@@ -80,6 +92,7 @@
         is_unproven: whether it was lost, and has answered no request since a
             trial ended that. It gets one request at a time.
         pace: the pace that it reported with its answers.
+        reported: the load that it reported last; None without a report.
 
     Args:
         record: the first record of the upstream.
@@ -95,6 +108,7 @@
         self.unlimited_at = ZERO
         self.limit_logged_at = -MAX_PAUSE
         self.pace = Pace()
+        self.reported: LoadReport | None = None
         self._clock = clock
         self._other_load = 0
         self._other_load_at = ZERO
@@ -229,6 +243,7 @@
         now = self._clock.elapsed()
         self._other_load = max(0, running + waiting - self.in_flight)
         self._other_load_at = now
+        self.reported = LoadReport(running + waiting, now)
         if pace_percent is not None:
             self.pace.record(pace_percent, now)
 
@@ -344,4 +359,5 @@
         self._other_load = 0
         self._slowness = 1.0
         self.pace.reset()
+        self.reported = None
         self.unlimited_at = ZERO
--- a/packages/lycheedyke/src/lycheedyke/state/placement/_pools.py
+++ b/packages/lycheedyke/src/lycheedyke/state/placement/_pools.py
@@ -1,20 +1,15 @@
 """The home upstreams of objects: one upstream per object and pool."""
 
-import math
 from collections import defaultdict
 from collections.abc import Mapping, Sequence
-from types import MappingProxyType
 from typing import NamedTuple
 
-import xxhash
-
 from lycheedyke.state._upstream_state import UpstreamState
+from lycheedyke.state.placement._ranking import NO_WEIGHTS, find_home
 
 # Fewer upstreams cannot keep the objects of a zone's callers warm. So the zones
 # of a region that have fewer upstreams form one pool.
 MIN_POOL_SIZE = 3
-HASH_RANGE = 2**64
-NO_WEIGHTS: Mapping[str, float] = MappingProxyType({})
 
 
 class Location(NamedTuple):
@@ -66,7 +61,7 @@
         for each, in_zone in names.items():
             pools[self._pool(each, names)].extend(in_zone)
         homes = {
-            pool: _find_home(object_key, in_pool, weights)
+            pool: find_home(object_key, in_pool, weights)
             for pool, in_pool in pools.items()
         }
         return {
@@ -75,32 +70,18 @@
             if self._pool(zone, names) in homes
         }
 
+    def members(
+        self, zone: str, states: Sequence[UpstreamState]
+    ) -> list[UpstreamState]:
+        """Returns the upstreams of the pool of a zone."""
+        names: defaultdict[str, list[str]] = defaultdict(list)
+        for each in states:
+            names[each.record.zone].append(each.record.name)
+        pool = self._pool(zone, names)
+        zones = {at for at in names if self._pool(at, names) == pool}
+        return [state for state in states if state.record.zone in zones]
+
     def _pool(self, zone: str, names: Mapping[str, Sequence[str]]) -> str:
         if len(names.get(zone, ())) >= MIN_POOL_SIZE:
             return zone
         return self._regions.get(zone, zone)
-
-
-def rendezvous_hash(object_key: str, upstream: str) -> int:
-    """Returns the rendezvous hash of an object and an upstream."""
-    return xxhash.xxh64_intdigest(f'{object_key} {upstream}'.encode())
-
-
-def _find_home(
-    object_key: str, names: Sequence[str], weights: Mapping[str, float]
-) -> str:
-    if not weights:
-        return max((rendezvous_hash(object_key, each), each) for each in names)[
-            1
-        ]
-    return max(
-        (_weighted_hash(object_key, each, weights.get(each, 1)), each)
-        for each in names
-    )[1]
-
-
-def _weighted_hash(object_key: str, upstream: str, weight: float) -> float:
-    """Returns a hash whose order among all of weight 1 is that without one."""
-    share = (rendezvous_hash(object_key, upstream) + 1) / (HASH_RANGE + 1)
-    # The logarithm keeps apart what the power brings close to 1.
-    return math.log(share) / weight
--- a/tests/standins/load_model.py
+++ b/tests/standins/load_model.py
@@ -6,13 +6,13 @@
 for a known object takes only a share of the run time.
 """
 
+import bisect
 import heapq
 import itertools
 import random
-from collections import Counter, OrderedDict, defaultdict, deque
-from collections.abc import Callable, Mapping
+from collections import Counter, defaultdict
+from collections.abc import Callable
 from datetime import timedelta
-from types import MappingProxyType
 from typing import NamedTuple
 
 from lycheedyke.state import (
@@ -36,6 +36,14 @@
     wait_share_of,
 )
 from standins.clock import ManualClock
+from standins.load_inputs import (
+    DESK_UPSTREAMS,
+    Load,
+    RequestKind,
+    Result,
+    make_desk_kinds,
+)
+from standins.model_upstream import ModelUpstream
 from standins.records import make_route, make_upstream
 
 CALLER_ROUND_TRIP = 0.016
@@ -43,129 +51,17 @@
 SERVICE = 'desk'
 QUEUE_PER_SLOT = 3
 WINDOW_SECONDS = 2
-DESK_UPSTREAMS = MappingProxyType(
-    {'pnw-a': 1, 'pnw-b': 1, 'mt-a': 4, 'mt-b': 4, 'nc-a': 5, 'nc-b': 5},
-)
-
-
-class RequestKind(NamedTuple):
-    """A kind of request; all times are in seconds.
-
-    Attributes:
-        name: the name, which is also the path prefix of its route.
-        per_s: the requests per second in each zone.
-        run_time: the mean run time for an object that is not known.
-        goal: the goal of the route.
-        timeout: the timeout of the route.
-        objects: the number of objects that the requests concern.
-        priority: the rank of the route; 0 is the most urgent.
-    """
-
-    name: str
-    per_s: float
-    run_time: float
-    goal: float
-    timeout: float
-    objects: int
-    priority: int = 0
-
-
-def make_desk_kinds(per_s: float) -> tuple[RequestKind, ...]:
-    """Returns both request kinds of the service `desk`.
-
-    The rates fit a desk of twenty upstreams, as in the load requirements. The
-    run times for known objects are 72 and 94 ms; 60 slots serve about 760
-    such requests per second.
-
-    Args:
-        per_s: the requests per second of both kinds in each zone.
-    """
-    return (
-        RequestKind('lookup', per_s * 0.76, 0.24, 0.25, 1.2, 52, priority=1),
-        RequestKind('order', per_s * 0.24, 0.312, 0.3, 0.8, 24),
-    )
-
-
-class Load(NamedTuple):
-    """The input of a run of the model.
-
-    Attributes:
-        kinds: the kinds of requests.
-        upstreams: the number of upstreams in each zone; the name of a zone
-            is its region, a hyphen and a letter.
-        seconds: the time within which requests arrive.
-        entries: the number of entry instances in each zone.
-        slots: the number of slots of each upstream.
-        known_run_share: the run time for a known object as a share of the
-            run time for other objects.
-        known_objects: the number of objects that an upstream knows.
-        slow: the factor of the run times of slow upstreams, by name.
-        known_at_start: whether each upstream knows every object from the
-            start.
-    """
-
-    kinds: tuple[RequestKind, ...]
-    upstreams: Mapping[str, int]
-    seconds: float = 20
-    entries: int = 4
-    slots: int = 3
-    known_run_share: float = 0.3
-    known_objects: int = 50
-    slow: Mapping[str, float] = {}
-    known_at_start: bool = False
-
 
-class Result(NamedTuple):
-    """The results of all requests.
 
-    Attributes:
-        requested: the number of requests by kind.
-        in_goal: the number of requests that ended within their goal, by kind.
-        late: the number of requests that ended later, by kind.
-        refused: the number of requests that were refused twice, by kind.
-        windows: the number of requests, and of those within their goal, by
-            window of `WINDOW_SECONDS`.
-        sent: the number of requests that were sent to each upstream.
-    """
-
-    requested: Counter[str]
-    in_goal: Counter[str]
-    late: Counter[str]
-    refused: Counter[str]
-    windows: dict[int, tuple[int, int]]
-    sent: Counter[str]
-
-    def share(self, kind: str) -> float:
-        """Returns the share of requests of a kind that ended in their goal."""
-        return self.in_goal[kind] / max(1, self.requested[kind])
-
-    @property
-    def in_goal_share(self) -> float:
-        """The share of all requests that ended within their goal."""
-        return self.in_goal.total() / max(1, self.requested.total())
-
-
-class _Upstream:
-    """The run times, queue and known objects of one upstream."""
-
-    def __init__(self, load: Load, name: str, rng: random.Random) -> None:
-        self.running = 0
-        self.queue: deque[Callable[[], None]] = deque()
-        self._load = load
-        self._slowness = load.slow.get(name, 1.0)
-        self._rng = rng
-        self._known: OrderedDict[str, None] = OrderedDict()
-
-    def run_time(self, kind: RequestKind, object_key: str) -> float:
-        """Returns the run time of a request that starts now."""
-        run_time = kind.run_time * self._rng.gauss(1, 0.15)
-        if object_key in self._known or self._load.known_at_start:
-            run_time *= self._load.known_run_share
-        self._known[object_key] = None
-        self._known.move_to_end(object_key)
-        if len(self._known) > self._load.known_objects:
-            self._known.popitem(last=False)
-        return max(0.001, run_time * self._slowness)
+__all__ = (
+    'DESK_UPSTREAMS',
+    'WINDOW_SECONDS',
+    'Load',
+    'LoadModel',
+    'RequestKind',
+    'Result',
+    'make_desk_kinds',
+)
 
 
 class _Entry(NamedTuple):
@@ -203,7 +99,7 @@
         self._sequence = itertools.count()
         self._regions = {zone: zone[:-2] for zone in load.upstreams}
         self._upstreams = {
-            f'{zone}-{index}': _Upstream(load, f'{zone}-{index}', self._rng)
+            f'{zone}-{index}': ModelUpstream(load, f'{zone}-{index}', self._rng)
             for zone, count in load.upstreams.items()
             for index in range(count)
         }
@@ -213,8 +109,25 @@
             for index in range(load.entries)
         }
         self._lists = self._make_lists()
+        self._weights = {
+            kind.name: list(
+                itertools.accumulate(
+                    (rank + 1) ** -kind.skew for rank in range(kind.objects)
+                )
+            )
+            for kind in load.kinds
+        }
         self._result = Result(
-            Counter(), Counter(), Counter(), Counter(), {}, Counter()
+            Counter(),
+            Counter(),
+            Counter(),
+            Counter(),
+            {},
+            Counter(),
+            Counter(),
+            Counter(),
+            [],
+            Counter(),
         )
         self._windows: defaultdict[int, list[int]] = defaultdict(lambda: [0, 0])
 
@@ -266,6 +179,7 @@
             cold_rate=lambda service: 7.0,
             instances=lambda: len(self._load.upstreams) * self._load.entries,
         )
+        selector.set_max_homes(self._load.max_homes)
         return _Entry(self._regions[zone], upstreams, run_times, selector)
 
     def _make_lists(self) -> dict[str, list[str]]:
@@ -300,7 +214,7 @@
         self._schedule_arrival(zone, kind, now)
         region = self._regions[zone]
         entry = self._entries[self._rng.choice(self._lists[zone])]
-        object_key = f'{region} {kind.name} {self._rng.randrange(kind.objects)}'
+        object_key = self._pick_object(region, kind)
         route = make_route(
             f'/{kind.name}/',
             goal=timedelta(seconds=kind.goal),
@@ -310,6 +224,8 @@
         if region != entry.region:
             round_trip += REGION_ROUND_TRIP
         self._result.requested[kind.name] += 1
+        if now >= self._load.measured_from:
+            self._result.measured[kind.name] += 1
         self._windows[int(now) // WINDOW_SECONDS][0] += 1
         request = Request(
             route, SERVICE, object_key, wait_share_of(kind.priority)
@@ -320,6 +236,15 @@
             )
         )
 
+    def _pick_object(self, region: str, kind: RequestKind) -> str:
+        number = self._rng.randrange(kind.objects)
+        if kind.skew:
+            weights = self._weights[kind.name]
+            number = bisect.bisect(weights, self._rng.random() * weights[-1])
+        if self._load.has_shared_objects:
+            region = 'all'
+        return f'{region} {kind.name} {number}'
+
     def _send(self, pending: _PendingRequest) -> None:
         now = self._clock.elapsed().total_seconds() - self._start
         candidate = pending.entry.selector.choose(pending.request)
@@ -357,7 +282,7 @@
             upstream.queue.append(lambda: self._run(pending, candidate, sent))
         else:
             candidate.state.end_request()
-            candidate.state.record_load(upstream.running, len(upstream.queue))
+            self._report(candidate, upstream)
             now = self._clock.elapsed().total_seconds() - self._start
             self._refuse(pending, candidate, now)
 
@@ -367,7 +292,13 @@
         now = self._clock.elapsed().total_seconds() - self._start
         upstream = self._upstreams[candidate.state.record.name]
         upstream.running += 1
-        elapsed = upstream.run_time(pending.kind, pending.request.object_key)
+        elapsed = upstream.run_time(
+            pending.kind, pending.request.object_key, now
+        )
+        if now >= self._load.measured_from:
+            name = candidate.state.record.name
+            self._result.runs[name] += 1
+            self._result.warm_runs[name] += upstream.is_warm
         self._schedule(
             now + elapsed, lambda: self._end(pending, candidate, sent)
         )
@@ -382,17 +313,25 @@
             upstream.queue.popleft()()
         hop = candidate.round_trip.total_seconds() / 2
         candidate.state.end_request()
-        candidate.state.record_load(upstream.running, len(upstream.queue))
+        self._report(candidate, upstream)
         elapsed = timedelta(seconds=now + hop - sent)
         record_run_time(
             pending.entry.run_times, pending.request, candidate, elapsed
         )
         name = pending.kind.name
-        if (
-            now + hop + pending.round_trip - pending.first_sent
-            <= pending.kind.goal
-        ):
+        took = now + hop + pending.round_trip - pending.first_sent
+        if pending.first_sent >= self._load.measured_from:
+            self._result.times.append(took)
+        if took <= pending.kind.goal:
             self._result.in_goal[name] += 1
             self._windows[int(pending.first_sent) // WINDOW_SECONDS][1] += 1
         else:
             self._result.late[name] += 1
+
+    def _report(self, candidate: Candidate, upstream: ModelUpstream) -> None:
+        now = self._clock.elapsed().total_seconds() - self._start
+        candidate.state.record_load(
+            upstream.running,
+            len(upstream.queue),
+            upstream.pace_percent(now),
+        )
--- a/tests/unit/gateway/test_log_lines.py
+++ b/tests/unit/gateway/test_log_lines.py
@@ -24,6 +24,7 @@
     LIBRARY / 'state/_upstream_state.py',
     LIBRARY / 'state/_upstreams.py',
     LIBRARY / 'state/_suspects.py',
+    LIBRARY / 'state/placement/_placement.py',
     LIBRARY / 'coordination/_registry_follower.py',
     LIBRARY / 'coordination/_replica.py',
     LIBRARY / 'coordination/_presence.py',
