--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_settings.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_settings.py
@@ -77,6 +77,8 @@
             change the region in 2 s after a change of configuration.
         by_demand: whether the demand of zones determines where their callers
             are sent.
+        max_homes: the maximum number of upstreams of a pool that are homes of
+            one object; 1 gives each object one home, 0 none.
         zone_trip: the round trip to another zone of the region.
         region_trip: the round trip to another region.
         zone_charge: the cost of traffic between zones, as time.
@@ -117,6 +119,7 @@
     quota_slack: int
     shift_most: float
     by_demand: bool
+    max_homes: int
     zone_trip: timedelta
     region_trip: timedelta
     zone_charge: timedelta
@@ -192,6 +195,9 @@
         'by_demand': Field(
             'shifts', 'by_demand', read_switch, SWITCH_RULE, 'no'
         ),
+        'max_homes': Field(
+            'placement', 'max_homes', read_bound, BOUND_RULE, '1'
+        ),
         'zone_trip': Field(
             'distances', 'zone_trip', read_duration, DURATION_RULE, '1ms'
         ),
