Judge tenants under contention by the use of their quotas

Cause: the allocation of slots was given no figures on the use of quotas, so it fell back to what one instance sees of each tenant.

Change: the router gets the use that comes with the permits of tenants.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
@@ -349,6 +349,7 @@
                 self._pauses.within,
                 lambda: self._follower.age,
                 self._limits.wait_answer,
+                self._quotas.tenant_use,
             ),
             self._clock,
         )
