Check a configuration before it is sent

Cause: instances put a configuration in force as far as they can read it. What its author got wrong was seen in a log line of an instance, after it was sent.

--- a/packages/lycheedyke-ctl/src/lycheedyke_ctl/main.py
+++ b/packages/lycheedyke-ctl/src/lycheedyke_ctl/main.py
@@ -5,7 +5,9 @@
 """
 
 import sys
+from collections.abc import Mapping
 from types import MappingProxyType
+from typing import Any
 
 import defopt
 
@@ -16,6 +18,7 @@
     ResponseLost,
     ServerRefused,
 )
+from lycheedyke_ctl.configurations import ConfigurationCommands, Decode
 
 EXIT_REFUSED = 1
 EXIT_BAD_INPUT = 2
@@ -31,7 +34,7 @@
         'show': tickets.show_ticket,
     },
 )
-_COMMANDS = MappingProxyType(
+_COMMANDS: Mapping[str, Any] = MappingProxyType(
     {
         'ticket': dict(_TICKET_COMMANDS),
         'status': commands.status,
@@ -48,10 +51,19 @@
 )
 
 
-def main() -> None:
-    """Runs one command and exits with its status."""
+def main(decode: Decode | None = None) -> None:
+    """Runs one command and exits with its status.
+
+    Args:
+        decode: decodes the configurations of a deployment; without it, there
+            are no commands on them.
+    """
+    available = dict(_COMMANDS)
+    if decode is not None:
+        configurations = ConfigurationCommands(decode)
+        available['configuration'] = {'check': configurations.check}
     try:
-        defopt.run(dict(_COMMANDS))
+        defopt.run(available)
     except LycheedykeError as error:
         sys.stderr.write(f'{error}\n')
         sys.exit(_exit_status(error))
