--- a/packages/lycheedyke/src/lycheedyke/state/placement/_object_use.py
+++ b/packages/lycheedyke/src/lycheedyke/state/placement/_object_use.py
@@ -16,6 +16,13 @@
 # An object is popular if its count exceeds the mean by so many standard
 # deviations. Fewer would spread objects that chance made frequent.
 CERTAINTY = 2
+# Objects that nobody requests count no longer after this time. An instance with
+# one request a second meets each of 335 objects in it, but for 1 in 200.
+RETENTION = timedelta(minutes=30)
+# An instance knows the objects in use once at most this share of its requests
+# is for new ones. The weight makes it a mean over some hundred requests.
+MAX_NEW_SHARE = 0.03
+NEW_WEIGHT = 0.01
 
 
 class _Use(NamedTuple):
@@ -35,11 +42,13 @@
         popular: the recent requests for each popular object, rounded to a
             power of 2 times the mean.
         mean: the mean of the recent requests for an object.
+        is_complete: whether few objects in use are unknown.
     """
 
     plain: tuple[str, ...]
     popular: dict[str, float]
     mean: float
+    is_complete: bool = False
 
     @property
     def total(self) -> float:
@@ -57,6 +66,7 @@
     def __init__(self) -> None:
         """Initializes without objects."""
         self._uses: OrderedDict[str, _Use] = OrderedDict()
+        self._new_share = 1.0
 
     def __repr__(self) -> str:
         """Returns the number of objects."""
@@ -65,6 +75,8 @@
     def record(self, object_key: str, now: timedelta) -> None:
         """Counts a request."""
         known = self._uses.get(object_key)
+        is_new = known is None
+        self._new_share += (is_new - self._new_share) * NEW_WEIGHT
         count = 0 if known is None else known.count_at(now)
         keep_recent(self._uses, object_key, _Use(count + 1, now), MAX_OBJECTS)
 
@@ -77,15 +89,25 @@
             now: the time.
             upstreams: the number of upstreams that share the objects.
         """
+        self._drop_unused(now)
         counts = {key: use.count_at(now) for key, use in self._uses.items()}
         total = sum(counts.values())
         mean = total / max(1, len(counts))
-        # Of few objects, each may need several upstreams.
-        least = min(mean, total / max(1, upstreams))
         popular = {
             key: mean * 2.0 ** round(math.log2(count / mean))
             for key, count in counts.items()
-            if count - CERTAINTY * math.sqrt(count) > least
+            # Of few objects, each may need several upstreams.
+            if count - CERTAINTY * math.sqrt(count)
+            > min(mean, total / max(1, upstreams))
         }
         plain = tuple(key for key in counts if key not in popular)
-        return Popularity(plain, popular, mean)
+        return Popularity(
+            plain, popular, mean, self._new_share <= MAX_NEW_SHARE
+        )
+
+    def _drop_unused(self, now: timedelta) -> None:
+        while self._uses:
+            oldest = next(iter(self._uses))
+            if now - self._uses[oldest].at <= RETENTION:
+                return
+            del self._uses[oldest]
--- a/packages/lycheedyke/src/lycheedyke/state/placement/_ranking.py
+++ b/packages/lycheedyke/src/lycheedyke/state/placement/_ranking.py
@@ -15,6 +15,11 @@
     return xxhash.xxh64_intdigest(f'{object_key} {upstream}'.encode())
 
 
+def hash_object(object_key: str) -> int:
+    """Returns a hash that orders objects in the same way everywhere."""
+    return xxhash.xxh64_intdigest(object_key.encode())
+
+
 def rank_upstreams(object_key: str, names: Iterable[str]) -> list[str]:
     """Returns upstreams in the rendezvous order of an object."""
     return sorted(
--- a/tests/standins/load_inputs.py
+++ b/tests/standins/load_inputs.py
@@ -93,6 +93,50 @@
     measured_from: float = 0
 
 
+# Upstreams by zone, in the proportions of docs/COMPETING-LOAD.md: 26 for each
+# of the largest zones.
+UNEVEN_UPSTREAMS = MappingProxyType(
+    {'nc-a': 26, 'nc-b': 26, 'mt-a': 5, 'mt-b': 5, 'pnw-a': 22, 'pnw-b': 22},
+)
+
+
+def make_stock_load(skew: float) -> Load:
+    """Returns stock look-ups as docs/COMPETING-LOAD.md describes them.
+
+    Args:
+        skew: the exponent of the popularity of objects; 0 for an even one.
+    """
+    kind = RequestKind('stock', 670 / 6, 1.6, 1.282, 10.68, 335, skew=skew)
+    return Load(
+        (kind,),
+        UNEVEN_UPSTREAMS,
+        entries=13,
+        slots=9,
+        known_objects=14,
+        known_spread=5,
+        has_shared_objects=True,
+        slow_share=0.15,
+    )
+
+
+def make_segment_load(skew: float) -> Load:
+    """Returns segment reads as docs/COMPETING-LOAD.md describes them.
+
+    Args:
+        skew: the exponent of the popularity of objects; 0 for an even one.
+    """
+    kind = RequestKind('segments', 596 / 6, 0.76, 0.712, 4.744, 298, skew=skew)
+    return Load(
+        (kind,),
+        UNEVEN_UPSTREAMS,
+        entries=23,
+        slots=3,
+        known_objects=15,
+        has_shared_objects=True,
+        slow_share=0.15,
+    )
+
+
 class Result(NamedTuple):
     """The results of all requests.
 
@@ -130,3 +174,22 @@
     def in_goal_share(self) -> float:
         """The share of all requests that ended within their goal."""
         return self.in_goal.total() / max(1, self.requested.total())
+
+    @property
+    def warm_share(self) -> float:
+        """The share of measured runs that were for a known object."""
+        return self.warm_runs.total() / max(1, self.runs.total())
+
+    def busiest_over_mean(self, zone: str) -> float:
+        """Returns the most runs of an upstream of a zone over their mean."""
+        runs = [
+            self.runs[name]
+            for name in self.runs
+            if name.rpartition('-')[0] == zone
+        ]
+        return max(runs) * len(runs) / sum(runs)
+
+    def measured_in_goal(self, goal: float) -> float:
+        """Returns the share of measured requests that ended within a goal."""
+        in_goal = sum(1 for took in self.times if took <= goal)
+        return in_goal / max(1, self.measured.total())
--- a/tests/unit/gateway/test_gateway_settings.py
+++ b/tests/unit/gateway/test_gateway_settings.py
@@ -52,6 +52,7 @@
     assert settings.repeat_window == timedelta(seconds=10)
     assert settings.seeds == ('10.0.0.2:80',)
     assert settings.zone_charge == timedelta(milliseconds=60)
+    assert settings.max_homes == 1
 
 
 @pytest.mark.parametrize('window', ['0s', '0.004ms'])
