--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
@@ -34,7 +34,6 @@
 from lycheedyke_daemon.gateway._decision_log import DecisionLog, Telemetry
 from lycheedyke_daemon.gateway._deployment import Deployment
 from lycheedyke_daemon.gateway._instance_status import InstanceStatus
-from lycheedyke_daemon.gateway._limit_exchange import LimitExchange
 from lycheedyke_daemon.gateway._lookup import LookupApi, LookupDirectory
 from lycheedyke_daemon.gateway._lost_upstreams import LostUpstreams
 from lycheedyke_daemon.gateway._metrics import GatewayCollector
@@ -49,6 +48,13 @@
 from lycheedyke_daemon.gateway._stop_schedule import StopSchedule
 from lycheedyke_daemon.gateway._suspect_exchange import SuspectExchange
 from lycheedyke_daemon.gateway._upstream_client import UpstreamClient
+from lycheedyke_daemon.gateway.bodies import ResponseStreams
+from lycheedyke_daemon.gateway.demand import DemandExchange, DemandSteering
+from lycheedyke_daemon.gateway.rates import (
+    LimitExchange,
+    QuotaExchange,
+    QuotaGate,
+)
 from lycheedyke_daemon.idle_connections import IdleConnectionCloser
 from lycheedyke_daemon.servers import Connections, HttpServers
 from lycheedyke_daemon.stopping import RequestTracker
@@ -125,6 +131,23 @@
             clock,
         )
         self._limits.max_instances = self._max_instances
+        self._demand = DemandExchange(
+            own,
+            self._registry_view.arrivals,
+            self._peer_updates,
+            settings.zones,
+            self._counters,
+            clock,
+        )
+        self._quotas = QuotaExchange(
+            own,
+            self._registry_view,
+            self._peer_updates,
+            settings.quota_bounds,
+            self._counters,
+            clock,
+        )
+        self._quotas.issuers.is_leaving = lambda: self._schedule.has_begun
         self._pauses = PauseMonitor()
         self._follower = RegistryFollower(
             deployment.registry,
@@ -181,9 +204,13 @@
             ('quarantines', self._quarantines.run),
             ('suspects', self._suspects.resend),
             ('limits', self._limits.run),
+            ('quotas', self._quotas.run),
+            ('quota issuer', self._quotas.issuers.run),
             ('lost upstreams', self._lost_upstreams.run),
         ):
             self._tasks.start(name, work)
+        if settings.by_demand:
+            self._tasks.start('demand', self._demand.run)
         file = self._settings_file
         if file is not None:
             self._tasks.start(
@@ -322,6 +349,7 @@
                 self._pauses.within,
                 lambda: self._follower.age,
                 self._limits.wait_answer,
+                self._quotas.tenant_use,
             ),
             self._clock,
         )
@@ -330,10 +358,11 @@
             router,
             self._deployment.headers,
             BodyMemory(self._settings.body_memory_bytes),
-            self._tracker,
+            ResponseStreams(self._client.memory, self._tracker, self._counters),
             self._telemetry,
             schedule=self._schedule,
         )
+        api.run_within_quota = QuotaGate(self._quotas).run
         app = web.Application(middlewares=[self._client.hold_answers])
         app.add_routes(api.routes())
         return app
@@ -353,7 +382,13 @@
         return self._registry_view.max_instances
 
     def _peer_app(self) -> web.Application:
-        return make_app(self._peer_updates, self._suspects, self._limits)
+        return make_app(
+            self._peer_updates,
+            self._suspects,
+            self._limits,
+            self._demand,
+            self._quotas,
+        )
 
     def _lookup_app(self) -> web.Application:
         directory = LookupDirectory(
@@ -365,6 +400,10 @@
             self._settings.shift_most,
             self._clock,
         )
+        if self._settings.by_demand:
+            directory.steering = DemandSteering(
+                self._demand.totals, self._times, self._clock
+            )
         return make_app(
             LookupApi(
                 self._deployment.lookups,
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_peer_updates.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_peer_updates.py
@@ -5,13 +5,15 @@
 import random
 from collections.abc import Callable, Sequence
 from datetime import timedelta
+from enum import Enum
+from typing import NamedTuple
 
 import msgspec
 from aiohttp import web
 
 from lycheedyke.clock import Clock
 from lycheedyke.coordination import Replica, watchers_of
-from lycheedyke.exceptions import TransportError
+from lycheedyke.exceptions import ConnectionRefusedByHost, TransportError
 from lycheedyke.protocol import (
     EntryRecord,
     ItemBatch,
@@ -36,6 +38,7 @@
 # how often that happens.
 SILENT_PAUSE = timedelta(seconds=2)
 MILLISECOND = timedelta(milliseconds=1)
+START = Position(0, 0)
 HTTP_OK = 200
 # Of one update, and of all that are received at once.
 MAX_UPDATE_BYTES = 8_388_608
@@ -44,6 +47,29 @@
 _ENTRY = msgspec.msgpack.Decoder(EntryRecord)
 
 
+class PeerFailure(Enum):
+    """Why a peer has not answered a message."""
+
+    # No process listens at the address.
+    refused = 'refused'
+    # No complete answer has come in time.
+    silent = 'silent'
+    # It answers with an error, such as one of an earlier release.
+    rejected = 'rejected'
+
+
+class PeerReply(NamedTuple):
+    """What came of a message to a peer.
+
+    Attributes:
+        body: the answer; None if there was none.
+        failure: why there was none.
+    """
+
+    body: bytes | None = None
+    failure: PeerFailure | None = None
+
+
 class PeerUpdates:
     """Polls peers for registry updates, and answers their polls.
 
@@ -128,6 +154,19 @@
         )
         return [update for update in found if update is not None]
 
+    @property
+    def has_seeds(self) -> bool:
+        """Whether there are seeds, and this instance is none of them."""
+        return bool(self._seeds) and self._own.peer_address not in self._seeds
+
+    async def poll_seeds(self) -> RegistryUpdate | None:
+        """Returns all that a seed knows; None if none has read everything."""
+        for seed in random.sample(self._seeds, len(self._seeds)):
+            update = await self._poll(seed, START)
+            if update is not None and update.batch.revision:
+                return update
+        return None
+
     async def announce_leaving(self) -> None:
         """Notifies all peers that this instance stops soon.
 
@@ -145,17 +184,32 @@
 
     async def send(self, address: str, path: str, body: bytes) -> bytes | None:
         """Sends a message; returns the answer, or None if there was none."""
+        return (await self.exchange(address, path, body)).body
+
+    async def exchange(
+        self,
+        address: str,
+        path: str,
+        body: bytes,
+        timeout: timedelta = SEND_TIMEOUT,
+    ) -> PeerReply:
+        """Sends a message; returns the answer, or why there was none."""
         try:
             answer = await self._http.send(
                 'POST',
                 f'http://{address}{path}',
-                timeout=SEND_TIMEOUT,
+                timeout=timeout,
                 body=body,
             )
+        except ConnectionRefusedByHost:
+            self._counters.count('news.not-told')
+            return PeerReply(failure=PeerFailure.refused)
         except TransportError:
             self._counters.count('news.not-told')
-            return None
-        return answer.body if answer.status == HTTP_OK else None
+            return PeerReply(failure=PeerFailure.silent)
+        if answer.status == HTTP_OK:
+            return PeerReply(answer.body)
+        return PeerReply(failure=PeerFailure.rejected)
 
     def routes(self) -> list[web.RouteDef]:
         """Returns the routes of the peer port."""
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_router.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_router.py
@@ -38,6 +38,7 @@
 )
 from lycheedyke_daemon.gateway._silence_watch import SilenceWatch
 from lycheedyke_daemon.gateway._upstream_client import Sending, UpstreamClient
+from lycheedyke_daemon.gateway.bodies import was_held_up
 from lycheedyke_daemon.work import Work
 
 HTTP_SERVER_ERROR = 500
@@ -228,8 +229,10 @@
         is_success = (
             isinstance(outcome, Answered) and outcome.status < HTTP_SERVER_ERROR
         )
-        # An answer that arrived in a pause took an unknown part of it.
-        if is_success and self._paused_within(took) <= took * MAX_PAUSED_SHARE:
+        # An answer that arrived in a pause took an unknown part of it; one that
+        # its caller held up took the time of the caller.
+        is_paused = self._paused_within(took) > took * MAX_PAUSED_SHARE
+        if is_success and not is_paused and not was_held_up(work):
             record_run_time(self._times, request, candidate, took)
         return outcome
 
