Bound the bodies in flight to one upstream, and count the own link

An upstream crashes if the requests that it holds exceed its memory, and an instance could send it any number of large bodies. With [limits] upstream_body_bytes, a request whose body would exceed the bound beside those that are not answered goes to another upstream or is refused with the new reason bodies-in-flight. A body above the bound alone is sent alone. Without the setting nothing changes.

With [limits] link_mbps, the time of a body of more than 32 KiB on the own link (48 ms for 60 kB at 10 Mbit/s, derived) is part of the round trip of a candidate, so that of admission, of the deadline check and of recorded run times.

The explanation of a service without a usable upstream moves out of the router.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_caller_api.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_caller_api.py
@@ -238,6 +238,7 @@
             ),
             admitted.tenant,
             table.urgency_of(admitted.route, admitted.tenant),
+            body_bytes=len(body),
         )
         work = self._to_work(admitted, body)
         return await self._router.run(request, work, admitted.http[SENT_TO])
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_router.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_router.py
@@ -14,7 +14,6 @@
 )
 from lycheedyke.state import (
     Candidate,
-    Hold,
     RepeatBudget,
     RepeatLimit,
     Request,
@@ -23,7 +22,6 @@
     UpstreamState,
     record_run_time,
     response_timeout,
-    spread_retry_after,
 )
 from lycheedyke.state.fairness import SlotAllocation
 from lycheedyke.timers import pause_tolerant_timeout
@@ -32,6 +30,7 @@
 from lycheedyke_daemon.crashes import CrashGuard
 from lycheedyke_daemon.gateway._decision_log import Telemetry
 from lycheedyke_daemon.gateway._instance_status import InstanceStatus
+from lycheedyke_daemon.gateway._refusals import explain_hold
 from lycheedyke_daemon.gateway._request_progress import (
     RequestProgress,
     is_repeatable,
@@ -211,7 +210,7 @@
         state = candidate.state
         sending = Sending(self._selector.acquire_permits(request, state))
         progress.sending = sending
-        state.begin_request(request.object_key)
+        state.begin_request(request.object_key, request.body_bytes)
         started = self._clock.elapsed()
         silence = SilenceWatch(
             state,
@@ -223,7 +222,7 @@
             outcome = await self._run_guarded(state, work, silence, progress)
         finally:
             silence.close()
-            self._end_request(state, sending)
+            self._end_request(request, state, sending)
         took = self._clock.elapsed() - started
         self._log_attempt(candidate, work, outcome, took, progress)
         is_success = (
@@ -236,8 +235,10 @@
             record_run_time(self._times, request, candidate, took)
         return outcome
 
-    def _end_request(self, state: UpstreamState, sending: Sending) -> None:
-        state.end_request()
+    def _end_request(
+        self, request: Request, state: UpstreamState, sending: Sending
+    ) -> None:
+        state.end_request(request.body_bytes)
         if sending.permit is not None and sending.written_at is None:
             self._selector.give_back(sending.permit)
 
@@ -357,7 +358,8 @@
         retry_after = self._allocation.retry_after(request, candidate)
         reason = progress.refusal or Reason.no_room
         if candidate is None:
-            retry_after, reason = self._explain_hold(request, retry_after)
+            hold = self._selector.hold(request)
+            retry_after, reason = explain_hold(hold, retry_after)
         if isinstance(progress.outcome, NotRun):
             reason = progress.outcome.reason
             self._allocation.record_not_run(request)
@@ -381,20 +383,3 @@
                 ),
             )
         return refusal
-
-    def _explain_hold(
-        self, request: Request, retry_after: timedelta
-    ) -> tuple[timedelta, Reason]:
-        """Returns when to come back to a service without a usable upstream.
-
-        Args:
-            request: the request.
-            retry_after: the time if nothing is known of the upstreams.
-        """
-        match self._selector.hold(request):
-            case Hold(wait, is_limit=True):
-                return spread_retry_after(wait), Reason.upstream_limited
-            case Hold(wait):
-                return wait, Reason.upstream_paused
-            case _:
-                return retry_after, Reason.no_upstream
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_router_assembly.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_router_assembly.py
@@ -69,8 +69,13 @@
             settings.region_trip,
             settings.zone_charge,
             settings.region_charge,
+            settings.link_mbps,
+        ),
+        PermitSources(
+            WarmupLimiter(settings.name, clock),
+            parts.permits,
+            settings.upstream_body_bytes,
         ),
-        PermitSources(WarmupLimiter(settings.name, clock), parts.permits),
         cold_rate=functools.partial(_cold_rate, parts.registry_view),
         instances=status.max_instances,
     )
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_settings.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_settings.py
@@ -79,6 +79,8 @@
         body_memory_bytes: the memory limit of all request bodies together.
         answer_memory_bytes: the memory limit of all answers of upstreams
             together.
+        upstream_body_bytes: the bytes of request bodies that the instance may
+            have in flight to one upstream; 0 for no bound.
         log_level: the minimum level that is logged.
         log_sampled_of: one of this many successful requests is logged.
         log_lines_per_s: the maximum number of log lines on requests per
@@ -114,6 +116,7 @@
     link_mbps: float
     body_memory_bytes: int
     answer_memory_bytes: int
+    upstream_body_bytes: int
     log_level: str
     log_sampled_of: int
     log_lines_per_s: int
@@ -192,6 +195,9 @@
         'answer_memory_bytes': Field(
             'limits', 'answer_memory_bytes', read_optional_count, COUNT_RULE, ''
         ),
+        'upstream_body_bytes': Field(
+            'limits', 'upstream_body_bytes', read_optional_count, COUNT_RULE, ''
+        ),
         'log_sampled_of': Field(
             'logs', 'sampled_of', read_count, COUNT_RULE, '32'
         ),
--- a/packages/lycheedyke/src/lycheedyke/protocol/_outcomes.py
+++ b/packages/lycheedyke/src/lycheedyke/protocol/_outcomes.py
@@ -51,6 +51,7 @@
     memory_full = 'memory-full'
     quarantined = 'quarantined'
     byte_budget = 'byte-budget'
+    bodies_in_flight = 'bodies-in-flight'
     upstream_unreachable = 'upstream-unreachable'
     upstream_leaving = 'upstream-leaving'
     upstream_refused = 'upstream-refused'
--- a/packages/lycheedyke/src/lycheedyke/state/_estimates.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_estimates.py
@@ -13,6 +13,9 @@
 MICROSECOND = timedelta(microseconds=1)
 # Cold upstreams run requests at about half speed.
 COLD_FACTOR = 2
+# Smaller bodies take no time of the own link.
+MIN_LARGE_BODY_BYTES = 32_768
+BITS_PER_BYTE = 8
 # The probability that an upstream knows an object: at its home in the pool of
 # this instance, at an upstream to which this instance sent it recently, at its
 # home in another pool, and at any other upstream.
@@ -33,12 +36,20 @@
         region: the round trip to another region.
         zone_charge: the price of traffic between zones, as time.
         region_charge: the price of traffic between regions, as time.
+        link_mbps: the bandwidth of this instance's own link; 0 if not known.
     """
 
     zone: timedelta = timedelta(milliseconds=1)
     region: timedelta = timedelta(milliseconds=70)
     zone_charge: timedelta = timedelta(milliseconds=60)
     region_charge: timedelta = timedelta(milliseconds=40)
+    link_mbps: float = 0
+
+    def send_time(self, body_bytes: int) -> timedelta:
+        """Returns how long the own link takes for a large body."""
+        if body_bytes <= MIN_LARGE_BODY_BYTES or not self.link_mbps:
+            return ZERO
+        return body_bytes * BITS_PER_BYTE / self.link_mbps * MICROSECOND
 
 
 class Candidate(NamedTuple):
@@ -48,7 +59,8 @@
         state: the upstream.
         wait: the time until the upstream has a free slot.
         run: the run time of the request.
-        round_trip: the round trip time.
+        round_trip: the round trip time, with that of a large body over the own
+            link.
         known: the probability that the upstream knows the object.
         load: the estimated number of requests at the upstream.
     """
@@ -85,6 +97,7 @@
             compete; None without tenants.
         reserved_share: the share of an upstream's slots that are reserved for
             more urgent requests.
+        body_bytes: the length of its body.
     """
 
     route: Route
@@ -94,6 +107,7 @@
     tenant: Tenant | None = None
     urgency: float | None = None
     reserved_share: float = 0
+    body_bytes: int = 0
 
     @property
     def is_urgent(self) -> bool:
@@ -186,7 +200,8 @@
             state,
             self._wait(state) * delay * MICROSECOND,
             self._run(state, known) * delay * MICROSECOND,
-            self._round_trip(state.record.zone),
+            self._round_trip(state.record.zone)
+            + self._distances.send_time(self._request.body_bytes),
             known,
             state.load_at(self._now),
         )
--- a/packages/lycheedyke/src/lycheedyke/state/_selection.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_selection.py
@@ -24,6 +24,9 @@
 from lycheedyke.state.rates._send_limits import NO_LIMIT, home_weight
 from lycheedyke.state.rates._send_permits import PermitBook, SendPermit
 
+# When a body that fits nowhere may come back.
+BODY_WAIT = timedelta(milliseconds=250)
+
 
 class Hold(NamedTuple):
     """What keeps a request from all upstreams of its service.
@@ -31,10 +34,12 @@
     Attributes:
         wait: the time until one may get the request.
         is_limit: whether that one has named a limit; it paused otherwise.
+        is_full: whether that one only has too many bytes of bodies in flight.
     """
 
     wait: timedelta
     is_limit: bool
+    is_full: bool = False
 
 
 class PermitSources(NamedTuple):
@@ -43,10 +48,13 @@
     Attributes:
         cold: issues those of cold upstreams.
         limited: holds those of upstreams that have named a limit.
+        max_body_bytes: the bytes of the bodies that this instance may have in
+            flight to one upstream; 0 for no bound.
     """
 
     cold: WarmupLimiter
     limited: PermitBook
+    max_body_bytes: int = 0
 
 
 class UpstreamSelector:
@@ -82,6 +90,7 @@
         self._distances = distances
         self._limiter = permits.cold
         self._permits = permits.limited
+        self._max_body_bytes = permits.max_body_bytes
         self._cold_rate = cold_rate
         self._instances = instances
 
@@ -157,6 +166,8 @@
             for state in self._upstreams.serving(request.service)
             if self._may_run(request, state)
         ]
+        if any(not self._takes_body(request, state) for state in serving):
+            return Hold(BODY_WAIT, is_limit=False, is_full=True)
         if len(_limited(serving)) < len(serving):
             return None
         holds = [
@@ -206,7 +217,7 @@
         now = self._upstreams.elapsed()
         limited = _limited(candidates)
         probed = self._permits.find_probe(
-            [state for state in limited if self._may_send(state, now)],
+            self._ready(request, limited, now),
             idempotent=request.route.kind is RouteKind.idempotent,
         )
         if probed is None:
@@ -220,7 +231,7 @@
     ) -> Candidate | None:
         """Returns the best candidate that may get the request now."""
         now = self._upstreams.elapsed()
-        ready = [state for state in candidates if self._may_send(state, now)]
+        ready = self._ready(request, candidates, now)
         held_back = self._without_permit(request, ready)
         homes = self._homes(request, candidates, now)
         if held_back:
@@ -305,6 +316,30 @@
             return True
         return self._limiter.is_due(state.record.name, self._period(state))
 
+    def _ready(
+        self,
+        request: Request,
+        states: Iterable[UpstreamState],
+        now: timedelta,
+    ) -> list[UpstreamState]:
+        """Returns the upstreams that may get the request now."""
+        ready = [state for state in states if self._may_send(state, now)]
+        if not self._max_body_bytes or not request.body_bytes:
+            return ready
+        return [state for state in ready if self._takes_body(request, state)]
+
+    def _takes_body(self, request: Request, state: UpstreamState) -> bool:
+        """Returns whether a body fits beside those in flight.
+
+        A body that exceeds the bound alone is sent alone.
+        """
+        if not (
+            self._max_body_bytes and request.body_bytes and state.body_bytes
+        ):
+            return True
+        total = state.body_bytes + request.body_bytes
+        return total <= self._max_body_bytes
+
     def _period(self, state: UpstreamState) -> timedelta:
         rate = self._cold_rate(state.record.service)
         return permit_interval(self._instances(), rate)
--- a/packages/lycheedyke/src/lycheedyke/state/_upstream_state.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_upstream_state.py
@@ -70,6 +70,7 @@
     Attributes:
         record: the newest record of the upstream.
         in_flight: the requests of this instance that run there.
+        body_bytes: the bytes of their bodies.
         answered_at: the time of the last answer on the monotonic clock.
         wishes: what the upstream has said in its answers that it wants.
         unlimited_at: when the last request was written whose answer named no
@@ -90,6 +91,7 @@
         """Initializes the state from the first record."""
         self.record = record
         self.in_flight = 0
+        self.body_bytes = 0
         self.answered_at = ZERO
         self.wishes = NO_WISHES
         self.unlimited_at = ZERO
@@ -201,15 +203,17 @@
         """Returns whether this instance sent it the object recently."""
         return object_key in self._warm
 
-    def begin_request(self, object_key: str) -> None:
-        """Counts a request that is sent to the upstream."""
+    def begin_request(self, object_key: str, body_bytes: int = 0) -> None:
+        """Counts a request that is sent to the upstream, and its body."""
         self.in_flight += 1
+        self.body_bytes += body_bytes
         if object_key:
             keep_recent(self._warm, object_key, None, MAX_WARM_OBJECTS)
 
-    def end_request(self) -> None:
-        """Counts the end of a request."""
+    def end_request(self, body_bytes: int = 0) -> None:
+        """Counts the end of a request with so many bytes of body."""
         self.in_flight -= 1
+        self.body_bytes -= body_bytes
 
     def record_answer(self) -> None:
         """Records the time of an answer of any kind."""
