--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
@@ -48,6 +48,8 @@
 from lycheedyke_daemon.gateway._stop_schedule import StopSchedule
 from lycheedyke_daemon.gateway._suspect_exchange import SuspectExchange
 from lycheedyke_daemon.gateway._upstream_client import UpstreamClient
+from lycheedyke_daemon.gateway.bodies import ResponseStreams
+from lycheedyke_daemon.gateway.demand import DemandExchange, DemandSteering
 from lycheedyke_daemon.gateway.rates import (
     LimitExchange,
     QuotaExchange,
@@ -129,6 +131,14 @@
             clock,
         )
         self._limits.max_instances = self._max_instances
+        self._demand = DemandExchange(
+            own,
+            self._registry_view.arrivals,
+            self._peer_updates,
+            settings.zones,
+            self._counters,
+            clock,
+        )
         self._quotas = QuotaExchange(
             own,
             self._registry_view,
@@ -199,6 +209,8 @@
             ('lost upstreams', self._lost_upstreams.run),
         ):
             self._tasks.start(name, work)
+        if settings.by_demand:
+            self._tasks.start('demand', self._demand.run)
         file = self._settings_file
         if file is not None:
             self._tasks.start(
@@ -337,6 +349,7 @@
                 self._pauses.within,
                 lambda: self._follower.age,
                 self._limits.wait_answer,
+                self._quotas.tenant_use,
             ),
             self._clock,
         )
@@ -345,7 +358,7 @@
             router,
             self._deployment.headers,
             BodyMemory(self._settings.body_memory_bytes),
-            self._tracker,
+            ResponseStreams(self._client.memory, self._tracker, self._counters),
             self._telemetry,
             schedule=self._schedule,
         )
@@ -361,14 +374,20 @@
             sampled_of=self._settings.log_sampled_of,
             lines_per_s=self._settings.log_lines_per_s,
         )
-        return Telemetry(self._clock, self._counters, decision_log)
+        return Telemetry(
+            self._clock, self._counters, decision_log, self._settings.name
+        )
 
     def _max_instances(self) -> int:
         return self._registry_view.max_instances
 
     def _peer_app(self) -> web.Application:
         return make_app(
-            self._peer_updates, self._suspects, self._limits, self._quotas
+            self._peer_updates,
+            self._suspects,
+            self._limits,
+            self._demand,
+            self._quotas,
         )
 
     def _lookup_app(self) -> web.Application:
@@ -381,6 +400,10 @@
             self._settings.shift_most,
             self._clock,
         )
+        if self._settings.by_demand:
+            directory.steering = DemandSteering(
+                self._demand.totals, self._times, self._clock
+            )
         return make_app(
             LookupApi(
                 self._deployment.lookups,
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_router.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_router.py
@@ -14,31 +14,30 @@
 )
 from lycheedyke.state import (
     Candidate,
-    Hold,
     RepeatBudget,
     RepeatLimit,
     Request,
     RunTimeStats,
     UpstreamSelector,
     UpstreamState,
-    estimate_retry_after,
-    is_admissible,
     record_run_time,
     response_timeout,
-    spread_retry_after,
 )
+from lycheedyke.state.fairness import SlotAllocation
 from lycheedyke.timers import pause_tolerant_timeout
 from lycheedyke_daemon.admissions import Admission
 from lycheedyke_daemon.cancellation import is_cancelled
 from lycheedyke_daemon.crashes import CrashGuard
 from lycheedyke_daemon.gateway._decision_log import Telemetry
 from lycheedyke_daemon.gateway._instance_status import InstanceStatus
+from lycheedyke_daemon.gateway._refusals import explain_hold
 from lycheedyke_daemon.gateway._request_progress import (
     RequestProgress,
     is_repeatable,
 )
 from lycheedyke_daemon.gateway._silence_watch import SilenceWatch
 from lycheedyke_daemon.gateway._upstream_client import Sending, UpstreamClient
+from lycheedyke_daemon.gateway.bodies import was_held_up
 from lycheedyke_daemon.work import Work
 
 HTTP_SERVER_ERROR = 500
@@ -88,6 +87,9 @@
         self._paused_within = status.paused_within
         self._news_age = status.news_age
         self._wait_permit = status.wait_permit
+        self._allocation = SlotAllocation(
+            telemetry.clock, telemetry.counters, status.tenant_use
+        )
         self._budgets: defaultdict[str, RepeatBudget] = defaultdict(
             lambda: RepeatBudget(repeats, telemetry.clock),
         )
@@ -111,6 +113,7 @@
             sent_to: the name of each upstream is added once it is tried.
         """
         self._budgets[request.service].add_request()
+        request = self._allocation.record_arrival(request, self._times)
         left = work.deadline - self._clock.elapsed()
         async with self._guard.admit(work, left) as admission:
             if admission.refusal is not None:
@@ -143,7 +146,7 @@
                 if progress.tried
                 else progress.candidate
             )
-            return self._refuse(request, work, candidate, progress.outcome)
+            return self._refuse(request, work, candidate, progress)
         return progress.outcome
 
     def _next(
@@ -162,7 +165,7 @@
         progress.candidate = candidate
         if candidate is None:
             return None
-        if not self._is_admitted(request, candidate, work, progress.started):
+        if not self._is_admitted(request, candidate, work, progress):
             return None
         if progress.tried and not self._acquire_repeat(request):
             return None
@@ -178,13 +181,17 @@
         request: Request,
         candidate: Candidate,
         work: Work,
-        started: timedelta,
+        progress: RequestProgress,
     ) -> bool:
         now = self._clock.elapsed()
+        progress.refusal = Reason.no_room
         ends_in_time = now + candidate.expected < work.deadline
         if not ends_in_time or not self._may_take(candidate.expected):
             return False
-        return is_admissible(request, candidate, now - started)
+        progress.refusal = self._allocation.judge(
+            request, candidate, now - progress.started
+        )
+        return progress.refusal is None
 
     def _acquire_repeat(self, request: Request) -> bool:
         if self._budgets[request.service].acquire(self._max_instances()):
@@ -203,7 +210,7 @@
         state = candidate.state
         sending = Sending(self._selector.acquire_permits(request, state))
         progress.sending = sending
-        state.begin_request(request.object_key)
+        state.begin_request(request.object_key, request.body_bytes)
         started = self._clock.elapsed()
         silence = SilenceWatch(
             state,
@@ -215,19 +222,23 @@
             outcome = await self._run_guarded(state, work, silence, progress)
         finally:
             silence.close()
-            self._end_request(state, sending)
+            self._end_request(request, state, sending)
         took = self._clock.elapsed() - started
         self._log_attempt(candidate, work, outcome, took, progress)
         is_success = (
             isinstance(outcome, Answered) and outcome.status < HTTP_SERVER_ERROR
         )
-        # An answer that arrived in a pause took an unknown part of it.
-        if is_success and self._paused_within(took) <= took * MAX_PAUSED_SHARE:
+        # An answer that arrived in a pause took an unknown part of it; one that
+        # its caller held up took the time of the caller.
+        is_paused = self._paused_within(took) > took * MAX_PAUSED_SHARE
+        if is_success and not is_paused and not was_held_up(work):
             record_run_time(self._times, request, candidate, took)
         return outcome
 
-    def _end_request(self, state: UpstreamState, sending: Sending) -> None:
-        state.end_request()
+    def _end_request(
+        self, request: Request, state: UpstreamState, sending: Sending
+    ) -> None:
+        state.end_request(request.body_bytes)
         if sending.permit is not None and sending.written_at is None:
             self._selector.give_back(sending.permit)
 
@@ -341,15 +352,17 @@
         request: Request,
         work: Work,
         candidate: Candidate | None,
-        outcome: NotRun | None,
+        progress: RequestProgress,
     ) -> NotRun:
         """Returns the refusal, with a time until capacity may be available."""
-        retry_after = estimate_retry_after(request, candidate)
-        reason = Reason.no_upstream if candidate is None else Reason.no_room
+        retry_after = self._allocation.retry_after(request, candidate)
+        reason = progress.refusal or Reason.no_room
         if candidate is None:
-            retry_after, reason = self._explain_hold(request, retry_after)
-        if outcome is not None:
-            reason = outcome.reason
+            hold = self._selector.hold(request)
+            retry_after, reason = explain_hold(hold, retry_after)
+        if isinstance(progress.outcome, NotRun):
+            reason = progress.outcome.reason
+            self._allocation.record_not_run(request)
         refusal = NotRun(reason, retry_after)
         if candidate is not None:
             self._decision_log.write(
@@ -364,25 +377,9 @@
                 trip_ms=candidate.round_trip // MILLISECOND,
                 goal_ms=request.route.goal // MILLISECOND,
                 patience=request.wait_share,
+                reserved=round(request.reserved_share, 2),
                 budget_left=self._budgets[request.service].remaining(
                     self._max_instances(),
                 ),
             )
         return refusal
-
-    def _explain_hold(
-        self, request: Request, retry_after: timedelta
-    ) -> tuple[timedelta, Reason]:
-        """Returns when to come back to a service without a usable upstream.
-
-        Args:
-            request: the request.
-            retry_after: the time if nothing is known of the upstreams.
-        """
-        match self._selector.hold(request):
-            case Hold(wait, is_limit=True):
-                return spread_retry_after(wait), Reason.upstream_limited
-            case Hold(wait):
-                return wait, Reason.upstream_paused
-            case _:
-                return retry_after, Reason.no_upstream
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_settings.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_settings.py
@@ -17,6 +17,7 @@
     FRACTION_RULE,
     LABEL_RULE,
     NUMBER_RULE,
+    SWITCH_RULE,
     WINDOW_RULE,
     Field,
     find_unknown_keys,
@@ -32,6 +33,7 @@
     read_level,
     read_number,
     read_optional_count,
+    read_switch,
     read_window,
 )
 
@@ -73,6 +75,10 @@
         quota_slack: the requests that it may exceed in addition.
         shift_most: the maximum fraction of a region's callers that may
             change the region in 2 s after a change of configuration.
+        by_demand: whether the demand of zones determines where their callers
+            are sent.
+        max_homes: the maximum number of upstreams of a pool that are homes of
+            one object; 1 gives each object one home, 0 none.
         zone_trip: the round trip to another zone of the region.
         region_trip: the round trip to another region.
         zone_charge: the cost of traffic between zones, as time.
@@ -84,6 +90,8 @@
         body_memory_bytes: the memory limit of all request bodies together.
         answer_memory_bytes: the memory limit of all answers of upstreams
             together.
+        upstream_body_bytes: the bytes of request bodies that the instance may
+            have in flight to one upstream; 0 for no bound.
         log_level: the minimum level that is logged.
         log_sampled_of: one of this many successful requests is logged.
         log_lines_per_s: the maximum number of log lines on requests per
@@ -112,6 +120,8 @@
     quota_over: float
     quota_slack: int
     shift_most: float
+    by_demand: bool
+    max_homes: int
     zone_trip: timedelta
     region_trip: timedelta
     zone_charge: timedelta
@@ -122,6 +132,7 @@
     link_mbps: float
     body_memory_bytes: int
     answer_memory_bytes: int
+    upstream_body_bytes: int
     log_level: str
     log_sampled_of: int
     log_lines_per_s: int
@@ -184,6 +195,12 @@
         'shift_most': Field(
             'shifts', 'most', read_fraction, FRACTION_RULE, '0.15'
         ),
+        'by_demand': Field(
+            'shifts', 'by_demand', read_switch, SWITCH_RULE, 'no'
+        ),
+        'max_homes': Field(
+            'placement', 'max_homes', read_bound, BOUND_RULE, '1'
+        ),
         'zone_trip': Field(
             'distances', 'zone_trip', read_duration, DURATION_RULE, '1ms'
         ),
@@ -212,6 +229,9 @@
         'answer_memory_bytes': Field(
             'limits', 'answer_memory_bytes', read_optional_count, COUNT_RULE, ''
         ),
+        'upstream_body_bytes': Field(
+            'limits', 'upstream_body_bytes', read_optional_count, COUNT_RULE, ''
+        ),
         'log_sampled_of': Field(
             'logs', 'sampled_of', read_count, COUNT_RULE, '32'
         ),
--- a/packages/lycheedyke/src/lycheedyke/state/__init__.py
+++ b/packages/lycheedyke/src/lycheedyke/state/__init__.py
@@ -50,16 +50,11 @@
 )
 from lycheedyke.state._outages import keep_in_use
 from lycheedyke.state._plans import Plan, make_plan
-from lycheedyke.state._pools import Location, Pools
 from lycheedyke.state._references import find_reference_faults
 from lycheedyke.state._repeats import RepeatBudget, RepeatLimit
 from lycheedyke.state._response_timeout import response_timeout
 from lycheedyke.state._route_use import RouteUse
-from lycheedyke.state._routes import (
-    HostHomes,
-    RouteTable,
-    WeightedRoundRobin,
-)
+from lycheedyke.state._routes import HostHomes, RouteTable
 from lycheedyke.state._run_times import RouteRunTimes, RunTimeStats
 from lycheedyke.state._selection import Hold, PermitSources, UpstreamSelector
 from lycheedyke.state._shares import (
@@ -68,6 +63,7 @@
     hash_point,
     share_at,
 )
+from lycheedyke.state._splits import WeightedRoundRobin
 from lycheedyke.state._suspect_reports import Suspect
 from lycheedyke.state._suspects import (
     QUARANTINE_TIME,
@@ -83,6 +79,7 @@
 from lycheedyke.state._upstreams import UpstreamTable
 from lycheedyke.state._verdicts import Judgement, SettledQuarantine, Verdict
 from lycheedyke.state._warmup_limiter import WarmupLimiter, permit_interval
+from lycheedyke.state.placement import Location, Pools
 from lycheedyke.state.rates import (
     MAX_RATE,
     LimitNews,
--- a/packages/lycheedyke/src/lycheedyke/state/_estimates.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_estimates.py
@@ -1,18 +1,22 @@
 """Estimates how long a request takes at an upstream, and what that costs."""
 
+import random
 from collections.abc import Mapping, Sequence
 from datetime import timedelta
 from typing import NamedTuple
 
 from lycheedyke.protocol import Route, Tenant
-from lycheedyke.state._pools import Location, rendezvous_hash
 from lycheedyke.state._run_times import RunTimeStats
 from lycheedyke.state._upstream_state import UpstreamState
+from lycheedyke.state.placement import Location, rendezvous_hash
 
 ZERO = timedelta()
 MICROSECOND = timedelta(microseconds=1)
 # Cold upstreams run requests at about half speed.
 COLD_FACTOR = 2
+# Smaller bodies take no time of the own link.
+MIN_LARGE_BODY_BYTES = 32_768
+BITS_PER_BYTE = 8
 # The probability that an upstream knows an object: at its home in the pool of
 # this instance, at an upstream to which this instance sent it recently, at its
 # home in another pool, and at any other upstream.
@@ -33,12 +37,20 @@
         region: the round trip to another region.
         zone_charge: the price of traffic between zones, as time.
         region_charge: the price of traffic between regions, as time.
+        link_mbps: the bandwidth of this instance's own link; 0 if not known.
     """
 
     zone: timedelta = timedelta(milliseconds=1)
     region: timedelta = timedelta(milliseconds=70)
     zone_charge: timedelta = timedelta(milliseconds=60)
     region_charge: timedelta = timedelta(milliseconds=40)
+    link_mbps: float = 0
+
+    def send_time(self, body_bytes: int) -> timedelta:
+        """Returns how long the own link takes for a large body."""
+        if body_bytes <= MIN_LARGE_BODY_BYTES or not self.link_mbps:
+            return ZERO
+        return body_bytes * BITS_PER_BYTE / self.link_mbps * MICROSECOND
 
 
 class Candidate(NamedTuple):
@@ -48,7 +60,8 @@
         state: the upstream.
         wait: the time until the upstream has a free slot.
         run: the run time of the request.
-        round_trip: the round trip time.
+        round_trip: the round trip time, with that of a large body over the own
+            link.
         known: the probability that the upstream knows the object.
         load: the estimated number of requests at the upstream.
     """
@@ -81,6 +94,11 @@
         wait_share: the share of its spare time that the request may wait for
             a slot.
         tenant: the tenant that sent the request; None if it is not known.
+        urgency: its priority, if slots are allocated between callers that
+            compete; None without tenants.
+        reserved_share: the share of an upstream's slots that are reserved for
+            more urgent requests.
+        body_bytes: the length of its body.
     """
 
     route: Route
@@ -88,6 +106,9 @@
     object_key: str
     wait_share: float = 1
     tenant: Tenant | None = None
+    urgency: float | None = None
+    reserved_share: float = 0
+    body_bytes: int = 0
 
     @property
     def is_urgent(self) -> bool:
@@ -100,6 +121,12 @@
         of_tenant = self.tenant is not None and bool(self.tenant.homes)
         return of_tenant or bool(self.route.homes)
 
+    def usable_slots(self, slots: int) -> int:
+        """Returns how many slots of an upstream the request may use."""
+        if not self.reserved_share:
+            return slots
+        return max(1, slots - max(1, round(slots * self.reserved_share)))
+
     def may_run_in(self, region: str) -> bool:
         """Returns whether a region is a home of both route and tenant."""
         homes = self.route.homes
@@ -124,6 +151,9 @@
         distances: the costs of other zones and regions.
         homes: the home of the request's object in each zone.
         now: the time of the choice.
+        is_spread: whether the object is of no account. The load then decides
+            among upstreams of the same cost, and chance among idle ones: by
+            the hash, all instances would choose the same one.
     """
 
     def __init__(
@@ -134,9 +164,13 @@
         distances: Distances,
         homes: Mapping[str, str],
         now: timedelta,
+        *,
+        is_spread: bool = False,
     ) -> None:
         run_times = times.of_route(request.route, request.service)
-        self._object_key = request.object_key
+        self._request = request
+        self._object_key = '' if is_spread else request.object_key
+        self._is_spread = is_spread
         self._location = location
         self._distances = distances
         self._homes = homes
@@ -150,7 +184,8 @@
     def cheapest(self, states: Sequence[UpstreamState]) -> Candidate | None:
         """Returns the upstream with the lowest cost, or None without any.
 
-        Among upstreams of the same cost, the rendezvous hash decides.
+        Among upstreams of the same cost, the rendezvous hash decides, or the
+        load if requests are spread.
         """
         if not states:
             return None
@@ -161,18 +196,35 @@
             for state, cost in zip(states, costs, strict=True)
             if cost == least
         ]
+        if self._is_spread:
+            return self._candidate(self._most_idle(tied))
         return self._candidate(max(tied, key=self._rank))
 
+    def _most_idle(self, states: Sequence[UpstreamState]) -> UpstreamState:
+        loads = [
+            state.load_at(self._now) / state.record.slots for state in states
+        ]
+        least = min(loads)
+        return random.choice(
+            [
+                state
+                for state, load in zip(states, loads, strict=True)
+                if load == least
+            ]
+        )
+
     def _rank(self, state: UpstreamState) -> int:
         return rendezvous_hash(self._object_key, state.record.name)
 
     def _candidate(self, state: UpstreamState) -> Candidate:
         known = self._known_probability(state)
+        delay = state.delay_at(self._now)
         return Candidate(
             state,
-            self._wait(state) * MICROSECOND,
-            self._run(state, known) * MICROSECOND,
-            self._round_trip(state.record.zone),
+            self._wait(state) * delay * MICROSECOND,
+            self._run(state, known) * delay * MICROSECOND,
+            self._round_trip(state.record.zone)
+            + self._distances.send_time(self._request.body_bytes),
             known,
             state.load_at(self._now),
         )
@@ -184,24 +236,29 @@
         if cost is None:
             cost = (self._round_trip(zone) + self._charge(zone)) / MICROSECOND
             self._zone_costs[zone] = cost
-        run = self._run(state, self._known_probability(state))
-        cost += self._wait(state) + run
+        delay = state.delay_at(self._now)
+        run = self._run(state, self._known_probability(state)) * delay
+        cost += self._wait(state) * delay + run
         if self._object_key:
             cost += (run - self._warm) * SLOT_COST_SHARE
         return round(cost)
 
     def _run(self, state: UpstreamState, known: float) -> float:
+        """Returns the run time without the delay of the upstream."""
         run = self._cold - (self._cold - self._warm) * known
         if state.is_cold_at(self._now):
             run *= COLD_FACTOR
-        return run * state.slowness_at(self._now)
+        return run
 
     def _wait(self, state: UpstreamState) -> float:
+        """Returns the wait without the delay of the upstream."""
         slots = state.record.slots
+        if self._request.reserved_share:
+            slots = self._request.usable_slots(slots)
         ahead = state.load_at(self._now) - slots + 1
         if ahead <= 0:
             return 0
-        return ahead / slots * self._mean * state.slowness_at(self._now)
+        return ahead / slots * self._mean
 
     def _known_probability(self, state: UpstreamState) -> float:
         if not self._object_key:
@@ -239,7 +296,8 @@
     """Records how long an answered request ran.
 
     Nothing is recorded if the request had to wait or the upstream is cold, as
-    its time then says nothing about the run time.
+    its time then says nothing about the run time. The reported pace is taken
+    out of the run time, because estimates multiply by the pace at their time.
 
     Args:
         times: the run times to update.
@@ -250,6 +308,7 @@
     run = max(ZERO, took - candidate.round_trip)
     if candidate.must_wait or candidate.state.is_cold:
         return
+    run = candidate.state.usual_run(run)
     run_times = times.of_route(request.route, request.service)
     was_known = run_times.record(run)
     candidate.state.record_slowness(
--- a/packages/lycheedyke/src/lycheedyke/transport/_http.py
+++ b/packages/lycheedyke/src/lycheedyke/transport/_http.py
@@ -24,9 +24,15 @@
 )
 from lycheedyke.timers import pause_tolerant_timeout
 from lycheedyke.transport._body_memory import BodyMemory, IncomingBody
-from lycheedyke.transport._connector import Connector
+from lycheedyke.transport._connector import Connector, IdleLimits
 from lycheedyke.transport._framing import has_body, has_length
 from lycheedyke.transport._sockets import open_socket
+from lycheedyke.transport._streaming import (
+    Accept,
+    BodySink,
+    find_sink,
+    pass_on,
+)
 from lycheedyke.transport._write_gate import (
     BeforeWrite,
     GatedRequest,
@@ -68,10 +74,14 @@
             caller gets the error.
         is_own: returns whether headers are those of a response to this request.
             The other side may send an earlier response again.
+        accept: returns where to write the body of a response with a length
+            while it arrives, or None to read it as a whole. The returned
+            response then has no body.
     """
 
     before_write: BeforeWrite | None = None
     is_own: IsOwn | None = None
+    accept: Accept | None = None
 
 
 NO_CHECKS = ExchangeChecks()
@@ -84,7 +94,10 @@
         max_connections: the maximum number of open connections to one
             address.
         max_body_bytes: the largest accepted response body, in bytes.
-        idle_timeout: how long a pooled connection may be idle.
+        idle_timeout: how long a pooled connection may be idle if the other
+            side does not state its limit.
+        longest_idle_timeout: how long one may be idle if the other side states
+            a longer time; None for `idle_timeout`.
         connect_timeout: the longest time for connecting.
         allow_close_delimited: whether a response without a length is
             accepted, whose body ends where the connection is closed.
@@ -97,6 +110,7 @@
         max_connections: int = 100,
         max_body_bytes: int = DEFAULT_MAX_BODY_BYTES,
         idle_timeout: timedelta = DEFAULT_IDLE_TIMEOUT,
+        longest_idle_timeout: timedelta | None = None,
         connect_timeout: timedelta = DEFAULT_CONNECT_TIMEOUT,
         allow_close_delimited: bool = False,
         memory: BodyMemory | None = None,
@@ -104,7 +118,9 @@
         """Initializes the client without opening a connection."""
         self._max_connections = max_connections
         self._max_body_bytes = max_body_bytes
-        self._idle_timeout = idle_timeout
+        self._idle_limits = IdleLimits(
+            idle_timeout, longest_idle_timeout or idle_timeout
+        )
         self._connect_timeout = connect_timeout
         self._allow_close_delimited = allow_close_delimited
         self._memory = memory or BodyMemory(DEFAULT_BODY_MEMORY_BYTES)
@@ -191,7 +207,7 @@
                         multidict.CIMultiDict(headers),
                         body,
                         reuse=reuse,
-                        is_own=checks.is_own,
+                        checks=checks,
                     )
         except _EXCHANGE_ERRORS as error:
             raise gate.refusal or _to_error(gate, method, url, error) from error
@@ -204,7 +220,7 @@
         body: bytes | None,
         *,
         reuse: bool,
-        is_own: IsOwn | None,
+        checks: ExchangeChecks,
     ) -> HttpResponse:
         session = self._open_pooled() if reuse else self._open_unpooled()
         async with session.request(
@@ -214,13 +230,17 @@
             data=body,
             allow_redirects=False,
         ) as response:
+            is_own = checks.is_own
             if is_own is not None and not is_own(response.headers):
                 response.close()
                 raise ExchangeBroken(f'{url}: response to another request')
             if not has_body(method, response.status):
                 # The connection is reusable from the end of the head on.
                 return HttpResponse(response.status, response.headers, b'')
-            if has_length(response.headers):
+            sink = find_sink(method, response, checks.accept)
+            if sink is not None:
+                content = await self._pass_on(response, sink)
+            elif has_length(response.headers):
                 content = await self._read(response)
             else:
                 content = await self._read_until_close(response)
@@ -258,6 +278,21 @@
                 response.close()
                 raise _to_too_large(response, error) from error
 
+    async def _pass_on(
+        self, response: aiohttp.ClientResponse, sink: BodySink
+    ) -> bytes:
+        try:
+            await pass_on(
+                response,
+                sink,
+                self._max_body_bytes,
+                functools.partial(_break_off, response),
+            )
+        except BodyTooLarge as error:
+            response.close()
+            raise _to_too_large(response, error) from error
+        return b''
+
     def _limit_connecting(self, timeout: timedelta) -> timedelta:
         return min(self._connect_timeout, timeout * CONNECT_SHARE)
 
@@ -265,10 +300,10 @@
         if self._pooled is None:
             self._pooled = _open_session(
                 Connector(
+                    self._idle_limits,
                     limit=0,
                     limit_per_host=self._max_connections,
                     socket_factory=open_socket,
-                    keepalive_timeout=self._idle_timeout.total_seconds(),
                 ),
             )
         return self._pooled
@@ -277,6 +312,7 @@
         if self._unpooled is None:
             self._unpooled = _open_session(
                 Connector(
+                    self._idle_limits,
                     limit=0,
                     limit_per_host=self._max_connections,
                     socket_factory=open_socket,
