Predict demand by region, and model callers who follow with a delay

Change: the delay of the smoothed shares is exact and as narrow as that of the callers, trends are those of regions and damped, and whether demand is even is decided from its mean over 4 s and the number of requests.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/demand/_steering.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/demand/_steering.py
@@ -22,7 +22,8 @@
 UPDATE_INTERVAL = timedelta(milliseconds=500)
 LOG_INTERVAL = timedelta(seconds=10)
 # Demand has to exceed the tolerance by so much before callers are steered by
-# it. Otherwise a demand near the tolerance would move them to and fro.
+# it; if it is noise that determines the tolerance, they are steered until it is
+# below half of it. Otherwise a demand near the tolerance would move them to and fro.
 HYSTERESIS = 0.05
 # Of hosts whose demand is followed; the others have static shares.
 MAX_HOSTS = 64
@@ -77,7 +78,7 @@
         if found is None:
             if len(self._hosts) >= MAX_HOSTS:
                 return
-            found = _Host()
+            found = _Host({each.zone: each.region for each in capacities})
             self._hosts[host] = found
         now = self._clock.elapsed()
         if now - found.updated_at >= UPDATE_INTERVAL:
@@ -87,9 +88,11 @@
         step = step_after(now - found.moved_at, shift_most)
         found.moved_at = now
         predicted = found.demand.predicted
-        deviation = deviation_of(given.keys(), predicted)
-        margin = 0 if found.targets else HYSTERESIS
-        if predicted and deviation > found.tolerance + margin:
+        deviation = deviation_of(given.keys(), found.demand.settled)
+        least = found.tolerance + HYSTERESIS
+        if found.targets:
+            least = max(EVEN_TOLERANCE, found.tolerance / 2)
+        if predicted and deviation > least:
             found.targets = steer_shares(given, capacities, predicted, step)
         else:
             found.targets = {}
@@ -123,7 +126,7 @@
             total.rates.get(name, 0) for total in totals for name in services
         )
         found.tolerance = max(
-            EVEN_TOLERANCE, noise_of(requests / TENTHS, len(totals))
+            EVEN_TOLERANCE, noise_of(requests / TENTHS, given)
         )
 
     def _work(self, total: ZoneTotal, services: Collection[str]) -> float:
@@ -174,8 +177,8 @@
         logged_at: when it was logged last.
     """
 
-    def __init__(self) -> None:
-        self.demand = HostDemand()
+    def __init__(self, regions: Mapping[str, str]) -> None:
+        self.demand = HostDemand(regions)
         self.arrivals: dict[str, float] = {}
         self.targets: dict[str, dict[str, float]] = {}
         self.tolerance = EVEN_TOLERANCE
--- a/packages/lycheedyke/src/lycheedyke/state/demand/_forecast.py
+++ b/packages/lycheedyke/src/lycheedyke/state/demand/_forecast.py
@@ -1,11 +1,15 @@
-"""Predicts a demand from its level and trend (Holt's method)."""
+"""Predicts a demand from its level and trend (Holt's method, damped)."""
 
 import math
 from datetime import timedelta
 
-# Shorter times follow the noise of single measurements.
+# Longer times lag behind a demand with a period of 36 s; shorter ones follow the
+# noise of single measurements.
 LEVEL_TIME = timedelta(seconds=1)
-TREND_TIME = timedelta(seconds=3)
+TREND_TIME = timedelta(seconds=1)
+# The part of a trend that is taken to last. With 0.8, shares under a steady
+# demand swing: an error of the estimate looks like a trend.
+DAMPING = 0.6
 # A trend from fewer measurements is mostly noise.
 MIN_MEASUREMENTS = 3
 MIN_FACTOR = 0.5
@@ -49,18 +53,16 @@
         slope = (self.level - before) / seconds
         self._trend += _gain(seconds, TREND_TIME) * (slope - self._trend)
 
-    def predict(self, ahead: timedelta) -> float:
-        """Returns the demand to expect, near the present one.
+    def growth(self, ahead: timedelta) -> float:
+        """Returns the factor by which the demand is expected to change.
 
         Args:
             ahead: how long after the last measurement.
         """
-        if self._measurements < MIN_MEASUREMENTS:
-            return self.level
-        expected = self.level + self._trend * ahead.total_seconds()
-        return min(
-            max(expected, MIN_FACTOR * self.level), MAX_FACTOR * self.level
-        )
+        if self._measurements < MIN_MEASUREMENTS or self.level <= 0:
+            return 1
+        change = DAMPING * self._trend * ahead.total_seconds()
+        return min(max(1 + change / self.level, MIN_FACTOR), MAX_FACTOR)
 
 
 def _gain(seconds: float, constant: timedelta) -> float:
--- a/tests/standins/demand_model.py
+++ b/tests/standins/demand_model.py
@@ -35,6 +35,12 @@
 WINDOW_SECONDS = 2
 STEP_SECONDS = 0.25
 INSTANCES = 23
+# Cores and Mbit/s.
+LARGE_INSTANCES = 2
+LARGE = (2.15, 200)
+SMALL = (0.3, 10)
+# Of callers that look up in each zone.
+ADDRESSES = tuple(f'192.0.2.{at}' for at in range(48))
 # When callers follow an answer.
 EARLIEST_SECONDS = 2
 LATEST_SECONDS = 6
@@ -119,7 +125,10 @@
         for zone, region in self._zones.items():
             for at in range(INSTANCES):
                 name = f'{zone}:{at}'
-                own = EntryRecord(name, 'run', zone, region, name, '')
+                strength = LARGE if at < LARGE_INSTANCES else SMALL
+                own = EntryRecord(
+                    name, 'run', zone, region, name, '', *strength
+                )
                 view.apply(RegistryItem(name, 1, own), None)
             table.apply(
                 make_upstream(
@@ -158,10 +167,12 @@
         self.clock.advance(STEP_SECONDS)
 
     def _look_up(self, zone: str) -> dict[str, float]:
-        listed = self.directory.find(HOST, zone)
         shares: defaultdict[str, float] = defaultdict(float)
-        for address in listed:
-            shares[address.partition(':')[0]] += 1 / len(listed)
+        for caller in ADDRESSES:
+            listed = self.directory.find(HOST, zone, caller)
+            part = 1 / len(listed) / len(ADDRESSES)
+            for address in listed:
+                shares[address.partition(':')[0]] += part
         return dict(shares)
 
     def _used(self) -> Shares:
