--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_settings.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_settings.py
@@ -8,6 +8,7 @@
 from typing import NamedTuple
 
 from lycheedyke.exceptions import SettingsInvalid
+from lycheedyke.state.rates import QuotaBounds
 from lycheedyke_daemon.ini import (
     ADDRESS_RULE,
     BOUND_RULE,
@@ -68,10 +69,16 @@
         repeat_window: the length of the window of repeat_ratio.
         repeat_extra: the repeats allowed in addition to repeat_ratio, for
             all instances together.
+        quota_window: the length of the windows in which quotas are checked.
+        quota_over: the fraction of its quota that a tenant may exceed in a
+            window.
+        quota_slack: the requests that it may exceed in addition.
         shift_most: the maximum fraction of a region's callers that may
             change the region in 2 s after a change of configuration.
         by_demand: whether the demand of zones determines where their callers
             are sent.
+        max_homes: the maximum number of upstreams of a pool that are homes of
+            one object; 1 gives each object one home, 0 none.
         zone_trip: the round trip to another zone of the region.
         region_trip: the round trip to another region.
         zone_charge: the cost of traffic between zones, as time.
@@ -83,6 +90,8 @@
         body_memory_bytes: the memory limit of all request bodies together.
         answer_memory_bytes: the memory limit of all answers of upstreams
             together.
+        upstream_body_bytes: the bytes of request bodies that the instance may
+            have in flight to one upstream; 0 for no bound.
         log_level: the minimum level that is logged.
         log_sampled_of: one of this many successful requests is logged.
         log_lines_per_s: the maximum number of log lines on requests per
@@ -107,8 +116,12 @@
     repeat_ratio: float
     repeat_window: timedelta
     repeat_extra: int
+    quota_window: timedelta
+    quota_over: float
+    quota_slack: int
     shift_most: float
     by_demand: bool
+    max_homes: int
     zone_trip: timedelta
     region_trip: timedelta
     zone_charge: timedelta
@@ -119,11 +132,17 @@
     link_mbps: float
     body_memory_bytes: int
     answer_memory_bytes: int
+    upstream_body_bytes: int
     log_level: str
     log_sampled_of: int
     log_lines_per_s: int
     zones: Mapping[str, str]
 
+    @property
+    def quota_bounds(self) -> QuotaBounds:
+        """How much a tenant may exceed its quota."""
+        return QuotaBounds(self.quota_window, self.quota_over, self.quota_slack)
+
 
 _FIELDS = MappingProxyType(
     {
@@ -166,12 +185,22 @@
             'repeats', 'window', read_window, WINDOW_RULE, '10s'
         ),
         'repeat_extra': Field('repeats', 'extra', read_bound, BOUND_RULE, '0'),
+        'quota_window': Field(
+            'quotas', 'window', read_window, WINDOW_RULE, '5s'
+        ),
+        'quota_over': Field(
+            'quotas', 'over', read_fraction, FRACTION_RULE, '0.1'
+        ),
+        'quota_slack': Field('quotas', 'slack', read_bound, BOUND_RULE, '20'),
         'shift_most': Field(
             'shifts', 'most', read_fraction, FRACTION_RULE, '0.15'
         ),
         'by_demand': Field(
             'shifts', 'by_demand', read_switch, SWITCH_RULE, 'no'
         ),
+        'max_homes': Field(
+            'placement', 'max_homes', read_bound, BOUND_RULE, '1'
+        ),
         'zone_trip': Field(
             'distances', 'zone_trip', read_duration, DURATION_RULE, '1ms'
         ),
@@ -200,6 +229,9 @@
         'answer_memory_bytes': Field(
             'limits', 'answer_memory_bytes', read_optional_count, COUNT_RULE, ''
         ),
+        'upstream_body_bytes': Field(
+            'limits', 'upstream_body_bytes', read_optional_count, COUNT_RULE, ''
+        ),
         'log_sampled_of': Field(
             'logs', 'sampled_of', read_count, COUNT_RULE, '32'
         ),
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_upstream_client.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_upstream_client.py
@@ -4,6 +4,7 @@
 from collections.abc import Mapping
 from datetime import timedelta
 
+import multidict
 from aiohttp import web
 
 from lycheedyke.exceptions import (
@@ -34,6 +35,7 @@
 )
 from lycheedyke.transport import (
     BodyMemory,
+    BodySink,
     ExchangeChecks,
     HttpClient,
     HttpResponse,
@@ -42,10 +44,12 @@
 from lycheedyke_daemon.failures import outcome_of_error
 from lycheedyke_daemon.gateway._answer_headers import (
     HeaderNames,
+    parse_load,
     parse_retry_after,
     read_send_limit,
 )
 from lycheedyke_daemon.gateway._decision_log import Telemetry
+from lycheedyke_daemon.gateway.bodies import open_stream, was_held_up
 from lycheedyke_daemon.stopping import Handler
 from lycheedyke_daemon.work import MAX_LOGGED, Work
 
@@ -54,14 +58,15 @@
 HTTP_MISDIRECTED = 421
 HTTP_SERVER_ERROR = 500
 HTTP_UNAVAILABLE = 503
-# Below the ten seconds after which upstreams close idle connections.
+# Below the ten seconds after which upstreams close idle connections. One that
+# states its limit in its answers is believed.
 UPSTREAM_IDLE_TIMEOUT = timedelta(seconds=5)
+LONGEST_IDLE_TIMEOUT = timedelta(seconds=30)
 # Several round trips between regions.
 CONNECT_TIMEOUT = timedelta(milliseconds=500)
 MAX_ANSWER_BYTES = 67_108_864
 RETRY_AFTER = 'Retry-After'
 LEAVING = '1'
-LOAD_FIELDS = 3
 # Answers that were broken off since all answers filled the memory, or since
 # one exceeded a limit of its own.
 MEMORY_FULL_COUNTER = 'answer.memory-full'
@@ -116,6 +121,7 @@
         self._http = HttpClient(
             max_body_bytes=MAX_ANSWER_BYTES,
             idle_timeout=UPSTREAM_IDLE_TIMEOUT,
+            longest_idle_timeout=LONGEST_IDLE_TIMEOUT,
             connect_timeout=CONNECT_TIMEOUT,
             allow_close_delimited=True,
             memory=memory,
@@ -133,6 +139,11 @@
         with self._memory.hold():
             return await handler(request)
 
+    @property
+    def memory(self) -> BodyMemory:
+        """The memory of all answers."""
+        return self._memory
+
     async def close(self) -> None:
         """Closes the connections."""
         await self._http.close()
@@ -171,13 +182,16 @@
                         self._check_write, state, record, work, sending
                     ),
                     functools.partial(self._is_own, work),
+                    functools.partial(self._accept, state, work),
                 ),
             )
         except ConnectError as error:
             self._mark_unreachable(state, error)
             return outcome_of_error(error)
         except ExchangeBroken as error:
-            state.record_failure()
+            # An upstream breaks off a response that its caller reads slowly.
+            if not was_held_up(work):
+                state.record_failure()
             outcome = outcome_of_error(error)
             if isinstance(error, ResponseTooLarge):
                 self._tell_too_large(state, work, outcome, error)
@@ -191,6 +205,20 @@
         """
         return headers.get(self._names.request) == work.request_id
 
+    def _accept(
+        self,
+        state: UpstreamState,
+        work: Work,
+        status: int,
+        headers: multidict.CIMultiDictProxy[str],
+    ) -> BodySink | None:
+        """Returns where to pass a response on while it arrives, if at all."""
+        sink = open_stream(work, status, headers, self._names.not_run)
+        if sink is not None:
+            # It is not silent, however long the rest takes.
+            state.record_answer()
+        return sink
+
     def _check_write(
         self,
         state: UpstreamState,
@@ -362,9 +390,6 @@
         )
 
     def _record_load(self, state: UpstreamState, answer: HttpResponse) -> None:
-        fields = answer.headers.get(self._names.load, '').split(',')
-        if len(fields) != LOAD_FIELDS:
-            return
-        running, waiting, _ = fields
-        if running.isdecimal() and waiting.isdecimal():
-            state.record_load(int(running), int(waiting))
+        load = parse_load(answer.headers.get(self._names.load, ''))
+        if load is not None:
+            state.record_load(*load)
--- a/packages/lycheedyke/src/lycheedyke/state/_selection.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_selection.py
@@ -16,13 +16,16 @@
     Estimator,
     Request,
 )
-from lycheedyke.state._pools import Location, Pools
 from lycheedyke.state._run_times import RunTimeStats
-from lycheedyke.state._send_limits import NO_LIMIT, home_weight
-from lycheedyke.state._send_permits import PermitBook, SendPermit
 from lycheedyke.state._upstream_state import UpstreamState
 from lycheedyke.state._upstreams import UpstreamTable
 from lycheedyke.state._warmup_limiter import WarmupLimiter, permit_interval
+from lycheedyke.state.placement import Location, Placement, Pools
+from lycheedyke.state.rates._send_limits import NO_LIMIT, home_weight
+from lycheedyke.state.rates._send_permits import PermitBook, SendPermit
+
+# When a body that fits nowhere may come back.
+BODY_WAIT = timedelta(milliseconds=250)
 
 
 class Hold(NamedTuple):
@@ -31,10 +34,12 @@
     Attributes:
         wait: the time until one may get the request.
         is_limit: whether that one has named a limit; it paused otherwise.
+        is_full: whether that one only has too many bytes of bodies in flight.
     """
 
     wait: timedelta
     is_limit: bool
+    is_full: bool = False
 
 
 class PermitSources(NamedTuple):
@@ -43,10 +48,13 @@
     Attributes:
         cold: issues those of cold upstreams.
         limited: holds those of upstreams that have named a limit.
+        max_body_bytes: the bytes of the bodies that this instance may have in
+            flight to one upstream; 0 for no bound.
     """
 
     cold: WarmupLimiter
     limited: PermitBook
+    max_body_bytes: int = 0
 
 
 class UpstreamSelector:
@@ -79,9 +87,11 @@
         self._times = times
         self._location = location
         self._pools = Pools(location.regions)
+        self._placement = Placement(1, self._pools, location.zone)
         self._distances = distances
         self._limiter = permits.cold
         self._permits = permits.limited
+        self._max_body_bytes = permits.max_body_bytes
         self._cold_rate = cold_rate
         self._instances = instances
 
@@ -89,6 +99,15 @@
         """Returns the zone."""
         return f'<UpstreamSelector in {self._location.zone}>'
 
+    def set_max_homes(self, max_homes: int) -> None:
+        """Sets the maximum number of homes of an object in a pool.
+
+        Args:
+            max_homes: the number; 1 leaves each object at its first home, 0
+                gives it none.
+        """
+        self._placement = Placement(max_homes, self._pools, self._location.zone)
+
     def choose(
         self,
         request: Request,
@@ -99,12 +118,17 @@
         If the object has a home in the pool of this instance, and the home
         may get the request, no other upstream is considered: there the object
         would evict several known objects, and the load information on other
-        upstreams is older.
+        upstreams is older. Popular objects have several homes, and the load
+        decides among these.
 
         Args:
             request: the request to send.
             excluded: the names of upstreams that must not be chosen.
         """
+        if not excluded:
+            self._placement.record(
+                request.service, request.object_key, self._upstreams.elapsed()
+            )
         candidates = self._candidates(
             request, excluded, self._upstreams.usable(request.service)
         )
@@ -157,6 +181,8 @@
             for state in self._upstreams.serving(request.service)
             if self._may_run(request, state)
         ]
+        if any(not self._takes_body(request, state) for state in serving):
+            return Hold(BODY_WAIT, is_limit=False, is_full=True)
         if len(_limited(serving)) < len(serving):
             return None
         holds = [
@@ -206,7 +232,7 @@
         now = self._upstreams.elapsed()
         limited = _limited(candidates)
         probed = self._permits.find_probe(
-            [state for state in limited if self._may_send(state, now)],
+            self._ready(request, limited, now),
             idempotent=request.route.kind is RouteKind.idempotent,
         )
         if probed is None:
@@ -220,7 +246,7 @@
     ) -> Candidate | None:
         """Returns the best candidate that may get the request now."""
         now = self._upstreams.elapsed()
-        ready = [state for state in candidates if self._may_send(state, now)]
+        ready = self._ready(request, candidates, now)
         held_back = self._without_permit(request, ready)
         homes = self._homes(request, candidates, now)
         if held_back:
@@ -266,7 +292,13 @@
         home = homes.get(self._location.zone)
         at_home = [state for state in ready if state.record.name == home]
         estimator = Estimator(
-            request, self._times, self._location, self._distances, homes, now
+            request,
+            self._times,
+            self._location,
+            self._distances,
+            homes,
+            now,
+            is_spread=self._placement.is_spread and not homes,
         )
         return estimator.cheapest(at_home or ready)
 
@@ -276,7 +308,7 @@
         states: Sequence[UpstreamState],
         now: timedelta,
     ) -> Mapping[str, str]:
-        if not request.object_key:
+        if not request.object_key or not self._placement.max_homes:
             return {}
         mean = self._times.of_service(request.service)
         weights = {
@@ -285,7 +317,15 @@
             if state.wishes.limit is not NO_LIMIT
             and not state.wishes.limit.is_settled(now)
         }
-        return self._pools.homes(request.object_key, states, weights)
+        homes = self._pools.homes(request.object_key, states, weights)
+        first = homes.get(self._location.zone)
+        # Which upstreams take how little by their limits is settled by their
+        # permits; popular objects return to several homes when that ends.
+        if first is not None and not weights:
+            homes[self._location.zone] = self._placement.choose(
+                request.service, request.object_key, first, states, now
+            )
+        return homes
 
     def _without_permit(
         self, request: Request, states: Sequence[UpstreamState]
@@ -305,6 +345,30 @@
             return True
         return self._limiter.is_due(state.record.name, self._period(state))
 
+    def _ready(
+        self,
+        request: Request,
+        states: Iterable[UpstreamState],
+        now: timedelta,
+    ) -> list[UpstreamState]:
+        """Returns the upstreams that may get the request now."""
+        ready = [state for state in states if self._may_send(state, now)]
+        if not self._max_body_bytes or not request.body_bytes:
+            return ready
+        return [state for state in ready if self._takes_body(request, state)]
+
+    def _takes_body(self, request: Request, state: UpstreamState) -> bool:
+        """Returns whether a body fits beside those in flight.
+
+        A body that exceeds the bound alone is sent alone.
+        """
+        if not (
+            self._max_body_bytes and request.body_bytes and state.body_bytes
+        ):
+            return True
+        total = state.body_bytes + request.body_bytes
+        return total <= self._max_body_bytes
+
     def _period(self, state: UpstreamState) -> timedelta:
         rate = self._cold_rate(state.record.service)
         return permit_interval(self._instances(), rate)
--- a/packages/lycheedyke/src/lycheedyke/state/_upstream_state.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_upstream_state.py
@@ -11,6 +11,7 @@
 from lycheedyke.clock import Clock
 from lycheedyke.protocol import UpstreamRecord
 from lycheedyke.state._bounded import keep_recent
+from lycheedyke.state._pace import Pace
 from lycheedyke.state._upstream_wishes import NO_WISHES
 
 _logger = logging.getLogger(__name__)
@@ -63,12 +64,25 @@
     retry_at: timedelta
 
 
+class LoadReport(NamedTuple):
+    """The load that an upstream reported with an answer.
+
+    Attributes:
+        load: the requests that ran or waited there, of all instances.
+        at: when the answer arrived.
+    """
+
+    load: int
+    at: timedelta
+
+
 class UpstreamState:
     """The state of one upstream as observed by this instance.
 
     Attributes:
         record: the newest record of the upstream.
         in_flight: the requests of this instance that run there.
+        body_bytes: the bytes of their bodies.
         answered_at: the time of the last answer on the monotonic clock.
         wishes: what the upstream has said in its answers that it wants.
         unlimited_at: when the last request was written whose answer named no
@@ -78,6 +92,8 @@
             if it is not lost.
         is_unproven: whether it was lost, and has answered no request since a
             trial ended that. It gets one request at a time.
+        pace: the pace that it reported with its answers.
+        reported: the load that it reported last; None without a report.
 
     Args:
         record: the first record of the upstream.
@@ -88,10 +104,13 @@
         """Initializes the state from the first record."""
         self.record = record
         self.in_flight = 0
+        self.body_bytes = 0
         self.answered_at = ZERO
         self.wishes = NO_WISHES
         self.unlimited_at = ZERO
         self.limit_logged_at = -MAX_PAUSE
+        self.pace = Pace()
+        self.reported: LoadReport | None = None
         self._clock = clock
         self._other_load = 0
         self._other_load_at = ZERO
@@ -136,6 +155,11 @@
         """The ratio of its run times to those of other upstreams."""
         return self.slowness_at(self._clock.elapsed())
 
+    @property
+    def delay(self) -> float:
+        """The factor of run times by its slowness and its pace."""
+        return self.delay_at(self._clock.elapsed())
+
     def is_cold_at(self, now: timedelta) -> bool:
         """Returns whether the upstream is cold at a time of the clock."""
         return now < self._cold_until
@@ -193,24 +217,49 @@
         """Returns whether this instance sent it the object recently."""
         return object_key in self._warm
 
-    def begin_request(self, object_key: str) -> None:
-        """Counts a request that is sent to the upstream."""
+    def begin_request(self, object_key: str, body_bytes: int = 0) -> None:
+        """Counts a request that is sent to the upstream, and its body."""
         self.in_flight += 1
+        self.body_bytes += body_bytes
         if object_key:
             keep_recent(self._warm, object_key, None, MAX_WARM_OBJECTS)
 
-    def end_request(self) -> None:
-        """Counts the end of a request."""
+    def end_request(self, body_bytes: int = 0) -> None:
+        """Counts the end of a request with so many bytes of body."""
         self.in_flight -= 1
+        self.body_bytes -= body_bytes
 
     def record_answer(self) -> None:
         """Records the time of an answer of any kind."""
         self.answered_at = self._clock.elapsed()
 
-    def record_load(self, running: int, waiting: int) -> None:
-        """Records the load that the upstream reported with an answer."""
+    def record_load(
+        self, running: int, waiting: int, pace_percent: float | None = None
+    ) -> None:
+        """Records the load that the upstream reported with an answer.
+
+        Args:
+            running: the requests that run.
+            waiting: the requests that wait.
+            pace_percent: the run times as a percentage of the usual ones;
+                None if the upstream did not report it.
+        """
+        now = self._clock.elapsed()
         self._other_load = max(0, running + waiting - self.in_flight)
-        self._other_load_at = self._clock.elapsed()
+        self._other_load_at = now
+        self.reported = LoadReport(running + waiting, now)
+        if pace_percent is not None:
+            self.pace.record(pace_percent, now)
+
+    def usual_run(self, run: timedelta) -> timedelta:
+        """Returns how long a run that has just ended takes at usual pace."""
+        return run / self.pace.mean_factor(run, self._clock.elapsed())
+
+    def delay_at(self, now: timedelta) -> float:
+        """Returns the factor of run times by its slowness and its pace."""
+        if self.pace.is_usual:
+            return self.slowness_at(now)
+        return self.slowness_at(now) * self.pace.factor_at(now)
 
     def record_success(self) -> None:
         """Records a complete answer."""
@@ -313,4 +362,6 @@
         self._losses = 0
         self._other_load = 0
         self._slowness = 1.0
+        self.pace.reset()
+        self.reported = None
         self.unlimited_at = ZERO
