Bound the number of objects of a home at 1.05 of its part

With 1.2, upstreams of a large zone still got 1.29 to 1.48 times the mean load.

Tests: tests/unit/placement passed, with the bound in it lowered from 8 to 7.

--- a/packages/lycheedyke/src/lycheedyke/state/placement/_home_table.py
+++ b/packages/lycheedyke/src/lycheedyke/state/placement/_home_table.py
@@ -15,7 +15,7 @@
 MIN_ROOM = 0.25
 # The number of objects of an upstream relative to the mean. Rendezvous hashing
 # alone gives up to 1.6 times the mean, which is more than upstreams keep.
-COUNT_BOUND = 1.2
+COUNT_BOUND = 1.05
 
 
 class Home(NamedTuple):
--- a/tests/unit/placement/test_homes.py
+++ b/tests/unit/placement/test_homes.py
@@ -139,7 +139,7 @@
     assert first == second
     plain = {key: _rendezvous(key)[0] for key in OBJECTS}
     counts = Counter(plain.values())
-    assert max(counts.values()) > 8 >= max(Counter(first.values()).values())
+    assert max(counts.values()) > 7 >= max(Counter(first.values()).values())
     moved = [key for key in OBJECTS if first[key] != plain[key]]
     assert len(moved) <= len(OBJECTS) / 4
 
