Count written bytes of streamed responses until they are sent

Up to 64 KiB for each slow caller waited in its connection without counting in the memory of responses. They count now until the connection has sent them, which is looked up every 50 ms while some are left: a trial with a bound of 20 kB (below what a connection buffers) else waited for memory that the response held itself.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/bodies/_response_stream.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/bodies/_response_stream.py
@@ -9,6 +9,7 @@
 import asyncio
 import contextlib
 from collections.abc import Callable, Iterator
+from datetime import timedelta
 from typing import Self
 
 from aiohttp import web
@@ -26,6 +27,8 @@
 MAX_HELD_BYTES = 1_048_576
 # The share of the memory of all responses that one may hold.
 MAX_HELD_SHARE = 4
+# How often it is noticed that the last bytes written were sent.
+SENT_POLL = timedelta(milliseconds=50)
 STREAMED_COUNTER = 'answer.streamed'
 CUT_SHORT_COUNTER = 'answer.cut-short'
 
@@ -99,6 +102,7 @@
         self._body: StreamedBody | None = None
         self._writer: asyncio.Task[None] | None = None
         self._lost: ConnectionError | None = None
+        self._unsent = 0
 
     @property
     def was_held_up(self) -> bool:
@@ -210,7 +214,7 @@
     async def _write(self, body: StreamedBody) -> None:
         """Writes the body to the caller, as fast as it reads."""
         try:
-            while chunk := await body.next_chunk():
+            while chunk := await self._next_chunk(body):
                 if not self.has_begun:
                     self.has_begun = True
                     await self._streams.tracker.prepare(
@@ -219,12 +223,30 @@
                 await self._response.write(chunk)
                 # Waits until the caller has read most of what was written.
                 await self._request.writer.drain()
-                body.release_chunk(chunk)
+                self._unsent += len(chunk)
+                self._release_sent(body)
         except BodyMemoryFull:
             return
         except ConnectionError as error:
             self._lost = error
 
+    async def _next_chunk(self, body: StreamedBody) -> bytes:
+        """Waits for bytes to write, and releases those that were sent."""
+        while self._unsent:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(SENT_POLL.total_seconds()):
+                    return await body.next_chunk()
+            self._release_sent(body)
+        return await body.next_chunk()
+
+    def _release_sent(self, body: StreamedBody) -> None:
+        """Releases what was written and does not wait to be sent."""
+        transport = self._request.transport
+        waiting = transport.get_write_buffer_size() if transport else 0
+        sent = max(0, self._unsent - waiting)
+        body.release_sent(sent)
+        self._unsent -= sent
+
     def _cut_short(self) -> ResponseIncomplete:
         self._streams.counters.count(CUT_SHORT_COUNTER)
         return ResponseIncomplete('the rest of the response is missing')
--- a/packages/lycheedyke/src/lycheedyke/transport/_streamed_body.py
+++ b/packages/lycheedyke/src/lycheedyke/transport/_streamed_body.py
@@ -79,11 +79,11 @@
             await self._wait_changed(None)
         return self._chunks.popleft()
 
-    def release_chunk(self, chunk: bytes) -> None:
-        """Releases the memory of bytes that were passed on."""
+    def release_sent(self, count: int) -> None:
+        """Releases the memory of so many bytes that were passed on."""
         if not self._is_released:
-            self._memory.used -= len(chunk)
-            self.size -= len(chunk)
+            self._memory.used -= count
+            self.size -= count
             self._changed.set()
 
     def finish(self) -> None:
--- a/tests/unit/gateway/test_slow_downloads.py
+++ b/tests/unit/gateway/test_slow_downloads.py
@@ -1,10 +1,12 @@
 """Callers that read large responses slowly, and ends that cut them short."""
 
 import asyncio
+from datetime import timedelta
 from pathlib import Path
 
 import pytest
 
+from lycheedyke_daemon.gateway.bodies import _response_stream
 from standins.gateway_testbed import GatewayTestbed, run_scenario
 from standins.streaming import (
     PACK,
@@ -58,6 +60,36 @@
     run_scenario(tmp_path, _scene, upstreams=1)
 
 
+def test_a_small_bound_only_slows_a_caller_down(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The upstream is read as fast as its caller reads.
+
+    Guards against a response that waits for memory that it holds itself.
+    """
+    monkeypatch.setattr(_response_stream, 'MAX_HELD_BYTES', 20_000)
+
+    async def _scene(platform: GatewayTestbed) -> None:
+        await serve_packs(platform)
+        pack = platform.upstreams[0].respond = Pack(FIRST)
+        pack.go_on.set()
+        (state,) = platform.instances[0]._upstream_table.all()
+        async with PackCaller(platform) as caller:
+            caller.ask()
+            await caller.read_head()
+            caller.stall()
+            await asyncio.sleep(0.5)
+            assert state.in_flight
+            caller.go_on()
+            assert (await caller.read_rest()).body == PACK
+        assert not _used(platform)
+        # The time was that of the caller.
+        times = platform.instances[0]._times
+        assert times.of_service('desk') < timedelta(seconds=0.5)
+
+    run_scenario(tmp_path, _scene, upstreams=1)
+
+
 def test_many_slow_callers_stay_within_the_memory(tmp_path: Path) -> None:
     """Some are cut off visibly, the others get the whole response.
 
@@ -105,7 +137,8 @@
 
     async def _scene(platform: GatewayTestbed) -> None:
         await serve_packs(platform)
-        platform.upstreams[0].respond = Pack(FIRST)
+        for upstream in platform.upstreams:
+            upstream.respond = Pack(FIRST)
         async with PackCaller(platform) as caller:
             started = asyncio.get_running_loop().time()
             caller.ask()
@@ -114,11 +147,12 @@
         assert (answer.status, answer.body) == (200, PACK[:FIRST])
         # Its deadline is after 4 s.
         assert 3.9 < took < 4.5
+        assert len(platform.started()) == 1
         assert _counts(platform)['unknown.upstream-timeout'] == 1
         assert _counts(platform)['answer.cut-short'] == 1
         assert not _used(platform)
 
-    run_scenario(tmp_path, _scene, upstreams=1)
+    run_scenario(tmp_path, _scene, upstreams=2)
 
 
 @pytest.mark.parametrize('is_ended', [True, False])
