--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_caller_api.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_caller_api.py
@@ -34,6 +34,7 @@
 from lycheedyke_daemon.gateway._stop_schedule import StopSchedule
 from lycheedyke_daemon.gateway._unanswered import SENT_TO, UnansweredReport
 from lycheedyke_daemon.gateway.bodies import STREAM, ResponseStreams
+from lycheedyke_daemon.gateway.rates import RunWithinQuota, run_freely
 from lycheedyke_daemon.pipeline import TURN, may_pass_on
 from lycheedyke_daemon.work import MAX_LOGGED, Work, end_to_end_headers
 
@@ -86,6 +87,9 @@
         telemetry: counts outcomes and logs each request.
         schedule: decides which requests a planned stop refuses, and how long
             the others may run.
+
+    Attributes:
+        run_within_quota: runs a request if its tenant has a permit for it.
     """
 
     def __init__(
@@ -100,6 +104,7 @@
         schedule: StopSchedule,
     ) -> None:
         """Initializes the API."""
+        self.run_within_quota: RunWithinQuota = run_freely
         self._registry_view = registry_view
         self._router = router
         self._names = names
@@ -131,7 +136,11 @@
             return self._respond(http, None, admitted, started)
         is_streamed = admitted.route.streamed
         with self._streams.open(http, is_streamed=is_streamed) as stream:
-            outcome = await self._run(admitted)
+            outcome = await self.run_within_quota(
+                admitted.tenant,
+                admitted.deadline - self._clock.elapsed(),
+                lambda: self._run(admitted),
+            )
             response = self._respond(http, admitted, outcome, started)
             return await stream.finish(outcome, response)
 
@@ -152,6 +161,7 @@
             return NotRun(Reason.unknown_key)
         self._registry_view.route_use.record(route)
         service = self._round_robin.choose(route)
+        self._registry_view.arrivals.record(service)
         if not self._may_take(http, route, service):
             return NotRun(Reason.stopping, RETRY_AFTER_STOP)
         remaining = self._read_remaining(http)
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_settings.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_settings.py
@@ -8,6 +8,7 @@
 from typing import NamedTuple
 
 from lycheedyke.exceptions import SettingsInvalid
+from lycheedyke.state.rates import QuotaBounds
 from lycheedyke_daemon.ini import (
     ADDRESS_RULE,
     BOUND_RULE,
@@ -16,6 +17,7 @@
     FRACTION_RULE,
     LABEL_RULE,
     NUMBER_RULE,
+    SWITCH_RULE,
     WINDOW_RULE,
     Field,
     find_unknown_keys,
@@ -31,6 +33,7 @@
     read_level,
     read_number,
     read_optional_count,
+    read_switch,
     read_window,
 )
 
@@ -66,8 +69,16 @@
         repeat_window: the length of the window of repeat_ratio.
         repeat_extra: the repeats allowed in addition to repeat_ratio, for
             all instances together.
+        quota_window: the length of the windows in which quotas are checked.
+        quota_over: the fraction of its quota that a tenant may exceed in a
+            window.
+        quota_slack: the requests that it may exceed in addition.
         shift_most: the maximum fraction of a region's callers that may
             change the region in 2 s after a change of configuration.
+        by_demand: whether the demand of zones determines where their callers
+            are sent.
+        max_homes: the maximum number of upstreams of a pool that are homes of
+            one object; 1 gives each object one home, 0 none.
         zone_trip: the round trip to another zone of the region.
         region_trip: the round trip to another region.
         zone_charge: the cost of traffic between zones, as time.
@@ -105,7 +116,12 @@
     repeat_ratio: float
     repeat_window: timedelta
     repeat_extra: int
+    quota_window: timedelta
+    quota_over: float
+    quota_slack: int
     shift_most: float
+    by_demand: bool
+    max_homes: int
     zone_trip: timedelta
     region_trip: timedelta
     zone_charge: timedelta
@@ -122,6 +138,11 @@
     log_lines_per_s: int
     zones: Mapping[str, str]
 
+    @property
+    def quota_bounds(self) -> QuotaBounds:
+        """How much a tenant may exceed its quota."""
+        return QuotaBounds(self.quota_window, self.quota_over, self.quota_slack)
+
 
 _FIELDS = MappingProxyType(
     {
@@ -164,9 +185,22 @@
             'repeats', 'window', read_window, WINDOW_RULE, '10s'
         ),
         'repeat_extra': Field('repeats', 'extra', read_bound, BOUND_RULE, '0'),
+        'quota_window': Field(
+            'quotas', 'window', read_window, WINDOW_RULE, '5s'
+        ),
+        'quota_over': Field(
+            'quotas', 'over', read_fraction, FRACTION_RULE, '0.1'
+        ),
+        'quota_slack': Field('quotas', 'slack', read_bound, BOUND_RULE, '20'),
         'shift_most': Field(
             'shifts', 'most', read_fraction, FRACTION_RULE, '0.15'
         ),
+        'by_demand': Field(
+            'shifts', 'by_demand', read_switch, SWITCH_RULE, 'no'
+        ),
+        'max_homes': Field(
+            'placement', 'max_homes', read_bound, BOUND_RULE, '1'
+        ),
         'zone_trip': Field(
             'distances', 'zone_trip', read_duration, DURATION_RULE, '1ms'
         ),
