Put the exchanges of an instance together in a module of their own

Change: a move without a change of behaviour. Exchanges creates the four exchanges, starts their tasks and has their routes.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
@@ -33,6 +33,7 @@
 from lycheedyke_daemon.gateway._caller_api import GatewayCallerApi
 from lycheedyke_daemon.gateway._decision_log import DecisionLog, Telemetry
 from lycheedyke_daemon.gateway._deployment import Deployment
+from lycheedyke_daemon.gateway._exchanges import Exchanges, SharedState
 from lycheedyke_daemon.gateway._instance_status import InstanceStatus
 from lycheedyke_daemon.gateway._lookup import LookupApi, LookupDirectory
 from lycheedyke_daemon.gateway._lost_upstreams import LostUpstreams
@@ -46,15 +47,10 @@
 from lycheedyke_daemon.gateway._settings import GatewaySettings
 from lycheedyke_daemon.gateway._settings_file import SettingsFile
 from lycheedyke_daemon.gateway._stop_schedule import StopSchedule
-from lycheedyke_daemon.gateway._suspect_exchange import SuspectExchange
 from lycheedyke_daemon.gateway._upstream_client import UpstreamClient
 from lycheedyke_daemon.gateway.bodies import ResponseStreams
-from lycheedyke_daemon.gateway.demand import DemandExchange, DemandSteering
-from lycheedyke_daemon.gateway.rates import (
-    LimitExchange,
-    QuotaExchange,
-    QuotaGate,
-)
+from lycheedyke_daemon.gateway.demand import DemandSteering
+from lycheedyke_daemon.gateway.rates import QuotaGate
 from lycheedyke_daemon.idle_connections import IdleConnectionCloser
 from lycheedyke_daemon.servers import Connections, HttpServers
 from lycheedyke_daemon.stopping import RequestTracker
@@ -118,36 +114,20 @@
             self._counters,
             clock,
         )
-        self._suspects = SuspectExchange(
-            own, suspects, self._peer_updates, self._counters, clock
-        )
-        self._limits = LimitExchange(
+        self._exchanges = Exchanges(
             own,
-            self._upstream_table,
-            self._permits,
-            self._peer_updates,
-            settings.zones,
-            self._counters,
-            clock,
-        )
-        self._limits.max_instances = self._max_instances
-        self._demand = DemandExchange(
-            own,
-            self._registry_view.arrivals,
-            self._peer_updates,
-            settings.zones,
-            self._counters,
-            clock,
-        )
-        self._quotas = QuotaExchange(
-            own,
-            self._registry_view,
+            settings,
+            SharedState(
+                self._registry_view,
+                self._upstream_table,
+                self._permits,
+                suspects,
+                self._counters,
+            ),
             self._peer_updates,
-            settings.quota_bounds,
-            self._counters,
             clock,
+            has_stop_begun=lambda: self._schedule.has_begun,
         )
-        self._quotas.issuers.is_leaving = lambda: self._schedule.has_begun
         self._pauses = PauseMonitor()
         self._follower = RegistryFollower(
             deployment.registry,
@@ -178,9 +158,13 @@
         )
         self._guard = CrashGuard(
             suspects,
-            self._suspects.report,
+            self._exchanges.suspects.report,
             self._counters,
-            TrialClient(suspects, self._suspects.arbiter, self._suspects),
+            TrialClient(
+                suspects,
+                self._exchanges.suspects.arbiter,
+                self._exchanges.suspects,
+            ),
         )
 
     @property
@@ -202,15 +186,10 @@
             ('registry', self._follower.follow),
             ('peers', self._follower.follow_peers),
             ('quarantines', self._quarantines.run),
-            ('suspects', self._suspects.resend),
-            ('limits', self._limits.run),
-            ('quotas', self._quotas.run),
-            ('quota issuer', self._quotas.issuers.run),
             ('lost upstreams', self._lost_upstreams.run),
         ):
             self._tasks.start(name, work)
-        if settings.by_demand:
-            self._tasks.start('demand', self._demand.run)
+        self._exchanges.start(self._tasks)
         file = self._settings_file
         if file is not None:
             self._tasks.start(
@@ -348,8 +327,8 @@
                 self._schedule.may_take,
                 self._pauses.within,
                 lambda: self._follower.age,
-                self._limits.wait_answer,
-                self._quotas.tenant_use,
+                self._exchanges.limits.wait_answer,
+                self._exchanges.quotas.tenant_use,
             ),
             self._clock,
         )
@@ -362,7 +341,7 @@
             self._telemetry,
             schedule=self._schedule,
         )
-        api.run_within_quota = QuotaGate(self._quotas).run
+        api.run_within_quota = QuotaGate(self._exchanges.quotas).run
         app = web.Application(middlewares=[self._client.hold_answers])
         app.add_routes(api.routes())
         return app
@@ -382,13 +361,7 @@
         return self._registry_view.max_instances
 
     def _peer_app(self) -> web.Application:
-        return make_app(
-            self._peer_updates,
-            self._suspects,
-            self._limits,
-            self._demand,
-            self._quotas,
-        )
+        return make_app(self._peer_updates, self._exchanges)
 
     def _lookup_app(self) -> web.Application:
         directory = LookupDirectory(
@@ -402,7 +375,7 @@
         )
         if self._settings.by_demand:
             directory.steering = DemandSteering(
-                self._demand.totals, self._times, self._clock
+                self._exchanges.demand.totals, self._times, self._clock
             )
         return make_app(
             LookupApi(
--- a/tests/unit/gateway/test_demand_exchange.py
+++ b/tests/unit/gateway/test_demand_exchange.py
@@ -36,14 +36,14 @@
 def _rates(instance: GatewayInstance) -> dict[str, float]:
     return {
         total.zone: sum(total.rates.values()) / 10
-        for total in instance._demand.totals()
+        for total in instance._exchanges.demand.totals()
     }
 
 
 def _aggregator(platform: GatewayTestbed, zone: str) -> int:
     """Returns the number of the instance that aggregates a zone."""
     names = {
-        each._demand._aggregator
+        each._exchanges.demand._aggregator
         for each in platform.instances
         if each._own.zone == zone
     }
--- a/tests/unit/gateway/test_quotas.py
+++ b/tests/unit/gateway/test_quotas.py
@@ -229,10 +229,13 @@
         await asyncio.sleep(3)
         await offer(testbed, per_s=40, seconds=8)
         for instance in testbed.instances:
-            use = instance._quotas.tenant_use.use(TENANT)
+            use = instance._exchanges.quotas.tenant_use.use(TENANT)
             assert use is not None
             assert 1.4 < use < 2.6
         await asyncio.sleep(6)
-        assert testbed.instances[0]._quotas.tenant_use.use(TENANT) is None
+        assert (
+            testbed.instances[0]._exchanges.quotas.tenant_use.use(TENANT)
+            is None
+        )
 
     run_scenario(tmp_path, _scene, limit_s=60, upstreams=8, instances=INSTANCES)
