Bound what a tenant and less urgent requests take in a burst

The guarantee of a route let the tenant's excess through, and a tenant's use, which is a mean over 2 s, is too low when its burst begins.

Change: a tenant above its share waits less, is admitted by chance for the part of its share, and gets no part of its route's guarantee. Less urgent requests do not queue at an upstream without a free slot while urgent demand is seen.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_router.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_router.py
@@ -355,7 +355,9 @@
         progress: RequestProgress,
     ) -> NotRun:
         """Returns the refusal, with a time until capacity may be available."""
-        retry_after = self._allocation.retry_after(request, candidate)
+        retry_after = self._allocation.retry_after(
+            request, candidate, progress.refusal
+        )
         reason = progress.refusal or Reason.no_room
         if candidate is None:
             hold = self._selector.hold(request)
--- a/packages/lycheedyke/src/lycheedyke/state/fairness/_allocation.py
+++ b/packages/lycheedyke/src/lycheedyke/state/fairness/_allocation.py
@@ -3,6 +3,7 @@
 import random
 from collections import OrderedDict
 from datetime import timedelta
+from typing import NamedTuple
 
 from lycheedyke.clock import Clock
 from lycheedyke.protocol import Reason
@@ -15,7 +16,7 @@
     is_admissible,
 )
 from lycheedyke.state._run_times import RunTimeStats
-from lycheedyke.state.fairness._minimum_share import MinimumShare
+from lycheedyke.state.fairness._minimum_share import Claim, MinimumShare
 from lycheedyke.state.fairness._tenant_use import (
     FixedUse,
     TenantShares,
@@ -34,6 +35,37 @@
 LESS_URGENT_SPREAD = 2.0
 
 
+class _Offer(NamedTuple):
+    """A request and the upstream that it may get.
+
+    Attributes:
+        request: the request.
+        candidate: the upstream.
+        spare: the time to the goal that the run leaves for waiting.
+        part: the part of its tenant's requests that is within its share.
+    """
+
+    request: Request
+    candidate: Candidate
+    spare: timedelta
+    part: float
+
+    @property
+    def is_free(self) -> bool:
+        """Whether the upstream has a free slot that the request may use."""
+        slots = self.candidate.state.record.slots
+        return self.candidate.load < self.request.usable_slots(slots)
+
+    @property
+    def claim(self) -> Claim:
+        """The claim to a guaranteed part.
+
+        The part of a route is not for tenants that exceed their share.
+        """
+        claim = _claim_of(self.request)
+        return claim if self.part >= 1 else claim._replace(kind='')
+
+
 class _Service:
     """What this instance knows of one service."""
 
@@ -44,6 +76,46 @@
         self.contended_until = ZERO
         self.useful_until = ZERO
 
+    def record_contention(self, offer: _Offer, now: timedelta) -> None:
+        """Records that a request has to wait or is refused."""
+        self.contended_until = now + CONTENTION_TIME
+        if offer.part < 1 or offer.spare < ZERO:
+            # Others give way neither to a tenant above its share nor to a
+            # request that is late anyhow.
+            return
+        self.useful_until = now + USEFUL_TIME
+        if offer.candidate.must_wait:
+            self.demand.record_wait(offer.request.urgency, now)
+
+
+def _find_reason(
+    service: _Service, offer: _Offer, now: timedelta
+) -> Reason | None:
+    """Returns the first criterion that refuses a request, if any."""
+    request = offer.request
+    may_wait = offer.spare * request.wait_share
+    wait = offer.candidate.wait
+    if offer.is_free:
+        if offer.spare < ZERO and now < service.useful_until:
+            return Reason.too_late
+    elif _must_keep_out(service, offer, now):
+        return Reason.slots_reserved
+    elif wait > may_wait:
+        return Reason.no_room
+    is_waiting_less = wait > max(ZERO, may_wait) * offer.part
+    is_drawn = offer.part < 1 and random.random() > offer.part
+    return Reason.over_share if is_waiting_less or is_drawn else None
+
+
+def _must_keep_out(service: _Service, offer: _Offer, now: timedelta) -> bool:
+    """Returns whether reserved slots are kept free, not only waited for."""
+    request = offer.request
+    slots = offer.candidate.state.record.slots
+    if request.usable_slots(slots) == slots:
+        return False
+    is_waiting = service.demand.is_urgent_waiting(request.urgency, now)
+    return is_waiting or offer.candidate.must_wait
+
 
 class SlotAllocation:
     """Allocates the slots of upstreams between competing requests.
@@ -89,8 +161,9 @@
         run_times = times.of_route(request.route, request.service)
         run = run_times.warm if request.object_key else run_times.cold
         service.demand.record(request.urgency, run.total_seconds(), now)
-        service.shares.record(_tenant_of(request), now)
-        service.minimum.record_arrival(_names(request), now)
+        if request.tenant is not None:
+            service.shares.record(request.tenant, now)
+        service.minimum.record_arrival(_claim_of(request), now)
         return request._replace(
             reserved_share=service.demand.reserved_share(request.urgency, now)
         )
@@ -111,97 +184,64 @@
         service = self._service(request.service)
         now = self._clock.elapsed()
         spare = request.route.goal - waited - candidate.run
-        spare -= candidate.round_trip
-        reason = self._find_reason(service, request, candidate, spare)
-        self._record_contention(service, request, candidate, reason, spare)
-        if reason is not None and service.minimum.is_due(_names(request)):
+        offer = _Offer(
+            request,
+            candidate,
+            spare - candidate.round_trip,
+            self._fair_part(service, request, now),
+        )
+        reason = _find_reason(service, offer, now)
+        if reason is not None or candidate.must_wait:
+            service.record_contention(offer, now)
+        if reason is not None and service.minimum.is_due(offer.claim):
             self._counters.count('allocation.guaranteed')
             reason = None
         if reason is None:
-            service.minimum.record_admission(_names(request), now)
+            service.minimum.record_admission(_claim_of(request), now)
         return reason
 
     def record_not_run(self, request: Request) -> None:
         """Records that no upstream ran a request that was admitted."""
         if request.urgency is not None:
             service = self._service(request.service)
-            service.minimum.return_admission(_names(request))
+            service.minimum.return_admission(_claim_of(request))
 
     def retry_after(
-        self, request: Request, candidate: Candidate | None
+        self,
+        request: Request,
+        candidate: Candidate | None,
+        reason: Reason | None,
     ) -> timedelta:
         """Returns when a refused request is to come back.
 
         Args:
             request: the request.
             candidate: the upstream to which it would have been sent, if any.
+            reason: why that upstream does not get it.
         """
         wait = estimate_retry_after(request, candidate)
-        if request.urgency is None or request.is_urgent:
+        is_first = request.is_urgent and reason is not Reason.over_share
+        if request.urgency is None or is_first:
             return wait
         wait *= random.uniform(1, LESS_URGENT_SPREAD)
         return min(MAX_RETRY_AFTER, wait)
 
-    def _find_reason(
-        self,
-        service: _Service,
-        request: Request,
-        candidate: Candidate,
-        spare: timedelta,
-    ) -> Reason | None:
-        now = self._clock.elapsed()
-        slots = candidate.state.record.slots
-        usable = request.usable_slots(slots)
-        is_contended = now < service.contended_until
-        part = 1.0
-        if is_contended:
-            part = service.shares.fair_part(_tenant_of(request), now)
-        if candidate.load < usable:
-            if spare < ZERO and now < service.useful_until:
-                return Reason.too_late
-            if part < 1 and random.random() > part:
-                return Reason.over_share
-            return None
-        if usable < slots and service.demand.is_urgent_waiting(
-            request.urgency, now
-        ):
-            return Reason.slots_reserved
-        if candidate.wait <= spare * request.wait_share * part:
-            return None
-        if candidate.wait <= spare * request.wait_share:
-            return Reason.over_share
-        return Reason.no_room
-
-    def _record_contention(
-        self,
-        service: _Service,
-        request: Request,
-        candidate: Candidate,
-        reason: Reason | None,
-        spare: timedelta,
-    ) -> None:
-        if reason is None and not candidate.must_wait:
-            return
-        now = self._clock.elapsed()
-        service.contended_until = now + CONTENTION_TIME
-        if request.urgency is not None and (
-            candidate.must_wait or reason is Reason.no_room
-        ):
-            service.demand.record_wait(request.urgency, now)
-        if spare >= ZERO:
-            service.useful_until = now + USEFUL_TIME
+    def _fair_part(
+        self, service: _Service, request: Request, now: timedelta
+    ) -> float:
+        """Returns the part of a tenant's requests that are admitted."""
+        if request.tenant is None or now >= service.contended_until:
+            return 1
+        part = service.shares.fair_part(request.tenant, now)
+        if part < 1:
+            self._counters.count('allocation.over-share')
+        return part
 
     def _service(self, name: str) -> _Service:
         found = self._services.get(name) or _Service(self._tenant_use)
         return keep_recent(self._services, name, found, MAX_SERVICES)
 
 
-def _tenant_of(request: Request) -> str:
-    return '' if request.tenant is None else request.tenant.name
-
-
-def _names(request: Request) -> tuple[str, ...]:
-    kind = f'route {request.route.name}'
-    if request.tenant is None:
-        return (kind,)
-    return (kind, f'tenant {request.tenant.name}')
+def _claim_of(request: Request) -> Claim:
+    tenant = '' if request.tenant is None else request.tenant.name
+    return Claim(request.route.name, tenant)
--- a/packages/lycheedyke/src/lycheedyke/state/fairness/_urgent_demand.py
+++ b/packages/lycheedyke/src/lycheedyke/state/fairness/_urgent_demand.py
@@ -9,9 +9,11 @@
 MAX_PRIORITIES = 16
 DEMAND_TIME = timedelta(seconds=2)
 # Without a request of a priority for this long, no slot is reserved for it.
-DEMAND_LIFE = timedelta(seconds=3)
+DEMAND_LIFE = timedelta(seconds=4)
+# How long an urgent request that had to wait keeps others out of the reserved
+# slots altogether; beyond it, they only expect to wait longer.
+WAIT_LIFE = timedelta(seconds=2)
 # The least share of an upstream's slots that is reserved while there is demand.
-WAIT_LIFE = timedelta(seconds=1)
 MIN_RESERVED_SHARE = 1 / 3
 
 
@@ -56,7 +58,7 @@
             return 0
         return max(MIN_RESERVED_SHARE, urgent / total)
 
-    def record_wait(self, priority: float, now: timedelta) -> None:
+    def record_wait(self, priority: float | None, now: timedelta) -> None:
         """Records that a request had to wait or was refused."""
         found = self._demands.get(str(priority))
         if found is not None:
--- a/tests/standins/contention_model.py
+++ b/tests/standins/contention_model.py
@@ -9,7 +9,7 @@
 from datetime import timedelta
 from typing import NamedTuple
 
-from lycheedyke.protocol import Tenant
+from lycheedyke.protocol import Reason, Tenant
 from lycheedyke.state import Candidate, Counters, Request, wait_share_of
 from lycheedyke.state.fairness import FixedUse, SlotAllocation
 from standins.load_model import (
@@ -72,6 +72,41 @@
     until: float = float('inf')
 
 
+BURST_START = 8.0
+BURST_SECONDS = 6.0
+# The worth of late responses, of 1 within the goal.
+PREMIUM_LATE = 0.29 / 3.6
+COURSE_LATE = 0.19 / 0.95
+LARGE_TENANT = 't-0'
+COURSE_BURST = Burst('course', '', 2.6, BURST_START, BURST_SECONDS)
+TENANT_BURST = Burst('', LARGE_TENANT, 7.5, BURST_START, BURST_SECONDS)
+
+
+def make_competing_load(instances: int = 7) -> Load:
+    """Returns premium tiles and course packs at the upstreams of a service.
+
+    Args:
+        instances: the number of instances in each of six zones.
+    """
+    course = RequestKind('course', 84.5 / 6, 0.6, 0.824, 4.944, 42, priority=1)
+    premium = RequestKind('premium', 139 / 6, 0.308, 0.362, 2.17, 69)
+    upstreams = {
+        'pnw-a': 7,
+        'pnw-b': 6,
+        'mt-a': 1,
+        'mt-b': 2,
+        'nc-a': 6,
+        'nc-b': 5,
+    }
+    return Load(
+        (course, premium),
+        upstreams,
+        seconds=BURST_START + BURST_SECONDS,
+        entries=instances,
+        known_objects=19,
+    )
+
+
 class Tally(NamedTuple):
     """Numbers of requests by kind or tenant."""
 
@@ -197,7 +232,6 @@
         self, zone: str, kind: RequestKind, now: float, tenant: Tenant
     ) -> None:
         self._schedule_arrival(zone, kind, now)
-        self._use.record(tenant.name, now)
         region = self._regions[zone]
         entry = self._entries[self._rng.choice(self._lists[zone])]
         route = make_route(
@@ -237,6 +271,8 @@
             super()._send(pending)
             return
         now = self._clock.elapsed().total_seconds() - self._start
+        if pending.request.tenant is not None:
+            self._use.record(pending.request.tenant.name, now)
         allocation = self._allocation(pending.entry)
         request = allocation.record_arrival(
             pending.request, pending.entry.run_times
@@ -245,7 +281,7 @@
         candidate = pending.entry.selector.choose(request)
         reason = candidate and allocation.judge(request, candidate, timedelta())
         if candidate is None or reason is not None:
-            self._refuse_here(pending, candidate, now)
+            self._refuse_here(pending, candidate, now, reason)
             return
         candidate.state.begin_request(request.object_key)
         hop = candidate.round_trip.total_seconds() / 2
@@ -263,13 +299,17 @@
             super()._refuse(pending, candidate, now)
 
     def _refuse_here(
-        self, pending: _PendingRequest, candidate: Candidate | None, now: float
+        self,
+        pending: _PendingRequest,
+        candidate: Candidate | None,
+        now: float,
+        reason: Reason | None = None,
     ) -> None:
         if pending.is_retry:
             super()._refuse(pending, candidate, now)
             return
         wait = self._allocation(pending.entry).retry_after(
-            pending.request, candidate
+            pending.request, candidate, reason
         )
         retry = pending._replace(is_retry=True)
         self._schedule(
