--- a/tests/unit/gateway/test_log_lines.py
+++ b/tests/unit/gateway/test_log_lines.py
@@ -13,7 +13,7 @@
 DAEMON = ROOT / 'packages/lycheedyke-daemon/src/lycheedyke_daemon'
 LIBRARY = ROOT / 'packages/lycheedyke/src/lycheedyke'
 SOURCES = (
-    *sorted((DAEMON / 'gateway').glob('*.py')),
+    *sorted((DAEMON / 'gateway').rglob('*.py')),
     DAEMON / 'service.py',
     DAEMON / 'background.py',
     DAEMON / 'crashes.py',
@@ -75,7 +75,7 @@
     part = page.split('### Metrics', 1)[1].split('\n### ', 1)[0]
     counted = {
         name
-        for path in (DAEMON / 'gateway').glob('*.py')
+        for path in (DAEMON / 'gateway').rglob('*.py')
         for name in _counters(path)
     }
     assert 'registry.restored' in counted
