--- a/tests/unit/gateway/test_log_lines.py
+++ b/tests/unit/gateway/test_log_lines.py
@@ -59,6 +59,9 @@
 
 
 def _texts(node: ast.expr) -> Iterator[str]:
+    if isinstance(node, ast.IfExp):
+        yield from _texts(node.body)
+        yield from _texts(node.orelse)
     if isinstance(node, ast.Constant) and isinstance(node.value, str):
         yield node.value
 
