Test the decisions on quotas, and show the use of each quota

Cause: a split that leaves the issuer with a minority was not tested, and operators could not see which tenants are near their quotas. An issuer samples 12 peers each 0.8 s instead of 6, as a third of the instances answered half of a sample of 6 by chance.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
@@ -54,6 +54,7 @@
     LimitExchange,
     QuotaExchange,
     QuotaGate,
+    collect_quotas,
 )
 from lycheedyke_daemon.idle_connections import IdleConnectionCloser
 from lycheedyke_daemon.servers import Connections, HttpServers
@@ -284,6 +285,7 @@
             self._follower,
             self._tracker,
         )
+        collector.collect_quotas = lambda: collect_quotas(self._quotas)
         try:
             await self._servers.open(make_metrics_app(collector), address)
         except OSError as error:
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_metrics.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_metrics.py
@@ -1,7 +1,7 @@
 """Metrics of an instance that replicates a registry."""
 
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Callable, Iterable, Iterator
 
 from prometheus_client.metrics_core import GaugeMetricFamily, Metric
 
@@ -31,6 +31,9 @@
         permits: provides the shares in the limits of upstreams.
         follower: provides the age of the registry view.
         tracker: counts the requests in flight.
+
+    Attributes:
+        collect_quotas: yields the metrics of the quotas of tenants.
     """
 
     def __init__(
@@ -43,6 +46,7 @@
         tracker: RequestTracker,
     ) -> None:
         """Initializes the collector."""
+        self.collect_quotas: Callable[[], Iterable[Metric]] = tuple
         self._counters = counters
         self._registry_view = registry_view
         self._upstream_table = upstream_table
@@ -78,6 +82,7 @@
         )
         yield self._upstreams()
         yield from self._limits()
+        yield from self.collect_quotas()
         yield event_counters(self._counters)
         yield latency_percentiles(self._counters)
 
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/rates/__init__.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/rates/__init__.py
@@ -7,6 +7,7 @@
     RunWithinQuota,
     run_freely,
 )
+from lycheedyke_daemon.gateway.rates._quota_metrics import collect_quotas
 
 __all__ = (
     'LimitExchange',
@@ -14,4 +15,5 @@
     'QuotaGate',
     'RunWithinQuota',
     'run_freely',
+    'collect_quotas',
 )
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/rates/_issuer_service.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/rates/_issuer_service.py
@@ -35,7 +35,7 @@
 # How long an issuer that has not answered is asked by nobody but one question.
 SILENT_PAUSE = timedelta(seconds=1)
 REACH_INTERVAL = timedelta(milliseconds=800)
-REACH_SAMPLE = 6
+REACH_SAMPLE = 12
 # A line on a tenant whose quota is used up is written once in this time.
 EXHAUSTED_PAUSE = timedelta(seconds=10)
 
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/rates/_quota_exchange.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/rates/_quota_exchange.py
@@ -117,6 +117,15 @@
         """Takes back the permit of a request that did not run."""
         self._account(tenant.name).give_back(permit)
 
+    def count_permits(self, tenant: str) -> int:
+        """Returns the number of permits for a tenant."""
+        account = self._accounts.get(tenant)
+        return (
+            0
+            if account is None
+            else account.count_permits(self._clock.elapsed())
+        )
+
     def _refuse(self, account: QuotaAccount) -> NotRun:
         now = self._clock.elapsed()
         if not account.knows_issuer(now):
--- a/packages/lycheedyke/src/lycheedyke/state/rates/_quota_account.py
+++ b/packages/lycheedyke/src/lycheedyke/state/rates/_quota_account.py
@@ -98,6 +98,11 @@
         self._drop_ended(now)
         return self._permits[0].starts if self._permits else None
 
+    def count_permits(self, now: timedelta) -> int:
+        """Returns the number of permits that have not ended."""
+        self._drop_ended(now)
+        return len(self._permits)
+
     def time_to_ask(self) -> timedelta:
         """Returns from when permits may be asked for."""
         return self._ask_at
--- a/tests/standins/quota_simulation.py
+++ b/tests/standins/quota_simulation.py
@@ -214,6 +214,12 @@
             if not one_way:
                 self.cuts.add((other, name))
 
+    def part(self, minority: set[str]) -> None:
+        """Cuts some instances off from all others and from the registry."""
+        for name in minority:
+            for other in {*self.nodes, REGISTRY} - minority:
+                self.cuts |= {(name, other), (other, name)}
+
     async def deliver(
         self, source: str, address: str, path: str, body: bytes
     ) -> PeerReply:
--- a/tests/unit/gateway/test_quotas.py
+++ b/tests/unit/gateway/test_quotas.py
@@ -232,6 +232,11 @@
             use = instance._quotas.tenant_use.use(TENANT)
             assert use is not None
             assert 1.4 < use < 2.6
+        metrics = await testbed.get(
+            testbed.settings[0].metrics_address, '/metrics'
+        )
+        assert b'lycheedyke_quota_use{tenant="tills"}' in metrics.body
+        assert b'lycheedyke_quota_permits{tenant="tills"}' in metrics.body
         await asyncio.sleep(6)
         assert testbed.instances[0]._quotas.tenant_use.use(TENANT) is None
 
--- a/tests/unit/test_quota_issuers.py
+++ b/tests/unit/test_quota_issuers.py
@@ -256,3 +256,31 @@
     _check_bound(world)
     late = [at for at in world.served if at > SETTLE_S + 8 + 6]
     assert len(late) >= 0.9 * 20 * 6
+
+
+# Guards against an issuer that goes on beside its successor.
+@pytest.mark.parametrize('size', [1, 2, 3])
+@pytest.mark.parametrize('rate', [40, 200])
+def test_an_issuer_in_a_minority_stops_before_it_is_replaced(
+    size: int, rate: int
+) -> None:
+    """Half of the demand is on its side, and links come back in between."""
+
+    async def _work(world: QuotaSimulation) -> None:
+        await asyncio.sleep(SETTLE_S)
+        first = _first_issuer(world)
+        others = [name for name in world.nodes if name != first]
+        minority = [first, *others[: size - 1]]
+        majority = others[size - 1 :]
+
+        def _choose() -> str:
+            side = world.rng.choice([minority, majority])
+            return world.rng.choice(side)
+
+        await world.offer(rate * 4, 2, _choose)
+        world.part(set(minority))
+        await world.offer(rate * 4, 12, _choose)
+        await _mend(world, first)
+        await world.offer(rate * 4, 6, _choose)
+
+    _check_bound(_simulate(size, rate, 20, 9, _work))
