Describe the quotas of tenants, and bound their messages by a test

Cause: each tick went through all tenants, and the messages of a quota that is used up were not measured.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/rates/_issuer_service.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/rates/_issuer_service.py
@@ -11,7 +11,7 @@
 
 from lycheedyke.clock import Clock
 from lycheedyke.protocol import EntryRecord
-from lycheedyke.state import Counters
+from lycheedyke.state import Counters, RouteTable
 from lycheedyke.state.rates import (
     IssuerRanks,
     IssuerStatus,
@@ -83,6 +83,14 @@
         self._silent_until: dict[str, timedelta] = {}
         self._logged_at: dict[str, timedelta] = {}
         self._claims = DetachedTasks()
+        self._read_table: RouteTable | None = None
+        self._known_quotas: tuple[tuple[str, Quota], ...] = ()
+        # What the schedules were last created for.
+        self._applied: tuple[bool, int, tuple[EntryRecord, ...]] = (
+            False,
+            0,
+            (),
+        )
 
     def __repr__(self) -> str:
         """Returns the issuer of this instance."""
@@ -101,8 +109,7 @@
         own = self._registry_view.entries.get(self._own.name)
         is_listed = own == self._own and not self.is_leaving()
         is_new = self._status.check(now, is_listed=is_listed)
-        quotas = tuple(self._quotas())
-        if not quotas:
+        if not self._quotas():
             return
         listed = self._registry_view.active_entries()
         if not is_listed:
@@ -110,7 +117,14 @@
         self.ranks.refresh(listed, now)
         if is_new:
             self._claims.start(self._claim())
-        self._update_schedules(quotas)
+        applied = (
+            self._status.may_issue(now),
+            self._registry_view.number,
+            self.ranks.candidates,
+        )
+        if applied != self._applied:
+            self._applied = applied
+            self._update_schedules(may_issue=applied[0])
 
     async def run(self) -> None:
         """Checks whether peers are reached, until cancelled."""
@@ -199,15 +213,19 @@
             ask, self._registry_view.max_instances
         )
 
-    def _quotas(self) -> Iterable[tuple[str, Quota]]:
+    def _quotas(self) -> tuple[tuple[str, Quota], ...]:
+        """Returns the quotas of the configuration in force."""
         table = self._registry_view.table
-        if table is None or table.tenants is None:
-            return ()
-        return (
-            (tenant.name, Quota(tenant.rate, tenant.burst))
-            for tenant in table.tenants.all()
-            if tenant.rate > 0
-        )
+        if table is not self._read_table:
+            self._read_table = table
+            directory = None if table is None else table.tenants
+            tenants = () if directory is None else directory.all()
+            self._known_quotas = tuple(
+                (tenant.name, Quota(tenant.rate, tenant.burst))
+                for tenant in tenants
+                if tenant.rate > 0
+            )
+        return self._known_quotas
 
     def _is_silent(self, issuer: EntryRecord, now: timedelta) -> bool:
         until = self._silent_until.get(issuer.incarnation)
@@ -217,11 +235,10 @@
         ranks = self.ranks.find(tenant)
         return bool(ranks) and ranks[0] == self._own
 
-    def _update_schedules(self, quotas: Iterable[tuple[str, Quota]]) -> None:
+    def _update_schedules(self, *, may_issue: bool) -> None:
         """Creates the schedules of tenants for which this instance is first."""
-        may_issue = self._status.may_issue(self._clock.elapsed())
         taken = 0
-        for tenant, quota in quotas:
+        for tenant, quota in self._quotas():
             is_mine = may_issue and self._is_first(tenant)
             if not is_mine:
                 self._issuer.release(tenant)
--- a/packages/lycheedyke/src/lycheedyke/state/rates/_quota_issuer.py
+++ b/packages/lycheedyke/src/lycheedyke/state/rates/_quota_issuer.py
@@ -24,7 +24,7 @@
 USE_TIME = timedelta(seconds=2)
 # A tenant whose quota is used up is asked for so often at most, by all
 # instances together.
-MAX_ASKS_PER_S = 200
+MAX_ASKS_PER_S = 100
 MIN_WAIT = timedelta(milliseconds=50)
 MAX_WAIT = timedelta(seconds=1)
 
--- a/tests/standins/quota_simulation.py
+++ b/tests/standins/quota_simulation.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections import Counter
 from collections.abc import Callable
 from datetime import timedelta
 from typing import Any, NamedTuple, cast
@@ -155,6 +156,8 @@
         self.cuts: set[tuple[str, str]] = set()
         self.registry_down = False
         self.arrivals: list[float] = []
+        # The messages by their path, of all instances.
+        self.messages: Counter[str] = Counter()
         self.served: list[float] = []
         self.refused: list[tuple[float, Reason]] = []
         self._count = instances
@@ -224,6 +227,7 @@
         self, source: str, address: str, path: str, body: bytes
     ) -> PeerReply:
         """Delivers a message; returns the answer."""
+        self.messages[path] += 1
         delay = self.rng.uniform(0.0005, 0.04)
         await asyncio.sleep(delay)
         node = self.nodes[address]
--- a/tests/unit/test_quota_decisions.py
+++ b/tests/unit/test_quota_decisions.py
@@ -26,10 +26,8 @@
     return QuotaIssuer('edge-0', 'edge-0@1', BOUNDS, clock)
 
 
-def _ask(rate: float, burst: float, wanted: int, **more: int) -> QuotaAsk:
-    return QuotaAsk(
-        'tills', more.pop('version', 1), rate, burst, wanted, **more
-    )
+def _ask(rate: float, burst: float, wanted: int, version: int = 1) -> QuotaAsk:
+    return QuotaAsk('tills', version, rate, burst, wanted)
 
 
 def _entry(at: int, capacity: float, run: int = 1) -> EntryRecord:
--- a/tests/unit/test_quota_issuers.py
+++ b/tests/unit/test_quota_issuers.py
@@ -10,6 +10,7 @@
 
 from lycheedyke.protocol import Tenant
 from lycheedyke.state.rates import IssuerRanks
+from lycheedyke_daemon.gateway.rates._issuer_service import QUOTAS_PATH
 from standins.quota_scenes import allowed, longest_gap, most_in_window
 from standins.quota_simulation import QuotaSimulation
 from standins.virtual_time import run_in_virtual_time
@@ -284,3 +285,21 @@
         await world.offer(rate * 4, 6, _choose)
 
     _check_bound(_simulate(size, rate, 20, 9, _work))
+
+
+# Guards against messages that grow with the refused requests.
+@pytest.mark.parametrize(
+    ('rate', 'burst', 'demand'),
+    [(2, 4, 1.25), (200, 200, 125), (200, 200, 800)],
+)
+def test_messages_are_bounded(rate: int, burst: int, demand: float) -> None:
+    """140 instances send one for each permit, and one a second each beyond."""
+
+    async def _work(world: QuotaSimulation) -> None:
+        await asyncio.sleep(SETTLE_S)
+        await world.offer(demand, 10, lambda: world.rng.choice([*world.nodes]))
+
+    world = _simulate(4, rate, burst, 140, _work)
+    _check_bound(world)
+    asked = world.messages[QUOTAS_PATH] / 10
+    assert asked <= len(world.served) / 10 + 140
