--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
@@ -50,7 +50,7 @@
 from lycheedyke_daemon.gateway._upstream_client import UpstreamClient
 from lycheedyke_daemon.gateway.bodies import ResponseStreams
 from lycheedyke_daemon.gateway.demand import DemandSteering
-from lycheedyke_daemon.gateway.rates import QuotaGate
+from lycheedyke_daemon.gateway.rates import QuotaGate, collect_quotas
 from lycheedyke_daemon.idle_connections import IdleConnectionCloser
 from lycheedyke_daemon.servers import Connections, HttpServers
 from lycheedyke_daemon.stopping import RequestTracker
@@ -263,6 +263,8 @@
             self._follower,
             self._tracker,
         )
+        quotas = self._exchanges.quotas
+        collector.collect_quotas = lambda: collect_quotas(quotas)
         try:
             await self._servers.open(make_metrics_app(collector), address)
         except OSError as error:
