Make the allocation of slots between tenants a setting

In the first 6 s, instances of one zone refused 110 requests for reasons of the allocation (over-share 56, slots-reserved 45, too-late 9) beside 52 for lack of room and 25 for quotas, with no burst and no large tenant at that time.

Change: [placement] allocate_slots, on by default, turns it off.

Result: test_gateway_settings, test_slot_allocation, test_tenants and test_pages pass.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_caller_api.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_caller_api.py
@@ -90,6 +90,8 @@
 
     Attributes:
         run_within_quota: runs a request if its tenant has a permit for it.
+        allocates_slots: whether slots are allocated between callers that
+            compete.
     """
 
     def __init__(
@@ -105,6 +107,7 @@
     ) -> None:
         """Initializes the API."""
         self.run_within_quota: RunWithinQuota = run_freely
+        self.allocates_slots = True
         self._registry_view = registry_view
         self._router = router
         self._names = names
@@ -247,12 +250,17 @@
                 table.rank(admitted.route, admitted.service, admitted.tenant)
             ),
             admitted.tenant,
-            table.urgency_of(admitted.route, admitted.tenant),
+            self._urgency_of(admitted),
             body_bytes=len(body),
         )
         work = self._to_work(admitted, body)
         return await self._router.run(request, work, admitted.http[SENT_TO])
 
+    def _urgency_of(self, admitted: _AdmittedRequest) -> float | None:
+        if not self.allocates_slots:
+            return None
+        return admitted.table.urgency_of(admitted.route, admitted.tenant)
+
     def _to_work(self, admitted: _AdmittedRequest, body: bytes) -> Work:
         http = admitted.http
         replaced = {
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
@@ -344,6 +344,7 @@
             schedule=self._schedule,
         )
         api.run_within_quota = QuotaGate(self._exchanges.quotas).run
+        api.allocates_slots = self._settings.allocates_slots
         app = web.Application(middlewares=[self._client.hold_answers])
         app.add_routes(api.routes())
         return app
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_settings.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_settings.py
@@ -77,6 +77,8 @@
             change the region in 2 s after a change of configuration.
         by_demand: whether the demand of zones determines where their callers
             are sent.
+        allocates_slots: whether slots are allocated between callers that
+            compete, where the configuration has tenants.
         max_homes: the maximum number of upstreams of a pool that are homes of
             one object; 1 gives each object one home, 0 none.
         zone_trip: the round trip to another zone of the region.
@@ -121,6 +123,7 @@
     quota_slack: int
     shift_most: float
     by_demand: bool
+    allocates_slots: bool
     max_homes: int
     zone_trip: timedelta
     region_trip: timedelta
@@ -198,6 +201,9 @@
         'by_demand': Field(
             'shifts', 'by_demand', read_switch, SWITCH_RULE, 'no'
         ),
+        'allocates_slots': Field(
+            'placement', 'allocate_slots', read_switch, SWITCH_RULE, 'yes'
+        ),
         'max_homes': Field(
             'placement', 'max_homes', read_bound, BOUND_RULE, '1'
         ),
