--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_caller_api.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_caller_api.py
@@ -156,9 +156,12 @@
         if table is None:
             return NotRun(Reason.not_ready, RETRY_AFTER_START)
         host = http.host.partition(':')[0]
-        route = table.find(host, http.raw_path.partition('?')[0])
+        path = http.raw_path.partition('?')[0]
+        route = table.find(host, path)
         if route is None:
-            return self._explain_missing(table, http)
+            if table.is_unreadable(host, path):
+                return NotRun(Reason.unreadable_route, RETRY_AFTER_UNREADABLE)
+            return NotRun(Reason.unknown_route)
         tenant = _identify(http, table)
         if tenant is None and table.tenants is not None and not route.public:
             return NotRun(Reason.unknown_key)
@@ -182,13 +185,6 @@
             tenant,
         )
 
-    def _explain_missing(self, table: RouteTable, http: web.Request) -> NotRun:
-        """Returns the refusal of a request that no readable route matches."""
-        host = http.host.partition(':')[0]
-        if table.is_unreadable(host, http.raw_path.partition('?')[0]):
-            return NotRun(Reason.unreadable_route, RETRY_AFTER_UNREADABLE)
-        return NotRun(Reason.unknown_route)
-
     def _may_take(self, http: web.Request, route: Route, service: str) -> bool:
         """Returns whether a stop, if one has begun, lets a request run."""
         turn = http[TURN]
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/rates/_quota_exchange.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/rates/_quota_exchange.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-from collections import OrderedDict
 from collections.abc import Iterable
 from datetime import timedelta
 
@@ -32,7 +31,6 @@
 MAX_PERMIT_WAIT = timedelta(milliseconds=250)
 WAIT_SHARE = 0.1
 MIN_RETRY_AFTER = timedelta(milliseconds=50)
-MAX_ACCOUNTS = 2048
 
 
 class QuotaExchange:
@@ -69,7 +67,8 @@
         self._registry_view = registry_view
         self._bounds = bounds
         self._clock = clock
-        self._accounts: OrderedDict[str, QuotaAccount] = OrderedDict()
+        # One for each tenant in use; idle ones are dropped.
+        self._accounts: dict[str, QuotaAccount] = {}
         self._answers: dict[str, asyncio.Event] = {}
         self._questions = DetachedTasks()
 
--- a/packages/lycheedyke/src/lycheedyke/coordination/_registry_follower.py
+++ b/packages/lycheedyke/src/lycheedyke/coordination/_registry_follower.py
@@ -4,8 +4,8 @@
 its watcher, polls the head, and the others poll their watcher; so the number
 of calls to the registry grows neither with instances nor with zones. An
 instance that gets no recent updates that way polls the registry itself. An
-instance without any updates polls peers of all zones. At its start, it reads everything
-from a seed that has it: the whole registry takes many calls.
+instance without any updates polls peers of all zones. A starting instance reads
+everything from a seed, as reading the whole registry takes many calls.
 """
 
 import logging
