--- a/review/standins-2/wire_io.py
+++ b/review/standins-2/wire_io.py
@@ -1,14 +1,18 @@
 """Reads and writes HTTP/1.1 messages on asyncio streams."""
 
 import asyncio
-import random
+import itertools
+import os
 import socket
 import struct
 from typing import Any, NamedTuple
 
 MAX_HEAD_BYTES = 65_536
 # Below the ports that the system gives to callers.
-PORTS = (15_000, 32_000)
+PORTS_FROM = 15_000
+RANGES = 160
+RANGE = 100
+_taken = itertools.count()
 
 
 class Message(NamedTuple):
@@ -133,15 +137,17 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Returns ports at which nothing listens, and no caller's port is."""
+    """Returns ports at which nothing listens, and no caller's port is.
+
+    Cases that run at the same time take them from different ranges.
+    """
     ports: list[int] = []
     while len(ports) < count:
-        port = random.randrange(*PORTS)
+        port = PORTS_FROM + os.getpid() % RANGES * RANGE + next(_taken) % RANGE
         with socket.socket() as tried:
             try:
                 tried.bind(('127.0.0.1', port))
             except OSError:
                 continue
-        if port not in ports:
-            ports.append(port)
+        ports.append(port)
     return ports
