Review case 8: a kill of all processes forgets a crashing request (BUDGET)

Evidence against a request that crashes backends is in memory alone until it is convicted, which takes two crashes and two trials with pauses of 8 s. One kill of all processes in that time brings the count back: the request crashes four more backends in four retries by machines in touch, where three are allowed.

--- /dev/null
+++ b/review/8/run.sh
@@ -0,0 +1,5 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, 2 if it could not run.
+here=$(cd "$(dirname "$0")" && pwd)
+PYTHONDONTWRITEBYTECODE=1 PYTHONPATH="$here/../standins-2" \
+    exec python3 "$here/case.py"
