--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,6 +1,7 @@
 """A machine gets SIGTERM while clients read large answers slowly."""
 
 import asyncio
+import os
 import signal
 import socket
 import sys
@@ -174,5 +175,10 @@
 
 if __name__ == '__main__':
     sys.exit(
-        play(scenario, MACHINES, Path(__file__).with_name('record.txt'))
+        play(
+            scenario,
+            MACHINES,
+            Path(__file__).with_name('record.txt'),
+            with_trouble=os.environ['TROUBLE'] != '0',
+        )
     )
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,6 +1,7 @@
 """A backend leaves while machines are restarted in turn."""
 
 import asyncio
+import os
 import signal
 import sys
 import time
@@ -98,5 +99,10 @@
 
 if __name__ == '__main__':
     sys.exit(
-        play(scenario, MACHINES, Path(__file__).with_name('record.txt'))
+        play(
+            scenario,
+            MACHINES,
+            Path(__file__).with_name('record.txt'),
+            with_trouble=os.environ['TROUBLE'] != '0',
+        )
     )
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,6 +1,7 @@
 """All processes are killed after a request has crashed its third backend."""
 
 import asyncio
+import os
 import sys
 import time
 from pathlib import Path
@@ -99,5 +100,10 @@
 
 if __name__ == '__main__':
     sys.exit(
-        play(scenario, MACHINES, Path(__file__).with_name('record.txt'))
+        play(
+            scenario,
+            MACHINES,
+            Path(__file__).with_name('record.txt'),
+            with_trouble=os.environ['TROUBLE'] != '0',
+        )
     )
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,5 +1,6 @@
 """A zone is evacuated right after the store came back from a copy."""
 
+import os
 import sys
 import time
 from pathlib import Path
@@ -73,5 +74,10 @@
 
 if __name__ == '__main__':
     sys.exit(
-        play(scenario, MACHINES, Path(__file__).with_name('record.txt'))
+        play(
+            scenario,
+            MACHINES,
+            Path(__file__).with_name('record.txt'),
+            with_trouble=os.environ['TROUBLE'] != '0',
+        )
     )
--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -420,7 +420,12 @@
 
 
 def play(
-    scenario: Scenario, zones: list[str], record: Path, limit_s: float = 110
+    scenario: Scenario,
+    zones: list[str],
+    record: Path,
+    *,
+    with_trouble: bool,
+    limit_s: float = 110,
 ) -> int:
     """Plays a case and returns the exit status of its script.
 
@@ -429,10 +434,9 @@
             whether the rule was broken.
         zones: the machines, as for `Deployment`.
         record: the file that is written.
+        with_trouble: whether the disruption is played.
         limit_s: the longest time.
     """
-    with_trouble = os.environ.get('TROUBLE', '1') != '0'
-
     async def run(folder: Path, file: TextIO) -> int:
         task = asyncio.current_task()
         assert task is not None
