--- a/packages/lycheedyke-ctl/src/lycheedyke_ctl/request_timeline.py
+++ b/packages/lycheedyke-ctl/src/lycheedyke_ctl/request_timeline.py
@@ -24,6 +24,7 @@
         'registry lost',
         'registry regained',
         'registry outage',
+        'outage refuted',
         'removal deferred',
         'deferral ended',
         'upstream out',
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_peer_updates.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_peer_updates.py
@@ -230,8 +230,10 @@
             self.age() // MILLISECOND,
             batch,
             self._replica.held_configurations(),
-            self._replica.deferral // MILLISECOND,
+            self._replica.deferral.left // MILLISECOND,
             self.silence() // MILLISECOND,
+            self._replica.deferral.token,
+            self._replica.deferral.steady // MILLISECOND,
         )
         return web.Response(body=msgspec.msgpack.encode(update))
 
--- a/packages/lycheedyke/src/lycheedyke/coordination/__init__.py
+++ b/packages/lycheedyke/src/lycheedyke/coordination/__init__.py
@@ -1,5 +1,6 @@
 """Coordination: membership, the ticket log and ownership of upstreams."""
 
+from lycheedyke.coordination._follow_intervals import FollowIntervals
 from lycheedyke.coordination._log_reader import LogReader, ticket_key
 from lycheedyke.coordination._log_writer import LogWriter
 from lycheedyke.coordination._membership import Members
@@ -18,7 +19,6 @@
 from lycheedyke.coordination._presence import Presence
 from lycheedyke.coordination._quarantine_publisher import QuarantinePublisher
 from lycheedyke.coordination._registry_follower import (
-    FollowIntervals,
     RegistryFollower,
     UpdateSources,
 )
--- a/packages/lycheedyke/src/lycheedyke/coordination/_registry_follower.py
+++ b/packages/lycheedyke/src/lycheedyke/coordination/_registry_follower.py
@@ -12,9 +12,14 @@
 import random
 from collections.abc import Callable
 from datetime import timedelta
-from typing import NamedTuple, Protocol
+from typing import Protocol
 
 from lycheedyke.clock import Clock
+from lycheedyke.coordination._follow_intervals import (
+    DEFAULT_INTERVALS,
+    FollowIntervals,
+)
+from lycheedyke.coordination._removal_deferral import PeerDeferral
 from lycheedyke.coordination._replica import Replica
 from lycheedyke.exceptions import (
     HistoryLost,
@@ -65,43 +70,6 @@
         """Returns all that a seed knows; None if none has read everything."""
 
 
-class FollowIntervals(NamedTuple):
-    """How often the registry and the peers are polled.
-
-    The age of an update adds up over the registry, the head and a watcher;
-    the sum stays below `silence`. Twice `silence` is less than the 2.5 s
-    within which the instances must apply a record.
-
-    Attributes:
-        registry: the interval of polls of the registry.
-        wait: how long such a poll waits for a change.
-        head: the interval at which a watcher polls the head.
-        watcher: the interval at which others poll their zone's watcher.
-        retry: the delay from a failed call of the registry to the next one.
-        max_retry: the maximum of this delay, which doubles with each
-            failure, for an instance that is not a watcher.
-        silence: the age of the last update from which the peers are polled,
-            and the shortest outage of the registry: records that are written
-            regularly do not lapse in less.
-        seed: the interval of polls of the seeds at the start.
-        start: how long after its start an instance polls the seeds before it
-            reads the registry itself; seeds read it in less.
-    """
-
-    registry: timedelta = timedelta(milliseconds=250)
-    wait: timedelta = timedelta(milliseconds=250)
-    head: timedelta = timedelta(milliseconds=200)
-    watcher: timedelta = timedelta(milliseconds=400)
-    retry: timedelta = timedelta(milliseconds=300)
-    max_retry: timedelta = timedelta(seconds=3)
-    silence: timedelta = timedelta(milliseconds=1200)
-    seed: timedelta = timedelta(milliseconds=100)
-    start: timedelta = timedelta(milliseconds=1500)
-
-
-DEFAULT_INTERVALS = FollowIntervals()
-
-
 def _never_paused(span: timedelta) -> timedelta:
     return timedelta()
 
@@ -143,6 +111,7 @@
         self._started = self._updated
         self._answered = self._updated
         self._has_full_state = False
+        self._has_asked_peers = False
         self._failed_since: timedelta | None = None
         self._failures = 0
         self._failures_since_answer = 0
@@ -189,11 +158,25 @@
             await self._clock.sleep(self._intervals.retry)
             # The owner of a record can't write it while nothing is answered.
             self._replica.remove_lapsed(self._answered)
-            if self._failed_since is None and self._is_recent(self._updated):
+            if not self._needs_peers:
                 continue
             asked = self._clock.elapsed()
             for update in await self._peers.poll_sample(self._replica.position):
                 self._merge(update, asked)
+            self._has_asked_peers = self._replica.revision > 0
+
+    @property
+    def _needs_peers(self) -> bool:
+        """Whether peers may know what this instance does not.
+
+        A new process does not know of an outage that has just ended, and
+        peers can refute one that only this instance has suffered.
+        """
+        if self._failed_since is not None or not self._has_asked_peers:
+            return True
+        if self._replica.deferral.left:
+            return True
+        return not self._is_recent(self._updated)
 
     async def _read_seeds(self) -> None:
         """Reads everything from a seed, if one has it soon enough."""
@@ -247,12 +230,16 @@
         if update.batch.generation < max(known, self._registry.generation):
             return False
         as_of = self._clock.elapsed() - update.age_ms * MILLISECOND
-        # The peer, or its source, judges whether there was an outage.
-        self._replica.defer_removals(update.deferral_ms * MILLISECOND)
+        answered = asked - _silence_of(update) - MILLISECOND
+        told = _deferral_of(update, asked, answered)
+        self._record_answered(answered)
+        # Before the changes, which may be removals to defer, and after them,
+        # as they may tell of a later generation.
+        self._replica.merge_deferral(told, update.batch.generation)
         self._replica.merge(update.batch)
+        self._replica.merge_deferral(told, update.batch.generation)
         self._replica.adopt_configurations(update.held)
         self._updated = max(self._updated, as_of)
-        self._record_answered(asked - _silence_of(update) - MILLISECOND)
         self._has_full_state = (
             self._has_full_state or self._replica.revision > 0
         )
@@ -336,6 +323,10 @@
         Args:
             answered: when it did, or an earlier time.
         """
+        deferral = self._replica.deferral
+        deferral.record_first_answer()
+        if answered - self._answered >= self._intervals.silence:
+            deferral.record_gap()
         self._answered = max(self._answered, answered)
         if answered > self._unanswered_since:
             self._failures_since_answer = 0
@@ -398,3 +389,16 @@
     if silence_ms is None:
         silence_ms = update.age_ms
     return silence_ms * MILLISECOND
+
+
+def _deferral_of(
+    update: RegistryUpdate, asked: timedelta, answered: timedelta
+) -> PeerDeferral:
+    steady_ms = update.steady_ms
+    return PeerDeferral(
+        asked,
+        update.deferral_ms * MILLISECOND,
+        update.deferral_token,
+        None if steady_ms is None else steady_ms * MILLISECOND,
+        answered,
+    )
--- a/packages/lycheedyke/src/lycheedyke/coordination/_replica.py
+++ b/packages/lycheedyke/src/lycheedyke/coordination/_replica.py
@@ -20,6 +20,10 @@
     is_written_late,
     replaces_configuration,
 )
+from lycheedyke.coordination._removal_deferral import (
+    PeerDeferral,
+    RemovalDeferral,
+)
 from lycheedyke.protocol import (
     EntryRecord,
     ItemBatch,
@@ -34,12 +38,8 @@
 # A record that is back with a copy although its owner has ended lapses in the
 # registry within this many times the time to write a record again.
 RETURNED_PERIODS = 3
-# An update of a peer arrives within this time, or is given up.
-MAX_UPDATE_TIME = timedelta(milliseconds=500)
 # The most keys that a log line names.
 MAX_LOGGED_KEYS = 10
-ZERO = timedelta()
-MILLISECOND = timedelta(milliseconds=1)
 
 OnChange = Callable[[RegistryItem, RegistryRecord | None], None]
 OnRestore = Callable[[Position], None]
@@ -79,7 +79,7 @@
         self._on_restore = on_restore
         self._items: dict[str, RegistryItem] = {}
         self._held: dict[str, Hold] = {}
-        self._removals_deferred_until = timedelta()
+        self._deferral = RemovalDeferral(clock, reappearance)
         self._returns_ignored_until = timedelta()
 
     def __repr__(self) -> str:
@@ -92,10 +92,9 @@
         return self.position.revision
 
     @property
-    def deferral(self) -> timedelta:
-        """How much longer removals of records that may lapse are deferred."""
-        left = self._removals_deferred_until - self._clock.elapsed()
-        return max(left, ZERO)
+    def deferral(self) -> RemovalDeferral:
+        """How long removals of records that may lapse are deferred."""
+        return self._deferral
 
     def record_outage(self, lasted: timedelta) -> None:
         """Records that the registry answers again after an outage.
@@ -103,29 +102,25 @@
         Args:
             lasted: how long the registry answered nobody.
         """
-        self._defer_removals(self._reappearance, 'own calls', lasted)
-
-    def defer_removals(self, deferral: timedelta) -> None:
-        """Adopts the deferral of a peer that has found an outage.
+        self._deferral.start('own calls', lasted)
 
-        Args:
-            deferral: how much longer the peer defers removals. One that is
-                known already seems longer by the time that its update took.
-        """
-        deferral = min(deferral, self._reappearance)
-        if deferral > self.deferral + MAX_UPDATE_TIME:
-            self._defer_removals(deferral, 'peer')
+    def merge_deferral(self, told: PeerDeferral, generation: int) -> None:
+        """Merges what a peer told of outages in a generation."""
+        if generation == self.position.generation:
+            self._deferral.merge(told)
 
     def merge(self, batch: ItemBatch) -> int:
         """Merges changes; returns how many were new.
 
         Args:
             batch: the changes, which are complete up to its revision; all
-                items if its generation is later than the one known here.
+                items if its generation is later than the one known here. The
+                first state that a process reads is no return of the registry,
+                whatever its generation.
         """
         if batch.generation < self.position.generation:
             return 0
-        if batch.generation > self.position.generation:
+        if batch.generation > self.position.generation and self.revision:
             self._restore(batch)
             return len(batch.items)
         held = set(self._held)
@@ -218,25 +213,6 @@
             if item.record is not None:
                 yield item.record
 
-    def _defer_removals(
-        self,
-        deferral: timedelta,
-        found_by: str,
-        lasted: timedelta = ZERO,
-    ) -> None:
-        self._removals_deferred_until = self._clock.elapsed() + deferral
-        _logger.warning(
-            'registry outage',
-            extra={
-                'found_by': found_by,
-                'lasted_ms': lasted // MILLISECOND,
-                'removals_deferred_until': self._deferred_until(),
-            },
-        )
-
-    def _deferred_until(self) -> str:
-        return (self._clock.now() + self.deferral).isoformat()
-
     def _report_deferred(self, keys: Collection[str]) -> None:
         if not keys:
             return
@@ -245,7 +221,7 @@
             extra={
                 **_describe_keys(keys),
                 'reason': 'may have lapsed in an outage',
-                'until': self._deferred_until(),
+                'until': self._deferral.describe_end(),
             },
         )
 
@@ -274,7 +250,7 @@
         missing = {key: RegistryItem(key, batch.revision) for key in before}
         self._items = missing | {item.key: item for item in batch.items}
         self._held = self._find_holds(before)
-        self._defer_removals(self._reappearance, 'restored copy')
+        self._deferral.start('restored copy')
         self._returns_ignored_until = self._clock.elapsed() + (
             RETURNED_PERIODS * self._reappearance
         )
@@ -320,7 +296,7 @@
     def _held_until(self, reason: HoldReason) -> timedelta:
         match reason:
             case HoldReason.lapsed:
-                return self._removals_deferred_until
+                return self._deferral.until
             case HoldReason.unwritten:
                 return timedelta.max
         return self._returns_ignored_until
@@ -352,7 +328,7 @@
             return False
         if not isinstance(record, UpstreamRecord | EntryRecord):
             return False
-        return self._clock.elapsed() < self._removals_deferred_until
+        return self._deferral.left > timedelta()
 
 
 def _describe_keys(keys: Collection[str]) -> dict[str, object]:
--- a/packages/lycheedyke/src/lycheedyke/protocol/_registry.py
+++ b/packages/lycheedyke/src/lycheedyke/protocol/_registry.py
@@ -298,6 +298,11 @@
             earlier releases.
         silence_ms: the time since the registry is known to have answered any
             instance, in milliseconds, or longer; None from earlier releases.
+        deferral_token: the identity of the notice of an outage that the
+            deferral follows; '' from earlier releases.
+        steady_ms: how long the registry is known to have answered in this
+            generation without an outage, in milliseconds; None from earlier
+            releases.
     """
 
     age_ms: int
@@ -305,6 +310,8 @@
     held: tuple[RegistryItem, ...] = ()
     deferral_ms: int = 0
     silence_ms: int | None = None
+    deferral_token: str = ''
+    steady_ms: int | None = None
 
 
 class Announcement(NamedTuple):
--- a/tests/unit/gateway/test_interrupted_watches.py
+++ b/tests/unit/gateway/test_interrupted_watches.py
@@ -320,3 +320,37 @@
         assert _names() == {'deferral ended'}
 
     run_scenario(tmp_path, _scene, limit_s=LIMIT_SECONDS)
+
+
+# Guards against DRAIN: each new process that read a store with an era above 0
+# deferred removals anew, at itself and at all that it passed its updates to.
+@pytest.mark.parametrize('era', [0, 1, 5])
+def test_restarts_in_turn_defer_no_removal(tmp_path: Path, era: int) -> None:
+    """The head stops and starts again and again while an upstream leaves."""
+
+    async def _restart_head(testbed: GatewayTestbed) -> None:
+        at = testbed.instances.index(_head(testbed))
+        settings = testbed.settings.pop(at)
+        await testbed.instances.pop(at).stop()
+        await testbed.start(settings.name)
+
+    async def _scene(testbed: GatewayTestbed) -> None:
+        testbed.store.era = era
+        for at in range(4):
+            await testbed.start(f'edge-{at}')
+        await testbed.wait_all_listed()
+        await asyncio.sleep(AWAY_SECONDS)
+        await _restart_head(testbed)
+        await asyncio.sleep(1)
+        _remove(testbed, 0)
+        removed_at = asyncio.get_running_loop().time()
+        for _ in range(3):
+            await _restart_head(testbed)
+            await asyncio.sleep(0.6)
+        late = asyncio.get_running_loop().time() - removed_at
+        await asyncio.sleep(max(0, DRAIN_SECONDS - late))
+        assert [_known(each) for each in testbed.instances] == [1] * 4
+
+    run_scenario(
+        tmp_path, _scene, limit_s=LIMIT_SECONDS, upstreams=2, instances=0
+    )
--- a/tests/unit/gateway/test_log_lines.py
+++ b/tests/unit/gateway/test_log_lines.py
@@ -26,6 +26,7 @@
     LIBRARY / 'state/_suspects.py',
     LIBRARY / 'state/placement/_placement.py',
     LIBRARY / 'coordination/_registry_follower.py',
+    LIBRARY / 'coordination/_removal_deferral.py',
     LIBRARY / 'coordination/_replica.py',
     LIBRARY / 'coordination/_presence.py',
     LIBRARY / 'coordination/_quarantine_publisher.py',
--- a/tests/unit/gateway/test_replica.py
+++ b/tests/unit/gateway/test_replica.py
@@ -8,7 +8,8 @@
 from hypothesis import strategies as st
 
 from lycheedyke.coordination import RegistryFollower, Replica
-from lycheedyke.coordination._registry_follower import DEFAULT_INTERVALS
+from lycheedyke.coordination._follow_intervals import DEFAULT_INTERVALS
+from lycheedyke.coordination._removal_deferral import PeerDeferral
 from lycheedyke.exceptions import HistoryLost, PlatformUnreachable
 from lycheedyke.protocol import (
     EvacuationRecord,
@@ -365,19 +366,27 @@
     assert removed in replica.changes_after(Position(0, 0)).items
 
 
+def _tell(sender: Replica, clock: ManualClock, took_s: float) -> PeerDeferral:
+    """Returns what a peer hears from `sender` in an update that takes a time."""
+    asked = clock.elapsed()
+    clock.advance(took_s)
+    told = sender.deferral
+    answered = asked - MILLISECOND
+    return PeerDeferral(asked, told.left, told.token, told.steady, answered)
+
+
+# Guards against DRAIN: a deferral was moved on by each update that told of it.
 def test_a_deferral_that_peers_tell_each_other_ends_by_its_time() -> None:
-    """Each update takes some time, and seems to tell of a longer deferral."""
+    """Each update takes some time, and tells of a longer deferral."""
     told, clock, _ = _make()
     heard = Replica(clock, REAPPEARANCE, lambda item, before: None)
     told.record_outage(OUTAGE)
-    until = clock.elapsed() + REAPPEARANCE
+    until = told.deferral.until
     for _ in range(6):
         for sender, receiver in ((told, heard), (heard, told)):
-            deferral = sender.deferral
-            clock.advance(0.2)
-            receiver.defer_removals(deferral)
-    assert told.deferral <= max(until - clock.elapsed(), timedelta())
-    assert heard.deferral <= timedelta(seconds=0.2)
+            receiver.merge_deferral(_tell(sender, clock, 0.2), 0)
+    assert told.deferral.until == until
+    assert until - timedelta(seconds=0.2) <= heard.deferral.until <= until
 
 
 def test_what_peers_pass_on_in_an_outage_does_not_shorten_it() -> None:
