--- a/packages/lycheedyke/src/lycheedyke/coordination/_holds.py
+++ b/packages/lycheedyke/src/lycheedyke/coordination/_holds.py
@@ -10,8 +10,13 @@
 from enum import Enum
 from typing import NamedTuple
 
+from lycheedyke.coordination._record_history import (
+    RecordHistory,
+    leaves_for_good,
+)
 from lycheedyke.protocol import (
     EntryRecord,
+    EvacuationRecord,
     RegistryItem,
     RegistryRecord,
     RoutingRecord,
@@ -25,6 +30,7 @@
     lapsed = 'the registry no longer has it'
     outdated = 'the registry has an older one'
     removed = 'the registry has it back'
+    unclear = 'the registry has it back, or it was written again'
     unwritten = 'the registry has a configuration of a lower number'
 
 
@@ -44,16 +50,17 @@
 def compare_with_copy(
     known: RegistryItem,
     present: RegistryItem,
+    history: RecordHistory,
 ) -> HoldReason | None:
     """Returns why a known item stays in effect, or None if it does not.
 
     Args:
         known: the item in effect, under a revision of an earlier generation.
         present: the registry's item; without a record if it has none.
+        history: the versions that were known in earlier generations.
     """
     if known.record is None:
-        returned = present.record is None or present.revision <= known.revision
-        return HoldReason.removed if returned else None
+        return _compare_with_removed(known, present, history)
     if isinstance(known.record, RoutingRecord):
         is_newer = _is_newer_configuration(known.record, present.record)
         return HoldReason.unwritten if is_newer else None
@@ -61,12 +68,52 @@
         return HoldReason.lapsed
     if _is_newer_run(known.record, present.record):
         return HoldReason.outdated
+    if present.revision > known.revision:
+        return None
     if _is_other_incarnation(known.record, present.record):
-        is_newer = known.revision > present.revision
-        return HoldReason.outdated if is_newer else None
+        return _compare_origin(present, history, HoldReason.outdated)
     return None
 
 
+def _compare_with_removed(
+    removed: RegistryItem,
+    present: RegistryItem,
+    history: RecordHistory,
+) -> HoldReason | None:
+    """Returns why a removal stays in effect, or None if it does not."""
+    if present.record is None:
+        return HoldReason.removed
+    if present.revision > removed.revision:
+        return None
+    last = history.last_record(present.key)
+    if leaves_for_good(last, present.record):
+        return HoldReason.removed
+    origin = _compare_origin(present, history, HoldReason.removed)
+    if origin is HoldReason.unclear and isinstance(
+        present.record, EvacuationRecord
+    ):
+        # An evacuation that is ignored harms callers; one that comes back
+        # for a moment costs room.
+        return None
+    return origin
+
+
+def _compare_origin(
+    present: RegistryItem,
+    history: RecordHistory,
+    reason: HoldReason,
+) -> HoldReason | None:
+    """Returns whether a record came back with the copy.
+
+    Returns:
+        `reason` if it did, None if it was written since, `unclear` if its
+        identity does not tell.
+    """
+    if history.has_version(present):
+        return reason
+    return None if history.is_created_since(present) else HoldReason.unclear
+
+
 def is_written_late(
     held: RegistryRecord | None,
     written: RegistryRecord | None,
--- a/packages/lycheedyke/src/lycheedyke/coordination/_replica.py
+++ b/packages/lycheedyke/src/lycheedyke/coordination/_replica.py
@@ -20,12 +20,17 @@
     is_written_late,
     replaces_configuration,
 )
+from lycheedyke.coordination._record_history import (
+    RecordHistory,
+    leaves_for_good,
+)
 from lycheedyke.coordination._removal_deferral import (
     PeerDeferral,
     RemovalDeferral,
 )
 from lycheedyke.protocol import (
     EntryRecord,
+    EvacuationRecord,
     ItemBatch,
     Position,
     RegistryItem,
@@ -38,6 +43,9 @@
 # A record that is back with a copy although its owner has ended lapses in the
 # registry within this many times the time to write a record again.
 RETURNED_PERIODS = 3
+# An evacuation must be in force everywhere 5 s after it was written. One that
+# was written under the revision of an earlier one can't be told from it.
+MAX_EVACUATION_HOLD = timedelta(milliseconds=3500)
 # The most keys that a log line names.
 MAX_LOGGED_KEYS = 10
 
@@ -80,7 +88,8 @@
         self._items: dict[str, RegistryItem] = {}
         self._held: dict[str, Hold] = {}
         self._deferral = RemovalDeferral(clock, reappearance)
-        self._returns_ignored_until = timedelta()
+        self._history = RecordHistory()
+        self._returned_at = timedelta()
 
     def __repr__(self) -> str:
         """Returns the position and the number of items."""
@@ -197,7 +206,7 @@
         ended = {
             key: hold
             for key, hold in self._held.items()
-            if answered >= self._held_until(hold.reason)
+            if answered >= self._held_until(key, hold.reason)
         }
         for key, hold in ended.items():
             self._held.pop(key)
@@ -230,11 +239,16 @@
         if known is not None and known.revision >= item.revision:
             return False
         self._items[item.key] = item
+        left = self._history.last_record(item.key)
+        self._history.remember(item)
         hold = self._held.pop(item.key, None)
         if hold is not None:
             known = hold.item
         before = known.record if known is not None else None
-        if hold is not None and is_written_late(before, item.record):
+        if hold is not None and (
+            is_written_late(before, item.record)
+            or leaves_for_good(left, item.record)
+        ):
             self._held[item.key] = hold
         elif known is not None and self._is_removal_deferred(item, before):
             self._held[item.key] = Hold(known, HoldReason.lapsed)
@@ -251,9 +265,9 @@
         self._items = missing | {item.key: item for item in batch.items}
         self._held = self._find_holds(before)
         self._deferral.start('restored copy')
-        self._returns_ignored_until = self._clock.elapsed() + (
-            RETURNED_PERIODS * self._reappearance
-        )
+        self._returned_at = self._clock.elapsed()
+        for item in batch.items:
+            self._history.remember(item)
         for key, item in self._items.items():
             record = before[key].record if key in before else None
             if key not in self._held and item.record != record:
@@ -267,7 +281,7 @@
     ) -> dict[str, Hold]:
         holds = {}
         for key, known in before.items():
-            reason = compare_with_copy(known, self._items[key])
+            reason = compare_with_copy(known, self._items[key], self._history)
             if reason is not None:
                 holds[key] = Hold(known, reason)
         return holds
@@ -293,13 +307,18 @@
         held = {key: hold.item for key, hold in self._held.items()}
         return self._items | held
 
-    def _held_until(self, reason: HoldReason) -> timedelta:
+    def _held_until(self, key: str, reason: HoldReason) -> timedelta:
         match reason:
             case HoldReason.lapsed:
                 return self._deferral.until
             case HoldReason.unwritten:
                 return timedelta.max
-        return self._returns_ignored_until
+            case HoldReason.unclear:
+                return self._returned_at + self._reappearance
+        lasts = RETURNED_PERIODS * self._reappearance
+        if isinstance(self._items[key].record, EvacuationRecord):
+            lasts = min(lasts, MAX_EVACUATION_HOLD)
+        return self._returned_at + lasts
 
     def _drop_old_tombstones(self) -> None:
         """Drops the older half of the tombstones once there are too many."""
@@ -318,6 +337,7 @@
             or item.revision >= oldest
             or key in self._held
         }
+        self._history.retain(self._items.keys())
 
     def _is_removal_deferred(
         self,
--- a/packages/lycheedyke/src/lycheedyke/protocol/_registry.py
+++ b/packages/lycheedyke/src/lycheedyke/protocol/_registry.py
@@ -246,11 +246,14 @@
         key: identifies the item.
         revision: the registry's revision at its last change.
         record: the content; None if it was removed or cannot be decoded.
+        created: the revision at which the key was created; 0 if it was
+            removed, and from earlier releases.
     """
 
     key: str
     revision: int
     record: RegistryRecord | None = None
+    created: int = 0
 
 
 class Position(NamedTuple):
--- a/tests/unit/gateway/test_generations.py
+++ b/tests/unit/gateway/test_generations.py
@@ -26,6 +26,11 @@
 
 REAPPEARANCE_S = 2
 RETURNED_S = 6
+# An evacuation is in force everywhere 5 s after it was written, and needs up
+# to 1.2 s to reach all instances.
+EVACUATION_S = 5 - 1.2
+# What an operator needs at most to take one back again.
+EVACUATION_HELD_S = 3.5
 ZONE_A = 'evacuation/a'
 ZONE_B = 'evacuation/b'
 LEAVING = make_upstream('u', leaving=True)
@@ -131,13 +136,102 @@
     view.merge(700, item)
     view.merge(880, RegistryItem(item.key, 880))
     view.merge(805, item, at=1)
-    view.pass_time(RETURNED_S - 0.1)
+    is_evacuation = isinstance(item.record, EvacuationRecord)
+    held_s = EVACUATION_HELD_S if is_evacuation else RETURNED_S
+    view.pass_time(held_s - 0.1)
     assert not view.records
     view.merge(806, RegistryItem(item.key, 806), at=1)
     view.pass_time(10)
     assert not view.records
 
 
+# Guards against EVAC: an evacuation that was written after the return, under a
+# revision below that of its earlier removal, was ignored for six seconds.
+@pytest.mark.parametrize(
+    'item',
+    [
+        RegistryItem(ZONE_A, 690, EvacuationRecord('a'), 690),
+        RegistryItem(ZONE_A, 701, EvacuationRecord('a'), 701),
+        # Written again over the copy's record.
+        RegistryItem(ZONE_A, 710, EvacuationRecord('a'), 700),
+        # By an earlier release, which tells no creation.
+        _evacuation(ZONE_A, 701),
+    ],
+)
+def test_an_evacuation_written_since_the_return_counts_at_once(
+    item: RegistryItem,
+) -> None:
+    """It has another identity than the one that was taken back."""
+    view = _View()
+    view.merge(700, RegistryItem(ZONE_A, 700, EvacuationRecord('a'), 700))
+    view.merge(880, RegistryItem(ZONE_A, 880))
+    view.merge(805, item, at=1)
+    assert set(view.records) == {ZONE_A}
+
+
+# Guards against EVAC: the registry may give the very revision out again.
+def test_an_evacuation_under_the_same_revision_is_in_force_in_time() -> None:
+    """Nothing tells it from the one that was taken back."""
+    view = _View()
+    item = RegistryItem(ZONE_A, 700, EvacuationRecord('a'), 700)
+    view.merge(700, item)
+    view.merge(880, RegistryItem(ZONE_A, 880))
+    view.merge(705, item, at=1)
+    view.pass_time(EVACUATION_S)
+    assert set(view.records) == {ZONE_A}
+
+
+# Guards against upstreams left idle: one that had lapsed before the return, and
+# that wrote its record again under a low revision, was ignored for six seconds.
+@pytest.mark.parametrize(
+    ('created', 'after_s'), [(701, 0), (0, REAPPEARANCE_S), (700, 2)]
+)
+def test_an_upstream_that_registers_after_the_return_is_used(
+    created: int, after_s: float
+) -> None:
+    """At once if its key is new, else once all had the time to write."""
+    view = _View()
+    view.merge(720, RegistryItem('u', 720, make_upstream('u'), 700))
+    view.merge(880, RegistryItem('u', 880))
+    written = RegistryItem('u', 705, make_upstream('u'), created)
+    view.merge(805, written, at=1)
+    view.pass_time(after_s)
+    assert set(view.records) == {'u'}
+
+
+# Guards against look-ups without a restarted instance: its record was taken for
+# an older one, by its lower revision, and ignored for six seconds.
+@pytest.mark.parametrize(
+    ('created', 'after_s'), [(801, 0), (0, REAPPEARANCE_S)]
+)
+def test_an_instance_that_restarted_since_the_copy_is_known(
+    created: int, after_s: float
+) -> None:
+    """At once if its key is new, else once all had the time to write."""
+    view = _View()
+    old, new = _entry(880, 'old').record, _entry(801, 'new').record
+    view.merge(880, RegistryItem('e', 880, old, 880))
+    view.merge(805, RegistryItem('e', 801, new, created), at=1)
+    view.pass_time(after_s)
+    assert view.records == {'e': new}
+
+
+# Guards against use of an upstream that left: its record came back, and a late
+# repetition of an old one ended the hold.
+def test_an_upstream_that_left_is_not_used_by_a_late_repetition() -> None:
+    """Only a later run of the upstream counts before the hold ends."""
+    view = _View()
+    view.merge(700, _upstream(700))
+    view.merge(870, _upstream(870, leaving=True))
+    view.merge(880, RegistryItem('u', 880))
+    view.merge(805, _upstream(700), at=1)
+    view.merge(806, _upstream(806), at=1)
+    view.pass_time(RETURNED_S - 0.1)
+    assert not view.records
+    view.merge(807, _upstream(807, born=2), at=1)
+    assert view.records == {'u': make_upstream('u', born=2)}
+
+
 def test_what_the_registry_keeps_comes_back_in_the_end() -> None:
     """An upstream that is not removed again was written again unseen."""
     view = _View()
