--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_caller_api.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_caller_api.py
@@ -33,7 +33,11 @@
 from lycheedyke_daemon.gateway._router import GatewayRouter
 from lycheedyke_daemon.gateway._stop_schedule import StopSchedule
 from lycheedyke_daemon.gateway._unanswered import SENT_TO, UnansweredReport
-from lycheedyke_daemon.gateway.bodies import STREAM, ResponseStreams
+from lycheedyke_daemon.gateway.bodies import (
+    STREAM,
+    ResponseStream,
+    ResponseStreams,
+)
 from lycheedyke_daemon.gateway.rates import RunWithinQuota, run_freely
 from lycheedyke_daemon.pipeline import TURN, may_pass_on
 from lycheedyke_daemon.work import MAX_LOGGED, Work, end_to_end_headers
@@ -63,7 +67,12 @@
 
 
 class _AdmittedRequest(NamedTuple):
-    """An admitted request, before its body is read."""
+    """An admitted request, before its body is read.
+
+    Attributes:
+        deadline: when its run ends at the latest; a stop may shorten it.
+        due: when its caller must have the answer, in elapsed time.
+    """
 
     http: web.Request
     table: RouteTable
@@ -71,6 +80,7 @@
     service: str
     started: timedelta
     deadline: timedelta
+    due: timedelta
     tenant: Tenant | None
 
 
@@ -117,6 +127,7 @@
         self._counters = telemetry.counters
         self._decision_log = telemetry.decision_log
         self._schedule = schedule
+        self._handovers = streams.handovers
         self._streams = streams
         self._unanswered = UnansweredReport(names.request, telemetry, schedule)
         self._round_robin = WeightedRoundRobin(telemetry.instance)
@@ -145,6 +156,24 @@
                 lambda: self._run(admitted),
             )
             response = self._respond(http, admitted, outcome, started)
+            return await self._hand_over(admitted, outcome, response, stream)
+
+    async def _hand_over(
+        self,
+        admitted: _AdmittedRequest,
+        outcome: Outcome,
+        response: web.Response,
+        stream: ResponseStream,
+    ) -> web.StreamResponse:
+        """Returns the answer, of which a stream has written all."""
+        route = admitted.route.name
+        if not isinstance(outcome, Answered):
+            return await stream.finish(outcome, response)
+        if not stream.size:
+            self._handovers.record_size(route, len(outcome.body))
+            return response
+        self._handovers.record_size(route, stream.size)
+        with self._handovers.measure(route, admitted.due):
             return await stream.finish(outcome, response)
 
     def _admit(
@@ -168,31 +197,40 @@
         self._registry_view.route_use.record(route)
         service = self._round_robin.choose(route)
         self._registry_view.arrivals.record(service)
-        if not self._may_take(http, route, service):
-            return NotRun(Reason.stopping, RETRY_AFTER_STOP)
         remaining = self._read_remaining(http)
         if remaining is None or not http.headers.get(self._names.request):
             return NotRun(Reason.bad_request)
+        due = started + min(remaining, route.timeout)
+        if not self._may_take(http, route, service, due):
+            return NotRun(Reason.stopping, RETRY_AFTER_STOP)
         return _AdmittedRequest(
             http,
             table,
             route,
             service,
             started,
-            self._schedule.bound_deadline(
-                started + min(remaining, route.timeout)
-            ),
+            self._schedule.bound_deadline(due),
+            due,
             tenant,
         )
 
-    def _may_take(self, http: web.Request, route: Route, service: str) -> bool:
+    def _may_take(
+        self, http: web.Request, route: Route, service: str, due: timedelta
+    ) -> bool:
         """Returns whether a stop, if one has begun, lets a request run."""
         turn = http[TURN]
         is_behind = turn.is_closing or not turn.is_first
         if self._schedule.has_begun and is_behind:
             return False
+        return self._fits_stop(route, service, due)
+
+    def _fits_stop(self, route: Route, service: str, due: timedelta) -> bool:
+        """Returns whether a stop leaves the time for a run and its answer."""
+        if not self._schedule.has_begun:
+            return True
         return self._schedule.may_take(
-            self._router.expected_run(route, service)
+            self._router.expected_run(route, service),
+            self._handovers.expected(route, due - self._clock.elapsed()),
         )
 
     async def _run(self, admitted: _AdmittedRequest) -> Outcome:
@@ -233,9 +271,7 @@
             reason = Reason.deadline_passed if is_late else Reason.stopping
             return NotRun(reason, RETRY_AFTER_STOP)
         # A stop may have begun while the body arrived.
-        if not self._schedule.may_take(
-            self._router.expected_run(admitted.route, admitted.service)
-        ):
+        if not self._fits_stop(admitted.route, admitted.service, admitted.due):
             return NotRun(Reason.stopping, RETRY_AFTER_STOP)
         table = admitted.table
         request = Request(
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
@@ -339,7 +339,9 @@
             router,
             self._deployment.headers,
             BodyMemory(self._settings.body_memory_bytes),
-            ResponseStreams(self._client.memory, self._tracker, self._counters),
+            ResponseStreams(
+                self._client.memory, self._tracker, self._telemetry
+            ),
             self._telemetry,
             schedule=self._schedule,
         )
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_stop_schedule.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_stop_schedule.py
@@ -22,6 +22,7 @@
 # arrive within this time.
 REFUSING_TIME = timedelta(milliseconds=200)
 POLL_SECONDS = 0.05
+ZERO = timedelta()
 
 
 class StopSchedule:
@@ -56,17 +57,22 @@
         """Whether the instance is stopping."""
         return self._begun_at is not None
 
-    def may_take(self, expected: timedelta) -> bool:
+    def may_take(
+        self, expected: timedelta, handed_over: timedelta = ZERO
+    ) -> bool:
         """Returns whether a new request is likely to end before the stop does.
 
         Args:
-            expected: the time that the request is expected to take.
+            expected: the time that its run is expected to take.
+            handed_over: the time until the caller has its whole answer.
         """
         if self.is_over:
             return False
         if self._begun_at is None:
             return True
         passed = self._passed()
+        if passed + handed_over > self._grace * CLOSING_SHARE:
+            return False
         fits = passed + expected <= self._grace * FINISHING_SHARE
         return fits and passed <= TAKING_TIME
 
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/bodies/__init__.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/bodies/__init__.py
@@ -1,5 +1,6 @@
 """Large bodies: responses that are passed on while they arrive."""
 
+from lycheedyke_daemon.gateway.bodies._handovers import Handovers
 from lycheedyke_daemon.gateway.bodies._response_stream import (
     STREAM,
     ResponseStream,
@@ -12,6 +13,7 @@
 
 __all__ = (
     'STREAM',
+    'Handovers',
     'ResponseStream',
     'ResponseStreams',
     'open_stream',
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/bodies/_response_stream.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/bodies/_response_stream.py
@@ -16,8 +16,9 @@
 
 from lycheedyke.exceptions import BodyMemoryFull
 from lycheedyke.protocol import Answered, Outcome
-from lycheedyke.state import Counters
 from lycheedyke.transport import BodyMemory, StreamedBody
+from lycheedyke_daemon.gateway._decision_log import Telemetry
+from lycheedyke_daemon.gateway.bodies._handovers import Handovers
 from lycheedyke_daemon.pipeline import TURN, ResponseIncomplete
 from lycheedyke_daemon.stopping import RequestTracker
 
@@ -39,16 +40,23 @@
     Args:
         memory: bounds the memory of all responses.
         tracker: begins responses, and knows of a planned stop.
-        counters: counts the streamed and the incomplete responses.
+        telemetry: counts the streamed and the incomplete responses.
+
+    Attributes:
+        handovers: measures how long callers take to receive answers.
     """
 
     def __init__(
-        self, memory: BodyMemory, tracker: RequestTracker, counters: Counters
+        self,
+        memory: BodyMemory,
+        tracker: RequestTracker,
+        telemetry: Telemetry,
     ) -> None:
         """Initializes the streams of an instance without requests."""
         self.memory = memory
         self.tracker = tracker
-        self.counters = counters
+        self.counters = telemetry.counters
+        self.handovers = Handovers(telemetry.clock)
 
     def __repr__(self) -> str:
         """Returns the memory."""
@@ -104,6 +112,11 @@
         self._lost: ConnectionError | None = None
         self._unsent = 0
 
+    @property
+    def size(self) -> int:
+        """The size of the response that is passed on, in bytes; 0 if none."""
+        return (self._response.content_length or 0) if self._is_open else 0
+
     @property
     def was_held_up(self) -> bool:
         """Whether it has waited for the caller or for memory."""
