--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
@@ -8,6 +8,7 @@
 
 from lycheedyke.clock import Clock
 from lycheedyke.coordination import (
+    EvidencePublisher,
     Presence,
     QuarantinePublisher,
     RegistryFollower,
@@ -144,6 +145,10 @@
         self._quarantines = QuarantinePublisher(
             deployment.registry, suspects, clock
         )
+        self._evidence = EvidencePublisher(
+            deployment.registry, self._registry_view.evidence, clock
+        )
+        self._exchanges.suspects.on_crash = self._evidence.wake
         self._lost_upstreams = LostUpstreams(
             self._upstream_table, self._registry_view, self._counters, clock
         )
@@ -186,6 +191,7 @@
             ('registry', self._follower.follow),
             ('peers', self._follower.follow_peers),
             ('quarantines', self._quarantines.run),
+            ('evidence', self._evidence.run),
             ('lost upstreams', self._lost_upstreams.run),
         ):
             self._tasks.start(name, work)
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_peer_updates.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_peer_updates.py
@@ -20,7 +20,9 @@
     Position,
     QuarantineRecord,
     RegistryItem,
+    RegistryRecord,
     RegistryUpdate,
+    SuspectRecord,
     is_valid_item,
 )
 from lycheedyke.state import Counters
@@ -29,8 +31,9 @@
 
 UPDATES_PATH = '/v1/news'
 LEAVING_PATH = '/v1/leaving'
-# Earlier versions can't decode quarantine records, and do not ask for them.
+# Earlier versions can't decode these records, and do not ask for them.
 QUARANTINES = 'quarantines'
+SUSPECTS = 'suspects'
 POLL_TIMEOUT = timedelta(milliseconds=500)
 SEND_TIMEOUT = timedelta(milliseconds=300)
 PEERS_POLLED = 3
@@ -225,7 +228,9 @@
             raise web.HTTPBadRequest(text='after is a revision') from None
         batch = self._replica.changes_after(after)
         if QUARANTINES not in request.query:
-            batch = _without_quarantines(batch)
+            batch = _without(QuarantineRecord, batch)
+        if SUSPECTS not in request.query:
+            batch = _without(SuspectRecord, batch)
         update = RegistryUpdate(
             self.age() // MILLISECOND,
             batch,
@@ -296,7 +301,7 @@
     ) -> RegistryUpdate | None:
         query = (
             f'after={after.revision}&generation={after.generation}'
-            f'&{QUARANTINES}=1'
+            f'&{QUARANTINES}=1&{SUSPECTS}=1'
         )
         try:
             answer = await self._http.send(
@@ -334,10 +339,8 @@
     )
 
 
-def _without_quarantines(batch: ItemBatch) -> ItemBatch:
+def _without(kind: type[RegistryRecord], batch: ItemBatch) -> ItemBatch:
     items = tuple(
-        item
-        for item in batch.items
-        if not isinstance(item.record, QuarantineRecord)
+        item for item in batch.items if not isinstance(item.record, kind)
     )
     return ItemBatch(batch.revision, items, batch.generation)
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_registry_view.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_registry_view.py
@@ -14,6 +14,7 @@
     RegistryItem,
     RegistryRecord,
     RoutingRecord,
+    SuspectRecord,
     UpstreamRecord,
 )
 from lycheedyke.state import (
@@ -21,6 +22,7 @@
     HostHomes,
     RouteTable,
     RouteUse,
+    StoredEvidence,
     Suspects,
     UpstreamTable,
 )
@@ -57,6 +59,7 @@
         self.on_entry_removed: Callable[[str], None] | None = None
         self.on_routes_changed: Callable[[frozenset[str]], None] | None = None
         self.in_force = asyncio.Event()
+        self.evidence = StoredEvidence(suspects, clock)
         self.route_use = RouteUse(clock)
         self.arrivals = ArrivalCounts()
         self._upstream_table = upstream_table
@@ -134,6 +137,8 @@
                 self._apply_entry(entry)
             case QuarantineRecord(fingerprint):
                 self._suspects.register(fingerprint)
+            case SuspectRecord() as suspect:
+                self.evidence.register(suspect)
             case None:
                 self._apply_removal(before)
 
@@ -222,6 +227,8 @@
                     self.on_entry_removed(name)
             case QuarantineRecord(fingerprint):
                 self._suspects.unregister(fingerprint)
+            case SuspectRecord(fingerprint):
+                self.evidence.unregister(fingerprint)
             case RoutingRecord() | None:
                 # The last readable configuration stays in force.
                 return
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_suspect_exchange.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_suspect_exchange.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import logging
+import random
+from collections.abc import Callable
 from datetime import timedelta
 
 import msgspec
@@ -21,6 +23,10 @@
 from lycheedyke_daemon.trials import rank_deciding
 
 SUSPECTS_PATH = '/v1/suspects'
+# Asks for all suspects. Earlier releases answer without any.
+ALL = 'all'
+LEARN_PATH = f'{SUSPECTS_PATH}?{ALL}=1'
+PEERS_ASKED = 3
 TRIALS_PATH = '/v1/trials'
 # How often reports are sent again to peers that did not get them.
 RESEND_INTERVAL = timedelta(milliseconds=500)
@@ -43,6 +49,7 @@
 
     Attributes:
         arbiter: decides on the trials that peers ask for.
+        on_crash: called when a crash was recorded, before peers are told.
     """
 
     def __init__(
@@ -55,6 +62,7 @@
     ) -> None:
         """Initializes the exchange; no peer knows anything yet."""
         self.arbiter = TrialArbiter(suspects)
+        self.on_crash: Callable[[], None] = _ignore_crash
         self._own = own
         self._suspects = suspects
         self._peers = peers
@@ -73,6 +81,7 @@
         Peers answer with what they know of these suspects, which is then sent
         to all as well.
         """
+        self.on_crash()
         revision = self._suspects.observed_revision
         while await self._send_missing(revision):
             revision = self._suspects.revision
@@ -80,10 +89,13 @@
     async def resend(self) -> None:
         """Sends the suspects to peers that did not get them, until cancelled.
 
-        These may have been busy or cut off, or have started later.
+        These may have been busy or cut off, or have started later. At the
+        start, peers are asked for what they know.
         """
+        has_learned = False
         while True:
             await self._clock.sleep(RESEND_INTERVAL)
+            has_learned = has_learned or await self._learn()
             await self._send_missing(self._suspects.observed_revision)
 
     def deciding(self, fingerprint: str) -> list[str]:
@@ -119,13 +131,36 @@
             web.post(TRIALS_PATH, self._handle_trial),
         ]
 
+    async def _learn(self) -> bool:
+        """Asks some peers for all that they know; returns whether one told.
+
+        Without it, evidence would end with the instances that observed it,
+        as those restart in turn.
+        """
+        peers = self._peers.peers()
+        asked = random.sample(peers, min(PEERS_ASKED, len(peers)))
+        nothing = msgspec.msgpack.encode(())
+        answers = await asyncio.gather(
+            *(
+                self._peers.send(peer.peer_address, LEARN_PATH, nothing)
+                for peer in asked
+            )
+        )
+        told = [answer for answer in answers if answer is not None]
+        for body in told:
+            self._merge_answer(body)
+        return bool(told)
+
     async def _handle_suspects(self, request: web.Request) -> web.Response:
         try:
             reported = _SUSPECTS.decode(await request.read())
         except msgspec.MsgspecError as error:
             raise web.HTTPBadRequest(text=str(error)) from error
         self._suspects.merge(reported)
-        corrections = self._suspects.corrections(reported)
+        if ALL in request.query:
+            corrections = self._suspects.report()
+        else:
+            corrections = self._suspects.corrections(reported)
         if not corrections:
             return web.Response()
         return web.Response(body=msgspec.msgpack.encode(corrections))
@@ -211,3 +246,7 @@
         except msgspec.MsgspecError:
             self._counters.count('news.not-heard')
             return False
+
+
+def _ignore_crash() -> None:
+    """Does nothing; where no registry keeps evidence."""
--- a/packages/lycheedyke/src/lycheedyke/coordination/__init__.py
+++ b/packages/lycheedyke/src/lycheedyke/coordination/__init__.py
@@ -1,5 +1,6 @@
 """Coordination: membership, the ticket log and ownership of upstreams."""
 
+from lycheedyke.coordination._evidence_publisher import EvidencePublisher
 from lycheedyke.coordination._follow_intervals import FollowIntervals
 from lycheedyke.coordination._log_reader import LogReader, ticket_key
 from lycheedyke.coordination._log_writer import LogWriter
@@ -36,6 +37,7 @@
 
 __all__ = (
     'AdmittingInstance',
+    'EvidencePublisher',
     'ReceivedMessage',
     'LogReader',
     'LogWriter',
--- a/packages/lycheedyke/src/lycheedyke/protocol/__init__.py
+++ b/packages/lycheedyke/src/lycheedyke/protocol/__init__.py
@@ -82,6 +82,7 @@
     digest_part,
     encode_snapshot,
 )
+from lycheedyke.protocol._suspect_record import CrashNote, SuspectRecord
 from lycheedyke.protocol._tickets import (
     CREATED_UNSET,
     MAX_TICKET_BYTES,
@@ -150,6 +151,8 @@
     'digest_key',
     'EvacuationRecord',
     'QuarantineRecord',
+    'CrashNote',
+    'SuspectRecord',
     'RegistryItem',
     'ItemBatch',
     'Position',
--- a/packages/lycheedyke/src/lycheedyke/protocol/_record_checks.py
+++ b/packages/lycheedyke/src/lycheedyke/protocol/_record_checks.py
@@ -11,9 +11,11 @@
     RegistryRecord,
     UpstreamRecord,
 )
+from lycheedyke.protocol._suspect_record import SuspectRecord
 
 MAX_PORT = 65_535
 MAX_SLOTS = 10_000
+MAX_NOTED_CRASHES = 64
 MAX_COLD = timedelta(days=1)
 # The last millisecond of the year 9999.
 MAX_BORN = 253_402_300_799_999
@@ -50,6 +52,8 @@
             yield from _check_names(record.name, zone=record.zone)
             yield from _check_address('caller', record.caller_address)
             yield from _check_address('peer', record.peer_address)
+        case SuspectRecord():
+            yield from _find_suspect_faults(record)
 
 
 def _find_upstream_faults(record: UpstreamRecord) -> Iterator[str]:
@@ -65,6 +69,14 @@
         yield 'born is no time in Unix milliseconds'
 
 
+def _find_suspect_faults(record: SuspectRecord) -> Iterator[str]:
+    if not 1 <= len(record.crashes) <= MAX_NOTED_CRASHES:
+        yield f'the crashes are not between 1 and {MAX_NOTED_CRASHES}'
+    times = (record.expires_ms, *(crash.at_ms for crash in record.crashes))
+    if not all(0 <= time <= MAX_BORN for time in times):
+        yield 'a time is none in Unix milliseconds'
+
+
 def _check_names(name: str, **others: str) -> Iterator[str]:
     for field, text in ('name', name), *others.items():
         if _NAME.fullmatch(text) is None:
--- a/packages/lycheedyke/src/lycheedyke/protocol/_registry.py
+++ b/packages/lycheedyke/src/lycheedyke/protocol/_registry.py
@@ -7,12 +7,15 @@
 gives revisions out again; it says so by a higher generation.
 """
 
+from collections.abc import Sequence
 from datetime import timedelta
 from enum import Enum
 from typing import NamedTuple, Protocol
 
 import msgspec
 
+from lycheedyke.protocol._suspect_record import SuspectRecord
+
 
 class RouteKind(Enum):
     """Whether a request with an unknown outcome may be sent again."""
@@ -236,6 +239,7 @@
     | EvacuationRecord
     | EntryRecord
     | QuarantineRecord
+    | SuspectRecord
 )
 
 
@@ -382,5 +386,13 @@
     ) -> None:
         """Writes a quarantine, which expires after `ttl`."""
 
+    async def write_evidence(
+        self,
+        records: Sequence[SuspectRecord],
+        cleared: Sequence[str],
+        ttl: timedelta,
+    ) -> None:
+        """Writes records, which expire after `ttl`, and removes others."""
+
     async def close(self) -> None:
         """Closes the connections."""
--- a/packages/lycheedyke/src/lycheedyke/state/__init__.py
+++ b/packages/lycheedyke/src/lycheedyke/state/__init__.py
@@ -64,6 +64,7 @@
     share_at,
 )
 from lycheedyke.state._splits import WeightedRoundRobin
+from lycheedyke.state._stored_evidence import StoredEvidence
 from lycheedyke.state._suspect_reports import Suspect
 from lycheedyke.state._suspects import (
     QUARANTINE_TIME,
@@ -160,6 +161,7 @@
     'KeyRefused',
     'QUARANTINE_TIME',
     'SettledQuarantine',
+    'StoredEvidence',
     'Suspect',
     'Suspects',
     'TrialDecision',
--- a/packages/lycheedyke/src/lycheedyke/state/_suspects.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_suspects.py
@@ -261,6 +261,15 @@
             self._dismiss_zone_failure()
         return is_new
 
+    def adopt(self, stored: Suspect) -> None:
+        """Merges stored evidence on a request that is not known here."""
+        if stored.fingerprint not in self._entries.keys() | self._registered:
+            self.merge((stored,))
+
+    def all_evidence(self) -> Iterable[tuple[str, Evidence]]:
+        """Returns the evidence on each request, by its digest."""
+        return self._current()
+
     def settled(self) -> tuple[SettledQuarantine, ...]:
         """Returns the quarantines that are not registered."""
         return tuple(
--- a/tests/standins/registry_store.py
+++ b/tests/standins/registry_store.py
@@ -312,6 +312,9 @@
             if lease and lease not in self._leases:
                 raise web.HTTPNotFound
             self.put(put['key'], base64.b64decode(put['value']), lease)
+        for key in change['delete']:
+            if key in self.keys():
+                self.remove(key)
         return web.json_response({'revision': self._revision})
 
     async def _lease(self, request: web.Request) -> web.Response:
--- a/tests/unit/gateway/test_log_lines.py
+++ b/tests/unit/gateway/test_log_lines.py
@@ -30,6 +30,7 @@
     LIBRARY / 'coordination/_replica.py',
     LIBRARY / 'coordination/_presence.py',
     LIBRARY / 'coordination/_quarantine_publisher.py',
+    LIBRARY / 'coordination/_evidence_publisher.py',
     ROOT / 'platform/store.py',
 )
 WRITERS = frozenset(('info', 'warning', 'error', 'exception', 'write', '_tell'))
