Ask peers once only after the first state, and keep records of upstreams alone

A starting fleet would have sent three polls to the seeds each 0.3 s until its first state, beside those for the state itself. The history of records needs the last record of upstreams only; records of suspects may be large.

--- a/packages/lycheedyke/src/lycheedyke/coordination/_record_history.py
+++ b/packages/lycheedyke/src/lycheedyke/coordination/_record_history.py
@@ -32,7 +32,7 @@
 
 
 class RecordHistory:
-    """The last versions of each key, and the last record of each.
+    """The last versions of each key, and the last record of each upstream.
 
     The last record of an upstream that leaves is kept until a later run of
     it is known, as its earlier records may be written again.
@@ -43,7 +43,7 @@
     def __init__(self) -> None:
         """Starts without versions."""
         self._versions: dict[str, tuple[_Version, ...]] = {}
-        self._last: dict[str, RegistryRecord] = {}
+        self._last: dict[str, UpstreamRecord] = {}
 
     def __repr__(self) -> str:
         """Returns the number of keys."""
@@ -57,11 +57,14 @@
         known = self._versions.get(item.key, ())
         if version not in known:
             self._versions[item.key] = (*known, version)[-MAX_VERSIONS:]
-        if not leaves_for_good(self._last.get(item.key), item.record):
+        last = self._last.get(item.key)
+        if isinstance(item.record, UpstreamRecord) and not leaves_for_good(
+            last, item.record
+        ):
             self._last[item.key] = item.record
 
-    def last_record(self, key: str) -> RegistryRecord | None:
-        """Returns the last record of a key, which may be removed since."""
+    def last_record(self, key: str) -> UpstreamRecord | None:
+        """Returns the last record of an upstream, also of a removed one."""
         return self._last.get(key)
 
     def has_version(self, item: RegistryItem) -> bool:
@@ -87,16 +90,16 @@
         """Forgets all other keys."""
         for key in self._versions.keys() - keys:
             del self._versions[key]
-            del self._last[key]
+            self._last.pop(key, None)
 
 
 def leaves_for_good(
-    last: RegistryRecord | None,
+    last: UpstreamRecord | None,
     written: RegistryRecord | None,
 ) -> bool:
     """Returns whether a record is of a run of an upstream that has left."""
     return (
-        isinstance(last, UpstreamRecord)
+        last is not None
         and last.leaving
         and isinstance(written, UpstreamRecord)
         and written.born <= last.born
--- a/packages/lycheedyke/src/lycheedyke/coordination/_registry_follower.py
+++ b/packages/lycheedyke/src/lycheedyke/coordination/_registry_follower.py
@@ -172,7 +172,8 @@
         A new process does not know of an outage that has just ended, and
         peers can refute one that only this instance has suffered.
         """
-        if self._failed_since is not None or not self._has_asked_peers:
+        is_new = self._replica.revision > 0 and not self._has_asked_peers
+        if self._failed_since is not None or is_new:
             return True
         if self._replica.deferral.left:
             return True
