Kill all instances at the same moment in half of the soak's runs

The soak had kills of single instances only, so it could not see that the end of all processes forgets a crashing request.

--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -121,6 +121,9 @@
             self.fault_injector.pause_instances(
                 seconds, random.Random(f'pauses {self._seed}')
             ),
+            self.fault_injector.kill_together(
+                seconds, random.Random(f'herd {self._seed}')
+            ),
             self.fault_injector.change_idle_limits(
                 seconds, random.Random(f'idle limits {self._seed}')
             ),
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -6,9 +6,9 @@
 import time
 from collections.abc import Callable, Coroutine
 from datetime import timedelta
-from typing import NamedTuple
 
 from bench.soak.echo_upstream import EchoUpstream
+from bench.soak.fault_records import InjectedFault, PlannedStop
 from bench.soak.testbed import ROUTES, Testbed
 from standins.relay import Relay
 
@@ -39,38 +39,10 @@
 AWAY_SECONDS = (0, 1.5)
 REPEATED_SECONDS = (0.1, 1.8)
 RESTORE_PAUSE_SECONDS = (1.0, 6.0)
-
-
-class InjectedFault(NamedTuple):
-    """A fault with its times in seconds of the monotonic clock.
-
-    Attributes:
-        kind: the kind of fault, such as `kill` or `link cut`.
-        name: the instance, link, store or upstream that was faulted.
-        started: when the fault started.
-        ended: when the fault had ended.
-    """
-
-    kind: str
-    name: str
-    started: float
-    ended: float
-
-
-class PlannedStop(NamedTuple):
-    """A stop by SIGTERM, with times in seconds of the monotonic clock.
-
-    Attributes:
-        name: the instance.
-        sent: when the first SIGTERM was sent.
-        exited: when the process had exited.
-        exit_status: exit status of the process.
-    """
-
-    name: str
-    sent: float
-    exited: float
-    exit_status: int
+# In which share of the runs all instances are killed at the same moment, and
+# in which part of the run.
+HERD_SHARE = 0.5
+HERD_PART = (0.3, 0.7)
 
 
 class FaultInjector:
@@ -138,6 +110,29 @@
             )
             self._record('store restore', 'store', started)
 
+    async def kill_together(self, seconds: float, rng: random.Random) -> None:
+        """Kills all instances that have no other fault at the same moment.
+
+        Args:
+            seconds: the time in which it happens, in some of the runs.
+            rng: makes the random choices of this fault alone.
+        """
+        if rng.random() >= HERD_SHARE:
+            return
+        await asyncio.sleep(seconds * rng.uniform(*HERD_PART))
+        names = sorted(set(self._testbed.instances) - self._claimed)
+        self._claimed.update(names)
+        started = time.monotonic()
+        processes = [self._testbed.processes[name] for name in names]
+        for process in processes:
+            process.kill()
+        for process in processes:
+            await asyncio.to_thread(process.wait)
+        await asyncio.sleep(rng.uniform(*FAULT_SECONDS))
+        await asyncio.gather(*map(self._restart, names))
+        for name in names:
+            self._record('kill', name, started)
+
     async def pause_instances(self, seconds: float, rng: random.Random) -> None:
         """Pauses one instance after another for moments, for a time.
 
@@ -151,9 +146,10 @@
         end = time.monotonic() + seconds
         while time.monotonic() < end:
             await asyncio.sleep(rng.uniform(*SHORT_PAUSE_INTERVAL_SECONDS))
-            name = rng.choice(
-                sorted(set(self._testbed.instances) - self._claimed)
-            )
+            free = sorted(set(self._testbed.instances) - self._claimed)
+            if not free:
+                continue
+            name = rng.choice(free)
             process = self._testbed.processes[name]
             started = time.monotonic()
             process.send_signal(signal.SIGSTOP)
--- a/bench/soak/lost_answers.py
+++ b/bench/soak/lost_answers.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterator
 
-from bench.soak.faults import InjectedFault
+from bench.soak.fault_records import InjectedFault
 from bench.soak.load_generator import CallResult
 from bench.soak.observations import Observations, format_time
 
--- a/bench/soak/observations.py
+++ b/bench/soak/observations.py
@@ -6,7 +6,7 @@
 from typing import NamedTuple
 
 from bench.soak.echo_upstream import EchoUpstream
-from bench.soak.faults import InjectedFault, PlannedStop
+from bench.soak.fault_records import InjectedFault, PlannedStop
 from bench.soak.load_generator import CallResult
 from bench.soak.memory import MemoryUse
 from bench.soak.stalls import Stall
--- a/bench/soak/stop_checks.py
+++ b/bench/soak/stop_checks.py
@@ -1,6 +1,6 @@
 """Tells requests that cross the end of a planned stop from lost ones."""
 
-from bench.soak.faults import PlannedStop
+from bench.soak.fault_records import PlannedStop
 from bench.soak.load_generator import CLOSE_ERRORS, CallResult
 from bench.soak.observations import Observations
 
--- a/tests/unit/test_soak_checks.py
+++ b/tests/unit/test_soak_checks.py
@@ -9,7 +9,7 @@
 
 from bench.soak.checks import find_violations
 from bench.soak.echo_upstream import EchoUpstream
-from bench.soak.faults import InjectedFault, PlannedStop
+from bench.soak.fault_records import InjectedFault, PlannedStop
 from bench.soak.load_generator import NEVER, CallResult
 from bench.soak.memory import MAX_PROCESS_BYTES, MemoryUse, read_memory
 from bench.soak.observations import Observations
--- a/tests/unit/test_soak_stops.py
+++ b/tests/unit/test_soak_stops.py
@@ -7,7 +7,7 @@
 
 from bench.soak.checks import find_violations
 from bench.soak.echo_upstream import EchoUpstream
-from bench.soak.faults import PlannedStop
+from bench.soak.fault_records import PlannedStop
 from bench.soak.load_generator import CallResult
 from bench.soak.observations import Observations
 from bench.soak.stalls import Stall
--- a/tests/unit/test_soak_wishes.py
+++ b/tests/unit/test_soak_wishes.py
@@ -5,7 +5,7 @@
 import pytest
 
 from bench.soak.echo_upstream import EchoUpstream, Wish
-from bench.soak.faults import InjectedFault
+from bench.soak.fault_records import InjectedFault
 from bench.soak.load_generator import CallResult
 from bench.soak.observations import Observations
 from bench.soak.wishes import find_wish_violations
