--- a/tests/unit/gateway/test_interrupted_watches.py
+++ b/tests/unit/gateway/test_interrupted_watches.py
@@ -26,6 +26,8 @@
 SILENT_NOTICE_SECONDS = NOTICE_SECONDS + 0.95 + 0.7
 AWAY_SECONDS = 5.0
 SETTLE_SECONDS = 2.0
+# A removal has reached all instances, if nothing is deferred.
+USUAL_SECONDS = 1.5
 SILENT_SECONDS = 5.0
 
 Scene = Callable[[GatewayTestbed], Awaitable[None]]
@@ -354,3 +356,85 @@
     run_scenario(
         tmp_path, _scene, limit_s=LIMIT_SECONDS, upstreams=2, instances=0
     )
+
+
+def _cut_off(instance: GatewayInstance) -> Callable[[], None]:
+    """Cuts an instance off from the store and its peers; returns the cure."""
+    registry: Any = instance._deployment.registry
+    updates: Any = instance._peer_updates
+    exchange, requested = updates._http.send, updates._requested_position
+    read = registry._http.send
+    _turn_away(instance)
+    updates._http.send = registry._http.send
+    updates._requested_position = lambda request: 1 / 0
+
+    def _heal() -> None:
+        registry._http.send = read
+        updates._http.send = exchange
+        updates._requested_position = requested
+
+    return _heal
+
+
+# Guards against DRAIN: an instance that was cut off from all told others of an
+# outage, and they kept a removed upstream in use.
+@pytest.mark.parametrize('is_head', [False, True])
+def test_what_one_instance_suffered_defers_nothing_at_others(
+    tmp_path: Path, *, is_head: bool
+) -> None:
+    """An upstream leaves as it is back, and others drop it as usual."""
+
+    async def _scene(testbed: GatewayTestbed) -> None:
+        await testbed.wait_all_listed()
+        await asyncio.sleep(SETTLE_SECONDS)
+        head = _head(testbed)
+        victim = next(
+            each for each in testbed.instances if (each is head) == is_head
+        )
+        others = [each for each in testbed.instances if each is not victim]
+        heal = _cut_off(victim)
+        await asyncio.sleep(AWAY_SECONDS)
+        heal()
+        await asyncio.sleep(0.5)
+        _remove(testbed, 0)
+        await asyncio.sleep(USUAL_SECONDS)
+        assert [_known(each) for each in others] == [1, 1]
+        await asyncio.sleep(REMOVAL_SECONDS + NOTICE_SECONDS)
+        assert _known(victim) == 1
+
+    run_scenario(
+        tmp_path, _scene, limit_s=LIMIT_SECONDS, upstreams=2, instances=3
+    )
+
+
+# Guards against lost upstreams: an instance that starts while removals are
+# deferred dropped records that were about to be written again.
+@pytest.mark.parametrize('is_return', [False, True])
+def test_an_instance_that_starts_in_a_deferral_holds_removals(
+    tmp_path: Path, *, is_return: bool
+) -> None:
+    """It reads the store itself, and learns from peers what is left."""
+
+    async def _scene(testbed: GatewayTestbed) -> None:
+        store = testbed.store
+        await testbed.wait_all_listed()
+        await asyncio.sleep(SETTLE_SECONDS)
+        if is_return:
+            await store.come_back_from_copy(0.5, away_s=1.5)
+        else:
+            store.down = True
+            await asyncio.sleep(AWAY_SECONDS)
+            store.down = False
+        await asyncio.sleep(0.3)
+        await testbed.start('edge-new')
+        await asyncio.sleep(0.5)
+        _remove(testbed, 0)
+        await asyncio.sleep(0.5)
+        assert [_known(each) for each in testbed.instances] == [2, 2, 2]
+        testbed.register(testbed.upstreams[0])
+        await asyncio.sleep(REMOVAL_SECONDS + NOTICE_SECONDS)
+        assert [_known(each) for each in testbed.instances] == [2, 2, 2]
+
+    run_scenario(
+        tmp_path, _scene, limit_s=LIMIT_SECONDS, upstreams=2, instances=2
+    )
