Count holds from the first notice of a return, and write evidence again after it

An instance that learns late of the registry's return counted the hold of an evacuation from its own notice, so it could come up to a second late (EVAC). Evidence that a copy lacks was listed for two more seconds, in which the end of all processes would have lost it; its observer writes it again at once now. Evidence: test_a_late_notice_prolongs_no_hold_of_an_evacuation failed before (no evacuation 2.5 s after the late notice). The other test could not run before: it calls what the change adds.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
@@ -315,6 +315,8 @@
     def _handle_restore(self, position: Position) -> None:
         self._counters.count('registry.restored')
         self._presence.mark_restored(position.generation)
+        self._registry_view.evidence.doubt_records()
+        self._evidence.wake()
 
     def _caller_app(self) -> web.Application:
         self._registry_view.on_routes_changed = self._times.retain
--- a/packages/lycheedyke/src/lycheedyke/coordination/_replica.py
+++ b/packages/lycheedyke/src/lycheedyke/coordination/_replica.py
@@ -114,9 +114,15 @@
         self._deferral.start('own calls', lasted)
 
     def merge_deferral(self, told: PeerDeferral, generation: int) -> None:
-        """Merges what a peer told of outages in a generation."""
-        if generation == self.position.generation:
-            self._deferral.merge(told)
+        """Merges what a peer told of outages in a generation.
+
+        A peer that noticed the registry's return earlier has told when.
+        """
+        if generation != self.position.generation:
+            return
+        self._deferral.merge(told)
+        steady_since = self._clock.elapsed() - self._deferral.steady
+        self._returned_at = min(self._returned_at, steady_since)
 
     def merge(self, batch: ItemBatch) -> int:
         """Merges changes; returns how many were new.
--- a/packages/lycheedyke/src/lycheedyke/state/_stored_evidence.py
+++ b/packages/lycheedyke/src/lycheedyke/state/_stored_evidence.py
@@ -55,6 +55,8 @@
         self._suspects = suspects
         self._clock = clock
         self._listed: dict[str, _Crashes] = {}
+        # The registry came back from a copy since they were listed.
+        self._doubtful: set[str] = set()
 
     def __repr__(self) -> str:
         """Returns the number of records in the registry."""
@@ -68,6 +70,7 @@
         self._listed[record.fingerprint] = frozenset(
             (crash.upstream, crash.is_trial) for crash in record.crashes
         )
+        self._doubtful.discard(record.fingerprint)
         now_ms = self._now_ms()
         ages = (max(0, now_ms - crash.at_ms) for crash in record.crashes)
         self._suspects.adopt(
@@ -86,6 +89,11 @@
     def unregister(self, fingerprint: str) -> None:
         """Notes that the registry does not list a record any more."""
         self._listed.pop(fingerprint, None)
+        self._doubtful.discard(fingerprint)
+
+    def doubt_records(self) -> None:
+        """Has all records written again, as the registry may have lost them."""
+        self._doubtful.update(self._listed)
 
     def missing(self) -> tuple[UnstoredEvidence, ...]:
         """Returns the evidence that the registry is to list and does not."""
@@ -95,7 +103,7 @@
             for fingerprint, evidence in self._suspects.all_evidence()
             if _is_kept(evidence)
             and fingerprint not in quarantined
-            and _crashes_of(evidence) - self._listed.get(fingerprint, set())
+            and _crashes_of(evidence) - self._known_to_be_listed(fingerprint)
         ]
         room = max(0, MAX_STORED - len(self._listed))
         known = [each for each in found if each[0] in self._listed]
@@ -132,6 +140,11 @@
             if evidence.is_convicted and fingerprint not in unlisted
         }
 
+    def _known_to_be_listed(self, fingerprint: str) -> _Crashes:
+        if fingerprint in self._doubtful:
+            return frozenset()
+        return self._listed.get(fingerprint, frozenset())
+
     def _describe(self, fingerprint: str, evidence: Evidence) -> SuspectRecord:
         offset = self._now_ms() - self._suspects.clock.elapsed() // MILLISECOND
         return SuspectRecord(
--- a/tests/unit/gateway/test_generations.py
+++ b/tests/unit/gateway/test_generations.py
@@ -11,6 +11,7 @@
 from hypothesis import strategies as st
 
 from lycheedyke.coordination import Replica
+from lycheedyke.coordination._removal_deferral import PeerDeferral
 from lycheedyke.protocol import (
     EntryRecord,
     EvacuationRecord,
@@ -181,6 +182,30 @@
     assert set(view.records) == {ZONE_A}
 
 
+# Guards against EVAC at instances that notice the return late.
+def test_a_late_notice_prolongs_no_hold_of_an_evacuation() -> None:
+    """The hold ends by the notice of the peer that was first."""
+    view, first = _View(), _View()
+    first.clock = view.clock
+    first.replica = Replica(
+        view.clock, timedelta(seconds=REAPPEARANCE_S), lambda *_: None
+    )
+    item = RegistryItem(ZONE_A, 700, EvacuationRecord('a'), 700)
+    for each in (view, first):
+        each.merge(700, item)
+        each.merge(880, RegistryItem(ZONE_A, 880))
+    first.merge(705, item, at=1)
+    view.clock.advance(1)
+    view.merge(705, item, at=1)
+    told = first.replica.deferral
+    now = view.clock.elapsed()
+    view.replica.merge_deferral(
+        PeerDeferral(now, told.left, told.token, told.steady, now), 1
+    )
+    view.pass_time(EVACUATION_HELD_S - 1)
+    assert set(view.records) == {ZONE_A}
+
+
 # Guards against upstreams left idle: one that had lapsed before the return, and
 # that wrote its record again under a low revision, was ignored for six seconds.
 @pytest.mark.parametrize(
--- a/tests/unit/gateway/test_stored_evidence.py
+++ b/tests/unit/gateway/test_stored_evidence.py
@@ -132,6 +132,22 @@
     assert set(registry.records) == {'poison'}
 
 
+def test_the_observer_writes_again_at_once_after_a_return() -> None:
+    """What the copy lacks is in effect for two seconds, but not listed."""
+    registry, clock = _Registry(), ManualClock()
+    observer = _Instance(registry, clock)
+    for upstream in ('a', 'b'):
+        observer.suspects.record_crash(['poison'], upstream)
+    observer.publish()
+    clock.advance(10)
+    registry.records.clear()
+    observer.evidence.doubt_records()
+    asyncio.run(observer.publisher.publish())
+    assert set(registry.records) == {'poison'}
+    observer.publish()
+    assert registry.calls == 2
+
+
 # Guards against the refusal of sound requests that were in flight at crashes.
 @pytest.mark.parametrize('is_restarted', [False, True])
 def test_an_answer_removes_the_evidence(*, is_restarted: bool) -> None:
