--- a/tests/unit/gateway/test_stored_evidence.py
+++ b/tests/unit/gateway/test_stored_evidence.py
@@ -6,11 +6,12 @@
 from datetime import timedelta
 from pathlib import Path
 
+import msgspec
 import pytest
 
 from lycheedyke.coordination import EvidencePublisher
 from lycheedyke.exceptions import PlatformUnreachable
-from lycheedyke.protocol import SuspectRecord
+from lycheedyke.protocol import CrashNote, RegistryUpdate, SuspectRecord
 from lycheedyke.state import StoredEvidence, Suspects, Verdict
 from standins.clock import ManualClock
 from standins.convictions import crash_trial
@@ -300,3 +301,26 @@
         assert '/kv-lease' not in platform.store.calls
 
     run_scenario(tmp_path, _scene, limit_s=LIMIT_S)
+
+
+# Guards against peers of earlier releases that can't decode a whole update.
+@pytest.mark.parametrize('asks', [False, True])
+def test_peers_get_the_records_that_they_ask_for(
+    tmp_path: Path, *, asks: bool
+) -> None:
+    """Others get updates without them."""
+    record = SuspectRecord('ab', (CrashNote('u@1', 1),), 2)
+
+    async def _scene(platform: GatewayTestbed) -> None:
+        content = msgspec.json.encode(record)
+        platform.store.put('lycheedyke/suspects/ab', content)
+        await asyncio.sleep(1)
+        address = platform.settings[0].peer_address
+        query = '&suspects=1' if asks else ''
+        reply = await platform.get(address, f'/v1/news?after=0{query}')
+        update = msgspec.msgpack.decode(reply.body, type=RegistryUpdate)
+        records = [item.record for item in update.batch.items]
+        assert (record in records) is asks
+        assert len(records) > 1
+
+    run_scenario(tmp_path, _scene, limit_s=LIMIT_S)
