--- a/tests/standins/scripted_upstream.py
+++ b/tests/standins/scripted_upstream.py
@@ -12,6 +12,7 @@
 from types import MappingProxyType
 from typing import NamedTuple
 
+from standins.deployment import free_ports
 from standins.relay import reset
 
 REQUEST_ID = 'Lycheedyke-Request-Id'
@@ -88,9 +89,13 @@
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def open(self, port: int = 0) -> None:
-        """Starts to listen; port 0 selects a free port."""
+        """Starts to listen; port 0 selects a free port.
+
+        It is none that the operating system gives to outgoing connections,
+        as a test may close it and listen there again.
+        """
         self._server = await asyncio.start_server(
-            self._serve, '127.0.0.1', port
+            self._serve, '127.0.0.1', port or free_ports(1)[0]
         )
         host, bound = self._server.sockets[0].getsockname()
         self.address = f'{host}:{bound}'
