Drop an unused constant, and complete three comments

MAX_UPDATE_TIME guarded deferrals told by peers, which have an identity now. No behaviour changes; the checks and 52 unit tests of these modules ran.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_suspect_exchange.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_suspect_exchange.py
@@ -249,4 +249,4 @@
 
 
 def _ignore_crash() -> None:
-    """Does nothing; where no registry keeps evidence."""
+    """Does nothing, as no registry keeps the evidence."""
--- a/packages/lycheedyke/src/lycheedyke/coordination/_evidence_publisher.py
+++ b/packages/lycheedyke/src/lycheedyke/coordination/_evidence_publisher.py
@@ -15,7 +15,7 @@
 from lycheedyke.protocol import Registry, SuspectRecord
 from lycheedyke.state import QUARANTINE_TIME, StoredEvidence
 
-# Between two writes, so that one takes all crashes of a moment.
+# The pause between two writes; one write takes all crashes of a moment.
 WRITE_INTERVAL = timedelta(milliseconds=250)
 # Evidence that this instance has from peers, or that the registry has lost, is
 # noticed within this time.
@@ -23,7 +23,8 @@
 # An instance that knows the crashes from peers writes only if the instance
 # that observed them did not.
 BACKUP_DELAY = timedelta(seconds=5)
-# Of many such instances, few write before they see the first one's record.
+# Such an instance waits up to so many times that delay, so that few of many
+# write before the record of the first one reaches them.
 BACKUP_SPREAD = 4
 # A record that was written is listed within this time.
 LISTING_TIME = timedelta(seconds=3)
--- a/packages/lycheedyke/src/lycheedyke/coordination/_removal_deferral.py
+++ b/packages/lycheedyke/src/lycheedyke/coordination/_removal_deferral.py
@@ -15,8 +15,6 @@
 
 # Records that are written regularly do not lapse in a shorter outage.
 SHORTEST_OUTAGE = timedelta(milliseconds=1200)
-# An update of a peer arrives within this time, or is given up.
-MAX_UPDATE_TIME = timedelta(milliseconds=500)
 TOKEN_BYTES = 4
 ZERO = timedelta()
 MILLISECOND = timedelta(milliseconds=1)
