Log where a configuration came from, and count why polls fail

The timeline of the late configurations could not tell a document that was handed on late from one that never arrived: 'configuration in force' named neither its source nor its size, and failed polls were counted without a reason. The line now has the registry's revision, the source, the bytes, the time of the transfer and the time since the version was first heard of; news.not-heard.<reason> tells refused, not connected, late, broken and malformed polls apart. The decisions are unchanged.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
@@ -138,6 +138,8 @@
             longest_pause=self._pauses.longest,
             paused_within=self._pauses.within,
         )
+        self._registry_view.configuration_arrivals = self._follower.arrivals
+        self._peer_updates.arrivals = self._follower.arrivals
         self._peer_updates.age = lambda: self._follower.age
         self._peer_updates.silence = lambda: self._follower.silence
         self._peer_updates.longest_pause = self._pauses.longest
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_peer_updates.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_peer_updates.py
@@ -12,8 +12,18 @@
 from aiohttp import web
 
 from lycheedyke.clock import Clock
-from lycheedyke.coordination import Replica, watchers_of
-from lycheedyke.exceptions import ConnectionRefusedByHost, TransportError
+from lycheedyke.coordination import (
+    ConfigurationArrivals,
+    Replica,
+    Transfer,
+    watchers_of,
+)
+from lycheedyke.exceptions import (
+    ConnectError,
+    ConnectionRefusedByHost,
+    ExchangeTimeout,
+    TransportError,
+)
 from lycheedyke.protocol import (
     EntryRecord,
     ItemBatch,
@@ -22,11 +32,12 @@
     RegistryItem,
     RegistryRecord,
     RegistryUpdate,
+    RoutingRecord,
     SuspectRecord,
     is_valid_item,
 )
 from lycheedyke.state import Counters
-from lycheedyke.transport import BodyMemory, HttpClient
+from lycheedyke.transport import BodyMemory, HttpClient, HttpResponse
 from lycheedyke_daemon.gateway._registry_view import RegistryView
 
 UPDATES_PATH = '/v1/news'
@@ -85,6 +96,7 @@
         clock: the time source.
 
     Attributes:
+        arrivals: remembers where configurations came from.
         age: returns the age of the last update from the registry.
         silence: returns the time since the registry has answered anyone.
         longest_pause: returns the longest recent pause of this process, for
@@ -101,6 +113,7 @@
         clock: Clock,
     ) -> None:
         """Initializes the client; the attributes are set later."""
+        self.arrivals = ConfigurationArrivals(clock)
         self.age: Callable[[], timedelta] = timedelta
         self.silence: Callable[[], timedelta] = timedelta
         self.longest_pause: Callable[[], timedelta] = timedelta
@@ -310,11 +323,22 @@
                 timeout=POLL_TIMEOUT,
             )
             update = _UPDATE.decode(answer.body)
-        except (TransportError, msgspec.MsgspecError):
+        except (TransportError, msgspec.MsgspecError) as error:
             self._counters.count('news.not-heard')
+            self._counters.count(f'news.not-heard.{_reason_of(error)}')
             return None
+        self._record_arrivals(address, update, answer)
         return _without_invalid(update)
 
+    def _record_arrivals(
+        self, address: str, update: RegistryUpdate, answer: HttpResponse
+    ) -> None:
+        """Records the configurations that an update holds."""
+        for item in (*update.batch.items, *update.held):
+            if isinstance(item.record, RoutingRecord):
+                transfer = Transfer(address, len(answer.body), answer.took)
+                self.arrivals.receive(item.revision, transfer)
+
     async def _send_to_all(self, path: str, body: bytes) -> None:
         """Sends a message to all peers."""
         await asyncio.gather(
@@ -322,6 +346,20 @@
         )
 
 
+def _reason_of(error: Exception) -> str:
+    """Returns why a poll of a peer has failed, for a counter."""
+    match error:
+        case ConnectionRefusedByHost():
+            return 'refused'
+        case ConnectError():
+            return 'not-connected'
+        case ExchangeTimeout():
+            return 'late'
+        case TransportError():
+            return 'broken'
+    return 'malformed'
+
+
 def _without_invalid(update: RegistryUpdate) -> RegistryUpdate:
     """Returns an update in which invalid records are as good as removed.
 
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_registry_view.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_registry_view.py
@@ -6,6 +6,7 @@
 from datetime import timedelta
 
 from lycheedyke.clock import Clock
+from lycheedyke.coordination import ConfigurationArrivals
 from lycheedyke.protocol import (
     EntryFault,
     EntryRecord,
@@ -44,6 +45,9 @@
         suspects: holds the requests in quarantine.
         counters: counts entries of configurations that can't be read.
         clock: measures how long ago an entry instance was last listed.
+
+    Attributes:
+        configuration_arrivals: tells where configurations came from.
     """
 
     def __init__(
@@ -59,6 +63,7 @@
         self.on_entry_removed: Callable[[str], None] | None = None
         self.on_routes_changed: Callable[[frozenset[str]], None] | None = None
         self.in_force = asyncio.Event()
+        self.configuration_arrivals = ConfigurationArrivals(clock)
         self.evidence = StoredEvidence(suspects, clock)
         self.route_use = RouteUse(clock)
         self.arrivals = ArrivalCounts()
@@ -128,7 +133,7 @@
         """
         match item.record:
             case RoutingRecord() as routing:
-                self._apply_routing(routing)
+                self._apply_routing(routing, item.revision)
             case UpstreamRecord() as upstream:
                 self._apply_upstream(upstream, before)
             case EvacuationRecord(zone):
@@ -142,7 +147,7 @@
             case None:
                 self._apply_removal(before)
 
-    def _apply_routing(self, routing: RoutingRecord) -> None:
+    def _apply_routing(self, routing: RoutingRecord, revision: int) -> None:
         if routing.number <= self.number:
             return
         self.table = RouteTable(routing)
@@ -159,6 +164,7 @@
                 'version': routing.number,
                 'routes': len(routing.routes),
                 'tenants': 0 if tenants is None else len(tenants),
+                **self.configuration_arrivals.describe(revision),
             },
         )
         self._report_faults(
--- a/packages/lycheedyke/src/lycheedyke/coordination/__init__.py
+++ b/packages/lycheedyke/src/lycheedyke/coordination/__init__.py
@@ -34,9 +34,15 @@
 from lycheedyke.coordination._ticket_log import TicketLog
 from lycheedyke.coordination._ticket_replication import TicketReplication
 from lycheedyke.coordination._watchers import watchers_of
+from lycheedyke.coordination.configurations import (
+    ConfigurationArrivals,
+    Transfer,
+)
 
 __all__ = (
     'AdmittingInstance',
+    'ConfigurationArrivals',
+    'Transfer',
     'EvidencePublisher',
     'ReceivedMessage',
     'LogReader',
--- a/packages/lycheedyke/src/lycheedyke/coordination/_registry_follower.py
+++ b/packages/lycheedyke/src/lycheedyke/coordination/_registry_follower.py
@@ -21,6 +21,10 @@
 )
 from lycheedyke.coordination._removal_deferral import PeerDeferral
 from lycheedyke.coordination._replica import Replica
+from lycheedyke.coordination.configurations import (
+    ConfigurationArrivals,
+    Transfer,
+)
 from lycheedyke.exceptions import (
     HistoryLost,
     PlatformError,
@@ -32,6 +36,7 @@
     Position,
     Registry,
     RegistryUpdate,
+    RoutingRecord,
 )
 
 _logger = logging.getLogger(__name__)
@@ -87,6 +92,9 @@
             the log.
         paused_within: returns how long this process stood still within the
             last time of the given length.
+
+    Attributes:
+        arrivals: remembers where configurations came from.
     """
 
     def __init__(
@@ -100,6 +108,7 @@
         paused_within: Callable[[timedelta], timedelta] = _never_paused,
     ) -> None:
         """Initializes the follower; its first poll reads everything."""
+        self.arrivals = ConfigurationArrivals(clock)
         self._registry = registry
         self._replica = replica
         self._peers = peers
@@ -253,15 +262,26 @@
         changes = await self._watch() if self._has_full_state else None
         if changes is not None:
             self._record_answer()
+            self._record_arrivals(changes)
             self._replica.merge(changes)
             return
         self._has_full_state = False
         batch = await self._registry.read_all()
         self._check_generation(batch)
         self._record_answer()
+        self._record_arrivals(batch)
         self._replica.merge_full_state(batch)
         self._has_full_state = True
 
+    def _record_arrivals(self, batch: ItemBatch) -> None:
+        """Records the configurations in the last answer of the registry."""
+        for item in batch.items:
+            if isinstance(item.record, RoutingRecord):
+                size, took = self._registry.last_answer
+                self.arrivals.receive(
+                    item.revision, Transfer('registry', size, took)
+                )
+
     async def _watch(self) -> ItemBatch | None:
         """Returns the next changes, or None if the full state is needed."""
         after = self._replica.position
--- a/packages/lycheedyke/src/lycheedyke/protocol/__init__.py
+++ b/packages/lycheedyke/src/lycheedyke/protocol/__init__.py
@@ -50,6 +50,7 @@
 from lycheedyke.protocol._record_checks import check_record, is_valid_item
 from lycheedyke.protocol._registry import (
     Announcement,
+    AnswerSize,
     CallerLimits,
     EntryFault,
     EntryKind,
@@ -143,6 +144,7 @@
     'Roster',
     'InstanceLoads',
     'Announcement',
+    'AnswerSize',
     'CallerLimits',
     'EntryFault',
     'EntryKind',
--- a/packages/lycheedyke/src/lycheedyke/protocol/_registry.py
+++ b/packages/lycheedyke/src/lycheedyke/protocol/_registry.py
@@ -335,6 +335,18 @@
     generation: int = 0
 
 
+class AnswerSize(NamedTuple):
+    """The size of an answer of a registry.
+
+    Attributes:
+        received_bytes: the bytes of its body.
+        took: the time from its head to its end.
+    """
+
+    received_bytes: int = 0
+    took: timedelta = timedelta()
+
+
 class Registry(Protocol):
     """The interface of a registry that the coordination layer uses.
 
@@ -348,6 +360,10 @@
     def generation(self) -> int:
         """The latest generation that any answer stated."""
 
+    @property
+    def last_answer(self) -> AnswerSize:
+        """The size of the answer that was decoded last."""
+
     async def read_all(self) -> ItemBatch:
         """Returns all items."""
 
--- a/packages/lycheedyke/src/lycheedyke/transport/_http.py
+++ b/packages/lycheedyke/src/lycheedyke/transport/_http.py
@@ -63,6 +63,8 @@
     status: int
     headers: multidict.CIMultiDictProxy[str]
     body: bytes
+    # From the head of the response to its end.
+    took: timedelta = timedelta()
 
 
 class ExchangeChecks(NamedTuple):
@@ -230,6 +232,7 @@
             data=body,
             allow_redirects=False,
         ) as response:
+            started = asyncio.get_running_loop().time()
             is_own = checks.is_own
             if is_own is not None and not is_own(response.headers):
                 response.close()
@@ -244,7 +247,13 @@
                 content = await self._read(response)
             else:
                 content = await self._read_until_close(response)
-            return HttpResponse(response.status, response.headers, content)
+            took = asyncio.get_running_loop().time() - started
+            return HttpResponse(
+                response.status,
+                response.headers,
+                content,
+                timedelta(seconds=took),
+            )
 
     async def _read_until_close(
         self, response: aiohttp.ClientResponse
--- a/tests/standins/gateway_testbed.py
+++ b/tests/standins/gateway_testbed.py
@@ -17,7 +17,11 @@
 from aiohttp import web
 
 from lycheedyke.protocol import Registry, RegistryRecord
-from lycheedyke_daemon.gateway import GatewayInstance, read_gateway_settings
+from lycheedyke_daemon.gateway import (
+    GatewayInstance,
+    GatewaySettings,
+    read_gateway_settings,
+)
 from standins.deployment import free_ports
 from standins.registry_store import (
     FakeRegistryStore,
@@ -96,6 +100,11 @@
     return StoreRegistry(address, timeout)
 
 
+def make_instance(settings: GatewaySettings) -> GatewayInstance:
+    """Returns an instance on the platform whose time is that of its loop."""
+    return GatewayInstance(settings, deploy(settings), LoopClock())
+
+
 class Reply(NamedTuple):
     """A response as the caller received it."""
 
@@ -291,7 +300,7 @@
             + extra,
         )
         settings = read_gateway_settings(path)
-        instance = GatewayInstance(settings, deploy(settings), LoopClock())
+        instance = make_instance(settings)
         await instance.start()
         await instance.wait_ready()
         self.instances.append(instance)
