Send configurations apart from other news, as differences, along a tree

Cause: each change sent the whole configuration, within polls of 0.5 s, from one watcher to all instances of its zone. Every poll failed at the same time, nothing of it was kept, all asked the store for 223 kB each, and the transfers took the time of all other calls: watchers lost the store for up to 11 s.

Change: updates carry notices of configurations. The content is requested by its digest, as a Zstandard difference to one that the receiver has, from its parent in a tree of the zone, and is passed on while it arrives. A transfer that was cut goes on elsewhere. Transfers are limited by lack of progress. Watchers and the head are those with the most room on their links, and the next one takes over from one that does not answer. The age of news counts from the head of an answer. Whoever knows of a version that it lacks says so.

Why it works: the cost of a change is that of the change; no link carries more than its share of copies; small news wait for no document.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_exchanges.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_exchanges.py
@@ -19,6 +19,7 @@
 from lycheedyke_daemon.gateway._settings import GatewaySettings
 from lycheedyke_daemon.gateway._suspect_exchange import SuspectExchange
 from lycheedyke_daemon.gateway.demand import DemandExchange
+from lycheedyke_daemon.gateway.news import ConfigurationExchange
 from lycheedyke_daemon.gateway.rates import LimitExchange, QuotaExchange
 
 
@@ -56,6 +57,7 @@
         limits: shares the limits of upstreams.
         demand: shares the demand of zones.
         quotas: shares the quotas of tenants.
+        configurations: passes configurations on.
     """
 
     def __init__(
@@ -99,6 +101,12 @@
             state.counters,
             clock,
         )
+        self.configurations = ConfigurationExchange(
+            own,
+            state.registry_view,
+            peers.news_sources,
+            state.counters,
+        )
         self.quotas.issuers.is_leaving = has_stop_begun
 
     def __repr__(self) -> str:
@@ -116,6 +124,7 @@
 
     def routes(self) -> Iterator[web.RouteDef]:
         """Yields the routes of the peer port."""
+        yield from self.configurations.routes()
         yield from self.suspects.routes()
         yield from self.limits.routes()
         yield from self.demand.routes()
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_instance.py
@@ -8,6 +8,7 @@
 
 from lycheedyke.clock import Clock
 from lycheedyke.coordination import (
+    ConfigurationFetcher,
     EvidencePublisher,
     Presence,
     QuarantinePublisher,
@@ -142,7 +143,15 @@
         self._peer_updates.arrivals = self._follower.arrivals
         self._peer_updates.age = lambda: self._follower.age
         self._peer_updates.silence = lambda: self._follower.silence
-        self._peer_updates.longest_pause = self._pauses.longest
+        self._peer_updates.news_sources.longest_pause = self._pauses.longest
+        self._fetcher = ConfigurationFetcher(
+            deployment.registry,
+            self._replica,
+            self._registry_view.documents,
+            self._exchanges.configurations,
+            self._follower.arrivals,
+            clock,
+        )
         self._presence = Presence(deployment.registry, own, clock)
         self._quarantines = QuarantinePublisher(
             deployment.registry, suspects, clock
@@ -192,6 +201,7 @@
             ('pauses', self._pauses.run),
             ('registry', self._follower.follow),
             ('peers', self._follower.follow_peers),
+            ('configurations', self._fetcher.run),
             ('quarantines', self._quarantines.run),
             ('evidence', self._evidence.run),
             ('lost upstreams', self._lost_upstreams.run),
@@ -235,8 +245,11 @@
         await self._refuse_late()
         await self._servers.close()
         await self._client.close()
-        await self._peer_updates.close()
-        await self._deployment.registry.close()
+        await asyncio.gather(
+            self._peer_updates.close(),
+            self._exchanges.configurations.close(),
+            self._deployment.registry.close(),
+        )
 
     async def _leave(self) -> None:
         """Leaves the look-ups; no failure may keep requests from their end."""
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_metrics.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_metrics.py
@@ -65,6 +65,11 @@
             'Number of the configuration in force.',
             self._registry_view.number,
         )
+        yield unlabelled_gauge(
+            'lycheedyke_configuration_awaited_seconds',
+            'Time since a later configuration is known that is not here.',
+            self._follower.configuration_awaited.total_seconds(),
+        )
         yield unlabelled_gauge(
             'lycheedyke_news_age_seconds',
             'Time since the registry told what is known here.',
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_peer_updates.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_peer_updates.py
@@ -16,7 +16,6 @@
     ConfigurationArrivals,
     Replica,
     Transfer,
-    watchers_of,
 )
 from lycheedyke.exceptions import (
     ConnectError,
@@ -37,20 +36,34 @@
     is_valid_item,
 )
 from lycheedyke.state import Counters
-from lycheedyke.transport import BodyMemory, HttpClient, HttpResponse
+from lycheedyke.transport import (
+    BodyMemory,
+    ExchangeChecks,
+    HttpClient,
+    HttpResponse,
+)
 from lycheedyke_daemon.gateway._registry_view import RegistryView
+from lycheedyke_daemon.gateway.news import (
+    NewsSources,
+    complete_batch,
+    resolve_notices,
+    split_configurations,
+)
 
 UPDATES_PATH = '/v1/news'
 LEAVING_PATH = '/v1/leaving'
 # Earlier versions can't decode these records, and do not ask for them.
 QUARANTINES = 'quarantines'
 SUSPECTS = 'suspects'
+# Peers that ask for this understand notices of configurations.
+CONFIGURATIONS = 'configurations'
+# How long a peer may send nothing, and for an answer as a whole.
 POLL_TIMEOUT = timedelta(milliseconds=500)
+LONGEST_POLL = timedelta(seconds=3)
 SEND_TIMEOUT = timedelta(milliseconds=300)
 PEERS_POLLED = 3
-# A poll of a source that does not answer takes POLL_TIMEOUT; this pause bounds
-# how often that happens.
-SILENT_PAUSE = timedelta(seconds=2)
+# The sources that are asked in turn before the registry is.
+SOURCES_POLLED = 2
 MILLISECOND = timedelta(milliseconds=1)
 START = Position(0, 0)
 HTTP_OK = 200
@@ -99,8 +112,7 @@
         arrivals: remembers where configurations came from.
         age: returns the age of the last update from the registry.
         silence: returns the time since the registry has answered anyone.
-        longest_pause: returns the longest recent pause of this process, for
-            the log.
+        news_sources: the order in which peers are asked.
     """
 
     def __init__(
@@ -116,14 +128,12 @@
         self.arrivals = ConfigurationArrivals(clock)
         self.age: Callable[[], timedelta] = timedelta
         self.silence: Callable[[], timedelta] = timedelta
-        self.longest_pause: Callable[[], timedelta] = timedelta
+        self.news_sources = NewsSources(own, registry_view, clock)
         self._own = own
         self._registry_view = registry_view
         self._seeds = tuple(seeds)
         self._replica = replica
         self._counters = counters
-        self._clock = clock
-        self._silent_until: dict[str, timedelta] = {}
         self._http = HttpClient(
             max_body_bytes=MAX_UPDATE_BYTES,
             memory=BodyMemory(MAX_UPDATE_BYTES),
@@ -140,23 +150,23 @@
     @property
     def is_watcher(self) -> bool:
         """Whether this instance provides its zone with updates."""
-        watcher = self._watcher()
-        return watcher is None or watcher.name == self._own.name
+        return self.news_sources.is_watcher
 
     async def poll_source(self, after: Position) -> RegistryUpdate | None:
         """Returns the updates of the zone's watcher, or of the head.
 
         Returns:
-            None if this instance is the head, or its source did not answer
-            lately.
+            None if this instance is the head, or no source answers.
         """
-        source = self._source()
-        now = self._clock.elapsed()
-        if source is None or now < self._silent_until.get(source.name, now):
-            return None
-        update = await self._poll(source.peer_address, after)
-        self._record_source(source.name, answered=update is not None)
-        return update
+        for _ in range(SOURCES_POLLED):
+            source = self.news_sources.source()
+            if source is None:
+                return None
+            update = await self._poll(source.peer_address, after)
+            self.news_sources.record(source.name, answered=update is not None)
+            if update is not None:
+                return update
+        return None
 
     async def poll_sample(self, after: Position) -> list[RegistryUpdate]:
         """Returns the updates of some instances of any zone.
@@ -253,6 +263,13 @@
             self._replica.deferral.token,
             self._replica.deferral.steady // MILLISECOND,
         )
+        if CONFIGURATIONS in request.query:
+            update = split_configurations(
+                update, self._replica, self._registry_view.documents, after
+            )
+        else:
+            batch = complete_batch(self._replica, batch)
+            update = msgspec.structs.replace(update, batch=batch)
         return web.Response(body=msgspec.msgpack.encode(update))
 
     def _requested_position(self, request: web.Request) -> Position:
@@ -274,38 +291,6 @@
         self._registry_view.mark_leaving(entry)
         return web.Response()
 
-    def _watcher(self) -> EntryRecord | None:
-        """Returns the watcher of this instance's zone."""
-        zone = self._own.zone
-        peers = [
-            each
-            for each in self._registry_view.active_entries()
-            if each.zone == zone
-        ]
-        return next(iter(watchers_of(peers, 1)), None)
-
-    def _head(self) -> EntryRecord:
-        """Returns the head: by the same order, the first of all watchers."""
-        return watchers_of(self._registry_view.active_entries(), 1)[0]
-
-    def _source(self) -> EntryRecord | None:
-        source = self._watcher()
-        if source is not None and source.name == self._own.name:
-            source = self._head()
-        if source is None or source.name == self._own.name:
-            return None
-        return source
-
-    def _record_source(self, name: str, *, answered: bool) -> None:
-        was_silent = self._silent_until.pop(name, None) is not None
-        if not answered:
-            until = self._clock.elapsed() + SILENT_PAUSE
-            self._silent_until = {name: until}
-        if was_silent == answered:
-            event = 'news source regained' if answered else 'news source lost'
-            paused_ms = self.longest_pause() // MILLISECOND
-            _logger.info(event, extra={'peer': name, 'paused_ms': paused_ms})
-
     def _peer_addresses(self) -> list[str]:
         return [peer.peer_address for peer in self.peers()]
 
@@ -314,13 +299,14 @@
     ) -> RegistryUpdate | None:
         query = (
             f'after={after.revision}&generation={after.generation}'
-            f'&{QUARANTINES}=1&{SUSPECTS}=1'
+            f'&{QUARANTINES}=1&{SUSPECTS}=1&{CONFIGURATIONS}=1'
         )
         try:
             answer = await self._http.send(
                 'GET',
                 f'http://{address}{UPDATES_PATH}?{query}',
                 timeout=POLL_TIMEOUT,
+                checks=ExchangeChecks(longest=LONGEST_POLL),
             )
             update = _UPDATE.decode(answer.body)
         except (TransportError, msgspec.MsgspecError) as error:
@@ -328,12 +314,22 @@
             self._counters.count(f'news.not-heard.{_reason_of(error)}')
             return None
         self._record_arrivals(address, update, answer)
-        return _without_invalid(update)
+        # The peer's state is as old as the head of its answer.
+        age_ms = update.age_ms + answer.took // MILLISECOND
+        update = msgspec.structs.replace(update, age_ms=age_ms)
+        update = resolve_notices(
+            _without_invalid(update), self._registry_view.documents
+        )
+        if update.configurations:
+            self.news_sources.teller = address
+        return update
 
     def _record_arrivals(
         self, address: str, update: RegistryUpdate, answer: HttpResponse
     ) -> None:
         """Records the configurations that an update holds."""
+        for notice in update.configurations:
+            self.arrivals.hear(notice.revision)
         for item in (*update.batch.items, *update.held):
             if isinstance(item.record, RoutingRecord):
                 transfer = Transfer(address, len(answer.body), answer.took)
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_registry_view.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_registry_view.py
@@ -6,7 +6,10 @@
 from datetime import timedelta
 
 from lycheedyke.clock import Clock
-from lycheedyke.coordination import ConfigurationArrivals
+from lycheedyke.coordination import (
+    ConfigurationArrivals,
+    ConfigurationDocuments,
+)
 from lycheedyke.protocol import (
     EntryFault,
     EntryRecord,
@@ -48,6 +51,7 @@
 
     Attributes:
         configuration_arrivals: tells where configurations came from.
+        documents: the contents of the latest configurations.
     """
 
     def __init__(
@@ -64,6 +68,7 @@
         self.on_routes_changed: Callable[[frozenset[str]], None] | None = None
         self.in_force = asyncio.Event()
         self.configuration_arrivals = ConfigurationArrivals(clock)
+        self.documents = ConfigurationDocuments()
         self.evidence = StoredEvidence(suspects, clock)
         self.route_use = RouteUse(clock)
         self.arrivals = ArrivalCounts()
@@ -151,6 +156,7 @@
         if routing.number <= self.number:
             return
         self.table = RouteTable(routing)
+        self.documents.of(routing)
         self.in_force.set()
         self.route_use.retain(frozenset(route.name for route in routing.routes))
         if self.on_routes_changed is not None:
--- a/packages/lycheedyke/src/lycheedyke/coordination/__init__.py
+++ b/packages/lycheedyke/src/lycheedyke/coordination/__init__.py
@@ -33,16 +33,42 @@
 from lycheedyke.coordination._ticket_follower import TicketFollower
 from lycheedyke.coordination._ticket_log import TicketLog
 from lycheedyke.coordination._ticket_replication import TicketReplication
-from lycheedyke.coordination._watchers import watchers_of
+from lycheedyke.coordination._watchers import (
+    first_by_link,
+    rank_by_link,
+    watchers_of,
+)
 from lycheedyke.coordination.configurations import (
+    AwaitedConfigurations,
     ConfigurationArrivals,
+    ConfigurationDocuments,
+    Encoding,
+    InboundTransfer,
+    InboundTransfers,
+    Stream,
     Transfer,
+    ancestors_of,
+)
+from lycheedyke.coordination.configurations._fetcher import (
+    ConfigurationFetcher,
+    ConfigurationSources,
 )
 
 __all__ = (
     'AdmittingInstance',
+    'AwaitedConfigurations',
     'ConfigurationArrivals',
+    'ConfigurationDocuments',
+    'ConfigurationFetcher',
+    'ConfigurationSources',
+    'Encoding',
+    'InboundTransfer',
+    'InboundTransfers',
+    'Stream',
     'Transfer',
+    'ancestors_of',
+    'first_by_link',
+    'rank_by_link',
     'EvidencePublisher',
     'ReceivedMessage',
     'LogReader',
--- a/packages/lycheedyke/src/lycheedyke/coordination/_registry_follower.py
+++ b/packages/lycheedyke/src/lycheedyke/coordination/_registry_follower.py
@@ -44,6 +44,9 @@
 ZERO = timedelta()
 MILLISECOND = timedelta(milliseconds=1)
 MAX_DOUBLINGS = 8
+# For so long, parts of an answer of the registry count as news of it. Others
+# then wait for this instance instead of reading the same themselves.
+MAX_RECEIVING = timedelta(seconds=1)
 # A call may fail while the registry answers others.
 FAILURES_OF_OUTAGE = 2
 # Interrupted watches are logged at most once in this time.
@@ -117,7 +120,10 @@
         self._longest_pause = longest_pause
         self._paused_within = paused_within
         self._updated = clock.elapsed()
+        self._is_reading = False
+        self._receiving_since: timedelta | None = None
         self._started = self._updated
+        registry.on_progress = self._note_progress
         self._answered = self._updated
         self._has_full_state = False
         self._has_asked_peers = False
@@ -142,6 +148,11 @@
             return age
         return max(age, self._intervals.silence)
 
+    @property
+    def configuration_awaited(self) -> timedelta:
+        """How long a later configuration has been known and lacked."""
+        return self._replica.awaited.waited
+
     @property
     def silence(self) -> timedelta:
         """An upper bound of the time since the registry answered any instance.
@@ -209,13 +220,17 @@
         polled = self._clock.elapsed()
         if polled < self._retry_at:
             return min(self._poll_interval, self._retry_at - polled)
+        self._receiving_since = None
+        self._is_reading = True
         try:
             await self._read_registry()
         except PlatformError as error:
+            self._is_reading = False
             self._record_failure(error, polled)
             return min(
                 self._poll_interval, self._retry_at - self._clock.elapsed()
             )
+        self._is_reading = False
         self._record_recovery()
         took = self._clock.elapsed() - polled
         return max(self._intervals.registry - took, MILLISECOND)
@@ -246,7 +261,7 @@
         # Before the changes, which may be removals to defer, and after them,
         # as they may tell of a later generation.
         self._replica.merge_deferral(told, update.batch.generation)
-        self._replica.merge(update.batch)
+        self._replica.merge(update.batch, update.configurations)
         self._replica.merge_deferral(told, update.batch.generation)
         self._replica.adopt_configurations(update.held)
         self._updated = max(self._updated, as_of)
@@ -273,6 +288,16 @@
         self._replica.merge_full_state(batch)
         self._has_full_state = True
 
+    def _note_progress(self) -> None:
+        """Notes that the registry is sending an answer."""
+        if not self._is_reading:
+            return
+        now = self._clock.elapsed()
+        if self._receiving_since is None:
+            self._receiving_since = now
+        if now - self._receiving_since < MAX_RECEIVING:
+            self._updated = max(self._updated, now)
+
     def _record_arrivals(self, batch: ItemBatch) -> None:
         """Records the configurations in the last answer of the registry."""
         for item in batch.items:
--- a/packages/lycheedyke/src/lycheedyke/coordination/_replica.py
+++ b/packages/lycheedyke/src/lycheedyke/coordination/_replica.py
@@ -28,13 +28,18 @@
     PeerDeferral,
     RemovalDeferral,
 )
+from lycheedyke.coordination.configurations._awaited import (
+    AwaitedConfigurations,
+)
 from lycheedyke.protocol import (
+    ConfigurationNotice,
     EntryRecord,
     EvacuationRecord,
     ItemBatch,
     Position,
     RegistryItem,
     RegistryRecord,
+    RoutingRecord,
     UpstreamRecord,
 )
 
@@ -70,6 +75,11 @@
         reappearance: how long after an outage a record may be written again.
         on_change: called with each effective change and the previous record.
         on_restore: called when the registry has come back from a copy.
+
+    Attributes:
+        position: the revision up to which the items are complete, but for
+            what is awaited.
+        awaited: the configurations whose content is missing.
     """
 
     def __init__(
@@ -81,6 +91,7 @@
     ) -> None:
         """Initializes the replica without items."""
         self.position = Position(0, 0)
+        self.awaited = AwaitedConfigurations(clock)
         self._clock = clock
         self._reappearance = reappearance
         self._on_change = on_change
@@ -124,7 +135,11 @@
         steady_since = self._clock.elapsed() - self._deferral.steady
         self._returned_at = min(self._returned_at, steady_since)
 
-    def merge(self, batch: ItemBatch) -> int:
+    def merge(
+        self,
+        batch: ItemBatch,
+        notices: Iterable[ConfigurationNotice] = (),
+    ) -> int:
         """Merges changes; returns how many were new.
 
         Args:
@@ -132,19 +147,49 @@
                 items if its generation is later than the one known here. The
                 first state that a process reads is no return of the registry,
                 whatever its generation.
+            notices: configurations among the changes without their contents,
+                which are then awaited.
         """
         if batch.generation < self.position.generation:
             return 0
         if batch.generation > self.position.generation and self.revision:
+            self.awaited.replace(
+                notice for notice in notices if not notice.is_held
+            )
             self._restore(batch)
-            return len(batch.items)
+            count = len(batch.items)
+        else:
+            count = self.merge_some(batch)
+            self.position = max(self.position, batch.position)
+        for notice in notices:
+            self._await_configuration(notice)
+        return count
+
+    def merge_some(self, batch: ItemBatch) -> int:
+        """Merges items of the present generation, others are left out.
+
+        Args:
+            batch: the items; there may be others up to its revision.
+        """
+        if batch.generation != self.position.generation and self.revision:
+            return 0
         held = set(self._held)
         count = sum(self._merge(item) for item in batch.items)
-        self.position = max(self.position, batch.position)
         self._drop_old_tombstones()
         self._report_deferred(self._held.keys() - held)
         return count
 
+    def take_configuration(
+        self, notice: ConfigurationNotice, record: RoutingRecord
+    ) -> None:
+        """Merges a configuration whose notice was known before."""
+        item = RegistryItem(notice.key, notice.revision, record, notice.created)
+        if notice.is_held:
+            self.awaited.resolve_held(notice)
+            self.adopt_configurations((item,))
+        elif notice in self.awaited.notices or self._has_later(notice):
+            self._merge(item)
+
     def merge_full_state(self, batch: ItemBatch) -> None:
         """Merges the full state; known items that it lacks are removed.
 
@@ -165,6 +210,7 @@
         ]
         items = (*batch.items, *missing)
         self.merge(ItemBatch(batch.revision, items, batch.generation))
+        self.awaited.resolve_until(batch.revision)
 
     def changes_after(self, position: Position) -> ItemBatch:
         """Returns the items that changed after a position.
@@ -240,7 +286,25 @@
             },
         )
 
+    def _await_configuration(self, notice: ConfigurationNotice) -> None:
+        if notice.is_held:
+            effective = self._effective_items().get(notice.key)
+            record = effective.record if effective else None
+            number = record.number if isinstance(record, RoutingRecord) else 0
+            if notice.number > number:
+                self.awaited.add(notice)
+            return
+        known = self._items.get(notice.key)
+        if known is None or known.revision < notice.revision:
+            self.awaited.add(notice)
+
+    def _has_later(self, notice: ConfigurationNotice) -> bool:
+        """Returns whether a later configuration of the key is awaited."""
+        awaited = self.awaited.revision_of(notice.key)
+        return awaited is not None and awaited > notice.revision
+
     def _merge(self, item: RegistryItem) -> bool:
+        self.awaited.resolve(item.key, item.revision)
         known = self._items.get(item.key)
         if known is not None and known.revision >= item.revision:
             return False
@@ -267,7 +331,10 @@
         before = self._effective_items()
         left = self.position
         self.position = batch.position
-        missing = {key: RegistryItem(key, batch.revision) for key in before}
+        missing = {
+            key: RegistryItem(key, self._revision_without(key, batch.revision))
+            for key in before
+        }
         self._items = missing | {item.key: item for item in batch.items}
         self._held = self._find_holds(before)
         self._deferral.start('restored copy')
@@ -282,6 +349,11 @@
         if before:
             self._report_restore(left)
 
+    def _revision_without(self, key: str, revision: int) -> int:
+        """Returns up to which revision a restored copy lacks a key."""
+        awaited = self.awaited.revision_of(key)
+        return revision if awaited is None else awaited - 1
+
     def _find_holds(
         self, before: Mapping[str, RegistryItem]
     ) -> dict[str, Hold]:
--- a/packages/lycheedyke/src/lycheedyke/coordination/_watchers.py
+++ b/packages/lycheedyke/src/lycheedyke/coordination/_watchers.py
@@ -25,5 +25,23 @@
     return heapq.nlargest(count, instances, key=_weigh)
 
 
+def rank_by_link(entries: Iterable[EntryRecord]) -> list[EntryRecord]:
+    """Returns entry instances in the order in which they serve the others.
+
+    Those with the most room on their links come first: what all need passes
+    them. Among equal links the loss of one instance moves no other.
+    """
+    return sorted(entries, key=_weigh_link, reverse=True)
+
+
+def first_by_link(entries: Iterable[EntryRecord]) -> EntryRecord | None:
+    """Returns the first one of `rank_by_link`, if there is any."""
+    return max(entries, key=_weigh_link, default=None)
+
+
+def _weigh_link(entry: EntryRecord) -> tuple[float, int]:
+    return entry.link_mbps, _weigh(entry)
+
+
 def _weigh(info: InstanceInfo | EntryRecord) -> int:
     return xxhash.xxh3_64_intdigest(f'watch {info.name}'.encode())
--- a/packages/lycheedyke/src/lycheedyke/protocol/__init__.py
+++ b/packages/lycheedyke/src/lycheedyke/protocol/__init__.py
@@ -1,5 +1,6 @@
 """Documents, messages, idempotency keys, outcomes, and their codecs."""
 
+from lycheedyke.protocol._configuration_notice import ConfigurationNotice
 from lycheedyke.protocol._key_digests import digest_key
 from lycheedyke.protocol._keys import IdempotencyKey
 from lycheedyke.protocol._messages import (
@@ -145,6 +146,7 @@
     'InstanceLoads',
     'Announcement',
     'AnswerSize',
+    'ConfigurationNotice',
     'CallerLimits',
     'EntryFault',
     'EntryKind',
--- a/packages/lycheedyke/src/lycheedyke/protocol/_registry.py
+++ b/packages/lycheedyke/src/lycheedyke/protocol/_registry.py
@@ -7,13 +7,14 @@
 gives revisions out again; it says so by a higher generation.
 """
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from datetime import timedelta
 from enum import Enum
 from typing import NamedTuple, Protocol
 
 import msgspec
 
+from lycheedyke.protocol._configuration_notice import ConfigurationNotice
 from lycheedyke.protocol._suspect_record import SuspectRecord
 
 
@@ -310,6 +311,9 @@
         steady_ms: how long the registry is known to have answered in this
             generation without an outage, in milliseconds; None from earlier
             releases.
+        configurations: the configurations that changed after the requested
+            revision, or are held, for receivers that ask for their contents
+            apart.
     """
 
     age_ms: int
@@ -319,6 +323,7 @@
     silence_ms: int | None = None
     deferral_token: str = ''
     steady_ms: int | None = None
+    configurations: tuple[ConfigurationNotice, ...] = ()
 
 
 class Announcement(NamedTuple):
@@ -360,6 +365,9 @@
     def generation(self) -> int:
         """The latest generation that any answer stated."""
 
+    on_progress: Callable[[], None]
+    """Called when a part of an answer with items has arrived."""
+
     @property
     def last_answer(self) -> AnswerSize:
         """The size of the answer that was decoded last."""
@@ -367,6 +375,9 @@
     async def read_all(self) -> ItemBatch:
         """Returns all items."""
 
+    async def read_configuration(self) -> ItemBatch:
+        """Returns the items that hold a configuration, and no others."""
+
     async def watch(self, after: int, wait: timedelta) -> ItemBatch:
         """Waits for the changes after a revision and returns them.
 
--- a/packages/lycheedyke/src/lycheedyke/timers.py
+++ b/packages/lycheedyke/src/lycheedyke/timers.py
@@ -54,6 +54,16 @@
         """Cancels the call."""
         self._handle.cancel()
 
+    def extend(self, delay: timedelta) -> None:
+        """Waits for at least this delay from now on."""
+        due = self._loop.time() + delay.total_seconds()
+        if due <= self._due:
+            return
+        self._handle.cancel()
+        self._due = due
+        self._early = due - LATE_SECONDS
+        self._handle = self._loop.call_at(self._early, self._wait_due)
+
     def _wait_due(self) -> None:
         if self._is_late(self._early):
             self._wait_read()
@@ -100,6 +110,63 @@
             timer.cancel()
 
 
+class ProgressTimeout:
+    """A timeout that is extended while an exchange makes progress.
+
+    Args:
+        timeout: ends the exchange.
+        timer: expires the timeout.
+        patience: how long the exchange may be without progress.
+        longest: the longest time for the exchange as a whole.
+    """
+
+    def __init__(
+        self,
+        timeout: asyncio.Timeout,
+        timer: PauseTolerantTimer,
+        patience: timedelta,
+        longest: timedelta,
+    ) -> None:
+        """Starts the longest time."""
+        self.timeout = timeout
+        self._timer = timer
+        self._patience = patience
+        self._is_extended = longest > patience
+        self._end = asyncio.get_running_loop().time() + longest.total_seconds()
+
+    def __repr__(self) -> str:
+        """Returns the end of the longest time."""
+        return f'<ProgressTimeout until {self._end:.3f} at the latest>'
+
+    def note_progress(self) -> None:
+        """Extends the timeout."""
+        if not self._is_extended:
+            return
+        left = timedelta(seconds=self._end - asyncio.get_running_loop().time())
+        self._timer.extend(min(self._patience, left))
+
+
+@contextlib.asynccontextmanager
+async def progress_timeout(
+    patience: timedelta, longest: timedelta
+) -> AsyncIterator[ProgressTimeout]:
+    """Ends the block after a time without progress.
+
+    Args:
+        patience: the longest time without progress.
+        longest: the longest time for the block as a whole.
+
+    Raises:
+        TimeoutError: the time has passed.
+    """
+    async with asyncio.timeout(None) as timeout:
+        timer = PauseTolerantTimer(patience, lambda: expire(timeout))
+        try:
+            yield ProgressTimeout(timeout, timer, patience, longest)
+        finally:
+            timer.cancel()
+
+
 def expire(timeout: asyncio.Timeout) -> None:
     """Ends the block of a timeout now."""
     if not timeout.expired():
--- a/packages/lycheedyke/src/lycheedyke/transport/_http.py
+++ b/packages/lycheedyke/src/lycheedyke/transport/_http.py
@@ -22,7 +22,7 @@
     ResponseTooLarge,
     TransportError,
 )
-from lycheedyke.timers import pause_tolerant_timeout
+from lycheedyke.timers import ProgressTimeout, progress_timeout
 from lycheedyke.transport._body_memory import BodyMemory, IncomingBody
 from lycheedyke.transport._connector import Connector, IdleLimits
 from lycheedyke.transport._framing import has_body, has_length
@@ -79,11 +79,17 @@
         accept: returns where to write the body of a response with a length
             while it arrives, or None to read it as a whole. The returned
             response then has no body.
+        on_progress: called when a part of the body has arrived.
+        longest: the longest time for an exchange whose body goes on arriving,
+            each part within the timeout after the one before; None where the
+            timeout limits the exchange as a whole.
     """
 
     before_write: BeforeWrite | None = None
     is_own: IsOwn | None = None
     accept: Accept | None = None
+    on_progress: Callable[[], None] | None = None
+    longest: timedelta | None = None
 
 
 NO_CHECKS = ExchangeChecks()
@@ -201,8 +207,13 @@
         )
         gate_of_task.set(gate)
         try:
-            async with pause_tolerant_timeout(timeout) as timer:
-                with gate.bounded(self._limit_connecting(timeout), timer):
+            async with progress_timeout(
+                timeout, checks.longest or timeout
+            ) as limit:
+                progress = _Progress(checks.on_progress, limit)
+                with gate.bounded(
+                    self._limit_connecting(timeout), limit.timeout
+                ):
                     return await self._send_and_read(
                         method,
                         yarl.URL(url, encoded=True),
@@ -210,6 +221,7 @@
                         body,
                         reuse=reuse,
                         checks=checks,
+                        progress=progress,
                     )
         except _EXCHANGE_ERRORS as error:
             raise gate.refusal or _to_error(gate, method, url, error) from error
@@ -223,6 +235,7 @@
         *,
         reuse: bool,
         checks: ExchangeChecks,
+        progress: '_Progress',
     ) -> HttpResponse:
         session = self._open_pooled() if reuse else self._open_unpooled()
         async with session.request(
@@ -242,11 +255,11 @@
                 return HttpResponse(response.status, response.headers, b'')
             sink = find_sink(method, response, checks.accept)
             if sink is not None:
-                content = await self._pass_on(response, sink)
+                content = await self._pass_on(response, sink, progress)
             elif has_length(response.headers):
-                content = await self._read(response)
+                content = await self._read(response, progress)
             else:
-                content = await self._read_until_close(response)
+                content = await self._read_until_close(response, progress)
             took = asyncio.get_running_loop().time() - started
             return HttpResponse(
                 response.status,
@@ -256,7 +269,7 @@
             )
 
     async def _read_until_close(
-        self, response: aiohttp.ClientResponse
+        self, response: aiohttp.ClientResponse, progress: '_Progress'
     ) -> bytes:
         """Reads a body that ends where the connection is closed.
 
@@ -269,7 +282,7 @@
             )
         connection = response.connection
         protocol = connection.protocol if connection else None
-        body = await self._read(response)
+        body = await self._read(response, progress)
         if protocol is None or protocol.closed is None:
             raise ExchangeBroken(
                 f'{response.url}: unknown how the connection ended',
@@ -277,18 +290,23 @@
         await protocol.closed
         return body
 
-    async def _read(self, response: aiohttp.ClientResponse) -> bytes:
+    async def _read(
+        self, response: aiohttp.ClientResponse, progress: '_Progress'
+    ) -> bytes:
         with self._memory.receive(
             self._max_body_bytes, functools.partial(_break_off, response)
         ) as body:
             try:
-                return await _receive(response, body)
+                return await _receive(response, body, progress)
             except BodyTooLarge as error:
                 response.close()
                 raise _to_too_large(response, error) from error
 
     async def _pass_on(
-        self, response: aiohttp.ClientResponse, sink: BodySink
+        self,
+        response: aiohttp.ClientResponse,
+        sink: BodySink,
+        progress: '_Progress',
     ) -> bytes:
         try:
             await pass_on(
@@ -296,6 +314,7 @@
                 sink,
                 self._max_body_bytes,
                 functools.partial(_break_off, response),
+                progress.note,
             )
         except BodyTooLarge as error:
             response.close()
@@ -350,12 +369,26 @@
     return session
 
 
+class _Progress(NamedTuple):
+    """Who is told when a part of a body has arrived."""
+
+    on_progress: Callable[[], None] | None
+    limit: ProgressTimeout
+
+    def note(self) -> None:
+        """Notes that a part has arrived."""
+        self.limit.note_progress()
+        if self.on_progress is not None:
+            self.on_progress()
+
+
 async def _receive(
-    response: aiohttp.ClientResponse, body: IncomingBody
+    response: aiohttp.ClientResponse, body: IncomingBody, progress: _Progress
 ) -> bytes:
     body.check_length(response.content_length or 0)
     async for chunk in response.content.iter_any():
         body.append(chunk)
+        progress.note()
         if not response.content.at_eof():
             # The next read may return at once; others get their turn.
             await asyncio.sleep(0)
--- a/packages/lycheedyke/src/lycheedyke/transport/_streaming.py
+++ b/packages/lycheedyke/src/lycheedyke/transport/_streaming.py
@@ -63,6 +63,7 @@
     sink: BodySink,
     max_bytes: int,
     break_off: Callable[[], None],
+    on_progress: Callable[[], None],
 ) -> None:
     """Writes the body of a response to a sink until it is complete.
 
@@ -71,13 +72,14 @@
         sink: takes the body.
         max_bytes: the maximum size of the body.
         break_off: ends the exchange if the sink breaks the body off.
+        on_progress: called when a part of the body has arrived.
 
     Raises:
         BodyTooLarge: the body is too large, or it was broken off.
     """
     sink.begin(break_off)
     try:
-        await _write_all(response, sink, max_bytes)
+        await _write_all(response, sink, max_bytes, on_progress)
     except BaseException:
         sink.fail()
         raise
@@ -85,7 +87,10 @@
 
 
 async def _write_all(
-    response: aiohttp.ClientResponse, sink: BodySink, max_bytes: int
+    response: aiohttp.ClientResponse,
+    sink: BodySink,
+    max_bytes: int,
+    on_progress: Callable[[], None],
 ) -> None:
     length = response.content_length or 0
     if length > max_bytes:
@@ -95,6 +100,7 @@
     received = 0
     async for chunk in response.content.iter_any():
         received += len(chunk)
+        on_progress()
         await sink.write(chunk)
         if not response.content.at_eof():
             # The next read may return at once; others get their turn.
--- a/tests/standins/thin_links.py
+++ b/tests/standins/thin_links.py
@@ -20,6 +20,7 @@
         bits_per_s: what it carries; None without a limit.
 
     Attributes:
+        bits_per_s: what it carries; None without a limit.
         carried_bytes: the bytes that it has carried.
         held: cleared while it holds all bytes back.
     """
@@ -29,7 +30,7 @@
         self.carried_bytes = 0
         self.held = asyncio.Event()
         self.held.set()
-        self._bits_per_s = bits_per_s
+        self.bits_per_s = bits_per_s
         self._free_at = 0.0
 
     async def carry(self, size: int) -> None:
@@ -40,11 +41,11 @@
         """
         await self.held.wait()
         self.carried_bytes += size
-        if self._bits_per_s is None:
+        if self.bits_per_s is None:
             return
         loop = asyncio.get_running_loop()
         started = max(loop.time(), self._free_at)
-        self._free_at = started + size * BITS_PER_BYTE / self._bits_per_s
+        self._free_at = started + size * BITS_PER_BYTE / self.bits_per_s
         await asyncio.sleep(self._free_at - loop.time())
 
 
@@ -65,6 +66,12 @@
         self.down.held.clear()
         self.up.held.clear()
 
+    def release(self) -> None:
+        """Carries all bytes at once, also those that were held."""
+        for direction in (self.down, self.up):
+            direction.bits_per_s = None
+            direction.held.set()
+
 
 class ThinRelay(Relay):
     """Relays connections through directions of links.
@@ -80,11 +87,16 @@
     ) -> None:
         """Initializes an open relay."""
         super().__init__(target)
+        self._silenced: set[asyncio.StreamWriter] = set()
         self._directions = {
             id(self.to_target): to_target,
             id(self.to_client): to_client,
         }
 
+    def silence(self) -> None:
+        """Lets no byte pass any more on the connections that are open."""
+        self._silenced |= self._writers
+
     async def _pump(
         self,
         reader: asyncio.StreamReader,
@@ -95,6 +107,8 @@
         try:
             while chunk := await reader.read(CHUNK_BYTES):
                 await direction.carry(len(chunk))
+                if writer in self._silenced:
+                    continue
                 writer.write(chunk)
                 await writer.drain()
         except OSError:
--- a/tests/standins/thin_testbed.py
+++ b/tests/standins/thin_testbed.py
@@ -3,6 +3,8 @@
 import asyncio
 from collections.abc import Awaitable, Callable, Iterable
 from pathlib import Path
+from random import Random
+from types import TracebackType
 from typing import Any, NamedTuple
 
 from lycheedyke_daemon.gateway import GatewayInstance, read_gateway_settings
@@ -17,7 +19,7 @@
 # A link of 5 Mbit/s of which downloads take seven tenths.
 BUSY_THIN_LINK = 0.3 * 5 * MEGABIT
 POLL_SECONDS = 0.01
-KEY_DIGITS = 24
+ROUTES_SEED = 56
 # Of virtual time.
 LIMIT_SECONDS = 120
 
@@ -52,6 +54,24 @@
         """Creates the store and one upstream, without instances."""
         super().__init__(folder, upstreams=1, instances=0)
         self.members: list[Member] = []
+        self._relays: list[ThinRelay] = []
+        self._listeners: list[asyncio.Server] = []
+
+    async def __aexit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        """Stops all parts, and resets the connections that are held."""
+        for member in self.members:
+            member.link.release()
+        await super().__aexit__(exc_type, exc, traceback)
+        for listener in self._listeners:
+            listener.close()
+        for relay in self._relays:
+            relay.reset()
+        await asyncio.sleep(POLL_SECONDS)
 
     async def start_member(
         self,
@@ -70,7 +90,7 @@
         """
         link = ThinLink(bits_per_s)
         ports = free_ports(7)
-        await _serve(ThinRelay(self._store, link.up, link.down), ports[5])
+        await self._serve(ThinRelay(self._store, link.up, link.down), ports[5])
         path = self._folder / f'{name}.ini'
         path.write_text(
             SETTINGS.format(
@@ -87,7 +107,7 @@
         instance = make_instance(settings)
         # Peers connect to the announced address, which is that of a relay.
         listening = f'127.0.0.1:{ports[6]}'
-        await _serve(ThinRelay(listening, link.down, link.up), ports[3])
+        await self._serve(ThinRelay(listening, link.down, link.up), ports[3])
         instance._settings = settings._replace(peer_address=listening)
         await instance.start()
         await instance.wait_ready()
@@ -107,6 +127,11 @@
                 await self.start_member(name, zone, bits_per_s, link_mbps)
         await self.wait_all_listed()
 
+    def silence_connections(self) -> None:
+        """Lets nothing pass on open connections to the store and to peers."""
+        for relay in self._relays:
+            relay.silence()
+
     def count_store_reads(self) -> int:
         """Returns the number of reads and watches that the store has got."""
         return sum(
@@ -117,6 +142,12 @@
         """Returns the bytes that instances have sent to each other."""
         return sum(each.link.up.carried_bytes for each in self.members)
 
+    async def _serve(self, relay: ThinRelay, port: int) -> None:
+        self._relays.append(relay)
+        self._listeners.append(
+            await asyncio.start_server(relay.serve, '127.0.0.1', port)
+        )
+
     async def measure_spread(
         self,
         number: int,
@@ -152,30 +183,33 @@
 
 def many_routes(count: int) -> list[dict[str, Any]]:
     """Returns so many routes with prefixes of their own."""
+    choice = Random(ROUTES_SEED)
     return [
         {
-            'name': f'r-{at:05x}x',
-            'prefix': f'/p{at * 7919 % 99991}/',
+            'name': f'r-{_word(choice)}',
+            'prefix': f'/{_word(choice)}/{_word(choice)}/',
             'service': 'desk',
         }
-        for at in range(count)
+        for _ in range(count)
     ]
 
 
 def many_tenants(count: int, keys: int) -> list[dict[str, Any]]:
     """Returns so many tenants with so many keys each."""
+    choice = Random(ROUTES_SEED)
     return [
         {
             'name': f'tenant{at}',
-            'apiKeys': [
-                f'{(at * keys + number) * 0x9E3779B97F4A7C15 % 2**96:0{KEY_DIGITS}x}'
-                for number in range(keys)
-            ],
+            'apiKeys': [choice.randbytes(12).hex() for _ in range(keys)],
         }
         for at in range(count)
     ]
 
 
+def _word(choice: Random) -> str:
+    return ''.join(choice.choices('abcdefghijkmnopqrstuvwxyz0123456789', k=7))
+
+
 def write_configuration(
     testbed: GatewayTestbed,
     number: int,
@@ -186,16 +220,12 @@
     testbed.store.put('op/config', config_value(number, routes, **parts))
 
 
-async def _serve(relay: ThinRelay, port: int) -> None:
-    await asyncio.start_server(relay.serve, '127.0.0.1', port)
-
-
 def head_of(members: Iterable[Member]) -> Member:
     """Returns the member that reads the store for all."""
     return next(
         each
         for each in members
-        if each.instance._peer_updates._source() is None
+        if each.instance._peer_updates.news_sources.source() is None
     )
 
 
--- a/tests/unit/gateway/test_interrupted_watches.py
+++ b/tests/unit/gateway/test_interrupted_watches.py
@@ -72,7 +72,7 @@
     heads = [
         each
         for each in testbed.instances
-        if each._peer_updates._source() is None
+        if each._peer_updates.news_sources.source() is None
     ]
     assert len(heads) == 1
     return heads[0]
--- a/tests/unit/gateway/test_life.py
+++ b/tests/unit/gateway/test_life.py
@@ -372,7 +372,7 @@
         heads = [
             each
             for each in platform.instances
-            if each._peer_updates._source() is None
+            if each._peer_updates.news_sources.source() is None
         ]
         assert len(heads) == 1
 
--- a/tests/unit/gateway/test_log_lines.py
+++ b/tests/unit/gateway/test_log_lines.py
@@ -31,6 +31,7 @@
     LIBRARY / 'coordination/_presence.py',
     LIBRARY / 'coordination/_quarantine_publisher.py',
     LIBRARY / 'coordination/_evidence_publisher.py',
+    *sorted((LIBRARY / 'coordination/configurations').rglob('*.py')),
     ROOT / 'platform/store.py',
 )
 WRITERS = frozenset(('info', 'warning', 'error', 'exception', 'write', '_tell'))
