--- a/bench/configuration_spread.py
+++ b/bench/configuration_spread.py
@@ -22,14 +22,13 @@
 
 import defopt
 
+from standins.large_configurations import many_routes, many_tenants
 from standins.thin_testbed import (
     BUSY_THIN_LINK,
     MEGABIT,
     Member,
     ThinTestbed,
     head_of,
-    many_routes,
-    many_tenants,
     run_thin_scenario,
     watchers_of_zone,
     write_configuration,
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -10,6 +10,7 @@
 from bench.soak.echo_upstream import EchoUpstream
 from bench.soak.fault_records import InjectedFault, PlannedStop
 from bench.soak.testbed import ROUTES, Testbed
+from standins.large_configurations import many_routes
 from standins.relay import Relay
 
 PAUSE_SECONDS = (0.2, 1.2)
@@ -32,6 +33,9 @@
     'close',
 )
 ADDED_ROUTE = {'name': 'more', 'prefix': '/more/', 'service': 'desk'}
+# Of a large configuration, which every fourth version is.
+MANY_ROUTES = 1_400
+LARGE_EVERY = 4
 MAX_UPSTREAMS = 9
 MIN_UPSTREAMS = 4
 # The age of a copy, the time away, and until a write is repeated.
@@ -318,6 +322,8 @@
         """Writes one to three configuration versions in quick succession."""
         for _ in range(self._rng.randint(1, 3)):
             added = [ADDED_ROUTE] if self._rng.random() < 0.5 else []
+            if self._testbed.config_version % LARGE_EVERY == 0:
+                added += many_routes(MANY_ROUTES)
             self._testbed.configure([*ROUTES, *added])
             await asyncio.sleep(self._rng.uniform(0, 0.3))
 
--- a/tests/standins/thin_testbed.py
+++ b/tests/standins/thin_testbed.py
@@ -3,7 +3,6 @@
 import asyncio
 from collections.abc import Awaitable, Callable, Iterable
 from pathlib import Path
-from random import Random
 from types import TracebackType
 from typing import Any, NamedTuple
 
@@ -19,7 +18,6 @@
 # A link of 5 Mbit/s of which downloads take seven tenths.
 BUSY_THIN_LINK = 0.3 * 5 * MEGABIT
 POLL_SECONDS = 0.01
-ROUTES_SEED = 56
 # Of virtual time.
 LIMIT_SECONDS = 120
 
@@ -181,35 +179,6 @@
         return times
 
 
-def many_routes(count: int) -> list[dict[str, Any]]:
-    """Returns so many routes with prefixes of their own."""
-    choice = Random(ROUTES_SEED)
-    return [
-        {
-            'name': f'r-{_word(choice)}',
-            'prefix': f'/{_word(choice)}/{_word(choice)}/',
-            'service': 'desk',
-        }
-        for _ in range(count)
-    ]
-
-
-def many_tenants(count: int, keys: int) -> list[dict[str, Any]]:
-    """Returns so many tenants with so many keys each."""
-    choice = Random(ROUTES_SEED)
-    return [
-        {
-            'name': f'tenant{at}',
-            'apiKeys': [choice.randbytes(12).hex() for _ in range(keys)],
-        }
-        for at in range(count)
-    ]
-
-
-def _word(choice: Random) -> str:
-    return ''.join(choice.choices('abcdefghijkmnopqrstuvwxyz0123456789', k=7))
-
-
 def write_configuration(
     testbed: GatewayTestbed,
     number: int,
--- a/tests/unit/gateway/test_configuration_transfers.py
+++ b/tests/unit/gateway/test_configuration_transfers.py
@@ -11,11 +11,11 @@
 from lycheedyke_daemon.gateway import GatewayInstance
 from lycheedyke_daemon.gateway.news import ConfigurationExchange
 from standins.gateway_testbed import ROUTES, GatewayTestbed, run_scenario
+from standins.large_configurations import many_routes
 from standins.registry_store import config_value
 from standins.thin_testbed import (
     BUSY_THIN_LINK,
     ThinTestbed,
-    many_routes,
     run_thin_scenario,
     write_configuration,
 )
--- a/tests/unit/gateway/test_late_configurations.py
+++ b/tests/unit/gateway/test_late_configurations.py
@@ -7,13 +7,12 @@
 import pytest
 
 from standins.gateway_testbed import GatewayTestbed
+from standins.large_configurations import many_routes, many_tenants
 from standins.registry_store import upstream_value
 from standins.scripted_upstream import ScriptedUpstream
 from standins.thin_testbed import (
     BUSY_THIN_LINK,
     ThinTestbed,
-    many_routes,
-    many_tenants,
     run_thin_scenario,
     write_configuration,
 )
