Leave the registry to a source that answers, and claim no age for parts

Of a large configuration, all instances of a zone read the same answer of the registry while their watcher was still receiving it. An instance whose source answers with old news now waits 0.3 s longer than the watcher, which reads the registry itself.

A first attempt counted news as recent while an answer was arriving.

--- a/packages/lycheedyke/src/lycheedyke/coordination/_follow_intervals.py
+++ b/packages/lycheedyke/src/lycheedyke/coordination/_follow_intervals.py
@@ -24,6 +24,8 @@
         silence: the age of the last update from which the peers are polled,
             and the shortest outage of the registry: records that are written
             regularly do not lapse in less.
+        source: how much older than `silence` the news of an instance may be
+            whose source answers, before it polls the registry itself.
         seed: the interval of polls of the seeds at the start.
         start: how long after its start an instance polls the seeds before it
             reads the registry itself; seeds read it in less.
@@ -36,6 +38,7 @@
     retry: timedelta = timedelta(milliseconds=300)
     max_retry: timedelta = timedelta(seconds=3)
     silence: timedelta = SHORTEST_OUTAGE
+    source: timedelta = timedelta(milliseconds=300)
     seed: timedelta = timedelta(milliseconds=100)
     start: timedelta = timedelta(milliseconds=1500)
 
--- a/packages/lycheedyke/src/lycheedyke/coordination/_registry_follower.py
+++ b/packages/lycheedyke/src/lycheedyke/coordination/_registry_follower.py
@@ -44,9 +44,6 @@
 ZERO = timedelta()
 MILLISECOND = timedelta(milliseconds=1)
 MAX_DOUBLINGS = 8
-# For so long, parts of an answer of the registry count as news of it. Others
-# then wait for this instance instead of reading the same themselves.
-MAX_RECEIVING = timedelta(seconds=1)
 # A call may fail while the registry answers others.
 FAILURES_OF_OUTAGE = 2
 # Interrupted watches are logged at most once in this time.
@@ -120,10 +117,7 @@
         self._longest_pause = longest_pause
         self._paused_within = paused_within
         self._updated = clock.elapsed()
-        self._is_reading = False
-        self._receiving_since: timedelta | None = None
         self._started = self._updated
-        registry.on_progress = self._note_progress
         self._answered = self._updated
         self._has_full_state = False
         self._has_asked_peers = False
@@ -217,24 +211,32 @@
         if update is not None and self._merge(update, asked):
             self._record_recovery()
             return self._poll_interval * random.uniform(0.9, 1.1)
+        if update is not None and self._is_left_to_source():
+            return self._intervals.retry
         polled = self._clock.elapsed()
         if polled < self._retry_at:
             return min(self._poll_interval, self._retry_at - polled)
-        self._receiving_since = None
-        self._is_reading = True
         try:
             await self._read_registry()
         except PlatformError as error:
-            self._is_reading = False
             self._record_failure(error, polled)
             return min(
                 self._poll_interval, self._retry_at - self._clock.elapsed()
             )
-        self._is_reading = False
         self._record_recovery()
         took = self._clock.elapsed() - polled
         return max(self._intervals.registry - took, MILLISECOND)
 
+    def _is_left_to_source(self) -> bool:
+        """Whether the source of this instance asks the registry for it.
+
+        A watcher whose news are old asks the registry itself. What many need
+        is then read once; peers of other zones are asked meanwhile.
+        """
+        age = self._clock.elapsed() - self._updated
+        longest = self._intervals.silence + self._intervals.source
+        return not self._peers.is_watcher and age < longest
+
     @property
     def _poll_interval(self) -> timedelta:
         if self._peers.is_watcher:
@@ -288,16 +290,6 @@
         self._replica.merge_full_state(batch)
         self._has_full_state = True
 
-    def _note_progress(self) -> None:
-        """Notes that the registry is sending an answer."""
-        if not self._is_reading:
-            return
-        now = self._clock.elapsed()
-        if self._receiving_since is None:
-            self._receiving_since = now
-        if now - self._receiving_since < MAX_RECEIVING:
-            self._updated = max(self._updated, now)
-
     def _record_arrivals(self, batch: ItemBatch) -> None:
         """Records the configurations in the last answer of the registry."""
         for item in batch.items:
--- a/packages/lycheedyke/src/lycheedyke/protocol/_registry.py
+++ b/packages/lycheedyke/src/lycheedyke/protocol/_registry.py
@@ -7,7 +7,7 @@
 gives revisions out again; it says so by a higher generation.
 """
 
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 from datetime import timedelta
 from enum import Enum
 from typing import NamedTuple, Protocol
@@ -365,9 +365,6 @@
     def generation(self) -> int:
         """The latest generation that any answer stated."""
 
-    on_progress: Callable[[], None]
-    """Called when a part of an answer with items has arrived."""
-
     @property
     def last_answer(self) -> AnswerSize:
         """The size of the answer that was decoded last."""
--- a/packages/lycheedyke/src/lycheedyke/transport/_http.py
+++ b/packages/lycheedyke/src/lycheedyke/transport/_http.py
@@ -79,7 +79,6 @@
         accept: returns where to write the body of a response with a length
             while it arrives, or None to read it as a whole. The returned
             response then has no body.
-        on_progress: called when a part of the body has arrived.
         longest: the longest time for an exchange whose body goes on arriving,
             each part within the timeout after the one before; None where the
             timeout limits the exchange as a whole.
@@ -88,7 +87,6 @@
     before_write: BeforeWrite | None = None
     is_own: IsOwn | None = None
     accept: Accept | None = None
-    on_progress: Callable[[], None] | None = None
     longest: timedelta | None = None
 
 
@@ -210,7 +208,6 @@
             async with progress_timeout(
                 timeout, checks.longest or timeout
             ) as limit:
-                progress = _Progress(checks.on_progress, limit)
                 with gate.bounded(
                     self._limit_connecting(timeout), limit.timeout
                 ):
@@ -221,7 +218,7 @@
                         body,
                         reuse=reuse,
                         checks=checks,
-                        progress=progress,
+                        progress=limit,
                     )
         except _EXCHANGE_ERRORS as error:
             raise gate.refusal or _to_error(gate, method, url, error) from error
@@ -235,7 +232,7 @@
         *,
         reuse: bool,
         checks: ExchangeChecks,
-        progress: '_Progress',
+        progress: ProgressTimeout,
     ) -> HttpResponse:
         session = self._open_pooled() if reuse else self._open_unpooled()
         async with session.request(
@@ -269,7 +266,7 @@
             )
 
     async def _read_until_close(
-        self, response: aiohttp.ClientResponse, progress: '_Progress'
+        self, response: aiohttp.ClientResponse, progress: ProgressTimeout
     ) -> bytes:
         """Reads a body that ends where the connection is closed.
 
@@ -291,7 +288,7 @@
         return body
 
     async def _read(
-        self, response: aiohttp.ClientResponse, progress: '_Progress'
+        self, response: aiohttp.ClientResponse, progress: ProgressTimeout
     ) -> bytes:
         with self._memory.receive(
             self._max_body_bytes, functools.partial(_break_off, response)
@@ -306,7 +303,7 @@
         self,
         response: aiohttp.ClientResponse,
         sink: BodySink,
-        progress: '_Progress',
+        progress: ProgressTimeout,
     ) -> bytes:
         try:
             await pass_on(
@@ -314,7 +311,7 @@
                 sink,
                 self._max_body_bytes,
                 functools.partial(_break_off, response),
-                progress.note,
+                progress.note_progress,
             )
         except BodyTooLarge as error:
             response.close()
@@ -369,26 +366,15 @@
     return session
 
 
-class _Progress(NamedTuple):
-    """Who is told when a part of a body has arrived."""
-
-    on_progress: Callable[[], None] | None
-    limit: ProgressTimeout
-
-    def note(self) -> None:
-        """Notes that a part has arrived."""
-        self.limit.note_progress()
-        if self.on_progress is not None:
-            self.on_progress()
-
-
 async def _receive(
-    response: aiohttp.ClientResponse, body: IncomingBody, progress: _Progress
+    response: aiohttp.ClientResponse,
+    body: IncomingBody,
+    progress: ProgressTimeout,
 ) -> bytes:
     body.check_length(response.content_length or 0)
     async for chunk in response.content.iter_any():
         body.append(chunk)
-        progress.note()
+        progress.note_progress()
         if not response.content.at_eof():
             # The next read may return at once; others get their turn.
             await asyncio.sleep(0)
--- a/tests/unit/gateway/test_configuration_transfers.py
+++ b/tests/unit/gateway/test_configuration_transfers.py
@@ -25,6 +25,7 @@
 DISTURBED_SECONDS = 2.5
 EVACUATION_SECONDS = 5.0
 SETTLE_SECONDS = 4.0
+STOP_SECONDS = 1.5
 PER_ZONE = 4
 MANY_ROUTES = 1_400
 
@@ -161,6 +162,30 @@
     run_scenario(tmp_path, _scene, limit_s=60, instances=4)
 
 
+def test_an_instance_in_its_stop_follows_the_registry(tmp_path: Path) -> None:
+    """Its open connections are served by the version in force elsewhere."""
+
+    async def _scene(testbed: GatewayTestbed) -> None:
+        patient = [{**ROUTES[0], 'timeout': '3000ms'}]
+        testbed.store.put('op/config', config_value(VERSION - 1, patient))
+        await asyncio.sleep(DISTURBED_SECONDS)
+        for upstream in testbed.upstreams:
+            upstream.run_s = 1.9
+        running = asyncio.create_task(testbed.send('/read/1', deadline_ms=3000))
+        await asyncio.sleep(0.1)
+        stopped = testbed.instances[0]
+        stopping = asyncio.create_task(stopped.stop())
+        await asyncio.sleep(0.1)
+        testbed.store.put('op/config', config_value(VERSION, patient))
+        await asyncio.sleep(STOP_SECONDS)
+        assert not stopping.done()
+        assert _numbers(testbed.instances) == {VERSION}
+        await asyncio.gather(running, stopping)
+        testbed.instances.remove(stopped)
+
+    run_scenario(tmp_path, _scene, limit_s=60, instances=3)
+
+
 def test_malformed_requests_for_a_configuration_are_rejected(
     tmp_path: Path,
 ) -> None:
