--- a/bench/configuration_spread.py
+++ b/bench/configuration_spread.py
@@ -64,8 +64,7 @@
 
 async def _slow_head(testbed: ThinTestbed) -> list[Member]:
     head = head_of(testbed.members)
-    head.link.down.bits_per_s = SLOW_LINK
-    head.link.up.bits_per_s = SLOW_LINK
+    head.link.limit(SLOW_LINK)
     return [head]
 
 
@@ -133,8 +132,10 @@
     write_configuration(
         testbed, FIRST, _routes(scene.before, 'desk'), tenants=tenants
     )
-    await testbed.start_zones(per_zone, scene.bits_per_s)
+    await testbed.start_zones(per_zone, None)
     await asyncio.sleep(SETTLE_S)
+    for member in testbed.members:
+        member.link.limit(scene.bits_per_s)
     disturbed = await scene.disturb(testbed)
     sent, calls = testbed.sent_to_peers(), testbed.count_store_reads()
     for change in range(1, scene.changes):
--- a/tests/standins/thin_links.py
+++ b/tests/standins/thin_links.py
@@ -61,6 +61,11 @@
         self.down = ThinDirection(bits_per_s)
         self.up = ThinDirection(bits_per_s)
 
+    def limit(self, bits_per_s: float | None) -> None:
+        """Sets what each direction carries; None without a limit."""
+        self.down.bits_per_s = bits_per_s
+        self.up.bits_per_s = bits_per_s
+
     def hold(self) -> None:
         """Holds back all bytes in both directions."""
         self.down.held.clear()
@@ -68,9 +73,9 @@
 
     def release(self) -> None:
         """Carries all bytes at once, also those that were held."""
-        for direction in (self.down, self.up):
-            direction.bits_per_s = None
-            direction.held.set()
+        self.limit(None)
+        self.down.held.set()
+        self.up.held.set()
 
 
 class ThinRelay(Relay):
