--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/news/_notices.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/news/_notices.py
@@ -38,8 +38,11 @@
         told = [
             notice
             for notice in awaited.notices
-            if notice.revision > after.revision
-            or after.generation < update.batch.generation
+            if not notice.is_held
+            and (
+                notice.revision > after.revision
+                or after.generation < update.batch.generation
+            )
         ]
         known = [
             item for item in configurations if not awaited.revision_of(item.key)
--- a/packages/lycheedyke/src/lycheedyke/coordination/__init__.py
+++ b/packages/lycheedyke/src/lycheedyke/coordination/__init__.py
@@ -19,10 +19,7 @@
 from lycheedyke.coordination._peers import Peer
 from lycheedyke.coordination._presence import Presence
 from lycheedyke.coordination._quarantine_publisher import QuarantinePublisher
-from lycheedyke.coordination._registry_follower import (
-    RegistryFollower,
-    UpdateSources,
-)
+from lycheedyke.coordination._registry_follower import RegistryFollower
 from lycheedyke.coordination._replica import Replica
 from lycheedyke.coordination._slot_allowance import (
     SlotAllowance,
@@ -33,6 +30,7 @@
 from lycheedyke.coordination._ticket_follower import TicketFollower
 from lycheedyke.coordination._ticket_log import TicketLog
 from lycheedyke.coordination._ticket_replication import TicketReplication
+from lycheedyke.coordination._update_sources import UpdateSources
 from lycheedyke.coordination._watchers import (
     first_by_link,
     rank_by_link,
--- a/packages/lycheedyke/src/lycheedyke/coordination/_registry_follower.py
+++ b/packages/lycheedyke/src/lycheedyke/coordination/_registry_follower.py
@@ -12,15 +12,18 @@
 import random
 from collections.abc import Callable
 from datetime import timedelta
-from typing import Protocol
 
 from lycheedyke.clock import Clock
 from lycheedyke.coordination._follow_intervals import (
     DEFAULT_INTERVALS,
     FollowIntervals,
 )
-from lycheedyke.coordination._removal_deferral import PeerDeferral
 from lycheedyke.coordination._replica import Replica
+from lycheedyke.coordination._update_sources import (
+    UpdateSources,
+    deferral_of,
+    silence_of,
+)
 from lycheedyke.coordination.configurations import (
     ConfigurationArrivals,
     Transfer,
@@ -33,7 +36,6 @@
 )
 from lycheedyke.protocol import (
     ItemBatch,
-    Position,
     Registry,
     RegistryUpdate,
     RoutingRecord,
@@ -50,31 +52,6 @@
 INTERRUPTION_LOG_INTERVAL = timedelta(seconds=1)
 
 
-class UpdateSources(Protocol):
-    """The other entry instances as sources of registry updates."""
-
-    @property
-    def is_watcher(self) -> bool:
-        """Whether this instance serves the updates to its zone."""
-
-    async def poll_source(self, after: Position) -> RegistryUpdate | None:
-        """Returns the updates of the zone's watcher, or of the head.
-
-        Returns:
-            None if this instance is the head, or its source did not answer.
-        """
-
-    async def poll_sample(self, after: Position) -> list[RegistryUpdate]:
-        """Returns the updates of some instances of any zone."""
-
-    @property
-    def has_seeds(self) -> bool:
-        """Whether there are seeds, and this instance is none of them."""
-
-    async def poll_seeds(self) -> RegistryUpdate | None:
-        """Returns all that a seed knows; None if none has read everything."""
-
-
 def _never_paused(span: timedelta) -> timedelta:
     return timedelta()
 
@@ -257,8 +234,8 @@
         if update.batch.generation < max(known, self._registry.generation):
             return False
         as_of = self._clock.elapsed() - update.age_ms * MILLISECOND
-        answered = asked - _silence_of(update) - MILLISECOND
-        told = _deferral_of(update, asked, answered)
+        answered = asked - silence_of(update) - MILLISECOND
+        told = deferral_of(update, asked, answered)
         self._record_answered(answered)
         # Before the changes, which may be removals to defer, and after them,
         # as they may tell of a later generation.
@@ -420,23 +397,3 @@
                 'count': self._interruptions,
             },
         )
-
-
-def _silence_of(update: RegistryUpdate) -> timedelta:
-    silence_ms = update.silence_ms
-    if silence_ms is None:
-        silence_ms = update.age_ms
-    return silence_ms * MILLISECOND
-
-
-def _deferral_of(
-    update: RegistryUpdate, asked: timedelta, answered: timedelta
-) -> PeerDeferral:
-    steady_ms = update.steady_ms
-    return PeerDeferral(
-        asked,
-        update.deferral_ms * MILLISECOND,
-        update.deferral_token,
-        None if steady_ms is None else steady_ms * MILLISECOND,
-        answered,
-    )
--- a/packages/lycheedyke/src/lycheedyke/coordination/_replica.py
+++ b/packages/lycheedyke/src/lycheedyke/coordination/_replica.py
@@ -28,6 +28,11 @@
     PeerDeferral,
     RemovalDeferral,
 )
+from lycheedyke.coordination._replica_items import (
+    describe_keys,
+    missing_items,
+    without_old_tombstones,
+)
 from lycheedyke.coordination.configurations._awaited import (
     AwaitedConfigurations,
 )
@@ -43,16 +48,12 @@
     UpstreamRecord,
 )
 
-# Removed items are kept as tombstones, so that peers get the removal too.
-MAX_TOMBSTONES = 2_048
 # A record that is back with a copy although its owner has ended lapses in the
 # registry within this many times the time to write a record again.
 RETURNED_PERIODS = 3
 # An evacuation must be in force everywhere 5 s after it was written. One that
 # was written under the revision of an earlier one can't be told from it.
 MAX_EVACUATION_HOLD = timedelta(milliseconds=3500)
-# The most keys that a log line names.
-MAX_LOGGED_KEYS = 10
 
 OnChange = Callable[[RegistryItem, RegistryRecord | None], None]
 OnRestore = Callable[[Position], None]
@@ -200,14 +201,7 @@
         if batch.generation != self.position.generation:
             self.merge(batch)
             return
-        present = {item.key for item in batch.items}
-        missing = [
-            RegistryItem(key, batch.revision)
-            for key, item in self._items.items()
-            if key not in present
-            and item.record is not None
-            and item.revision <= batch.revision
-        ]
+        missing = missing_items(self._items, batch)
         items = (*batch.items, *missing)
         self.merge(ItemBatch(batch.revision, items, batch.generation))
         self.awaited.resolve_until(batch.revision)
@@ -266,7 +260,7 @@
             if item.record != hold.item.record:
                 self._on_change(item, hold.item.record)
         if ended:
-            _logger.info('deferral ended', extra=_describe_keys(ended))
+            _logger.info('deferral ended', extra=describe_keys(ended))
 
     def records(self) -> Iterable[RegistryRecord]:
         """Yields all records in effect."""
@@ -280,7 +274,7 @@
         _logger.info(
             'removal deferred',
             extra={
-                **_describe_keys(keys),
+                **describe_keys(keys),
                 'reason': 'may have lapsed in an outage',
                 'until': self._deferral.describe_end(),
             },
@@ -399,23 +393,10 @@
         return self._returned_at + lasts
 
     def _drop_old_tombstones(self) -> None:
-        """Drops the older half of the tombstones once there are too many."""
-        tombstones = sorted(
-            item.revision
-            for key, item in self._items.items()
-            if item.record is None and key not in self._held
-        )
-        if len(tombstones) <= MAX_TOMBSTONES:
-            return
-        oldest = tombstones[len(tombstones) // 2]
-        self._items = {
-            key: item
-            for key, item in self._items.items()
-            if item.record is not None
-            or item.revision >= oldest
-            or key in self._held
-        }
-        self._history.retain(self._items.keys())
+        kept = without_old_tombstones(self._items, self._held.keys())
+        if kept is not self._items:
+            self._items = kept
+            self._history.retain(kept.keys())
 
     def _is_removal_deferred(
         self,
@@ -427,8 +408,3 @@
         if not isinstance(record, UpstreamRecord | EntryRecord):
             return False
         return self._deferral.left > timedelta()
-
-
-def _describe_keys(keys: Collection[str]) -> dict[str, object]:
-    """Returns the fields of a log line on records, whose number may be large."""
-    return {'count': len(keys), 'keys': sorted(keys)[:MAX_LOGGED_KEYS]}
--- a/packages/lycheedyke/src/lycheedyke/protocol/__init__.py
+++ b/packages/lycheedyke/src/lycheedyke/protocol/__init__.py
@@ -50,8 +50,6 @@
 from lycheedyke.protocol._rate_limiter import RateLimiter
 from lycheedyke.protocol._record_checks import check_record, is_valid_item
 from lycheedyke.protocol._registry import (
-    Announcement,
-    AnswerSize,
     CallerLimits,
     EntryFault,
     EntryKind,
@@ -60,7 +58,6 @@
     ItemBatch,
     Position,
     QuarantineRecord,
-    Registry,
     RegistryItem,
     RegistryRecord,
     RegistryUpdate,
@@ -72,6 +69,11 @@
     Tenant,
     UpstreamRecord,
 )
+from lycheedyke.protocol._registry_client import (
+    Announcement,
+    AnswerSize,
+    Registry,
+)
 from lycheedyke.protocol._snapshots import (
     BlockTable,
     ShiftState,
--- a/packages/lycheedyke/src/lycheedyke/transport/_http.py
+++ b/packages/lycheedyke/src/lycheedyke/transport/_http.py
@@ -12,20 +12,15 @@
 import yarl
 
 from lycheedyke.exceptions import (
-    BodyMemoryFull,
     BodyTooLarge,
-    ConnectError,
-    ConnectionRefusedByHost,
     ExchangeBroken,
-    ExchangeTimeout,
     ResponseMemoryFull,
-    ResponseTooLarge,
-    TransportError,
 )
 from lycheedyke.timers import ProgressTimeout, progress_timeout
 from lycheedyke.transport._body_memory import BodyMemory, IncomingBody
 from lycheedyke.transport._connector import Connector, IdleLimits
 from lycheedyke.transport._framing import has_body, has_length
+from lycheedyke.transport._http_errors import exchange_error, too_large_error
 from lycheedyke.transport._sockets import open_socket
 from lycheedyke.transport._streaming import (
     Accept,
@@ -49,7 +44,6 @@
 # before the connection is read no further.
 READ_BUFFER_BYTES = 16_384
 DEFAULT_CONNECT_TIMEOUT = timedelta(seconds=1)
-MAX_DETAIL_CHARACTERS = 500
 # The share of the timeout of an exchange that connecting may take.
 CONNECT_SHARE = 0.8
 IsOwn = Callable[[Mapping[str, str]], bool]
@@ -221,7 +215,9 @@
                         progress=limit,
                     )
         except _EXCHANGE_ERRORS as error:
-            raise gate.refusal or _to_error(gate, method, url, error) from error
+            raise gate.refusal or exchange_error(
+                gate, method, url, error
+            ) from error
 
     async def _send_and_read(
         self,
@@ -297,7 +293,7 @@
                 return await _receive(response, body, progress)
             except BodyTooLarge as error:
                 response.close()
-                raise _to_too_large(response, error) from error
+                raise too_large_error(response, error) from error
 
     async def _pass_on(
         self,
@@ -315,7 +311,7 @@
             )
         except BodyTooLarge as error:
             response.close()
-            raise _to_too_large(response, error) from error
+            raise too_large_error(response, error) from error
         return b''
 
     def _limit_connecting(self, timeout: timedelta) -> timedelta:
@@ -387,36 +383,3 @@
         ResponseMemoryFull(f'{response.url}: broken off as the largest body')
     )
     response.close()
-
-
-def _to_too_large(
-    response: aiohttp.ClientResponse, error: BodyTooLarge
-) -> ResponseTooLarge:
-    detail = f'{response.url}: response of at least {error}'
-    if isinstance(error, BodyMemoryFull):
-        return ResponseMemoryFull(detail)
-    return ResponseTooLarge(detail)
-
-
-def _to_error(
-    gate: WriteGate, method: str, url: str, error: Exception
-) -> TransportError:
-    if not gate.is_open:
-        return _to_connect_error(gate, url, error)
-    if isinstance(error, TimeoutError):
-        return ExchangeTimeout(f'{method} {url}: no complete response in time')
-    # Errors of the parser quote what was received.
-    detail = repr(error)[:MAX_DETAIL_CHARACTERS]
-    return ExchangeBroken(f'{method} {url}: {detail}')
-
-
-def _to_connect_error(
-    gate: WriteGate, url: str, error: Exception
-) -> ConnectError:
-    """Returns the error of an exchange whose request was not written."""
-    if gate.has_timed_out:
-        return ConnectError(f'{url}: not connected in time')
-    cause = getattr(error, 'os_error', error)
-    if isinstance(cause, ConnectionRefusedError):
-        return ConnectionRefusedByHost(f'{url}: connection refused')
-    return ConnectError(f'{url}: {cause!r}'[:MAX_DETAIL_CHARACTERS])
