--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_peer_updates.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_peer_updates.py
@@ -57,8 +57,9 @@
 SUSPECTS = 'suspects'
 # Peers that ask for this understand notices of configurations.
 CONFIGURATIONS = 'configurations'
-# How long a peer may send nothing, and for an answer as a whole.
+# The longest time without a part of an answer.
 POLL_TIMEOUT = timedelta(milliseconds=500)
+# The longest time for an answer as a whole.
 LONGEST_POLL = timedelta(seconds=3)
 SEND_TIMEOUT = timedelta(milliseconds=300)
 PEERS_POLLED = 3
@@ -112,7 +113,7 @@
         arrivals: remembers where configurations came from.
         age: returns the age of the last update from the registry.
         silence: returns the time since the registry has answered anyone.
-        news_sources: the order in which peers are asked.
+        news_sources: tells which peers to poll.
     """
 
     def __init__(
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/news/_sources.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/news/_sources.py
@@ -87,7 +87,7 @@
             _logger.info(event, extra={'peer': name, 'paused_ms': paused_ms})
 
     def _heard(self) -> list[EntryRecord]:
-        """Returns the instances that are not silent; this one always is."""
+        """Returns this instance and all that have answered lately."""
         now = self._clock.elapsed()
         return [
             entry
--- a/packages/lycheedyke/src/lycheedyke/coordination/_registry_follower.py
+++ b/packages/lycheedyke/src/lycheedyke/coordination/_registry_follower.py
@@ -205,10 +205,10 @@
         return max(self._intervals.registry - took, MILLISECOND)
 
     def _is_left_to_source(self) -> bool:
-        """Whether the source of this instance asks the registry for it.
+        """Whether to wait for a source that answers with old news.
 
-        A watcher whose news are old asks the registry itself. What many need
-        is then read once; peers of other zones are asked meanwhile.
+        A watcher with old news reads the registry itself, so that an answer
+        which all instances of its zone need is read once.
         """
         age = self._clock.elapsed() - self._updated
         longest = self._intervals.silence + self._intervals.source
--- a/packages/lycheedyke/src/lycheedyke/timers.py
+++ b/packages/lycheedyke/src/lycheedyke/timers.py
@@ -93,23 +93,6 @@
         timer.cancel()
 
 
-@contextlib.asynccontextmanager
-async def pause_tolerant_timeout(
-    limit: timedelta,
-) -> AsyncIterator[asyncio.Timeout]:
-    """Ends the block after a time, like `asyncio.timeout`.
-
-    Raises:
-        TimeoutError: the time has passed.
-    """
-    async with asyncio.timeout(None) as timeout:
-        timer = PauseTolerantTimer(limit, lambda: expire(timeout))
-        try:
-            yield timeout
-        finally:
-            timer.cancel()
-
-
 class ProgressTimeout:
     """A timeout that is extended while an exchange makes progress.
 
@@ -167,6 +150,19 @@
             timer.cancel()
 
 
+@contextlib.asynccontextmanager
+async def pause_tolerant_timeout(
+    limit: timedelta,
+) -> AsyncIterator[asyncio.Timeout]:
+    """Ends the block after a time, like `asyncio.timeout`.
+
+    Raises:
+        TimeoutError: the time has passed.
+    """
+    async with progress_timeout(limit, limit) as progress:
+        yield progress.timeout
+
+
 def expire(timeout: asyncio.Timeout) -> None:
     """Ends the block of a timeout now."""
     if not timeout.expired():
