--- a/tests/unit/test_configuration_fetches.py
+++ b/tests/unit/test_configuration_fetches.py
@@ -147,6 +147,18 @@
     return played[0]
 
 
+def _hearing(
+    notice: ConfigurationNotice,
+) -> Callable[[_Instance], Coroutine[Any, Any, None]]:
+    """Returns a scene in which an instance hears of a configuration."""
+
+    async def _scene(instance: _Instance) -> None:
+        instance.hear(notice)
+        await asyncio.sleep(PATIENCE_S)
+
+    return _scene
+
+
 # Guards against cut transfers that begin again from the first byte.
 def test_a_cut_transfer_goes_on_from_another_peer() -> None:
     """What the first one has sent is kept."""
@@ -154,11 +166,7 @@
     notice = _notice(7)
     sources.numbers = {notice.digest: 7}
 
-    async def _scene(instance: _Instance) -> None:
-        instance.hear(notice)
-        await asyncio.sleep(PATIENCE_S)
-
-    instance = _play(sources, _Registry(), _scene)
+    instance = _play(sources, _Registry(), _hearing(notice))
     assert sources.asked == [('near', 0), ('far', 4)]
     assert instance.numbers == [7]
     assert not instance.replica.awaited.notices
@@ -171,11 +179,7 @@
     notice = _notice(7)
     sources.numbers = {notice.digest: 7}
 
-    async def _scene(instance: _Instance) -> None:
-        instance.hear(notice)
-        await asyncio.sleep(PATIENCE_S)
-
-    instance = _play(sources, _Registry(), _scene)
+    instance = _play(sources, _Registry(), _hearing(notice))
     assert sources.asked == [('near', 0), ('far', 0)]
     assert instance.numbers == [7]
 
