Name the steps of a fetch by what they do, and drop unused constants

From a last read of the change: a check that put a configuration in force is called _settle; the source 'registry' and the mark of a whole content are constants used everywhere; the instances of a zone are selected in one place; the page says from when transfer_ms counts.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_metrics.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_metrics.py
@@ -67,7 +67,7 @@
         )
         yield unlabelled_gauge(
             'lycheedyke_configuration_awaited_seconds',
-            'Time since a later configuration is known that is not here.',
+            'Time for which a later configuration has been known and missing.',
             self._follower.configuration_awaited.total_seconds(),
         )
         yield unlabelled_gauge(
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/news/_configuration_exchange.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/news/_configuration_exchange.py
@@ -10,6 +10,7 @@
 from aiohttp import web
 
 from lycheedyke.coordination import (
+    NO_BASE,
     ConfigurationDocuments,
     Encoding,
     InboundTransfer,
@@ -41,7 +42,6 @@
 MAX_NAMED = 4
 MAX_STREAM_BYTES = 8_388_608
 HTTP_OK = 200
-MILLISECOND = timedelta(milliseconds=1)
 
 
 class ConfigurationExchange:
@@ -147,7 +147,7 @@
                 return _to_response(encoding, request, after)
             transfer = self.transfers.find(wanted)
             stream = transfer.stream if transfer is not None else None
-            if transfer and stream and stream.base in {b'', *known}:
+            if transfer and stream and stream.base in {NO_BASE, *known}:
                 return await _pass_on(transfer, stream, request, after)
             await asyncio.sleep(HOLD_POLL.total_seconds())
         raise web.HTTPNotFound(text='no such configuration')
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/news/_sources.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/news/_sources.py
@@ -66,15 +66,15 @@
         return head
 
     def ancestors(self) -> list[EntryRecord]:
-        """Returns those from whom this instance receives what is large.
+        """Returns those from whom this instance receives configurations.
 
         The nearest in its tree comes first. An instance that has not been
         announced yet has its later place in the tree.
         """
         tree = self._watchers() if self.is_watcher else self._zone()
         if all(each.name != self._own.name for each in tree):
-            tree = rank_by_link((*tree, self._own))
-        return ancestors_of(self._own.name, tree)
+            tree.append(self._own)
+        return ancestors_of(self._own.name, rank_by_link(tree))
 
     def record(self, name: str, *, answered: bool) -> None:
         """Records whether a source has answered."""
@@ -98,16 +98,13 @@
 
     def _zone(self) -> list[EntryRecord]:
         zone = self._own.zone
-        return rank_by_link(each for each in self._heard() if each.zone == zone)
+        return [each for each in self._heard() if each.zone == zone]
 
     def _watcher(self) -> EntryRecord | None:
-        zone = self._own.zone
-        return first_by_link(
-            each for each in self._heard() if each.zone == zone
-        )
+        return first_by_link(self._zone())
 
     def _watchers(self) -> list[EntryRecord]:
-        """Returns the watchers of all zones, with the head first."""
+        """Returns the watchers of all zones."""
         watchers: dict[str, EntryRecord] = {}
         for entry in rank_by_link(self._heard()):
             watchers.setdefault(entry.zone, entry)
--- a/packages/lycheedyke/src/lycheedyke/coordination/__init__.py
+++ b/packages/lycheedyke/src/lycheedyke/coordination/__init__.py
@@ -37,6 +37,7 @@
     watchers_of,
 )
 from lycheedyke.coordination.configurations import (
+    NO_BASE,
     AwaitedConfigurations,
     ConfigurationArrivals,
     ConfigurationDocuments,
@@ -53,6 +54,7 @@
 )
 
 __all__ = (
+    'NO_BASE',
     'AdmittingInstance',
     'AwaitedConfigurations',
     'ConfigurationArrivals',
--- a/packages/lycheedyke/src/lycheedyke/coordination/_registry_follower.py
+++ b/packages/lycheedyke/src/lycheedyke/coordination/_registry_follower.py
@@ -25,6 +25,7 @@
     silence_of,
 )
 from lycheedyke.coordination.configurations import (
+    REGISTRY,
     ConfigurationArrivals,
     Transfer,
 )
@@ -273,7 +274,7 @@
             if isinstance(item.record, RoutingRecord):
                 size, took = self._registry.last_answer
                 self.arrivals.receive(
-                    item.revision, Transfer('registry', size, took)
+                    item.revision, Transfer(REGISTRY, size, took)
                 )
 
     async def _watch(self) -> ItemBatch | None:
--- a/packages/lycheedyke/src/lycheedyke/coordination/configurations/__init__.py
+++ b/packages/lycheedyke/src/lycheedyke/coordination/configurations/__init__.py
@@ -1,6 +1,7 @@
 """How configurations reach an instance."""
 
 from lycheedyke.coordination.configurations._arrivals import (
+    REGISTRY,
     ConfigurationArrivals,
     Transfer,
 )
@@ -8,6 +9,7 @@
     AwaitedConfigurations,
 )
 from lycheedyke.coordination.configurations._documents import (
+    NO_BASE,
     ConfigurationDocument,
     ConfigurationDocuments,
     Encoding,
@@ -20,6 +22,8 @@
 from lycheedyke.coordination.configurations._spread_tree import ancestors_of
 
 __all__ = (
+    'NO_BASE',
+    'REGISTRY',
     'AwaitedConfigurations',
     'ConfigurationArrivals',
     'ConfigurationDocument',
--- a/packages/lycheedyke/src/lycheedyke/coordination/configurations/_arrivals.py
+++ b/packages/lycheedyke/src/lycheedyke/coordination/configurations/_arrivals.py
@@ -7,6 +7,7 @@
 
 # The versions that are remembered.
 MAX_VERSIONS = 16
+# The source of what the registry itself has sent.
 REGISTRY = 'registry'
 MILLISECOND = timedelta(milliseconds=1)
 
@@ -15,9 +16,10 @@
     """How the content of a configuration was received.
 
     Attributes:
-        source: the name or address of the peer, or `registry`.
+        source: the address of the peer, or `REGISTRY`.
         received_bytes: the size of the answer.
-        took: the time from the head of the answer to its end.
+        took: the time from the head of the answer to its end; for a content
+            that was requested by its digest, from the request to its end.
     """
 
     source: str = ''
--- a/packages/lycheedyke/src/lycheedyke/coordination/configurations/_fetcher.py
+++ b/packages/lycheedyke/src/lycheedyke/coordination/configurations/_fetcher.py
@@ -9,6 +9,7 @@
 from lycheedyke.clock import Clock
 from lycheedyke.coordination._replica import Replica
 from lycheedyke.coordination.configurations._arrivals import (
+    REGISTRY,
     ConfigurationArrivals,
     Transfer,
 )
@@ -114,7 +115,7 @@
         """
         is_arriving = False
         for peer in self._peers():
-            if self._is_settled(notice, is_arriving=is_arriving):
+            if self._settle(notice, is_arriving=is_arriving):
                 return
             if peer is not None:
                 before = len(transfer.received)
@@ -129,12 +130,17 @@
         while True:
             yield from (*self._sources.ranked(), None)
 
-    def _is_settled(
+    def _settle(
         self, notice: ConfigurationNotice, *, is_arriving: bool
     ) -> bool:
-        """Returns whether the content need not be received any more."""
-        if self._documents.find(notice.digest) is not None:
-            self._take(notice)
+        """Puts a configuration in force if its content is known.
+
+        Returns:
+            Whether the content need not be received any more.
+        """
+        document = self._documents.find(notice.digest)
+        if document is not None:
+            self._replica.take_configuration(notice, document.record)
             return True
         return notice not in self._replica.awaited.notices and not is_arriving
 
@@ -166,12 +172,6 @@
             notice.revision, Transfer(peer, stream.length, took)
         )
 
-    def _take(self, notice: ConfigurationNotice) -> None:
-        """Puts a configuration in force whose content is known."""
-        document = self._documents.find(notice.digest)
-        if document is not None:
-            self._replica.take_configuration(notice, document.record)
-
     async def _read_registry(self) -> None:
         """Reads the newest configuration from the registry, if it is time."""
         now = self._clock.elapsed()
@@ -187,6 +187,6 @@
         size, took = self._registry.last_answer
         for item in batch.items:
             self._arrivals.receive(
-                item.revision, Transfer('registry', size, took)
+                item.revision, Transfer(REGISTRY, size, took)
             )
         self._replica.merge_some(batch)
