Tell callers that an order's outcome is unknown if its refusal is unconfirmed

What callers saw: an upstream that failed half way through an order answered 503; the caller got this 503, a promise that the order has not run, sent it again, and it ran twice.

Cause: an answer without Lycheedyke-Not-Run was returned unchanged, whatever its status. To callers 408, 429 and 503 are promises.

Now such an answer to a request that must not run twice is an unknown outcome (refusal-unconfirmed, 502 without a seal). Requests that may run again get it unchanged, as before.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_upstream_client.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_upstream_client.py
@@ -58,6 +58,8 @@
 HTTP_MISDIRECTED = 421
 HTTP_SERVER_ERROR = 500
 HTTP_UNAVAILABLE = 503
+# To a caller they promise that the request has not run.
+REFUSALS = frozenset((408, 429, HTTP_UNAVAILABLE))
 # Below the ten seconds after which upstreams close idle connections. One that
 # states its limit in its answers is believed.
 UPSTREAM_IDLE_TIMEOUT = timedelta(seconds=5)
@@ -323,6 +325,8 @@
             state.record_success()
         elif not is_paused:
             state.record_failure()
+        if answer.status in REFUSALS and not work.idempotent:
+            return Unknown(Reason.refusal_unconfirmed)
         return Answered(
             answer.status,
             forwarded_headers(work, answer),
--- a/packages/lycheedyke/src/lycheedyke/protocol/_outcomes.py
+++ b/packages/lycheedyke/src/lycheedyke/protocol/_outcomes.py
@@ -61,6 +61,7 @@
     upstream_broke = 'upstream-broke'
     upstream_timeout = 'upstream-timeout'
     upstream_silent = 'upstream-silent'
+    refusal_unconfirmed = 'refusal-unconfirmed'
     peer_broke = 'peer-broke'
     caller_left = 'caller-left'
     behind_close = 'behind-close'
