Hasten trials of lost upstreams by an answer, not by a connection

Cause: another upstream listens at the address of a replaced one and accepts the connection of a trial. That brought the trial of the other replaced upstream forward, and the other way round; the next request found the wrong upstream, which doubled the pause, up to 32 s.

--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_lost_upstreams.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_lost_upstreams.py
@@ -25,8 +25,8 @@
 # Of a service without any other upstream, one that is lost is tried in each
 # interval, but none more often than this.
 MIN_RETRY = timedelta(milliseconds=500)
-# Once a lost upstream is back, others of its service or zone are tried within
-# this time.
+# Once a lost upstream has answered a request, others of its service or zone are
+# tried within this time.
 HASTENED_WITHIN_SECONDS = 1.0
 
 
@@ -52,6 +52,7 @@
         self._registry_view = registry_view
         self._counters = counters
         self._clock = clock
+        self._reached: list[UpstreamState] = []
 
     def __repr__(self) -> str:
         """Returns the number of lost upstreams."""
@@ -61,7 +62,12 @@
         """Tries lost upstreams when their trials are due, until cancelled."""
         while True:
             await self._clock.sleep(TRIAL_INTERVAL)
-            await asyncio.gather(*map(self._try, self._due()))
+            await self.try_due()
+
+    async def try_due(self) -> None:
+        """Tries the lost upstreams whose trials are due."""
+        self._hasten_after_answers()
+        await asyncio.gather(*map(self._try, self._due()))
 
     def _due(self) -> list[UpstreamState]:
         """Returns the upstreams to try now, those that wait longest first."""
@@ -102,7 +108,7 @@
         self._counters.count('upstream.trial-passed')
         if _tried_at(state) == tried_at:
             state.end_loss(self._cold(state.record.service))
-            self._hasten_others(state)
+            self._reached.append(state)
 
     def _cold(self, service: str) -> timedelta:
         """Returns how long an upstream of a service is cold after its start."""
@@ -110,6 +116,21 @@
         terms = table.services.get(service) if table else None
         return terms.cold if terms and terms.cold_per_s else timedelta()
 
+    def _hasten_after_answers(self) -> None:
+        """Hastens the trials beside upstreams that have answered a request.
+
+        Another upstream may have accepted the connection of a trial.
+        """
+        reached = [state for state in self._reached if state.loss is None]
+        for state in reached:
+            if not state.is_unproven:
+                self._hasten_others(state)
+        self._reached = [
+            each
+            for each in reached
+            if each.is_unproven and self._table.is_serving(each)
+        ]
+
     def _hasten_others(self, found: UpstreamState) -> None:
         """Brings forward the trials of upstreams that may be back as well."""
         now = self._clock.elapsed()
