Let upstreams of the soak fail with a status that callers take for a promise

Half of the scripted failures answer 503 in place of 500 after the request has run. An order that is refused and ran is a violation now also if the answer has the seal of its upstream.

--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -69,7 +69,8 @@
         yield f'order {name} ran {runs} times'
     if runs > MAX_ATTEMPTS:
         yield f'{name} ran {runs} times in {MAX_ATTEMPTS} attempts'
-    if result.status in REFUSALS and not result.is_sealed and runs:
+    is_promise = result.is_order or not result.is_sealed
+    if result.status in REFUSALS and is_promise and runs:
         yield f'{name} was refused with {result.status} and ran'
     if result.status != HTTP_OK:
         return
--- a/bench/soak/echo_upstream.py
+++ b/bench/soak/echo_upstream.py
@@ -5,7 +5,12 @@
 import time
 from typing import NamedTuple
 
-from standins.scripted_upstream import REQUEST_ID, Arrival, ScriptedUpstream
+from standins.scripted_upstream import (
+    REQUEST_ID,
+    SEAL,
+    Arrival,
+    ScriptedUpstream,
+)
 
 RUN_SECONDS = 0.02
 PAUSE_SECONDS = 4.0
@@ -91,13 +96,17 @@
         headers: dict[str, str],
         target: str,
     ) -> bool:
-        if action != 'pause':
-            return await super()._perform(
-                action, reader, writer, headers, target
-            )
-        self.pauses.append(Wish(headers[REQUEST_ID], time.monotonic()))
-        await self._send(writer, headers, '503 Busy', PAUSE, b'')
-        return True
+        if action == 'pause':
+            self.pauses.append(Wish(headers[REQUEST_ID], time.monotonic()))
+            await self._send(writer, headers, '503 Busy', PAUSE, b'')
+            return True
+        # Half of the failures have a status that callers take for a promise.
+        if action == 'fail' and len(self.started) % 2:
+            self.started.append(headers[REQUEST_ID])
+            await asyncio.sleep(self.run_of_path(target))
+            await self._send(writer, headers, '503 Failed', SEAL, b'no')
+            return True
+        return await super()._perform(action, reader, writer, headers, target)
 
     async def _send(
         self,
--- a/tests/unit/test_soak_checks.py
+++ b/tests/unit/test_soak_checks.py
@@ -137,6 +137,10 @@
             ([_make_result(is_order=False)], [_make_upstream(['a', 'a', 'a'])]),
             'in 2 attempts',
         ),
+        (
+            ([_make_result(status=503, response_id='')], [_make_upstream()]),
+            'refused with 503 and ran',
+        ),
         (
             (
                 [_make_result(status=503, is_sealed=False, response_id='')],
