--- a/tests/unit/gateway/test_lost_upstream_trials.py
+++ b/tests/unit/gateway/test_lost_upstream_trials.py
@@ -34,7 +34,7 @@
     """Upstreams whose addresses accept connections, beside sound ones."""
 
     def __init__(self, monkeypatch: pytest.MonkeyPatch, seed: int) -> None:
-        random.seed(seed)
+        monkeypatch.setattr(random, 'uniform', random.Random(seed).uniform)
         monkeypatch.setattr(_lost_upstreams, 'probe', self._accept)
         self.clock = ManualClock()
         self.table = UpstreamTable(self.clock)
