--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_lost_upstreams.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_lost_upstreams.py
@@ -119,7 +119,8 @@
     def _hasten_after_answers(self) -> None:
         """Hastens the trials beside upstreams that have answered a request.
 
-        Another upstream may have accepted the connection of a trial.
+        An accepted connection does not count: another upstream may listen at
+        the address.
         """
         reached = [state for state in self._reached if state.loss is None]
         for state in reached:
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_upstream_client.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/_upstream_client.py
@@ -58,7 +58,7 @@
 HTTP_MISDIRECTED = 421
 HTTP_SERVER_ERROR = 500
 HTTP_UNAVAILABLE = 503
-# To a caller they promise that the request has not run.
+# To callers they promise, as 421 does, that the request has not run.
 REFUSALS = frozenset((408, 429, HTTP_UNAVAILABLE))
 # Below the ten seconds after which upstreams close idle connections. One that
 # states its limit in its answers is believed.
--- a/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/news/_configuration_exchange.py
+++ b/packages/lycheedyke-daemon/src/lycheedyke_daemon/gateway/news/_configuration_exchange.py
@@ -140,7 +140,9 @@
             known = _to_digests(request.query.get('known', ''))
             after = int(request.query.get('after', '0'))
         except ValueError:
-            raise web.HTTPBadRequest(text='a digest or an offset') from None
+            raise web.HTTPBadRequest(
+                text='malformed digest or offset'
+            ) from None
         for _ in range(HOLD // HOLD_POLL):
             if self._documents.find(wanted) is not None:
                 encoding = self._documents.encode(wanted, known)
--- a/packages/lycheedyke/src/lycheedyke/coordination/configurations/_awaited.py
+++ b/packages/lycheedyke/src/lycheedyke/coordination/configurations/_awaited.py
@@ -106,7 +106,11 @@
 
 
 def _rank(notice: ConfigurationNotice) -> tuple[int, int]:
-    """Held configurations may be of other generations: their number counts."""
+    """Returns by what a notice is compared with others of its key.
+
+    Revisions of held configurations may be of other generations, so these are
+    compared by their numbers.
+    """
     if notice.is_held:
         return notice.number, 0
     return notice.revision, notice.number
